--- a/eslint.config.js
+++ b/eslint.config.js
@@ -4,6 +4,9 @@
   ...neostandard({ ts: true, ignores: ['dist/**', 'coverage/**'] }),
   {
     rules: {
+      // A constant object and the type of its values share a name; the compiler reports real redeclarations.
+      'no-redeclare': 'off',
+      '@typescript-eslint/no-redeclare': 'off',
       eqeqeq: ['error', 'always'],
       'no-restricted-syntax': ['error',
         { selector: 'TSEnumDeclaration', message: 'Use a constant object in place of an enum.' },
--- /dev/null
+++ b/scripts/fleet.ts
@@ -0,0 +1,96 @@
+/**
+ * A small fleet of real processes: control hosts, entry hosts and stand-in backend servers.
+ * @module
+ */
+import { mkdtemp, rm } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { type Finished, type Program, reserveAddresses, runProgram, startProgram } from './processes.ts'
+
+/** A host of the fleet. */
+export interface FleetHost {
+  readonly name: string
+  readonly internalAddress: string
+  readonly administrationAddress: string
+  /** Empty for a control host. */
+  readonly callerAddress: string
+  readonly flags: readonly string[]
+  program: Program
+}
+
+/** Size of a fleet. */
+export interface FleetSize {
+  readonly controlHosts: number
+  readonly entryHosts: number
+}
+
+/** A running fleet. */
+export interface Fleet {
+  readonly folder: string
+  readonly controlHosts: readonly FleetHost[]
+  readonly entryHosts: readonly FleetHost[]
+  readonly standIns: Program[]
+  /** Starts a stand-in backend server that announces itself to the entry hosts. */
+  startStandIn (flags?: readonly string[]): Program
+  /** Ends a host and starts it again with the same flags. */
+  restart (host: FleetHost, signal: NodeJS.Signals): Promise<void>
+  /** Runs the operators' command on the first entry host. */
+  operate (...words: readonly string[]): Promise<Finished>
+  /** Ends all processes and removes the data folders. */
+  close (): Promise<void>
+}
+
+const daemon = 'src/daemons/jaychuted.js'
+const zones = ['zone-a', 'zone-b', 'zone-c']
+
+/**
+ * Starts a fleet.
+ * @param size - how many hosts
+ * @returns the running fleet
+ */
+export async function startFleet (size: FleetSize): Promise<Fleet> {
+  const folder = await mkdtemp(join(tmpdir(), 'jaychute-'))
+  const count = size.controlHosts + size.entryHosts
+  const addresses = await reserveAddresses(count * 3)
+  const controlAddresses = addresses.slice(0, size.controlHosts).join(',')
+  const hosts: FleetHost[] = []
+  for (let number = 0; number < count; number++) {
+    const isControl = number < size.controlHosts
+    const name = isControl ? `control-${number}` : `entry-${number - size.controlHosts}`
+    const internalAddress = addresses[number] ?? ''
+    const administrationAddress = addresses[count + number] ?? ''
+    const callerAddress = isControl ? '' : addresses[count * 2 + number] ?? ''
+    const zone = zones[(isControl ? number : number - size.controlHosts) % zones.length] ?? ''
+    const flags = [
+      '--role', isControl ? 'control' : 'entry', '--host', name, '--availability-zone', zone,
+      '--region', zone === 'zone-c' ? 'region-b' : 'region-a', '--control-hosts', controlAddresses,
+      '--internal-address', internalAddress, '--administration-address', administrationAddress,
+      ...(isControl ? ['--data-folder', join(folder, name)] : ['--caller-address', callerAddress, '--address-keep-ms', '500'])
+    ]
+    hosts.push({ name, internalAddress, administrationAddress, callerAddress, flags, program: startProgram(name, daemon, flags) })
+  }
+  const controlHosts = hosts.slice(0, size.controlHosts)
+  const entryHosts = hosts.slice(size.controlHosts)
+  const standIns: Program[] = []
+  return {
+    folder,
+    controlHosts,
+    entryHosts,
+    standIns,
+    startStandIn (flags = []) {
+      const entries = entryHosts.map(host => host.callerAddress).join(',')
+      const program = startProgram(`stand-in-${standIns.length}`, 'test/standIn/main.js', ['--entry-hosts', entries, ...flags])
+      standIns.push(program)
+      return program
+    },
+    async restart (host, signal) {
+      await host.program.end(signal)
+      host.program = startProgram(host.name, daemon, host.flags)
+    },
+    operate: (...words) => runProgram('src/daemons/jaychute.js', [...words, '--address', entryHosts[0]?.administrationAddress ?? '']),
+    async close () {
+      for (const program of [...hosts.map(host => host.program), ...standIns]) await program.end('SIGKILL')
+      await rm(folder, { recursive: true, force: true })
+    }
+  }
+}
--- /dev/null
+++ b/src/connection/controlClient.ts
@@ -0,0 +1,103 @@
+/**
+ * Calls from an entry host to the leader of the control hosts. Commands may be sent again, so a call is retried on
+ * another control host until its limit.
+ * @module
+ */
+import { err, type Result } from 'neverthrow'
+import type { Clock } from '../process/clock.ts'
+import type { Command, Outcome } from '../process/commands.ts'
+import { createFailure, type Failure, FailureReason, Step } from '../process/failure.ts'
+import { Counter, type Metrics } from '../process/metrics.ts'
+import type { Answer, Query } from '../process/queries.ts'
+import type { Random } from '../process/random.ts'
+import type { WatchAnswer, WatchRequest } from '../process/watchMessages.ts'
+import { pollHoldMs } from '../process/watchMessages.ts'
+import { type InternalClients, TrafficClass } from './internalClient.ts'
+
+/** Longest time for one call to one control host, in milliseconds. */
+const callLimitMs = 2_000
+
+/** Longest pause between two tries, in milliseconds. */
+const retryMs = 200
+
+/** Calls to the leader. */
+export interface ControlClient {
+  /**
+   * Executes a command.
+   * @param command - the command
+   * @param limitMs - the longest time with all tries, in milliseconds
+   * @returns the outcome, or the failure of the last try
+   */
+  execute (command: Command, limitMs?: number): Promise<Result<Outcome, Failure>>
+  /**
+   * Answers a query with a confirmed read.
+   * @param query - the query
+   * @param limitMs - the longest time with all tries, in milliseconds
+   * @returns the answer, or the failure of the last try
+   */
+  read (query: Query, limitMs?: number): Promise<Result<Answer, Failure>>
+  /**
+   * Polls once.
+   * @param request - the poll
+   * @returns the answer, or a failure
+   */
+  watch (request: WatchRequest): Promise<Result<WatchAnswer, Failure>>
+}
+
+/** What the calls need. */
+export interface ControlClientInputs {
+  readonly controlHosts: readonly string[]
+  readonly clients: InternalClients
+  readonly clock: Clock
+  readonly random: Random
+  readonly metrics: Metrics
+  readonly signal: AbortSignal
+}
+
+/**
+ * Creates the calls to the leader.
+ * @param inputs - what they need
+ * @returns the calls
+ */
+export function createControlClient (inputs: ControlClientInputs): ControlClient {
+  const { controlHosts, clients, clock, random, metrics, signal } = inputs
+  let leader = controlHosts[0] ?? ''
+
+  function follow (failure: Failure): void {
+    metrics.count(Counter.ControlCalls, failure.reason)
+    if (failure.alternative !== undefined && failure.alternative !== leader) {
+      leader = failure.alternative
+      return
+    }
+    const position = controlHosts.indexOf(leader)
+    leader = controlHosts[(position + 1) % controlHosts.length] ?? leader
+  }
+
+  async function retry<Value> (limitMs: number, step: Step, call: (address: string) => Promise<Result<Value, Failure>>): Promise<Result<Value, Failure>> {
+    const deadline = clock.now() + limitMs
+    let failure = createFailure(FailureReason.Timeout, { step }, 'no time left for the call')
+    while (clock.now() < deadline && !signal.aborted) {
+      const result = await call(leader)
+      if (result.isOk()) return result
+      failure = result.error
+      follow(failure)
+      await clock.sleep(random.next() * retryMs, signal)
+    }
+    return err(failure)
+  }
+
+  return {
+    execute: (command, limitMs = 10_000) => retry(limitMs, Step.Execute, async address =>
+      await clients.callReply<Outcome>(address, TrafficClass.Control, Step.Execute, limitMs, (client, abort) =>
+        client.control.execute.mutate(command, { signal: abort }))),
+    read: (query, limitMs = 5_000) => retry(limitMs, Step.Read, async address =>
+      await clients.callReply<Answer>(address, TrafficClass.Control, Step.Read, callLimitMs, (client, abort) =>
+        client.control.read.mutate(query, { signal: abort }))),
+    async watch (request) {
+      const result = await clients.callReply<WatchAnswer>(leader, TrafficClass.Control, Step.Watch, pollHoldMs + callLimitMs, (client, abort) =>
+        client.control.watch.mutate(request, { signal: abort }))
+      if (result.isErr()) follow(result.error)
+      return result
+    }
+  }
+}
--- /dev/null
+++ b/src/connection/entryPeer.ts
@@ -0,0 +1,48 @@
+/**
+ * The task that tells one peer entry host what changed here: announcements and crash reports.
+ * @module
+ */
+import type { Clock } from '../process/clock.ts'
+import { Step } from '../process/failure.ts'
+import type { SharedNews } from '../process/sharedNews.ts'
+import { type InternalClients, TrafficClass } from './internalClient.ts'
+
+/** Shortest time between two shares, in milliseconds; what comes in between goes together. */
+const shareIntervalMs = 250
+
+/** Limit for one share, in milliseconds. */
+const shareLimitMs = 1_000
+
+/** What the task needs. */
+export interface EntryPeer {
+  /** Internal address of the peer. */
+  readonly address: string
+  /** Name of this host. */
+  readonly host: string
+  readonly news: SharedNews
+  readonly clients: InternalClients
+  readonly clock: Clock
+  readonly signal: AbortSignal
+}
+
+/**
+ * Runs until the signal aborts.
+ * @param peer - what the task needs
+ * @returns a promise that resolves at the end
+ */
+export async function runEntryPeer (peer: EntryPeer): Promise<void> {
+  const { address, host, news, clients, clock, signal } = peer
+  let sentRevision = 0
+  while (!signal.aborted) {
+    if (news.revision === sentRevision) {
+      await news.changed.wait(shareIntervalMs * 4, signal)
+      continue
+    }
+    const revision = news.revision
+    const share = news.since(sentRevision, host)
+    const result = await clients.call(address, TrafficClass.Control, Step.Share, shareLimitMs, (client, abort) =>
+      client.entry.share.mutate(share, { signal: abort }))
+    if (result.isOk()) sentRevision = revision
+    await clock.sleep(shareIntervalMs, signal)
+  }
+}
--- /dev/null
+++ b/src/connection/internalClient.ts
@@ -0,0 +1,114 @@
+/**
+ * Calls to another host by tRPC. Each peer and class of traffic has connections of its own, and every call has a limit,
+ * so that a connection gone silent is given up and replaced.
+ * @module
+ */
+import { createTRPCClient, httpLink } from '@trpc/client'
+import { err, ok, ResultAsync } from 'neverthrow'
+import { Agent, fetch as undiciFetch } from 'undici'
+import { createFailure, type Failure, FailureReason, type Step, toFailure } from '../process/failure.ts'
+import type { Lifecycle } from '../process/lifecycle.ts'
+import { fromReply, type Reply } from './internalMessages.ts'
+import type { InternalRouter } from './internalRouter.ts'
+
+/** Classes of traffic, which never share a connection. */
+export const TrafficClass = { Live: 'live', Control: 'control', Batch: 'batch' } as const
+export type TrafficClass = typeof TrafficClass[keyof typeof TrafficClass]
+
+/** Limit for opening a connection between hosts, in milliseconds. */
+const connectLimitMs = 1_000
+
+type Client = ReturnType<typeof createTRPCClient<InternalRouter>>
+
+/** Calls to other hosts. */
+export interface InternalClients {
+  /**
+   * Calls a host.
+   * @param address - its internal address
+   * @param trafficClass - which connections to use
+   * @param step - the step, for failures
+   * @param limitMs - the longest time for the call, in milliseconds
+   * @param call - the procedure
+   * @returns the value, or a failure
+   */
+  call<Value> (
+    address: string, trafficClass: TrafficClass, step: Step, limitMs: number,
+    call: (client: Client, signal: AbortSignal) => Promise<Value>
+  ): ResultAsync<Value, Failure>
+  /**
+   * Calls a host that answers with a reply.
+   * @returns the value of the reply, or its failure
+   */
+  callReply<Value> (
+    address: string, trafficClass: TrafficClass, step: Step, limitMs: number,
+    call: (client: Client, signal: AbortSignal) => Promise<Reply<Value>>
+  ): ResultAsync<Value, Failure>
+}
+
+interface Channel {
+  readonly client: Client
+  readonly agent: Agent
+}
+
+/**
+ * Creates the calls to other hosts.
+ * @param lifecycle - closes the connections
+ * @returns the calls
+ */
+export function createInternalClients (lifecycle: Lifecycle): InternalClients {
+  const channels = new Map<string, Channel>()
+
+  function channelTo (address: string, trafficClass: TrafficClass): Channel {
+    const name = `${trafficClass} ${address}`
+    const present = channels.get(name)
+    if (present !== undefined) return present
+    const created = createChannel(address)
+    channels.set(name, created)
+    return created
+  }
+
+  // A call that ran into its limit may have met a silent connection; the next call opens a new one.
+  function dropChannel (address: string, trafficClass: TrafficClass): void {
+    const name = `${trafficClass} ${address}`
+    const channel = channels.get(name)
+    if (channel === undefined) return
+    channels.delete(name)
+    channel.agent.destroy().catch(() => {})
+  }
+
+  lifecycle.own(async () => {
+    for (const channel of channels.values()) await channel.agent.destroy()
+  })
+
+  const clients: InternalClients = {
+    call (address, trafficClass, step, limitMs, call) {
+      const { client } = channelTo(address, trafficClass)
+      const limit = AbortSignal.timeout(limitMs)
+      const origin = { step, peer: address }
+      return ResultAsync.fromPromise(call(client, AbortSignal.any([limit, lifecycle.signal])), error => {
+        if (!limit.aborted) return toFailure(error, origin)
+        dropChannel(address, trafficClass)
+        return createFailure(FailureReason.Timeout, origin, `no answer within ${limitMs} ms`, error)
+      })
+    },
+    callReply (address, trafficClass, step, limitMs, call) {
+      return clients.call(address, trafficClass, step, limitMs, call).andThen(reply => {
+        if (reply === undefined) return err(createFailure(FailureReason.Invalid, { step, peer: address }, 'empty answer'))
+        return fromReply(reply)
+      }).andThen(value => ok(value))
+    }
+  }
+  return clients
+}
+
+function createChannel (address: string): Channel {
+  const agent = new Agent({ connect: { timeout: connectLimitMs }, keepAliveTimeout: 30_000, pipelining: 1 })
+  const client = createTRPCClient<InternalRouter>({
+    links: [httpLink({
+      url: `http://${address}`,
+      // The types of undici's fetch and of the global one differ only in the dispatcher.
+      fetch: ((url: string, init: object) => undiciFetch(url, { ...init, dispatcher: agent })) as unknown as typeof fetch
+    })]
+  })
+  return { client, agent }
+}
--- /dev/null
+++ b/src/connection/openRequests.ts
@@ -0,0 +1,44 @@
+/**
+ * Counts the requests that a server has not finished answering, so that a shutdown can wait for them.
+ * @module
+ */
+import type { Server, ServerResponse } from 'node:http'
+import { createCondition } from '../process/condition.ts'
+
+/** Longest wait between two looks, in milliseconds. */
+const lookMs = 1_000
+
+/** Requests under way. */
+export interface OpenRequests {
+  /** Counts the requests of a server from now on. */
+  watch (server: Server): void
+  /**
+   * Waits until none is left.
+   * @param signal - ends the wait early
+   * @returns a promise that resolves when none is left or the signal aborts
+   */
+  ended (signal: AbortSignal): Promise<void>
+}
+
+/**
+ * Creates the count.
+ * @returns the count
+ */
+export function createOpenRequests (): OpenRequests {
+  const changed = createCondition()
+  const open = new Set<ServerResponse>()
+  return {
+    watch (server) {
+      server.on('request', (_, response: ServerResponse) => {
+        open.add(response)
+        response.once('close', () => {
+          open.delete(response)
+          changed.notify()
+        })
+      })
+    },
+    async ended (signal) {
+      while (open.size > 0 && !signal.aborted) await changed.wait(lookMs, signal)
+    }
+  }
+}
--- /dev/null
+++ b/src/connection/replicaTransport.ts
@@ -0,0 +1,52 @@
+/**
+ * The transport between replicas, over tRPC.
+ * @module
+ */
+import { err, ok, type ResultAsync } from 'neverthrow'
+import { createFailure, type Failure, FailureReason, Step } from '../process/failure.ts'
+import { type AppendAnswer, type AppendRequest, type Identification, Transport, type VoteAnswer, type VoteRequest } from '../process/replicaMessages.ts'
+import type { Member } from '../process/storage.ts'
+import { type InternalClients, TrafficClass } from './internalClient.ts'
+
+/** Limit for a vote or an append, in milliseconds. */
+const callLimitMs = 1_000
+
+class TrpcTransport extends Transport {
+  private readonly clients: InternalClients
+
+  constructor (clients: InternalClients) {
+    super()
+    this.clients = clients
+  }
+
+  override vote (address: string, request: VoteRequest): ResultAsync<VoteAnswer, Failure> {
+    return this.clients.callReply<VoteAnswer>(address, TrafficClass.Control, Step.Vote, callLimitMs, (client, signal) =>
+      client.replica.vote.mutate(request, { signal }))
+  }
+
+  override append (address: string, request: AppendRequest): ResultAsync<AppendAnswer, Failure> {
+    return this.clients.callReply<AppendAnswer>(address, TrafficClass.Control, Step.Append, callLimitMs, (client, signal) =>
+      client.replica.append.mutate(request, { signal }))
+  }
+
+  override identify (address: string): ResultAsync<Identification, Failure> {
+    return this.clients.call(address, TrafficClass.Control, Step.Form, callLimitMs, (client, signal) =>
+      client.replica.identify.mutate(undefined, { signal })).andThen(found => found === undefined
+      ? err(createFailure(FailureReason.NotFound, { step: Step.Form, peer: address }, 'the host is not a control host yet'))
+      : ok(found as Identification))
+  }
+
+  override form (address: string, members: readonly Member[]): ResultAsync<boolean, Failure> {
+    return this.clients.call(address, TrafficClass.Control, Step.Form, callLimitMs, (client, signal) =>
+      client.replica.form.mutate(members, { signal }))
+  }
+}
+
+/**
+ * Creates the transport.
+ * @param clients - calls to other hosts
+ * @returns the transport
+ */
+export function createTrpcTransport (clients: InternalClients): Transport {
+  return new TrpcTransport(clients)
+}
--- /dev/null
+++ b/src/connection/serviceProtocol.ts
@@ -0,0 +1,49 @@
+/**
+ * Plain services: one JSON answer, whole or not at all.
+ * @module
+ */
+import { err, ok, type Result } from 'neverthrow'
+import { createFailure, FailureReason, Step } from '../process/failure.ts'
+import type { BackendServerConnection } from './backendServerConnection.ts'
+import { type AnswerPart, type Attempt, type AttemptFailure, Protocol } from './protocol.ts'
+
+class ServiceProtocol extends Protocol {
+  override async run (
+    connection: BackendServerConnection, attempt: Attempt, deliver: (part: AnswerPart) => void
+  ): Promise<Result<void, AttemptFailure>> {
+    const chunks: Buffer[] = []
+    const body = JSON.stringify({ requestId: attempt.requestId, input: attempt.input })
+    const result = await connection.post('/v1/call', body, attempt, chunk => { chunks.push(chunk) })
+    if (result.isErr()) return err(result.error)
+    const answer = parseAnswer(Buffer.concat(chunks))
+    if (answer?.requestId === attempt.requestId) {
+      deliver({ offset: 0, text: answer.output })
+      return ok(undefined)
+    }
+    return err({
+      failure: createFailure(FailureReason.Incomplete, { step: Step.ReadAnswer, peer: connection.address }, 'the answer is not that of the request'),
+      sent: true
+    })
+  }
+}
+
+interface ServiceAnswer {
+  readonly requestId: string
+  readonly output: string
+}
+
+function parseAnswer (bytes: Buffer): ServiceAnswer | undefined {
+  try {
+    return JSON.parse(bytes.toString('utf8')) as ServiceAnswer
+  } catch {
+    return undefined
+  }
+}
+
+/**
+ * Creates the protocol of plain services.
+ * @returns the protocol
+ */
+export function createServiceProtocol (): Protocol {
+  return new ServiceProtocol()
+}
--- /dev/null
+++ b/src/index.ts
@@ -0,0 +1,18 @@
+/**
+ * The library behind the daemon and the operators' command line.
+ * @module
+ */
+export { type Daemon, startDaemon } from './process/daemon.ts'
+export { listFlags, readSettings, Role, type Settings } from './process/settings.ts'
+export { createOperatorClient, type OperatorClient } from './process/operatorClient.ts'
+export { runLiveRequest, type LiveRequest, type LiveServices } from './request/liveRequest.ts'
+export { chooseBackendServer } from './request/choice.ts'
+export { decideRetry } from './request/retry.ts'
+export { decideAdmission } from './request/admission.ts'
+export { applyCommand, answerQuery, createControlState } from './process/controlState.ts'
+export { decideVote } from './process/election.ts'
+export { validateTables } from './version/validation.ts'
+export { compareTables } from './version/difference.ts'
+export * from './version/tables.ts'
+export * from './process/commands.ts'
+export * from './process/queries.ts'
--- /dev/null
+++ b/src/process/commands.ts
@@ -0,0 +1,131 @@
+/**
+ * Commands of the replicated log and their outcomes. Each may be sent again without harm.
+ * @module
+ */
+import type { Change } from '../version/difference.ts'
+import type { Configuration, Tables } from '../version/tables.ts'
+import type { Problem } from '../version/validation.ts'
+
+/** Kinds of command. */
+export const CommandKind = {
+  Apply: 'apply',
+  OpenUpload: 'open upload',
+  AppendItems: 'append items',
+  Seal: 'seal',
+  DiscardUpload: 'discard upload',
+  CancelJob: 'cancel job',
+  AcquireLease: 'acquire lease',
+  ReleaseLease: 'release lease',
+  Claim: 'claim',
+  Start: 'start',
+  Complete: 'complete',
+  GiveBack: 'give back',
+  ExpireHolder: 'expire holder'
+} as const
+export type CommandKind = typeof CommandKind[keyof typeof CommandKind]
+
+/** How a finished item ended. */
+export const Ending = { Done: 'done', Failed: 'failed', Unknown: 'unknown' } as const
+export type Ending = typeof Ending[keyof typeof Ending]
+
+/** Priority of an item in its job; a lower number goes first. */
+export const Priority = { RoundSheet: 0, Ordinary: 1 } as const
+export type Priority = typeof Priority[keyof typeof Priority]
+
+/** An item as submitted. */
+export interface Item {
+  /** The caller's own name for the item. */
+  readonly name: string
+  readonly input: string
+  readonly maxTokens: number
+  readonly priority: Priority
+}
+
+/** The end of an item under a grant. */
+export interface Completion {
+  readonly job: string
+  /** Position of the item in its job, from 0. */
+  readonly position: number
+  readonly grant: number
+  readonly ending: Ending
+  /** The answer, or why there is none. */
+  readonly result: string
+}
+
+/** Reference to a granted item. */
+export interface GrantReference {
+  readonly job: string
+  readonly position: number
+  readonly grant: number
+}
+
+/** An item returned without an end; progress is kept so that another attempt can resume. */
+export interface Return extends GrantReference {
+  /** Text generated so far. */
+  readonly partial: string
+  /** Tokens generated so far. */
+  readonly offset: number
+  /** Whether the attempt counts against the limit of attempts. */
+  readonly attempted: boolean
+}
+
+/** An item granted to an entry host. */
+export interface Grant extends GrantReference {
+  readonly route: string
+  readonly account: string
+  readonly item: Item
+  readonly partial: string
+  readonly offset: number
+  readonly attempts: number
+}
+
+/** Who holds leases and grants: one start of one entry host. */
+export type Holder = string
+
+/** A change of the durable state. `time` is the leader's time of day in milliseconds when it accepted the command. */
+export type Command =
+  | { readonly kind: typeof CommandKind.Apply, readonly operation: string, readonly expected: number, readonly tables: Tables }
+  | { readonly kind: typeof CommandKind.OpenUpload, readonly upload: string, readonly account: string, readonly key: string, readonly route: string, readonly due: number, readonly time: number }
+  | { readonly kind: typeof CommandKind.AppendItems, readonly upload: string, readonly sequence: number, readonly items: readonly Item[], readonly time: number }
+  | { readonly kind: typeof CommandKind.Seal, readonly upload: string, readonly digest: string, readonly count: number, readonly time: number }
+  | { readonly kind: typeof CommandKind.DiscardUpload, readonly upload: string }
+  | { readonly kind: typeof CommandKind.CancelJob, readonly job: string }
+  | { readonly kind: typeof CommandKind.AcquireLease, readonly backendServer: string, readonly holder: Holder, readonly expected: number }
+  | { readonly kind: typeof CommandKind.ReleaseLease, readonly backendServer: string, readonly holder: Holder, readonly number: number }
+  | { readonly kind: typeof CommandKind.Claim, readonly backendServer: string, readonly holder: Holder, readonly lease: number, readonly sequence: number, readonly pool: string, readonly count: number }
+  | { readonly kind: typeof CommandKind.Start, readonly items: readonly GrantReference[] }
+  | { readonly kind: typeof CommandKind.Complete, readonly completions: readonly Completion[] }
+  | { readonly kind: typeof CommandKind.GiveBack, readonly items: readonly Return[] }
+  | { readonly kind: typeof CommandKind.ExpireHolder, readonly holder: Holder }
+
+/** Kinds of outcome. */
+export const OutcomeKind = {
+  Done: 'done',
+  Applied: 'applied',
+  Conflict: 'conflict',
+  Invalid: 'invalid',
+  NotFound: 'not found',
+  Job: 'job',
+  Lease: 'lease',
+  Grants: 'grants',
+  Started: 'started'
+} as const
+export type OutcomeKind = typeof OutcomeKind[keyof typeof OutcomeKind]
+
+/** What a command led to. */
+export type Outcome =
+  | { readonly kind: typeof OutcomeKind.Done }
+  | { readonly kind: typeof OutcomeKind.Applied, readonly version: number }
+  | { readonly kind: typeof OutcomeKind.Conflict, readonly text: string, readonly current?: Configuration, readonly changes?: readonly Change[] }
+  | { readonly kind: typeof OutcomeKind.Invalid, readonly problems: readonly Problem[] }
+  | { readonly kind: typeof OutcomeKind.NotFound }
+  | { readonly kind: typeof OutcomeKind.Job, readonly job: string }
+  | { readonly kind: typeof OutcomeKind.Lease, readonly holder: Holder, readonly number: number, readonly granted: boolean }
+  | { readonly kind: typeof OutcomeKind.Grants, readonly grants: readonly Grant[] }
+  | { readonly kind: typeof OutcomeKind.Started, readonly accepted: readonly boolean[] }
+
+/** The outcome of a command that has nothing to report. */
+export const done: Outcome = { kind: OutcomeKind.Done }
+
+/** The outcome for something that does not exist. */
+export const notFound: Outcome = { kind: OutcomeKind.NotFound }
--- /dev/null
+++ b/src/process/condition.ts
@@ -0,0 +1,48 @@
+/**
+ * A condition variable for tasks: waiting costs nothing until it is notified.
+ * @module
+ */
+
+/** A condition that tasks wait for. */
+export interface Condition {
+  /** Wakes every waiting task. */
+  notify (): void
+  /**
+   * Waits for the next notification.
+   * @param limitMs - the longest wait, in milliseconds
+   * @param signal - ends the wait early without an error
+   * @returns true when notified, false at the limit or when aborted
+   */
+  wait (limitMs: number, signal?: AbortSignal): Promise<boolean>
+}
+
+/**
+ * Creates a condition.
+ * @returns the condition
+ */
+export function createCondition (): Condition {
+  let waiters = new Set<() => void>()
+  return {
+    notify () {
+      const woken = waiters
+      waiters = new Set()
+      for (const wake of woken) wake()
+    },
+    wait (limitMs, signal) {
+      return new Promise(resolve => {
+        if (signal?.aborted === true) return resolve(false)
+        const end = (notified: boolean): void => {
+          clearTimeout(timer)
+          waiters.delete(wake)
+          signal?.removeEventListener('abort', abort)
+          resolve(notified)
+        }
+        const wake = (): void => end(true)
+        const abort = (): void => end(false)
+        const timer = setTimeout(abort, limitMs)
+        waiters.add(wake)
+        signal?.addEventListener('abort', abort, { once: true })
+      })
+    }
+  }
+}
--- /dev/null
+++ b/src/process/controlHost.ts
@@ -0,0 +1,220 @@
+/**
+ * A control host: a replica of the log with the durable state, and what its leader does besides.
+ * @module
+ */
+import { err, ok, type Result, type ResultAsync } from 'neverthrow'
+import type { Clock } from './clock.ts'
+import { type Command, CommandKind, type Holder, type Outcome, OutcomeKind } from './commands.ts'
+import { type Condition, createCondition } from './condition.ts'
+import { answerQuery, applyCommand, type ControlState, createControlState } from './controlState.ts'
+import { createFailure, type Failure, FailureReason, Step } from './failure.ts'
+import type { Answer, Query } from './queries.ts'
+import { createReplica, type Replica, type ReplicaInputs, ReplicaRole } from './replica.ts'
+import { createSessions, sessionLimitMs, type Sessions } from './sessions.ts'
+import { pollHoldMs, type WatchAnswer, type WatchRequest } from './watchMessages.ts'
+import { runFormation } from './formation.ts'
+
+/** How often the leader looks for expired sessions and uploads, in milliseconds. */
+const sweepMs = 500
+
+/** Time without a chunk after which an open upload is discarded, in milliseconds. */
+export const uploadLimitMs = 60_000
+
+/** How long the answer to a cancellation may wait for the entry hosts, in milliseconds. */
+const cancelLimitMs = sessionLimitMs + 2_000
+
+/** What a control host needs. */
+export interface ControlHostInputs extends Omit<ReplicaInputs, 'apply'> {
+  /** Internal addresses of all control hosts, this one included. */
+  readonly controlHosts: readonly string[]
+}
+
+/** A control host. */
+export interface ControlHost {
+  readonly replica: Replica
+  readonly state: ControlState
+  readonly sessions: Sessions
+  /**
+   * Executes a command on the leader.
+   * @param command - the command; its time is set here
+   * @returns its outcome, or a failure
+   */
+  execute (command: Command): Promise<Result<Outcome, Failure>>
+  /**
+   * Answers a query after the leadership was confirmed.
+   * @param query - the query
+   * @returns the answer, or a failure
+   */
+  read (query: Query): Promise<Result<Answer, Failure>>
+  /**
+   * Answers a poll, at once when there is news and after a while when there is none.
+   * @param request - the poll
+   * @returns the answer, or a failure
+   */
+  watch (request: WatchRequest): Promise<Result<WatchAnswer, Failure>>
+}
+
+/**
+ * Starts a control host.
+ * @param inputs - what it needs
+ * @returns the control host, or a failure when its data can't be used
+ */
+export function createControlHost (inputs: ControlHostInputs): ResultAsync<ControlHost, Failure> {
+  const state = createControlState()
+  const news = createCondition()
+  return createReplica({
+    ...inputs,
+    apply (command) {
+      const outcome = applyCommand(state, command)
+      if (command.kind === CommandKind.Apply || command.kind === CommandKind.CancelJob) news.notify()
+      return outcome
+    }
+  }).map(replica => startControlHost(inputs, replica, state, news))
+}
+
+function startControlHost (inputs: ControlHostInputs, replica: Replica, state: ControlState, news: Condition): ControlHost {
+  const { clock, lifecycle } = inputs
+  const sessions = createSessions()
+  const leadership: Leadership = { term: -1, since: 0 }
+
+  async function execute (command: Command): Promise<Result<Outcome, Failure>> {
+    if (replica.state.role !== ReplicaRole.Leader) return err(notLeader(replica, Step.Execute))
+    if (command.kind === CommandKind.AcquireLease) {
+      const lease = state.leases.get(command.backendServer)
+      const taken = lease?.holder !== undefined && lease.holder !== command.holder && isHolderAlive(lease.holder)
+      if (taken) return ok({ kind: OutcomeKind.Lease, holder: lease.holder, number: lease.number, granted: false })
+    }
+    const outcome = await replica.propose(stamp(command, clock))
+    if (outcome.isErr() || command.kind !== CommandKind.CancelJob) return outcome
+    await waitUntilStopped(command.job, replica.state.appliedIndex)
+    return outcome
+  }
+
+  // A new leader gives every holder a full session from the start of its term, since it has not seen earlier polls.
+  function isHolderAlive (holder: Holder): boolean {
+    if (sessions.find(holder) !== undefined) return true
+    return clock.now() - leadership.since < sessionLimitMs
+  }
+
+  async function waitUntilStopped (job: string, index: number): Promise<void> {
+    const deadline = clock.now() + cancelLimitMs
+    while (clock.now() < deadline && !lifecycle.signal.aborted) {
+      const waiting = holdersOf(job).some(holder => isHolderAlive(holder) && (sessions.find(holder)?.seenIndex ?? 0) < index)
+      if (!waiting) return
+      await news.wait(deadline - clock.now(), lifecycle.signal)
+    }
+  }
+
+  function holdersOf (job: string): Holder[] {
+    const holders: Holder[] = []
+    for (const [holder, held] of state.jobs.held) {
+      for (const reference of held.values()) {
+        if (reference.job !== job) continue
+        holders.push(holder)
+        break
+      }
+    }
+    return holders
+  }
+
+  async function read (query: Query): Promise<Result<Answer, Failure>> {
+    const confirmed = await replica.confirmRead()
+    return confirmed.map(() => answerQuery(state, query))
+  }
+
+  async function watch (request: WatchRequest): Promise<Result<WatchAnswer, Failure>> {
+    if (replica.state.role !== ReplicaRole.Leader) return err(notLeader(replica, Step.Watch))
+    observeLeadership()
+    if (sessions.poll(request.entryHost, request.seenIndex, clock.now())) news.notify()
+    if (cancelledJobsOf(request.entryHost.holder).length > 0) news.notify()
+    const deadline = clock.now() + (request.immediate ? 0 : pollHoldMs)
+    while (!hasNews(request) && clock.now() < deadline && replica.state.role === ReplicaRole.Leader) {
+      await news.wait(deadline - clock.now(), lifecycle.signal)
+      if (lifecycle.signal.aborted) break
+    }
+    const confirmed = await replica.confirmRead()
+    return confirmed.map(appliedIndex => createAnswer(request, appliedIndex))
+  }
+
+  function hasNews (request: WatchRequest): boolean {
+    if (state.configuration.version > request.version) return true
+    if (directoryRevision() !== request.directoryRevision) return true
+    return request.seenIndex < replica.state.appliedIndex && cancelledJobsOf(request.entryHost.holder).length > 0
+  }
+
+  function createAnswer (request: WatchRequest, appliedIndex: number): WatchAnswer {
+    const answer = { directoryRevision: directoryRevision(), appliedIndex, cancelledJobs: cancelledJobsOf(request.entryHost.holder) }
+    return {
+      ...answer,
+      ...(state.configuration.version > request.version ? { configuration: state.configuration } : {}),
+      ...(answer.directoryRevision === request.directoryRevision ? {} : { entryHosts: sessions.list() })
+    }
+  }
+
+  function cancelledJobsOf (holder: Holder): string[] {
+    const jobs = new Set<string>()
+    for (const reference of state.jobs.held.get(holder)?.values() ?? []) {
+      if (state.jobs.jobs.get(reference.job)?.cancelled === true) jobs.add(reference.job)
+    }
+    return [...jobs]
+  }
+
+  function directoryRevision (): string {
+    return `${replica.state.identity}/${replica.state.term}/${sessions.revision}`
+  }
+
+  function observeLeadership (): void {
+    if (leadership.term === replica.state.term) return
+    leadership.term = replica.state.term
+    leadership.since = clock.now()
+    sessions.clear()
+  }
+
+  async function runSweeps (signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await clock.sleep(sweepMs, signal)
+      if (signal.aborted || replica.state.role !== ReplicaRole.Leader) continue
+      observeLeadership()
+      if (sessions.expire(clock.now())) news.notify()
+      for (const holder of deadHolders()) await replica.propose({ kind: CommandKind.ExpireHolder, holder })
+      for (const upload of state.jobs.uploads.values()) {
+        if (clock.wallTime() - upload.touchedAt < uploadLimitMs) continue
+        await replica.propose({ kind: CommandKind.DiscardUpload, upload: upload.id })
+      }
+    }
+  }
+
+  function deadHolders (): Holder[] {
+    const holders = new Set<Holder>(state.jobs.held.keys())
+    for (const lease of state.leases.values()) {
+      if (lease.holder !== undefined) holders.add(lease.holder)
+    }
+    return [...holders].filter(holder => !isHolderAlive(holder))
+  }
+
+  lifecycle.run(runSweeps)
+  lifecycle.run(signal => runFormation({ ...inputs, replica, signal }))
+  lifecycle.run(async signal => {
+    while (!signal.aborted) {
+      await replica.state.changed.wait(pollHoldMs, signal)
+      if (replica.state.role === ReplicaRole.Leader) observeLeadership()
+      else news.notify()
+    }
+  })
+  return { replica, state, sessions, execute, read, watch }
+}
+
+interface Leadership {
+  term: number
+  /** Monotonic time at which this replica noticed that it leads, in milliseconds. */
+  since: number
+}
+
+function notLeader (replica: Replica, step: Step): Failure {
+  const { address, leaderAddress } = replica.state
+  return createFailure(FailureReason.NotLeader, { step, peer: address, alternative: leaderAddress }, 'this control host is not the leader')
+}
+
+function stamp (command: Command, clock: Clock): Command {
+  return 'time' in command ? { ...command, time: clock.wallTime() } : command
+}
--- /dev/null
+++ b/src/process/daemon.ts
@@ -0,0 +1,141 @@
+/**
+ * Assembles a daemon from its settings.
+ * @module
+ */
+import { Hono } from 'hono'
+import { err, ok, type Result } from 'neverthrow'
+import { createControlClient } from '../connection/controlClient.ts'
+import { createInternalClients } from '../connection/internalClient.ts'
+import { createInternalRouter, type InternalServices } from '../connection/internalRouter.ts'
+import { createTrpcTransport } from '../connection/replicaTransport.ts'
+import { createAdministrationApi } from '../request/administrationApi.ts'
+import { createErrorAnswers } from '../request/errorAnswer.ts'
+import { createSystemClock } from './clock.ts'
+import { type ControlHost, createControlHost } from './controlHost.ts'
+import { createEntryHost, type RunningEntryHost } from './entryHost.ts'
+import type { Failure } from './failure.ts'
+import { createFileStorage } from './fileStorage.ts'
+import { createLifecycle, type Lifecycle } from './lifecycle.ts'
+import { LogEvents } from './logEvents.ts'
+import { createLogger, type Logger } from './logger.ts'
+import { createMetrics } from './metrics.ts'
+import { createSystemRandom } from './random.ts'
+import { serveApi, serveInternal } from './servers.ts'
+import { Role, type Settings } from './settings.ts'
+
+/** A running daemon. */
+export interface Daemon {
+  readonly lifecycle: Lifecycle
+  readonly logger: Logger
+  readonly controlHost: ControlHost | undefined
+  readonly entryHost: RunningEntryHost | undefined
+  /**
+   * Shuts down without cutting off a request.
+   * @returns a promise that resolves when all is closed
+   */
+  drain (): Promise<void>
+}
+
+/**
+ * Starts a daemon.
+ * @param settings - its settings
+ * @returns the daemon, or the failure that kept it from starting
+ */
+export async function startDaemon (settings: Settings): Promise<Result<Daemon, Failure>> {
+  const lifecycle = createLifecycle()
+  const logger = createLogger(settings.host, settings.logLevel)
+  const started = await assemble(settings, lifecycle, logger)
+  if (started.isErr()) await lifecycle.close()
+  return started
+}
+
+async function assemble (settings: Settings, lifecycle: Lifecycle, logger: Logger): Promise<Result<Daemon, Failure>> {
+  const metrics = createMetrics()
+  const clock = createSystemClock()
+  const random = createSystemRandom()
+  const clients = createInternalClients(lifecycle)
+  const control = createControlClient({ controlHosts: settings.controlHosts, clients, clock, random, metrics, signal: lifecycle.signal })
+  const services: InternalServices = { controlHost: undefined, shareReceiver: undefined }
+
+  if (settings.role !== Role.Entry) {
+    const storage = createFileStorage({ folder: settings.dataFolder ?? '', host: settings.host, logger, metrics })
+    const created = await createControlHost({
+      address: settings.internalAddress,
+      availabilityZone: settings.availabilityZone,
+      controlHosts: settings.controlHosts,
+      storage,
+      transport: createTrpcTransport(clients),
+      clock,
+      random,
+      logger,
+      metrics,
+      lifecycle
+    })
+    if (created.isErr()) return err(created.error)
+    services.controlHost = created.value
+  }
+  const listening = await serveInternal(settings.internalAddress, createInternalRouter(services), lifecycle)
+  if (listening.isErr()) return err(listening.error)
+
+  let entryHost: RunningEntryHost | undefined
+  if (settings.role !== Role.Control && settings.callerAddress !== undefined) {
+    entryHost = createEntryHost({ settings, callerAddress: settings.callerAddress, control, clients, clock, random, logger, metrics, lifecycle })
+    services.shareReceiver = entryHost.shareReceiver
+    const served = await serveApi(settings.callerAddress, entryHost.api, lifecycle)
+    if (served.isErr()) return err(served.error)
+    entryHost.openRequests.watch(served.value)
+  }
+  if (settings.administrationAddress !== undefined) {
+    const errors = createErrorAnswers(metrics, () => [])
+    const status = (): object => describeStatus(settings, services.controlHost, entryHost)
+    const served = await serveApi(settings.administrationAddress, createAdministrationApi({ control, errors, status }), lifecycle)
+    if (served.isErr()) return err(served.error)
+  }
+  if (settings.metricsAddress !== undefined) {
+    const api = new Hono().get('/metrics', context => context.text(metrics.format()))
+    const served = await serveApi(settings.metricsAddress, api, lifecycle)
+    if (served.isErr()) return err(served.error)
+  }
+  logger.write(LogEvents.processStarted, { detail: settings.role })
+  return ok({
+    lifecycle,
+    logger,
+    controlHost: services.controlHost,
+    entryHost,
+    async drain () {
+      logger.write(LogEvents.processDraining)
+      await entryHost?.drain()
+      await lifecycle.close()
+    }
+  })
+}
+
+function describeStatus (settings: Settings, controlHost: ControlHost | undefined, entryHost: RunningEntryHost | undefined): object {
+  const replica = controlHost?.replica.state
+  return {
+    host: settings.host,
+    role: settings.role,
+    availabilityZone: settings.availabilityZone,
+    region: settings.region,
+    control: replica === undefined
+      ? undefined
+      : {
+          identity: replica.identity,
+          role: replica.role,
+          term: replica.term,
+          leader: replica.leaderAddress,
+          commitIndex: replica.commitIndex,
+          appliedIndex: replica.appliedIndex,
+          members: replica.members
+        },
+    entry: entryHost === undefined
+      ? undefined
+      : {
+          version: entryHost.version.configuration.version,
+          entryHosts: entryHost.session.entryHosts,
+          backendServers: entryHost.backendServers.list().map(server => ({
+            ...server.announcement, liveInFlight: server.liveInFlight, batchInFlight: server.batchInFlight
+          }))
+        }
+  }
+}
--- /dev/null
+++ b/src/process/failure.ts
@@ -0,0 +1,133 @@
+/**
+ * Errors with the step and the peer at which they arose.
+ * @module
+ */
+import ModernError from 'modern-errors'
+
+/** Why an operation failed. */
+export const FailureReason = {
+  Timeout: 'timeout',
+  Refused: 'connection refused',
+  Reset: 'connection reset',
+  Aborted: 'aborted',
+  NotLeader: 'not leader',
+  NoQuorum: 'no quorum',
+  Unknown: 'unknown outcome',
+  Rejected: 'rejected',
+  NotFound: 'not found',
+  Conflict: 'conflict',
+  Invalid: 'invalid',
+  Storage: 'storage',
+  Damaged: 'damaged data',
+  Status: 'unexpected status',
+  Incomplete: 'incomplete answer'
+} as const
+export type FailureReason = typeof FailureReason[keyof typeof FailureReason]
+
+/** The operation during which an error arose. */
+export const Step = {
+  Start: 'start',
+  Settings: 'settings',
+  Listen: 'listen',
+  LoadLog: 'load log',
+  AppendLog: 'append log',
+  SyncLog: 'sync log',
+  Form: 'form',
+  Vote: 'vote',
+  Append: 'append',
+  Snapshot: 'snapshot',
+  Propose: 'propose',
+  ConfirmRead: 'confirm read',
+  Watch: 'watch',
+  Execute: 'execute',
+  Read: 'read',
+  Share: 'share',
+  Connect: 'connect',
+  SendRequest: 'send request',
+  FirstByte: 'first byte',
+  ReadAnswer: 'read answer',
+  Dispatch: 'dispatch',
+  Upload: 'upload',
+  Admit: 'admit',
+  Choose: 'choose backend server',
+  Administration: 'administration'
+} as const
+export type Step = typeof Step[keyof typeof Step]
+
+/** Where an error arose. */
+export interface Origin {
+  readonly step: Step
+  /** Address of the other side, where there is one. */
+  readonly peer?: string | undefined
+  /** Address to try instead, for example the leader's. */
+  readonly alternative?: string | undefined
+}
+
+/** An expected error: returned in a result and not thrown. */
+export interface Failure extends Error {
+  /** Why the operation failed. */
+  readonly reason: FailureReason
+  /** The operation that failed. */
+  readonly step: Step
+  /** Address of the other side. */
+  readonly peer?: string | undefined
+  /** Address to try instead. */
+  readonly alternative?: string | undefined
+}
+
+// The library asks for a class name that ends in "Error".
+const FailureError = ModernError.subclass('FailureError')
+
+/**
+ * Creates a failure.
+ * @param reason - why the operation failed
+ * @param origin - step and peer
+ * @param message - what happened, for a reader of the log
+ * @param cause - the error behind it
+ * @returns the failure
+ */
+export function createFailure (reason: FailureReason, origin: Origin, message: string, cause?: unknown): Failure {
+  const props = { reason, step: origin.step, peer: origin.peer, alternative: origin.alternative }
+  return new FailureError(message, cause === undefined ? { props } : { cause, props })
+}
+
+/**
+ * Converts a caught value to a failure. System error codes of sockets are mapped to reasons.
+ * @param error - what was caught
+ * @param origin - step and peer
+ * @returns the failure; a failure is returned as it is
+ */
+export function toFailure (error: unknown, origin: Origin): Failure {
+  if (error instanceof FailureError) return error as unknown as Failure
+  const message = error instanceof Error ? error.message : String(error)
+  return createFailure(reasonOf(error), origin, message, error)
+}
+
+const reasonByCode: Readonly<Record<string, FailureReason>> = {
+  ECONNREFUSED: FailureReason.Refused,
+  EHOSTUNREACH: FailureReason.Refused,
+  ENETUNREACH: FailureReason.Refused,
+  ECONNRESET: FailureReason.Reset,
+  EPIPE: FailureReason.Reset,
+  UND_ERR_SOCKET: FailureReason.Reset,
+  UND_ERR_CLOSED: FailureReason.Reset,
+  UND_ERR_DESTROYED: FailureReason.Reset,
+  UND_ERR_CONNECT_TIMEOUT: FailureReason.Timeout,
+  UND_ERR_HEADERS_TIMEOUT: FailureReason.Timeout,
+  UND_ERR_BODY_TIMEOUT: FailureReason.Timeout,
+  UND_ERR_ABORTED: FailureReason.Aborted,
+  ABORT_ERR: FailureReason.Aborted
+}
+
+function reasonOf (error: unknown): FailureReason {
+  let current: unknown = error
+  for (let depth = 0; depth < 5 && current instanceof Error; depth++) {
+    if (current.name === 'TimeoutError') return FailureReason.Timeout
+    if (current.name === 'AbortError') return FailureReason.Aborted
+    const code = (current as NodeJS.ErrnoException).code
+    const reason = code === undefined ? undefined : reasonByCode[code]
+    if (reason !== undefined) return reason
+    current = current.cause
+  }
+  return FailureReason.Unknown
+}
--- /dev/null
+++ b/src/process/logger.ts
@@ -0,0 +1,70 @@
+/**
+ * Writes numbered log events with bunyan. Nothing logs free text.
+ * @module
+ */
+import bunyan from 'bunyan'
+import type { Failure } from './failure.ts'
+import { type LogEvent, Level } from './logEvents.ts'
+import { assertNever } from './assert.ts'
+
+/** What a log event is about. */
+export interface Subject {
+  readonly step?: string
+  readonly peer?: string
+  readonly requestId?: string
+  readonly reason?: string
+  readonly detail?: string
+  readonly value?: number
+  readonly failure?: Failure
+}
+
+/** Writer of log events. */
+export interface Logger {
+  /**
+   * Writes an event.
+   * @param event - an event of the catalogue
+   * @param subject - what it is about
+   */
+  write (event: LogEvent, subject?: Subject): void
+}
+
+/**
+ * Creates a logger that writes to standard error.
+ * @param host - name of this host, written with each event
+ * @param level - events below it are dropped
+ * @returns the logger
+ */
+export function createLogger (host: string, level: Level): Logger {
+  const output = bunyan.createLogger({ name: 'jaychute', host, level, stream: process.stderr })
+  return {
+    write (event, subject = {}) {
+      const { failure, ...rest } = subject
+      const fields = failure === undefined ? rest : { ...rest, ...describe(failure) }
+      const line = { event: event.number, ...fields }
+      switch (event.level) {
+        case Level.Debug: return output.debug(line, event.text)
+        case Level.Info: return output.info(line, event.text)
+        case Level.Warn: return output.warn(line, event.text)
+        case Level.Error: return output.error(line, event.text)
+        default: assertNever(event.level)
+      }
+    }
+  }
+}
+
+/**
+ * Creates a logger that drops every event.
+ * @returns the logger
+ */
+export function createSilentLogger (): Logger {
+  return { write () {} }
+}
+
+function describe (failure: Failure): Subject {
+  return {
+    step: failure.step,
+    reason: failure.reason,
+    detail: failure.message,
+    ...(failure.peer === undefined ? {} : { peer: failure.peer })
+  }
+}
--- /dev/null
+++ b/src/process/metrics.ts
@@ -0,0 +1,116 @@
+/**
+ * Counters and latency histograms in the usual text format.
+ * @module
+ */
+import * as hdr from 'hdr-histogram-js'
+
+/** Names of the counters. Each is split by one label. */
+export const Counter = {
+  Requests: 'jaychute_requests_total',
+  Refusals: 'jaychute_refusals_total',
+  Retries: 'jaychute_retries_total',
+  RetriesDenied: 'jaychute_retries_denied_total',
+  Attempts: 'jaychute_attempts_total',
+  Items: 'jaychute_items_total',
+  Yields: 'jaychute_batch_yields_total',
+  Bytes: 'jaychute_bytes_total',
+  ControlCalls: 'jaychute_control_calls_total',
+  Syncs: 'jaychute_log_syncs_total',
+  LogEntries: 'jaychute_log_entries_total'
+} as const
+export type Counter = typeof Counter[keyof typeof Counter]
+
+/** Names of the histograms, in microseconds. */
+export const Latency = {
+  FirstToken: 'jaychute_first_token_microseconds',
+  BetweenTokens: 'jaychute_between_tokens_microseconds',
+  OwnDelay: 'jaychute_own_delay_microseconds',
+  Commit: 'jaychute_commit_microseconds',
+  Yield: 'jaychute_yield_microseconds'
+} as const
+export type Latency = typeof Latency[keyof typeof Latency]
+
+const microsecondsPerMillisecond = 1000
+const percentiles = [50, 95, 99, 99.9] as const
+
+/** Counters and histograms of one process. */
+export interface Metrics {
+  /**
+   * Adds to a counter.
+   * @param counter - which counter
+   * @param label - the reason or class it is split by
+   * @param amount - how much, 1 by default
+   */
+  count (counter: Counter, label: string, amount?: number): void
+  /**
+   * Reads a counter.
+   * @param counter - which counter
+   * @param label - the reason or class it is split by
+   * @returns its value
+   */
+  read (counter: Counter, label: string): number
+  /**
+   * Records a latency.
+   * @param latency - which histogram
+   * @param durationMs - the duration in milliseconds
+   */
+  record (latency: Latency, durationMs: number): void
+  /**
+   * Reads a percentile.
+   * @param latency - which histogram
+   * @param percentile - from 0 to 100
+   * @returns milliseconds
+   */
+  percentile (latency: Latency, percentile: number): number
+  /**
+   * Writes all values in the text exposition format.
+   * @returns the text
+   */
+  format (): string
+}
+
+/**
+ * Creates empty metrics.
+ * @returns the metrics
+ */
+export function createMetrics (): Metrics {
+  const counters = new Map<Counter, Map<string, number>>()
+  const histograms = new Map<Latency, hdr.Histogram>()
+
+  function histogramOf (latency: Latency): hdr.Histogram {
+    const present = histograms.get(latency)
+    if (present !== undefined) return present
+    const created = hdr.build({ numberOfSignificantValueDigits: 3, autoResize: true })
+    histograms.set(latency, created)
+    return created
+  }
+
+  return {
+    count (counter, label, amount = 1) {
+      const values = counters.get(counter) ?? new Map<string, number>()
+      counters.set(counter, values)
+      values.set(label, (values.get(label) ?? 0) + amount)
+    },
+    read: (counter, label) => counters.get(counter)?.get(label) ?? 0,
+    record (latency, durationMs) {
+      histogramOf(latency).recordValue(Math.max(0, Math.round(durationMs * microsecondsPerMillisecond)))
+    },
+    percentile: (latency, percentile) =>
+      histogramOf(latency).getValueAtPercentile(percentile) / microsecondsPerMillisecond,
+    format () {
+      const lines: string[] = []
+      for (const [counter, values] of counters) {
+        lines.push(`# TYPE ${counter} counter`)
+        for (const [label, value] of values) lines.push(`${counter}{label="${label}"} ${value}`)
+      }
+      for (const [latency, histogram] of histograms) {
+        lines.push(`# TYPE ${latency} summary`)
+        for (const percentile of percentiles) {
+          lines.push(`${latency}{quantile="${percentile / 100}"} ${histogram.getValueAtPercentile(percentile)}`)
+        }
+        lines.push(`${latency}_count ${histogram.totalCount}`)
+      }
+      return lines.join('\n') + '\n'
+    }
+  }
+}
--- /dev/null
+++ b/src/process/operatorClient.ts
@@ -0,0 +1,131 @@
+/**
+ * Calls of the operators' command line to the administration API.
+ * @module
+ */
+import { randomUUID } from 'node:crypto'
+import { createReadStream } from 'node:fs'
+import type { Readable } from 'node:stream'
+import { err, ok, type Result } from 'neverthrow'
+import { type Dispatcher, request } from 'undici'
+import { linesType } from '../request/jobApi.ts'
+import type { ErrorBody } from '../request/refusal.ts'
+import type { Configuration, Tables } from '../version/tables.ts'
+import type { Outcome } from './commands.ts'
+import { createFailure, type Failure, FailureReason, Step, toFailure } from './failure.ts'
+import type { Answer, ItemResult, JobStatus, QueryKind } from './queries.ts'
+
+/** A change of both tables. */
+export interface TablesChange {
+  readonly tables: Tables
+  /** Version that the change was made from. */
+  readonly expected: number
+  /** Id under which the change may be sent again. */
+  readonly operation: string
+}
+
+/** A job to submit. */
+export interface JobFile {
+  readonly file: string
+  readonly account: string
+  readonly key: string
+  readonly route: string
+  readonly due: string | undefined
+  /** Called with the number of bytes sent so far. */
+  readonly progress: (bytes: number) => void
+}
+
+/** Calls to the administration API. */
+export interface OperatorClient {
+  readConfiguration (): Promise<Result<Configuration, Failure>>
+  check (tables: Tables): Promise<Result<Extract<Answer, { kind: typeof QueryKind.Check }>, Failure>>
+  apply (change: TablesChange): Promise<Result<Outcome, Failure>>
+  submit (job: JobFile): Promise<Result<string, Failure>>
+  listJobs (): Promise<Result<readonly JobStatus[], Failure>>
+  readJob (job: string): Promise<Result<JobStatus, Failure>>
+  /** Reads results in order; each is passed on as it arrives. */
+  readResults (job: string, take: (result: ItemResult) => void): Promise<Result<void, Failure>>
+  cancel (job: string): Promise<Result<void, Failure>>
+  readStatus (): Promise<Result<object, Failure>>
+}
+
+/**
+ * Creates the calls.
+ * @param address - administration address of any host
+ * @returns the calls
+ */
+export function createOperatorClient (address: string): OperatorClient {
+  const base = `http://${address}/v1`
+
+  async function call<Value> (method: Dispatcher.HttpMethod, path: string, body?: unknown, accepted: readonly number[] = [200, 201]): Promise<Result<Value, Failure>> {
+    try {
+      const answer = await request(`${base}${path}`, {
+        method,
+        headers: { 'content-type': 'application/json', 'jaychute-request-id': randomUUID() },
+        body: body === undefined ? null : JSON.stringify(body)
+      })
+      const content = await answer.body.json()
+      if (accepted.includes(answer.statusCode)) return ok(content as Value)
+      return err(refused(content as ErrorBody, address))
+    } catch (error) {
+      return err(toFailure(error, { step: Step.Administration, peer: address }))
+    }
+  }
+
+  return {
+    readConfiguration: () => call('GET', '/configuration'),
+    check: tables => call('POST', '/configuration/check', tables),
+    apply: change => call('PUT', '/configuration', change, [200, 409, 422]),
+    async submit (job) {
+      try {
+        const answer = await request(`${base}/jobs/${encodeURIComponent(job.key)}`, {
+          method: 'PUT',
+          query: { route: job.route, ...(job.due === undefined ? {} : { due: job.due }) },
+          headers: { 'content-type': linesType, 'jaychute-account': job.account },
+          body: countBytes(createReadStream(job.file), job.progress)
+        })
+        const content = await answer.body.json()
+        if (answer.statusCode === 201) return ok((content as { job: string }).job)
+        return err(refused(content as ErrorBody, address))
+      } catch (error) {
+        return err(toFailure(error, { step: Step.Upload, peer: address }))
+      }
+    },
+    async listJobs () {
+      const jobs: JobStatus[] = []
+      while (true) {
+        const page = await call<{ jobs: JobStatus[] }>('GET', `/jobs?after=${encodeURIComponent(jobs.at(-1)?.job ?? '')}`)
+        if (page.isErr()) return err(page.error)
+        if (page.value.jobs.length === 0) return ok(jobs)
+        jobs.push(...page.value.jobs)
+      }
+    },
+    readJob: job => call('GET', `/jobs/${encodeURIComponent(job)}`),
+    async readResults (job, take) {
+      let after = -1
+      while (true) {
+        const page = await call<{ results: ItemResult[] }>('GET', `/jobs/${encodeURIComponent(job)}/results?after=${after}`)
+        if (page.isErr()) return err(page.error)
+        for (const result of page.value.results) take(result)
+        const last = page.value.results.at(-1)
+        if (last === undefined) return ok(undefined)
+        after = last.position
+      }
+    },
+    cancel: job => call('DELETE', `/jobs/${encodeURIComponent(job)}`),
+    readStatus: () => call('GET', '/status')
+  }
+}
+
+function refused (body: ErrorBody, peer: string): Failure {
+  const text = body.error === undefined ? 'the host refused the call' : `${body.error.reason}: ${body.error.message}`
+  return createFailure(FailureReason.Rejected, { step: Step.Administration, peer }, text)
+}
+
+function countBytes (source: Readable, progress: (bytes: number) => void): Readable {
+  let bytes = 0
+  source.on('data', (chunk: Buffer) => {
+    bytes += chunk.length
+    progress(bytes)
+  })
+  return source
+}
--- /dev/null
+++ b/src/process/operatorCommands.ts
@@ -0,0 +1,187 @@
+/**
+ * The operators' commands: both tables, jobs and status.
+ * @module
+ */
+import { randomUUID } from 'node:crypto'
+import { readFile } from 'node:fs/promises'
+import { err, ok, type Result } from 'neverthrow'
+import { TableName, type Tables } from '../version/tables.ts'
+import { OutcomeKind } from './commands.ts'
+import { createFailure, type Failure, FailureReason, Step, toFailure } from './failure.ts'
+import type { OperatorClient } from './operatorClient.ts'
+
+/** Flags of the operators' commands. */
+export interface OperatorFlags {
+  readonly json: boolean
+  readonly file?: string | undefined
+  readonly expectedVersion?: number | undefined
+  readonly operation?: string | undefined
+  readonly account?: string | undefined
+  readonly key?: string | undefined
+  readonly route?: string | undefined
+  readonly due?: string | undefined
+}
+
+/** Where a command writes. */
+export interface Output {
+  /** Writes one line of the result. */
+  line (text: string): void
+  /** Shows progress, which is not part of the result. */
+  progress (text: string): void
+}
+
+/** A command with what it needs. */
+export interface Operation {
+  readonly client: OperatorClient
+  readonly words: readonly string[]
+  readonly flags: OperatorFlags
+  readonly output: Output
+}
+
+/**
+ * Runs a command.
+ * @param operation - its words, flags and output
+ * @returns nothing, or a failure; the reason `invalid` means that the command was not understood
+ */
+export async function runOperation (operation: Operation): Promise<Result<void, Failure>> {
+  const [subject, action, argument] = operation.words
+  switch (subject) {
+    case TableName.Routes:
+    case TableName.Pools: return await runTableAction(operation, subject, action)
+    case 'jobs': return await runJobAction(operation, action, argument)
+    case 'status': return await showStatus(operation)
+    default: return err(usage(`unknown command "${subject ?? ''}"`))
+  }
+}
+
+function usage (text: string): Failure {
+  return createFailure(FailureReason.Invalid, { step: Step.Settings }, text)
+}
+
+async function runTableAction (operation: Operation, table: TableName, action: string | undefined): Promise<Result<void, Failure>> {
+  const { client, flags, output } = operation
+  const current = await client.readConfiguration()
+  if (current.isErr()) return err(current.error)
+  if (action === 'get') {
+    show(operation, { version: current.value.version, [table]: current.value[table] }, current.value[table])
+    return ok(undefined)
+  }
+  const rows = await readRows(flags.file)
+  if (rows.isErr()) return err(rows.error)
+  const tables = { routes: current.value.routes, pools: current.value.pools, [table]: rows.value } as Tables
+  switch (action) {
+    case 'check':
+    case 'diff': {
+      const checked = await client.check(tables)
+      if (checked.isErr()) return err(checked.error)
+      if (flags.json) output.line(JSON.stringify(checked.value))
+      else for (const change of checked.value.changes) output.line(`${change.kind} ${change.table} ${change.name}`)
+      return reportProblems(checked.value.problems)
+    }
+    case 'apply': {
+      const expected = flags.expectedVersion ?? current.value.version
+      const outcome = await client.apply({ tables, expected, operation: flags.operation ?? randomUUID() })
+      if (outcome.isErr()) return err(outcome.error)
+      if (flags.json) output.line(JSON.stringify(outcome.value))
+      switch (outcome.value.kind) {
+        case OutcomeKind.Applied:
+          if (!flags.json) output.line(`version ${outcome.value.version} accepted`)
+          return ok(undefined)
+        case OutcomeKind.Conflict:
+          if (!flags.json) for (const change of outcome.value.changes ?? []) output.line(`${change.kind} ${change.table} ${change.name}`)
+          return err(createFailure(FailureReason.Conflict, { step: Step.Administration }, outcome.value.text))
+        case OutcomeKind.Invalid: return reportProblems(outcome.value.problems)
+        default: return err(createFailure(FailureReason.Unknown, { step: Step.Administration }, `unexpected outcome ${outcome.value.kind}`))
+      }
+    }
+    default: return err(usage(`unknown action "${action ?? ''}" on ${table}; use get, check, diff or apply`))
+  }
+}
+
+function reportProblems (problems: ReadonlyArray<{ readonly place: string, readonly text: string }>): Result<void, Failure> {
+  if (problems.length === 0) return ok(undefined)
+  const text = problems.map(problem => `${problem.place}: ${problem.text}`).join('\n')
+  return err(createFailure(FailureReason.Rejected, { step: Step.Administration }, text))
+}
+
+async function readRows (file: string | undefined): Promise<Result<unknown, Failure>> {
+  if (file === undefined) return err(usage('--file is missing'))
+  try {
+    return ok(JSON.parse(await readFile(file, 'utf8')))
+  } catch (error) {
+    return err(toFailure(error, { step: Step.Settings, peer: file }))
+  }
+}
+
+async function runJobAction (operation: Operation, action: string | undefined, job: string | undefined): Promise<Result<void, Failure>> {
+  const { client, flags, output } = operation
+  switch (action) {
+    case 'submit': return await submitJob(operation)
+    case 'list': {
+      const jobs = await client.listJobs()
+      if (jobs.isErr()) return err(jobs.error)
+      show(operation, { jobs: jobs.value }, jobs.value)
+      return ok(undefined)
+    }
+    case 'status': {
+      if (job === undefined) return err(usage('the id of the job is missing'))
+      const status = await client.readJob(job)
+      if (status.isErr()) return err(status.error)
+      show(operation, status.value, [status.value])
+      return ok(undefined)
+    }
+    case 'results': {
+      if (job === undefined) return err(usage('the id of the job is missing'))
+      return await client.readResults(job, result => {
+        output.line(flags.json ? JSON.stringify(result) : `${result.position}\t${result.name}\t${result.ending}\t${result.result}`)
+      })
+    }
+    case 'cancel': {
+      if (job === undefined) return err(usage('the id of the job is missing'))
+      const cancelled = await client.cancel(job)
+      if (cancelled.isErr()) return err(cancelled.error)
+      output.line(flags.json ? JSON.stringify({ job, cancelled: true }) : `job ${job} cancelled`)
+      return ok(undefined)
+    }
+    default: return err(usage(`unknown action "${action ?? ''}" on jobs; use submit, list, status, results or cancel`))
+  }
+}
+
+async function submitJob (operation: Operation): Promise<Result<void, Failure>> {
+  const { client, flags, output } = operation
+  const { file, account, key, route, due } = flags
+  if (file === undefined || account === undefined || key === undefined || route === undefined) {
+    return err(usage('jobs submit needs --file, --account, --key and --route'))
+  }
+  const job = await client.submit({ file, account, key, route, due, progress: bytes => output.progress(`${bytes} bytes sent`) })
+  if (job.isErr()) return err(job.error)
+  output.line(flags.json ? JSON.stringify({ job: job.value }) : job.value)
+  return ok(undefined)
+}
+
+async function showStatus (operation: Operation): Promise<Result<void, Failure>> {
+  const status = await operation.client.readStatus()
+  if (status.isErr()) return err(status.error)
+  operation.output.line(operation.flags.json ? JSON.stringify(status.value) : JSON.stringify(status.value, undefined, 2))
+  return ok(undefined)
+}
+
+function show (operation: Operation, whole: object, rows: readonly object[]): void {
+  if (operation.flags.json) return operation.output.line(JSON.stringify(whole))
+  if ('version' in whole) operation.output.line(`version ${String(whole.version)}`)
+  for (const line of formatTable(rows)) operation.output.line(line)
+}
+
+/**
+ * Formats rows for reading.
+ * @param rows - objects with the same fields
+ * @returns a header line and one line for each row
+ */
+export function formatTable (rows: readonly object[]): string[] {
+  const first = rows[0]
+  if (first === undefined) return ['(none)']
+  const fields = Object.keys(first)
+  const cells = [fields, ...rows.map(row => fields.map(field => String((row as Record<string, unknown>)[field])))]
+  const widths = fields.map((_, column) => Math.max(...cells.map(line => line[column]?.length ?? 0)))
+  return cells.map(line => line.map((cell, column) => cell.padEnd(widths[column] ?? 0)).join('  ').trimEnd())
+}
--- /dev/null
+++ b/src/process/queries.ts
@@ -0,0 +1,63 @@
+/**
+ * Queries of the durable state and their answers.
+ * @module
+ */
+import type { Change } from '../version/difference.ts'
+import type { Configuration, Tables } from '../version/tables.ts'
+import type { Problem } from '../version/validation.ts'
+import type { Ending } from './commands.ts'
+
+/** Kinds of query. */
+export const QueryKind = {
+  Configuration: 'configuration',
+  Check: 'check',
+  Job: 'job',
+  Jobs: 'jobs',
+  Results: 'results'
+} as const
+export type QueryKind = typeof QueryKind[keyof typeof QueryKind]
+
+/** A question about the durable state. */
+export type Query =
+  | { readonly kind: typeof QueryKind.Configuration }
+  | { readonly kind: typeof QueryKind.Check, readonly tables: Tables }
+  | { readonly kind: typeof QueryKind.Job, readonly job: string, readonly account?: string | undefined }
+  | { readonly kind: typeof QueryKind.Jobs, readonly account?: string | undefined, readonly after: string, readonly limit: number }
+  | { readonly kind: typeof QueryKind.Results, readonly job: string, readonly account?: string | undefined, readonly after: number, readonly limit: number }
+
+/** Whether a job still runs. */
+export const JobPhase = { Running: 'running', Finished: 'finished', Cancelled: 'cancelled' } as const
+export type JobPhase = typeof JobPhase[keyof typeof JobPhase]
+
+/** State of a job. */
+export interface JobStatus {
+  readonly job: string
+  readonly account: string
+  readonly key: string
+  readonly route: string
+  readonly phase: JobPhase
+  readonly items: number
+  readonly done: number
+  readonly failed: number
+  readonly unknown: number
+  readonly inFlight: number
+  /** Time of day by which the job is due, in milliseconds since the epoch. */
+  readonly due: number
+}
+
+/** One finished item. */
+export interface ItemResult {
+  /** Position in the job, from 0. */
+  readonly position: number
+  readonly name: string
+  readonly ending: Ending
+  readonly result: string
+}
+
+/** Answer to a query. */
+export type Answer =
+  | { readonly kind: typeof QueryKind.Configuration, readonly configuration: Configuration }
+  | { readonly kind: typeof QueryKind.Check, readonly version: number, readonly problems: readonly Problem[], readonly changes: readonly Change[] }
+  | { readonly kind: typeof QueryKind.Job, readonly job?: JobStatus | undefined }
+  | { readonly kind: typeof QueryKind.Jobs, readonly jobs: readonly JobStatus[] }
+  | { readonly kind: typeof QueryKind.Results, readonly results?: readonly ItemResult[] | undefined, readonly finished: boolean }
--- /dev/null
+++ b/src/process/replicaMessages.ts
@@ -0,0 +1,89 @@
+/**
+ * Messages between replicas, and the transport that carries them.
+ * @module
+ */
+import type { ResultAsync } from 'neverthrow'
+import type { Failure } from './failure.ts'
+import type { Entry, Member } from './storage.ts'
+
+/** Asks for a vote, or, with `preVote`, whether a vote would be given. */
+export interface VoteRequest {
+  /** Identity that the request is meant for. */
+  readonly to: string
+  readonly term: number
+  readonly candidate: string
+  readonly lastIndex: number
+  readonly lastTerm: number
+  readonly preVote: boolean
+}
+
+/** Answer to a vote request. */
+export interface VoteAnswer {
+  readonly term: number
+  readonly granted: boolean
+}
+
+/** Entries, or a heartbeat when there are none. */
+export interface AppendRequest {
+  /** Identity that the request is meant for. */
+  readonly to: string
+  readonly term: number
+  readonly leader: string
+  readonly leaderAddress: string
+  readonly previousIndex: number
+  readonly previousTerm: number
+  readonly entries: readonly Entry[]
+  readonly commitIndex: number
+}
+
+/** Answer to an append request. */
+export interface AppendAnswer {
+  readonly term: number
+  readonly accepted: boolean
+  /** When accepted the last index that matches; otherwise the index to try next as the previous one. */
+  readonly index: number
+}
+
+/** Who a control host is. */
+export interface Identification {
+  readonly identity: string
+  readonly address: string
+  readonly availabilityZone: string
+  /** Whether the replica has a membership. */
+  readonly formed: boolean
+  readonly leaderAddress: string | undefined
+}
+
+/** Carries messages to another replica. */
+export abstract class Transport {
+  /**
+   * Asks for a vote.
+   * @param address - internal address of the replica
+   * @param request - the request
+   * @returns the answer, or a failure
+   */
+  abstract vote (address: string, request: VoteRequest): ResultAsync<VoteAnswer, Failure>
+
+  /**
+   * Sends entries or a heartbeat.
+   * @param address - internal address of the replica
+   * @param request - the request
+   * @returns the answer, or a failure
+   */
+  abstract append (address: string, request: AppendRequest): ResultAsync<AppendAnswer, Failure>
+
+  /**
+   * Asks a control host who it is.
+   * @param address - internal address of the control host
+   * @returns its identification, or a failure
+   */
+  abstract identify (address: string): ResultAsync<Identification, Failure>
+
+  /**
+   * Sends the first membership.
+   * @param address - internal address of the replica
+   * @param members - the members
+   * @returns whether the replica took it, or a failure
+   */
+  abstract form (address: string, members: readonly Member[]): ResultAsync<boolean, Failure>
+}
--- /dev/null
+++ b/src/process/settings.ts
@@ -0,0 +1,143 @@
+/**
+ * Settings of the daemon: one declared schema from which flags, environment variables, checks and help text come.
+ * @module
+ */
+import { isIP } from 'node:net'
+import { err, ok, type Result } from 'neverthrow'
+import { z } from 'zod'
+import { Level } from './logEvents.ts'
+
+/** What a process does. */
+export const Role = { Entry: 'entry', Control: 'control', Both: 'both' } as const
+export type Role = typeof Role[keyof typeof Role]
+
+const address = z.string().refine(isAddress, 'must be an IP number and a port, for example 127.0.0.1:7000')
+const label = z.string().regex(/^[a-zA-Z0-9][a-zA-Z0-9-]{0,62}$/, 'must be 1 to 63 letters, digits and hyphens')
+
+const schema = z.strictObject({
+  role: z.enum(Role).describe('entry, control or both'),
+  host: label.describe('name of this host'),
+  availabilityZone: label.describe('availability zone of this host'),
+  region: label.describe('region of this host'),
+  internalAddress: address.describe('address for other hosts of the system'),
+  callerAddress: address.optional().describe('address for callers and backend servers (entry)'),
+  administrationAddress: address.optional().describe('address for operators'),
+  metricsAddress: address.optional().describe('address for metrics'),
+  controlHosts: z.string().transform(splitList).pipe(z.array(address).min(1).max(7))
+    .describe('internal addresses of the control hosts, separated by commas'),
+  dataFolder: z.string().min(1).optional().describe('folder for durable state (control)'),
+  addressKeepMs: z.coerce.number().int().min(100).max(600_000).default(5_000)
+    .describe('how long callers may keep an address answer, in milliseconds'),
+  logLevel: z.enum(Level).default(Level.Info).describe('debug, info, warn or error')
+})
+
+/** Settings of the daemon. */
+export type Settings = z.infer<typeof schema>
+
+/** A setting that was refused. */
+export interface SettingProblem {
+  /** Flag, for example `--role`. */
+  readonly flag: string
+  readonly text: string
+}
+
+/** A flag of the daemon. */
+export interface Flag {
+  readonly setting: keyof Settings
+  readonly flag: string
+  readonly variable: string
+  readonly text: string
+}
+
+/**
+ * Lists the flags.
+ * @returns one for each setting
+ */
+export function listFlags (): Flag[] {
+  const flags: Flag[] = []
+  for (const [setting, field] of Object.entries(schema.shape)) {
+    flags.push({
+      setting: setting as keyof Settings,
+      flag: flagOf(setting),
+      variable: `JAYCHUTE_${setting.replace(/[A-Z]/g, letter => `_${letter}`).toUpperCase()}`,
+      text: field.description ?? ''
+    })
+  }
+  return flags
+}
+
+/**
+ * Reads and checks the settings. A flag goes before its environment variable.
+ * @param given - values of the flags that were given
+ * @param environment - environment variables
+ * @returns the settings, or every problem found
+ */
+export function readSettings (given: Readonly<Record<string, unknown>>, environment: NodeJS.ProcessEnv): Result<Settings, SettingProblem[]> {
+  const values: Record<string, unknown> = {}
+  const known = new Set<string>()
+  for (const { setting, variable } of listFlags()) {
+    known.add(variable)
+    const value = given[setting] ?? environment[variable]
+    if (value !== undefined) values[setting] = value
+  }
+  const problems: SettingProblem[] = []
+  for (const variable of Object.keys(environment)) {
+    if (variable.startsWith('JAYCHUTE_') && !known.has(variable)) problems.push({ flag: variable, text: 'unknown environment variable' })
+  }
+  const parsed = schema.safeParse(values)
+  if (!parsed.success) {
+    for (const issue of parsed.error.issues) problems.push({ flag: flagOf(String(issue.path[0])), text: issue.message })
+    return err(problems)
+  }
+  problems.push(...findContradictions(parsed.data))
+  return problems.length === 0 ? ok(parsed.data) : err(problems)
+}
+
+function findContradictions (settings: Settings): SettingProblem[] {
+  const problems: SettingProblem[] = []
+  if (settings.role !== Role.Control && settings.callerAddress === undefined) {
+    problems.push({ flag: '--caller-address', text: `is required for the role ${settings.role}` })
+  }
+  if (settings.role === Role.Control && settings.callerAddress !== undefined) {
+    problems.push({ flag: '--caller-address', text: 'has no meaning for the role control' })
+  }
+  if (settings.role !== Role.Entry && settings.dataFolder === undefined) {
+    problems.push({ flag: '--data-folder', text: `is required for the role ${settings.role}` })
+  }
+  if (settings.role === Role.Entry && settings.dataFolder !== undefined) {
+    problems.push({ flag: '--data-folder', text: 'has no meaning for the role entry' })
+  }
+  if (settings.role !== Role.Entry && !settings.controlHosts.includes(settings.internalAddress)) {
+    problems.push({ flag: '--control-hosts', text: `must contain this host's own address ${settings.internalAddress}` })
+  }
+  return problems
+}
+
+/** An address taken apart. */
+export interface Endpoint {
+  readonly ip: string
+  readonly port: number
+}
+
+/**
+ * Takes an address apart.
+ * @param text - IP number and port; an IPv6 number stands in brackets
+ * @returns IP number and port
+ */
+export function parseAddress (text: string): Endpoint {
+  const separator = text.lastIndexOf(':')
+  return { ip: text.slice(0, separator).replace(/^\[|\]$/g, ''), port: Number(text.slice(separator + 1)) }
+}
+
+function isAddress (text: string): boolean {
+  const { ip, port } = parseAddress(text)
+  return isIP(ip) !== 0 && Number.isInteger(port) && port > 0 && port <= 65_535
+}
+
+function splitList (text: string): string[] {
+  return text.split(',').map(part => part.trim()).filter(part => part !== '')
+}
+
+function flagOf (setting: string): string {
+  return `--${setting.replace(/[A-Z]/g, letter => `-${letter.toLowerCase()}`)}`
+}
--- /dev/null
+++ b/src/request/callerApi.ts
@@ -0,0 +1,208 @@
+/**
+ * HTTP for callers and for announcements of backend servers.
+ * @module
+ */
+import { randomUUID } from 'node:crypto'
+import { type Context, Hono } from 'hono'
+import { bodyLimit } from 'hono/body-limit'
+import { streamSSE } from 'hono/streaming'
+import { z } from 'zod'
+import type { ControlClient } from '../connection/controlClient.ts'
+import type { AnswerPart } from '../connection/protocol.ts'
+import type { Announcement } from '../connection/share.ts'
+import type { Clock } from '../process/clock.ts'
+import type { EntryHost } from '../process/sessions.ts'
+import { type Configuration, findPool, findRoute } from '../version/tables.ts'
+import type { ErrorAnswers } from './errorAnswer.ts'
+import { createJobApi } from './jobApi.ts'
+import { type LiveRequest, type LiveServices, runLiveRequest } from './liveRequest.ts'
+import { refuse, type Refusal, RefusalReason } from './refusal.ts'
+
+/** Largest body of a live request, in bytes. */
+export const bodyLimitBytes = 256 * 1024
+
+/** Time after which a backend server renews its announcement, in milliseconds. */
+export const renewMs = 1_000
+
+const requestSchema = z.strictObject({
+  input: z.string(),
+  maxTokens: z.number().int().min(1).max(100_000).default(256),
+  stream: z.boolean().default(false)
+})
+
+const announcementSchema = z.strictObject({
+  address: z.string(),
+  availabilityZone: z.string(),
+  region: z.string(),
+  pool: z.string(),
+  capacity: z.number().int().min(1),
+  models: z.array(z.string()),
+  fencingChecked: z.boolean(),
+  incarnation: z.string(),
+  sequence: z.number().int(),
+  leaving: z.boolean(),
+  running: z.number().int().min(0)
+})
+
+/** What the caller API needs. */
+export interface CallerApiInputs {
+  readonly live: LiveServices
+  readonly control: ControlClient
+  readonly errors: ErrorAnswers
+  readonly clock: Clock
+  readonly configuration: () => Configuration
+  /** Refuses every new request, for example while the configuration is stale. */
+  readonly gate: () => Refusal | undefined
+  /** Entry hosts for callers, the nearest first. */
+  readonly entryHosts: () => readonly EntryHost[]
+  readonly addressKeepMs: number
+  readonly hear: (announcement: Announcement) => void
+}
+
+/**
+ * Creates the caller API.
+ * @param inputs - what it needs
+ * @returns the routes
+ */
+export function createCallerApi (inputs: CallerApiInputs): Hono {
+  const { errors, clock } = inputs
+  const api = new Hono()
+
+  api.get('/v1/addresses', context => context.json({
+    addresses: inputs.entryHosts().map(({ callerAddress, availabilityZone, region }) => ({ address: callerAddress, availabilityZone, region })),
+    keepMs: inputs.addressKeepMs
+  }))
+
+  api.post('/v1/backend-servers', async context => {
+    const parsed = announcementSchema.safeParse(await readJson(context))
+    if (!parsed.success) {
+      return errors.send(context, requestIdOf(context), refuse(RefusalReason.InvalidRequest, parsed.error.issues[0]?.message ?? 'invalid announcement'))
+    }
+    inputs.hear(parsed.data)
+    return context.json({ renewMs, addresses: inputs.entryHosts().map(host => host.callerAddress) })
+  })
+
+  api.use('/v1/routes/*', bodyLimit({
+    maxSize: bodyLimitBytes,
+    onError (context) {
+      // The rest of the body is not read, so the connection can't carry another request.
+      context.header('connection', 'close')
+      return errors.send(context, requestIdOf(context), refuse(RefusalReason.TooLarge, `a request has at most ${bodyLimitBytes} bytes`))
+    }
+  }))
+
+  api.post('/v1/routes/:route/requests', async context => {
+    const requestId = requestIdOf(context)
+    const closed = inputs.gate()
+    if (closed !== undefined) return errors.send(context, requestId, closed)
+    const request = await parseRequest(context, requestId)
+    if ('reason' in request) return errors.send(context, requestId, request)
+    return request.stream ? streamAnswer(context, request.live) : await wholeAnswer(context, request.live)
+  })
+
+  api.route('/v1/jobs', createJobApi({
+    control: inputs.control,
+    errors,
+    accountOf: context => context.req.header('jaychute-account'),
+    restricted: true,
+    requestIdOf,
+    gate: route => inputs.gate() ?? (findRoute(inputs.configuration(), route) === undefined ? refuse(RefusalReason.UnknownRoute, `there is no route "${route}"`) : undefined)
+  }))
+
+  api.notFound(context => errors.send(context, requestIdOf(context), refuse(RefusalReason.NotFound, 'there is no such path')))
+  api.onError((error, context) => errors.send(context, requestIdOf(context), refuse(RefusalReason.Internal, error.message)))
+
+  async function parseRequest (context: Context, requestId: string): Promise<Refusal | { readonly live: LiveRequest, readonly stream: boolean }> {
+    const configuration = inputs.configuration()
+    const routeName = context.req.param('route') ?? ''
+    const route = findRoute(configuration, routeName)
+    const pool = route === undefined ? undefined : findPool(configuration, route.pool)
+    if (route === undefined || pool === undefined) return refuse(RefusalReason.UnknownRoute, `there is no route "${routeName}"`)
+    if (context.req.header('content-type')?.split(';')[0] !== 'application/json') {
+      return refuse(RefusalReason.UnsupportedContentType, 'a request is sent as application/json')
+    }
+    const account = context.req.header('jaychute-account')
+    if (account === undefined || account === '') return refuse(RefusalReason.InvalidRequest, 'the header jaychute-account is missing')
+    const deadlineMs = Number(context.req.header('jaychute-deadline-ms') ?? route.deadlineMs)
+    if (!(deadlineMs > 0)) return refuse(RefusalReason.InvalidRequest, 'the header jaychute-deadline-ms is not a positive number')
+    const parsed = requestSchema.safeParse(await readJson(context))
+    if (!parsed.success) return refuse(RefusalReason.InvalidRequest, parsed.error.issues[0]?.message ?? 'invalid request')
+    const idempotent = route.idempotent && context.req.header('jaychute-idempotent') !== 'false'
+    return {
+      stream: parsed.data.stream,
+      live: {
+        requestId,
+        account,
+        route,
+        pool,
+        input: parsed.data.input,
+        maxTokens: parsed.data.maxTokens,
+        idempotent,
+        deadline: clock.now() + Math.min(deadlineMs, route.deadlineMs),
+        signal: context.req.raw.signal
+      }
+    }
+  }
+
+  async function wholeAnswer (context: Context, live: LiveRequest): Promise<Response> {
+    const texts: string[] = []
+    const result = await runLiveRequest(live, inputs.live, part => { texts.push(part.text) })
+    if (result.isErr()) return errors.send(context, live.requestId, result.error)
+    return context.json({ requestId: live.requestId, text: texts.join(''), tokens: result.value })
+  }
+
+  // The status is sent with the first piece, so that a refusal before it still has a status of its own.
+  async function streamAnswer (context: Context, live: LiveRequest): Promise<Response> {
+    const parts: AnswerPart[] = []
+    let wake = (): void => {}
+    let ended = false
+    const running = runLiveRequest(live, inputs.live, part => {
+      parts.push(part)
+      wake()
+    }).finally(() => {
+      ended = true
+      wake()
+    })
+    const news = (): Promise<void> => new Promise(resolve => {
+      if (parts.length > 0 || ended) resolve()
+      else wake = resolve
+    })
+    await news()
+    if (parts.length === 0) {
+      const result = await running
+      if (result.isErr()) return errors.send(context, live.requestId, result.error)
+    }
+    return streamSSE(context, async output => {
+      while (true) {
+        await news()
+        const part = parts.shift()
+        if (part === undefined) break
+        await output.writeSSE({ event: 'token', id: String(part.offset), data: JSON.stringify(part) })
+      }
+      const result = await running
+      if (result.isOk()) await output.writeSSE({ event: 'done', data: JSON.stringify({ requestId: live.requestId, tokens: result.value }) })
+      else await output.writeSSE({ event: 'error', data: JSON.stringify(errors.body(live.requestId, result.error)) })
+    })
+  }
+
+  return api
+}
+
+/**
+ * Finds or makes the id of a request; it is echoed in the answer.
+ * @param context - the request
+ * @returns the id
+ */
+export function requestIdOf (context: Context): string {
+  const known = context.res.headers.get('jaychute-request-id') ?? context.req.header('jaychute-request-id') ?? randomUUID()
+  context.header('jaychute-request-id', known)
+  return known
+}
+
+async function readJson (context: Context): Promise<unknown> {
+  try {
+    return await context.req.json()
+  } catch {
+    return undefined
+  }
+}
--- /dev/null
+++ b/src/request/itemRun.ts
@@ -0,0 +1,66 @@
+/**
+ * The task of one granted batch item: one attempt on one backend server, and its end or return.
+ * @module
+ */
+import type { BackendServerConnection } from '../connection/backendServerConnection.ts'
+import { TrafficClass } from '../connection/internalClient.ts'
+import type { AttemptFailure, Protocol } from '../connection/protocol.ts'
+import { type Completion, Ending, type Grant, type Return } from '../process/commands.ts'
+import { FailureReason } from '../process/failure.ts'
+import type { Route } from '../version/tables.ts'
+
+/** Kinds of end of one attempt. */
+export const ItemEndKind = { Complete: 'complete', GiveBack: 'give back' } as const
+export type ItemEndKind = typeof ItemEndKind[keyof typeof ItemEndKind]
+
+/** What becomes of the item. */
+export type ItemEnd =
+  | { readonly kind: typeof ItemEndKind.Complete, readonly completion: Completion }
+  | { readonly kind: typeof ItemEndKind.GiveBack, readonly returned: Return }
+
+/** What the attempt needs. */
+export interface ItemRun {
+  readonly grant: Grant
+  readonly route: Route
+  readonly protocol: Protocol
+  readonly connection: BackendServerConnection
+  /** Aborts when batch yields, the job is cancelled or the session has expired. */
+  readonly signal: AbortSignal
+}
+
+/**
+ * Runs one attempt of an item.
+ * @param run - what the attempt needs
+ * @returns what becomes of the item
+ */
+export async function runItem (run: ItemRun): Promise<ItemEnd> {
+  const { grant, route, protocol, connection, signal } = run
+  let partial = grant.partial
+  let offset = grant.offset
+  const result = await protocol.run(connection, {
+    requestId: `${grant.job}/${grant.position}/${grant.grant}`,
+    input: grant.item.input,
+    maxTokens: grant.item.maxTokens,
+    partial,
+    offset,
+    trafficClass: TrafficClass.Batch,
+    firstByteMs: route.firstByteMs,
+    betweenBytesMs: route.betweenBytesMs,
+    signal
+  }, part => {
+    partial += part.text
+    offset = part.offset + 1
+  })
+  const { job, position, grant: number } = grant
+  const reference = { job, position, grant: number }
+  if (result.isOk()) return { kind: ItemEndKind.Complete, completion: { ...reference, ending: Ending.Done, result: partial } }
+  if (!route.idempotent && result.error.sent) {
+    return { kind: ItemEndKind.Complete, completion: { ...reference, ending: Ending.Unknown, result: result.error.failure.message } }
+  }
+  return { kind: ItemEndKind.GiveBack, returned: { ...reference, partial, offset, attempted: countsAsAttempt(result.error) } }
+}
+
+// A cancelled attempt and one that never reached the backend server say nothing about the item.
+function countsAsAttempt (failed: AttemptFailure): boolean {
+  return failed.sent && failed.failure.reason !== FailureReason.Aborted
+}
--- /dev/null
+++ b/test/callerApi.test.ts
@@ -0,0 +1,94 @@
+import { expect } from 'chai'
+import { request } from 'undici'
+import { eventually } from '../scripts/processes.ts'
+import { bodyLimitBytes } from '../src/request/callerApi.ts'
+import { startSystem, type TestSystem } from './support/system.ts'
+import { answerText, type StandIn } from './standIn/standIn.ts'
+
+describe('caller API', () => {
+  let system: TestSystem
+  let standIn: StandIn
+
+  before(async () => {
+    system = await startSystem()
+    await system.apply([{ name: 'assist', pool: 'assist' }], [{ name: 'assist' }])
+    standIn = await system.startStandIn()
+  })
+
+  after(() => system.close())
+
+  it('answers whole requests and echoes the request id', async () => {
+    const answer = await system.ask('assist', { input: 'site note', maxTokens: 5 }, { 'jaychute-request-id': 'r-1' })
+    expect(answer.status).to.equal(200)
+    expect(answer.json()).to.deep.equal({ requestId: 'r-1', text: answerText('site note', 5), tokens: 5 })
+    expect(answer.headers['jaychute-request-id']).to.equal('r-1')
+  })
+
+  it('streams every token once and in order, then an end mark', async () => {
+    const answer = await system.ask('assist', { input: 'permit', maxTokens: 4, stream: true })
+    const events = answer.text.split('\n').filter(line => line.startsWith('event:'))
+    expect(events).to.deep.equal(['event: token', 'event: token', 'event: token', 'event: token', 'event: done'])
+  })
+
+  it('refuses a request over the size limit as not run', async () => {
+    const answer = await system.ask('assist', { input: 'x'.repeat(bodyLimitBytes) })
+    expect(answer.status).to.equal(413)
+    expect(answer.json().error).to.include({ reason: 'too large', execution: 'not run' })
+  })
+
+  it('refuses broken JSON as not run', async () => {
+    const answer = await system.ask('assist', '{"input": ')
+    expect(answer.status).to.equal(400)
+    expect(answer.json().error).to.include({ reason: 'invalid request', execution: 'not run' })
+  })
+
+  it('refuses an unknown route as not run', async () => {
+    const answer = await system.ask('nowhere', { input: 'x' })
+    expect(answer.status).to.equal(404)
+    expect(answer.json().error).to.include({ reason: 'unknown route', execution: 'not run' })
+  })
+
+  it('refuses a wrong content type as not run', async () => {
+    const answer = await system.ask('assist', { input: 'x' }, { 'content-type': 'text/plain' })
+    expect(answer.status).to.equal(415)
+    expect(answer.json().error).to.include({ reason: 'unsupported content type', execution: 'not run' })
+  })
+
+  it('refuses a table whose route names an unknown pool, whole', async () => {
+    const answer = await request(`http://${system.administrationAddress}/v1/configuration`, {
+      method: 'PUT',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify({ operation: 'bad', expected: 1, tables: { routes: [{ name: 'a', pool: 'missing' }], pools: [] } })
+    })
+    expect(answer.statusCode).to.equal(422)
+    expect(await answer.body.json()).to.deep.equal({ kind: 'invalid', problems: [{ place: 'routes[0].pool', text: 'there is no pool "missing"' }] })
+  })
+
+  it('cancels the backend stream of a caller that disconnects', async () => {
+    const controller = new AbortController()
+    const answer = await request(`http://${system.callerAddress}/v1/routes/assist/requests`, {
+      method: 'POST',
+      headers: { 'content-type': 'application/json', 'jaychute-account': 'rothar' },
+      body: JSON.stringify({ input: 'gone caller', maxTokens: 10_000, stream: true }),
+      signal: controller.signal
+    })
+    const aborted = answer.body.once('data', () => controller.abort()).dump().catch(() => {})
+    await aborted
+    await eventually('the cancelled stream', 5_000, () => standIn.runs.find(run => run.prompt === 'gone caller')?.cancelled === true ? true : undefined)
+  })
+
+  it('runs a job and keeps its results', async () => {
+    const lines = Array.from({ length: 30 }, (_, number) => JSON.stringify({ name: `item-${number}`, input: `sheet ${number}`, maxTokens: 2 }))
+    const submitted = await request(`http://${system.callerAddress}/v1/jobs/evening?route=assist`, {
+      method: 'PUT', headers: { 'content-type': 'application/x-ndjson', 'jaychute-account': 'rothar' }, body: lines.join('\n')
+    })
+    expect(submitted.statusCode).to.equal(201)
+    const { job } = await submitted.body.json() as { job: string }
+    const results = await eventually('all results', 20_000, async () => {
+      const page = await request(`http://${system.callerAddress}/v1/jobs/${job}/results`, { headers: { 'jaychute-account': 'rothar' } })
+      const { results, finished } = await page.body.json() as { results: Array<{ result: string }>, finished: boolean }
+      return finished ? results : undefined
+    })
+    expect(results.map(result => result.result)).to.deep.equal(lines.map((_, number) => answerText(`sheet ${number}`, 2)))
+  })
+})
--- /dev/null
+++ b/test/logEvents.test.ts
@@ -0,0 +1,15 @@
+import { expect } from 'chai'
+import { readFile } from 'node:fs/promises'
+import { formatLogEventsPage } from '../scripts/logEventsPage.ts'
+import { LogEvents } from '../src/process/logEvents.ts'
+
+describe('log events', () => {
+  it('are described by docs/log-events.md', async () => {
+    expect(await readFile(new URL('../docs/log-events.md', import.meta.url), 'utf8')).to.equal(formatLogEventsPage())
+  })
+
+  it('have numbers of their own', () => {
+    const numbers = Object.values(LogEvents).map(event => event.number)
+    expect(new Set<number>(numbers).size).to.equal(numbers.length)
+  })
+})
--- /dev/null
+++ b/test/support/system.ts
@@ -0,0 +1,106 @@
+/**
+ * A whole system in one process for tests: one host with both roles, and stand-in backend servers.
+ * @module
+ */
+import { mkdtemp, rm } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { request } from 'undici'
+import { eventually, reserveAddresses } from '../../scripts/processes.ts'
+import { type Daemon, startDaemon } from '../../src/process/daemon.ts'
+import { Level } from '../../src/process/logEvents.ts'
+import { Role } from '../../src/process/settings.ts'
+import type { Pool, Route } from '../../src/version/tables.ts'
+import { poolSchema, routeSchema } from '../../src/version/tables.ts'
+import { type StandIn, type StandInSettings, startStandIn } from '../standIn/standIn.ts'
+
+const startLimitMs = 10_000
+
+/** A system for one test file. */
+export interface TestSystem {
+  readonly daemon: Daemon
+  readonly callerAddress: string
+  readonly administrationAddress: string
+  /** Accepts both tables, whatever the current version is. */
+  apply (routes: ReadonlyArray<Partial<Route>>, pools: ReadonlyArray<Partial<Pool>>): Promise<void>
+  /** Starts a stand-in and waits until the system knows it. */
+  startStandIn (settings?: Partial<StandInSettings>): Promise<StandIn>
+  /** Posts a live request. */
+  ask (route: string, body: unknown, headers?: Readonly<Record<string, string>>): Promise<TestAnswer>
+  close (): Promise<void>
+}
+
+/** An answer to a live request. */
+export interface TestAnswer {
+  readonly status: number
+  readonly headers: Readonly<Record<string, unknown>>
+  readonly text: string
+  readonly json: () => Record<string, any>
+}
+
+/**
+ * Starts a system.
+ * @returns the system, with a confirmed configuration
+ */
+export async function startSystem (): Promise<TestSystem> {
+  const folder = await mkdtemp(join(tmpdir(), 'jaychute-test-'))
+  const [internalAddress = '', callerAddress = '', administrationAddress = ''] = await reserveAddresses(3)
+  const started = await startDaemon({
+    role: Role.Both,
+    host: 'test',
+    availabilityZone: 'zone-a',
+    region: 'region-a',
+    internalAddress,
+    callerAddress,
+    administrationAddress,
+    controlHosts: [internalAddress],
+    dataFolder: folder,
+    addressKeepMs: 200,
+    logLevel: Level.Error
+  })
+  if (started.isErr()) throw started.error
+  const daemon = started.value
+  const standIns: StandIn[] = []
+  await eventually('a confirmed configuration', startLimitMs, () =>
+    daemon.entryHost?.version.isConfirmed(performance.now()) === true ? true : undefined)
+
+  return {
+    daemon,
+    callerAddress,
+    administrationAddress,
+    async apply (routes, pools) {
+      const tables = { routes: routes.map(route => routeSchema.parse(route)), pools: pools.map(pool => poolSchema.parse(pool)) }
+      const expected = daemon.controlHost?.state.configuration.version ?? 0
+      const answer = await request(`http://${administrationAddress}/v1/configuration`, {
+        method: 'PUT',
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify({ operation: `test-${expected}`, expected, tables })
+      })
+      if (answer.statusCode !== 200) throw new Error(`the tables were not accepted: ${await answer.body.text()}`)
+      await answer.body.dump()
+      await eventually('the version in force', startLimitMs, () =>
+        daemon.entryHost?.version.configuration.version === expected + 1 ? true : undefined)
+    },
+    async startStandIn (settings = {}) {
+      const standIn = await startStandIn({ entryHosts: [callerAddress], ...settings })
+      standIns.push(standIn)
+      await eventually('the announcement', startLimitMs, () =>
+        daemon.entryHost?.backendServers.list().find(server => server.announcement.address === standIn.address))
+      return standIn
+    },
+    async ask (route, body, headers = {}) {
+      const answer = await request(`http://${callerAddress}/v1/routes/${route}/requests`, {
+        method: 'POST',
+        headers: { 'content-type': 'application/json', 'jaychute-account': 'rothar', ...headers },
+        body: typeof body === 'string' ? body : JSON.stringify(body)
+      })
+      const text = await answer.body.text()
+      return { status: answer.statusCode, headers: answer.headers, text, json: () => JSON.parse(text) }
+    },
+    async close () {
+      for (const standIn of standIns) await standIn.close()
+      await daemon.lifecycle.close()
+      await rm(folder, { recursive: true, force: true })
+    }
+  }
+}
