--- a/scripts/checkModel.ts
+++ b/scripts/checkModel.ts
@@ -25,7 +25,7 @@
     const macros = variant === undefined ? [] : [`-D${variant}`]
     execFileSync('spin', ['-a', ...macros, join(folder, model)], { cwd: work, stdio: 'pipe' })
     execFileSync('gcc', ['-O2', '-DSAFETY', '-DCOLLAPSE', `-DMEMLIM=${memoryMegabytes}`, '-o', 'pan', 'pan.c'], { cwd: work, stdio: 'pipe' })
-    const output = execFileSync('./pan', [`-m${depthLimit}`], { cwd: work, encoding: 'utf8', stdio: 'pipe' })
+    const output = execFileSync('./pan', ['-E', `-m${depthLimit}`], { cwd: work, encoding: 'utf8', stdio: 'pipe' })
     return {
       violated: !/errors: 0/.test(output),
       complete: !/search depth too small|max search depth|out of memory|Search not completed/.test(output.replace(/Warning: Search not completed/, 'Search not completed')),
