--- a/scripts/checkModel.ts
+++ b/scripts/checkModel.ts
@@ -24,7 +24,7 @@
   try {
     const macros = variant === undefined ? [] : [`-D${variant}`]
     execFileSync('spin', ['-a', ...macros, join(folder, model)], { cwd: work, stdio: 'pipe' })
-    execFileSync('gcc', ['-O2', '-DSAFETY', '-DCOLLAPSE', `-DMEMLIM=${memoryMegabytes}`, '-o', 'pan', 'pan.c'], { cwd: work, stdio: 'pipe' })
+    execFileSync('gcc', ['-w', '-O2', '-DSAFETY', '-DCOLLAPSE', `-DMEMLIM=${memoryMegabytes}`, '-o', 'pan', 'pan.c'], { cwd: work, stdio: 'pipe' })
     const output = execFileSync('./pan', ['-E', `-m${depthLimit}`], { cwd: work, encoding: 'utf8', stdio: 'pipe' })
     return {
       violated: !/errors: 0/.test(output),
