--- a/src/connection/internalRouter.ts
+++ b/src/connection/internalRouter.ts
@@ -9,7 +9,7 @@
 import type { ControlHost } from '../process/controlHost.ts'
 import { createFailure, FailureReason, Step } from '../process/failure.ts'
 import type { Query } from '../process/queries.ts'
-import type { AppendRequest, VoteRequest } from '../process/replicaMessages.ts'
+import type { AppendRequest, JoinRequest, SnapshotRequest, VoteRequest } from '../process/replicaMessages.ts'
 import type { Member } from '../process/storage.ts'
 import type { WatchRequest } from '../process/watchMessages.ts'
 import { toReply } from './internalMessages.ts'
@@ -47,6 +47,14 @@
         const replica = services.controlHost?.replica
         return replica === undefined ? missing(Step.Append) : toReply(await replica.handleAppend(input))
       }),
+      snapshot: procedure.input(message<SnapshotRequest>()).mutation(async ({ input }) => {
+        const replica = services.controlHost?.replica
+        return replica === undefined ? missing(Step.Snapshot) : toReply(await replica.handleSnapshot(input))
+      }),
+      join: procedure.input(message<JoinRequest>()).mutation(({ input }) => {
+        const replica = services.controlHost?.replica
+        return replica === undefined ? missing(Step.Form) : toReply(replica.handleJoin(input))
+      }),
       identify: procedure.mutation(() => services.controlHost?.replica.identify()),
       form: procedure.input(message<readonly Member[]>()).mutation(async ({ input }) =>
         await services.controlHost?.replica.form(input) ?? false)
--- a/src/connection/replicaTransport.ts
+++ b/src/connection/replicaTransport.ts
@@ -4,11 +4,14 @@
  */
 import { err, ok, type ResultAsync } from 'neverthrow'
 import { createFailure, type Failure, FailureReason, Step } from '../process/failure.ts'
-import { type AppendAnswer, type AppendRequest, type Identification, Transport, type VoteAnswer, type VoteRequest } from '../process/replicaMessages.ts'
+import {
+  type AppendAnswer, type AppendRequest, type Identification, type JoinAnswer, type JoinRequest, type SnapshotAnswer, type SnapshotRequest,
+  Transport, type VoteAnswer, type VoteRequest
+} from '../process/replicaMessages.ts'
 import type { Member } from '../process/storage.ts'
 import { type InternalClients, TrafficClass } from './internalClient.ts'
 
-/** Limit for a vote or an append, in milliseconds. */
+/** Limit for a call between replicas, in milliseconds. */
 const callLimitMs = 1_000
 
 class TrpcTransport extends Transport {
@@ -40,6 +43,16 @@
     return this.clients.call(address, TrafficClass.Control, Step.Form, callLimitMs, (client, signal) =>
       client.replica.form.mutate(members, { signal }))
   }
+
+  override snapshot (address: string, request: SnapshotRequest): ResultAsync<SnapshotAnswer, Failure> {
+    return this.clients.callReply<SnapshotAnswer>(address, TrafficClass.Control, Step.Snapshot, callLimitMs, (client, signal) =>
+      client.replica.snapshot.mutate(request, { signal }))
+  }
+
+  override join (address: string, request: JoinRequest): ResultAsync<JoinAnswer, Failure> {
+    return this.clients.callReply<JoinAnswer>(address, TrafficClass.Control, Step.Form, callLimitMs, (client, signal) =>
+      client.replica.join.mutate(request, { signal }))
+  }
 }
 
 /**
--- /dev/null
+++ b/src/process/compaction.ts
@@ -0,0 +1,88 @@
+/**
+ * The task of a replica that replaces the applied part of the log by a snapshot.
+ * @module
+ */
+import { setImmediate } from 'node:timers/promises'
+import { LogEvents } from './logEvents.ts'
+import { encodeRecord } from './recordCodec.ts'
+import { applyCommitted } from './replicaCommit.ts'
+import { stepDown } from './replicaLeadership.ts'
+import { dropThrough, pointAt, recordsAfter } from './replicaLog.ts'
+import type { CompactionLimits, ReplicaCore, ReplicaState } from './replicaState.ts'
+import type { SnapshotPoint } from './storage.ts'
+
+/** Limits that keep the log of a control host small. */
+export const defaultCompaction: CompactionLimits = { entries: 1_000, bytes: 4 * 1024 * 1024, retained: 256 }
+
+/** Longest time for which the export keeps the process from answering heartbeats, in milliseconds. */
+const sliceMs = 20
+
+/** How often the task looks without being notified, in milliseconds. */
+const lookMs = 1_000
+
+/**
+ * Decides whether the log is compacted. A snapshot costs as much as it is large, so the log must have grown by its size.
+ * @param state - the replica
+ * @param limits - the limits
+ * @returns whether a snapshot is due
+ */
+export function isCompactionDue (state: ReplicaState, limits: CompactionLimits): boolean {
+  if (state.snapshotBusy) return false
+  if (state.appliedBytes < state.snapshotBytes) return false
+  return state.appliedIndex - state.snapshot.index >= limits.entries || state.appliedBytes >= limits.bytes
+}
+
+/**
+ * Runs until the signal aborts.
+ * @param core - the replica
+ * @param signal - ends the task
+ * @returns a promise that resolves at the end
+ */
+export async function runCompaction (core: ReplicaCore, signal: AbortSignal): Promise<void> {
+  const { state, inputs: { compaction: limits = defaultCompaction } } = core
+  while (!signal.aborted) {
+    if (isCompactionDue(state, limits)) await compact(core, limits)
+    else await state.changed.wait(lookMs, signal)
+  }
+}
+
+async function compact (core: ReplicaCore, limits: CompactionLimits): Promise<void> {
+  const { state, inputs: { storage, lifecycle, logger } } = core
+  state.snapshotBusy = true
+  const point = pointAt(state, state.appliedIndex)
+  const parts = await exportAt(core, point)
+  const saved = await storage.saveSnapshot(point, parts, recordsAfter(state, point.index))
+  state.snapshotBusy = false
+  if (saved.isErr()) {
+    stepDown(core)
+    return lifecycle.fail(saved.error)
+  }
+  state.snapshot = point
+  dropThrough(state, point.index - limits.retained)
+  logger.write(LogEvents.snapshotWritten, { detail: `${state.snapshotBytes} bytes`, value: point.index })
+}
+
+// Commands are not applied during the export, so all parts are of one point; messages are answered between the slices.
+async function exportAt (core: ReplicaCore, point: SnapshotPoint): Promise<Buffer[]> {
+  const { state, inputs: { clock, exportParts } } = core
+  const parts: Buffer[] = []
+  let bytes = 0
+  let sliceStart = clock.now()
+  state.exporting = true
+  try {
+    for (const part of exportParts()) {
+      const encoded = encodeRecord(part)
+      bytes += encoded.length
+      parts.push(encoded)
+      if (clock.now() - sliceStart < sliceMs) continue
+      await setImmediate()
+      sliceStart = clock.now()
+    }
+  } finally {
+    state.exporting = false
+  }
+  state.snapshotBytes = bytes
+  state.appliedBytes = 0
+  if (state.commitIndex > point.index) applyCommitted(core)
+  return parts
+}
--- a/src/process/condition.ts
+++ b/src/process/condition.ts
@@ -3,6 +3,10 @@
  * @module
  */
 
+import { type Clock, createSystemClock } from './clock.ts'
+
+const systemClock = createSystemClock()
+
 /** A condition that tasks wait for. */
 export interface Condition {
   /** Wakes every waiting task. */
@@ -18,9 +22,10 @@
 
 /**
  * Creates a condition.
+ * @param clock - measures the limits of waits; the timers of the process when it is not given
  * @returns the condition
  */
-export function createCondition (): Condition {
+export function createCondition (clock?: Clock): Condition {
   let waiters = new Set<() => void>()
   return {
     notify () {
@@ -32,14 +37,15 @@
       return new Promise(resolve => {
         if (signal?.aborted === true) return resolve(false)
         const end = (notified: boolean): void => {
-          clearTimeout(timer)
+          limit.abort()
           waiters.delete(wake)
           signal?.removeEventListener('abort', abort)
           resolve(notified)
         }
         const wake = (): void => end(true)
         const abort = (): void => end(false)
-        const timer = setTimeout(abort, limitMs)
+        const limit = new AbortController()
+        ;(clock ?? systemClock).sleep(limitMs, limit.signal).then(abort, () => {})
         waiters.add(wake)
         signal?.addEventListener('abort', abort, { once: true })
       })
--- a/src/process/controlHost.ts
+++ b/src/process/controlHost.ts
@@ -11,6 +11,7 @@
 import type { Answer, Query } from './queries.ts'
 import { createReplica, type Replica, type ReplicaInputs, ReplicaRole } from './replica.ts'
 import { createSessions, sessionLimitMs, type Sessions } from './sessions.ts'
+import { exportState, importState } from './stateSnapshot.ts'
 import { pollHoldMs, type WatchAnswer, type WatchRequest } from './watchMessages.ts'
 import { runFormation } from './formation.ts'
 
@@ -24,7 +25,7 @@
 const cancelLimitMs = sessionLimitMs + 2_000
 
 /** What a control host needs. */
-export interface ControlHostInputs extends Omit<ReplicaInputs, 'apply'> {
+export interface ControlHostInputs extends Omit<ReplicaInputs, 'apply' | 'exportParts' | 'importParts'> {
   /** Internal addresses of all control hosts, this one included. */
   readonly controlHosts: readonly string[]
 }
@@ -68,6 +69,11 @@
       const outcome = applyCommand(state, command)
       if (command.kind === CommandKind.Apply || command.kind === CommandKind.CancelJob) news.notify()
       return outcome
+    },
+    exportParts: () => exportState(state),
+    importParts (parts) {
+      Object.assign(state, importState(parts))
+      news.notify()
     }
   }).map(replica => startControlHost(inputs, replica, state, news))
 }
--- a/src/process/daemon.ts
+++ b/src/process/daemon.ts
@@ -18,6 +18,7 @@
 import { createLifecycle, type Lifecycle } from './lifecycle.ts'
 import { LogEvents } from './logEvents.ts'
 import { createLogger, type Logger } from './logger.ts'
+import { describeMembers } from './memberStatus.ts'
 import { createMetrics } from './metrics.ts'
 import { createSystemRandom } from './random.ts'
 import { serveApi, serveInternal } from './servers.ts'
@@ -63,6 +64,7 @@
       address: settings.internalAddress,
       availabilityZone: settings.availabilityZone,
       controlHosts: settings.controlHosts,
+      voters: settings.voters,
       storage,
       transport: createTrpcTransport(clients),
       clock,
@@ -126,7 +128,7 @@
           leader: replica.leaderAddress,
           commitIndex: replica.commitIndex,
           appliedIndex: replica.appliedIndex,
-          members: replica.members
+          members: describeMembers(replica, performance.now())
         },
     entry: entryHost === undefined
       ? undefined
--- a/src/process/fileStorage.ts
+++ b/src/process/fileStorage.ts
@@ -1,45 +1,49 @@
 /**
- * Storage in files under one data folder.
+ * Storage in files under one data folder: segments of the log and one snapshot.
  * @module
  */
-import { randomUUID } from 'node:crypto'
-import { type FileHandle, mkdir, open, readFile, rename } from 'node:fs/promises'
+import { type FileHandle, open, readFile, rm } from 'node:fs/promises'
 import { join } from 'node:path'
-import { errAsync, okAsync, ResultAsync } from 'neverthrow'
+import { err, errAsync, ok, okAsync, ResultAsync } from 'neverthrow'
+import { type DataFolder, encodeStart, loadFolder } from './dataFolder.ts'
 import { createFailure, type Failure, FailureReason, Step, toFailure } from './failure.ts'
+import { replaceFile, syncFolder, writeSynced } from './folderFiles.ts'
 import { LogEvents } from './logEvents.ts'
-import type { Logger } from './logger.ts'
+import { listSegments, segmentName } from './logSegments.ts'
 import { Counter, type Metrics } from './metrics.ts'
-import { decodeRecords, encodeRecord, ReadEnd } from './recordCodec.ts'
-import { type Entry, RecordKind, type SavedLog, Storage, type StoredRecord } from './storage.ts'
-
-const identityFile = 'identity.json'
-const logFile = 'log.records'
-
-interface FolderIdentity {
-  readonly identity: string
-  readonly host: string
-}
-
-interface PendingAppend {
-  readonly bytes: Buffer
+import { encodeFrame, encodeRecord } from './recordCodec.ts'
+import { chunkBytes, decodeSnapshot, encodeSnapshot, newSnapshotName, receivedSnapshotName, snapshotName } from './snapshotFile.ts'
+import { type SavedLog, type Snapshot, type SnapshotChunk, type SnapshotPoint, Storage, type StoredRecord } from './storage.ts'
+
+/** Most bytes in one frame of the log. */
+const frameLimitBytes = 8 * 1024 * 1024
+
+interface PendingWrite {
+  readonly records: readonly Buffer[]
+  /** Bytes of the records. */
+  readonly size: number
+  /** Whether the records start a new segment. */
+  readonly startsSegment: boolean
   readonly settle: (failure: Failure | undefined) => void
 }
 
 /** What file storage needs. */
-export interface FileStorageInputs {
-  /** The data folder. */
-  readonly folder: string
-  /** Name of the host that the folder belongs to. */
-  readonly host: string
-  readonly logger: Logger
+export interface FileStorageInputs extends DataFolder {
   readonly metrics: Metrics
+  /** Opens a segment for appending; tests replace it to make syncs fail. */
+  readonly openSegment?: (path: string) => Promise<FileHandle>
 }
 
 class FileStorage extends Storage {
   private readonly inputs: FileStorageInputs
   private file: FileHandle | undefined
-  private pending: PendingAppend[] = []
+  private segment = 0
+  private length = 0
+  private snapshotFile: FileHandle | undefined
+  private snapshotPoint: SnapshotPoint | undefined
+  private receivedFile: FileHandle | undefined
+  private receivedBytes = 0
+  private pending: PendingWrite[] = []
   private writing: Promise<void> | undefined
   private failure: Failure | undefined
 
@@ -49,94 +53,175 @@
   }
 
   override load (): ResultAsync<SavedLog, Failure> {
-    return ResultAsync.fromPromise(this.loadFolder(), error => toStorageFailure(error, Step.LoadLog, this.inputs.folder))
+    return this.attempt(Step.LoadLog, async () => {
+      const loaded = await loadFolder(this.inputs)
+      this.segment = loaded.segment
+      this.length = loaded.length
+      this.file = await this.openSegment(loaded.segment)
+      await this.file.sync()
+      if (loaded.snapshotPoint !== undefined) await this.openSnapshot(loaded.snapshotPoint)
+      return loaded.saved
+    })
   }
 
   override append (records: readonly StoredRecord[]): ResultAsync<void, Failure> {
     if (this.failure !== undefined) return errAsync(this.failure)
     if (records.length === 0) return okAsync(undefined)
-    const bytes = Buffer.concat(records.map(encodeRecord))
-    const settled = new Promise<void>((resolve, reject) => {
-      this.pending.push({ bytes, settle: failure => { if (failure === undefined) resolve(); else reject(failure) } })
+    return this.enqueue(records.map(encodeRecord), false)
+  }
+
+  override saveSnapshot (point: SnapshotPoint, parts: readonly Buffer[], kept: readonly StoredRecord[]): ResultAsync<void, Failure> {
+    const rotated = this.rotate(point, kept)
+    return this.attempt(Step.Snapshot, async () => {
+      await writeSynced(join(this.inputs.folder, newSnapshotName), encodeSnapshot(point, parts))
+    }).andThen(() => rotated).andThen(segment => this.replaceSnapshot(point, newSnapshotName, segment))
+  }
+
+  override readChunk (offset: number): ResultAsync<SnapshotChunk, Failure> {
+    return this.attempt(Step.Snapshot, async () => {
+      const { snapshotFile: file, snapshotPoint: point } = this
+      if (file === undefined || point === undefined) throw createFailure(FailureReason.NotFound, { step: Step.Snapshot }, 'there is no snapshot')
+      const buffer = Buffer.alloc(chunkBytes)
+      const { bytesRead } = await file.read(buffer, 0, chunkBytes, offset)
+      const { size } = await file.stat()
+      return { point, offset, bytes: buffer.subarray(0, bytesRead), last: offset + bytesRead >= size }
+    })
+  }
+
+  override receiveChunk (offset: number, bytes: Buffer): ResultAsync<number, Failure> {
+    return this.attempt(Step.Snapshot, async () => {
+      if (offset === 0) await this.startReceiving()
+      const { receivedFile: file } = this
+      if (file === undefined || offset !== this.receivedBytes) return this.receivedBytes
+      this.receivedBytes += bytes.length
+      await file.write(bytes, 0, bytes.length, offset)
+      return this.receivedBytes
     })
-    this.writing ??= this.writePending()
-    return ResultAsync.fromPromise(settled, error => toStorageFailure(error, Step.SyncLog, this.inputs.folder))
+  }
+
+  override readReceived (): ResultAsync<Snapshot, Failure> {
+    return this.attempt(Step.Snapshot, async () => {
+      const snapshot = decodeSnapshot(await readFile(join(this.inputs.folder, receivedSnapshotName)))
+      if (snapshot !== undefined) return snapshot
+      throw createFailure(FailureReason.Incomplete, { step: Step.Snapshot, peer: this.inputs.folder }, 'the received snapshot is not whole')
+    })
+  }
+
+  override installReceived (point: SnapshotPoint, kept: readonly StoredRecord[]): ResultAsync<void, Failure> {
+    const rotated = this.rotate(point, kept)
+    return this.attempt(Step.Snapshot, async () => {
+      await this.receivedFile?.sync()
+      await this.receivedFile?.close()
+      this.receivedFile = undefined
+      this.receivedBytes = 0
+    }).andThen(() => rotated).andThen(segment => this.replaceSnapshot(point, receivedSnapshotName, segment))
   }
 
   override async close (): Promise<void> {
     await this.writing
-    await this.file?.close()
+    for (const file of [this.file, this.snapshotFile, this.receivedFile]) await file?.close()
     this.file = undefined
+    this.snapshotFile = undefined
+    this.receivedFile = undefined
   }
 
-  private async loadFolder (): Promise<SavedLog> {
-    const { folder, logger } = this.inputs
-    await mkdir(folder, { recursive: true })
-    const identity = await this.readIdentity()
-    const path = join(folder, logFile)
-    const bytes = await readFile(path).catch((error: NodeJS.ErrnoException) => {
-      if (error.code === 'ENOENT') return Buffer.alloc(0)
-      throw error
+  private attempt<Value> (step: Step, work: () => Promise<Value>): ResultAsync<Value, Failure> {
+    return ResultAsync.fromPromise(work(), error => toStorageFailure(error, step, this.inputs.folder))
+  }
+
+  private enqueue (records: readonly Buffer[], startsSegment: boolean): ResultAsync<void, Failure> {
+    const size = records.reduce((sum, record) => sum + record.length, 0)
+    const settled = new Promise<Failure | undefined>(resolve => {
+      this.pending.push({ records, size, startsSegment, settle: resolve })
     })
-    const decoded = decodeRecords(bytes)
-    if (decoded.end === ReadEnd.Damaged) {
-      logger.write(LogEvents.logDamaged, { detail: path, value: decoded.length })
-      throw createFailure(FailureReason.Damaged, { step: Step.LoadLog, peer: folder }, `record at byte ${decoded.length} of ${path} is damaged`)
-    }
-    this.file = await open(path, 'a')
-    if (decoded.end === ReadEnd.Torn) {
-      logger.write(LogEvents.tornRecordCut, { detail: path, value: bytes.length - decoded.length })
-      await this.file.truncate(decoded.length)
-    }
-    await this.file.sync()
-    await syncFolder(folder)
-    const saved = replay(identity, decoded.records as readonly StoredRecord[])
-    logger.write(LogEvents.logLoaded, { detail: identity, value: saved.entries.length })
-    return saved
+    this.writing ??= this.writePending()
+    return new ResultAsync(settled.then(failure => failure === undefined ? ok(undefined) : err(failure)))
   }
 
-  private async readIdentity (): Promise<string> {
-    const { folder, host } = this.inputs
-    const path = join(folder, identityFile)
-    try {
-      const saved = JSON.parse(await readFile(path, 'utf8')) as FolderIdentity
-      if (saved.host === host) return saved.identity
-      throw createFailure(FailureReason.Conflict, { step: Step.LoadLog, peer: folder }, `data folder belongs to host ${saved.host}, not ${host}`)
-    } catch (error) {
-      if ((error as NodeJS.ErrnoException).code !== 'ENOENT') throw error
-    }
-    const identity = randomUUID()
-    await writeDurably(folder, identityFile, Buffer.from(JSON.stringify({ identity, host } satisfies FolderIdentity)))
-    return identity
+  private rotate (point: SnapshotPoint, kept: readonly StoredRecord[]): ResultAsync<number, Failure> {
+    if (this.failure !== undefined) return errAsync(this.failure)
+    return this.enqueue([encodeStart(point.index), ...kept.map(encodeRecord)], true).map(() => this.segment)
+  }
+
+  private replaceSnapshot (point: SnapshotPoint, from: string, segment: number): ResultAsync<void, Failure> {
+    return this.attempt(Step.Snapshot, async () => {
+      const { folder } = this.inputs
+      await replaceFile(folder, from, snapshotName)
+      await this.openSnapshot(point)
+      for (const number of await listSegments(folder)) {
+        if (number < segment) await rm(join(folder, segmentName(number)), { force: true })
+      }
+      await syncFolder(folder)
+    })
+  }
+
+  private async openSnapshot (point: SnapshotPoint): Promise<void> {
+    const previous = this.snapshotFile
+    this.snapshotFile = await open(join(this.inputs.folder, snapshotName), 'r')
+    this.snapshotPoint = point
+    await previous?.close()
+  }
+
+  private async startReceiving (): Promise<void> {
+    await this.receivedFile?.close()
+    this.receivedFile = await open(join(this.inputs.folder, receivedSnapshotName), 'w')
+    this.receivedBytes = 0
+  }
+
+  private openSegment (number: number): Promise<FileHandle> {
+    const path = join(this.inputs.folder, segmentName(number))
+    return this.inputs.openSegment === undefined ? open(path, 'a') : this.inputs.openSegment(path)
   }
 
   private async writePending (): Promise<void> {
     while (this.pending.length > 0) {
-      const batch = this.pending
-      this.pending = []
-      const failure = await this.writeBatch(Buffer.concat(batch.map(append => append.bytes)))
-      for (const append of batch) append.settle(failure)
-      if (failure === undefined) continue
-      for (const append of this.pending) append.settle(failure)
-      this.pending = []
+      const batch = this.takeBatch()
+      const failure = await this.writeBatch(batch)
+      for (const write of batch) write.settle(failure)
     }
     this.writing = undefined
   }
 
+  // One batch becomes one frame with one sync; a batch that starts a segment is written alone.
+  private takeBatch (): PendingWrite[] {
+    let count = 0
+    let bytes = 0
+    for (const write of this.pending) {
+      if (count > 0 && (write.startsSegment || bytes + write.size > frameLimitBytes)) break
+      count++
+      bytes += write.size
+      if (write.startsSegment) break
+    }
+    return this.pending.splice(0, count)
+  }
+
   // After a failed sync the kernel may have dropped the dirty pages, so a second sync of the same file proves nothing.
-  private async writeBatch (bytes: Buffer): Promise<Failure | undefined> {
+  private async writeBatch (batch: readonly PendingWrite[]): Promise<Failure | undefined> {
     if (this.failure !== undefined) return this.failure
     try {
       if (this.file === undefined) throw new Error('the log file is not open')
-      await this.file.appendFile(bytes)
+      if (batch[0]?.startsSegment === true) await this.startSegment()
+      const frame = encodeFrame(this.length, batch.flatMap(write => write.records))
+      await this.file.appendFile(frame)
       await this.file.datasync()
+      this.length += frame.length
+      if (batch[0]?.startsSegment === true) await syncFolder(this.inputs.folder)
       this.inputs.metrics.count(Counter.Syncs, 'log')
       return undefined
     } catch (error) {
       this.failure = toStorageFailure(error, Step.SyncLog, this.inputs.folder)
+      this.inputs.logger.write(LogEvents.syncFailed, { failure: this.failure })
       return this.failure
     }
   }
+
+  private async startSegment (): Promise<void> {
+    const next = await this.openSegment(this.segment + 1)
+    await this.file?.close()
+    this.file = next
+    this.segment++
+    this.length = 0
+  }
 }
 
 /**
@@ -148,43 +233,6 @@
   return new FileStorage(inputs)
 }
 
-function replay (identity: string, records: readonly StoredRecord[]): SavedLog {
-  let term = 0
-  let votedFor: string | undefined
-  const entries: Entry[] = []
-  for (const record of records) {
-    switch (record.kind) {
-      case RecordKind.Entry:
-        entries.push(record.entry)
-        break
-      case RecordKind.Vote:
-        term = record.term
-        votedFor = record.votedFor ?? undefined
-        break
-      case RecordKind.Truncation:
-        while ((entries.at(-1)?.index ?? 0) >= record.from) entries.pop()
-        break
-    }
-  }
-  return { identity, term, votedFor, entries }
-}
-
-async function writeDurably (folder: string, name: string, bytes: Buffer): Promise<void> {
-  const temporary = join(folder, `${name}.new`)
-  const file = await open(temporary, 'w')
-  await file.writeFile(bytes)
-  await file.sync()
-  await file.close()
-  await rename(temporary, join(folder, name))
-  await syncFolder(folder)
-}
-
-async function syncFolder (folder: string): Promise<void> {
-  const handle = await open(folder, 'r')
-  await handle.sync()
-  await handle.close()
-}
-
 function toStorageFailure (error: unknown, step: Step, folder: string): Failure {
   const failure = toFailure(error, { step, peer: folder })
   if (failure.reason !== FailureReason.Unknown) return failure
--- /dev/null
+++ b/src/process/folderFiles.ts
@@ -0,0 +1,69 @@
+/**
+ * Durable files in a folder: a file is durable when it and the folder that names it are synced.
+ * @module
+ */
+import { open, readFile, rename } from 'node:fs/promises'
+import { join } from 'node:path'
+
+/** How many bytes are written between syncs of a large file, so that no single sync holds the disk for long. */
+const syncEveryBytes = 4 * 1024 * 1024
+
+/**
+ * Syncs a folder, which makes new, renamed and removed files in it durable.
+ * @param folder - the folder
+ */
+export async function syncFolder (folder: string): Promise<void> {
+  const handle = await open(folder, 'r')
+  try {
+    await handle.sync()
+  } finally {
+    await handle.close()
+  }
+}
+
+/**
+ * Writes and syncs a file under its own name; the folder is not synced.
+ * @param path - the file, which is replaced
+ * @param pieces - its content
+ */
+export async function writeSynced (path: string, pieces: Iterable<Buffer>): Promise<void> {
+  const file = await open(path, 'w')
+  try {
+    let unsynced = 0
+    for (const piece of pieces) {
+      await file.appendFile(piece)
+      unsynced += piece.length
+      if (unsynced < syncEveryBytes) continue
+      await file.datasync()
+      unsynced = 0
+    }
+    await file.sync()
+  } finally {
+    await file.close()
+  }
+}
+
+/**
+ * Puts a synced file in place under its final name.
+ * @param folder - the folder of both names
+ * @param from - present name
+ * @param to - final name, which is replaced
+ */
+export async function replaceFile (folder: string, from: string, to: string): Promise<void> {
+  await rename(join(folder, from), join(folder, to))
+  await syncFolder(folder)
+}
+
+/**
+ * Reads a file that may be missing.
+ * @param path - the file
+ * @returns its content, or undefined when there is no such file
+ */
+export async function readIfPresent (path: string): Promise<Buffer | undefined> {
+  try {
+    return await readFile(path)
+  } catch (error) {
+    if ((error as NodeJS.ErrnoException).code === 'ENOENT') return undefined
+    throw error
+  }
+}
--- a/src/process/formation.ts
+++ b/src/process/formation.ts
@@ -1,22 +1,32 @@
 /**
- * The first membership of the log. It is formed once, by the first listed control host, when every listed control host
- * answers that it has none. A host whose disk was lost later finds the others formed and never forms a second one.
+ * How a control host with an empty data folder becomes a member of the log. The first membership is formed once, by the
+ * first listed control host, when every listed control host answers that it has none. A host that finds the others
+ * formed, because its disk was lost or because it is new, asks to join and never forms a second membership.
  * @module
  */
 import type { Clock } from './clock.ts'
+import { LogEvents } from './logEvents.ts'
+import type { Logger } from './logger.ts'
 import type { Replica } from './replica.ts'
-import type { Identification, Transport } from './replicaMessages.ts'
+import type { Identification, JoinRequest, Transport } from './replicaMessages.ts'
 import { type Member, Standing } from './storage.ts'
 
 const retryMs = 200
 
+/** How often a host asks to join until it is a member, in milliseconds. */
+const joinEveryMs = 1_000
+
 /** What formation needs. */
 export interface Formation {
   readonly address: string
+  readonly availabilityZone: string
   readonly controlHosts: readonly string[]
+  /** How many voters there should be. */
+  readonly voters: number
   readonly replica: Replica
   readonly transport: Transport
   readonly clock: Clock
+  readonly logger: Logger
   readonly signal: AbortSignal
 }
 
@@ -26,39 +36,55 @@
  * @returns a promise that resolves at the end
  */
 export async function runFormation (formation: Formation): Promise<void> {
-  const { address, controlHosts, replica, transport, clock, signal } = formation
-  while (!signal.aborted) {
-    if (replica.identify().formed) return finishFormation(formation)
-    if (controlHosts[0] === address) {
-      const members = await gatherMembers(formation)
-      if (members !== undefined) {
-        // The own copy is written first: a restart in between sends the same membership again.
-        await replica.form(members)
-        continue
-      }
+  const { replica, clock, logger, signal } = formation
+  let isJoining = false
+  while (!signal.aborted && !replica.identify().formed) {
+    const found = await identifyAll(formation)
+    const formed = found.filter(host => host.formed)
+    if (formed.length > 0) {
+      if (!isJoining) logger.write(LogEvents.joinAsked, { detail: replica.state.identity })
+      isJoining = true
+      await askToJoin(formation, formed)
+      await clock.sleep(joinEveryMs, signal)
+      continue
     }
+    if (await formIfFirst(formation, found)) return
     await clock.sleep(retryMs, signal)
   }
-  async function finishFormation ({ replica: formed }: Formation): Promise<void> {
-    if (controlHosts[0] !== address || formed.state.commitIndex > 0) return
-    for (const member of formed.state.members) {
-      if (member.identity === formed.state.identity) continue
-      await transport.form(member.address, formed.state.members)
-    }
+}
+
+async function identifyAll (formation: Formation): Promise<Identification[]> {
+  const others = formation.controlHosts.filter(address => address !== formation.address)
+  const answers = await Promise.all(others.map(address => formation.transport.identify(address)))
+  const found: Identification[] = []
+  for (const answer of answers) {
+    if (answer.isOk()) found.push(answer.value)
   }
+  return found
 }
 
-async function gatherMembers (formation: Formation): Promise<Member[] | undefined> {
-  const members: Member[] = []
-  for (const address of formation.controlHosts) {
-    const found = address === formation.address ? formation.replica.identify() : await identify(formation, address)
-    if (found === undefined || found.formed) return undefined
-    members.push({ identity: found.identity, address: found.address, availabilityZone: found.availabilityZone, standing: Standing.Voter })
+// The leader's address comes first; the formed hosts themselves are asked when it is not known.
+async function askToJoin (formation: Formation, formed: readonly Identification[]): Promise<void> {
+  const { replica, transport, address, availabilityZone } = formation
+  const request: JoinRequest = { identity: replica.state.identity, address, availabilityZone }
+  const targets = new Set([...formed.map(host => host.leaderAddress), ...formed.map(host => host.address)])
+  for (const target of targets) {
+    if (target === undefined || target === address) continue
+    const answer = await transport.join(target, request)
+    if (answer.isOk()) return
   }
-  return members
 }
 
-async function identify (formation: Formation, address: string): Promise<Identification | undefined> {
-  const answer = await formation.transport.identify(address)
-  return answer.unwrapOr(undefined)
+async function formIfFirst (formation: Formation, others: readonly Identification[]): Promise<boolean> {
+  const { address, controlHosts, replica, transport, voters } = formation
+  if (controlHosts[0] !== address || others.length + 1 < controlHosts.length) return false
+  const members: Member[] = []
+  for (const host of [replica.identify(), ...others]) {
+    const standing = members.length < voters ? Standing.Voter : Standing.Learner
+    members.push({ identity: host.identity, address: host.address, availabilityZone: host.availabilityZone, standing })
+  }
+  // The own copy is written first. Hosts that miss the message get the same membership with the first entries.
+  if (!await replica.form(members)) return false
+  for (const host of others) await transport.form(host.address, members)
+  return true
 }
--- /dev/null
+++ b/src/process/logSegments.ts
@@ -0,0 +1,159 @@
+/**
+ * Segments of the log. A segment starts with a base index: together with a snapshot at or after the base, it and the
+ * later segments hold the whole log. Earlier segments are then no longer needed.
+ * @module
+ */
+import { readdir, readFile } from 'node:fs/promises'
+import { join } from 'node:path'
+import { type DecodedRecords, decodeFrames, ReadEnd } from './recordCodec.ts'
+import { type Entry, RecordKind, type SnapshotPoint, type StoredRecord } from './storage.ts'
+
+const namePattern = /^log-(\d{8})\.records$/
+
+/** The first record of a segment. */
+export interface SegmentStart {
+  readonly kind: typeof RecordKind.Segment
+  readonly base: number
+}
+
+/** A segment read back. */
+export interface Segment {
+  readonly number: number
+  readonly base: number
+  readonly records: readonly StoredRecord[]
+  /** Bytes of whole frames. */
+  readonly length: number
+  /** Bytes of an incomplete last frame. */
+  readonly tornBytes: number
+}
+
+/** Damage that keeps a replica from starting. */
+export interface Damage {
+  readonly file: string
+  readonly position: number
+  readonly text: string
+}
+
+/** The segments that hold the log, or the damage found. */
+export type SegmentReading =
+  | { readonly kind: 'read', readonly needed: readonly Segment[], readonly obsolete: readonly string[] }
+  | { readonly kind: 'damaged', readonly damage: Damage }
+
+/** Vote and entries that follow from the records. */
+export interface Replay {
+  readonly term: number
+  readonly votedFor: string | undefined
+  readonly entries: Entry[]
+  /** Index of the first entry that is missing before a later one. */
+  readonly missing: number | undefined
+}
+
+/**
+ * Names a segment.
+ * @param number - number of the segment, from 1
+ * @returns its file name
+ */
+export function segmentName (number: number): string {
+  return `log-${String(number).padStart(8, '0')}.records`
+}
+
+/**
+ * Lists the segments of a folder.
+ * @param folder - the folder
+ * @returns their numbers in increasing order
+ */
+export async function listSegments (folder: string): Promise<number[]> {
+  const numbers: number[] = []
+  for (const name of await readdir(folder)) {
+    const match = namePattern.exec(name)
+    if (match !== null) numbers.push(Number(match[1]))
+  }
+  return numbers.sort((left, right) => left - right)
+}
+
+/**
+ * Reads the segments that are needed after a snapshot.
+ * @param folder - the folder
+ * @param snapshotIndex - index of the snapshot, 0 without one
+ * @returns the segments, or the damage found
+ */
+export async function readSegments (folder: string, snapshotIndex: number): Promise<SegmentReading> {
+  const numbers = await listSegments(folder)
+  const needed: Segment[] = []
+  const obsolete: string[] = []
+  // The newest segments are read first, back to one that needs nothing before it.
+  for (let position = numbers.length - 1; position >= 0; position--) {
+    const number = numbers[position] ?? 0
+    const name = segmentName(number)
+    if (isStart(needed[0], snapshotIndex)) {
+      obsolete.push(name)
+      continue
+    }
+    const following = needed[0]
+    if (following !== undefined && following.number !== number + 1) return damaged(segmentName(number + 1), 0, 'a segment is missing')
+    const bytes = await readFile(join(folder, name))
+    const decoded = decodeFrames(bytes)
+    const isNewest = following === undefined
+    if (decoded.end === ReadEnd.Damaged) return damaged(name, decoded.length, 'a record is damaged')
+    // A segment is begun only after the one before it is synced, so only the newest can be incomplete.
+    if (decoded.end === ReadEnd.Torn && !isNewest) return damaged(name, decoded.length, 'a record is damaged')
+    needed.unshift(toSegment(number, decoded, bytes.length))
+  }
+  if (!isStart(needed[0], snapshotIndex)) return damaged(segmentName(needed[0]?.number ?? 1), 0, 'the log before this segment is missing')
+  return { kind: 'read', needed, obsolete }
+}
+
+function toSegment (number: number, decoded: DecodedRecords, size: number): Segment {
+  const [first, ...rest] = decoded.records as [SegmentStart | undefined, ...StoredRecord[]]
+  // A segment whose first frame is torn was never in use; it depends on the one before it.
+  return { number, base: first?.base ?? Infinity, records: rest, length: decoded.length, tornBytes: size - decoded.length }
+}
+
+function isStart (segment: Segment | undefined, snapshotIndex: number): boolean {
+  return segment !== undefined && segment.base <= snapshotIndex
+}
+
+function damaged (file: string, position: number, text: string): SegmentReading {
+  return { kind: 'damaged', damage: { file, position, text } }
+}
+
+/**
+ * Replays records in order.
+ * @param records - the records of the needed segments
+ * @param point - the snapshot that they follow
+ * @returns vote and entries after the snapshot
+ */
+export function replay (records: Iterable<StoredRecord>, point: SnapshotPoint): Replay {
+  let term = 0
+  let votedFor: string | undefined
+  const entries: Entry[] = []
+  for (const record of records) {
+    switch (record.kind) {
+      case RecordKind.Entry: {
+        const { entry } = record
+        if (entry.index <= point.index) break
+        // A segment repeats the entries that the one before it held after the base.
+        if (entry.index <= lastIndex(entries, point)) cutFrom(entries, entry.index)
+        if (entry.index !== lastIndex(entries, point) + 1) return { term, votedFor, entries, missing: lastIndex(entries, point) + 1 }
+        entries.push(entry)
+        break
+      }
+      case RecordKind.Vote:
+        term = record.term
+        votedFor = record.votedFor ?? undefined
+        break
+      case RecordKind.Truncation:
+        cutFrom(entries, record.from)
+        break
+    }
+  }
+  return { term, votedFor, entries, missing: undefined }
+}
+
+function lastIndex (entries: readonly Entry[], point: SnapshotPoint): number {
+  return entries.at(-1)?.index ?? point.index
+}
+
+function cutFrom (entries: Entry[], index: number): void {
+  while ((entries.at(-1)?.index ?? 0) >= index) entries.pop()
+}
--- /dev/null
+++ b/src/process/memberStatus.ts
@@ -0,0 +1,42 @@
+/**
+ * What operators see of the members of the log.
+ * @module
+ */
+import { lastIndexOf } from './replicaLog.ts'
+import { ReplicaRole, type ReplicaState } from './replicaState.ts'
+import type { Member } from './storage.ts'
+
+/** A member with its progress, which only the leader knows. */
+export interface MemberStatus extends Member {
+  readonly isLeader: boolean
+  /** Last index of the log that the member has synced, as far as the leader knows. */
+  readonly matchIndex: number | undefined
+  /** Entries that the member lacks. */
+  readonly behind: number | undefined
+  /** Milliseconds since the leader sent the last request that the member answered. */
+  readonly silentMs: number | undefined
+}
+
+/**
+ * Describes the members.
+ * @param state - the replica
+ * @param now - monotonic time in milliseconds
+ * @returns a line for each member
+ */
+export function describeMembers (state: ReplicaState, now: number): MemberStatus[] {
+  return state.members.map(member => ({
+    ...member,
+    isLeader: member.address === state.leaderAddress,
+    ...describeProgress(state, member, now)
+  }))
+}
+
+function describeProgress (state: ReplicaState, member: Member, now: number): Pick<MemberStatus, 'matchIndex' | 'behind' | 'silentMs'> {
+  const isSelf = member.identity === state.identity
+  const progress = state.progress.get(member.identity)
+  if (state.role !== ReplicaRole.Leader || (!isSelf && progress === undefined)) return { matchIndex: undefined, behind: undefined, silentMs: undefined }
+  const matchIndex = isSelf ? state.syncedIndex : progress?.matchIndex ?? 0
+  const answeredAt = isSelf ? now : progress?.acknowledgedAt ?? -Infinity
+  const silentMs = answeredAt === -Infinity ? undefined : Math.round(now - answeredAt)
+  return { matchIndex, behind: lastIndexOf(state) - matchIndex, silentMs }
+}
--- a/src/process/recordCodec.ts
+++ b/src/process/recordCodec.ts
@@ -1,18 +1,26 @@
 /**
- * Records on disk: length (4 bytes), CRC-32 (4 bytes), msgpack body.
+ * Frames on disk. A frame is what one sync made durable: a header of 24 bytes and a body of msgpack records. The header
+ * holds a mark, the length of the body, the position of the frame in its file, the CRC-32 of the body and the CRC-32 of
+ * the header.
  * @module
  */
 import { crc32 } from 'node:zlib'
 import { Packr } from 'msgpackr'
 
-const headerBytes = 8
+const headerBytes = 24
+const mark = Buffer.from('JCF1')
 
 /** Longest body that is believed; a longer length can only be damage. */
-const bodyLimitBytes = 64 * 1024 * 1024
+const bodyLimitBytes = 256 * 1024 * 1024
+
+const lengthAt = 4
+const positionAt = 8
+const bodyCheckAt = 14
+const headerCheckAt = 20
 
 const codec = new Packr({ useRecords: false, encodeUndefinedAsNil: false })
 
-/** How reading a file of records ended. */
+/** How reading a file of frames ended. */
 export const ReadEnd = { Complete: 'complete', Torn: 'torn', Damaged: 'damaged' } as const
 export type ReadEnd = typeof ReadEnd[keyof typeof ReadEnd]
 
@@ -20,44 +28,74 @@
 export interface DecodedRecords {
   readonly records: readonly unknown[]
   readonly end: ReadEnd
-  /** Bytes up to the end of the last whole record. */
+  /** Bytes up to the end of the last whole frame. */
   readonly length: number
 }
 
 /**
  * Encodes one record.
  * @param record - any value that msgpack carries
- * @returns header and body
+ * @returns the record as part of a frame's body
  */
 export function encodeRecord (record: unknown): Buffer {
-  const body = codec.pack(record)
-  const header = Buffer.allocUnsafe(headerBytes)
-  header.writeUInt32LE(body.length, 0)
-  header.writeUInt32LE(crc32(body), 4)
+  return codec.pack(record)
+}
+
+/**
+ * Builds a frame.
+ * @param position - position of the frame in its file, in bytes
+ * @param records - encoded records
+ * @returns header and body
+ */
+export function encodeFrame (position: number, records: readonly Buffer[]): Buffer {
+  const body = Buffer.concat(records)
+  const header = Buffer.alloc(headerBytes)
+  mark.copy(header)
+  header.writeUInt32LE(body.length, lengthAt)
+  header.writeUIntLE(position, positionAt, 6)
+  header.writeUInt32LE(crc32(body), bodyCheckAt)
+  header.writeUInt32LE(crc32(header.subarray(0, headerCheckAt)), headerCheckAt)
   return Buffer.concat([header, body])
 }
 
 /**
- * Decodes the records of a file. A record that runs past the end of the file, or a broken one that ends exactly there,
- * is a torn write; a broken record with bytes behind it is damage.
+ * Decodes a file of frames. Each frame is written after the one before it is synced, so a broken frame with a whole one
+ * behind it is damage, and a broken frame with none behind it is a torn write.
  * @param bytes - the content of the file
- * @returns the whole records and how reading ended
+ * @returns the records of the whole frames and how reading ended
  */
-export function decodeRecords (bytes: Buffer): DecodedRecords {
+export function decodeFrames (bytes: Buffer): DecodedRecords {
   const records: unknown[] = []
   let position = 0
   while (position < bytes.length) {
-    if (position + headerBytes > bytes.length) return { records, end: ReadEnd.Torn, length: position }
-    const length = bytes.readUInt32LE(position)
-    if (length > bodyLimitBytes) return { records, end: ReadEnd.Damaged, length: position }
-    const end = position + headerBytes + length
-    if (end > bytes.length) return { records, end: ReadEnd.Torn, length: position }
-    const body = bytes.subarray(position + headerBytes, end)
-    if (crc32(body) !== bytes.readUInt32LE(position + 4)) {
-      return { records, end: end === bytes.length ? ReadEnd.Torn : ReadEnd.Damaged, length: position }
+    const end = endOfFrame(bytes, position)
+    if (end === undefined) {
+      return { records, end: hasFrameAfter(bytes, position) ? ReadEnd.Damaged : ReadEnd.Torn, length: position }
     }
-    records.push(codec.unpack(body))
+    codec.unpackMultiple(bytes.subarray(position + headerBytes, end), (record: unknown) => { records.push(record) })
     position = end
   }
   return { records, end: ReadEnd.Complete, length: position }
 }
+
+function endOfFrame (bytes: Buffer, position: number): number | undefined {
+  if (position + headerBytes > bytes.length) return undefined
+  if (mark.compare(bytes, position, position + mark.length) !== 0) return undefined
+  if (bytes.readUIntLE(position + positionAt, 6) !== position) return undefined
+  if (crc32(bytes.subarray(position, position + headerCheckAt)) !== bytes.readUInt32LE(position + headerCheckAt)) return undefined
+  const length = bytes.readUInt32LE(position + lengthAt)
+  const end = position + headerBytes + length
+  if (length > bodyLimitBytes || end > bytes.length) return undefined
+  if (crc32(bytes.subarray(position + headerBytes, end)) !== bytes.readUInt32LE(position + bodyCheckAt)) return undefined
+  return end
+}
+
+// The header holds the position, so text of a caller that looks like a frame is not taken for one.
+function hasFrameAfter (bytes: Buffer, position: number): boolean {
+  let candidate = bytes.indexOf(mark, position + 1)
+  while (candidate >= 0) {
+    if (endOfFrame(bytes, candidate) !== undefined) return true
+    candidate = bytes.indexOf(mark, candidate + 1)
+  }
+  return false
+}
--- /dev/null
+++ b/src/process/replicaCommit.ts
@@ -0,0 +1,110 @@
+/**
+ * Commit and apply.
+ * @module
+ */
+import { err, ok } from 'neverthrow'
+import { assert, assertNever } from './assert.ts'
+import { majorityOf, reachedByMajority, votersOf } from './election.ts'
+import { createFailure, type Failure, FailureReason, Step } from './failure.ts'
+import { approximateSize, entryAt, termAt } from './replicaLog.ts'
+import { type ReplicaCore, ReplicaRole, type ReplicaState } from './replicaState.ts'
+import { type Entry, type Member, PayloadKind } from './storage.ts'
+
+/**
+ * Commits what a majority of the voters has synced.
+ * @param core - the replica
+ */
+export function advanceCommit (core: ReplicaCore): void {
+  const { state } = core
+  if (state.role !== ReplicaRole.Leader) return
+  const reached = reachedByMajority(votersOf(state.members).map(member => matchOf(state, member)))
+  if (reached <= state.commitIndex) return
+  // An entry of an earlier term is committed only together with one of the leader's own term.
+  if (termAt(state, reached) !== state.term) return
+  commit(core, reached)
+  state.work.notify()
+}
+
+function matchOf (state: ReplicaState, member: Member): number {
+  if (member.identity === state.identity) return state.syncedIndex
+  return state.progress.get(member.identity)?.matchIndex ?? 0
+}
+
+/**
+ * Commits entries and applies them.
+ * @param core - the replica
+ * @param index - the new commit index
+ */
+export function commit (core: ReplicaCore, index: number): void {
+  core.state.commitIndex = index
+  applyCommitted(core)
+}
+
+/**
+ * Applies the committed entries, unless the state is being exported.
+ * @param core - the replica
+ */
+export function applyCommitted (core: ReplicaCore): void {
+  const { state } = core
+  while (!state.exporting && state.appliedIndex < state.commitIndex) {
+    const entry = entryAt(state, state.appliedIndex + 1)
+    assert(entry !== undefined, `entry ${state.appliedIndex + 1} is committed but missing`)
+    state.appliedIndex = entry.index
+    state.appliedBytes += approximateSize(entry.payload)
+    applyEntry(core, entry)
+  }
+  state.changed.notify()
+  state.acknowledged.notify()
+}
+
+function applyEntry (core: ReplicaCore, entry: Entry): void {
+  const { payload } = entry
+  switch (payload.kind) {
+    case PayloadKind.Nothing: return
+    case PayloadKind.Members: return
+    case PayloadKind.Command: {
+      const outcome = core.inputs.apply(payload.command, entry.index)
+      const proposal = core.proposals.get(entry.index)
+      if (proposal === undefined) return
+      core.proposals.delete(entry.index)
+      proposal.settle(proposal.term === entry.term ? ok(outcome) : err(leadershipLost(core.state)))
+      return
+    }
+    default: assertNever(payload)
+  }
+}
+
+/**
+ * Creates the failure of a command whose outcome is not known.
+ * @param state - the replica
+ * @returns the failure
+ */
+export function leadershipLost (state: ReplicaState): Failure {
+  return createFailure(FailureReason.Unknown, { step: Step.Propose, peer: state.address }, 'leadership was lost before the command was applied')
+}
+
+/**
+ * Checks whether a majority of the voters has answered a request sent at or after a time.
+ * @param state - the leader
+ * @param time - monotonic time in milliseconds
+ * @returns whether it has
+ */
+export function isMajorityHeardSince (state: ReplicaState, time: number): boolean {
+  return hasMajority(state, identity => (state.progress.get(identity)?.acknowledgedAt ?? -Infinity) >= time)
+}
+
+/**
+ * Checks whether a majority of the voters has confirmed a round of reads.
+ * @param state - the leader
+ * @param round - number of the round
+ * @returns whether it has
+ */
+export function isRoundConfirmed (state: ReplicaState, round: number): boolean {
+  return hasMajority(state, identity => (state.progress.get(identity)?.confirmedRound ?? 0) >= round)
+}
+
+function hasMajority (state: ReplicaState, holds: (identity: string) => boolean): boolean {
+  const voters = votersOf(state.members)
+  const count = voters.filter(({ identity }) => identity === state.identity || holds(identity)).length
+  return count >= majorityOf(voters.length)
+}
--- a/src/process/replicaMessages.ts
+++ b/src/process/replicaMessages.ts
@@ -44,6 +44,44 @@
   readonly index: number
 }
 
+/** A piece of a snapshot. */
+export interface SnapshotRequest {
+  /** Identity that the request is meant for. */
+  readonly to: string
+  readonly term: number
+  readonly leaderAddress: string
+  /** Index that the snapshot stands for. */
+  readonly index: number
+  /** Offset of the piece in the snapshot, in bytes. */
+  readonly offset: number
+  /** The piece, in base64. */
+  readonly bytes: string
+  /** Whether the snapshot ends with this piece. */
+  readonly last: boolean
+}
+
+/** Answer to a piece of a snapshot. */
+export interface SnapshotAnswer {
+  readonly term: number
+  /** Bytes received in order; the next piece starts there. */
+  readonly received: number
+  /** Whether the replica has everything up to the index of the snapshot. */
+  readonly installed: boolean
+}
+
+/** A control host with an empty data folder asks to become a member. */
+export interface JoinRequest {
+  readonly identity: string
+  readonly address: string
+  readonly availabilityZone: string
+}
+
+/** Answer to a request to join. */
+export interface JoinAnswer {
+  /** Whether the leader will add the host. */
+  readonly accepted: boolean
+}
+
 /** Who a control host is. */
 export interface Identification {
   readonly identity: string
@@ -86,4 +124,20 @@
    * @returns whether the replica took it, or a failure
    */
   abstract form (address: string, members: readonly Member[]): ResultAsync<boolean, Failure>
+
+  /**
+   * Sends a piece of a snapshot.
+   * @param address - internal address of the replica
+   * @param request - the piece
+   * @returns the answer, or a failure
+   */
+  abstract snapshot (address: string, request: SnapshotRequest): ResultAsync<SnapshotAnswer, Failure>
+
+  /**
+   * Asks the leader to become a member.
+   * @param address - internal address of a control host
+   * @param request - the host that asks
+   * @returns the answer, or a failure that names the leader
+   */
+  abstract join (address: string, request: JoinRequest): ResultAsync<JoinAnswer, Failure>
 }
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -26,6 +26,8 @@
   controlHosts: z.string().transform(splitList).pipe(z.array(address).min(1).max(7))
     .describe('internal addresses of the control hosts, separated by commas'),
   dataFolder: z.string().min(1).optional().describe('folder for durable state (control)'),
+  voters: z.coerce.number().int().refine(count => count === 3 || count === 5, 'must be 3 or 5').default(3)
+    .describe('how many control hosts vote, 3 or 5'),
   addressKeepMs: z.coerce.number().int().min(100).max(600_000).default(5_000)
     .describe('how long callers may keep an address answer, in milliseconds'),
   logLevel: z.enum(Level).default(Level.Info).describe('debug, info, warn or error')
--- a/test/support/system.ts
+++ b/test/support/system.ts
@@ -55,6 +55,7 @@
     administrationAddress,
     controlHosts: [internalAddress],
     dataFolder: folder,
+    voters: 3,
     addressKeepMs: 200,
     logLevel: Level.Error
   })
