Test the log on a fake clock, network and storage

Cause: the replica had no tests of faults.

They found that a follower acknowledged a repeated append before the sync of the first one had ended; it now waits for the syncs under way. A failed sync stops all later writes of a replica.

--- a/src/process/compaction.ts
+++ b/src/process/compaction.ts
@@ -6,7 +6,7 @@
 import { LogEvents } from './logEvents.ts'
 import { encodeRecord } from './recordCodec.ts'
 import { applyCommitted } from './replicaCommit.ts'
-import { stepDown } from './replicaLeadership.ts'
+import { failStorage } from './replicaLeadership.ts'
 import { dropThrough, pointAt, recordsAfter } from './replicaLog.ts'
 import type { CompactionLimits, ReplicaCore, ReplicaState } from './replicaState.ts'
 import type { SnapshotPoint } from './storage.ts'
@@ -47,16 +47,13 @@
 }
 
 async function compact (core: ReplicaCore, limits: CompactionLimits): Promise<void> {
-  const { state, inputs: { storage, lifecycle, logger } } = core
+  const { state, inputs: { storage, logger } } = core
   state.snapshotBusy = true
   const point = pointAt(state, state.appliedIndex)
   const parts = await exportAt(core, point)
   const saved = await storage.saveSnapshot(point, parts, recordsAfter(state, point.index))
   state.snapshotBusy = false
-  if (saved.isErr()) {
-    stepDown(core)
-    return lifecycle.fail(saved.error)
-  }
+  if (saved.isErr()) return failStorage(core, saved.error)
   state.snapshot = point
   dropThrough(state, point.index - limits.retained)
   logger.write(LogEvents.snapshotWritten, { detail: `${state.snapshotBytes} bytes`, value: point.index })
--- a/src/process/replicaLeadership.ts
+++ b/src/process/replicaLeadership.ts
@@ -5,6 +5,7 @@
 import { err } from 'neverthrow'
 import { runReplicaPeer } from '../connection/replicaPeer.ts'
 import { electionMinMs } from './election.ts'
+import type { Failure } from './failure.ts'
 import { LogEvents } from './logEvents.ts'
 import { Counter } from './metrics.ts'
 import { advanceCommit, isMajorityHeardSince, leadershipLost } from './replicaCommit.ts'
@@ -15,18 +16,33 @@
 /**
  * Syncs records; a failure ends the process, because what the file holds is then not known.
  * @param core - the replica
- * @param records - the records
- * @returns whether they are synced
+ * @param records - the records; without any, the call waits for the syncs under way, since an answer to a repeated
+ * request must not go before the sync of the first one
+ * @returns whether they and all earlier ones are synced
  */
-export async function save (core: ReplicaCore, records: readonly StoredRecord[]): Promise<boolean> {
+export function save (core: ReplicaCore, records: readonly StoredRecord[]): Promise<boolean> {
+  if (records.length > 0) core.saving = sync(core, records)
+  return core.saving
+}
+
+async function sync (core: ReplicaCore, records: readonly StoredRecord[]): Promise<boolean> {
+  if (core.isStorageFailed) return false
   const saved = await core.inputs.storage.append(records)
-  if (saved.isErr()) {
-    stepDown(core)
-    core.inputs.lifecycle.fail(saved.error)
-  }
+  if (saved.isErr()) failStorage(core, saved.error)
   return saved.isOk()
 }
 
+/**
+ * Ends the process because of its storage.
+ * @param core - the replica
+ * @param failure - what failed
+ */
+export function failStorage (core: ReplicaCore, failure: Failure): void {
+  core.isStorageFailed = true
+  stepDown(core)
+  core.inputs.lifecycle.fail(failure)
+}
+
 /**
  * Enters a term. The record must be passed to `save` in the same turn, before anything is answered under the term.
  * @param core - the replica
--- a/src/process/replicaState.ts
+++ b/src/process/replicaState.ts
@@ -140,6 +140,10 @@
   readonly candidates: Map<string, Candidate>
   /** Notified when a candidate asked to join. */
   readonly joinAsked: Condition
+  /** The newest sync; it ends after all earlier ones. */
+  saving: Promise<boolean>
+  /** Whether a sync has failed; nothing is written or answered after that. */
+  isStorageFailed: boolean
 }
 
 /**
@@ -179,7 +183,7 @@
     acknowledged: createCondition(clock),
     changed: createCondition(clock)
   }
-  return { inputs, state, proposals: new Map(), peers: new Map(), candidates: new Map(), joinAsked: createCondition(clock) }
+  return { inputs, state, proposals: new Map(), peers: new Map(), candidates: new Map(), joinAsked: createCondition(clock), saving: Promise.resolve(true), isStorageFailed: false }
 }
 
 /**
--- a/src/process/snapshotInstall.ts
+++ b/src/process/snapshotInstall.ts
@@ -6,7 +6,7 @@
 import { type Failure, Step } from './failure.ts'
 import { LogEvents } from './logEvents.ts'
 import { followLeader } from './replicaAppend.ts'
-import { adoptMembers, save, stepDown } from './replicaLeadership.ts'
+import { adoptMembers, failStorage, save } from './replicaLeadership.ts'
 import { lastIndexOf, membersAt, recordsAfter, termAt } from './replicaLog.ts'
 import type { SnapshotAnswer, SnapshotRequest } from './replicaMessages.ts'
 import { type ReplicaCore, storageEnded, wrongIdentity } from './replicaState.ts'
@@ -36,7 +36,7 @@
 }
 
 async function install (core: ReplicaCore, index: number): Promise<void> {
-  const { state, inputs: { storage, lifecycle, logger } } = core
+  const { state, inputs: { storage, logger } } = core
   state.snapshotBusy = true
   state.installing = true
   try {
@@ -48,10 +48,7 @@
     }
     if (index <= state.commitIndex) return
     const installed = await storage.installReceived(snapshot.value.point, recordsKept(core, snapshot.value))
-    if (installed.isErr()) {
-      stepDown(core)
-      return lifecycle.fail(installed.error)
-    }
+    if (installed.isErr()) return failStorage(core, installed.error)
     replaceState(core, snapshot.value)
     logger.write(LogEvents.snapshotInstalled, { value: index })
   } finally {
--- /dev/null
+++ b/test/logMembership.test.ts
@@ -0,0 +1,130 @@
+import { expect } from 'chai'
+import { LogEvents } from '../src/process/logEvents.ts'
+import { Standing } from '../src/process/storage.ts'
+import { startTestLog, type TestHost, type TestLog } from './support/testLog.ts'
+
+const addresses = ['a:1', 'b:1', 'c:1']
+
+function standingOf (host: TestHost, address: string): Standing | undefined {
+  return host.replica.state.members.find(member => member.address === address)?.standing
+}
+
+function promotions (log: TestLog): number {
+  return log.hosts.flatMap(host => host.events).filter(({ event }) => event === LogEvents.memberPromoted).length
+}
+
+describe('membership of the log', () => {
+  let log: TestLog
+
+  afterEach(() => log.close())
+
+  it('removes a lost identity first, adds the new one as a learner and promotes it when caught up', async () => {
+    log = await startTestLog({ addresses, seed: 11 })
+    const leader = await log.untilLeader()
+    for (const name of ['one', 'two', 'three']) expect(await log.propose(leader, name)).to.equal(true)
+    const lost = log.hosts.find(host => host !== leader) as TestHost
+    const oldIdentity = lost.replica.state.identity
+    const memberships: string[] = []
+    const follower = log.hosts.find(host => host !== leader && host !== lost) as TestHost
+    log.network.observe = (kind, from, to, request) => {
+      if (kind !== 'append' || from !== leader.address || to !== follower.address) return
+      for (const entry of request.entries) {
+        if (entry.payload.kind !== 'members') continue
+        const text = entry.payload.members.map((member: any) => `${member.identity} ${member.standing}`).sort().join(', ')
+        if (memberships.at(-1) !== text) memberships.push(text)
+      }
+    }
+    await log.crash(lost)
+    await log.revive(lost, true)
+    const newIdentity = lost.replica.state.identity
+    await log.until('the promotion', 20_000, () => promotions(log) === 1)
+    const others = log.hosts.filter(host => host !== lost).map(host => host.replica.state.identity).sort()
+    expect(newIdentity).to.not.equal(oldIdentity)
+    const voters = others.map(identity => `${identity} voter`)
+    expect(memberships.slice(-3)).to.deep.equal([
+      voters.join(', '),
+      [...voters, `${newIdentity} learner`].sort().join(', '),
+      [...voters, `${newIdentity} voter`].sort().join(', ')
+    ])
+    expect(lost.applied).to.deep.equal(['one', 'two', 'three'])
+  })
+
+  it('loses nothing when a second host is lost right after the repair was reported', async () => {
+    log = await startTestLog({ addresses, seed: 12 })
+    const leader = await log.untilLeader()
+    const names = Array.from({ length: 30 }, (_, number) => `change-${number}`)
+    for (const name of names) expect(await log.propose(leader, name)).to.equal(true)
+    const repaired = log.hosts.find(host => host !== leader) as TestHost
+    await log.crash(repaired)
+    await log.revive(repaired, true)
+    await log.until('the report of the repair', 20_000, () => promotions(log) === 1)
+    await log.crash(leader)
+    const rest = log.hosts.filter(host => host !== leader)
+    const next = await log.untilLeader(rest)
+    expect(await log.propose(next, 'last')).to.equal(true)
+    expect(next.applied).to.deep.equal([...names, 'last'])
+  })
+
+  it('does not promote a learner that has not caught up, and does not report it', async () => {
+    log = await startTestLog({ addresses, seed: 13 })
+    const leader = await log.untilLeader()
+    expect(await log.propose(leader, 'one')).to.equal(true)
+    const lost = log.hosts.find(host => host !== leader) as TestHost
+    await log.crash(lost)
+    await log.revive(lost, true)
+    lost.storage.hold()
+    await log.until('the learner', 20_000, () => standingOf(leader, lost.address) === Standing.Learner)
+    await log.clock.advance(10_000)
+    expect(standingOf(leader, lost.address)).to.equal(Standing.Learner)
+    expect(promotions(log)).to.equal(0)
+    lost.storage.release()
+    await log.until('the promotion', 20_000, () => promotions(log) === 1)
+  })
+
+  it('adds a host with a new address, promotes it only below the number of voters, and stops at seven members', async () => {
+    log = await startTestLog({ addresses, seed: 14 })
+    const leader = await log.untilLeader()
+    const added: TestHost[] = []
+    for (const address of ['d:1', 'e:1', 'f:1', 'g:1']) added.push(await log.start(address))
+    await log.until('seven members', 30_000, () => leader.replica.state.members.length === 7)
+    const refused = await log.start('h:1')
+    await log.clock.advance(5_000)
+    expect(leader.replica.state.members).to.have.length(7)
+    expect(refused.replica.state.members).to.have.length(0)
+    expect(added.map(host => standingOf(leader, host.address))).to.deep.equal(Array(4).fill(Standing.Learner))
+    expect(leader.events.some(({ event }) => event === LogEvents.joinRefused)).to.equal(true)
+  })
+
+  it('promotes up to five voters when five are asked for, one committed change at a time', async () => {
+    log = await startTestLog({ addresses, seed: 15, voters: 5 })
+    const leader = await log.untilLeader()
+    let largestStep = 0
+    let committed = leader.replica.state.members
+    let before = committed
+    log.network.observe = () => {
+      const { members } = leader.replica.state
+      if (members === before) return
+      const names = new Set(before.map(member => `${member.identity} ${member.standing}`))
+      const fresh = members.filter(member => !names.has(`${member.identity} ${member.standing}`)).length
+      largestStep = Math.max(largestStep, fresh)
+      before = members
+    }
+    await log.start('d:1')
+    await log.start('e:1')
+    await log.until('five voters', 30_000, () => {
+      committed = leader.replica.state.members
+      return committed.filter(member => member.standing === Standing.Voter).length === 5
+    })
+    expect(largestStep).to.equal(1)
+  })
+
+  it('does not remove a member because of a request to join that its address does not confirm', async () => {
+    log = await startTestLog({ addresses, seed: 16 })
+    const leader = await log.untilLeader()
+    const victim = log.hosts.find(host => host !== leader) as TestHost
+    const answer = leader.replica.handleJoin({ identity: 'stranger', address: victim.address, availabilityZone: 'zone-a' })
+    expect(answer.isOk()).to.equal(true)
+    await log.clock.advance(3_000)
+    expect(leader.replica.state.members.map(member => member.identity)).to.include(victim.replica.state.identity)
+  })
+})
--- /dev/null
+++ b/test/support/memoryStorage.ts
@@ -0,0 +1,108 @@
+/**
+ * Storage in memory that can lose its disk, fail a sync and hold syncs back.
+ * @module
+ */
+import { err, errAsync, ok, okAsync, ResultAsync } from 'neverthrow'
+import { createFailure, type Failure, FailureReason, Step } from '../../src/process/failure.ts'
+import { replay } from '../../src/process/logSegments.ts'
+import { chunkBytes, decodeSnapshot, encodeSnapshot } from '../../src/process/snapshotFile.ts'
+import { emptyPoint, type SavedLog, type Snapshot, type SnapshotChunk, type SnapshotPoint, Storage, type StoredRecord } from '../../src/process/storage.ts'
+
+/** Storage of one replica; `restart` gives the storage of the next start on the same disk. */
+export class MemoryStorage extends Storage {
+  /** Synced records since the snapshot. */
+  records: StoredRecord[] = []
+  snapshotBytes: Buffer | undefined
+  syncs = 0
+  /** Whether the next write fails, and with it all later ones. */
+  failing = false
+  private received = Buffer.alloc(0)
+  private gate: Promise<void> | undefined
+  private openGate = (): void => {}
+  private ended = false
+
+  constructor (readonly identity: string) {
+    super()
+  }
+
+  /** Holds all syncs back until `release`. */
+  hold (): void {
+    this.gate ??= new Promise(resolve => { this.openGate = resolve })
+  }
+
+  release (): void {
+    this.gate = undefined
+    this.openGate()
+  }
+
+  /** Ends this process's access; unsynced records are lost. */
+  restart (): MemoryStorage {
+    this.ended = true
+    const next = new MemoryStorage(this.identity)
+    next.records = this.records
+    next.snapshotBytes = this.snapshotBytes
+    return next
+  }
+
+  override load (): ResultAsync<SavedLog, Failure> {
+    const snapshot = this.snapshotBytes === undefined ? undefined : decodeSnapshot(this.snapshotBytes)
+    const { missing, ...log } = replay(this.records, snapshot?.point ?? emptyPoint)
+    if (missing !== undefined) return errAsync(failed(`entry ${missing} is missing`))
+    return okAsync({ identity: this.identity, snapshot, ...log })
+  }
+
+  override append (records: readonly StoredRecord[]): ResultAsync<void, Failure> {
+    if (records.length === 0) return okAsync(undefined)
+    return this.write(() => { this.records = [...this.records, ...records] })
+  }
+
+  override saveSnapshot (point: SnapshotPoint, parts: readonly Buffer[], kept: readonly StoredRecord[]): ResultAsync<void, Failure> {
+    return this.write(() => {
+      this.snapshotBytes = Buffer.concat([...encodeSnapshot(point, parts)])
+      this.records = [...kept]
+    })
+  }
+
+  override readChunk (offset: number): ResultAsync<SnapshotChunk, Failure> {
+    const snapshot = this.snapshotBytes === undefined ? undefined : decodeSnapshot(this.snapshotBytes)
+    if (snapshot === undefined || this.snapshotBytes === undefined) return errAsync(failed('there is no snapshot'))
+    const bytes = this.snapshotBytes.subarray(offset, offset + chunkBytes)
+    return okAsync({ point: snapshot.point, offset, bytes, last: offset + bytes.length >= this.snapshotBytes.length })
+  }
+
+  override receiveChunk (offset: number, bytes: Buffer): ResultAsync<number, Failure> {
+    if (offset === 0) this.received = Buffer.alloc(0)
+    if (offset === this.received.length) this.received = Buffer.concat([this.received, bytes])
+    return okAsync(this.received.length)
+  }
+
+  override readReceived (): ResultAsync<Snapshot, Failure> {
+    const snapshot = decodeSnapshot(this.received)
+    return snapshot === undefined ? errAsync(failed('the received snapshot is not whole')) : okAsync(snapshot)
+  }
+
+  override installReceived (_point: SnapshotPoint, kept: readonly StoredRecord[]): ResultAsync<void, Failure> {
+    const { received } = this
+    return this.write(() => {
+      this.snapshotBytes = received
+      this.records = [...kept]
+    })
+  }
+
+  override async close (): Promise<void> {}
+
+  private write (change: () => void): ResultAsync<void, Failure> {
+    return new ResultAsync((async () => {
+      await this.gate
+      if (this.ended) return await new Promise<never>(() => {})
+      if (this.failing) return err(failed('the sync failed'))
+      change()
+      this.syncs++
+      return ok(undefined)
+    })())
+  }
+}
+
+function failed (text: string): Failure {
+  return createFailure(FailureReason.Storage, { step: Step.SyncLog }, text)
+}
--- /dev/null
+++ b/test/support/testNetwork.ts
@@ -0,0 +1,112 @@
+/**
+ * An in-memory transport between replicas that can cut, swallow and delay. Random delays reorder messages.
+ * @module
+ */
+import { err, ok, type Result, ResultAsync } from 'neverthrow'
+import type { Clock } from '../../src/process/clock.ts'
+import { createFailure, type Failure, FailureReason, Step } from '../../src/process/failure.ts'
+import type { Random } from '../../src/process/random.ts'
+import type { Replica } from '../../src/process/replica.ts'
+import {
+  type AppendAnswer, type AppendRequest, type Identification, type JoinAnswer, type JoinRequest, type SnapshotAnswer, type SnapshotRequest,
+  Transport, type VoteAnswer, type VoteRequest
+} from '../../src/process/replicaMessages.ts'
+import type { Member } from '../../src/process/storage.ts'
+
+const callLimitMs = 1_000
+
+/** The network of a test. */
+export interface TestNetwork {
+  /** Replicas by address; an address without one refuses connections. */
+  readonly replicas: Map<string, Replica>
+  /** Addresses whose packets are swallowed in both directions. */
+  readonly swallowed: Set<string>
+  /** Addresses whose answers alone are swallowed. */
+  readonly mute: Set<string>
+  /** Longest random delay of a message, in milliseconds. */
+  delayMs: number
+  /** Called for each message that is delivered. */
+  observe: (kind: string, from: string, to: string, request: any) => void
+  transportOf (address: string): Transport
+}
+
+/**
+ * Creates a network.
+ * @param clock - clock of the test
+ * @param random - delays
+ * @returns the network
+ */
+export function createTestNetwork (clock: Clock, random: Random): TestNetwork {
+  const network: TestNetwork = {
+    replicas: new Map(),
+    swallowed: new Set(),
+    mute: new Set(),
+    delayMs: 0,
+    observe () {},
+    transportOf: address => new TestTransport(network, clock, random, address)
+  }
+  return network
+}
+
+class TestTransport extends Transport {
+  constructor (readonly network: TestNetwork, readonly clock: Clock, readonly random: Random, readonly from: string) {
+    super()
+  }
+
+  override vote (address: string, request: VoteRequest): ResultAsync<VoteAnswer, Failure> {
+    return this.call('vote', address, request, replica => replica.handleVote(request))
+  }
+
+  override append (address: string, request: AppendRequest): ResultAsync<AppendAnswer, Failure> {
+    return this.call('append', address, request, replica => replica.handleAppend(request))
+  }
+
+  override snapshot (address: string, request: SnapshotRequest): ResultAsync<SnapshotAnswer, Failure> {
+    return this.call('snapshot', address, request, replica => replica.handleSnapshot(request))
+  }
+
+  override join (address: string, request: JoinRequest): ResultAsync<JoinAnswer, Failure> {
+    return this.call('join', address, request, async replica => replica.handleJoin(request))
+  }
+
+  override identify (address: string): ResultAsync<Identification, Failure> {
+    return this.call('identify', address, {}, async replica => ok(replica.identify()))
+  }
+
+  override form (address: string, members: readonly Member[]): ResultAsync<boolean, Failure> {
+    return this.call('form', address, members, async replica => ok(await replica.form(members)))
+  }
+
+  private call<Value> (kind: string, to: string, request: unknown, handle: (replica: Replica) => Promise<Result<Value, Failure>>): ResultAsync<Value, Failure> {
+    return new ResultAsync(this.deliver(kind, to, request, handle))
+  }
+
+  private async deliver<Value> (kind: string, to: string, request: unknown, handle: (replica: Replica) => Promise<Result<Value, Failure>>): Promise<Result<Value, Failure>> {
+    const { network, from } = this
+    const limit = this.clock.sleep(callLimitMs).then((): Result<Value, Failure> => err(lost(FailureReason.Timeout, to)))
+    const answered = (async (): Promise<Result<Value, Failure>> => {
+      await this.travel()
+      if (this.isSwallowed(to)) return await limit
+      const replica = network.replicas.get(to)
+      if (replica === undefined) return err(lost(FailureReason.Refused, to))
+      network.observe(kind, from, to, request)
+      const answer = await handle(replica)
+      await this.travel()
+      if (this.isSwallowed(to) || network.mute.has(to)) return await limit
+      return answer
+    })()
+    return await Promise.race([answered, limit])
+  }
+
+  private isSwallowed (to: string): boolean {
+    return this.network.swallowed.has(to) || this.network.swallowed.has(this.from)
+  }
+
+  private async travel (): Promise<void> {
+    if (this.network.delayMs > 0) await this.clock.sleep(this.random.below(this.network.delayMs))
+  }
+}
+
+function lost (reason: FailureReason, peer: string): Failure {
+  return createFailure(reason, { step: Step.Append, peer }, 'no answer')
+}
