Test file storage with torn, damaged and missing files

Cause: a broken length in the middle of the log looked like a torn end and would have cut off acknowledged records.

Change: eight tests on real files.

--- /dev/null
+++ b/test/logStorage.test.ts
@@ -0,0 +1,199 @@
+import { expect } from 'chai'
+import { type FileHandle, mkdtemp, open, readdir, readFile, rename, rm, unlink, writeFile } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { FailureReason } from '../src/process/failure.ts'
+import { createFileStorage, type FileStorageInputs } from '../src/process/fileStorage.ts'
+import { type LogEvent, LogEvents } from '../src/process/logEvents.ts'
+import { Counter, createMetrics } from '../src/process/metrics.ts'
+import { createSeededRandom } from '../src/process/random.ts'
+import { encodeRecord } from '../src/process/recordCodec.ts'
+import { PayloadKind, RecordKind, type SnapshotPoint, type Storage, type StoredRecord } from '../src/process/storage.ts'
+import { commandNamed } from './support/testLog.ts'
+
+const firstSegment = 'log-00000001.records'
+
+function record (index: number, text = ''): StoredRecord {
+  return { kind: RecordKind.Entry, entry: { index, term: 1, payload: { kind: PayloadKind.Command, command: commandNamed(`${index}${text}`) } } }
+}
+
+function point (index: number): SnapshotPoint {
+  return { index, term: 1, members: [] }
+}
+
+describe('file storage', () => {
+  let folder: string
+  let events: LogEvent[]
+  const opened: Storage[] = []
+
+  beforeEach(async () => {
+    folder = await mkdtemp(join(tmpdir(), 'jaychute-log-'))
+    events = []
+  })
+
+  afterEach(async () => {
+    for (const storage of opened.splice(0)) await storage.close()
+    await rm(folder, { recursive: true, force: true })
+  })
+
+  function openStorage (changes: Partial<FileStorageInputs> = {}): Storage {
+    const logger = { write (event: LogEvent) { events.push(event) } }
+    const storage = createFileStorage({ folder, host: 'host', logger, metrics: createMetrics(), ...changes })
+    opened.push(storage)
+    return storage
+  }
+
+  async function write (count: number): Promise<void> {
+    const storage = openStorage()
+    await storage.load()
+    for (let index = 1; index <= count; index++) expect((await storage.append([record(index)])).isOk()).to.equal(true)
+    await storage.close()
+  }
+
+  async function reload (): Promise<number[] | FailureReason> {
+    const storage = openStorage()
+    const saved = await storage.load()
+    await storage.close()
+    return saved.match(log => log.entries.map(entry => entry.index), failure => failure.reason)
+  }
+
+  async function change (name: string, edit: (bytes: Buffer) => Buffer): Promise<void> {
+    const path = join(folder, name)
+    await writeFile(path, edit(await readFile(path)))
+  }
+
+  it('cuts off a last record that is torn at any byte, and nothing before it', async () => {
+    await write(3)
+    const whole = await readFile(join(folder, firstSegment))
+    await write(0)
+    const storage = openStorage()
+    await storage.load()
+    await storage.append([record(4, 'text')])
+    await storage.close()
+    const longer = await readFile(join(folder, firstSegment))
+    for (let length = whole.length; length < longer.length; length++) {
+      await writeFile(join(folder, firstSegment), longer.subarray(0, length))
+      expect(await reload(), `cut at ${length}`).to.deep.equal([1, 2, 3])
+    }
+    const zeros = Buffer.alloc(longer.length - whole.length)
+    await writeFile(join(folder, firstSegment), Buffer.concat([whole, zeros]))
+    expect(await reload(), 'a tail of zeros').to.deep.equal([1, 2, 3])
+    expect(events).to.include(LogEvents.tornRecordCut)
+  })
+
+  it('refuses to start when any byte before the last record is damaged, and says what to do', async () => {
+    await write(6)
+    const whole = await readFile(join(folder, firstSegment))
+    const lastFrame = whole.lastIndexOf('JCF1')
+    const seed = 51
+    const random = createSeededRandom(seed)
+    for (let round = 0; round < 150; round++) {
+      const position = random.below(lastFrame)
+      const damaged = Buffer.from(whole)
+      damaged[position] = (damaged[position] ?? 0) ^ (1 << random.below(8))
+      await writeFile(join(folder, firstSegment), damaged)
+      events = []
+      expect(await reload(), `byte ${position}, seed ${seed}`).to.equal(FailureReason.Damaged)
+      expect(events).to.include(LogEvents.logDamaged)
+      expect((await readFile(join(folder, firstSegment))).equals(damaged), 'the file is left as it is').to.equal(true)
+    }
+  })
+
+  it('refuses a folder that has lost a file', async () => {
+    const storage = openStorage()
+    await storage.load()
+    await storage.append([record(1), record(2)])
+    await storage.saveSnapshot(point(2), [encodeRecord({ part: 1 })], [])
+    await storage.append([record(3)])
+    await storage.close()
+    for (const name of (await readdir(folder)).filter(file => file !== 'identity.json')) {
+      await rename(join(folder, name), join(folder, 'aside'))
+      expect(await reload(), `without ${name}`).to.equal(FailureReason.Damaged)
+      await rename(join(folder, 'aside'), join(folder, name))
+    }
+    await rename(join(folder, 'identity.json'), join(folder, 'aside'))
+    expect(await reload(), 'without the identity').to.equal(FailureReason.Damaged)
+  })
+
+  it('refuses the folder of another host and a damaged snapshot', async () => {
+    const storage = openStorage()
+    await storage.load()
+    await storage.append([record(1)])
+    await storage.saveSnapshot(point(1), [encodeRecord({ part: 'x'.repeat(100) })], [])
+    await storage.close()
+    const other = await openStorage({ host: 'other' }).load()
+    expect(other._unsafeUnwrapErr().reason).to.equal(FailureReason.Conflict)
+    await change('snapshot.records', bytes => bytes.subarray(0, bytes.length - 1))
+    expect(await reload()).to.equal(FailureReason.Damaged)
+  })
+
+  it('keeps the earlier segments until the snapshot is in place, and removes them then', async () => {
+    await write(4)
+    const before = await readFile(join(folder, firstSegment))
+    const storage = openStorage()
+    await storage.load()
+    await storage.saveSnapshot(point(3), [encodeRecord({ part: 1 })], [{ kind: RecordKind.Vote, term: 7, votedFor: 'x' }, record(4)])
+    await storage.append([record(5)])
+    await storage.close()
+    expect((await readdir(folder)).sort()).to.deep.equal(['identity.json', 'log-00000002.records', 'snapshot.records'])
+    expect(await reload()).to.deep.equal([4, 5])
+    // A crash before the removal of the old segment, and one before the snapshot got its name.
+    await writeFile(join(folder, firstSegment), before)
+    expect(await reload()).to.deep.equal([4, 5])
+    await writeFile(join(folder, firstSegment), before)
+    await unlink(join(folder, 'snapshot.records'))
+    expect(await reload()).to.deep.equal([1, 2, 3, 4, 5])
+  })
+
+  it('starts on the segment before when a crash interrupted the start of a new one', async () => {
+    await write(4)
+    await writeFile(join(folder, 'log-00000002.records'), Buffer.from('JCF1 not whole'))
+    expect(await reload()).to.deep.equal([1, 2, 3, 4])
+    await write(0)
+    const storage = openStorage()
+    await storage.load()
+    expect((await storage.append([record(5)])).isOk()).to.equal(true)
+    await storage.close()
+    expect(await reload()).to.deep.equal([1, 2, 3, 4, 5])
+  })
+
+  it('shares a sync between concurrent appends, in order', async () => {
+    const metrics = createMetrics()
+    const storage = openStorage({ metrics })
+    await storage.load()
+    const results = await Promise.all(Array.from({ length: 200 }, (_, position) => storage.append([record(position + 1)])))
+    await storage.close()
+    expect(results.every(result => result.isOk())).to.equal(true)
+    expect(metrics.read(Counter.Syncs, 'log')).to.be.at.most(10)
+    expect(await reload()).to.deep.equal(Array.from({ length: 200 }, (_, position) => position + 1))
+  })
+
+  it('never syncs or writes a file again after a failed sync', async () => {
+    let syncs = 0
+    let writes = 0
+    const openSegment = async (path: string): Promise<FileHandle> => {
+      const file = await open(path, 'a')
+      return new Proxy(file, {
+        get (target, name) {
+          if (name === 'datasync') {
+            return async () => {
+              syncs++
+              throw Object.assign(new Error('input/output error'), { code: 'EIO' })
+            }
+          }
+          if (name === 'appendFile') writes++
+          const value = Reflect.get(target, name)
+          return typeof value === 'function' ? value.bind(target) : value
+        }
+      })
+    }
+    const storage = openStorage({ openSegment })
+    await storage.load()
+    const first = await Promise.all([storage.append([record(1)]), storage.append([record(2)])])
+    const later = await storage.append([record(3)])
+    const snapshot = await storage.saveSnapshot(point(1), [], [])
+    expect([...first, later, snapshot].map(result => result.isErr())).to.deep.equal([true, true, true, true])
+    expect({ syncs, writes }).to.deep.equal({ syncs: 1, writes: 1 })
+    expect(events).to.include(LogEvents.syncFailed)
+  })
+})
--- a/test/support/memoryStorage.ts
+++ b/test/support/memoryStorage.ts
@@ -94,7 +94,7 @@
   private write (change: () => void): ResultAsync<void, Failure> {
     return new ResultAsync((async () => {
       await this.gate
-      if (this.ended) return await new Promise<never>(() => {})
+      if (this.ended) return err(failed('the process has ended'))
       if (this.failing) return err(failed('the sync failed'))
       change()
       this.syncs++
