Test control hosts as processes: kill -9, SIGSTOP, an emptied data folder and a new host

Change: four tests through scripts/fleet.ts, which can now empty a data folder and add a control host.

--- a/scripts/fleet.ts
+++ b/scripts/fleet.ts
@@ -12,6 +12,7 @@
   readonly name: string
   readonly internalAddress: string
   readonly administrationAddress: string
+  readonly metricsAddress: string
   /** Empty for a control host. */
   readonly callerAddress: string
   readonly flags: readonly string[]
@@ -32,8 +33,10 @@
   readonly standIns: Program[]
   /** Starts a stand-in backend server that announces itself to the entry hosts. */
   startStandIn (flags?: readonly string[]): Program
-  /** Ends a host and starts it again with the same flags. */
-  restart (host: FleetHost, signal: NodeJS.Signals): Promise<void>
+  /** Ends a host and starts it again with the same flags, on an empty data folder if asked. */
+  restart (host: FleetHost, signal: NodeJS.Signals, emptyDisk?: boolean): Promise<void>
+  /** Starts one more control host, which knows the others. */
+  addControlHost (): Promise<FleetHost>
   /** Runs the operators' command on the first entry host. */
   operate (...words: readonly string[]): Promise<Finished>
   /** Ends all processes and removes the data folders. */
@@ -51,7 +54,7 @@
 export async function startFleet (size: FleetSize): Promise<Fleet> {
   const folder = await mkdtemp(join(tmpdir(), 'jaychute-'))
   const count = size.controlHosts + size.entryHosts
-  const addresses = await reserveAddresses(count * 3)
+  const addresses = await reserveAddresses(count * 4)
   const controlAddresses = addresses.slice(0, size.controlHosts).join(',')
   const hosts: FleetHost[] = []
   for (let number = 0; number < count; number++) {
@@ -60,14 +63,16 @@
     const internalAddress = addresses[number] ?? ''
     const administrationAddress = addresses[count + number] ?? ''
     const callerAddress = isControl ? '' : addresses[count * 2 + number] ?? ''
+    const metricsAddress = addresses[count * 3 + number] ?? ''
     const zone = zones[(isControl ? number : number - size.controlHosts) % zones.length] ?? ''
     const flags = [
       '--role', isControl ? 'control' : 'entry', '--host', name, '--availability-zone', zone,
       '--region', zone === 'zone-c' ? 'region-b' : 'region-a', '--control-hosts', controlAddresses,
       '--internal-address', internalAddress, '--administration-address', administrationAddress,
+      '--metrics-address', metricsAddress,
       ...(isControl ? ['--data-folder', join(folder, name)] : ['--caller-address', callerAddress, '--address-keep-ms', '500'])
     ]
-    hosts.push({ name, internalAddress, administrationAddress, callerAddress, flags, program: startProgram(name, daemon, flags) })
+    hosts.push({ name, internalAddress, administrationAddress, metricsAddress, callerAddress, flags, program: startProgram(name, daemon, flags) })
   }
   const controlHosts = hosts.slice(0, size.controlHosts)
   const entryHosts = hosts.slice(size.controlHosts)
@@ -83,10 +88,23 @@
       standIns.push(program)
       return program
     },
-    async restart (host, signal) {
+    async restart (host, signal, emptyDisk = false) {
       await host.program.end(signal)
+      if (emptyDisk) await rm(join(folder, host.name), { recursive: true, force: true })
       host.program = startProgram(host.name, daemon, host.flags)
     },
+    async addControlHost () {
+      const [internalAddress = '', administrationAddress = '', metricsAddress = ''] = await reserveAddresses(3)
+      const name = `control-${hosts.length}`
+      const flags = [
+        '--role', 'control', '--host', name, '--availability-zone', zones[0] ?? '', '--region', 'region-a',
+        '--control-hosts', `${controlAddresses},${internalAddress}`, '--internal-address', internalAddress,
+        '--administration-address', administrationAddress, '--metrics-address', metricsAddress, '--data-folder', join(folder, name)
+      ]
+      const host = { name, internalAddress, administrationAddress, metricsAddress, callerAddress: '', flags, program: startProgram(name, daemon, flags) }
+      hosts.push(host)
+      return host
+    },
     operate: (...words) => runProgram('src/daemons/jaychute.js', [...words, '--address', entryHosts[0]?.administrationAddress ?? '']),
     async close () {
       for (const program of [...hosts.map(host => host.program), ...standIns]) await program.end('SIGKILL')
--- /dev/null
+++ b/test/logProcesses.test.ts
@@ -0,0 +1,78 @@
+import { expect } from 'chai'
+import { setTimeout } from 'node:timers/promises'
+import { changeTables, findLeader, readStatus, readVersion } from '../scripts/controlCalls.ts'
+import { type Fleet, type FleetHost, startFleet } from '../scripts/fleet.ts'
+import { eventually } from '../scripts/processes.ts'
+import { sessionLimitMs } from '../src/process/sessions.ts'
+
+const limitMs = 30_000
+
+describe('control hosts as processes', () => {
+  let fleet: Fleet
+  let version = 0
+
+  before(async () => { fleet = await startFleet({ controlHosts: 3, entryHosts: 0 }) })
+  after(() => fleet.close())
+
+  async function change (hosts: readonly FleetHost[], count: number): Promise<void> {
+    for (let number = 0; number < count; number++) version = await changeTables(hosts, version)
+  }
+
+  async function untilVersion (host: FleetHost): Promise<void> {
+    await eventually(`version ${version} on ${host.name}`, limitMs, async () => await readVersion(host) === version ? true : undefined)
+  }
+
+  it('keep every acknowledged change when the leader is killed', async () => {
+    const leader = await findLeader(fleet.controlHosts)
+    await change([leader], 50)
+    const rest = fleet.controlHosts.filter(host => host !== leader)
+    await leader.program.end('SIGKILL')
+    await change(rest, 1)
+    expect(version).to.equal(51)
+    await fleet.restart(leader, 'SIGKILL')
+    await untilVersion(leader)
+  })
+
+  it('serve nothing old from a leader that was stopped for longer than a session', async () => {
+    const leader = await findLeader(fleet.controlHosts)
+    const rest = fleet.controlHosts.filter(host => host !== leader)
+    leader.program.child.kill('SIGSTOP')
+    await change(rest, 5)
+    await setTimeout(sessionLimitMs + 1_000)
+    const next = await findLeader(rest)
+    const before = await readStatus(next)
+    const pending = readVersion(leader)
+    leader.program.child.kill('SIGCONT')
+    expect(await pending).to.be.oneOf([undefined, version])
+    await untilVersion(leader)
+    await change([leader], 1)
+    const after = await readStatus(next)
+    expect(after).to.include({ role: 'leader', term: before?.term })
+  })
+
+  it('replace a lost disk, and lose nothing when a second host is lost after the report', async () => {
+    const leader = await findLeader(fleet.controlHosts)
+    const lost = fleet.controlHosts.find(host => host !== leader) as FleetHost
+    const oldIdentity = (await readStatus(lost))?.identity
+    await fleet.restart(lost, 'SIGKILL', true)
+    await eventually('the report of the repair', limitMs, () => leader.program.errors().includes('"event":212') ? true : undefined)
+    const members = (await readStatus(leader))?.members ?? []
+    expect(members.map(member => member.identity)).to.not.include(oldIdentity)
+    expect(members.map(member => member.standing)).to.deep.equal(['voter', 'voter', 'voter'])
+    await leader.program.end('SIGKILL')
+    const rest = fleet.controlHosts.filter(host => host !== leader)
+    await change(rest, 5)
+    await fleet.restart(leader, 'SIGKILL')
+    await untilVersion(leader)
+  })
+
+  it('take in a host with a new address as a learner', async () => {
+    const added = await fleet.addControlHost()
+    await eventually('the new member', limitMs, async () => {
+      const leader = await findLeader(fleet.controlHosts)
+      const member = (await readStatus(leader))?.members.find(({ address }) => address === added.internalAddress)
+      return member?.standing === 'learner' && member.behind === 0 ? true : undefined
+    })
+    await untilVersion(added)
+  })
+})
