Export and import the whole durable state

Waiting items go in order of position, so the order of returns no longer matters. Jobs are chosen from heaps: priority, due time in steps of 15 minutes, fewest items in flight of the account, one grant in 16 to the longest wait. A resent claim, start, seal and lease release are handled, see the TSDoc of each.

--- /dev/null
+++ b/bench/grants.ts
@@ -0,0 +1,76 @@
+/**
+ * Measures grants a second of the state machine alone, by the number of open jobs. The result is written as JSON.
+ * Usage: tsx bench/grants.ts [result file]
+ * @module
+ */
+import { mkdir, writeFile } from 'node:fs/promises'
+import { CommandKind, Ending, type Grant, OutcomeKind, Priority } from '../src/process/commands.ts'
+import { applyCommand, type ControlState, createControlState } from '../src/process/controlState.ts'
+import { poolSchema, routeSchema } from '../src/version/tables.ts'
+
+/** Jobs that are open at the same time; 8,600 is the size to design for. */
+const sizes = [10, 1_000, 8_600] as const
+
+/** Longest measurement of one size, in milliseconds. */
+const limitMs = 3_000
+
+/** Most items granted in one measurement. */
+const grantLimit = 50_000
+
+/** Items asked for in one claim. */
+const claimCount = 8
+
+const accounts = 670
+const itemsPerJob = 20
+const bytesOfInput = 'sheet '.repeat(10)
+
+interface Measurement {
+  readonly openJobs: number
+  readonly grants: number
+  readonly grantsPerSecond: number
+}
+
+function createFilledState (openJobs: number): ControlState {
+  const state = createControlState()
+  const tables = { routes: [routeSchema.parse({ name: 'sheets', pool: 'sheets' })], pools: [poolSchema.parse({ name: 'sheets' })] }
+  applyCommand(state, { kind: CommandKind.Apply, operation: 'bench', expected: 0, tables })
+  applyCommand(state, { kind: CommandKind.AcquireLease, backendServer: 'b', holder: 'h', expected: 0 })
+  const count = Math.max(itemsPerJob, Math.ceil(grantLimit / openJobs))
+  for (let number = 0; number < openJobs; number++) {
+    const upload = `job-${number}`
+    const account = `account-${number % accounts}`
+    const items = Array.from({ length: count }, (_, position) => ({
+      name: `item-${position}`, input: bytesOfInput, maxTokens: 64, priority: position % 4 === 0 ? Priority.RoundSheet : Priority.Ordinary
+    }))
+    applyCommand(state, { kind: CommandKind.OpenUpload, upload, account, key: upload, route: 'sheets', due: (number % 7) * 3_600_000, time: 0 })
+    applyCommand(state, { kind: CommandKind.AppendItems, upload, sequence: 0, items, time: 0 })
+    applyCommand(state, { kind: CommandKind.Seal, upload, account, key: upload, digest: upload, count, time: 0 } as Parameters<typeof applyCommand>[1])
+  }
+  return state
+}
+
+function measure (openJobs: number): Measurement {
+  const state = createFilledState(openJobs)
+  const inFlight: Grant[] = []
+  let grants = 0
+  let sequence = 0
+  const startedAt = performance.now()
+  while (performance.now() - startedAt < limitMs && grants < grantLimit) {
+    sequence++
+    const outcome = applyCommand(state, { kind: CommandKind.Claim, backendServer: 'b', holder: 'h', lease: 1, sequence, pool: 'sheets', count: claimCount })
+    if (outcome.kind !== OutcomeKind.Grants || outcome.grants.length === 0) break
+    grants += outcome.grants.length
+    inFlight.push(...outcome.grants)
+    if (inFlight.length < 1_000) continue
+    const completions = inFlight.splice(0, claimCount).map(({ job, position, grant }) => ({ job, position, grant, ending: Ending.Done, result: 'x' }))
+    applyCommand(state, { kind: CommandKind.Complete, completions })
+  }
+  const seconds = (performance.now() - startedAt) / 1_000
+  return { openJobs, grants, grantsPerSecond: Math.round(grants / seconds) }
+}
+
+const file = process.argv[2] ?? 'bench/results/grants.json'
+const measurements = sizes.map(measure)
+await mkdir(new URL('results/', import.meta.url), { recursive: true })
+await writeFile(file, `${JSON.stringify({ node: process.version, claimCount, measurements }, undefined, 2)}\n`)
+process.stdout.write(`${JSON.stringify(measurements)}\n`)
--- a/src/process/commands.ts
+++ b/src/process/commands.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import type { Change } from '../version/difference.ts'
-import type { Configuration, Tables } from '../version/tables.ts'
+import type { Tables } from '../version/tables.ts'
 import type { Problem } from '../version/validation.ts'
 
 /** Kinds of command. */
@@ -67,6 +67,8 @@
   readonly offset: number
   /** Whether the attempt counts against the limit of attempts. */
   readonly attempted: boolean
+  /** Why the attempt failed; told in the result when it was the last one. */
+  readonly reason?: string
 }
 
 /** An item granted to an entry host. */
@@ -82,27 +84,35 @@
 /** Who holds leases and grants: one start of one entry host. */
 export type Holder = string
 
-/** A change of the durable state. `time` is the leader's time of day in milliseconds when it accepted the command. */
+/**
+ * A change of the durable state. `time` is the leader's time of day in milliseconds when it accepted the command.
+ * `received` is the sequence of the last claim under the previous lease whose outcome the holder received; grants of a
+ * later claim go back to the queue.
+ */
 export type Command =
   | { readonly kind: typeof CommandKind.Apply, readonly operation: string, readonly expected: number, readonly tables: Tables }
   | { readonly kind: typeof CommandKind.OpenUpload, readonly upload: string, readonly account: string, readonly key: string, readonly route: string, readonly due: number, readonly time: number }
   | { readonly kind: typeof CommandKind.AppendItems, readonly upload: string, readonly sequence: number, readonly items: readonly Item[], readonly time: number }
-  | { readonly kind: typeof CommandKind.Seal, readonly upload: string, readonly digest: string, readonly count: number, readonly time: number }
-  | { readonly kind: typeof CommandKind.DiscardUpload, readonly upload: string }
+  | { readonly kind: typeof CommandKind.Seal, readonly upload: string, readonly account: string, readonly key: string, readonly digest: string, readonly count: number, readonly time: number }
+  | { readonly kind: typeof CommandKind.DiscardUpload, readonly upload: string, readonly sequence?: number }
   | { readonly kind: typeof CommandKind.CancelJob, readonly job: string }
-  | { readonly kind: typeof CommandKind.AcquireLease, readonly backendServer: string, readonly holder: Holder, readonly expected: number }
-  | { readonly kind: typeof CommandKind.ReleaseLease, readonly backendServer: string, readonly holder: Holder, readonly number: number }
+  | { readonly kind: typeof CommandKind.AcquireLease, readonly backendServer: string, readonly holder: Holder, readonly expected: number, readonly received?: number }
+  | { readonly kind: typeof CommandKind.ReleaseLease, readonly backendServer: string, readonly holder: Holder, readonly number: number, readonly received?: number }
   | { readonly kind: typeof CommandKind.Claim, readonly backendServer: string, readonly holder: Holder, readonly lease: number, readonly sequence: number, readonly pool: string, readonly count: number }
   | { readonly kind: typeof CommandKind.Start, readonly items: readonly GrantReference[] }
   | { readonly kind: typeof CommandKind.Complete, readonly completions: readonly Completion[] }
   | { readonly kind: typeof CommandKind.GiveBack, readonly items: readonly Return[] }
   | { readonly kind: typeof CommandKind.ExpireHolder, readonly holder: Holder }
 
+/** A command of one kind. */
+export type CommandOf<Kind extends CommandKind> = Extract<Command, { readonly kind: Kind }>
+
 /** Kinds of outcome. */
 export const OutcomeKind = {
   Done: 'done',
   Applied: 'applied',
   Conflict: 'conflict',
+  Limit: 'limit',
   Invalid: 'invalid',
   NotFound: 'not found',
   Job: 'job',
@@ -116,7 +126,8 @@
 export type Outcome =
   | { readonly kind: typeof OutcomeKind.Done }
   | { readonly kind: typeof OutcomeKind.Applied, readonly version: number }
-  | { readonly kind: typeof OutcomeKind.Conflict, readonly text: string, readonly current?: Configuration, readonly changes?: readonly Change[] }
+  | { readonly kind: typeof OutcomeKind.Conflict, readonly text: string, readonly version?: number, readonly changes?: readonly Change[] }
+  | { readonly kind: typeof OutcomeKind.Limit, readonly text: string }
   | { readonly kind: typeof OutcomeKind.Invalid, readonly problems: readonly Problem[] }
   | { readonly kind: typeof OutcomeKind.NotFound }
   | { readonly kind: typeof OutcomeKind.Job, readonly job: string }
--- a/src/process/controlHost.ts
+++ b/src/process/controlHost.ts
@@ -9,6 +9,7 @@
 import { answerQuery, applyCommand, type ControlState, createControlState } from './controlState.ts'
 import { createFailure, type Failure, FailureReason, Step } from './failure.ts'
 import type { Answer, Query } from './queries.ts'
+import { createQuietUploads } from './quietUploads.ts'
 import { createReplica, type Replica, type ReplicaInputs, ReplicaRole } from './replica.ts'
 import { createSessions, sessionLimitMs, type Sessions } from './sessions.ts'
 import { pollHoldMs, type WatchAnswer, type WatchRequest } from './watchMessages.ts'
@@ -17,9 +18,6 @@
 /** How often the leader looks for expired sessions and uploads, in milliseconds. */
 const sweepMs = 500
 
-/** Time without a chunk after which an open upload is discarded, in milliseconds. */
-export const uploadLimitMs = 60_000
-
 /** How long the answer to a cancellation may wait for the entry hosts, in milliseconds. */
 const cancelLimitMs = sessionLimitMs + 2_000
 
@@ -75,6 +73,7 @@
 function startControlHost (inputs: ControlHostInputs, replica: Replica, state: ControlState, news: Condition): ControlHost {
   const { clock, lifecycle } = inputs
   const sessions = createSessions()
+  const quietUploads = createQuietUploads()
   const leadership: Leadership = { term: -1, since: 0 }
 
   async function execute (command: Command): Promise<Result<Outcome, Failure>> {
@@ -177,9 +176,8 @@
       observeLeadership()
       if (sessions.expire(clock.now())) news.notify()
       for (const holder of deadHolders()) await replica.propose({ kind: CommandKind.ExpireHolder, holder })
-      for (const upload of state.jobs.uploads.values()) {
-        if (clock.wallTime() - upload.touchedAt < uploadLimitMs) continue
-        await replica.propose({ kind: CommandKind.DiscardUpload, upload: upload.id })
+      for (const { id, nextSequence } of quietUploads.find(state.jobs.uploads.values(), clock.now())) {
+        await replica.propose({ kind: CommandKind.DiscardUpload, upload: id, sequence: nextSequence })
       }
     }
   }
--- a/src/process/controlState.ts
+++ b/src/process/controlState.ts
@@ -2,48 +2,28 @@
  * The durable state: what applying the replicated log in order leads to. The same commands always lead to the same state.
  * @module
  */
-import { createHash } from 'node:crypto'
 import { compareTables } from '../version/difference.ts'
-import { type Configuration, emptyConfiguration } from '../version/tables.ts'
+import { emptyConfiguration } from '../version/tables.ts'
 import { validateTables } from '../version/validation.ts'
 import { assertNever } from './assert.ts'
-import { type Command, CommandKind, done, type Holder, type Outcome, OutcomeKind } from './commands.ts'
-import {
-  appendItems, cancelJob, claim, complete, createJobs, describeJob, discardUpload, expireHolder, giveBack, type Job, type Jobs,
-  listResults, openUpload, seal, start
-} from './jobs.ts'
-import { type Answer, type Query, QueryKind } from './queries.ts'
-
-/** How many outcomes are kept by operation id. */
-export const operationLimit = 10_000
-
-/** The outcome of an operation, with a digest of its content. */
-export interface Operation {
-  readonly digest: string
-  readonly outcome: Outcome
-}
-
-/** The batch dispatch lease of one backend server. */
-export interface Lease {
-  readonly holder: Holder | undefined
-  /** Grows with each holder. */
-  readonly number: number
-}
+import { type Command, CommandKind, type CommandOf, done, type Outcome, OutcomeKind } from './commands.ts'
+import { claim, complete, giveBack, start, takeBack } from './grants.ts'
+import { createJobs, describeJob, type Job, listResults } from './jobRecords.ts'
+import { cancelJob, seal } from './jobs.ts'
+import { acquireLease, freeLeases, isUnderLease, type Leases, releaseLease } from './leases.ts'
+import { applyOnce, type Operations } from './operations.ts'
+import { type Answer, JobPhase, type Query, QueryKind } from './queries.ts'
+import { appendItems, discardUpload, openUpload } from './uploads.ts'
 
 /** The whole durable state. */
-export interface ControlState {
-  configuration: Configuration
-  readonly operations: Map<string, Operation>
-  readonly leases: Map<string, Lease>
-  readonly jobs: Jobs
-}
+export interface ControlState extends Operations, Leases {}
 
 /**
  * Creates the state before the first command.
  * @returns the state
  */
 export function createControlState (): ControlState {
-  return { configuration: emptyConfiguration, operations: new Map(), leases: new Map(), jobs: createJobs() }
+  return { configuration: emptyConfiguration, operations: new Map(), changes: 0, leases: new Map(), jobs: createJobs() }
 }
 
 /**
@@ -66,7 +46,7 @@
     case CommandKind.Start: return start(state.jobs, command)
     case CommandKind.Complete: return complete(state.jobs, command)
     case CommandKind.GiveBack: return giveBack(state.jobs, command)
-    case CommandKind.ExpireHolder: return expireHolder(state.jobs, command)
+    case CommandKind.ExpireHolder: return expireHolder(state, command)
     default: return assertNever(command)
   }
 }
@@ -90,78 +70,23 @@
       const job = findJob(state, query.job, query.account)
       if (job === undefined) return { kind: query.kind, results: undefined, finished: false }
       const status = describeJob(job)
-      return { kind: query.kind, results: listResults(job, query.after, query.limit), finished: status.phase !== 'running' }
+      return { kind: query.kind, results: listResults(job, query.after, query.limit), finished: status.phase !== JobPhase.Running }
     }
     default: return assertNever(query)
   }
 }
 
-type CommandOf<Kind extends CommandKind> = Extract<Command, { readonly kind: Kind }>
-
-function applyOnce (state: ControlState, command: CommandOf<'apply'>): Outcome {
-  const digest = createHash('sha256').update(JSON.stringify([command.expected, command.tables])).digest('base64')
-  const earlier = state.operations.get(command.operation)
-  if (earlier !== undefined) {
-    if (earlier.digest === digest) return earlier.outcome
-    return { kind: OutcomeKind.Conflict, text: 'the operation id is already used with other content' }
-  }
-  const outcome = applyTables(state, command)
-  state.operations.set(command.operation, { digest, outcome: withoutTables(outcome) })
-  for (const oldest of state.operations.keys()) {
-    if (state.operations.size <= operationLimit) break
-    state.operations.delete(oldest)
-  }
-  return outcome
-}
-
-function applyTables (state: ControlState, command: CommandOf<'apply'>): Outcome {
-  const current = state.configuration
-  if (command.expected !== current.version) {
-    return {
-      kind: OutcomeKind.Conflict,
-      text: `the current version is ${current.version}, not ${command.expected}`,
-      current,
-      changes: compareTables(current, command.tables)
-    }
-  }
-  const valid = validateTables(command.tables)
-  if (valid.isErr()) return { kind: OutcomeKind.Invalid, problems: valid.error }
-  state.configuration = { version: current.version + 1, ...valid.value }
-  return { kind: OutcomeKind.Applied, version: state.configuration.version }
-}
-
-// Recorded outcomes keep no tables: 10,000 conflicts with both tables would outgrow the state itself.
-function withoutTables (outcome: Outcome): Outcome {
-  if (outcome.kind !== OutcomeKind.Conflict) return outcome
-  return { kind: outcome.kind, text: outcome.text }
-}
-
-function acquireLease (state: ControlState, command: CommandOf<'acquire lease'>): Outcome {
-  const lease = state.leases.get(command.backendServer) ?? { holder: undefined, number: 0 }
-  if (lease.number !== command.expected) {
-    const granted = lease.holder === command.holder
-    return { kind: OutcomeKind.Lease, holder: lease.holder ?? '', number: lease.number, granted }
-  }
-  const next: Lease = { holder: command.holder, number: lease.number + 1 }
-  state.leases.set(command.backendServer, next)
-  return { kind: OutcomeKind.Lease, holder: command.holder, number: next.number, granted: true }
+function claimUnderLease (state: ControlState, command: CommandOf<'claim'>): Outcome {
+  if (!isUnderLease(state, command)) return { kind: OutcomeKind.Conflict, text: 'the lease is not held' }
+  return claim(state.jobs, state.configuration, command)
 }
 
-function releaseLease (state: ControlState, command: CommandOf<'release lease'>): Outcome {
-  const lease = state.leases.get(command.backendServer)
-  if (lease === undefined || lease.number !== command.number || lease.holder !== command.holder) return done
-  state.leases.set(command.backendServer, { holder: undefined, number: lease.number })
+function expireHolder (state: ControlState, command: CommandOf<'expire holder'>): Outcome {
+  takeBack(state.jobs, command.holder)
+  freeLeases(state, command.holder)
   return done
 }
 
-function claimUnderLease (state: ControlState, command: CommandOf<'claim'>): Outcome {
-  const lease = state.leases.get(command.backendServer)
-  if (lease?.holder !== command.holder || lease.number !== command.lease) {
-    return { kind: OutcomeKind.Conflict, text: 'the lease is not held' }
-  }
-  return claim(state.jobs, state.configuration, command)
-}
-
 function check (state: ControlState, tables: unknown): Answer {
   const version = state.configuration.version
   const valid = validateTables(tables)
--- /dev/null
+++ b/src/process/jobRecords.ts
@@ -0,0 +1,185 @@
+/**
+ * Records of jobs, items, uploads and claims, and what is derived from them.
+ * @module
+ */
+import { Ending, type GrantReference, type Holder, type Item } from './commands.ts'
+import { createSchedule, type Schedule } from './jobSchedule.ts'
+import { type ItemResult, JobPhase, type JobStatus } from './queries.ts'
+import type { WaitingItems } from './waitingItems.ts'
+
+/** Where an item stands. */
+export const ItemPhase = { Waiting: 'waiting', Granted: 'granted', Started: 'started', Ended: 'ended' } as const
+export type ItemPhase = typeof ItemPhase[keyof typeof ItemPhase]
+
+/** An item of a sealed job. */
+export interface JobItem {
+  /** As submitted; the input is dropped once the item has ended. */
+  item: Item
+  phase: ItemPhase
+  /** Number of the last grant, 0 before the first. */
+  grant: number
+  holder: Holder | undefined
+  /** Attempts that ran. */
+  attempts: number
+  partial: string
+  offset: number
+  ending: Ending | undefined
+  result: string
+}
+
+/** What stays the same about a job, and whether it is cancelled. */
+export interface JobHeader {
+  readonly id: string
+  /** Position in the order in which jobs were sealed, from 1. */
+  readonly number: number
+  readonly account: string
+  readonly key: string
+  readonly route: string
+  readonly digest: string
+  readonly due: number
+  cancelled: boolean
+  /** Number of the last grant made from this job; for a job without a grant, of the last one before it was sealed. */
+  lastGrant: number
+}
+
+/** A sealed job. */
+export interface Job extends JobHeader {
+  readonly items: readonly JobItem[]
+  readonly waiting: WaitingItems
+  inFlight: number
+  done: number
+  failed: number
+  unknown: number
+}
+
+/** A job that is still being uploaded. */
+export interface Upload {
+  readonly id: string
+  readonly account: string
+  readonly key: string
+  readonly route: string
+  readonly due: number
+  readonly items: Item[]
+  /** Sequence number of the next chunk. */
+  nextSequence: number
+}
+
+/** The last claim made under a lease, kept so that a claim sent again gets the same grants. */
+export interface LastClaim {
+  readonly lease: number
+  readonly sequence: number
+  readonly grants: readonly GrantReference[]
+}
+
+/** All jobs and uploads. */
+export interface Jobs {
+  readonly jobs: Map<string, Job>
+  /** Ids of jobs by account and key. */
+  readonly byKey: Map<string, string>
+  readonly uploads: Map<string, Upload>
+  /** By address of the backend server. */
+  readonly lastClaims: Map<string, LastClaim>
+  /** Items granted to each holder. */
+  readonly held: Map<Holder, Map<string, GrantReference>>
+  readonly schedule: Schedule
+  /** Number of the last grant. */
+  grants: number
+}
+
+/**
+ * Creates the state without jobs.
+ * @returns the state
+ */
+export function createJobs (): Jobs {
+  return {
+    jobs: new Map(), byKey: new Map(), uploads: new Map(), lastClaims: new Map(), held: new Map(), schedule: createSchedule(), grants: 0
+  }
+}
+
+/**
+ * Builds the identity of a job towards its caller.
+ * @param account - the account
+ * @param key - the caller's key
+ * @returns the identity, for `Jobs.byKey`
+ */
+export function identityOf (account: string, key: string): string {
+  return JSON.stringify([account, key])
+}
+
+/**
+ * Creates the record of an item that waits for its first grant.
+ * @param item - the item as submitted
+ * @returns the record
+ */
+export function createItem (item: Item): JobItem {
+  return { item, phase: ItemPhase.Waiting, grant: 0, holder: undefined, attempts: 0, partial: '', offset: 0, ending: undefined, result: '' }
+}
+
+/**
+ * Records that a holder has an item.
+ * @param state - all jobs
+ * @param holder - the holder
+ * @param reference - the item and its grant
+ */
+export function hold (state: Jobs, holder: Holder, reference: GrantReference): void {
+  const held = state.held.get(holder) ?? new Map<string, GrantReference>()
+  state.held.set(holder, held)
+  held.set(heldKey(reference.job, reference.position), reference)
+}
+
+/**
+ * Forgets that a holder has an item.
+ * @param state - all jobs
+ * @param holder - the holder
+ * @param job - id of the job
+ * @param position - position of the item
+ */
+export function unhold (state: Jobs, holder: Holder, job: string, position: number): void {
+  const held = state.held.get(holder)
+  held?.delete(heldKey(job, position))
+  if (held?.size === 0) state.held.delete(holder)
+}
+
+/**
+ * Counts an item that has ended.
+ * @param job - its job
+ * @param ending - how it ended
+ */
+export function countEnding (job: Job, ending: Ending): void {
+  if (ending === Ending.Done) job.done++
+  if (ending === Ending.Failed) job.failed++
+  if (ending === Ending.Unknown) job.unknown++
+}
+
+/**
+ * Describes a job.
+ * @param job - the job
+ * @returns its status
+ */
+export function describeJob (job: Job): JobStatus {
+  const { id, account, key, route, done, failed, unknown, inFlight, due } = job
+  const isFinished = done + failed + unknown === job.items.length
+  const phase = job.cancelled ? JobPhase.Cancelled : isFinished ? JobPhase.Finished : JobPhase.Running
+  return { job: id, account, key, route, phase, items: job.items.length, done, failed, unknown, inFlight, due }
+}
+
+/**
+ * Lists finished items in order of their position.
+ * @param job - the job
+ * @param after - positions up to this one are left out; -1 for all
+ * @param limit - the most results
+ * @returns the results
+ */
+export function listResults (job: Job, after: number, limit: number): ItemResult[] {
+  const results: ItemResult[] = []
+  for (let position = after + 1; position < job.items.length && results.length < limit; position++) {
+    const item = job.items[position]
+    if (item?.ending === undefined) continue
+    results.push({ position, name: item.item.name, ending: item.ending, result: item.result })
+  }
+  return results
+}
+
+function heldKey (job: string, position: number): string {
+  return `${job}/${position}`
+}
--- /dev/null
+++ b/src/process/jobSchedule.ts
@@ -0,0 +1,193 @@
+/**
+ * Which job is granted an item next: priority, then due time, then the account with the fewest items in flight. Every
+ * so many grants the job that has waited longest goes first. A choice costs the logarithm of the number of open jobs.
+ * @module
+ */
+import { createHeap, type Heap } from './heap.ts'
+import type { Job } from './jobRecords.ts'
+
+/** Every so many grants the job that has waited longest goes first, so that no job starves. */
+export const starvationInterval = 16
+
+/**
+ * Jobs due within the same step count as due at the same time, in milliseconds. Due times rarely agree to the
+ * millisecond, and without a step the number of items in flight would never decide.
+ */
+export const dueStepMs = 15 * 60_000
+
+/** Items in flight of one account, and where its open jobs are. */
+interface AccountLoad {
+  readonly account: string
+  inFlight: number
+  readonly queues: Set<AccountQueue>
+}
+
+/** Open jobs of one account in one group, the first sealed first. */
+interface AccountQueue {
+  readonly load: AccountLoad
+  readonly group: Group
+  readonly jobs: Heap<Job>
+}
+
+/** Open jobs of one route with the same priority and due step. */
+interface Group {
+  readonly priority: number
+  readonly dueStep: number
+  readonly queues: Heap<AccountQueue>
+  readonly byAccount: Map<string, AccountQueue>
+}
+
+/** Open jobs of one route. */
+interface RouteQueue {
+  readonly groups: Heap<Group>
+  readonly byKey: Map<string, Group>
+  /** The job that has waited longest first. */
+  readonly byLastGrant: Heap<Job>
+}
+
+/** Open jobs, in the order in which they are granted items. It is derived from the jobs. */
+export interface Schedule {
+  readonly loads: Map<string, AccountLoad>
+  readonly routes: Map<string, RouteQueue>
+  readonly places: Map<Job, AccountQueue>
+}
+
+/**
+ * Creates a schedule without jobs.
+ * @returns the schedule
+ */
+export function createSchedule (): Schedule {
+  return { loads: new Map(), routes: new Map(), places: new Map() }
+}
+
+/**
+ * Brings a job to its place after its waiting items or its last grant changed. A job without waiting items and a
+ * cancelled one have no place.
+ * @param schedule - the schedule
+ * @param job - the job
+ */
+export function placeJob (schedule: Schedule, job: Job): void {
+  const priority = job.cancelled ? undefined : job.waiting.firstPriority()
+  const place = schedule.places.get(job)
+  if (place !== undefined && place.group.priority !== priority) removeJob(schedule, job, place)
+  if (priority === undefined) return
+  const route = routeQueueOf(schedule, job.route)
+  route.byLastGrant.put(job)
+  if (schedule.places.has(job)) return
+  const queue = accountQueueOf(schedule, groupOf(route, priority, Math.floor(job.due / dueStepMs)), job.account)
+  queue.jobs.put(job)
+  schedule.places.set(job, queue)
+}
+
+/**
+ * Counts items in flight of an account.
+ * @param schedule - the schedule
+ * @param account - the account
+ * @param change - by how many they changed
+ */
+export function countInFlight (schedule: Schedule, account: string, change: number): void {
+  const load = loadOf(schedule, account)
+  load.inFlight += change
+  for (const queue of load.queues) queue.group.queues.put(queue)
+  if (load.inFlight === 0 && load.queues.size === 0) schedule.loads.delete(account)
+}
+
+/**
+ * Chooses the job that is granted an item next.
+ * @param schedule - the schedule
+ * @param routes - names of the routes whose jobs may be chosen
+ * @param grant - number of the grant
+ * @returns the job, or undefined when nothing waits
+ */
+export function chooseJob (schedule: Schedule, routes: readonly string[], grant: number): Job | undefined {
+  const isForLongestWait = grant % starvationInterval === 0
+  let best: Job | undefined
+  for (const name of routes) {
+    const route = schedule.routes.get(name)
+    const job = isForLongestWait ? route?.byLastGrant.first() : route?.groups.first()?.queues.first()?.jobs.first()
+    if (job === undefined) continue
+    if (best === undefined || (isForLongestWait ? hasWaitedLonger(job, best) : goesBefore(schedule, job, best))) best = job
+  }
+  return best
+}
+
+function goesBefore (schedule: Schedule, left: Job, right: Job): boolean {
+  const one = schedule.places.get(left)
+  const other = schedule.places.get(right)
+  if (one === undefined || other === undefined) return one !== undefined
+  if (one.group.priority !== other.group.priority || one.group.dueStep !== other.group.dueStep) return isGroupBefore(one.group, other.group)
+  if (one.load !== other.load) return isQueueBefore(one, other)
+  return left.number < right.number
+}
+
+function hasWaitedLonger (left: Job, right: Job): boolean {
+  if (left.lastGrant !== right.lastGrant) return left.lastGrant < right.lastGrant
+  return left.number < right.number
+}
+
+function isGroupBefore (left: Group, right: Group): boolean {
+  if (left.priority !== right.priority) return left.priority < right.priority
+  return left.dueStep < right.dueStep
+}
+
+function isQueueBefore (left: AccountQueue, right: AccountQueue): boolean {
+  if (left.load.inFlight !== right.load.inFlight) return left.load.inFlight < right.load.inFlight
+  return left.load.account < right.load.account
+}
+
+function removeJob (schedule: Schedule, job: Job, queue: AccountQueue): void {
+  const { group, load } = queue
+  const route = routeQueueOf(schedule, job.route)
+  schedule.places.delete(job)
+  route.byLastGrant.remove(job)
+  queue.jobs.remove(job)
+  if (queue.jobs.size > 0) return
+  group.queues.remove(queue)
+  group.byAccount.delete(load.account)
+  load.queues.delete(queue)
+  if (load.inFlight === 0 && load.queues.size === 0) schedule.loads.delete(load.account)
+  if (group.queues.size > 0) return
+  route.groups.remove(group)
+  route.byKey.delete(groupKey(group.priority, group.dueStep))
+}
+
+function loadOf (schedule: Schedule, account: string): AccountLoad {
+  const present = schedule.loads.get(account)
+  if (present !== undefined) return present
+  const load: AccountLoad = { account, inFlight: 0, queues: new Set() }
+  schedule.loads.set(account, load)
+  return load
+}
+
+function routeQueueOf (schedule: Schedule, name: string): RouteQueue {
+  const present = schedule.routes.get(name)
+  if (present !== undefined) return present
+  const route: RouteQueue = { groups: createHeap(isGroupBefore), byKey: new Map(), byLastGrant: createHeap(hasWaitedLonger) }
+  schedule.routes.set(name, route)
+  return route
+}
+
+function groupOf (route: RouteQueue, priority: number, dueStep: number): Group {
+  const key = groupKey(priority, dueStep)
+  const present = route.byKey.get(key)
+  if (present !== undefined) return present
+  const group: Group = { priority, dueStep, queues: createHeap(isQueueBefore), byAccount: new Map() }
+  route.byKey.set(key, group)
+  route.groups.put(group)
+  return group
+}
+
+function accountQueueOf (schedule: Schedule, group: Group, account: string): AccountQueue {
+  const present = group.byAccount.get(account)
+  if (present !== undefined) return present
+  const load = loadOf(schedule, account)
+  const queue: AccountQueue = { load, group, jobs: createHeap((left, right) => left.number < right.number) }
+  group.byAccount.set(account, queue)
+  group.queues.put(queue)
+  load.queues.add(queue)
+  return queue
+}
+
+function groupKey (priority: number, dueStep: number): string {
+  return `${priority}/${dueStep}`
+}
--- /dev/null
+++ b/src/process/leases.ts
@@ -0,0 +1,74 @@
+/**
+ * Batch dispatch leases, as applied from the replicated log. Their expiry is decided by the leader, see sessions.ts.
+ * @module
+ */
+import { type CommandOf, done, type Holder, type Outcome, OutcomeKind } from './commands.ts'
+import { returnUnreceived } from './grants.ts'
+import type { Jobs } from './jobRecords.ts'
+
+/** The batch dispatch lease of one backend server. */
+export interface Lease {
+  readonly holder: Holder | undefined
+  /** Grows with each holder. */
+  readonly number: number
+}
+
+/** Leases by address of the backend server, and the jobs whose items are granted under them. */
+export interface Leases {
+  readonly leases: Map<string, Lease>
+  readonly jobs: Jobs
+}
+
+/**
+ * Gives a lease to a holder that knows its current number. Whether the present holder is gone is for the leader to check.
+ * @param state - all leases
+ * @param command - the command
+ * @returns holder and number of the lease, and whether it was granted
+ */
+export function acquireLease (state: Leases, command: CommandOf<'acquire lease'>): Outcome {
+  const { backendServer, holder } = command
+  const lease = state.leases.get(backendServer) ?? { holder: undefined, number: 0 }
+  if (lease.number !== command.expected) {
+    return { kind: OutcomeKind.Lease, holder: lease.holder ?? '', number: lease.number, granted: lease.holder === holder }
+  }
+  if (lease.holder === holder) returnUnreceived(state.jobs, backendServer, lease.number, command.received)
+  const next: Lease = { holder, number: lease.number + 1 }
+  state.leases.set(backendServer, next)
+  return { kind: OutcomeKind.Lease, holder, number: next.number, granted: true }
+}
+
+/**
+ * Gives a lease up.
+ * @param state - all leases
+ * @param command - the command; another holder or number changes nothing
+ * @returns done
+ */
+export function releaseLease (state: Leases, command: CommandOf<'release lease'>): Outcome {
+  const lease = state.leases.get(command.backendServer)
+  if (lease === undefined || lease.number !== command.number || lease.holder !== command.holder) return done
+  returnUnreceived(state.jobs, command.backendServer, lease.number, command.received)
+  state.leases.set(command.backendServer, { holder: undefined, number: lease.number })
+  return done
+}
+
+/**
+ * Frees every lease of a holder that is gone.
+ * @param state - all leases
+ * @param holder - the holder
+ */
+export function freeLeases (state: Leases, holder: Holder): void {
+  for (const [backendServer, lease] of state.leases) {
+    if (lease.holder === holder) state.leases.set(backendServer, { holder: undefined, number: lease.number })
+  }
+}
+
+/**
+ * Tells whether a claim is made under the current lease.
+ * @param state - all leases
+ * @param command - the claim
+ * @returns false when the lease has another holder or number
+ */
+export function isUnderLease (state: Leases, command: CommandOf<'claim'>): boolean {
+  const lease = state.leases.get(command.backendServer)
+  return lease?.holder === command.holder && lease.number === command.lease
+}
--- /dev/null
+++ b/src/process/operations.ts
@@ -0,0 +1,92 @@
+/**
+ * Changes of the tables and their outcomes by operation id, as applied from the replicated log.
+ * @module
+ */
+import { createHash } from 'node:crypto'
+import { compareTables } from '../version/difference.ts'
+import type { Configuration } from '../version/tables.ts'
+import { validateTables } from '../version/validation.ts'
+import { type CommandOf, type Outcome, OutcomeKind } from './commands.ts'
+
+/** How many outcomes are kept by operation id. */
+export const operationLimit = 10_000
+
+/**
+ * Changed rows kept in all outcomes together. An older operation that is dropped for it is answered with a conflict when
+ * it is sent again, since the version it expects is gone.
+ */
+export const changeLimit = 100_000
+
+/** The outcome of an operation, with a digest of its content. */
+export interface Operation {
+  readonly digest: string
+  readonly outcome: Outcome
+}
+
+/** The tables in force and the operations that changed them. */
+export interface Operations {
+  configuration: Configuration
+  /** By operation id, the oldest first. */
+  readonly operations: Map<string, Operation>
+  /** Changed rows in all kept outcomes. */
+  changes: number
+}
+
+/**
+ * Applies a change once: sent again, it gets its first outcome.
+ * @param state - the tables and the operations
+ * @param command - the command
+ * @returns applied, a conflict with the current version and the difference, or the problems of the tables
+ */
+export function applyOnce (state: Operations, command: CommandOf<'apply'>): Outcome {
+  const digest = createHash('sha256').update(canonicalText([command.expected, command.tables])).digest('base64')
+  const earlier = state.operations.get(command.operation)
+  if (earlier !== undefined) {
+    if (earlier.digest === digest) return earlier.outcome
+    return { kind: OutcomeKind.Conflict, text: 'the operation id is already used with other content', version: state.configuration.version }
+  }
+  const outcome = applyTables(state, command)
+  keepOperation(state, command.operation, { digest, outcome })
+  return outcome
+}
+
+/**
+ * Keeps an outcome and drops the oldest ones over the limits.
+ * @param state - the tables and the operations
+ * @param id - the operation id
+ * @param operation - the outcome with its digest
+ */
+export function keepOperation (state: Operations, id: string, operation: Operation): void {
+  state.operations.set(id, operation)
+  state.changes += countChanges(operation.outcome)
+  for (const [oldest, dropped] of state.operations) {
+    if (state.operations.size <= operationLimit && state.changes <= changeLimit) break
+    state.operations.delete(oldest)
+    state.changes -= countChanges(dropped.outcome)
+  }
+}
+
+function applyTables (state: Operations, command: CommandOf<'apply'>): Outcome {
+  const current = state.configuration
+  const valid = validateTables(command.tables)
+  if (valid.isErr()) return { kind: OutcomeKind.Invalid, problems: valid.error }
+  if (command.expected !== current.version) {
+    const text = `the current version is ${current.version}, not ${command.expected}`
+    return { kind: OutcomeKind.Conflict, text, version: current.version, changes: compareTables(current, valid.value) }
+  }
+  state.configuration = { version: current.version + 1, ...valid.value }
+  return { kind: OutcomeKind.Applied, version: state.configuration.version }
+}
+
+function countChanges (outcome: Outcome): number {
+  if (outcome.kind === OutcomeKind.Conflict) return outcome.changes?.length ?? 0
+  return outcome.kind === OutcomeKind.Invalid ? outcome.problems.length : 0
+}
+
+// Two encodings of the same tables may order the members of an object differently.
+function canonicalText (value: unknown): string {
+  return JSON.stringify(value, (_, member: unknown) => {
+    if (typeof member !== 'object' || member === null || Array.isArray(member)) return member
+    return Object.fromEntries(Object.entries(member).sort(([left], [right]) => left < right ? -1 : 1))
+  })
+}
--- a/src/request/upload.ts
+++ b/src/request/upload.ts
@@ -26,6 +26,9 @@
 /** Longest time for one chunk with all tries, in milliseconds. */
 const chunkLimitMs = 15_000
 
+/** When a caller with too many open uploads should try again, in milliseconds. */
+const uploadRetryMs = 5_000
+
 const itemSchema = z.strictObject({
   name: z.string().min(1).max(200),
   input: z.string().max(inputLimit),
@@ -53,12 +56,14 @@
   const upload = randomUUID()
   const opened = await send(control, { kind: CommandKind.OpenUpload, upload, ...submission, time: 0 })
   if (opened.isErr()) return err(opened.error)
+  if (opened.value.kind === OutcomeKind.Limit) return err(refuse(RefusalReason.AccountLimit, opened.value.text, uploadRetryMs))
   const sent = await sendLines(upload, submission.route, body, control)
   if (sent.isErr()) {
     await control.execute({ kind: CommandKind.DiscardUpload, upload })
     return err(sent.error)
   }
-  const sealed = await send(control, { kind: CommandKind.Seal, upload, digest: sent.value.digest, count: sent.value.count, time: 0 })
+  const { account, key } = submission
+  const sealed = await send(control, { kind: CommandKind.Seal, upload, account, key, ...sent.value, time: 0 })
   if (sealed.isErr()) return err(sealed.error)
   if (sealed.value.kind === OutcomeKind.Job) return ok(sealed.value.job)
   if (sealed.value.kind === OutcomeKind.Conflict) return err(refuse(RefusalReason.Conflict, sealed.value.text))
--- /dev/null
+++ b/test/stateSnapshot.test.ts
@@ -0,0 +1,70 @@
+import { expect } from 'chai'
+import { pack, unpack } from 'msgpackr'
+import { CommandKind, Ending, type Grant, OutcomeKind, Priority } from '../src/process/commands.ts'
+import { applyCommand, type ControlState, createControlState } from '../src/process/controlState.ts'
+import { exportState, importState } from '../src/process/stateSnapshot.ts'
+import { applyTables, claim, restore, submit } from './support/stateCommands.ts'
+
+// A snapshot that loses a record, or rebuilds it in another order, makes replicas diverge.
+describe('state snapshot', () => {
+  function createUsedState (): { readonly state: ControlState, readonly grants: readonly Grant[] } {
+    const state = createControlState()
+    applyTables(state, 0)
+    applyTables(state, 0, 'lost the race')
+    applyCommand(state, { kind: CommandKind.AcquireLease, backendServer: 'b', holder: 'h', expected: 0 })
+    submit(state, 'one', 500, { priority: position => position % 2 === 0 ? Priority.Ordinary : Priority.RoundSheet })
+    submit(state, 'two', 3)
+    applyCommand(state, { kind: CommandKind.OpenUpload, upload: 'open', account: 'a', key: 'open', route: 'r', due: 0, time: 0 })
+    applyCommand(state, { kind: CommandKind.AppendItems, upload: 'open', sequence: 0, items: [{ name: 'x', input: 'x', maxTokens: 1, priority: 0 }], time: 0 })
+    const grants = claim(state, 1, 40)
+    applyCommand(state, { kind: CommandKind.Start, items: grants.slice(0, 4) })
+    applyCommand(state, { kind: CommandKind.Complete, completions: grants.slice(4, 10).map(grant => ({ ...grant, ending: Ending.Done, result: 'text' })) })
+    applyCommand(state, { kind: CommandKind.GiveBack, items: grants.slice(10, 20).map(grant => ({ ...grant, partial: 'so far', offset: 2, attempted: true })) })
+    applyCommand(state, { kind: CommandKind.CancelJob, job: 'two' })
+    return { state, grants }
+  }
+
+  it('exports the same parts again after an import', () => {
+    const { state } = createUsedState()
+    const parts = [...exportState(state)].map(part => unpack(pack(part)) as object)
+    expect([...exportState(importState(parts))]).to.deep.equal([...exportState(state)])
+  })
+
+  it('goes on with the same outcomes', () => {
+    const { state, grants } = createUsedState()
+    const restored = restore(state)
+    expect(claim(restored, 1, 40), 'the claim sent again').to.deep.equal(claim(state, 1, 40))
+    for (const each of [state, restored]) {
+      applyCommand(each, { kind: CommandKind.ExpireHolder, holder: 'h' })
+      applyCommand(each, { kind: CommandKind.AcquireLease, backendServer: 'b', holder: 'g', expected: 1 })
+    }
+    const next = applyCommand(state, { kind: CommandKind.Claim, backendServer: 'b', holder: 'g', lease: 2, sequence: 1, pool: 'p', count: 600 })
+    expect(next).to.have.property('grants').with.length(490)
+    expect(applyCommand(restored, { kind: CommandKind.Claim, backendServer: 'b', holder: 'g', lease: 2, sequence: 1, pool: 'p', count: 600 })).to.deep.equal(next)
+    const late = { ...grants[30] as Grant, ending: Ending.Done, result: 'late' }
+    applyCommand(restored, { kind: CommandKind.Complete, completions: [late] })
+    expect(restored.jobs.jobs.get('one')?.done, 'a completion under an old grant').to.equal(state.jobs.jobs.get('one')?.done)
+  })
+
+  it('keeps each part small', () => {
+    const state = createControlState()
+    applyTables(state, 0)
+    submit(state, 'large', 300, { input: 'x'.repeat(60_000) })
+    const sizes = [...exportState(state)].map(part => pack(part).length)
+    expect(Math.max(...sizes)).to.be.lessThan(256 * 1024)
+  })
+
+  it('refuses an export whose end is missing', () => {
+    const parts = [...exportState(createUsedState().state)]
+    expect(() => importState(parts.slice(0, -1))).to.throw('last part')
+  })
+
+  it('is not changed by later commands once it was read', () => {
+    const { state, grants } = createUsedState()
+    const parts = [...exportState(state)]
+    const before = pack(parts)
+    const outcome = applyCommand(state, { kind: CommandKind.Complete, completions: [{ ...grants[35] as Grant, ending: Ending.Done, result: 'later' }] })
+    expect(outcome.kind).to.equal(OutcomeKind.Done)
+    expect(pack(parts).equals(before)).to.equal(true)
+  })
+})
