Stop work of a lapsed session and void its late grants

Cause: an entry host that was frozen or cut off could receive grants after control had answered a cancellation, kept streams running while a call to control hung, and a hanging backend server stopped its polls. A new leader could give a held lease away before it had noticed its own election. A cancellation that not every host confirmed was reported as done. Control that lost its data could confirm an older version. Change: the session counts its lapses, voids grants claimed before one and stops all items at once; polls go on while items are stopped; the leader observes its term before each command, confirms its leadership before it answers a cancellation and reports a timeout as such; the answer to a poll carries the leader's version. A refused or failed start gives the item back. A command of completions is bounded in size.

--- a/src/connection/batchDispatch.ts
+++ b/src/connection/batchDispatch.ts
@@ -50,6 +50,8 @@
    * @returns a promise that resolves when they have stopped
    */
   stopJobs (jobs: readonly string[]): Promise<void>
+  /** Aborts all items, when the session has lapsed. */
+  stopAll (): void
 }
 
 /**
@@ -79,6 +81,11 @@
         for (const controller of running.get(job) ?? []) controller.abort()
       }
       while (jobs.some(job => running.has(job))) await ended.wait(idleMs)
+    },
+    stopAll () {
+      for (const runs of running.values()) {
+        for (const controller of runs) controller.abort()
+      }
     }
   }
 }
@@ -94,13 +101,14 @@
   const { control, session, clock, holder } = services
   const address = server.announcement.address
   let known = 0
+  let received = 0
   while (!signal.aborted) {
     const pool = findPool(services.version.configuration, server.announcement.pool)
     if (pool === undefined || pool.batchConcurrency === 0 || !session.isAlive(clock.now()) || server.announcement.leaving) {
       await clock.sleep(leaseRetryMs, signal)
       continue
     }
-    const outcome = await control.execute({ kind: CommandKind.AcquireLease, backendServer: address, holder, expected: known }, leaseRetryMs)
+    const outcome = await control.execute({ kind: CommandKind.AcquireLease, backendServer: address, holder, expected: known, received }, leaseRetryMs)
     if (outcome.isErr() || outcome.value.kind !== OutcomeKind.Lease) {
       await clock.sleep(leaseRetryMs, signal)
       continue
@@ -110,18 +118,21 @@
       await clock.sleep(leaseRetryMs, signal)
       continue
     }
-    await dispatchUnderLease(server, known, services, signal)
-    await control.execute({ kind: CommandKind.ReleaseLease, backendServer: address, holder, number: known }, leaseRetryMs)
+    received = await dispatchUnderLease(server, known, services, signal)
+    await control.execute({ kind: CommandKind.ReleaseLease, backendServer: address, holder, number: known, received }, leaseRetryMs)
   }
 }
 
-async function dispatchUnderLease (server: BackendServer, lease: number, services: BatchServices, signal: AbortSignal): Promise<void> {
+// Returns the sequence of the last claim whose outcome was received.
+async function dispatchUnderLease (server: BackendServer, lease: number, services: BatchServices, signal: AbortSignal): Promise<number> {
   const { control, session, version, clock, holder, metrics } = services
   const address = server.announcement.address
   const controllers = new Set<AbortController>()
   const ended = createCondition()
+  const { lapses } = session
   let sequence = 0
-  while (!signal.aborted && session.isAlive(clock.now()) && !server.announcement.leaving) {
+  let received = 0
+  while (!signal.aborted && session.isAlive(clock.now()) && session.lapses === lapses && !server.announcement.leaving) {
     const pool = findPool(version.configuration, server.announcement.pool)
     if (pool === undefined) break
     if (server.liveInFlight > 0 && controllers.size > 0) {
@@ -136,11 +147,12 @@
     sequence++
     const outcome = await control.execute({ kind: CommandKind.Claim, backendServer: address, holder, lease, sequence, pool: pool.name, count: room })
     if (outcome.isErr() || outcome.value.kind !== OutcomeKind.Grants) break
+    received = sequence
     for (const grant of outcome.value.grants) {
       const run = services.runs.start(grant.job)
       controllers.add(run.controller)
       server.batchInFlight++
-      runGrant(grant, server, services, run.controller.signal).finally(() => {
+      runGrant(grant, server, services, lapses, run.controller.signal).finally(() => {
         controllers.delete(run.controller)
         server.batchInFlight--
         run.finish()
@@ -151,6 +163,7 @@
   }
   for (const controller of controllers) controller.abort()
   while (controllers.size > 0) await ended.wait(idleMs)
+  return received
 }
 
 function roomFor (server: BackendServer, pool: Pool, running: number): number {
@@ -165,17 +178,19 @@
   wake.abort()
 }
 
-async function runGrant (grant: Grant, server: BackendServer, services: BatchServices, signal: AbortSignal): Promise<void> {
+// A grant that was claimed before a lapse of the session may be with another host by now, or its job cancelled.
+async function runGrant (grant: Grant, server: BackendServer, services: BatchServices, lapses: number, signal: AbortSignal): Promise<void> {
   const { completions, control, session, version, connections, protocols, metrics, clock } = services
   const route = findRoute(version.configuration, grant.route)
   const pool = route === undefined ? undefined : findPool(version.configuration, route.pool)
   const unchanged = { job: grant.job, position: grant.position, grant: grant.grant, partial: grant.partial, offset: grant.offset, attempted: false }
-  if (route === undefined || pool === undefined || session.cancelledJobs.has(grant.job)) return completions.giveBack(unchanged)
+  const mayRun = (): boolean => session.isAlive(clock.now()) && session.lapses === lapses && !session.cancelledJobs.has(grant.job)
+  if (route === undefined || pool === undefined || !mayRun()) return completions.giveBack(unchanged)
   if (!route.idempotent) {
     const outcome = await control.execute({ kind: CommandKind.Start, items: [unchanged] })
-    if (outcome.isErr() || outcome.value.kind !== OutcomeKind.Started || outcome.value.accepted[0] !== true) return
+    if (outcome.isErr() || outcome.value.kind !== OutcomeKind.Started || outcome.value.accepted[0] !== true) return completions.giveBack(unchanged)
   }
-  if (!session.isAlive(clock.now()) || session.cancelledJobs.has(grant.job)) return completions.giveBack(unchanged)
+  if (!mayRun()) return completions.giveBack(unchanged)
   const end = await runItem({ grant, route, protocol: protocols[pool.protocol], connection: connections.to(server.announcement.address), signal })
   metrics.count(Counter.Items, end.kind)
   switch (end.kind) {
--- a/src/connection/controlStream.ts
+++ b/src/connection/controlStream.ts
@@ -8,18 +8,30 @@
 import type { Logger } from '../process/logger.ts'
 import type { Random } from '../process/random.ts'
 import { type EntryHost, holderLimitMs } from '../process/sessions.ts'
+import type { WatchAnswer } from '../process/watchMessages.ts'
 import type { CurrentVersion } from '../version/currentVersion.ts'
 import type { ControlClient } from './controlClient.ts'
 
 /** Longest pause after a failed poll, in milliseconds. */
 const retryMs = 200
 
+/** Longest pause between two looks at the age of the session, in milliseconds. */
+const lapseCheckMs = 500
+
+/** Longest pause before the next poll while cancelled jobs are stopped, in milliseconds. */
+const stopPauseMs = 500
+
 /** What the stream from control has brought besides the tables. */
 export interface Session {
   /** All entry hosts with a session. */
   readonly entryHosts: readonly EntryHost[]
-  /** Jobs known to be cancelled. */
+  /** Cancelled jobs of which this host still has items. */
   readonly cancelledJobs: ReadonlySet<string>
+  /**
+   * How often the session has lapsed. Grants and leases asked for before a lapse are void after it, since control may
+   * have given them to another host or answered a cancellation.
+   */
+  readonly lapses: number
   /** Notified when entry hosts or cancelled jobs changed. */
   readonly changed: Condition
   /**
@@ -41,6 +53,8 @@
   readonly describe: () => EntryHost
   /** Stops everything that runs for jobs. Control is told only after it has resolved. */
   readonly stopJobs: (jobs: readonly string[]) => Promise<void>
+  /** Stops all batch items, when the session has lapsed. */
+  readonly stopAll: () => void
   readonly signal: AbortSignal
 }
 
@@ -61,39 +75,95 @@
  */
 export function createControlStream (stream: ControlStream): RunningStream {
   const { control, version, clock, random, logger, describe, signal } = stream
-  const cancelledJobs = new Set<string>()
   const changed = createCondition()
+  let cancelledJobs: ReadonlySet<string> = new Set()
   let entryHosts: readonly EntryHost[] = []
   let polledAt: number | undefined
-  let seenIndex = 0
+  let lapses = 0
+  let lapsed = false
+  let receivedIndex = 0
+  let stoppedIndex = 0
+  let stops = 0
   let directoryRevision = ''
   let stale = false
+  let behind = false
 
-  async function run (): Promise<void> {
+  async function runPolls (): Promise<void> {
     while (!signal.aborted) {
       const askedAt = clock.now()
-      const first = polledAt === undefined
-      const answer = await control.watch({ entryHost: describe(), version: version.configuration.version, seenIndex, directoryRevision, immediate: first })
-      reportStaleness()
+      const answer = await control.watch({
+        entryHost: describe(),
+        version: version.configuration.version,
+        stoppedIndex,
+        knownCancelled: [...cancelledJobs],
+        directoryRevision,
+        immediate: polledAt === undefined
+      })
+      checkLapse()
       if (answer.isErr()) {
+        reportStaleness()
         await clock.sleep(random.next() * retryMs, signal)
         continue
       }
-      const { configuration, cancelledJobs: cancelled } = answer.value
-      if (configuration !== undefined && version.apply(configuration)) {
-        logger.write(LogEvents.configurationInForce, { value: configuration.version })
-      }
-      version.confirm(askedAt)
+      takeVersion(answer.value, askedAt)
+      reportStaleness()
       polledAt = askedAt
+      checkLapse()
       entryHosts = answer.value.entryHosts ?? entryHosts
       directoryRevision = answer.value.directoryRevision
-      for (const job of cancelled) cancelledJobs.add(job)
-      if (cancelled.length > 0) await stream.stopJobs(cancelled)
-      seenIndex = answer.value.appliedIndex
+      receivedIndex = answer.value.appliedIndex
+      await stopCancelled(answer.value.cancelledJobs)
       changed.notify()
     }
   }
 
+  // Control that lost its data may answer with an older version, which confirms nothing.
+  function takeVersion (answer: WatchAnswer, askedAt: number): void {
+    const { configuration } = answer
+    if (configuration !== undefined && version.apply(configuration)) {
+      logger.write(LogEvents.configurationInForce, { value: configuration.version })
+    }
+    const isBehind = answer.version < version.configuration.version
+    if (isBehind && !behind) logger.write(LogEvents.configurationBehind, { value: answer.version })
+    if (!isBehind) version.confirm(askedAt)
+    behind = isBehind
+  }
+
+  // Polls go on while items are stopped, or a backend server that hangs would cost this host its session.
+  async function stopCancelled (jobs: readonly string[]): Promise<void> {
+    const fresh = jobs.filter(job => !cancelledJobs.has(job))
+    cancelledJobs = new Set(jobs)
+    if (fresh.length === 0) {
+      if (stops === 0) stoppedIndex = receivedIndex
+      return
+    }
+    stops++
+    const stopping = stream.stopJobs(fresh).then(() => {
+      stops--
+      if (stops === 0) stoppedIndex = receivedIndex
+    })
+    await Promise.race([stopping, clock.sleep(stopPauseMs, signal)])
+  }
+
+  // Runs beside the polls: a call to control that hangs must not keep items running after the session has lapsed.
+  async function watchLapse (): Promise<void> {
+    while (!signal.aborted) {
+      checkLapse()
+      const remainingMs = polledAt === undefined || lapsed ? holderLimitMs : polledAt + holderLimitMs - clock.now()
+      await clock.sleep(Math.min(Math.max(remainingMs, 1), lapseCheckMs), signal)
+    }
+  }
+
+  function checkLapse (): void {
+    const isAlive = session.isAlive(clock.now())
+    if (!isAlive && !lapsed && polledAt !== undefined) {
+      lapses++
+      logger.write(LogEvents.sessionLapsed, { value: lapses })
+      stream.stopAll()
+    }
+    lapsed = !isAlive && polledAt !== undefined
+  }
+
   function reportStaleness (): void {
     const confirmed = version.isConfirmed(clock.now())
     if (confirmed && stale) logger.write(LogEvents.configurationFresh)
@@ -103,9 +173,14 @@
 
   const session: Session = {
     get entryHosts () { return entryHosts },
-    cancelledJobs,
+    get cancelledJobs () { return cancelledJobs },
+    get lapses () { return lapses },
     changed,
     isAlive: now => polledAt !== undefined && now - polledAt < holderLimitMs
   }
+
+  async function run (): Promise<void> {
+    await Promise.all([runPolls(), watchLapse()])
+  }
   return { session, run }
 }
--- a/src/process/completions.ts
+++ b/src/process/completions.ts
@@ -12,6 +12,9 @@
 /** Most items in one command. */
 const batchLimit = 500
 
+/** Characters of results and partial answers after which a command is full. */
+const characterLimit = 1024 * 1024
+
 /** Longest time for one command with all tries, in milliseconds. */
 const commandLimitMs = 10_000
 
@@ -24,6 +27,12 @@
   complete (completion: Completion): void
   /** Adds the return of an item. */
   giveBack (returned: Return): void
+  /**
+   * Waits until everything added before has been recorded, for a shutdown.
+   * @param signal - ends the wait early
+   * @returns a promise that resolves when the queue is empty
+   */
+  sent (signal: AbortSignal): Promise<void>
   /**
    * Sends until the signal aborts and the queue is empty.
    * @param signal - ends the task
@@ -42,11 +51,12 @@
   let ended: Completion[] = []
   let returned: Return[] = []
   const added = createCondition()
+  const emptied = createCondition()
 
   // A command that could not be sent stays in the queue: it may be sent again without harm.
   async function send (): Promise<boolean> {
-    const completions = ended.slice(0, batchLimit)
-    const items = returned.slice(0, batchLimit)
+    const completions = takeBatch(ended, completion => completion.result.length)
+    const items = takeBatch(returned, item => item.partial.length)
     if (completions.length > 0) {
       const outcome = await control.execute({ kind: CommandKind.Complete, completions }, commandLimitMs)
       if (outcome.isErr()) {
@@ -72,10 +82,14 @@
       returned.push(item)
       added.notify()
     },
+    async sent (signal) {
+      while ((ended.length > 0 || returned.length > 0) && !signal.aborted) await emptied.wait(idleMs, signal)
+    },
     async run (signal) {
       while (!signal.aborted) {
         if (ended.length === 0 && returned.length === 0) await added.wait(idleMs, signal)
         await send()
+        if (ended.length === 0 && returned.length === 0) emptied.notify()
       }
       while (ended.length > 0 || returned.length > 0) {
         if (!await send()) break
@@ -83,3 +97,14 @@
     }
   }
 }
+
+function takeBatch<Value> (queue: readonly Value[], sizeOf: (value: Value) => number): Value[] {
+  const batch: Value[] = []
+  let characters = 0
+  for (const value of queue) {
+    batch.push(value)
+    characters += sizeOf(value)
+    if (batch.length >= batchLimit || characters >= characterLimit) break
+  }
+  return batch
+}
--- a/src/process/controlHost.ts
+++ b/src/process/controlHost.ts
@@ -75,9 +75,12 @@
   const sessions = createSessions()
   const quietUploads = createQuietUploads()
   const leadership: Leadership = { term: -1, since: 0 }
+  // Apart from `news`: every poll reports here, and waking all polls for each of them would cost the square of the hosts.
+  const stopped = createCondition()
 
   async function execute (command: Command): Promise<Result<Outcome, Failure>> {
     if (replica.state.role !== ReplicaRole.Leader) return err(notLeader(replica, Step.Execute))
+    observeLeadership()
     if (command.kind === CommandKind.AcquireLease) {
       const lease = state.leases.get(command.backendServer)
       const taken = lease?.holder !== undefined && lease.holder !== command.holder && isHolderAlive(lease.holder)
@@ -85,8 +88,8 @@
     }
     const outcome = await replica.propose(stamp(command, clock))
     if (outcome.isErr() || command.kind !== CommandKind.CancelJob) return outcome
-    await waitUntilStopped(command.job, replica.state.appliedIndex)
-    return outcome
+    const stop = await waitUntilStopped(command.job, replica.state.appliedIndex)
+    return stop.andThen(() => outcome)
   }
 
   // A new leader gives every holder a full session from the start of its term, since it has not seen earlier polls.
@@ -95,13 +98,16 @@
     return clock.now() - leadership.since < sessionLimitMs
   }
 
-  async function waitUntilStopped (job: string, index: number): Promise<void> {
+  // The leadership is confirmed at the end: a deposed leader may take hosts that poll its successor for expired.
+  async function waitUntilStopped (job: string, index: number): Promise<Result<unknown, Failure>> {
     const deadline = clock.now() + cancelLimitMs
-    while (clock.now() < deadline && !lifecycle.signal.aborted) {
-      const waiting = holdersOf(job).some(holder => isHolderAlive(holder) && (sessions.find(holder)?.seenIndex ?? 0) < index)
-      if (!waiting) return
-      await news.wait(deadline - clock.now(), lifecycle.signal)
+    while (clock.now() < deadline && !lifecycle.signal.aborted && replica.state.role === ReplicaRole.Leader) {
+      const isWaiting = holdersOf(job).some(holder => isHolderAlive(holder) && (sessions.find(holder)?.stoppedIndex ?? 0) < index)
+      if (!isWaiting) return await replica.confirmRead()
+      await stopped.wait(Math.min(sweepMs, deadline - clock.now()), lifecycle.signal)
     }
+    const origin = { step: Step.Execute, peer: replica.state.address }
+    return err(createFailure(FailureReason.Timeout, origin, 'the job is cancelled, but not every entry host has confirmed that it stopped'))
   }
 
   function holdersOf (job: string): Holder[] {
@@ -124,8 +130,8 @@
   async function watch (request: WatchRequest): Promise<Result<WatchAnswer, Failure>> {
     if (replica.state.role !== ReplicaRole.Leader) return err(notLeader(replica, Step.Watch))
     observeLeadership()
-    if (sessions.poll(request.entryHost, request.seenIndex, clock.now())) news.notify()
-    if (cancelledJobsOf(request.entryHost.holder).length > 0) news.notify()
+    if (sessions.poll(request.entryHost, request.stoppedIndex, clock.now())) news.notify()
+    stopped.notify()
     const deadline = clock.now() + (request.immediate ? 0 : pollHoldMs)
     while (!hasNews(request) && clock.now() < deadline && replica.state.role === ReplicaRole.Leader) {
       await news.wait(deadline - clock.now(), lifecycle.signal)
@@ -138,14 +144,15 @@
   function hasNews (request: WatchRequest): boolean {
     if (state.configuration.version > request.version) return true
     if (directoryRevision() !== request.directoryRevision) return true
-    return request.seenIndex < replica.state.appliedIndex && cancelledJobsOf(request.entryHost.holder).length > 0
+    return cancelledJobsOf(request.entryHost.holder).some(job => !request.knownCancelled.includes(job))
   }
 
   function createAnswer (request: WatchRequest, appliedIndex: number): WatchAnswer {
-    const answer = { directoryRevision: directoryRevision(), appliedIndex, cancelledJobs: cancelledJobsOf(request.entryHost.holder) }
+    const { version } = state.configuration
+    const answer = { version, directoryRevision: directoryRevision(), appliedIndex, cancelledJobs: cancelledJobsOf(request.entryHost.holder) }
     return {
       ...answer,
-      ...(state.configuration.version > request.version ? { configuration: state.configuration } : {}),
+      ...(version > request.version ? { configuration: state.configuration } : {}),
       ...(answer.directoryRevision === request.directoryRevision ? {} : { entryHosts: sessions.list() })
     }
   }
--- a/src/process/entryHost.ts
+++ b/src/process/entryHost.ts
@@ -87,7 +87,7 @@
   const openRequests = createOpenRequests()
 
   const stream = createControlStream({
-    control, version, clock, random, logger, describe, stopJobs: jobs => runs.stopJobs(jobs), signal: lifecycle.signal
+    control, version, clock, random, logger, describe, stopJobs: jobs => runs.stopJobs(jobs), stopAll: () => runs.stopAll(), signal: lifecycle.signal
   })
   const { session } = stream
   const connections = createBackendServerConnections({ clock, metrics, lifecycle })
--- a/src/process/logEvents.ts
+++ b/src/process/logEvents.ts
@@ -35,11 +35,13 @@
   configurationInForce: { number: 300, level: Level.Info, text: 'configuration version in force', action: nothing },
   configurationStale: { number: 301, level: Level.Error, text: 'no confirmed configuration; refusing new requests', action: 'Check that a majority of control hosts runs and is reachable.' },
   configurationFresh: { number: 302, level: Level.Info, text: 'configuration confirmed again', action: nothing },
+  configurationBehind: { number: 303, level: Level.Error, text: 'control has an older configuration than this host; refusing new requests', action: 'Check whether the control hosts lost their data; restart this host to take their version.' },
   backendServerAnnounced: { number: 400, level: Level.Info, text: 'backend server announced itself', action: nothing },
   backendServerLeaving: { number: 401, level: Level.Info, text: 'backend server is leaving', action: nothing },
   backendServerExpired: { number: 402, level: Level.Warn, text: 'announcement of a backend server expired', action: 'Check the backend server.' },
   attemptFailed: { number: 500, level: Level.Warn, text: 'attempt on a backend server failed', action: nothing },
   requestRefused: { number: 501, level: Level.Debug, text: 'request refused', action: 'See the refusal reason in docs/operations.md.' },
   itemFailed: { number: 600, level: Level.Info, text: 'batch item ended as failed', action: 'Read the reason in the job\'s results.' },
-  dispatchFailed: { number: 601, level: Level.Warn, text: 'batch dispatch call to control failed', action: 'Check the control hosts if it repeats.' }
+  dispatchFailed: { number: 601, level: Level.Warn, text: 'batch dispatch call to control failed', action: 'Check the control hosts if it repeats.' },
+  sessionLapsed: { number: 602, level: Level.Warn, text: 'session with control lapsed; batch items are stopped', action: 'Check the network to the control hosts and the load of this host if it repeats.' }
 } as const satisfies Readonly<Record<string, LogEvent>>
--- a/src/process/sessions.ts
+++ b/src/process/sessions.ts
@@ -29,8 +29,8 @@
   readonly entryHost: EntryHost
   /** Monotonic time of the last poll, in milliseconds. */
   readonly polledAt: number
-  /** Index of the log that the entry host has acted on. */
-  readonly seenIndex: number
+  /** Index of the log up to which the entry host has stopped everything that was cancelled. */
+  readonly stoppedIndex: number
 }
 
 /** All sessions of one leader. */
@@ -40,11 +40,11 @@
   /**
    * Records a poll.
    * @param entryHost - who polled
-   * @param seenIndex - index of the log that it has acted on
+   * @param stoppedIndex - index of the log up to which it has stopped what was cancelled
    * @param now - monotonic time in milliseconds
    * @returns true when the list of entry hosts changed
    */
-  poll (entryHost: EntryHost, seenIndex: number, now: number): boolean
+  poll (entryHost: EntryHost, stoppedIndex: number, now: number): boolean
   /**
    * Drops sessions without a poll.
    * @param now - monotonic time in milliseconds
@@ -75,9 +75,9 @@
   let revision = 1
   return {
     get revision () { return revision },
-    poll (entryHost, seenIndex, now) {
+    poll (entryHost, stoppedIndex, now) {
       const previous = sessions.get(entryHost.holder)
-      sessions.set(entryHost.holder, { entryHost, seenIndex, polledAt: now })
+      sessions.set(entryHost.holder, { entryHost, stoppedIndex, polledAt: now })
       if (previous !== undefined && previous.entryHost.draining === entryHost.draining) return false
       revision++
       return true
--- a/src/process/watchMessages.ts
+++ b/src/process/watchMessages.ts
@@ -13,8 +13,10 @@
   readonly entryHost: EntryHost
   /** Version in force on the entry host. */
   readonly version: number
-  /** Index of the log that the entry host has acted on. */
-  readonly seenIndex: number
+  /** Index of the log up to which the entry host has stopped everything that was cancelled. */
+  readonly stoppedIndex: number
+  /** Cancelled jobs of the last answer; only further ones are news. */
+  readonly knownCancelled: readonly string[]
   /** Revision of the list of entry hosts that it has. */
   readonly directoryRevision: string
   /** Ask for an answer at once instead of holding the poll. */
@@ -23,6 +25,8 @@
 
 /** The answer to a poll, given after the leadership was confirmed. */
 export interface WatchAnswer {
+  /** Version of the leader, at least as new as every change accepted before the poll was sent. */
+  readonly version: number
   /** Present when newer than the version in the request. */
   readonly configuration?: Configuration
   /** Present when the list changed. */
--- a/src/request/itemRun.ts
+++ b/src/request/itemRun.ts
@@ -57,7 +57,7 @@
   if (!route.idempotent && result.error.sent) {
     return { kind: ItemEndKind.Complete, completion: { ...reference, ending: Ending.Unknown, result: result.error.failure.message } }
   }
-  return { kind: ItemEndKind.GiveBack, returned: { ...reference, partial, offset, attempted: countsAsAttempt(result.error) } }
+  return { kind: ItemEndKind.GiveBack, returned: { ...reference, partial, offset, attempted: countsAsAttempt(result.error), reason: result.error.failure.message } }
 }
 
 // A cancelled attempt and one that never reached the backend server say nothing about the item.
