Test the races around a cancelled job

Change: test/jobsCancellation.test.ts drives an entry host's stream and dispatch, and a control host over memory storage, with a clock that stands still. Conclusion: 9 tests pass.

--- /dev/null
+++ b/test/jobsCancellation.test.ts
@@ -0,0 +1,262 @@
+import { expect } from 'chai'
+import { err, errAsync, ok, type Result } from 'neverthrow'
+import { eventually } from '../scripts/processes.ts'
+import { createItemRuns, runBatchDispatch } from '../src/connection/batchDispatch.ts'
+import { createControlStream } from '../src/connection/controlStream.ts'
+import { type Command, CommandKind, type Completion, Ending, type Grant, type Outcome, OutcomeKind, type Return } from '../src/process/commands.ts'
+import { createCondition } from '../src/process/condition.ts'
+import { type ControlHost, createControlHost } from '../src/process/controlHost.ts'
+import { createFailure, type Failure, FailureReason, Step } from '../src/process/failure.ts'
+import { createLifecycle, type Lifecycle } from '../src/process/lifecycle.ts'
+import { createSilentLogger } from '../src/process/logger.ts'
+import { createMetrics } from '../src/process/metrics.ts'
+import { createSeededRandom } from '../src/process/random.ts'
+import type { WatchAnswer, WatchRequest } from '../src/process/watchMessages.ts'
+import { createCurrentVersion } from '../src/version/currentVersion.ts'
+import { MemoryStorage } from './support/memoryStorage.ts'
+import { tables } from './support/stateCommands.ts'
+import { SteppedClock } from './support/steppedClock.ts'
+
+const host = { host: 'h', callerAddress: '', internalAddress: '', availabilityZone: 'z', region: 'r', draining: false }
+const answer: WatchAnswer = { version: 1, directoryRevision: 'd', appliedIndex: 5, cancelledJobs: [] }
+const granted: Grant = {
+  job: 'j', position: 0, grant: 1, route: 'r', account: 'a', item: { name: 'i', input: 'i', maxTokens: 1, priority: 1 }, partial: '', offset: 0, attempts: 0
+}
+const turn = (): Promise<void> => new Promise(resolve => setImmediate(resolve))
+
+/** An entry host's stream and dispatch with the calls to control in the hands of the test. */
+function createEntrySide (idempotent = true, stopJobs?: () => Promise<void>) {
+  const clock = new SteppedClock()
+  const version = createCurrentVersion()
+  const end = new AbortController()
+  const watches: Array<{ readonly request: WatchRequest, readonly settle: (result: Result<WatchAnswer, Failure>) => void }> = []
+  const calls: Array<{ readonly command: Command, readonly settle: (outcome: Outcome) => void }> = []
+  const sent: string[] = []
+  const returned: Return[] = []
+  const stopped: string[] = []
+  const runs = createItemRuns()
+  const control: any = {
+    watch: (request: WatchRequest) => new Promise(resolve => watches.push({ request, settle: resolve })),
+    execute: (command: Command) => new Promise(resolve => calls.push({ command, settle: outcome => resolve(ok(outcome)) }))
+  }
+  const services: any = { holder: 'h', control, version, clock, runs, metrics: createMetrics(), connections: { to: () => ({}) } }
+  services.protocols = {
+    engine: {
+      run: (_: unknown, attempt: { requestId: string, signal: AbortSignal }) => {
+        sent.push(attempt.requestId)
+        return new Promise(resolve => attempt.signal.addEventListener('abort', () => {
+          stopped.push(attempt.requestId)
+          resolve(err({ sent: true, failure: createFailure(FailureReason.Aborted, { step: Step.Execute }, 'aborted') }))
+        }))
+      }
+    }
+  }
+  services.completions = { complete (_: Completion) {}, giveBack: (item: Return) => returned.push(item) }
+  const stream = createControlStream({
+    control,
+    version,
+    clock,
+    random: createSeededRandom(1),
+    logger: createSilentLogger(),
+    signal: end.signal,
+    describe: () => ({ ...host, holder: 'h' }),
+    stopJobs: stopJobs ?? (jobs => runs.stopJobs(jobs)),
+    stopAll: () => runs.stopAll()
+  })
+  services.session = stream.session
+  const server: any = {
+    announcement: { address: 'b', pool: 'p', capacity: 8, leaving: false }, liveInFlight: 0, batchInFlight: 0, liveChanged: createCondition()
+  }
+  stream.run().catch(() => {})
+  const configuration = { version: 1, pools: tables.pools, routes: tables.routes.map(route => ({ ...route, idempotent })) }
+
+  async function poll (change: Partial<WatchAnswer> = {}): Promise<WatchRequest> {
+    const watch = await eventually('a poll', 2_000, () => watches.shift())
+    watch.settle(ok({ ...answer, configuration, ...change }))
+    await turn()
+    return watch.request
+  }
+
+  async function call (kind: CommandKind): Promise<(outcome: Outcome) => void> {
+    const found = await eventually(kind, 2_000, () => calls.shift())
+    expect(found.command.kind).to.equal(kind)
+    return found.settle
+  }
+
+  async function dispatchUntilClaim (): Promise<(outcome: Outcome) => void> {
+    await poll()
+    runBatchDispatch(server, services, end.signal).catch(() => {})
+    const acquired = await call(CommandKind.AcquireLease)
+    acquired({ kind: OutcomeKind.Lease, holder: 'h', number: 1, granted: true })
+    return await call(CommandKind.Claim)
+  }
+  return { clock, version, end, watches, sent, returned, stopped, stream, poll, call, dispatchUntilClaim }
+}
+
+const grants: Outcome = { kind: OutcomeKind.Grants, grants: [granted] }
+
+describe('a cancelled job on an entry host', () => {
+  let side: ReturnType<typeof createEntrySide>
+  afterEach(() => side.end.abort())
+
+  // The grant was made before the cancellation, and its answer comes after this host has reported that it stopped.
+  it('is not sent when the grant is received after the cancellation', async () => {
+    side = createEntrySide()
+    const claimed = await side.dispatchUntilClaim()
+    await side.poll({ cancelledJobs: ['j'], appliedIndex: 9 })
+    const report = await side.poll({ cancelledJobs: ['j'], appliedIndex: 9 })
+    expect(report).to.deep.include({ stoppedIndex: 9, knownCancelled: ['j'] })
+    claimed(grants)
+    await eventually('the return', 2_000, () => side.returned[0])
+    expect(side.sent).to.deep.equal([])
+  })
+
+  // Control took the grant back after 5 s and answered the cancellation; its later answers don't name the job any more.
+  for (const [name, pass] of [['was cut off', 'advance'], ['was frozen', 'jump']] as const) {
+    it(`is not sent by a host that ${name} between claim and grant`, async () => {
+      side = createEntrySide()
+      const claimed = await side.dispatchUntilClaim()
+      side.clock[pass](6_000)
+      await side.poll()
+      await side.poll()
+      expect(side.stream.session.isAlive(side.clock.now())).to.equal(true)
+      claimed(grants)
+      await eventually('the return', 2_000, () => side.returned[0])
+      expect(side.sent).to.deep.equal([])
+    })
+  }
+
+  it('is not sent when the start of a non-idempotent item is refused', async () => {
+    side = createEntrySide(false)
+    const claimed = await side.dispatchUntilClaim()
+    claimed(grants)
+    const started = await side.call(CommandKind.Start)
+    started({ kind: OutcomeKind.Started, accepted: [false] })
+    await eventually('the return', 2_000, () => side.returned[0])
+    expect(side.sent).to.deep.equal([])
+  })
+
+  // A claim to control that hangs must not keep streams alive beyond the session.
+  it('has its streams cancelled when the session lapses', async () => {
+    side = createEntrySide()
+    const claimed = await side.dispatchUntilClaim()
+    claimed(grants)
+    await eventually('the sent item', 2_000, () => side.sent[0])
+    side.clock.advance(4_001)
+    await eventually('the cancelled stream', 2_000, () => side.stopped[0])
+  })
+
+  // A backend server that does not react to the end of a stream would otherwise cost the host its whole session.
+  it('leaves polls going while its streams stop, and is reported only then', async () => {
+    let finish = (): void => {}
+    side = createEntrySide(true, () => new Promise<void>(resolve => { finish = resolve }))
+    await side.poll({ cancelledJobs: ['j'], appliedIndex: 9 })
+    side.clock.advance(500)
+    expect((await side.poll({ cancelledJobs: ['j'], appliedIndex: 9 })).stoppedIndex).to.equal(0)
+    finish()
+    await turn()
+    await side.poll({ cancelledJobs: ['j'], appliedIndex: 9 })
+    expect((await side.poll()).stoppedIndex).to.equal(9)
+  })
+})
+
+describe('a cancelled job at control', () => {
+  let lifecycles: Lifecycle[] = []
+  afterEach(async () => {
+    for (const lifecycle of lifecycles) await lifecycle.close()
+    lifecycles = []
+  })
+
+  async function startControl (clock: SteppedClock, storage: MemoryStorage): Promise<ControlHost> {
+    const lifecycle = createLifecycle()
+    lifecycles.push(lifecycle)
+    const transport: any = { identify: () => errAsync(createFailure(FailureReason.Timeout, { step: Step.Vote }, 'nobody')) }
+    const created = await createControlHost({
+      address: 'c',
+      availabilityZone: 'z',
+      controlHosts: ['c'],
+      storage,
+      transport,
+      clock,
+      random: createSeededRandom(1),
+      logger: createSilentLogger(),
+      metrics: createMetrics(),
+      lifecycle
+    })
+    const control = created._unsafeUnwrap()
+    await eventually('a leader', 5_000, () => {
+      clock.advance(100)
+      return control.replica.state.role === 'leader' ? true : undefined
+    })
+    return control
+  }
+
+  async function poll (control: ControlHost, stoppedIndex: number): Promise<void> {
+    const request = { entryHost: { ...host, holder: 'h' }, version: 1, stoppedIndex, knownCancelled: [], directoryRevision: '', immediate: true }
+    expect((await control.watch(request)).isOk()).to.equal(true)
+  }
+
+  async function grantOne (control: ControlHost): Promise<void> {
+    const items = [{ name: 'i', input: 'i', maxTokens: 1, priority: 1 }] as const
+    await poll(control, 0)
+    for (const command of [
+      { kind: CommandKind.Apply, operation: 'o', expected: 0, tables },
+      { kind: CommandKind.AcquireLease, backendServer: 'b', holder: 'h', expected: 0 },
+      { kind: CommandKind.OpenUpload, upload: 'j', account: 'a', key: 'k', route: 'r', due: 0, time: 0 },
+      { kind: CommandKind.AppendItems, upload: 'j', sequence: 0, items, time: 0 },
+      { kind: CommandKind.Seal, upload: 'j', account: 'a', key: 'k', digest: 'd', count: 1, time: 0 },
+      { kind: CommandKind.Claim, backendServer: 'b', holder: 'h', lease: 1, sequence: 1, pool: 'p', count: 1 }
+    ] as const) expect((await control.execute(command)).isOk()).to.equal(true)
+    expect(control.state.jobs.held.get('h')?.size).to.equal(1)
+  }
+
+  it('is answered only after the holder has reported that it stopped', async () => {
+    const clock = new SteppedClock()
+    const control = await startControl(clock, new MemoryStorage())
+    await grantOne(control)
+    let outcome: Result<Outcome, Failure> | undefined
+    control.execute({ kind: CommandKind.CancelJob, job: 'j' }).then(result => { outcome = result }, () => {})
+    await eventually('the cancellation', 2_000, () => control.state.jobs.jobs.get('j')?.cancelled === true ? true : undefined)
+    await poll(control, control.replica.state.appliedIndex - 1)
+    await turn()
+    expect(outcome).to.equal(undefined)
+    await poll(control, control.replica.state.appliedIndex)
+    expect((await eventually('the answer', 2_000, () => outcome)).isOk()).to.equal(true)
+  })
+
+  // An answer would be a promise that nothing runs any more, while the holder still polls without having stopped.
+  it('is reported as a timeout when a live holder does not stop', async () => {
+    const clock = new SteppedClock()
+    const control = await startControl(clock, new MemoryStorage())
+    await grantOne(control)
+    const cancelled = control.execute({ kind: CommandKind.CancelJob, job: 'j' })
+    for (let second = 0; second < 8; second++) {
+      await turn()
+      await poll(control, 0)
+      clock.advance(1_000)
+    }
+    const outcome = await cancelled
+    expect(outcome.isErr() && outcome.error.reason).to.equal(FailureReason.Timeout)
+  })
+
+  // The new leader has no sessions; it must not take the silence of the holder for its end.
+  it('waits for its holder under a new leader, and its lease stays with the holder', async () => {
+    const clock = new SteppedClock()
+    const storage = new MemoryStorage()
+    await grantOne(await startControl(clock, storage))
+    await lifecycles.pop()?.close()
+    clock.jump(60_000)
+    const control = await startControl(clock, storage)
+    const taken = await control.execute({ kind: CommandKind.AcquireLease, backendServer: 'b', holder: 'other', expected: 1 })
+    expect(taken._unsafeUnwrap()).to.include({ holder: 'h', granted: false })
+    let outcome: Result<Outcome, Failure> | undefined
+    control.execute({ kind: CommandKind.CancelJob, job: 'j' }).then(result => { outcome = result }, () => {})
+    await eventually('the cancellation', 2_000, () => control.state.jobs.jobs.get('j')?.cancelled === true ? true : undefined)
+    await turn()
+    expect(outcome).to.equal(undefined)
+    await poll(control, control.replica.state.appliedIndex)
+    expect((await eventually('the answer', 2_000, () => outcome)).isOk()).to.equal(true)
+    await control.execute({ kind: CommandKind.Complete, completions: [{ job: 'j', position: 0, grant: 1, ending: Ending.Done, result: 'finished before' }] })
+    expect(control.state.jobs.jobs.get('j')?.done, 'an end that was on its way').to.equal(1)
+  })
+})
