--- a/src/connection/backendServerConnection.ts
+++ b/src/connection/backendServerConnection.ts
@@ -3,21 +3,32 @@
  * closes its connection.
  * @module
  */
+import { connect } from 'node:net'
 import { err, ok, type Result } from 'neverthrow'
 import { type Dispatcher, Pool } from 'undici'
-import type { Clock } from '../process/clock.ts'
 import { createFailure, type Failure, FailureReason, Step, toFailure } from '../process/failure.ts'
 import type { Lifecycle } from '../process/lifecycle.ts'
+import { parseAddress } from '../process/settings.ts'
 import { Counter, type Metrics } from '../process/metrics.ts'
 import { TrafficClass } from './internalClient.ts'
 import type { Attempt, AttemptFailure } from './protocol.ts'
 
-/** Limit for opening a connection, in milliseconds. */
+/** Limit from the start of an exchange until it has a connection, and for a probe, in milliseconds. */
 export const connectLimitMs = 1_000
 
 /** Most connections for each class of traffic. */
 const connectionLimit = 512
 
+/**
+ * Takes a chunk of an answer. While its promise is pending, nothing more is read from the connection.
+ * @param chunk - the chunk
+ */
+export type ChunkReceiver = (chunk: Buffer) => Promise<void> | undefined | void
+
+/** What opening a new connection showed. */
+export const ProbeResult = { Accepted: 'accepted', Refused: 'refused', Silent: 'silent' } as const
+export type ProbeResult = typeof ProbeResult[keyof typeof ProbeResult]
+
 /** Connections to one backend server. */
 export interface BackendServerConnection {
   readonly address: string
@@ -29,7 +40,12 @@
    * @param receive - takes each chunk of a successful answer
    * @returns nothing once the body has ended, or why it did not
    */
-  post (path: string, body: string, attempt: Attempt, receive: (chunk: Buffer) => void): Promise<Result<void, AttemptFailure>>
+  post (path: string, body: string, attempt: Attempt, receive: ChunkReceiver): Promise<Result<void, AttemptFailure>>
+  /**
+   * Opens a new connection and closes it again.
+   * @returns whether the backend server accepts connections
+   */
+  probe (): Promise<ProbeResult>
 }
 
 /** Connections to all backend servers. */
@@ -44,7 +60,6 @@
 
 /** What the connections need. */
 export interface ConnectionInputs {
-  readonly clock: Clock
   readonly metrics: Metrics
   readonly lifecycle: Lifecycle
 }
@@ -69,33 +84,72 @@
 
 function createConnection (address: string, inputs: ConnectionInputs): BackendServerConnection {
   const pools = new Map<TrafficClass, Pool>()
-  for (const trafficClass of [TrafficClass.Live, TrafficClass.Batch]) {
+
+  function createPool (trafficClass: TrafficClass): Pool {
     const pool = new Pool(`http://${address}`, {
       connections: connectionLimit, pipelining: 1, connect: { timeout: connectLimitMs }, headersTimeout: 0, bodyTimeout: 0
     })
     pools.set(trafficClass, pool)
-    inputs.lifecycle.own(() => pool.destroy())
+    return pool
   }
+
+  // The idle connections next to a silent one may be silent too, so none of them is used again. Exchanges under way go
+  // on within their own limits.
+  function replacePool (trafficClass: TrafficClass, silent: Pool): void {
+    if (pools.get(trafficClass) !== silent) return
+    createPool(trafficClass)
+    silent.close().catch(() => {})
+  }
+
+  for (const trafficClass of [TrafficClass.Live, TrafficClass.Batch]) createPool(trafficClass)
+  inputs.lifecycle.own(async () => {
+    for (const pool of pools.values()) await pool.destroy()
+  })
   return {
     address,
-    post (path, body, attempt, receive) {
+    async post (path, body, attempt, receive) {
       const pool = pools.get(attempt.trafficClass)
       if (pool === undefined) throw new Error(`no connections for the traffic class ${attempt.trafficClass}`)
-      return exchange(pool, address, path, body, attempt, receive, inputs.metrics)
-    }
+      const result = await exchange(pool, address, path, body, attempt, receive, inputs.metrics)
+      if (result.isErr() && result.error.failure.reason === FailureReason.Timeout) replacePool(attempt.trafficClass, pool)
+      return result
+    },
+    probe: () => probe(address)
   }
 }
 
+function probe (address: string): Promise<ProbeResult> {
+  const { ip, port } = parseAddress(address)
+  return new Promise(resolve => {
+    const socket = connect({ host: ip, port })
+    const timer = setTimeout(() => end(ProbeResult.Silent), connectLimitMs)
+    const end = (result: ProbeResult): void => {
+      clearTimeout(timer)
+      socket.destroy()
+      resolve(result)
+    }
+    socket.once('connect', () => end(ProbeResult.Accepted))
+    socket.once('error', error => {
+      const { reason } = toFailure(error, { step: Step.Connect, peer: address })
+      end(reason === FailureReason.Refused ? ProbeResult.Refused : ProbeResult.Silent)
+    })
+  })
+}
+
 function exchange (
-  pool: Pool, peer: string, path: string, body: string, attempt: Attempt, receive: (chunk: Buffer) => void, metrics: Metrics
+  pool: Pool, peer: string, path: string, body: string, attempt: Attempt, receive: ChunkReceiver, metrics: Metrics
 ): Promise<Result<void, AttemptFailure>> {
   return new Promise(resolve => {
+    // Set before the first byte is handed to the socket and never reset. An exchange that is given up earlier is still in
+    // undici's queue; onRequestStart aborts it there before anything is written, so "not sent" stays true.
     let sent = false
     let step: Step = Step.Connect
     let status = 0
     let cause: Failure | undefined
     let controller: Dispatcher.DispatchController | undefined
-    let timer = setTimeout(() => {}, 0)
+    let timer: NodeJS.Timeout | undefined
+    let delivery: Promise<void> | undefined
+    let settled = false
 
     function limit (durationMs: number, text: string): void {
       clearTimeout(timer)
@@ -111,19 +165,38 @@
       else settle(err({ failure: cause, sent }))
     }
 
+    // The last delivery ends first, so that nothing of this attempt arrives after its result.
     function settle (result: Result<void, AttemptFailure>): void {
+      settled = true
       clearTimeout(timer)
       attempt.signal.removeEventListener('abort', abort)
-      resolve(result)
+      if (delivery === undefined) resolve(result)
+      else delivery.finally(() => resolve(cause === undefined ? result : err({ failure: cause, sent })))
     }
 
     function abort (): void {
       stop(createFailure(FailureReason.Aborted, { step, peer }, 'the attempt was cancelled'))
     }
 
+    function take (chunk: Buffer, paused: Dispatcher.DispatchController): void {
+      const slow = receive(chunk)
+      if (slow === undefined) return
+      paused.pause()
+      // A wait for the receiver is not silence of the backend server.
+      clearTimeout(timer)
+      delivery = slow.catch((error: unknown) => {
+        stop(toFailure(error, { step, peer }))
+      }).then(() => {
+        delivery = undefined
+        if (settled || cause !== undefined) return
+        limit(attempt.betweenBytesMs, 'no further byte')
+        paused.resume()
+      })
+    }
+
     if (attempt.signal.aborted) return abort()
     attempt.signal.addEventListener('abort', abort, { once: true })
-    limit(connectLimitMs + attempt.firstByteMs, 'no connection')
+    limit(connectLimitMs, 'no connection')
     pool.dispatch({ path, method: 'POST', headers: { 'content-type': 'application/json' }, body }, {
       onRequestStart (started) {
         controller = started
@@ -134,14 +207,14 @@
         limit(attempt.firstByteMs, 'no first byte')
       },
       onResponseStart (_, code) {
+        // The head may come long before the first token, so the limit for the first byte goes on until the body starts.
         status = code
-        step = Step.ReadAnswer
-        limit(attempt.betweenBytesMs, 'no further byte')
       },
-      onResponseData (_, chunk) {
+      onResponseData (reading, chunk) {
+        step = Step.ReadAnswer
         metrics.count(Counter.Bytes, attempt.trafficClass, chunk.length)
         limit(attempt.betweenBytesMs, 'no further byte')
-        if (status === 200) receive(chunk)
+        if (status === 200) take(chunk, reading)
       },
       onResponseEnd () {
         if (status === 200) return settle(ok(undefined))
--- a/src/connection/engineProtocol.ts
+++ b/src/connection/engineProtocol.ts
@@ -2,54 +2,115 @@
  * Model engines: a stream of server-sent events, one for each token, that can be resumed by token offset.
  * @module
  */
-import { createParser } from 'eventsource-parser'
+import { createParser, type EventSourceParser } from 'eventsource-parser'
 import { err, ok, type Result } from 'neverthrow'
+import { z } from 'zod'
 import { createFailure, FailureReason, Step } from '../process/failure.ts'
 import type { BackendServerConnection } from './backendServerConnection.ts'
-import { type AnswerPart, type Attempt, type AttemptFailure, Protocol } from './protocol.ts'
+import { type Attempt, type AttemptFailure, type PartReceiver, Protocol } from './protocol.ts'
 
 /** A server-sent event of an engine: a token, or the end of the answer. */
-interface EngineEvent {
-  readonly requestId: string
-  readonly offset: number
-  readonly text?: string
-  readonly done?: boolean
+const eventSchema = z.object({
+  requestId: z.string(),
+  offset: z.number().int().min(0),
+  text: z.string().optional(),
+  done: z.boolean().optional()
+})
+/** A server-sent event of an engine. */
+export type EngineEvent = z.infer<typeof eventSchema>
+
+/** What an event is to the attempt that received it. */
+export const EventKind = { Token: 'token', End: 'end', Repeated: 'repeated', Foreign: 'foreign', Gap: 'gap' } as const
+export type EventKind = typeof EventKind[keyof typeof EventKind]
+
+/**
+ * Matches an event to its attempt.
+ * @param event - the event
+ * @param requestId - id of the attempt
+ * @param expected - offset of the next token
+ * @returns what the event is
+ */
+export function classifyEvent (event: EngineEvent, requestId: string, expected: number): EventKind {
+  if (event.requestId !== requestId) return EventKind.Foreign
+  if (event.offset > expected) return EventKind.Gap
+  if (event.offset < expected) return event.done === true ? EventKind.Gap : EventKind.Repeated
+  return event.done === true ? EventKind.End : EventKind.Token
 }
 
 class EngineProtocol extends Protocol {
-  override async run (
-    connection: BackendServerConnection, attempt: Attempt, deliver: (part: AnswerPart) => void
-  ): Promise<Result<void, AttemptFailure>> {
+  override async run (connection: BackendServerConnection, attempt: Attempt, deliver: PartReceiver): Promise<Result<void, AttemptFailure>> {
+    const events: EngineEvent[] = []
+    // Ends the exchange as soon as one event can't belong to it; nothing after that event is trusted.
+    const mismatch = new AbortController()
+    let wrong: string | undefined
     let expected = attempt.offset
     let complete = false
-    let foreign = false
-    const parser = createParser({
-      onEvent (message) {
-        const event = JSON.parse(message.data) as EngineEvent
-        if (event.requestId !== attempt.requestId || event.offset !== expected) {
-          foreign = true
-          return
-        }
-        if (event.done === true) {
-          complete = true
-          return
+    const parser = createEventParser(events, text => { wrong ??= text })
+    const decoder = new TextDecoder()
+
+    function receive (chunk: Buffer): Promise<void> | undefined {
+      parser.feed(decoder.decode(chunk, { stream: true }))
+      return takeEvents()
+    }
+
+    function takeEvents (): Promise<void> | undefined {
+      while (wrong === undefined && !complete && !attempt.signal.aborted) {
+        const event = events.shift()
+        if (event === undefined) return undefined
+        switch (classifyEvent(event, attempt.requestId, expected)) {
+          case EventKind.Token: {
+            expected++
+            const slow = deliver({ offset: event.offset, text: event.text ?? '' })
+            if (slow !== undefined) return slow.then(takeEvents)
+            break
+          }
+          case EventKind.End:
+            complete = true
+            break
+          case EventKind.Repeated:
+            break
+          case EventKind.Foreign:
+            wrong = 'the answer holds a part of another request'
+            break
+          case EventKind.Gap:
+            wrong = `the answer goes on at another offset than ${expected}`
+            break
         }
-        expected++
-        deliver({ offset: event.offset, text: event.text ?? '' })
       }
-    })
-    const decoder = new TextDecoder()
+      if (wrong !== undefined) mismatch.abort()
+      return undefined
+    }
+
     const body = JSON.stringify({
       requestId: attempt.requestId, prompt: attempt.input, maxTokens: attempt.maxTokens, offset: attempt.offset, partial: attempt.partial
     })
-    const result = await connection.post('/v1/generate', body, attempt, chunk => parser.feed(decoder.decode(chunk, { stream: true })))
-    if (result.isErr()) return err(result.error)
-    if (complete && !foreign) return ok(undefined)
-    const text = foreign ? 'the answer holds a part that does not belong to the attempt' : 'the answer ended before its end mark'
+    const limited = { ...attempt, signal: AbortSignal.any([attempt.signal, mismatch.signal]) }
+    const result = await connection.post('/v1/generate', body, limited, receive)
+    if (complete) return ok(undefined)
+    if (result.isErr() && wrong === undefined) return err(result.error)
+    const text = wrong ?? 'the answer ended before its end mark'
     return err({ failure: createFailure(FailureReason.Incomplete, { step: Step.ReadAnswer, peer: connection.address }, text), sent: true })
   }
 }
 
+function createEventParser (events: EngineEvent[], reject: (text: string) => void): EventSourceParser {
+  return createParser({
+    onEvent (message) {
+      const parsed = eventSchema.safeParse(parseJson(message.data))
+      if (parsed.success) events.push(parsed.data)
+      else reject('the answer holds an event that is not valid')
+    }
+  })
+}
+
+function parseJson (text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch {
+    return undefined
+  }
+}
+
 /**
  * Creates the protocol of model engines.
  * @returns the protocol
--- a/src/connection/protocol.ts
+++ b/src/connection/protocol.ts
@@ -37,6 +37,13 @@
   readonly sent: boolean
 }
 
+/**
+ * Takes a piece of an answer.
+ * @param part - the piece
+ * @returns a promise when the next piece has to wait for it, because its receiver reads slowly
+ */
+export type PartReceiver = (part: AnswerPart) => Promise<void> | undefined | void
+
 /** Runs attempts on one kind of backend server. */
 export abstract class Protocol {
   /**
@@ -47,6 +54,6 @@
    * @returns nothing once the answer was complete, or why it was not
    */
   abstract run (
-    connection: BackendServerConnection, attempt: Attempt, deliver: (part: AnswerPart) => void
+    connection: BackendServerConnection, attempt: Attempt, deliver: PartReceiver
   ): Promise<Result<void, AttemptFailure>>
 }
--- a/src/connection/serviceProtocol.ts
+++ b/src/connection/serviceProtocol.ts
@@ -3,21 +3,20 @@
  * @module
  */
 import { err, ok, type Result } from 'neverthrow'
+import { z } from 'zod'
 import { createFailure, FailureReason, Step } from '../process/failure.ts'
 import type { BackendServerConnection } from './backendServerConnection.ts'
-import { type AnswerPart, type Attempt, type AttemptFailure, Protocol } from './protocol.ts'
+import { type Attempt, type AttemptFailure, type PartReceiver, Protocol } from './protocol.ts'
 
 class ServiceProtocol extends Protocol {
-  override async run (
-    connection: BackendServerConnection, attempt: Attempt, deliver: (part: AnswerPart) => void
-  ): Promise<Result<void, AttemptFailure>> {
+  override async run (connection: BackendServerConnection, attempt: Attempt, deliver: PartReceiver): Promise<Result<void, AttemptFailure>> {
     const chunks: Buffer[] = []
     const body = JSON.stringify({ requestId: attempt.requestId, input: attempt.input })
     const result = await connection.post('/v1/call', body, attempt, chunk => { chunks.push(chunk) })
     if (result.isErr()) return err(result.error)
     const answer = parseAnswer(Buffer.concat(chunks))
     if (answer?.requestId === attempt.requestId) {
-      deliver({ offset: 0, text: answer.output })
+      await deliver({ offset: 0, text: answer.output })
       return ok(undefined)
     }
     return err({
@@ -27,14 +26,12 @@
   }
 }
 
-interface ServiceAnswer {
-  readonly requestId: string
-  readonly output: string
-}
+const answerSchema = z.object({ requestId: z.string(), output: z.string() })
+type ServiceAnswer = z.infer<typeof answerSchema>
 
 function parseAnswer (bytes: Buffer): ServiceAnswer | undefined {
   try {
-    return JSON.parse(bytes.toString('utf8')) as ServiceAnswer
+    return answerSchema.safeParse(JSON.parse(bytes.toString('utf8'))).data
   } catch {
     return undefined
   }
--- a/src/connection/share.ts
+++ b/src/connection/share.ts
@@ -22,6 +22,10 @@
   readonly leaving: boolean
   /** Requests that ran when the load was last reported; late. */
   readonly running: number
+  /** Least age of `running` when it was announced, in milliseconds; 0 when missing. */
+  readonly loadAgeMs?: number | undefined
+  /** Keys of prompt prefixes that it may hold in its cache; a hint that may be late or missing. */
+  readonly cachedPrefixes?: readonly string[] | undefined
 }
 
 /** A backend server that crashed while it ran a request. */
--- a/src/process/backendServers.ts
+++ b/src/process/backendServers.ts
@@ -4,6 +4,7 @@
  */
 import type { Announcement } from '../connection/share.ts'
 import type { Clock } from './clock.ts'
+import { hashText } from './hash.ts'
 import { type Condition, createCondition } from './condition.ts'
 import { LogEvents } from './logEvents.ts'
 import type { Logger } from './logger.ts'
@@ -14,6 +15,12 @@
 /** Time for which a backend server that refused a connection is avoided, in milliseconds. */
 const avoidMs = 1_000
 
+/** A live request that has ended. Times are monotonic, in milliseconds. */
+export interface EndedRequest {
+  readonly startedAt: number
+  readonly endedAt: number
+}
+
 /** A backend server as this entry host sees it. */
 export interface BackendServer {
   announcement: Announcement
@@ -21,6 +28,12 @@
   announcedAt: number
   /** Live requests of this entry host that run there. */
   liveInFlight: number
+  /** Start times of these requests, in order. */
+  readonly liveStarts: number[]
+  /** Live requests that ended since the last load report, which may still count them. */
+  liveEnds: EndedRequest[]
+  /** Number made from the address, for rendezvous hashing. */
+  readonly addressHash: number
   /** Batch items of this entry host that run there. */
   batchInFlight: number
   /** Monotonic time until which it is avoided, in milliseconds. */
@@ -58,13 +71,50 @@
   avoid (server: BackendServer): void
 }
 
+/** Takes the address and the old incarnation of a backend server that was started again. */
+export type RestartListener = (address: string, incarnation: string) => void
+
+/**
+ * Records the start of a live request on a backend server.
+ * @param server - the backend server
+ * @param now - monotonic time, in milliseconds
+ */
+export function startLive (server: BackendServer, now: number): void {
+  server.liveInFlight++
+  server.liveStarts.push(now)
+  server.liveChanged.notify()
+}
+
+/**
+ * Records the end of a live request on a backend server.
+ * @param server - the backend server
+ * @param startedAt - the time its start was recorded with
+ * @param now - monotonic time, in milliseconds
+ */
+export function endLive (server: BackendServer, startedAt: number, now: number): void {
+  server.liveInFlight--
+  server.liveStarts.splice(server.liveStarts.indexOf(startedAt), 1)
+  server.liveEnds.push({ startedAt, endedAt: now })
+  server.liveChanged.notify()
+}
+
+/**
+ * Tells when the reported load was true at the latest.
+ * @param server - the backend server
+ * @returns monotonic time, in milliseconds
+ */
+export function reportedAt (server: BackendServer): number {
+  return server.announcedAt - (server.announcement.loadAgeMs ?? 0)
+}
+
 /**
  * Creates an empty routing state.
  * @param clock - the clock
  * @param logger - the logger
+ * @param restarted - told of each backend server that was started again
  * @returns the routing state
  */
-export function createBackendServers (clock: Clock, logger: Logger): BackendServers {
+export function createBackendServers (clock: Clock, logger: Logger, restarted: RestartListener = () => {}): BackendServers {
   const servers = new Map<string, BackendServer>()
   const changed = createCondition()
 
@@ -83,7 +133,15 @@
     const known = servers.get(announcement.address)
     if (known === undefined) {
       servers.set(announcement.address, {
-        announcement, announcedAt, liveInFlight: 0, batchInFlight: 0, avoidedUntil: 0, liveChanged: createCondition()
+        announcement,
+        announcedAt,
+        liveInFlight: 0,
+        liveStarts: [],
+        liveEnds: [],
+        addressHash: hashText(announcement.address),
+        batchInFlight: 0,
+        avoidedUntil: 0,
+        liveChanged: createCondition()
       })
       logger.write(LogEvents.backendServerAnnounced, { peer: announcement.address, detail: announcement.pool })
       changed.notify()
@@ -91,8 +149,11 @@
     }
     if (!isNewer(announcement, known.announcement)) return false
     if (announcement.leaving && !known.announcement.leaving) logger.write(LogEvents.backendServerLeaving, { peer: announcement.address })
+    const { incarnation } = known.announcement
     known.announcement = announcement
     known.announcedAt = announcedAt
+    known.liveEnds = known.liveEnds.filter(ended => ended.endedAt > reportedAt(known))
+    if (announcement.incarnation !== incarnation) restarted(announcement.address, incarnation)
     changed.notify()
     return true
   }
--- a/src/process/entryHost.ts
+++ b/src/process/entryHost.ts
@@ -7,6 +7,7 @@
 import { type BatchServices, createItemRuns, runBatchDispatch } from '../connection/batchDispatch.ts'
 import type { ControlClient } from '../connection/controlClient.ts'
 import { createControlStream, type Session } from '../connection/controlStream.ts'
+import { createCrashInspection } from '../connection/crashInspection.ts'
 import { createEngineProtocol } from '../connection/engineProtocol.ts'
 import { runEntryPeer } from '../connection/entryPeer.ts'
 import type { InternalClients } from '../connection/internalClient.ts'
@@ -26,6 +27,7 @@
 import type { Lifecycle } from './lifecycle.ts'
 import type { Logger } from './logger.ts'
 import type { Metrics } from './metrics.ts'
+import { createQuarantine } from './quarantine.ts'
 import type { Random } from './random.ts'
 import { createRetryBudget, type RetryBudget } from './retryBudget.ts'
 import type { EntryHost } from './sessions.ts'
@@ -76,8 +78,9 @@
   const { settings, control, clients, clock, random, logger, metrics, lifecycle } = inputs
   const holder = `${settings.host}/${randomUUID()}`
   const version = createCurrentVersion()
-  const backendServers = createBackendServers(clock, logger)
   const news = createSharedNews(clock)
+  const quarantine = createQuarantine({ clock, logger, tell: report => news.reportCrash(report) })
+  const backendServers = createBackendServers(clock, logger, (address, incarnation) => quarantine.reportCrash(address, incarnation))
   const runs = createItemRuns()
   const accounts = createAccounts()
   const budgets = new Map<string, RetryBudget>()
@@ -90,7 +93,8 @@
     control, version, clock, random, logger, describe, stopJobs: jobs => runs.stopJobs(jobs), signal: lifecycle.signal
   })
   const { session } = stream
-  const connections = createBackendServerConnections({ clock, metrics, lifecycle })
+  const connections = createBackendServerConnections({ metrics, lifecycle })
+  const inspection = createCrashInspection({ connections, backendServers, quarantine })
   const protocols = { [ProtocolKind.Engine]: createEngineProtocol(), [ProtocolKind.Service]: createServiceProtocol() }
   const completions = createCompletions(control, logger)
 
@@ -131,11 +135,14 @@
   const shareReceiver: ShareReceiver = {
     receive (share) {
       for (const { announcement, ageMs } of share.announcements) backendServers.hear(announcement, ageMs)
+      for (const report of share.crashes) quarantine.hear(report)
       return true
     }
   }
 
-  const live: LiveServices = { accounts, backendServers, connections, protocols, retryBudgetOf, location: settings, clock, random, logger, metrics }
+  const live: LiveServices = {
+    accounts, backendServers, connections, quarantine, inspection, protocols, retryBudgetOf, location: settings, clock, random, logger, metrics
+  }
   const errors = createErrorAnswers(metrics, () => callableHosts().filter(host => host.holder !== holder).map(host => host.callerAddress))
   const api = createCallerApi({
     live,
--- /dev/null
+++ b/src/process/hash.ts
@@ -0,0 +1,33 @@
+/**
+ * Small hashes for spreading, not for security.
+ * @module
+ */
+
+/**
+ * Hashes a text with 32-bit FNV-1a.
+ * @param text - the text
+ * @returns a 32-bit number
+ */
+export function hashText (text: string): number {
+  let hash = 0x811c9dc5
+  for (let index = 0; index < text.length; index++) hash = Math.imul(hash ^ text.charCodeAt(index), 0x01000193)
+  return mixBits(hash)
+}
+
+/**
+ * Mixes the bits of two hashes into a score for rendezvous hashing.
+ * @param left - one hash
+ * @param right - the other hash
+ * @returns a 32-bit number
+ */
+export function combineHashes (left: number, right: number): number {
+  return mixBits(Math.imul(left, 0x9e3779b1) ^ right)
+}
+
+// The final step of murmur3: every bit of the input changes half of the output bits.
+function mixBits (value: number): number {
+  let mixed = value
+  mixed = Math.imul(mixed ^ (mixed >>> 16), 0x85ebca6b)
+  mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35)
+  return (mixed ^ (mixed >>> 16)) >>> 0
+}
--- a/src/process/logEvents.ts
+++ b/src/process/logEvents.ts
@@ -40,6 +40,10 @@
   backendServerExpired: { number: 402, level: Level.Warn, text: 'announcement of a backend server expired', action: 'Check the backend server.' },
   attemptFailed: { number: 500, level: Level.Warn, text: 'attempt on a backend server failed', action: nothing },
   requestRefused: { number: 501, level: Level.Debug, text: 'request refused', action: 'See the refusal reason in docs/operations.md.' },
+  backendServerCrashed: { number: 510, level: Level.Warn, text: 'backend server crashed with requests in flight', action: 'Check the backend server if it repeats.' },
+  requestQuarantined: { number: 511, level: Level.Error, text: 'request quarantined because it crashes backend servers', action: 'Find the request by its fingerprint and the attempts that failed before; correct it at its caller.' },
+  connectionSilent: { number: 520, level: Level.Warn, text: 'connection to a backend server went silent and was closed', action: 'Check the network to the backend server if it repeats.' },
+  callerStalled: { number: 521, level: Level.Info, text: 'caller stopped reading its answer; connection closed', action: nothing },
   itemFailed: { number: 600, level: Level.Info, text: 'batch item ended as failed', action: 'Read the reason in the job\'s results.' },
   dispatchFailed: { number: 601, level: Level.Warn, text: 'batch dispatch call to control failed', action: 'Check the control hosts if it repeats.' }
 } as const satisfies Readonly<Record<string, LogEvent>>
--- a/src/process/retryBudget.ts
+++ b/src/process/retryBudget.ts
@@ -3,14 +3,16 @@
  * @module
  */
 
-/** Retries for each first attempt. */
-export const retryShare = 0.1
+/** First attempts that earn one retry: 10 retries in 100 requests. */
+export const attemptsForRetry = 10
 
 /** Retries that may be saved up, so that a quiet pool can retry at all. */
-const savedLimit = 10
+export const savedLimit = 10
 
 /** Retry budget of one pool. */
 export interface RetryBudget {
+  /** Whether a retry is left. */
+  readonly left: boolean
   /** Records a first attempt. */
   earn (): void
   /**
@@ -25,14 +27,16 @@
  * @returns the budget
  */
 export function createRetryBudget (): RetryBudget {
-  let saved = 1
+  // Counted in whole first attempts, since tenths add up to less than one.
+  let saved = attemptsForRetry
   return {
+    get left () { return saved >= attemptsForRetry },
     earn () {
-      saved = Math.min(savedLimit, saved + retryShare)
+      saved = Math.min(savedLimit * attemptsForRetry, saved + 1)
     },
     spend () {
-      if (saved < 1) return false
-      saved--
+      if (saved < attemptsForRetry) return false
+      saved -= attemptsForRetry
       return true
     }
   }
--- a/src/request/admission.ts
+++ b/src/request/admission.ts
@@ -2,7 +2,7 @@
  * Whether a live request runs, waits or is refused.
  * @module
  */
-import type { PoolLoad } from '../process/accounts.ts'
+import type { PoolLoad, Waiter } from '../process/accounts.ts'
 import type { Pool } from '../version/tables.ts'
 import { RefusalReason } from './refusal.ts'
 
@@ -13,21 +13,62 @@
 /** The decision. */
 export type AdmissionDecision =
   | { readonly kind: typeof AdmissionKind.Run }
-  | { readonly kind: typeof AdmissionKind.Wait }
-  | { readonly kind: typeof AdmissionKind.Refuse, readonly reason: RefusalReason }
+  | {
+    readonly kind: typeof AdmissionKind.Wait
+    /** The waiting request that is refused to make room, if one is. */
+    readonly displaced?: Waiter
+  }
+  | { readonly kind: typeof AdmissionKind.Refuse, readonly reason: RefusalReason, readonly retryAfterMs: number }
+
+/** Shortest advice to a refused caller, in milliseconds. */
+const retryAfterLeastMs = 1_000
 
 /**
  * Decides on a new live request.
  * @param pool - limits of the pool
  * @param load - live requests of the pool on this entry host
  * @param account - who sent the request
+ * @param leftMs - time left until its deadline, in milliseconds
  * @returns the decision
  */
-export function decideAdmission (pool: Pool, load: PoolLoad, account: string): AdmissionDecision {
-  if ((load.byAccount.get(account) ?? 0) >= pool.accountConcurrency) {
-    return { kind: AdmissionKind.Refuse, reason: RefusalReason.AccountLimit }
-  }
-  if (load.running < pool.liveConcurrency) return { kind: AdmissionKind.Run }
+export function decideAdmission (pool: Pool, load: PoolLoad, account: string, leftMs: number): AdmissionDecision {
+  if ((load.byAccount.get(account) ?? 0) >= pool.accountConcurrency) return refuseFor(RefusalReason.AccountLimit, load.averageMs)
+  if (load.running < pool.liveConcurrency && load.waiting === 0) return { kind: AdmissionKind.Run }
+  const waitMs = expectedQueueMs(pool, load, account)
+  if (waitMs >= leftMs) return refuseFor(RefusalReason.Overloaded, waitMs)
   if (load.waiting < pool.liveWaiting) return { kind: AdmissionKind.Wait }
-  return { kind: AdmissionKind.Refuse, reason: RefusalReason.Overloaded }
+  const displaced = findDisplaced(load, account)
+  if (displaced === undefined) return refuseFor(RefusalReason.Overloaded, waitMs)
+  return { kind: AdmissionKind.Wait, displaced }
+}
+
+/**
+ * Estimates how long a new request of an account waits when accounts are served in turn.
+ * @param pool - limits of the pool
+ * @param load - live requests of the pool
+ * @param account - who sent the request
+ * @returns milliseconds
+ */
+export function expectedQueueMs (pool: Pool, load: PoolLoad, account: string): number {
+  const own = load.queues.get(account)?.length ?? 0
+  let ahead = own
+  for (const [other, queue] of load.queues) {
+    // By the turn of the new request, each other account was served at most once more than the own one was.
+    if (other !== account) ahead += Math.min(queue.length, own + 1)
+  }
+  return (ahead + 1) * load.averageMs / pool.liveConcurrency
+}
+
+// The longest queue gives up its newest request to an account that would have fewer, so no account fills the waiting room.
+function findDisplaced (load: PoolLoad, account: string): Waiter | undefined {
+  const own = load.queues.get(account)?.length ?? 0
+  let longest: readonly Waiter[] = []
+  for (const queue of load.queues.values()) {
+    if (queue.length > longest.length) longest = queue
+  }
+  return longest.length > own + 1 ? longest.at(-1) : undefined
+}
+
+function refuseFor (reason: RefusalReason, waitMs: number): AdmissionDecision {
+  return { kind: AdmissionKind.Refuse, reason, retryAfterMs: Math.max(retryAfterLeastMs, Math.ceil(waitMs)) }
 }
--- /dev/null
+++ b/src/request/attempt.ts
@@ -0,0 +1,80 @@
+/**
+ * One attempt of a live request on one backend server.
+ * @module
+ */
+import { randomUUID } from 'node:crypto'
+import { TrafficClass } from '../connection/internalClient.ts'
+import type { AttemptFailure, PartReceiver } from '../connection/protocol.ts'
+import { type BackendServer, endLive, startLive } from '../process/backendServers.ts'
+import { FailureReason } from '../process/failure.ts'
+import { Counter, Latency } from '../process/metrics.ts'
+import { FlightEnd } from '../process/quarantine.ts'
+import type { LiveRequest, LiveServices } from './liveRequest.ts'
+
+/** What the attempts of a request have brought so far. */
+export interface Progress {
+  partial: string
+  /** Tokens delivered. */
+  offset: number
+  attempts: number
+  /** Whether the first byte of any attempt may have been sent. */
+  sent: boolean
+  readonly tried: Set<string>
+}
+
+/** What an attempt needs. */
+export interface AttemptInputs {
+  readonly request: LiveRequest
+  readonly fingerprint: string
+  readonly server: BackendServer
+  readonly progress: Progress
+  readonly services: LiveServices
+  readonly deliver: PartReceiver
+}
+
+/**
+ * Runs an attempt and adds what it brought to the progress.
+ * @param inputs - what it needs
+ * @returns why the answer is not whole, or undefined when it is
+ */
+export async function runAttempt (inputs: AttemptInputs): Promise<AttemptFailure | undefined> {
+  const { request, server, progress, services, deliver } = inputs
+  const { clock, metrics, quarantine } = services
+  const { address, incarnation } = server.announcement
+  progress.attempts++
+  progress.tried.add(address)
+  metrics.count(Counter.Attempts, request.pool.name)
+  const startedAt = clock.now()
+  const flight = quarantine.begin(inputs.fingerprint, address, incarnation)
+  startLive(server, startedAt)
+  let lastAt: number | undefined
+  const result = await services.protocols[request.pool.protocol].run(services.connections.to(address), {
+    // Callers choose request ids, and attempts of one request follow each other: only an id of its own tells answers apart.
+    requestId: `${request.requestId}/${randomUUID()}`,
+    input: request.input,
+    maxTokens: request.maxTokens,
+    partial: progress.partial,
+    offset: progress.offset,
+    trafficClass: TrafficClass.Live,
+    firstByteMs: request.route.firstByteMs,
+    betweenBytesMs: request.route.betweenBytesMs,
+    signal: request.signal
+  }, part => {
+    const now = clock.now()
+    if (lastAt !== undefined) metrics.record(Latency.BetweenTokens, now - lastAt)
+    lastAt = now
+    progress.partial += part.text
+    progress.offset = part.offset + 1
+    return deliver(part)
+  })
+  endLive(server, startedAt, clock.now())
+  const failed = result.isOk() ? undefined : result.error
+  progress.sent ||= failed?.sent ?? true
+  flight.end(flightEndOf(failed))
+  return failed
+}
+
+function flightEndOf (failed: AttemptFailure | undefined): FlightEnd {
+  if (failed === undefined) return FlightEnd.Complete
+  return failed.sent && failed.failure.reason === FailureReason.Reset ? FlightEnd.Broken : FlightEnd.Other
+}
--- a/src/request/callerApi.ts
+++ b/src/request/callerApi.ts
@@ -3,16 +3,18 @@
  * @module
  */
 import { randomUUID } from 'node:crypto'
+import type { ServerResponse } from 'node:http'
 import { type Context, Hono } from 'hono'
 import { bodyLimit } from 'hono/body-limit'
 import { streamSSE } from 'hono/streaming'
 import { z } from 'zod'
 import type { ControlClient } from '../connection/controlClient.ts'
-import type { AnswerPart } from '../connection/protocol.ts'
 import type { Announcement } from '../connection/share.ts'
 import type { Clock } from '../process/clock.ts'
+import { LogEvents } from '../process/logEvents.ts'
 import type { EntryHost } from '../process/sessions.ts'
 import { type Configuration, findPool, findRoute } from '../version/tables.ts'
+import { callerStallMs, createAnswerQueue, isTaken } from './answerQueue.ts'
 import type { ErrorAnswers } from './errorAnswer.ts'
 import { createJobApi } from './jobApi.ts'
 import { type LiveRequest, type LiveServices, runLiveRequest } from './liveRequest.ts'
@@ -41,7 +43,9 @@
   incarnation: z.string(),
   sequence: z.number().int(),
   leaving: z.boolean(),
-  running: z.number().int().min(0)
+  running: z.number().int().min(0),
+  loadAgeMs: z.number().min(0).max(60_000).optional(),
+  cachedPrefixes: z.array(z.string().max(64)).max(256).optional()
 })
 
 /** What the caller API needs. */
@@ -148,43 +152,48 @@
     const texts: string[] = []
     const result = await runLiveRequest(live, inputs.live, part => { texts.push(part.text) })
     if (result.isErr()) return errors.send(context, live.requestId, result.error)
+    closeWhenStalled(context)
     return context.json({ requestId: live.requestId, text: texts.join(''), tokens: result.value })
   }
 
   // The status is sent with the first piece, so that a refusal before it still has a status of its own.
   async function streamAnswer (context: Context, live: LiveRequest): Promise<Response> {
-    const parts: AnswerPart[] = []
-    let wake = (): void => {}
-    let ended = false
-    const running = runLiveRequest(live, inputs.live, part => {
-      parts.push(part)
-      wake()
-    }).finally(() => {
-      ended = true
-      wake()
-    })
-    const news = (): Promise<void> => new Promise(resolve => {
-      if (parts.length > 0 || ended) resolve()
-      else wake = resolve
-    })
-    await news()
-    if (parts.length === 0) {
+    const stall = new AbortController()
+    const signal = AbortSignal.any([live.signal, stall.signal])
+    const queue = createAnswerQueue(signal)
+    const running = runLiveRequest({ ...live, signal }, inputs.live, part => queue.push(part)).finally(() => queue.end())
+    let part = await queue.take()
+    if (part === undefined) {
       const result = await running
       if (result.isErr()) return errors.send(context, live.requestId, result.error)
     }
     return streamSSE(context, async output => {
-      while (true) {
-        await news()
-        const part = parts.shift()
-        if (part === undefined) break
-        await output.writeSSE({ event: 'token', id: String(part.offset), data: JSON.stringify(part) })
+      for (; part !== undefined; part = await queue.take()) {
+        const written = output.writeSSE({ event: 'token', id: String(part.offset), data: JSON.stringify(part) })
+        if (await isTaken(written, callerStallMs)) continue
+        stall.abort()
+        cutOff(context)
+        return
       }
       const result = await running
+      closeWhenStalled(context)
       if (result.isOk()) await output.writeSSE({ event: 'done', data: JSON.stringify({ requestId: live.requestId, tokens: result.value }) })
       else await output.writeSSE({ event: 'error', data: JSON.stringify(errors.body(live.requestId, result.error)) })
     })
   }
 
+  function closeWhenStalled (context: Context): void {
+    const outgoing = outgoingOf(context)
+    if (outgoing === undefined) return
+    const timer = setTimeout(() => cutOff(context), callerStallMs)
+    outgoing.once('close', () => clearTimeout(timer))
+  }
+
+  function cutOff (context: Context): void {
+    inputs.live.logger.write(LogEvents.callerStalled, { requestId: requestIdOf(context) })
+    outgoingOf(context)?.destroy()
+  }
+
   return api
 }
 
@@ -199,6 +208,11 @@
   return known
 }
 
+// There is none when the API is called without a server.
+function outgoingOf (context: Context): ServerResponse | undefined {
+  return (context.env as { readonly outgoing?: ServerResponse } | undefined)?.outgoing
+}
+
 async function readJson (context: Context): Promise<unknown> {
   try {
     return await context.req.json()
--- a/src/request/choice.ts
+++ b/src/request/choice.ts
@@ -2,7 +2,8 @@
  * Which backend server a request goes to.
  * @module
  */
-import type { BackendServer } from '../process/backendServers.ts'
+import { type BackendServer, reportedAt } from '../process/backendServers.ts'
+import { combineHashes, hashText } from '../process/hash.ts'
 import type { Random } from '../process/random.ts'
 
 /** Where the choosing entry host is. */
@@ -11,54 +12,179 @@
   readonly region: string
 }
 
+/** How far away a backend server is. */
+export const Distance = { SameZone: 0, SameRegion: 1, OtherRegion: 2 } as const
+export type Distance = typeof Distance[keyof typeof Distance]
+
+/** Distances, the nearest first. */
+const distances = [Distance.SameZone, Distance.SameRegion, Distance.OtherRegion] as const
+
+/** Waiting that a step away must save before it is worth it, in milliseconds. */
+export const StepCost = {
+  /** One round trip between availability zones at 1 ms each way. */
+  acrossZonesMs: 2,
+  /** One round trip between regions at 20 ms each way. */
+  acrossRegionsMs: 40,
+  /** The link between regions needs 0.4 ms for a kilobyte at 20 Mbit/s; ten times that, since its bytes are paid for and shared. */
+  acrossRegionsMsPerKilobyte: 4
+} as const
+
+/** Estimated bytes of one token of an answer, with its event. */
+const bytesPerToken = 80
+
+/** How far above the mean load a backend server may be and still attract requests by prefix. */
+const prefixLoadBound = 1.25
+
+/** Characters of an input that form its prefix; shorter inputs have none. */
+export const prefixLength = 64
+
+/** What the choice depends on. */
+export interface ChoiceQuestion {
+  /** Backend servers of the pool that may get new work. */
+  readonly candidates: readonly BackendServer[]
+  readonly location: Location
+  /** Addresses that earlier attempts of the request used. */
+  readonly tried: ReadonlySet<string>
+  /** Key of the prompt prefix, if there is one. */
+  readonly prefix: string | undefined
+  /** Bytes that the request and its answer will take. */
+  readonly bytes: number
+  /** Usual duration of a request of the pool, in milliseconds. */
+  readonly requestMs: number
+}
+
+/**
+ * Makes the key of the prefix of an input.
+ * @param input - the input
+ * @returns the key, or undefined for an input shorter than a prefix
+ */
+export function prefixKeyOf (input: string): string | undefined {
+  if (input.length < prefixLength) return undefined
+  return hashText(input.slice(0, prefixLength)).toString(16).padStart(8, '0')
+}
+
+/**
+ * Estimates the bytes that a request and its answer take on the way.
+ * @param input - the input
+ * @param maxTokens - most tokens of the answer
+ * @returns bytes
+ */
+export function estimateBytes (input: string, maxTokens: number): number {
+  return input.length + maxTokens * bytesPerToken
+}
+
 /**
- * Chooses a backend server: the nearest that have room, and of two drawn at random the less loaded one.
- * @param candidates - the backend servers of the pool that may get new work
- * @param location - where this entry host is
- * @param tried - addresses that earlier attempts of the request used
+ * Chooses a backend server. The own availability zone comes first; a step away is taken when the waiting it saves is
+ * longer than the cost of the step. Among equally near ones a prefix goes to the same backend server while its load
+ * allows; the rest goes to the less loaded of two drawn at random.
+ * @param question - what the choice depends on
  * @param random - random numbers
  * @returns the backend server, or undefined when there is none
  */
-export function chooseBackendServer (
-  candidates: readonly BackendServer[], location: Location, tried: ReadonlySet<string>, random: Random
-): BackendServer | undefined {
-  const untried = candidates.filter(server => !tried.has(server.announcement.address))
+export function chooseBackendServer (question: ChoiceQuestion, random: Random): BackendServer | undefined {
+  const { candidates, location, tried, bytes, requestMs } = question
+  const untried = tried.size === 0 ? candidates : candidates.filter(server => !tried.has(server.announcement.address))
   const left = untried.length > 0 ? untried : candidates
-  for (const level of [isInZone, isInRegion, isAnywhere]) {
-    const near = left.filter(server => level(server, location) && hasRoom(server))
-    if (near.length > 0) return lessLoadedOfTwo(near, random)
+  let chosen: BackendServer | undefined
+  let chosenMs = Infinity
+  for (const distance of distances) {
+    const stepMs = stepCostMs(distance, bytes)
+    if (stepMs >= chosenMs) break
+    const near = left.filter(server => distanceTo(server, location) === distance)
+    const best = chooseAmong(near, question.prefix, random)
+    if (best === undefined) continue
+    const costMs = stepMs + expectedWaitMs(loadOf(best), best.announcement.capacity, requestMs)
+    if (costMs >= chosenMs) continue
+    chosen = best
+    chosenMs = costMs
   }
-  return left.length === 0 ? undefined : lessLoadedOfTwo(left, random)
+  return chosen
 }
 
 /**
- * Estimates the load of a backend server from own requests and the late report.
+ * Prices the way to a backend server.
+ * @param distance - how far away it is
+ * @param bytes - bytes that the request and its answer take
+ * @returns the waiting that the way must save, in milliseconds
+ */
+export function stepCostMs (distance: Distance, bytes: number): number {
+  switch (distance) {
+    case Distance.SameZone: return 0
+    case Distance.SameRegion: return StepCost.acrossZonesMs
+    case Distance.OtherRegion: return StepCost.acrossRegionsMs + StepCost.acrossRegionsMsPerKilobyte * bytes / 1000
+  }
+}
+
+/**
+ * Estimates how long one more request waits on a backend server.
+ * @param load - requests that run there
+ * @param capacity - requests that it runs well at once
+ * @param requestMs - usual duration of a request, in milliseconds
+ * @returns milliseconds
+ */
+export function expectedWaitMs (load: number, capacity: number, requestMs: number): number {
+  return Math.max(0, load + 1 - capacity) / capacity * requestMs
+}
+
+/**
+ * Estimates the load of a backend server: the late report, corrected by own requests that started or ended since, and
+ * never less than the own requests that run there.
  * @param server - the backend server
  * @returns requests that run there
  */
 export function loadOf (server: BackendServer): number {
-  return Math.max(server.liveInFlight + server.batchInFlight, server.announcement.running)
-}
-
-function hasRoom (server: BackendServer): boolean {
-  return loadOf(server) < server.announcement.capacity
+  const since = reportedAt(server)
+  let correction = 0
+  for (let index = server.liveStarts.length - 1; index >= 0 && (server.liveStarts[index] ?? 0) > since; index--) correction++
+  for (const ended of server.liveEnds) {
+    if (ended.startedAt <= since && ended.endedAt > since) correction--
+  }
+  return Math.max(server.liveInFlight + server.batchInFlight, server.announcement.running + correction)
 }
 
-function isInZone (server: BackendServer, location: Location): boolean {
-  return server.announcement.availabilityZone === location.availabilityZone
+/**
+ * Tells how far away a backend server is.
+ * @param server - the backend server
+ * @param location - where the choosing host is
+ * @returns the distance
+ */
+export function distanceTo (server: BackendServer, location: Location): Distance {
+  const { availabilityZone, region } = server.announcement
+  if (region !== location.region) return Distance.OtherRegion
+  return availabilityZone === location.availabilityZone ? Distance.SameZone : Distance.SameRegion
 }
 
-function isInRegion (server: BackendServer, location: Location): boolean {
-  return server.announcement.region === location.region
+function chooseAmong (servers: readonly BackendServer[], prefix: string | undefined, random: Random): BackendServer | undefined {
+  const kept = prefix === undefined ? undefined : chooseByPrefix(servers, prefix)
+  return kept ?? lessLoadedOfTwo(servers, random)
 }
 
-function isAnywhere (): boolean {
-  return true
+// Rendezvous hashing with bounded load. A hint only moves its backend server to the front, so a wrong one costs a cache miss.
+function chooseByPrefix (servers: readonly BackendServer[], prefix: string): BackendServer | undefined {
+  const prefixHash = hashText(prefix)
+  const loads = servers.map(loadOf)
+  let total = 0
+  for (const load of loads) total += load
+  const bound = Math.ceil((total + 1) / servers.length * prefixLoadBound)
+  let best: BackendServer | undefined
+  let bestScore = -1
+  for (const [index, server] of servers.entries()) {
+    const load = loads[index] ?? 0
+    if (load >= bound || load >= server.announcement.capacity) continue
+    const hinted = server.announcement.cachedPrefixes?.includes(prefix) === true
+    const score = combineHashes(prefixHash, server.addressHash) + (hinted ? 2 ** 32 : 0)
+    if (score <= bestScore) continue
+    best = server
+    bestScore = score
+  }
+  return best
 }
 
 function lessLoadedOfTwo (servers: readonly BackendServer[], random: Random): BackendServer | undefined {
-  const first = servers[random.below(servers.length)]
-  const second = servers[random.below(servers.length)]
-  if (first === undefined || second === undefined) return first
-  return loadOf(second) < loadOf(first) ? second : first
+  const drawn = random.below(servers.length)
+  const first = servers[drawn]
+  if (first === undefined || servers.length === 1) return first
+  // The second draw is among the others, so that two different ones are compared.
+  const second = servers[(drawn + 1 + random.below(servers.length - 1)) % servers.length]
+  return second !== undefined && loadOf(second) < loadOf(first) ? second : first
 }
--- a/src/request/liveRequest.ts
+++ b/src/request/liveRequest.ts
@@ -4,21 +4,23 @@
  */
 import { err, ok, type Result } from 'neverthrow'
 import type { BackendServerConnections } from '../connection/backendServerConnection.ts'
-import { TrafficClass } from '../connection/internalClient.ts'
-import type { AnswerPart, AttemptFailure, Protocol } from '../connection/protocol.ts'
-import type { Accounts, PoolLoad } from '../process/accounts.ts'
+import type { CrashInspection } from '../connection/crashInspection.ts'
+import type { AttemptFailure, PartReceiver, Protocol } from '../connection/protocol.ts'
+import type { Accounts } from '../process/accounts.ts'
 import type { BackendServer, BackendServers } from '../process/backendServers.ts'
 import type { Clock } from '../process/clock.ts'
 import { FailureReason } from '../process/failure.ts'
 import { LogEvents } from '../process/logEvents.ts'
 import type { Logger } from '../process/logger.ts'
 import { Counter, Latency, type Metrics } from '../process/metrics.ts'
+import { fingerprintOf, type Quarantine } from '../process/quarantine.ts'
 import type { Random } from '../process/random.ts'
 import type { RetryBudget } from '../process/retryBudget.ts'
 import type { Pool, ProtocolKind, Route } from '../version/tables.ts'
-import { AdmissionKind, decideAdmission } from './admission.ts'
-import { chooseBackendServer, type Location } from './choice.ts'
-import { Execution, refuse, type Refusal, RefusalReason } from './refusal.ts'
+import { type Progress, runAttempt } from './attempt.ts'
+import { chooseBackendServer, estimateBytes, type Location, prefixKeyOf } from './choice.ts'
+import { takePlace } from './place.ts'
+import { executionOf, explainFailure, refuse, type Refusal, RefusalReason } from './refusal.ts'
 import { decideRetry, RetryKind } from './retry.ts'
 
 /** A live request as any front end gives it. */
@@ -41,6 +43,8 @@
   readonly accounts: Accounts
   readonly backendServers: BackendServers
   readonly connections: BackendServerConnections
+  readonly quarantine: Quarantine
+  readonly inspection: CrashInspection
   readonly protocols: Readonly<Record<ProtocolKind, Protocol>>
   readonly retryBudgetOf: (pool: string) => RetryBudget
   readonly location: Location
@@ -50,144 +54,117 @@
   readonly metrics: Metrics
 }
 
-/** What the attempts of a request have brought so far. */
-interface Progress {
-  partial: string
-  offset: number
-  attempts: number
-  readonly tried: Set<string>
-}
+/** Usual duration of a request that is assumed before the first has ended, in milliseconds. */
+const assumedRequestMs = 1_000
+
+/** Longest wait between two looks for a backend server without another suspect, in milliseconds. */
+const suspectLookMs = 1_000
 
 /**
  * Runs a live request to its end.
  * @param request - the request
  * @param services - what it needs
- * @param deliver - takes each piece of the answer, once and in order
+ * @param deliver - takes each piece of the answer, once and in order; a pending promise holds the stream back
  * @returns the number of tokens, or a refusal; after a refusal the pieces delivered are not a whole answer
  */
-export async function runLiveRequest (
-  request: LiveRequest, services: LiveServices, deliver: (part: AnswerPart) => void
-): Promise<Result<number, Refusal>> {
-  const load = services.accounts.loadOf(request.pool)
-  const admitted = await admit(request, load, services)
-  if (admitted.isErr()) return err(admitted.error)
-  const startedAt = services.clock.now()
-  services.metrics.count(Counter.Requests, request.route.name)
+export async function runLiveRequest (request: LiveRequest, services: LiveServices, deliver: PartReceiver): Promise<Result<number, Refusal>> {
+  const { accounts, clock, quarantine, metrics } = services
+  const fingerprint = fingerprintOf(request.account, request.route.name, request.input)
+  if (quarantine.isQuarantined(fingerprint)) return err(refuse(RefusalReason.Quarantined, 'the request has crashed backend servers'))
+  const place = await takePlace(request, accounts.loadOf(request.pool), clock)
+  if (place.isErr()) return err(place.error)
+  const startedAt = clock.now()
+  metrics.count(Counter.Requests, request.route.name)
+  const ending = new AbortController()
+  const end = (): void => ending.abort()
+  const timer = setTimeout(end, request.deadline - startedAt)
+  request.signal.addEventListener('abort', end, { once: true })
+  if (request.signal.aborted) end()
   try {
-    return await runAttempts(request, services, part => {
-      if (part.offset === 0) services.metrics.record(Latency.FirstToken, services.clock.now() - startedAt)
-      deliver(part)
+    return await runAttempts({ ...request, signal: ending.signal }, request.signal, fingerprint, services, part => {
+      if (part.offset === 0) metrics.record(Latency.FirstToken, clock.now() - startedAt)
+      return deliver(part)
     })
   } finally {
-    load.running--
-    leaveAccount(load, request.account)
-    load.ended.notify()
+    clearTimeout(timer)
+    request.signal.removeEventListener('abort', end)
+    place.value.free()
   }
 }
 
-async function admit (request: LiveRequest, load: PoolLoad, services: LiveServices): Promise<Result<void, Refusal>> {
-  const decision = decideAdmission(request.pool, load, request.account)
-  if (decision.kind === AdmissionKind.Refuse) return err(refuse(decision.reason, `the limit of pool ${request.pool.name} is reached`, 1_000))
-  load.byAccount.set(request.account, (load.byAccount.get(request.account) ?? 0) + 1)
-  if (decision.kind === AdmissionKind.Run) {
-    load.running++
-    return ok(undefined)
-  }
-  load.waiting++
-  const refusal = await waitForRoom(request, load, services.clock)
-  load.waiting--
-  if (refusal === undefined) {
-    load.running++
-    return ok(undefined)
-  }
-  leaveAccount(load, request.account)
-  return err(refusal)
-}
+async function runAttempts (
+  request: LiveRequest, caller: AbortSignal, fingerprint: string, services: LiveServices, deliver: PartReceiver
+): Promise<Result<number, Refusal>> {
+  const { clock, random, metrics, logger, quarantine } = services
+  const progress: Progress = { partial: '', offset: 0, attempts: 0, sent: false, tried: new Set() }
+  const budget = services.retryBudgetOf(request.pool.name)
+  budget.earn()
 
-async function waitForRoom (request: LiveRequest, load: PoolLoad, clock: Clock): Promise<Refusal | undefined> {
-  while (load.running >= request.pool.liveConcurrency) {
-    const leftMs = request.deadline - clock.now()
-    if (leftMs <= 0) return refuse(RefusalReason.Deadline, 'the deadline passed while the request waited')
-    if (request.signal.aborted) return refuse(RefusalReason.CallerGone, 'the caller has gone')
-    await load.ended.wait(leftMs, request.signal)
+  // What was sent by an earlier attempt counts too: only a request of which nothing was ever sent is "not run".
+  function giveUp (reason: RefusalReason, message: string, retryAfterMs?: number): Result<number, Refusal> {
+    return err({ ...refuse(reason, message, retryAfterMs), execution: executionOf(progress) })
   }
-  return undefined
-}
-
-function leaveAccount (load: PoolLoad, account: string): void {
-  const left = (load.byAccount.get(account) ?? 1) - 1
-  if (left === 0) load.byAccount.delete(account)
-  else load.byAccount.set(account, left)
-}
 
-async function runAttempts (request: LiveRequest, services: LiveServices, deliver: (part: AnswerPart) => void): Promise<Result<number, Refusal>> {
-  const { backendServers, clock, random, metrics, logger } = services
-  const progress: Progress = { partial: '', offset: 0, attempts: 0, tried: new Set() }
-  const budget = services.retryBudgetOf(request.pool.name)
-  budget.earn()
   while (true) {
-    const server = chooseBackendServer(backendServers.available(request.pool.name), services.location, progress.tried, random)
-    if (server === undefined) return err(refuse(RefusalReason.NoBackendServer, `no backend server of pool ${request.pool.name} is available`, 1_000))
-    const failed = await runAttempt(request, services, server, progress, deliver)
+    const server = await findBackendServer(request, fingerprint, progress, services)
+    if (caller.aborted) return giveUp(RefusalReason.CallerGone, 'the caller has gone')
+    if (request.signal.aborted) return giveUp(RefusalReason.Deadline, 'the deadline passed')
+    if (server === undefined) return giveUp(RefusalReason.NoBackendServer, `no backend server of pool ${request.pool.name} is available`, 1_000)
+    const { incarnation } = server.announcement
+    const failed = await runAttempt({ request, fingerprint, server, progress, services, deliver })
     if (failed === undefined) return ok(progress.offset)
     logger.write(LogEvents.attemptFailed, { requestId: request.requestId, failure: failed.failure })
-    if (failed.failure.reason === FailureReason.Refused) backendServers.avoid(server)
-    const leftMs = request.deadline - clock.now()
-    const allowed = decideRetry({ failed, attempts: progress.attempts, idempotent: request.idempotent, leftMs, budgetLeft: true }, random)
-    if (allowed.kind === RetryKind.GiveUp) {
-      metrics.count(Counter.RetriesDenied, allowed.reason)
-      return err(explain(request, failed, progress, leftMs))
-    }
-    if (!budget.spend()) {
-      metrics.count(Counter.RetriesDenied, 'budget')
-      return err(explain(request, failed, progress, leftMs))
+    await noteFailure(failed, server, incarnation, services)
+    if (quarantine.isQuarantined(fingerprint)) return giveUp(RefusalReason.Quarantined, 'the request has crashed backend servers')
+    const leftMs = request.signal.aborted ? 0 : request.deadline - clock.now()
+    const decision = decideRetry({ failed, attempts: progress.attempts, idempotent: request.idempotent, leftMs, budgetLeft: budget.left }, random)
+    if (decision.kind === RetryKind.GiveUp) {
+      metrics.count(Counter.RetriesDenied, decision.reason)
+      const { message } = failed.failure
+      return err(explainFailure({ progress, idempotent: request.idempotent, callerGone: caller.aborted, deadlinePassed: leftMs <= 0, message }))
     }
+    budget.spend()
     metrics.count(Counter.Retries, failed.failure.reason)
-    await clock.sleep(allowed.pauseMs, request.signal)
+    await clock.sleep(decision.pauseMs, request.signal)
   }
 }
 
-async function runAttempt (
-  request: LiveRequest, services: LiveServices, server: BackendServer, progress: Progress, deliver: (part: AnswerPart) => void
-): Promise<AttemptFailure | undefined> {
-  const { clock, metrics } = services
-  const address = server.announcement.address
-  progress.attempts++
-  progress.tried.add(address)
-  metrics.count(Counter.Attempts, request.pool.name)
-  const timeout = AbortSignal.timeout(Math.max(1, Math.ceil(request.deadline - clock.now())))
-  server.liveInFlight++
-  server.liveChanged.notify()
-  let lastAt: number | undefined
-  const result = await services.protocols[request.pool.protocol].run(services.connections.to(address), {
-    requestId: request.requestId,
-    input: request.input,
-    maxTokens: request.maxTokens,
-    partial: progress.partial,
-    offset: progress.offset,
-    trafficClass: TrafficClass.Live,
-    firstByteMs: request.route.firstByteMs,
-    betweenBytesMs: request.route.betweenBytesMs,
-    signal: AbortSignal.any([request.signal, timeout])
-  }, part => {
-    const now = clock.now()
-    if (lastAt !== undefined) metrics.record(Latency.BetweenTokens, now - lastAt)
-    lastAt = now
-    progress.partial += part.text
-    progress.offset = part.offset + 1
-    deliver(part)
-  })
-  server.liveInFlight--
-  server.liveChanged.notify()
-  return result.isOk() ? undefined : result.error
+/** Chooses a backend server; a suspect waits until there is one without another suspect. */
+async function findBackendServer (
+  request: LiveRequest, fingerprint: string, progress: Progress, services: LiveServices
+): Promise<BackendServer | undefined> {
+  const { backendServers, quarantine, accounts, location, random, clock } = services
+  while (!request.signal.aborted) {
+    const available = backendServers.available(request.pool.name)
+    const candidates = available.filter(server => quarantine.mayRun(fingerprint, server.announcement.address))
+    if (candidates.length > 0 || available.length === 0) {
+      return chooseBackendServer({
+        candidates,
+        location,
+        tried: progress.tried,
+        prefix: prefixKeyOf(request.input),
+        bytes: estimateBytes(request.input, request.maxTokens),
+        requestMs: accounts.loadOf(request.pool).averageMs || assumedRequestMs
+      }, random)
+    }
+    await quarantine.suspectEnded.wait(Math.min(suspectLookMs, request.deadline - clock.now()), request.signal)
+  }
+  return undefined
 }
 
-function explain (request: LiveRequest, failed: AttemptFailure, progress: Progress, leftMs: number): Refusal {
-  const message = failed.failure.message
-  if (request.signal.aborted) return { reason: RefusalReason.CallerGone, execution: Execution.Unknown, message }
-  if (leftMs <= 0) return { reason: RefusalReason.Deadline, execution: failed.sent ? Execution.Unknown : Execution.NotRun, message }
-  if (progress.offset > 0) return { reason: RefusalReason.IncompleteAnswer, execution: Execution.Ran, message }
-  if (!failed.sent && progress.attempts === 1) return refuse(RefusalReason.BackendServerFailed, message, 1_000)
-  if (!request.idempotent) return { reason: RefusalReason.AnswerLost, execution: Execution.Unknown, message }
-  return { reason: RefusalReason.BackendServerFailed, execution: Execution.Unknown, message }
+/** Draws the conclusions of a failed attempt about its backend server. */
+async function noteFailure (failed: AttemptFailure, server: BackendServer, incarnation: string, services: LiveServices): Promise<void> {
+  const { backendServers, inspection, logger } = services
+  switch (failed.failure.reason) {
+    case FailureReason.Refused:
+      backendServers.avoid(server)
+      return
+    case FailureReason.Reset:
+      // The retry has to know whether its request is a suspect now.
+      if (failed.sent) await inspection.inspect(server, incarnation)
+      return
+    case FailureReason.Timeout:
+      logger.write(LogEvents.connectionSilent, { peer: server.announcement.address })
+      inspection.inspect(server, incarnation).catch(() => {})
+  }
 }
--- /dev/null
+++ b/src/request/place.ts
@@ -0,0 +1,101 @@
+/**
+ * Waits for a place of a live request within the limits of its pool and account.
+ * @module
+ */
+import { err, ok, type Result } from 'neverthrow'
+import {
+  dequeue, enqueue, enterAccount, freePlace, grantPlaces, leaveAccount, type PoolLoad, type Waiter, WaitEnd
+} from '../process/accounts.ts'
+import { assertNever } from '../process/assert.ts'
+import type { Clock } from '../process/clock.ts'
+import type { Pool } from '../version/tables.ts'
+import { AdmissionKind, decideAdmission } from './admission.ts'
+import { refuse, type Refusal, RefusalReason } from './refusal.ts'
+
+/** A request that asks for a place. */
+export interface PlaceRequest {
+  readonly account: string
+  readonly pool: Pool
+  /** Monotonic time by which the answer must be complete, in milliseconds. */
+  readonly deadline: number
+  readonly signal: AbortSignal
+}
+
+/** A place that a request has. */
+export interface Place {
+  /** Gives the place to the next request in turn. */
+  free (): void
+}
+
+/** Pause before a displaced caller should try again, in milliseconds. */
+const displacedRetryMs = 1_000
+
+/**
+ * Takes a place, after a wait if there is none.
+ * @param request - who asks
+ * @param load - load of the pool
+ * @param clock - the clock
+ * @returns the place, or a refusal of a request that was not run
+ */
+export async function takePlace (request: PlaceRequest, load: PoolLoad, clock: Clock): Promise<Result<Place, Refusal>> {
+  const { pool, account } = request
+  const decision = decideAdmission(pool, load, account, request.deadline - clock.now())
+  switch (decision.kind) {
+    case AdmissionKind.Refuse:
+      return err(refuse(decision.reason, `the limit of pool ${pool.name} is reached`, decision.retryAfterMs))
+    case AdmissionKind.Run:
+      enterAccount(load, account)
+      load.running++
+      return ok(createPlace(request, load, clock))
+    case AdmissionKind.Wait: {
+      enterAccount(load, account)
+      decision.displaced?.end(WaitEnd.Displaced)
+      const end = await waitInTurn(request, load, clock)
+      if (end === WaitEnd.Granted) return ok(createPlace(request, load, clock))
+      leaveAccount(load, account)
+      return err(explainEnd(end))
+    }
+  }
+}
+
+function waitInTurn (request: PlaceRequest, load: PoolLoad, clock: Clock): Promise<WaitEnd> {
+  return new Promise(resolve => {
+    const waiter: Waiter = {
+      account: request.account,
+      end (end) {
+        clearTimeout(timer)
+        request.signal.removeEventListener('abort', leave)
+        dequeue(load, waiter)
+        resolve(end)
+      }
+    }
+    const leave = (): void => waiter.end(WaitEnd.CallerGone)
+    const timer = setTimeout(() => waiter.end(WaitEnd.Deadline), Math.max(0, request.deadline - clock.now()))
+    enqueue(load, waiter)
+    if (request.signal.aborted) return leave()
+    request.signal.addEventListener('abort', leave, { once: true })
+    // A new version of the tables may have added places since the last request ended.
+    grantPlaces(load, request.pool.liveConcurrency)
+  })
+}
+
+function createPlace (request: PlaceRequest, load: PoolLoad, clock: Clock): Place {
+  const startedAt = clock.now()
+  return {
+    free () {
+      freePlace(load, clock.now() - startedAt)
+      leaveAccount(load, request.account)
+      grantPlaces(load, request.pool.liveConcurrency)
+    }
+  }
+}
+
+function explainEnd (end: Exclude<WaitEnd, typeof WaitEnd.Granted>): Refusal {
+  switch (end) {
+    case WaitEnd.Displaced:
+      return refuse(RefusalReason.Overloaded, 'the place in the queue went to an account with fewer waiting requests', displacedRetryMs)
+    case WaitEnd.Deadline: return refuse(RefusalReason.Deadline, 'the deadline passed while the request waited')
+    case WaitEnd.CallerGone: return refuse(RefusalReason.CallerGone, 'the caller has gone')
+    default: return assertNever(end)
+  }
+}
--- a/src/request/refusal.ts
+++ b/src/request/refusal.ts
@@ -74,6 +74,48 @@
   return { reason, execution: Execution.NotRun, message, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) }
 }
 
+/** What the attempts of a request have brought, as far as a refusal depends on it. */
+export interface AttemptedWork {
+  /** Tokens delivered. */
+  readonly offset: number
+  /** Whether the first byte of any attempt may have been sent. */
+  readonly sent: boolean
+}
+
+/**
+ * Tells whether a request was run.
+ * @param work - what its attempts have brought
+ * @returns `not run` only when no byte of any attempt was sent
+ */
+export function executionOf (work: AttemptedWork): Execution {
+  if (work.offset > 0) return Execution.Ran
+  return work.sent ? Execution.Unknown : Execution.NotRun
+}
+
+/** A request that is given up after a failed attempt. */
+export interface FailedRequest {
+  readonly progress: AttemptedWork
+  readonly idempotent: boolean
+  readonly callerGone: boolean
+  readonly deadlinePassed: boolean
+  readonly message: string
+}
+
+/**
+ * Makes the refusal of a request that is given up after a failed attempt.
+ * @param request - the request
+ * @returns the refusal
+ */
+export function explainFailure (request: FailedRequest): Refusal {
+  const { progress, message } = request
+  const execution = executionOf(progress)
+  if (request.callerGone) return { reason: RefusalReason.CallerGone, execution, message }
+  if (request.deadlinePassed) return { reason: RefusalReason.Deadline, execution, message }
+  if (execution === Execution.Ran) return { reason: RefusalReason.IncompleteAnswer, execution, message }
+  if (execution === Execution.NotRun) return refuse(RefusalReason.BackendServerFailed, message, 1_000)
+  return { reason: request.idempotent ? RefusalReason.BackendServerFailed : RefusalReason.AnswerLost, execution, message }
+}
+
 /** The body of an error answer. */
 export interface ErrorBody {
   readonly requestId: string
--- a/test/standIn/standIn.ts
+++ b/test/standIn/standIn.ts
@@ -7,6 +7,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { request } from 'undici'
+import { prefixKeyOf, prefixLength } from '../../src/request/choice.ts'
 
 /** A prompt that contains it crashes the stand-in. */
 export const crashMark = '[crash]'
@@ -93,7 +94,6 @@
 
 const stepLimitMs = 1_000
 const announceMs = 1_000
-const prefixLength = 64
 
 /**
  * Text of one token of an answer; it depends on the prompt, so that answers can't be mixed up unseen.
@@ -267,7 +267,9 @@
       incarnation,
       sequence,
       leaving,
-      running: loads[0]?.running ?? 0
+      running: loads[0]?.running ?? 0,
+      loadAgeMs: now - (loads[0]?.at ?? now),
+      cachedPrefixes: prefixes.map(prefixKeyOf).filter(key => key !== undefined)
     }
     for (const entryHost of settings.entryHosts) {
       try {
