--- /dev/null
+++ b/test/livePolicy.test.ts
@@ -0,0 +1,214 @@
+import { expect } from 'chai'
+import fc from 'fast-check'
+import { createPoolLoad, enqueue, enterAccount, freePlace, grantPlaces, type PoolLoad, type Waiter, WaitEnd } from '../src/process/accounts.ts'
+import { type BackendServer, createBackendServers, startLive } from '../src/process/backendServers.ts'
+import { Clock } from '../src/process/clock.ts'
+import { createFailure, FailureReason, Step } from '../src/process/failure.ts'
+import { Level } from '../src/process/logEvents.ts'
+import { createLogger } from '../src/process/logger.ts'
+import { createSeededRandom } from '../src/process/random.ts'
+import { createRetryBudget, savedLimit } from '../src/process/retryBudget.ts'
+import { AdmissionKind, decideAdmission } from '../src/request/admission.ts'
+import { chooseBackendServer, type ChoiceQuestion, loadOf, prefixKeyOf } from '../src/request/choice.ts'
+import { Execution, executionOf, explainFailure } from '../src/request/refusal.ts'
+import { attemptLimit, decideRetry, RetryKind } from '../src/request/retry.ts'
+import { poolSchema } from '../src/version/tables.ts'
+import { announcementOf } from './support/fakeBackendServer.ts'
+
+class TestClock extends Clock {
+  time = 10_000
+  override now (): number { return this.time }
+  override wallTime (): number { return this.time }
+  override async sleep (): Promise<void> {}
+}
+
+const logger = createLogger('test', Level.Error)
+const location = { availabilityZone: 'zone-a', region: 'region-a' }
+
+function serversOf (...running: readonly number[]): { clock: TestClock, list: BackendServer[] } {
+  const clock = new TestClock()
+  const servers = createBackendServers(clock, logger)
+  for (const [index, load] of running.entries()) servers.hear({ ...announcementOf(`127.0.0.1:${index + 1}`), running: load }, 0)
+  return { clock, list: servers.list() }
+}
+
+function placeAt (server: BackendServer, availabilityZone: string, region: string): void {
+  server.announcement = { ...server.announcement, availabilityZone, region }
+}
+
+function questionOf (candidates: readonly BackendServer[], changes: Partial<ChoiceQuestion> = {}): ChoiceQuestion {
+  return { candidates, location, tried: new Set(), prefix: undefined, bytes: 1_000, requestMs: 1_000, ...changes }
+}
+
+function portsChosen (question: ChoiceQuestion, times = 200): Set<string> {
+  const random = createSeededRandom(7)
+  const ports = new Set<string>()
+  for (let round = 0; round < times; round++) ports.add(chooseBackendServer(question, random)?.announcement.address.split(':')[1] ?? '')
+  return ports
+}
+
+describe('choice of a backend server', () => {
+  // Guards against bytes on the paid link between regions without a gain.
+  it('leaves the own zone and region only when the waiting saved is worth the step', () => {
+    const { list } = serversOf(15, 0, 0)
+    const [near, region, far] = list as [BackendServer, BackendServer, BackendServer]
+    placeAt(region, 'zone-b', 'region-a')
+    placeAt(far, 'zone-c', 'region-b')
+    expect([...portsChosen(questionOf(list))]).to.deep.equal(['1'])
+    near.announcement = { ...near.announcement, running: 20 }
+    expect([...portsChosen(questionOf(list))]).to.deep.equal(['2'])
+    region.announcement = { ...region.announcement, running: 16 }
+    // One request too many of 16 waits 62 ms: more than 40 ms and 4 ms for 1 KB, less than 40 ms and 80 ms for 20 KB.
+    expect([...portsChosen(questionOf(list))]).to.deep.equal(['3'])
+    expect([...portsChosen(questionOf(list, { bytes: 20_000 }))]).to.deep.equal(['2'])
+  })
+
+  // Guards against a herd: with a late report of 0, every new request would go to the same backend server.
+  it('adds own requests started since a late report, and only these', () => {
+    const { clock, list } = serversOf(4)
+    const [server] = list as [BackendServer]
+    server.announcement = { ...server.announcement, loadAgeMs: 500 }
+    startLive(server, clock.time - 600)
+    expect(loadOf(server)).to.equal(4)
+    startLive(server, clock.time - 400)
+    startLive(server, clock.time)
+    expect(loadOf(server)).to.equal(6)
+  })
+
+  // Guards against a second draw of the same backend server, which would keep the more loaded of two.
+  it('takes the less loaded of two different ones', () => {
+    expect([...portsChosen(questionOf(serversOf(9, 3).list))]).to.deep.equal(['2'])
+  })
+
+  it('keeps a prefix on one backend server until its load is above the bound, and moves no other prefix when one leaves', () => {
+    const { list } = serversOf(2, 2, 2, 2)
+    const homeOf = (prefix: string, servers: readonly BackendServer[]): string => {
+      const [port = '', ...others] = portsChosen(questionOf(servers, { prefix }), 20)
+      expect(others).to.deep.equal([])
+      return port
+    }
+    const prefix = prefixKeyOf('p'.repeat(80)) ?? ''
+    const home = homeOf(prefix, list)
+    const server = list.find(({ announcement }) => announcement.address.endsWith(`:${home}`)) as BackendServer
+    for (let number = 0; number < 50; number++) {
+      const other = number.toString(16)
+      const before = homeOf(other, list)
+      if (before !== home) expect(homeOf(other, list.filter(candidate => candidate !== server))).to.equal(before)
+    }
+    server.announcement = { ...server.announcement, running: 8 }
+    expect(homeOf(prefix, list)).not.to.equal(home)
+  })
+
+  // Guards against trust in cache events: a wrong one must not pull requests to a loaded backend server.
+  it('follows a cache hint only while the load allows', () => {
+    const { list } = serversOf(2, 2, 2, 2)
+    const prefix = prefixKeyOf('p'.repeat(80)) ?? ''
+    const other = list.find(({ announcement }) => !portsChosen(questionOf(list, { prefix }), 5).has(announcement.address.split(':')[1] ?? '')) as BackendServer
+    other.announcement = { ...other.announcement, cachedPrefixes: [prefix] }
+    const port = other.announcement.address.split(':')[1] ?? ''
+    expect([...portsChosen(questionOf(list, { prefix }), 5)]).to.deep.equal([port])
+    other.announcement = { ...other.announcement, running: 12 }
+    expect([...portsChosen(questionOf(list, { prefix }), 5)]).not.to.include(port)
+  })
+})
+
+describe('limits of live requests', () => {
+  const pool = poolSchema.parse({ name: 'assist', liveConcurrency: 2, liveWaiting: 4, accountConcurrency: 8 })
+
+  function wait (load: PoolLoad, account: string, served: string[]): Waiter {
+    const waiter: Waiter = { account, end: end => { served.push(end === WaitEnd.Granted ? account : `${account} ${end}`) } }
+    enterAccount(load, account)
+    enqueue(load, waiter)
+    return waiter
+  }
+
+  // Guards against one account with many requests that holds all others back, and against a first in line that starves.
+  it('serves accounts in turn, each in order of arrival', () => {
+    const load = createPoolLoad()
+    load.running = 2
+    const served: string[] = []
+    for (const account of ['greedy', 'greedy', 'greedy', 'modest', 'other']) wait(load, account, served)
+    for (let round = 0; round < 5; round++) {
+      freePlace(load, 100)
+      grantPlaces(load, 2)
+    }
+    expect(served).to.deep.equal(['greedy', 'modest', 'other', 'greedy', 'greedy'])
+    expect(load).to.include({ running: 2, waiting: 0 })
+  })
+
+  it('gives a place in a full waiting room to an account with fewer waiting requests', () => {
+    const load = createPoolLoad()
+    load.running = 2
+    const served: string[] = []
+    const waiters = ['greedy', 'greedy', 'greedy', 'greedy'].map(account => wait(load, account, served))
+    expect(decideAdmission(pool, load, 'modest', 10_000)).to.deep.equal({ kind: AdmissionKind.Wait, displaced: waiters[3] })
+    expect(decideAdmission(pool, load, 'greedy', 10_000)).to.include({ kind: AdmissionKind.Refuse, reason: 'overloaded' })
+  })
+
+  // Guards against a request that waits for a place only to be refused at its deadline.
+  it('refuses at once when the expected wait exceeds the deadline', () => {
+    const load = createPoolLoad()
+    load.running = 2
+    load.averageMs = 1_000
+    for (const account of ['a', 'b', 'c']) wait(load, account, [])
+    expect(decideAdmission(pool, load, 'd', 1_900)).to.include({ kind: AdmissionKind.Refuse, reason: 'overloaded', retryAfterMs: 2_000 })
+    expect(decideAdmission(pool, load, 'd', 2_100).kind).to.equal(AdmissionKind.Wait)
+  })
+
+  it('refuses an account at its limit and no other account', () => {
+    const load = createPoolLoad()
+    for (let number = 0; number < 8; number++) enterAccount(load, 'greedy')
+    expect(decideAdmission(pool, load, 'greedy', 10_000)).to.include({ kind: AdmissionKind.Refuse, reason: 'account limit' })
+    expect(decideAdmission(pool, load, 'modest', 10_000)).to.deep.equal({ kind: AdmissionKind.Run })
+  })
+})
+
+describe('retries', () => {
+  const failure = createFailure(FailureReason.Reset, { step: Step.ReadAnswer }, 'reset')
+
+  // Guards against retries that double the load of a pool that fails.
+  it('adds at most 10 in 100 requests to a pool in which all fail, beyond what was saved up', () => {
+    fc.assert(fc.property(fc.array(fc.boolean(), { maxLength: 2_000 }), tries => {
+      const budget = createRetryBudget()
+      let [firsts, retries] = [0, 0]
+      for (const isFirst of tries) {
+        if (isFirst) {
+          firsts++
+          budget.earn()
+        } else if (budget.spend()) retries++
+      }
+      expect(retries).to.be.at.most(1 + firsts / 10)
+    }))
+    const quiet = createRetryBudget()
+    for (let number = 0; number < 1_000; number++) quiet.earn()
+    let saved = 0
+    while (quiet.spend()) saved++
+    expect(saved).to.equal(savedLimit)
+  })
+
+  // Guards against a second run of a request that must run at most once.
+  it('never repeats what may have run and is not idempotent', () => {
+    fc.assert(fc.property(fc.integer({ min: 1, max: 5 }), fc.integer({ min: 0, max: 60_000 }), fc.boolean(), fc.integer(), (attempts, leftMs, budgetLeft, seed) => {
+      const decision = decideRetry({ failed: { failure, sent: true }, attempts, idempotent: false, leftMs, budgetLeft }, createSeededRandom(seed))
+      expect(decision.kind).to.equal(RetryKind.GiveUp)
+    }))
+  })
+
+  it('pauses by full jitter below the deadline and ends at the attempt limit', () => {
+    fc.assert(fc.property(fc.integer({ min: 1, max: 6 }), fc.integer({ min: 0, max: 2_000 }), fc.integer(), (attempts, leftMs, seed) => {
+      const decision = decideRetry({ failed: { failure, sent: true }, attempts, idempotent: true, leftMs, budgetLeft: true }, createSeededRandom(seed))
+      if (attempts >= attemptLimit) expect(decision.kind).to.equal(RetryKind.GiveUp)
+      if (decision.kind === RetryKind.Retry) expect(decision.pauseMs).to.be.within(0, Math.min(leftMs, 1_000))
+    }))
+  })
+
+  // Guards against the claim "not run" when the last attempt was not sent and an earlier one was.
+  it('says "not run" only when no attempt was sent', () => {
+    fc.assert(fc.property(fc.boolean(), fc.boolean(), fc.boolean(), fc.boolean(), fc.nat(3), (sent, idempotent, callerGone, deadlinePassed, tokens) => {
+      const progress = { offset: sent ? tokens : 0, sent }
+      const refusal = explainFailure({ progress, idempotent, callerGone, deadlinePassed, message: '' })
+      expect(refusal.execution === Execution.NotRun).to.equal(!sent)
+      expect(refusal.execution).to.equal(executionOf(progress))
+    }))
+  })
+})
--- /dev/null
+++ b/test/support/fakeBackendServer.ts
@@ -0,0 +1,93 @@
+/**
+ * A fake backend server whose answers a test writes by hand.
+ * @module
+ */
+import { createServer, type ServerResponse } from 'node:http'
+import type { AddressInfo, Socket } from 'node:net'
+import type { Announcement } from '../../src/connection/share.ts'
+import type { TestSystem } from './system.ts'
+
+/** A request that reached the fake. */
+export interface FakeRequest {
+  readonly requestId: string
+  readonly prompt: string
+  readonly offset: number
+  readonly path: string
+}
+
+/** A running fake. */
+export interface FakeBackendServer {
+  readonly address: string
+  readonly requests: readonly FakeRequest[]
+  /** Connections that are open. */
+  readonly connections: ReadonlySet<Socket>
+  /** Announces it to an entry host that lives in this process. */
+  announceTo (system: TestSystem, changes?: Partial<Announcement>): void
+  close (): Promise<void>
+}
+
+/**
+ * Starts a fake.
+ * @param answer - writes the answer to a request
+ * @returns the running fake
+ */
+export async function startFake (answer: (request: FakeRequest, response: ServerResponse, number: number) => void): Promise<FakeBackendServer> {
+  const requests: FakeRequest[] = []
+  const connections = new Set<Socket>()
+  let sequence = 0
+  const server = createServer((incoming, response) => {
+    const chunks: Buffer[] = []
+    incoming.on('data', (chunk: Buffer) => { chunks.push(chunk) })
+    incoming.on('end', () => {
+      const body = JSON.parse(Buffer.concat(chunks).toString()) as { requestId: string, prompt?: string, input?: string, offset?: number }
+      const request = { requestId: body.requestId, prompt: body.prompt ?? body.input ?? '', offset: body.offset ?? 0, path: incoming.url ?? '' }
+      requests.push(request)
+      answer(request, response, requests.length)
+    })
+  })
+  server.on('connection', socket => {
+    connections.add(socket)
+    socket.once('close', () => connections.delete(socket))
+  })
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
+  return {
+    address,
+    requests,
+    connections,
+    announceTo (system, changes = {}) {
+      sequence++
+      system.daemon.entryHost?.backendServers.hear({ ...announcementOf(address), sequence, ...changes }, 0)
+    },
+    async close () {
+      server.closeAllConnections()
+      await new Promise(resolve => server.close(resolve))
+    }
+  }
+}
+
+/**
+ * An announcement with usual values.
+ * @param address - address of the backend server
+ * @returns the announcement
+ */
+export function announcementOf (address: string): Announcement {
+  return {
+    address,
+    availabilityZone: 'zone-a',
+    region: 'region-a',
+    pool: 'assist',
+    capacity: 16,
+    models: [],
+    fencingChecked: true,
+    incarnation: '1',
+    sequence: 1,
+    leaving: false,
+    running: 0
+  }
+}
+
+/** Writes one event of an engine. */
+export function writeEvent (response: ServerResponse, event: object): void {
+  response.write(`data: ${JSON.stringify(event)}\n\n`)
+}
