Quarantine by what was in flight at the crash, and test it across two entry hosts

A suspect sent to a backend server just after its crash was counted as present, so two suspects were on record and neither was blamed (3 crashes in place of 2). A crashed backend server was avoided for 1 s only and used up the retry budget with refused connections (502 in place of 422). Change: an attempt that began after the streams broke is not counted; choice and registration are one step; a backend server that refused a connection gets no work until it announces itself again. Conclusion: a request that crashes backend servers is stopped at the second, and the others complete.

--- a/src/process/backendServers.ts
+++ b/src/process/backendServers.ts
@@ -12,8 +12,8 @@
 /** Time after which an announcement that was not renewed expires, in milliseconds. */
 export const announcementLimitMs = 5_000
 
-/** Time for which a backend server that refused a connection is avoided, in milliseconds. */
-const avoidMs = 1_000
+/** Longest time for which a backend server that refused a connection is avoided, in milliseconds. */
+const avoidMs = announcementLimitMs
 
 /** A live request that has ended. Times are monotonic, in milliseconds. */
 export interface EndedRequest {
@@ -36,8 +36,8 @@
   readonly addressHash: number
   /** Batch items of this entry host that run there. */
   batchInFlight: number
-  /** Monotonic time until which it is avoided, in milliseconds. */
-  avoidedUntil: number
+  /** Monotonic time since which it is avoided, in milliseconds; undefined when it is not. */
+  avoidedSince: number | undefined
   /** Notified when a live request starts or ends there. */
   readonly liveChanged: Condition
 }
@@ -65,7 +65,7 @@
    */
   list (): BackendServer[]
   /**
-   * Records that a backend server refused a connection.
+   * Records that a backend server refused a connection. It gets no new work until it announces itself again.
    * @param server - the backend server
    */
   avoid (server: BackendServer): void
@@ -140,7 +140,7 @@
         liveEnds: [],
         addressHash: hashText(announcement.address),
         batchInFlight: 0,
-        avoidedUntil: 0,
+        avoidedSince: undefined,
         liveChanged: createCondition()
       })
       logger.write(LogEvents.backendServerAnnounced, { peer: announcement.address, detail: announcement.pool })
@@ -152,6 +152,7 @@
     const { incarnation } = known.announcement
     known.announcement = announcement
     known.announcedAt = announcedAt
+    if (announcedAt > (known.avoidedSince ?? Infinity)) known.avoidedSince = undefined
     known.liveEnds = known.liveEnds.filter(ended => ended.endedAt > reportedAt(known))
     if (announcement.incarnation !== incarnation) restarted(announcement.address, incarnation)
     changed.notify()
@@ -167,7 +168,7 @@
       const found: BackendServer[] = []
       for (const server of servers.values()) {
         if (server.announcement.pool !== pool || server.announcement.leaving) continue
-        if (server.avoidedUntil > now) continue
+        if (now - (server.avoidedSince ?? -Infinity) < avoidMs) continue
         found.push(server)
       }
       return found
@@ -177,7 +178,7 @@
       return [...servers.values()]
     },
     avoid (server) {
-      server.avoidedUntil = clock.now() + avoidMs
+      server.avoidedSince = clock.now()
     }
   }
 }
--- a/src/process/entryHost.ts
+++ b/src/process/entryHost.ts
@@ -27,7 +27,7 @@
 import type { Lifecycle } from './lifecycle.ts'
 import type { Logger } from './logger.ts'
 import type { Metrics } from './metrics.ts'
-import { createQuarantine } from './quarantine.ts'
+import { createQuarantine, type Quarantine } from './quarantine.ts'
 import type { Random } from './random.ts'
 import { createRetryBudget, type RetryBudget } from './retryBudget.ts'
 import type { EntryHost } from './sessions.ts'
@@ -58,6 +58,7 @@
   readonly api: ReturnType<typeof createCallerApi>
   readonly shareReceiver: ShareReceiver
   readonly backendServers: BackendServers
+  readonly quarantine: Quarantine
   readonly session: Session
   readonly version: CurrentVersion
   /** Requests that callers wait for. */
@@ -169,7 +170,7 @@
     await openRequests.ended(lifecycle.signal)
   }
 
-  return { api, shareReceiver, backendServers, session, version, openRequests, drain }
+  return { api, shareReceiver, backendServers, quarantine, session, version, openRequests, drain }
 }
 
 interface Alignment {
--- a/src/process/quarantine.ts
+++ b/src/process/quarantine.ts
@@ -23,6 +23,9 @@
 /** How long a request whose stream broke counts as in flight, until the crash behind it is seen, in milliseconds. */
 const brokenKeepMs = 6_000
 
+/** Time within which a crash breaks all streams of a backend server, in milliseconds. */
+const burstMs = 1_000
+
 /** How an attempt that was in flight ended. */
 export const FlightEnd = {
   /** The answer was whole, so the request does not crash backend servers. */
@@ -109,6 +112,8 @@
   readonly fingerprint: string
   readonly place: string
   readonly backendServer: string
+  /** Monotonic time at which it began, in milliseconds. */
+  readonly startedAt: number
   /** Monotonic time at which its connection broke. */
   brokenAt?: number
 }
@@ -217,7 +222,7 @@
       return true
     },
     begin (fingerprint, backendServer, incarnation) {
-      const flight: OpenFlight = { fingerprint, place: placeOf(backendServer, incarnation), backendServer }
+      const flight: OpenFlight = { fingerprint, place: placeOf(backendServer, incarnation), backendServer, startedAt: clock.now() }
       flights.add(flight)
       return {
         end (end) {
@@ -231,9 +236,12 @@
     reportCrash (backendServer, incarnation) {
       expire()
       const place = placeOf(backendServer, incarnation)
+      const present = [...flights].filter(flight => flight.place === place)
+      const crashedAt = findCrashTime(present)
       let reported = 0
-      for (const flight of flights) {
-        if (flight.place !== place) continue
+      for (const flight of present) {
+        // An attempt that began after the crash met a closed port and was not there.
+        if (flight.brokenAt === undefined && flight.startedAt > crashedAt) continue
         if (flight.brokenAt !== undefined) flights.delete(flight)
         if (!addToCrash(place, flight.fingerprint, clock.now())) continue
         tell({ fingerprint: flight.fingerprint, backendServer, incarnation, ageMs: 0 })
@@ -252,6 +260,17 @@
   }
 }
 
+// A crash breaks all streams within moments; one that broke long before the last one was cut by something else.
+function findCrashTime (flights: readonly OpenFlight[]): number {
+  let last = -Infinity
+  for (const { brokenAt } of flights) last = Math.max(last, brokenAt ?? -Infinity)
+  let first = last
+  for (const { brokenAt } of flights) {
+    if (brokenAt !== undefined && last - brokenAt < burstMs) first = Math.min(first, brokenAt)
+  }
+  return first === -Infinity ? Infinity : first
+}
+
 function count (counts: Map<string, CrashCount>, fingerprint: string): CrashCount {
   const present = counts.get(fingerprint) ?? { blamed: 0, present: 0 }
   counts.set(fingerprint, present)
--- a/src/request/attempt.ts
+++ b/src/request/attempt.ts
@@ -8,7 +8,7 @@
 import { type BackendServer, endLive, startLive } from '../process/backendServers.ts'
 import { FailureReason } from '../process/failure.ts'
 import { Counter, Latency } from '../process/metrics.ts'
-import { FlightEnd } from '../process/quarantine.ts'
+import { type Flight, FlightEnd } from '../process/quarantine.ts'
 import type { LiveRequest, LiveServices } from './liveRequest.ts'
 
 /** What the attempts of a request have brought so far. */
@@ -25,8 +25,9 @@
 /** What an attempt needs. */
 export interface AttemptInputs {
   readonly request: LiveRequest
-  readonly fingerprint: string
   readonly server: BackendServer
+  /** The attempt as the quarantine knows it. */
+  readonly flight: Flight
   readonly progress: Progress
   readonly services: LiveServices
   readonly deliver: PartReceiver
@@ -38,14 +39,13 @@
  * @returns why the answer is not whole, or undefined when it is
  */
 export async function runAttempt (inputs: AttemptInputs): Promise<AttemptFailure | undefined> {
-  const { request, server, progress, services, deliver } = inputs
-  const { clock, metrics, quarantine } = services
-  const { address, incarnation } = server.announcement
+  const { request, server, flight, progress, services, deliver } = inputs
+  const { clock, metrics } = services
+  const { address } = server.announcement
   progress.attempts++
   progress.tried.add(address)
   metrics.count(Counter.Attempts, request.pool.name)
   const startedAt = clock.now()
-  const flight = quarantine.begin(inputs.fingerprint, address, incarnation)
   startLive(server, startedAt)
   let lastAt: number | undefined
   const result = await services.protocols[request.pool.protocol].run(services.connections.to(address), {
--- a/src/request/liveRequest.ts
+++ b/src/request/liveRequest.ts
@@ -13,7 +13,7 @@
 import { LogEvents } from '../process/logEvents.ts'
 import type { Logger } from '../process/logger.ts'
 import { Counter, Latency, type Metrics } from '../process/metrics.ts'
-import { fingerprintOf, type Quarantine } from '../process/quarantine.ts'
+import { fingerprintOf, type Flight, type Quarantine } from '../process/quarantine.ts'
 import type { Random } from '../process/random.ts'
 import type { RetryBudget } from '../process/retryBudget.ts'
 import type { Pool, ProtocolKind, Route } from '../version/tables.ts'
@@ -106,12 +106,15 @@
   }
 
   while (true) {
-    const server = await findBackendServer(request, fingerprint, progress, services)
-    if (caller.aborted) return giveUp(RefusalReason.CallerGone, 'the caller has gone')
-    if (request.signal.aborted) return giveUp(RefusalReason.Deadline, 'the deadline passed')
-    if (server === undefined) return giveUp(RefusalReason.NoBackendServer, `no backend server of pool ${request.pool.name} is available`, 1_000)
+    const target = await findTarget(request, fingerprint, progress, services)
+    if (target === undefined) {
+      if (caller.aborted) return giveUp(RefusalReason.CallerGone, 'the caller has gone')
+      if (request.signal.aborted) return giveUp(RefusalReason.Deadline, 'the deadline passed')
+      return giveUp(RefusalReason.NoBackendServer, `no backend server of pool ${request.pool.name} is available`, 1_000)
+    }
+    const { server, flight } = target
     const { incarnation } = server.announcement
-    const failed = await runAttempt({ request, fingerprint, server, progress, services, deliver })
+    const failed = await runAttempt({ request, server, flight, progress, services, deliver })
     if (failed === undefined) return ok(progress.offset)
     logger.write(LogEvents.attemptFailed, { requestId: request.requestId, failure: failed.failure })
     await noteFailure(failed, server, incarnation, services)
@@ -129,16 +132,22 @@
   }
 }
 
-/** Chooses a backend server; a suspect waits until there is one without another suspect. */
-async function findBackendServer (
+/** A backend server and the attempt that is registered there. */
+interface Target {
+  readonly server: BackendServer
+  readonly flight: Flight
+}
+
+/** Chooses a backend server and registers the attempt in the same step; a suspect waits until there is one without another suspect. */
+async function findTarget (
   request: LiveRequest, fingerprint: string, progress: Progress, services: LiveServices
-): Promise<BackendServer | undefined> {
+): Promise<Target | undefined> {
   const { backendServers, quarantine, accounts, location, random, clock } = services
   while (!request.signal.aborted) {
     const available = backendServers.available(request.pool.name)
     const candidates = available.filter(server => quarantine.mayRun(fingerprint, server.announcement.address))
     if (candidates.length > 0 || available.length === 0) {
-      return chooseBackendServer({
+      const server = chooseBackendServer({
         candidates,
         location,
         tried: progress.tried,
@@ -146,6 +155,8 @@
         bytes: estimateBytes(request.input, request.maxTokens),
         requestMs: accounts.loadOf(request.pool).averageMs || assumedRequestMs
       }, random)
+      if (server === undefined) return undefined
+      return { server, flight: quarantine.begin(fingerprint, server.announcement.address, server.announcement.incarnation) }
     }
     await quarantine.suspectEnded.wait(Math.min(suspectLookMs, request.deadline - clock.now()), request.signal)
   }
--- a/test/support/system.ts
+++ b/test/support/system.ts
@@ -25,8 +25,10 @@
   apply (routes: ReadonlyArray<Partial<Route>>, pools: ReadonlyArray<Partial<Pool>>): Promise<void>
   /** Starts a stand-in and waits until the system knows it. */
   startStandIn (settings?: Partial<StandInSettings>): Promise<StandIn>
-  /** Posts a live request. */
-  ask (route: string, body: unknown, headers?: Readonly<Record<string, string>>): Promise<TestAnswer>
+  /** Starts another entry host and waits until it has a confirmed configuration. */
+  startEntryHost (): Promise<{ readonly daemon: Daemon, readonly callerAddress: string }>
+  /** Posts a live request, to the first entry host or to the address given. */
+  ask (route: string, body: unknown, headers?: Readonly<Record<string, string>>, address?: string): Promise<TestAnswer>
   close (): Promise<void>
 }
 
@@ -61,6 +63,7 @@
   if (started.isErr()) throw started.error
   const daemon = started.value
   const standIns: StandIn[] = []
+  const others: Daemon[] = []
   await eventually('a confirmed configuration', startLimitMs, () =>
     daemon.entryHost?.version.isConfirmed(performance.now()) === true ? true : undefined)
 
@@ -88,8 +91,27 @@
         daemon.entryHost?.backendServers.list().find(server => server.announcement.address === standIn.address))
       return standIn
     },
-    async ask (route, body, headers = {}) {
-      const answer = await request(`http://${callerAddress}/v1/routes/${route}/requests`, {
+    async startEntryHost () {
+      const [ownInternalAddress = '', ownCallerAddress = ''] = await reserveAddresses(2)
+      const other = await startDaemon({
+        role: Role.Entry,
+        host: 'other',
+        availabilityZone: 'zone-a',
+        region: 'region-a',
+        internalAddress: ownInternalAddress,
+        callerAddress: ownCallerAddress,
+        controlHosts: [internalAddress],
+        addressKeepMs: 200,
+        logLevel: Level.Error
+      })
+      if (other.isErr()) throw other.error
+      others.push(other.value)
+      await eventually('a confirmed configuration', startLimitMs, () =>
+        other.value.entryHost?.version.isConfirmed(performance.now()) === true ? true : undefined)
+      return { daemon: other.value, callerAddress: ownCallerAddress }
+    },
+    async ask (route, body, headers = {}, address = callerAddress) {
+      const answer = await request(`http://${address}/v1/routes/${route}/requests`, {
         method: 'POST',
         headers: { 'content-type': 'application/json', 'jaychute-account': 'rothar', ...headers },
         body: typeof body === 'string' ? body : JSON.stringify(body)
@@ -99,6 +121,7 @@
     },
     async close () {
       for (const standIn of standIns) await standIn.close()
+      for (const other of others) await other.lifecycle.close()
       await daemon.lifecycle.close()
       await rm(folder, { recursive: true, force: true })
     }
