--- a/test/support/system.ts
+++ b/test/support/system.ts
@@ -102,6 +102,7 @@
         internalAddress: ownInternalAddress,
         callerAddress: ownCallerAddress,
         controlHosts: [internalAddress],
+        voters: 3,
         addressKeepMs: 200,
         logLevel: Level.Error
       })
