--- a/src/process/metrics.ts
+++ b/src/process/metrics.ts
@@ -31,6 +31,7 @@
 export type Latency = typeof Latency[keyof typeof Latency]
 
 const microsecondsPerMillisecond = 1000
+const microsecondsPerSecond = 1_000_000
 const percentiles = [50, 95, 99, 99.9] as const
 
 /** Counters and histograms of one process. */
@@ -110,7 +111,18 @@
         }
         lines.push(`${latency}_count ${histogram.totalCount}`)
       }
+      lines.push(...formatProcess())
       return lines.join('\n') + '\n'
     }
   }
 }
+
+function formatProcess (): string[] {
+  const { user, system } = process.cpuUsage()
+  return [
+    '# TYPE process_cpu_seconds_total counter',
+    `process_cpu_seconds_total ${(user + system) / microsecondsPerSecond}`,
+    '# TYPE process_resident_memory_bytes gauge',
+    `process_resident_memory_bytes ${process.memoryUsage.rss()}`
+  ]
+}
