Compress large messages between hosts

Cause: items and their results cross the link between regions, where every byte is paid for. Change: messageCompression.ts compresses requests and answers of 4 KiB and more with gzip at its lowest level, in the internal client and server; a body is bounded after decompression. Conclusion: a message that is damaged or too long after decompression is refused with 400 (test/jobsCompression).

--- a/src/connection/internalClient.ts
+++ b/src/connection/internalClient.ts
@@ -10,6 +10,7 @@
 import type { Lifecycle } from '../process/lifecycle.ts'
 import { fromReply, type Reply } from './internalMessages.ts'
 import type { InternalRouter } from './internalRouter.ts'
+import { compressionBytes, compressRequest } from './messageCompression.ts'
 
 /** Classes of traffic, which never share a connection. */
 export const TrafficClass = { Live: 'live', Control: 'control', Batch: 'batch' } as const
@@ -53,16 +54,17 @@
 /**
  * Creates the calls to other hosts.
  * @param lifecycle - closes the connections
+ * @param compressFrom - length of a message from which it is compressed, in bytes; Infinity for never, also in answers
  * @returns the calls
  */
-export function createInternalClients (lifecycle: Lifecycle): InternalClients {
+export function createInternalClients (lifecycle: Lifecycle, compressFrom = compressionBytes): InternalClients {
   const channels = new Map<string, Channel>()
 
   function channelTo (address: string, trafficClass: TrafficClass): Channel {
     const name = `${trafficClass} ${address}`
     const present = channels.get(name)
     if (present !== undefined) return present
-    const created = createChannel(address)
+    const created = createChannel(address, compressFrom)
     channels.set(name, created)
     return created
   }
@@ -101,13 +103,15 @@
   return clients
 }
 
-function createChannel (address: string): Channel {
+function createChannel (address: string, compressFrom: number): Channel {
   const agent = new Agent({ connect: { timeout: connectLimitMs }, keepAliveTimeout: 30_000, pipelining: 1 })
   const client = createTRPCClient<InternalRouter>({
     links: [httpLink({
       url: `http://${address}`,
       // The types of undici's fetch and of the global one differ only in the dispatcher.
-      fetch: ((url: string, init: object) => undiciFetch(url, { ...init, dispatcher: agent })) as unknown as typeof fetch
+      fetch: (async (url: string, init: RequestInit) =>
+        await undiciFetch(url, { ...await compressRequest(init, compressFrom), dispatcher: agent } as Parameters<typeof undiciFetch>[1])) as unknown as typeof fetch,
+      ...(compressFrom === Infinity ? { headers: { 'accept-encoding': 'identity' } } : {})
     })]
   })
   return { client, agent }
--- a/src/process/servers.ts
+++ b/src/process/servers.ts
@@ -8,6 +8,7 @@
 import type { Hono } from 'hono'
 import { ResultAsync } from 'neverthrow'
 import type { createInternalRouter } from '../connection/internalRouter.ts'
+import { compressResponse, decompressRequest } from '../connection/messageCompression.ts'
 import { type Failure, Step, toFailure } from './failure.ts'
 import type { Lifecycle } from './lifecycle.ts'
 import { parseAddress } from './settings.ts'
@@ -35,7 +36,11 @@
  */
 export function serveInternal (address: string, router: ReturnType<typeof createInternalRouter>, lifecycle: Lifecycle): ResultAsync<Server, Failure> {
   const handler = createHTTPHandler({ router, maxBodySize: messageLimitBytes }) as RequestListener
-  return listen(address, createServer(handler), lifecycle)
+  const server = createServer((request, response) => {
+    compressResponse(request, response)
+    decompressRequest(request, messageLimitBytes).then(() => handler(request, response), () => response.writeHead(400).end())
+  })
+  return listen(address, server, lifecycle)
 }
 
 function listen (address: string, server: Server, lifecycle: Lifecycle): ResultAsync<Server, Failure> {
