Report a lost seal as unknown and record all ends before a shutdown

An item whose task threw stayed with its host. A shutdown ended before the ends of items had been recorded.

--- a/src/connection/batchDispatch.ts
+++ b/src/connection/batchDispatch.ts
@@ -52,6 +52,11 @@
   stopJobs (jobs: readonly string[]): Promise<void>
   /** Aborts all items, when the session has lapsed. */
   stopAll (): void
+  /**
+   * Waits until no item runs, for a shutdown.
+   * @returns a promise that resolves when all have ended
+   */
+  idle (): Promise<void>
 }
 
 /**
@@ -86,6 +91,9 @@
       for (const runs of running.values()) {
         for (const controller of runs) controller.abort()
       }
+    },
+    async idle () {
+      while (running.size > 0) await ended.wait(idleMs)
     }
   }
 }
@@ -152,7 +160,11 @@
       const run = services.runs.start(grant.job)
       controllers.add(run.controller)
       server.batchInFlight++
-      runGrant(grant, server, services, lapses, run.controller.signal).finally(() => {
+      runGrant(grant, server, services, lapses, run.controller.signal).catch(error => {
+        // An item that nobody returns would stay with this host for as long as it lives.
+        const { job, position, grant: number, partial, offset } = grant
+        services.completions.giveBack({ job, position, grant: number, partial, offset, attempted: true, reason: String(error) })
+      }).finally(() => {
         controllers.delete(run.controller)
         server.batchInFlight--
         run.finish()
--- a/src/process/entryHost.ts
+++ b/src/process/entryHost.ts
@@ -160,6 +160,9 @@
     refusing = true
     batchEnd.abort()
     await openRequests.ended(lifecycle.signal)
+    // Ends that were not recorded would be run again, and started items would end as unknown.
+    await runs.idle()
+    await completions.sent(lifecycle.signal)
   }
 
   return { api, shareReceiver, backendServers, session, version, openRequests, drain }
--- a/src/request/upload.ts
+++ b/src/request/upload.ts
@@ -64,7 +64,8 @@
   }
   const { account, key } = submission
   const sealed = await send(control, { kind: CommandKind.Seal, upload, account, key, ...sent.value, time: 0 })
-  if (sealed.isErr()) return err(sealed.error)
+  // The job may exist although the answer was lost; the caller sends it again under the same key to find out.
+  if (sealed.isErr()) return err({ ...sealed.error, execution: Execution.Unknown })
   if (sealed.value.kind === OutcomeKind.Job) return ok(sealed.value.job)
   if (sealed.value.kind === OutcomeKind.Conflict) return err(refuse(RefusalReason.Conflict, sealed.value.text))
   return err(refuse(RefusalReason.ControlUnavailable, 'the upload was discarded before it was sealed'))
--- a/test/stateMachine.test.ts
+++ b/test/stateMachine.test.ts
@@ -1,8 +1,11 @@
 import { expect } from 'chai'
+import { err, ok } from 'neverthrow'
 import { CommandKind, Ending, type Grant, type Outcome, OutcomeKind } from '../src/process/commands.ts'
 import { applyCommand, type ControlState, createControlState } from '../src/process/controlState.ts'
+import { createFailure, FailureReason, Step } from '../src/process/failure.ts'
 import { createQuietUploads, uploadLimitMs } from '../src/process/quietUploads.ts'
 import { accountUploadLimit } from '../src/process/uploads.ts'
+import { uploadJob } from '../src/request/upload.ts'
 import { acquire, applyTables, claim, restore, submit, tables } from './support/stateCommands.ts'
 
 function itemOf (state: ControlState, grant: Grant) {
@@ -68,6 +71,19 @@
     expect(state.jobs.jobs.size).to.equal(2)
   })
 
+  // The seal may have been recorded: "not run" would let the caller submit the items under another key.
+  it('reports a lost answer to the seal as unknown, and one to a chunk as not run', async () => {
+    for (const [lost, execution] of [[CommandKind.Seal, 'unknown'], [CommandKind.AppendItems, 'not run']] as const) {
+      const control: any = {
+        execute: async ({ kind }: { kind: CommandKind }) =>
+          kind === lost ? err(createFailure(FailureReason.Timeout, { step: Step.Execute }, 'no answer')) : ok({ kind: OutcomeKind.Done })
+      }
+      const body = new Blob(['{"name": "i", "input": "x"}']).stream()
+      const uploaded = await uploadJob({ account: 'a', key: 'k', route: 'r', due: 0 }, body, control)
+      expect(uploaded._unsafeUnwrapErr().execution).to.equal(execution)
+    }
+  })
+
   it('seals no upload with a chunk missing', () => {
     const state = createControlState()
     applyCommand(state, { kind: CommandKind.OpenUpload, upload: 'u', account: 'a', key: 'k', route: 'r', due: 0, time: 0 })
