--- /dev/null
+++ b/test/support/entrySide.ts
@@ -0,0 +1,91 @@
+/**
+ * An entry host's stream and dispatch, with the calls to control in the hands of the test.
+ * @module
+ */
+import { expect } from 'chai'
+import { err, ok, type Result } from 'neverthrow'
+import { eventually } from '../../scripts/processes.ts'
+import { createItemRuns, runBatchDispatch } from '../../src/connection/batchDispatch.ts'
+import { createControlStream } from '../../src/connection/controlStream.ts'
+import { type Command, CommandKind, type Outcome, OutcomeKind, type Return } from '../../src/process/commands.ts'
+import { createCondition } from '../../src/process/condition.ts'
+import { createFailure, type Failure, FailureReason, Step } from '../../src/process/failure.ts'
+import { createSilentLogger } from '../../src/process/logger.ts'
+import { createMetrics } from '../../src/process/metrics.ts'
+import { createSeededRandom } from '../../src/process/random.ts'
+import type { WatchAnswer, WatchRequest } from '../../src/process/watchMessages.ts'
+import { createCurrentVersion } from '../../src/version/currentVersion.ts'
+import { tables } from './stateCommands.ts'
+import { SteppedClock } from './steppedClock.ts'
+
+export const host = { host: 'h', callerAddress: '', internalAddress: '', availabilityZone: 'z', region: 'r', draining: false }
+const answer: WatchAnswer = { version: 1, directoryRevision: 'd', appliedIndex: 5, cancelledJobs: [] }
+export const turn = (): Promise<void> => new Promise(resolve => setImmediate(resolve))
+
+export function createEntrySide (idempotent = true, stopJobs?: () => Promise<void>) {
+  const clock = new SteppedClock()
+  const version = createCurrentVersion()
+  const end = new AbortController()
+  const watches: Array<{ readonly request: WatchRequest, readonly settle: (result: Result<WatchAnswer, Failure>) => void }> = []
+  const calls: Array<{ readonly command: Command, readonly settle: (outcome: Outcome) => void }> = []
+  const sent: string[] = []
+  const returned: Return[] = []
+  const stopped: string[] = []
+  const runs = createItemRuns()
+  const control: any = {
+    watch: (request: WatchRequest) => new Promise(resolve => watches.push({ request, settle: resolve })),
+    execute: (command: Command) => new Promise(resolve => calls.push({ command, settle: outcome => resolve(ok(outcome)) }))
+  }
+  const services: any = { holder: 'h', control, version, clock, runs, metrics: createMetrics(), connections: { to: () => ({}) } }
+  services.protocols = {
+    engine: {
+      run: (_: unknown, attempt: { requestId: string, signal: AbortSignal }) => {
+        sent.push(attempt.requestId)
+        return new Promise(resolve => attempt.signal.addEventListener('abort', () => {
+          stopped.push(attempt.requestId)
+          resolve(err({ sent: true, failure: createFailure(FailureReason.Aborted, { step: Step.Execute }, 'aborted') }))
+        }))
+      }
+    }
+  }
+  services.completions = { complete () {}, giveBack: (item: Return) => returned.push(item) }
+  const stream = createControlStream({
+    control,
+    version,
+    clock,
+    random: createSeededRandom(1),
+    logger: createSilentLogger(),
+    signal: end.signal,
+    describe: () => ({ ...host, holder: 'h' }),
+    stopJobs: stopJobs ?? (jobs => runs.stopJobs(jobs)),
+    stopAll: () => runs.stopAll()
+  })
+  services.session = stream.session
+  const server: any = {
+    announcement: { address: 'b', pool: 'p', capacity: 8, leaving: false }, liveInFlight: 0, batchInFlight: 0, liveChanged: createCondition()
+  }
+  stream.run().catch(() => {})
+  const configuration = { version: 1, pools: tables.pools, routes: tables.routes.map(route => ({ ...route, idempotent })) }
+
+  async function poll (change: Partial<WatchAnswer> = {}): Promise<WatchRequest> {
+    const watch = await eventually('a poll', 2_000, () => watches.shift())
+    watch.settle(ok({ ...answer, configuration, ...change }))
+    await turn()
+    return watch.request
+  }
+
+  async function call (kind: CommandKind): Promise<(outcome: Outcome) => void> {
+    const found = await eventually(kind, 2_000, () => calls.shift())
+    expect(found.command.kind).to.equal(kind)
+    return found.settle
+  }
+
+  async function dispatchUntilClaim (): Promise<(outcome: Outcome) => void> {
+    await poll()
+    runBatchDispatch(server, services, end.signal).catch(() => {})
+    const acquired = await call(CommandKind.AcquireLease)
+    acquired({ kind: OutcomeKind.Lease, holder: 'h', number: 1, granted: true })
+    return await call(CommandKind.Claim)
+  }
+  return { clock, version, end, watches, sent, returned, stopped, stream, poll, call, dispatchUntilClaim }
+}
--- a/test/support/naiveState.ts
+++ b/test/support/naiveState.ts
@@ -7,21 +7,21 @@
 interface NaiveItem {
   readonly priority: Priority
   phase: 'waiting' | 'granted' | 'started' | 'ended'
-  grant: number
-  holder: string
-  attempts: number
-  ending: string
+  grant: number;
+  holder: string;
+  attempts: number;
+  ending: string;
   result: string
 }
 
 interface NaiveJob {
-  readonly id: string
-  readonly account: string
-  readonly key: string
-  readonly digest: string
+  readonly id: string;
+  readonly account: string;
+  readonly key: string;
+  readonly digest: string;
   readonly due: number
   readonly items: NaiveItem[]
-  cancelled: boolean
+  cancelled: boolean;
   lastGrant: number
 }
 
