--- a/src/process/lifecycle.ts
+++ b/src/process/lifecycle.ts
@@ -2,6 +2,7 @@
  * The life-cycle manager: owns resources and tasks and cleans up in reverse order.
  * @module
  */
+import { setMaxListeners } from 'node:events'
 import { createFailure, FailureReason, Step, type Failure } from './failure.ts'
 
 /** Owner of resources and tasks. */
@@ -43,6 +44,8 @@
  */
 export function createLifecycle (): Lifecycle {
   const controller = new AbortController()
+  // Every waiting task listens to this signal; Node warns of a leak from 11 listeners on.
+  setMaxListeners(0, controller.signal)
   const steps: Array<() => void | Promise<void>> = []
   const tasks = new Set<Promise<void>>()
   let closing: Promise<void> | undefined
--- a/test/jobsCancellation.test.ts
+++ b/test/jobsCancellation.test.ts
@@ -95,16 +95,7 @@
     lifecycles.push(lifecycle)
     const transport: any = { identify: () => errAsync(createFailure(FailureReason.Timeout, { step: Step.Vote }, 'nobody')) }
     const created = await createControlHost({
-      address: 'c',
-      availabilityZone: 'z',
-      controlHosts: ['c'],
-      storage,
-      transport,
-      clock,
-      random: createSeededRandom(1),
-      logger: createSilentLogger(),
-      metrics: createMetrics(),
-      lifecycle
+      address: 'c', availabilityZone: 'z', controlHosts: ['c'], storage, transport, clock, random: createSeededRandom(1), logger: createSilentLogger(), metrics: createMetrics(), lifecycle
     })
     const control = created._unsafeUnwrap()
     await eventually('a leader', 5_000, () => {
@@ -115,7 +106,9 @@
   }
 
   async function poll (control: ControlHost, stoppedIndex: number): Promise<void> {
-    const request = { entryHost: { ...host, holder: 'h' }, version: 1, stoppedIndex, knownCancelled: [], directoryRevision: '', immediate: true }
+    const request = {
+      entryHost: { ...host, holder: 'h' }, version: 1, stoppedIndex, knownCancelled: [], directoryRevision: '', immediate: true
+    }
     expect((await control.watch(request)).isOk()).to.equal(true)
   }
 
--- a/test/stateDifferential.test.ts
+++ b/test/stateDifferential.test.ts
@@ -10,14 +10,20 @@
 
 /** One step: what is done, picks among the known names, and what goes wrong around it. */
 const step = fc.record({
-  kind: fc.constantFrom(...kinds),
-  pick: fc.nat(50),
-  other: fc.nat(5),
-  flag: fc.boolean(),
-  fault: fc.constantFrom('none', 'none', 'sent twice', 'sent again late', 'restored', 'restored')
+  kind: fc.constantFrom(...kinds), pick: fc.nat(50), other: fc.nat(5), flag: fc.boolean(), fault: fc.constantFrom('none', 'none', 'sent twice', 'sent again late', 'restored', 'restored')
 })
 type Step = typeof step extends fc.Arbitrary<infer Value> ? Value : never
 
+interface ComparedJob {
+  readonly id: string
+  readonly cancelled: boolean
+  readonly items: ReadonlyArray<Readonly<Record<'phase' | 'grant' | 'holder' | 'attempts' | 'ending' | 'result', string | number | undefined>>>
+}
+
+function describeJob ({ id, cancelled, items }: ComparedJob): object {
+  return { id, cancelled, items: items.map(item => [item.phase, item.grant, item.holder ?? '', item.attempts, item.ending ?? '', item.result]) }
+}
+
 /** The real state under faults beside the naive one, which sees each command once. */
 class Comparison {
   state = createControlState()
@@ -84,11 +90,7 @@
   compare (): void {
     expect(this.state.configuration.version).to.equal(this.naive.version)
     expect(this.state.jobs.grants).to.equal(this.naive.grants)
-    expect([...this.state.jobs.jobs.values()].map(job => ({
-      id: job.id, cancelled: job.cancelled, items: job.items.map(item => [item.phase, item.grant, item.holder ?? '', item.attempts, item.ending ?? '', item.result])
-    }))).to.deep.equal(this.naive.jobs.map(job => ({
-      id: job.id, cancelled: job.cancelled, items: job.items.map(item => [item.phase, item.grant, item.holder, item.attempts, item.ending, item.result])
-    })))
+    expect([...this.state.jobs.jobs.values()].map(describeJob)).to.deep.equal(this.naive.jobs.map(describeJob))
     const inFlight = [...this.state.jobs.jobs.values()].reduce((sum, job) => sum + job.inFlight, 0)
     expect(inFlight).to.equal([...this.state.jobs.held.values()].reduce((sum, held) => sum + held.size, 0))
   }
--- a/test/support/entrySide.ts
+++ b/test/support/entrySide.ts
@@ -37,28 +37,17 @@
     execute: (command: Command) => new Promise(resolve => calls.push({ command, settle: outcome => resolve(ok(outcome)) }))
   }
   const services: any = { holder: 'h', control, version, clock, runs, metrics: createMetrics(), connections: { to: () => ({}) } }
-  services.protocols = {
-    engine: {
-      run: (_: unknown, attempt: { requestId: string, signal: AbortSignal }) => {
-        sent.push(attempt.requestId)
-        return new Promise(resolve => attempt.signal.addEventListener('abort', () => {
-          stopped.push(attempt.requestId)
-          resolve(err({ sent: true, failure: createFailure(FailureReason.Aborted, { step: Step.Execute }, 'aborted') }))
-        }))
-      }
-    }
+  const run = (_: unknown, attempt: { requestId: string, signal: AbortSignal }) => {
+    sent.push(attempt.requestId)
+    return new Promise(resolve => attempt.signal.addEventListener('abort', () => {
+      stopped.push(attempt.requestId)
+      resolve(err({ sent: true, failure: createFailure(FailureReason.Aborted, { step: Step.Execute }, 'aborted') }))
+    }))
   }
+  services.protocols = { engine: { run } }
   services.completions = { complete () {}, giveBack: (item: Return) => returned.push(item) }
   const stream = createControlStream({
-    control,
-    version,
-    clock,
-    random: createSeededRandom(1),
-    logger: createSilentLogger(),
-    signal: end.signal,
-    describe: () => ({ ...host, holder: 'h' }),
-    stopJobs: stopJobs ?? (jobs => runs.stopJobs(jobs)),
-    stopAll: () => runs.stopAll()
+    control, version, clock, random: createSeededRandom(1), logger: createSilentLogger(), signal: end.signal, describe: () => ({ ...host, holder: 'h' }), stopJobs: stopJobs ?? (jobs => runs.stopJobs(jobs)), stopAll: () => runs.stopAll()
   })
   services.session = stream.session
   const server: any = {
