Trust old load reports less than own counts

All entry hosts preferred the same backend server until its next report. Change: the less loaded of two by report is taken with a probability that falls with the age of the report and rises with the difference; otherwise own counts, which are current, decide.

--- a/src/request/choice.ts
+++ b/src/request/choice.ts
@@ -51,6 +51,8 @@
   readonly bytes: number
   /** Usual duration of a request of the pool, in milliseconds. */
   readonly requestMs: number
+  /** Monotonic time, in milliseconds. */
+  readonly now: number
 }
 
 /**
@@ -91,7 +93,7 @@
     const stepMs = stepCostMs(distance, bytes)
     if (stepMs >= chosenMs) break
     const near = left.filter(server => distanceTo(server, location) === distance)
-    const best = chooseAmong(near, question.prefix, random)
+    const best = chooseAmong(near, question, random)
     if (best === undefined) continue
     const costMs = stepMs + expectedWaitMs(loadOf(best), best.announcement.capacity, requestMs)
     if (costMs >= chosenMs) continue
@@ -154,9 +156,9 @@
   return availabilityZone === location.availabilityZone ? Distance.SameZone : Distance.SameRegion
 }
 
-function chooseAmong (servers: readonly BackendServer[], prefix: string | undefined, random: Random): BackendServer | undefined {
-  const kept = prefix === undefined ? undefined : chooseByPrefix(servers, prefix)
-  return kept ?? lessLoadedOfTwo(servers, random)
+function chooseAmong (servers: readonly BackendServer[], question: ChoiceQuestion, random: Random): BackendServer | undefined {
+  const kept = question.prefix === undefined ? undefined : chooseByPrefix(servers, question.prefix)
+  return kept ?? lessLoadedOfTwo(servers, question, random)
 }
 
 // Rendezvous hashing with bounded load. A hint only moves its backend server to the front, so a wrong one costs a cache miss.
@@ -180,11 +182,23 @@
   return best
 }
 
-function lessLoadedOfTwo (servers: readonly BackendServer[], random: Random): BackendServer | undefined {
+function lessLoadedOfTwo (servers: readonly BackendServer[], question: ChoiceQuestion, random: Random): BackendServer | undefined {
   const drawn = random.below(servers.length)
   const first = servers[drawn]
   if (first === undefined || servers.length === 1) return first
   // The second draw is among the others, so that two different ones are compared.
   const second = servers[(drawn + 1 + random.below(servers.length - 1)) % servers.length]
-  return second !== undefined && loadOf(second) < loadOf(first) ? second : first
+  if (second === undefined) return first
+  if (random.next() < trustInReports(first, second, question)) return loadOf(second) < loadOf(first) ? second : first
+  return second.liveInFlight < first.liveInFlight ? second : first
+}
+
+// All entry hosts see the same late report and would all prefer the same backend server until the next one. So a
+// difference counts less, the smaller it is against the requests that ended and started since; own counts are current.
+function trustInReports (first: BackendServer, second: BackendServer, question: ChoiceQuestion): number {
+  const difference = Math.abs(loadOf(first) - loadOf(second))
+  if (difference === 0) return 0
+  const ageMs = question.now - Math.min(reportedAt(first), reportedAt(second))
+  const turnover = (loadOf(first) + loadOf(second)) / 2 * ageMs / question.requestMs
+  return difference / (difference + turnover)
 }
--- a/src/request/liveRequest.ts
+++ b/src/request/liveRequest.ts
@@ -153,7 +153,8 @@
         tried: progress.tried,
         prefix: prefixKeyOf(request.input),
         bytes: estimateBytes(request.input, request.maxTokens),
-        requestMs: accounts.loadOf(request.pool).averageMs || assumedRequestMs
+        requestMs: accounts.loadOf(request.pool).averageMs || assumedRequestMs,
+        now: clock.now()
       }, random)
       if (server === undefined) return undefined
       return { server, flight: quarantine.begin(fingerprint, server.announcement.address, server.announcement.incarnation) }
--- a/test/livePolicy.test.ts
+++ b/test/livePolicy.test.ts
@@ -37,7 +37,7 @@
 }
 
 function questionOf (candidates: readonly BackendServer[], changes: Partial<ChoiceQuestion> = {}): ChoiceQuestion {
-  return { candidates, location, tried: new Set(), prefix: undefined, bytes: 1_000, requestMs: 1_000, ...changes }
+  return { candidates, location, tried: new Set(), prefix: undefined, bytes: 1_000, requestMs: 1_000, now: 10_000, ...changes }
 }
 
 function portsChosen (question: ChoiceQuestion, times = 200): Set<string> {
@@ -80,6 +80,22 @@
     expect([...portsChosen(questionOf(serversOf(9, 3).list))]).to.deep.equal(['2'])
   })
 
+  // Guards against a herd: until the next report, all entry hosts see the same one as the less loaded.
+  it('trusts a small difference in old reports less than one in new reports', () => {
+    const { clock, list } = serversOf(9, 7)
+    const random = createSeededRandom(3)
+    const shareOf = (now: number): number => {
+      let taken = 0
+      for (let round = 0; round < 1_000; round++) {
+        if (chooseBackendServer(questionOf(list, { now }), random)?.announcement.address.endsWith(':2') === true) taken++
+      }
+      return taken / 1_000
+    }
+    expect(shareOf(clock.time)).to.equal(1)
+    // 2 requests apart after 16 came and went: trusted once in 9 times, else each of two equal own counts is as likely.
+    expect(shareOf(clock.time + 2_000)).to.be.within(0.5, 0.65)
+  })
+
   it('keeps a prefix on one backend server until its load is above the bound, and moves no other prefix when one leaves', () => {
     const { list } = serversOf(2, 2, 2, 2)
     const homeOf = (prefix: string, servers: readonly BackendServer[]): string => {
