--- /dev/null
+++ b/bench/ownDelay.ts
@@ -0,0 +1,102 @@
+/**
+ * Measures the delay that jaychute itself adds to the first token, against direct calls to the same stand-in. Calls
+ * alternate, so that both see the same machine. Run: `npx tsx bench/ownDelay.ts`
+ * @module
+ */
+import { mkdir, writeFile } from 'node:fs/promises'
+import { cpus } from 'node:os'
+import { Worker } from 'node:worker_threads'
+import * as hdr from 'hdr-histogram-js'
+import { Agent } from 'undici'
+
+const calls = 2_000
+const warmUpCalls = 300
+const maxTokens = 2
+const microsecondsPerMillisecond = 1000
+const percentiles = [50, 90, 99, 99.9] as const
+const targets = { p50Ms: 1, p99Ms: 3 } as const
+
+/** Times of one call, in milliseconds. */
+interface CallTimes {
+  readonly firstTokenMs: number
+  readonly wholeMs: number
+}
+
+const agent = new Agent({ pipelining: 1 })
+
+async function call (origin: string, path: string, body: object): Promise<CallTimes> {
+  const startedAt = performance.now()
+  let firstAt: number | undefined
+  const answer = await agent.request({
+    origin: `http://${origin}`,
+    path,
+    method: 'POST',
+    headers: { 'content-type': 'application/json', 'jaychute-account': 'bench' },
+    body: JSON.stringify(body)
+  })
+  for await (const chunk of answer.body) {
+    if (chunk.length > 0) firstAt ??= performance.now()
+  }
+  if (answer.statusCode !== 200 || firstAt === undefined) throw new Error(`status ${answer.statusCode}`)
+  return { firstTokenMs: firstAt - startedAt, wholeMs: performance.now() - startedAt }
+}
+
+function summarise (times: readonly number[]): Record<string, number> {
+  const histogram = hdr.build({ numberOfSignificantValueDigits: 3 })
+  for (const time of times) histogram.recordValue(Math.round(time * microsecondsPerMillisecond))
+  const summary: Record<string, number> = {}
+  for (const percentile of percentiles) summary[`p${percentile}Ms`] = histogram.getValueAtPercentile(percentile) / microsecondsPerMillisecond
+  return summary
+}
+
+function subtract (left: Record<string, number>, right: Record<string, number>): Record<string, number> {
+  const result: Record<string, number> = {}
+  for (const [name, value] of Object.entries(left)) result[name] = Math.round((value - (right[name] ?? 0)) * 1000) / 1000
+  return result
+}
+
+/** Starts the system, or a stand-in that announces itself to an entry host, and returns its address. */
+function startThread (entryHost?: string): Promise<string> {
+  const worker = new Worker(new URL('./ownDelayThread.mjs', import.meta.url), { workerData: { entryHost } })
+  return new Promise<string>((resolve, reject) => {
+    worker.once('message', resolve)
+    worker.once('error', reject)
+  })
+}
+
+const callerAddress = await startThread()
+const address = await startThread(callerAddress)
+
+const direct: CallTimes[] = []
+const through: CallTimes[] = []
+for (let number = 0; number < calls + warmUpCalls; number++) {
+  const input = `question ${number} ${'x'.repeat(80)}`
+  const ownCall = await call(address, '/v1/generate', { requestId: `direct-${number}`, prompt: input, maxTokens, offset: 0, partial: '' })
+  const systemCall = await call(callerAddress, '/v1/routes/assist/requests', { input, maxTokens, stream: true })
+  if (number < warmUpCalls) continue
+  direct.push(ownCall)
+  through.push(systemCall)
+}
+
+const firstToken = { direct: summarise(direct.map(times => times.firstTokenMs)), through: summarise(through.map(times => times.firstTokenMs)) }
+const whole = { direct: summarise(direct.map(times => times.wholeMs)), through: summarise(through.map(times => times.wholeMs)) }
+const figures = {
+  command: 'npx tsx bench/ownDelay.ts',
+  at: new Date().toISOString(),
+  node: process.version,
+  processors: cpus().length,
+  calls,
+  maxTokens,
+  targets,
+  firstToken: { ...firstToken, added: subtract(firstToken.through, firstToken.direct) },
+  whole: { ...whole, added: subtract(whole.through, whole.direct) },
+  raw: {
+    directFirstTokenMs: direct.map(times => Number(times.firstTokenMs.toFixed(3))),
+    throughFirstTokenMs: through.map(times => Number(times.firstTokenMs.toFixed(3)))
+  }
+}
+await mkdir(new URL('./results/', import.meta.url), { recursive: true })
+await writeFile(new URL('./results/ownDelay.json', import.meta.url), JSON.stringify(figures) + '\n')
+console.log(JSON.stringify({ ...figures, raw: undefined }, undefined, 2))
+await agent.close()
+process.exit(0)
--- a/src/request/callerApi.ts
+++ b/src/request/callerApi.ts
@@ -18,7 +18,7 @@
 import type { ErrorAnswers } from './errorAnswer.ts'
 import { createJobApi } from './jobApi.ts'
 import { type LiveRequest, type LiveServices, runLiveRequest } from './liveRequest.ts'
-import { refuse, type Refusal, RefusalReason } from './refusal.ts'
+import { Execution, refuse, type Refusal, RefusalReason } from './refusal.ts'
 
 /** Largest body of a live request, in bytes. */
 export const bodyLimitBytes = 256 * 1024
@@ -114,7 +114,10 @@
   }))
 
   api.notFound(context => errors.send(context, requestIdOf(context), refuse(RefusalReason.NotFound, 'there is no such path')))
-  api.onError((error, context) => errors.send(context, requestIdOf(context), refuse(RefusalReason.Internal, error.message)))
+  api.onError((error, context) => errors.send(context, requestIdOf(context), {
+    // An unexpected error may have come after the request was sent.
+    reason: RefusalReason.Internal, execution: Execution.Unknown, message: error.message
+  }))
 
   async function parseRequest (context: Context, requestId: string): Promise<Refusal | { readonly live: LiveRequest, readonly stream: boolean }> {
     const configuration = inputs.configuration()
