Read bodies of declared length without a stream

Cause: hono's bodyLimit touches the body of every request, which builds a web stream even when the length is declared. Change: a declared content-length is compared with the limit; only a body without one goes through bodyLimit.

--- a/src/request/callerApi.ts
+++ b/src/request/callerApi.ts
@@ -86,14 +86,20 @@
     return context.json({ renewMs, addresses: inputs.entryHosts().map(host => host.callerAddress) })
   })
 
-  api.use('/v1/routes/*', bodyLimit({
-    maxSize: bodyLimitBytes,
-    onError (context) {
-      // The rest of the body is not read, so the connection can't carry another request.
-      context.header('connection', 'close')
-      return errors.send(context, requestIdOf(context), refuse(RefusalReason.TooLarge, `a request has at most ${bodyLimitBytes} bytes`))
-    }
-  }))
+  function refuseTooLarge (context: Context): Response {
+    // The rest of the body is not read, so the connection can't carry another request.
+    context.header('connection', 'close')
+    return errors.send(context, requestIdOf(context), refuse(RefusalReason.TooLarge, `a request has at most ${bodyLimitBytes} bytes`))
+  }
+
+  const limitUnknownLength = bodyLimit({ maxSize: bodyLimitBytes, onError: refuseTooLarge })
+  api.use('/v1/routes/*', async (context, next) => {
+    // Node enforces a declared length, so only a body without one has to be counted as a stream, which is slower.
+    const length = context.req.header('content-length')
+    if (length === undefined || context.req.header('transfer-encoding') !== undefined) return await limitUnknownLength(context, next)
+    if (Number(length) > bodyLimitBytes) return refuseTooLarge(context)
+    return await next()
+  })
 
   api.post('/v1/routes/:route/requests', async context => {
     const requestId = requestIdOf(context)
