--- a/src/request/callerApi.ts
+++ b/src/request/callerApi.ts
@@ -18,7 +18,7 @@
 import type { ErrorAnswers } from './errorAnswer.ts'
 import { createJobApi } from './jobApi.ts'
 import { type LiveRequest, type LiveServices, runLiveRequest } from './liveRequest.ts'
-import { refuse, type Refusal, RefusalReason } from './refusal.ts'
+import { Execution, refuse, type Refusal, RefusalReason } from './refusal.ts'
 
 /** Largest body of a live request, in bytes. */
 export const bodyLimitBytes = 256 * 1024
@@ -86,14 +86,20 @@
     return context.json({ renewMs, addresses: inputs.entryHosts().map(host => host.callerAddress) })
   })
 
-  api.use('/v1/routes/*', bodyLimit({
-    maxSize: bodyLimitBytes,
-    onError (context) {
-      // The rest of the body is not read, so the connection can't carry another request.
-      context.header('connection', 'close')
-      return errors.send(context, requestIdOf(context), refuse(RefusalReason.TooLarge, `a request has at most ${bodyLimitBytes} bytes`))
-    }
-  }))
+  function refuseTooLarge (context: Context): Response {
+    // The rest of the body is not read, so the connection can't carry another request.
+    context.header('connection', 'close')
+    return errors.send(context, requestIdOf(context), refuse(RefusalReason.TooLarge, `a request has at most ${bodyLimitBytes} bytes`))
+  }
+
+  const limitUnknownLength = bodyLimit({ maxSize: bodyLimitBytes, onError: refuseTooLarge })
+  api.use('/v1/routes/*', async (context, next) => {
+    // Node enforces a declared length, so only a body without one has to be counted as a stream, which is slower.
+    const length = context.req.header('content-length')
+    if (length === undefined || context.req.header('transfer-encoding') !== undefined) return await limitUnknownLength(context, next)
+    if (Number(length) > bodyLimitBytes) return refuseTooLarge(context)
+    return await next()
+  })
 
   api.post('/v1/routes/:route/requests', async context => {
     const requestId = requestIdOf(context)
@@ -114,7 +120,10 @@
   }))
 
   api.notFound(context => errors.send(context, requestIdOf(context), refuse(RefusalReason.NotFound, 'there is no such path')))
-  api.onError((error, context) => errors.send(context, requestIdOf(context), refuse(RefusalReason.Internal, error.message)))
+  api.onError((error, context) => errors.send(context, requestIdOf(context), {
+    // An unexpected error may have come after the request was sent.
+    reason: RefusalReason.Internal, execution: Execution.Unknown, message: error.message
+  }))
 
   async function parseRequest (context: Context, requestId: string): Promise<Refusal | { readonly live: LiveRequest, readonly stream: boolean }> {
     const configuration = inputs.configuration()
