--- a/src/process/fileStorage.ts
+++ b/src/process/fileStorage.ts
@@ -4,6 +4,7 @@
  */
 import { type FileHandle, open, readFile, rm } from 'node:fs/promises'
 import { join } from 'node:path'
+import { setImmediate } from 'node:timers/promises'
 import { err, errAsync, ok, okAsync, ResultAsync } from 'neverthrow'
 import { type DataFolder, encodeStart, loadFolder } from './dataFolder.ts'
 import { createFailure, type Failure, FailureReason, Step, toFailure } from './failure.ts'
@@ -175,6 +176,8 @@
 
   private async writePending (): Promise<void> {
     while (this.pending.length > 0) {
+      // Requests that have arrived already join this sync instead of waiting for the next.
+      await setImmediate()
       const batch = this.takeBatch()
       const failure = await this.writeBatch(batch)
       for (const write of batch) write.settle(failure)
--- a/src/process/formation.ts
+++ b/src/process/formation.ts
@@ -69,6 +69,7 @@
   const request: JoinRequest = { identity: replica.state.identity, address, availabilityZone }
   const targets = new Set([...formed.map(host => host.leaderAddress), ...formed.map(host => host.address)])
   for (const target of targets) {
+    if (formation.signal.aborted) return
     if (target === undefined || target === address) continue
     const answer = await transport.join(target, request)
     if (answer.isOk()) return
--- a/src/process/membershipTask.ts
+++ b/src/process/membershipTask.ts
@@ -68,7 +68,7 @@
 
 function nextChange (core: ReplicaCore): MembershipChange | undefined {
   const { state, inputs } = core
-  if (!mayChange(state)) return undefined
+  if (!mayChangeMembers(state)) return undefined
   return decideChange({
     self: state.identity,
     members: state.members,
@@ -78,9 +78,13 @@
   })
 }
 
-// One change at a time, and none before the leader has committed an entry of its own term: two memberships that differ
-// by more than one member could have majorities without a common voter.
-function mayChange (state: ReplicaState): boolean {
+/**
+ * Decides whether a change may begin: one at a time, and none before the leader has committed an entry of its own term.
+ * Two memberships that differ by more than one member could have majorities without a common voter.
+ * @param state - the replica
+ * @returns whether it may
+ */
+export function mayChangeMembers (state: ReplicaState): boolean {
   if (state.role !== ReplicaRole.Leader || state.commitIndex < state.termStart) return false
   return membersIndexOf(state) <= state.commitIndex
 }
@@ -101,7 +105,7 @@
   const { term } = core.state
   const found = await core.inputs.transport.identify(address)
   const candidate = core.candidates.get(address)
-  if (core.state.term !== term || !mayChange(core.state)) return false
+  if (core.state.term !== term || !mayChangeMembers(core.state)) return false
   return found.isOk() && found.value.identity === candidate?.identity && found.value.identity !== change.member.identity
 }
 
--- a/src/process/replicaProposals.ts
+++ b/src/process/replicaProposals.ts
@@ -27,7 +27,7 @@
  * @returns its outcome; a failure `unknown outcome` means that it may be applied, any other that it was not appended
  */
 export async function propose (core: ReplicaCore, command: Command): Promise<Result<Outcome, Failure>> {
-  const { inputs: { clock, metrics, lifecycle }, state, proposals } = core
+  const { inputs: { clock, metrics }, state, proposals } = core
   if (!checkLeadership(core)) return err(notLeader(state, Step.Propose))
   if (proposals.size >= proposalsLimit) {
     return err(createFailure(FailureReason.Rejected, { step: Step.Propose, peer: state.address }, `${proposalsLimit} commands are waiting already`))
@@ -47,7 +47,7 @@
         settle(result)
       }
     })
-    clock.sleep(proposalLimitMs, AbortSignal.any([limit.signal, lifecycle.signal])).then(() => {
+    clock.sleep(proposalLimitMs, limit.signal).then(() => {
       if (limit.signal.aborted) return
       proposals.delete(entry.index)
       settle(err(createFailure(FailureReason.Unknown, { step: Step.Propose, peer: state.address }, `the command was not committed within ${proposalLimitMs} ms`)))
--- a/test/logMembership.test.ts
+++ b/test/logMembership.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
 import { LogEvents } from '../src/process/logEvents.ts'
+import { ChangeKind, decideChange, membersLimit } from '../src/process/membership.ts'
 import { Standing } from '../src/process/storage.ts'
 import { startTestLog, type TestHost, type TestLog } from './support/testLog.ts'
 
@@ -118,6 +119,16 @@
     expect(largestStep).to.equal(1)
   })
 
+  it('adds no eighth member, even when its request was taken while there were fewer', async () => {
+    log = await startTestLog({ addresses, seed: 17 })
+    const members = Array.from({ length: membersLimit }, (_, number) => (
+      { identity: `${number}`, address: `${number}:1`, availabilityZone: 'zone-a', standing: Standing.Voter }))
+    const newcomers = [{ identity: 'new', address: 'new:1', availabilityZone: 'zone-a' }]
+    const view = { self: '0', newcomers, ready: new Set<string>(), voters: 5 }
+    expect(decideChange({ ...view, members })).to.equal(undefined)
+    expect(decideChange({ ...view, members: members.slice(1) })?.kind).to.equal(ChangeKind.Add)
+  })
+
   it('does not remove a member because of a request to join that its address does not confirm', async () => {
     log = await startTestLog({ addresses, seed: 16 })
     const leader = await log.untilLeader()
--- a/test/logStorage.test.ts
+++ b/test/logStorage.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { type FileHandle, mkdtemp, open, readdir, readFile, rename, rm, unlink, writeFile } from 'node:fs/promises'
+import { type FileHandle, mkdir, mkdtemp, open, readdir, readFile, rename, rm, rmdir, unlink, writeFile } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { FailureReason } from '../src/process/failure.ts'
@@ -79,6 +79,12 @@
     await writeFile(join(folder, firstSegment), Buffer.concat([whole, zeros]))
     expect(await reload(), 'a tail of zeros').to.deep.equal([1, 2, 3])
     expect(events).to.include(LogEvents.tornRecordCut)
+    await writeFile(join(folder, firstSegment), longer.subarray(0, longer.length - 1))
+    const continued = openStorage()
+    await continued.load()
+    await continued.append([record(4)])
+    await continued.close()
+    expect(await reload(), 'a record written after the cut').to.deep.equal([1, 2, 3, 4])
   })
 
   it('refuses to start when any byte before the last record is damaged, and says what to do', async () => {
@@ -104,6 +110,9 @@
     await storage.load()
     await storage.append([record(1), record(2)])
     await storage.saveSnapshot(point(2), [encodeRecord({ part: 1 })], [])
+    await rename(join(folder, 'snapshot.records'), join(folder, 'aside'))
+    expect(await reload(), 'an empty segment without its snapshot').to.equal(FailureReason.Damaged)
+    await rename(join(folder, 'aside'), join(folder, 'snapshot.records'))
     await storage.append([record(3)])
     await storage.close()
     for (const name of (await readdir(folder)).filter(file => file !== 'identity.json')) {
@@ -145,6 +154,18 @@
     expect(await reload()).to.deep.equal([1, 2, 3, 4, 5])
   })
 
+  it('keeps the whole log when the snapshot can not be written', async () => {
+    await write(4)
+    const storage = openStorage()
+    await storage.load()
+    // A folder under the name of the new file makes the write fail.
+    await mkdir(join(folder, 'snapshot.new'))
+    expect((await storage.saveSnapshot(point(3), [encodeRecord({ part: 1 })], [record(4)])).isErr()).to.equal(true)
+    await storage.close()
+    await rmdir(join(folder, 'snapshot.new'))
+    expect(await reload()).to.deep.equal([1, 2, 3, 4])
+  })
+
   it('starts on the segment before when a crash interrupted the start of a new one', async () => {
     await write(4)
     await writeFile(join(folder, 'log-00000002.records'), Buffer.from('JCF1 not whole'))
