Look for the leader's own removal only when it is not a member

Cause: each commit searched the entries in memory for the last membership (0.7% of a leader's samples in a trial with 64 writers).

--- a/src/process/replicaLeadership.ts
+++ b/src/process/replicaLeadership.ts
@@ -195,7 +195,7 @@
 function advance (core: ReplicaCore): void {
   const { state } = core
   advanceCommit(core)
+  if (state.role !== ReplicaRole.Leader || state.members.some(member => member.identity === state.identity)) return
   // A leader that its own change has removed leads until that change is committed.
-  if (state.role !== ReplicaRole.Leader || state.commitIndex < membersIndexOf(state)) return
-  if (!state.members.some(member => member.identity === state.identity)) stepDown(core)
+  if (state.commitIndex >= membersIndexOf(state)) stepDown(core)
 }
