Add the benchmark of live and batch work

Cause: nothing measured the harm of batch work to live latency. Change: npm run bench runs live alone, batch alone, and both under a naive version and under each preference on one fleet of processes, with the same intended starts. The stand-in records when a stream ended.

--- /dev/null
+++ b/bench/liveAndBatch.ts
@@ -0,0 +1,218 @@
+/**
+ * Compares batch dispatch side by side on one fleet of real processes: live alone, batch alone, and both under the
+ * naive version and under jaychute with each preference. Every run sees the same intended starts of live requests.
+ * @module
+ */
+import { mkdir, writeFile } from 'node:fs/promises'
+import { dirname } from 'node:path'
+import { createParser } from 'eventsource-parser'
+import { Pool, request } from 'undici'
+import { eventually, reserveAddresses } from '../scripts/processes.ts'
+import { type Fleet, startFleet } from '../scripts/fleet.ts'
+import { type EngineRecords, livePrefix, measureIdleShare, measureYield, readRecords } from './engineRecords.ts'
+import { type LiveFigures, type LiveSender, type LoadShape, readQuantiles, runLiveLoad } from './load.ts'
+import { createNaive } from './naive.ts'
+import { printReport, type Report, type RunReport } from './report.ts'
+import { readCounters, subtractCounters } from './counters.ts'
+
+const resultFile = 'bench/results/liveAndBatch.json'
+const shape: LoadShape = { seed: 20261204, durationMs: 8_000, perSecond: 30, burstFromMs: 5_000, burstToMs: 6_500, burstPerSecond: 60 }
+const batchAloneMs = 4_000
+const backendServers = 6
+const batchConcurrency = 8
+const liveTokens = 5
+const itemTokens = 20
+const jobItems = 3_000
+const startLimitMs = 20_000
+// The delays are those of the design page (0.63 s to first token and 65 ms between tokens at p95) divided by about 8, so
+// that one run holds enough requests for a p99. The system's own delays are not divided.
+const engine = { tokenMs: 8, slowdownMs: 0.5, prefillMs: 25, prefixes: 32, capacity: 16 }
+const sheetInstruction = 'Turn the install sheet below into the briefing of tomorrow for the crew of the rack. '
+
+interface Bench {
+  readonly fleet: Fleet
+  readonly engines: readonly string[]
+  readonly callers: readonly Pool[]
+  /** Records of each engine that belong to earlier runs. */
+  readonly known: Map<string, number>
+}
+
+async function execute (bench: Bench, path: string, method: 'GET' | 'POST' | 'PUT' | 'DELETE', body?: string, type = 'application/json'): Promise<any> {
+  const answer = await request(`http://${bench.fleet.entryHosts[0]?.administrationAddress}${path}`, {
+    method, headers: { 'content-type': type }, ...(body === undefined ? {} : { body })
+  })
+  const text = await answer.body.text()
+  if (answer.statusCode >= 300) throw new Error(`${method} ${path}: ${answer.statusCode} ${text}`)
+  return text === '' ? undefined : JSON.parse(text)
+}
+
+async function applyPreference (bench: Bench, preference: string): Promise<void> {
+  const current = await execute(bench, '/v1/configuration', 'GET') as { version: number }
+  const tables = {
+    routes: [{ name: 'rack-assist', pool: 'assist' }],
+    pools: [{ name: 'assist', preference, batchConcurrency, accountConcurrency: 1_000 }]
+  }
+  await execute(bench, '/v1/configuration', 'PUT', JSON.stringify({ operation: `bench-${current.version}`, expected: current.version, tables }))
+  // A change is in effect everywhere within one poll of 1 s.
+  await new Promise(resolve => setTimeout(resolve, 1_000))
+}
+
+async function submitJob (bench: Bench, key: string): Promise<string> {
+  const lines: string[] = []
+  for (let number = 0; number < jobItems; number++) {
+    lines.push(JSON.stringify({ name: `sheet-${number}`, input: `${sheetInstruction}${key} ${number}`, maxTokens: itemTokens }))
+  }
+  const answer = await request(`http://${bench.fleet.entryHosts[0]?.callerAddress}/v1/jobs/${key}?route=rack-assist`, {
+    method: 'PUT', headers: { 'content-type': 'application/x-ndjson', 'jaychute-account': 'rothar' }, body: lines.join('\n')
+  })
+  const text = await answer.body.text()
+  if (answer.statusCode >= 300) throw new Error(`job: ${answer.statusCode} ${text}`)
+  return (JSON.parse(text) as { job: string }).job
+}
+
+async function countDone (bench: Bench, job: string): Promise<number> {
+  return ((await execute(bench, `/v1/jobs/${job}`, 'GET')) as { done: number }).done
+}
+
+function createLiveSender (bench: Bench, run: string): LiveSender {
+  return async (number, receive) => {
+    const caller = bench.callers[number % bench.callers.length]
+    if (caller === undefined) return 'no entry host'
+    let end = 'incomplete'
+    const parser = createParser({
+      onEvent (event) {
+        if (event.event === 'token') receive()
+        else end = event.event === 'done' ? 'done' : reasonOf(event.data)
+      }
+    })
+    try {
+      const answer = await caller.request({
+        path: '/v1/routes/rack-assist/requests',
+        method: 'POST',
+        headers: { 'content-type': 'application/json', 'jaychute-account': 'rothar', 'jaychute-request-id': `${livePrefix}${run}-${number}` },
+        body: JSON.stringify({ input: `${number} of ${run}: is the wall at this bay fit for drilling?`, maxTokens: liveTokens, stream: true })
+      })
+      if (answer.statusCode !== 200) return reasonOf(await answer.body.text())
+      for await (const chunk of answer.body) parser.feed(String(chunk))
+    } catch (error) {
+      return String(error)
+    }
+    return end
+  }
+}
+
+function reasonOf (body: string): string {
+  return (JSON.parse(body) as { error?: { reason?: string } }).error?.reason ?? 'unknown'
+}
+
+function describeRun (name: string, live: LiveFigures | undefined, items: number, durationMs: number, records: readonly EngineRecords[], counters: Record<string, number>): RunReport {
+  return {
+    name,
+    firstTokenMs: live === undefined ? undefined : readQuantiles(live.firstToken),
+    betweenTokensMs: live === undefined ? undefined : readQuantiles(live.betweenTokens),
+    requests: live?.firstToken.totalCount ?? 0,
+    ends: live?.ends ?? {},
+    itemsPerSecond: items * 1000 / durationMs,
+    idleShare: measureIdleShare(records, durationMs),
+    yield: measureYield(records),
+    counters
+  }
+}
+
+async function runJaychute (bench: Bench, name: string, withLive: boolean, withBatch: boolean, durationMs: number): Promise<RunReport> {
+  const job = withBatch ? await submitJob(bench, name.replaceAll(' ', '-')) : undefined
+  if (job !== undefined) await eventually('batch under way', startLimitMs, async () => await countDone(bench, job) > 0 ? true : undefined)
+  await readRecords(bench.engines, bench.known)
+  const countersBefore = await readCounters(bench.fleet)
+  const doneBefore = job === undefined ? 0 : await countDone(bench, job)
+  const startedAt = performance.now()
+  const live = withLive ? await runLiveLoad(shape, createLiveSender(bench, name.replaceAll(' ', '-'))) : undefined
+  if (live === undefined) await new Promise(resolve => setTimeout(resolve, durationMs))
+  const items = job === undefined ? 0 : await countDone(bench, job) - doneBefore
+  const tookMs = performance.now() - startedAt
+  const records = await readRecords(bench.engines, bench.known)
+  const counters = subtractCounters(await readCounters(bench.fleet), countersBefore)
+  if (job !== undefined) await execute(bench, `/v1/jobs/${job}`, 'DELETE')
+  return describeRun(name, live, items, tookMs, records, counters)
+}
+
+async function runNaive (bench: Bench): Promise<RunReport> {
+  const naive = createNaive(bench.engines)
+  await readRecords(bench.engines, bench.known)
+  const stop = new AbortController()
+  let items = 0
+  const workers = Array.from({ length: backendServers * batchConcurrency }, async (_, worker) => {
+    for (let number = 0; !stop.signal.aborted; number++) {
+      const input = `${sheetInstruction}naive ${worker} ${number}`
+      if (await naive.run({ requestId: `naive-${worker}-${number}`, input, maxTokens: itemTokens, receive () {} })) items++
+    }
+  })
+  const startedAt = performance.now()
+  const live = await runLiveLoad(shape, async (number, receive) => {
+    const input = `${number} of naive: is the wall at this bay fit for drilling?`
+    return await naive.run({ requestId: `${livePrefix}naive-${number}`, input, maxTokens: liveTokens, receive }) ? 'done' : 'failed'
+  })
+  const ended = items
+  const tookMs = performance.now() - startedAt
+  stop.abort()
+  await Promise.all(workers)
+  const records = await readRecords(bench.engines, bench.known)
+  await naive.close()
+  return describeRun('naive', live, ended, tookMs, records, { retries: naive.retries })
+}
+
+async function startBench (): Promise<Bench> {
+  const fleet = await startFleet({ controlHosts: 1, entryHosts: 3 })
+  const zones = ['zone-a', 'zone-b', 'zone-c']
+  const engines = await reserveAddresses(backendServers)
+  for (const [number, address] of engines.entries()) {
+    const zone = zones[number % zones.length] ?? ''
+    const flags = ['--port', String(address.split(':')[1]), '--availability-zone', zone, '--region', zone === 'zone-c' ? 'region-b' : 'region-a']
+    for (const [key, value] of Object.entries(engine)) flags.push(`--${key.replace(/[A-Z]/g, letter => `-${letter.toLowerCase()}`)}`, String(value))
+    fleet.startStandIn(flags)
+  }
+  const callers = fleet.entryHosts.map(host => new Pool(`http://${host.callerAddress}`, { connections: 512, pipelining: 1 }))
+  const bench: Bench = { fleet, engines, callers, known: new Map() }
+  await eventually('control', startLimitMs, async () => {
+    try {
+      await applyPreference(bench, 'latency')
+      return true
+    } catch {
+      return undefined
+    }
+  })
+  for (const host of fleet.entryHosts) {
+    await eventually('all backend servers', startLimitMs, async () => {
+      const answer = await request(`http://${host.administrationAddress}/v1/status`)
+      const status = await answer.body.json() as { entry?: { backendServers: object[] } }
+      return status.entry?.backendServers.length === backendServers ? true : undefined
+    })
+  }
+  return bench
+}
+
+async function runAll (bench: Bench): Promise<RunReport[]> {
+  const runs: RunReport[] = []
+  // The first requests of a process are slowed by compilation and by opening connections.
+  await runLiveLoad({ ...shape, durationMs: 1_500, burstFromMs: 0, burstToMs: 0 }, createLiveSender(bench, 'warm-up'))
+  runs.push(await runJaychute(bench, 'live alone', true, false, shape.durationMs))
+  runs.push(await runJaychute(bench, 'batch alone', false, true, batchAloneMs))
+  runs.push(await runNaive(bench))
+  runs.push(await runJaychute(bench, 'latency', true, true, shape.durationMs))
+  await applyPreference(bench, 'throughput')
+  runs.push(await runJaychute(bench, 'throughput', true, true, shape.durationMs))
+  return runs
+}
+
+const bench = await startBench()
+try {
+  const report: Report = { shape, engine, backendServers, batchConcurrency, liveTokens, itemTokens, runs: await runAll(bench) }
+  printReport(report)
+  const flag = process.argv.indexOf('--json')
+  const file = flag < 0 ? resultFile : process.argv[flag + 1] ?? resultFile
+  await mkdir(dirname(file), { recursive: true })
+  await writeFile(file, `${JSON.stringify(report, undefined, 2)}\n`)
+} finally {
+  for (const caller of bench.callers) await caller.destroy()
+  await bench.fleet.close()
+}
--- a/scripts/fleet.ts
+++ b/scripts/fleet.ts
@@ -12,6 +12,7 @@
   readonly name: string
   readonly internalAddress: string
   readonly administrationAddress: string
+  readonly metricsAddress: string
   /** Empty for a control host. */
   readonly callerAddress: string
   readonly flags: readonly string[]
@@ -51,7 +52,7 @@
 export async function startFleet (size: FleetSize): Promise<Fleet> {
   const folder = await mkdtemp(join(tmpdir(), 'jaychute-'))
   const count = size.controlHosts + size.entryHosts
-  const addresses = await reserveAddresses(count * 3)
+  const addresses = await reserveAddresses(count * 4)
   const controlAddresses = addresses.slice(0, size.controlHosts).join(',')
   const hosts: FleetHost[] = []
   for (let number = 0; number < count; number++) {
@@ -59,15 +60,17 @@
     const name = isControl ? `control-${number}` : `entry-${number - size.controlHosts}`
     const internalAddress = addresses[number] ?? ''
     const administrationAddress = addresses[count + number] ?? ''
+    const metricsAddress = addresses[count * 3 + number] ?? ''
     const callerAddress = isControl ? '' : addresses[count * 2 + number] ?? ''
     const zone = zones[(isControl ? number : number - size.controlHosts) % zones.length] ?? ''
     const flags = [
       '--role', isControl ? 'control' : 'entry', '--host', name, '--availability-zone', zone,
       '--region', zone === 'zone-c' ? 'region-b' : 'region-a', '--control-hosts', controlAddresses,
       '--internal-address', internalAddress, '--administration-address', administrationAddress,
+      '--metrics-address', metricsAddress,
       ...(isControl ? ['--data-folder', join(folder, name)] : ['--caller-address', callerAddress, '--address-keep-ms', '500'])
     ]
-    hosts.push({ name, internalAddress, administrationAddress, callerAddress, flags, program: startProgram(name, daemon, flags) })
+    hosts.push({ name, internalAddress, administrationAddress, metricsAddress, callerAddress, flags, program: startProgram(name, daemon, flags) })
   }
   const controlHosts = hosts.slice(0, size.controlHosts)
   const entryHosts = hosts.slice(size.controlHosts)
--- a/test/standIn/standIn.ts
+++ b/test/standIn/standIn.ts
@@ -58,6 +58,8 @@
   readonly offset: number
   /** Monotonic time of arrival, in milliseconds. */
   readonly at: number
+  /** Monotonic time of the end or the cancellation, in milliseconds. */
+  endedAt?: number
   cancelled: boolean
   finished: boolean
 }
@@ -189,6 +191,7 @@
     response.flushHeaders()
     response.once('close', () => {
       request.record.cancelled = !request.record.finished
+      request.record.endedAt ??= performance.now()
       running.delete(request)
     })
     running.add(request)
@@ -242,6 +245,7 @@
     }
     if (request.offset < request.maxTokens) return
     run.finished = true
+    run.endedAt = performance.now()
     send(response, { requestId: run.requestId, offset: request.offset, done: true })
     response.end()
     running.delete(request)
