Yield to live work of all entry hosts and claim items ahead

Cause: the holder of a lease saw only its own live requests, waited for claims before it could yield, and lost items whose claim or start was not answered. Change: entry hosts tell the holder of a lease at once of live work (entry.dispatch); growth is a function over the measured delay; claims run beside dispatch with a sequence that is sent again until answered; every item ends or goes back. Live choice leaves batch items out of the late load report. Batch commands have connections of their own.

--- a/src/connection/backendServerConnection.ts
+++ b/src/connection/backendServerConnection.ts
@@ -47,6 +47,8 @@
   readonly clock: Clock
   readonly metrics: Metrics
   readonly lifecycle: Lifecycle
+  /** Tells whether a backend server is in another region. */
+  readonly crossesRegions: (address: string) => boolean
 }
 
 /**
@@ -81,14 +83,21 @@
     post (path, body, attempt, receive) {
       const pool = pools.get(attempt.trafficClass)
       if (pool === undefined) throw new Error(`no connections for the traffic class ${attempt.trafficClass}`)
-      return exchange(pool, address, path, body, attempt, receive, inputs.metrics)
+      return exchange(pool, address, path, body, attempt, receive, inputs)
     }
   }
 }
 
 function exchange (
-  pool: Pool, peer: string, path: string, body: string, attempt: Attempt, receive: (chunk: Buffer) => void, metrics: Metrics
+  pool: Pool, peer: string, path: string, body: string, attempt: Attempt, receive: (chunk: Buffer) => void, inputs: ConnectionInputs
 ): Promise<Result<void, AttemptFailure>> {
+  const label = `${attempt.trafficClass} ${inputs.crossesRegions(peer) ? 'across regions' : 'within region'}`
+
+  function countBytes (bytes: number): void {
+    inputs.metrics.count(Counter.Bytes, label, bytes)
+    attempt.countBytes?.(bytes)
+  }
+
   return new Promise(resolve => {
     let sent = false
     let step: Step = Step.Connect
@@ -130,7 +139,7 @@
         if (cause !== undefined) return started.abort(cause)
         sent = true
         step = Step.FirstByte
-        metrics.count(Counter.Bytes, attempt.trafficClass, body.length)
+        countBytes(Buffer.byteLength(body))
         limit(attempt.firstByteMs, 'no first byte')
       },
       onResponseStart (_, code) {
@@ -139,7 +148,7 @@
         limit(attempt.betweenBytesMs, 'no further byte')
       },
       onResponseData (_, chunk) {
-        metrics.count(Counter.Bytes, attempt.trafficClass, chunk.length)
+        countBytes(chunk.length)
         limit(attempt.betweenBytesMs, 'no further byte')
         if (status === 200) receive(chunk)
       },
--- a/src/connection/batchDispatch.ts
+++ b/src/connection/batchDispatch.ts
@@ -2,16 +2,29 @@
  * The task that dispatches batch items to one backend server while this host holds its lease.
  * @module
  */
-import { CommandKind, type Grant, OutcomeKind } from '../process/commands.ts'
 import type { BackendServer } from '../process/backendServers.ts'
+import type { ByteBudget } from '../process/byteBudget.ts'
 import type { Clock } from '../process/clock.ts'
+import { CommandKind, OutcomeKind } from '../process/commands.ts'
 import type { Completions } from '../process/completions.ts'
 import { type Condition, createCondition } from '../process/condition.ts'
-import { Counter, type Metrics } from '../process/metrics.ts'
-import { ItemEndKind, runItem } from '../request/itemRun.ts'
+import type { CrashRule } from '../process/itemCrashes.ts'
+import { type ItemRuns, StopCause } from '../process/itemRuns.ts'
+import { decideHeadStart, type LeaseDirectory, rankHost } from '../process/leaseDirectory.ts'
+import type { LiveWork } from '../process/liveWork.ts'
+import { LogEvents } from '../process/logEvents.ts'
+import type { Logger } from '../process/logger.ts'
+import type { Metrics } from '../process/metrics.ts'
+import type { Random } from '../process/random.ts'
+import { holderLimitMs } from '../process/sessions.ts'
+import type { Location } from '../request/choice.ts'
 import type { CurrentVersion } from '../version/currentVersion.ts'
-import { findPool, findRoute, type Pool, type ProtocolKind } from '../version/tables.ts'
+import { findPreference } from '../version/preference.ts'
+import { findPool, type Pool, type ProtocolKind } from '../version/tables.ts'
 import type { BackendServerConnections } from './backendServerConnection.ts'
+import { decideGrowth, type Growth, noGrowth } from './batchGrowth.ts'
+import { type BatchItems, createBatchItems } from './batchItems.ts'
+import { type ClaimedItems, createClaimedItems, holdLimitMs } from './claimedItems.ts'
 import type { ControlClient } from './controlClient.ts'
 import type { Session } from './controlStream.ts'
 import type { Protocol } from './protocol.ts'
@@ -19,12 +32,19 @@
 /** Pause before another host's lease is asked for again, in milliseconds. */
 const leaseRetryMs = 1_000
 
-/** Longest wait between two looks at the queue, in milliseconds. */
-const idleMs = 200
+/** Time for which a holder keeps a lease although a nearer host is there, in milliseconds, so that leases don't wander. */
+const leaseKeepMs = 10_000
+
+/** Longest wait between two looks, in milliseconds. */
+const lookMs = 200
+
+/** Age up to which a load report may still count batch items that have ended, in milliseconds. */
+const loadReportAgeMs = 2_000
 
 /** What batch dispatch on one host needs. */
 export interface BatchServices {
   readonly holder: string
+  readonly location: Location
   readonly control: ControlClient
   readonly session: Session
   readonly version: CurrentVersion
@@ -32,55 +52,18 @@
   readonly protocols: Readonly<Record<ProtocolKind, Protocol>>
   readonly completions: Completions
   readonly runs: ItemRuns
+  readonly leases: LeaseDirectory
+  readonly liveWork: LiveWork
+  readonly crashRule: CrashRule
+  readonly byteBudgetOf: (pool: string) => ByteBudget
+  /** Draws the sequence of a claim. It never repeats, since the same lease may be held again after a failed release. */
+  readonly nextSequence: () => number
   readonly clock: Clock
+  readonly random: Random
+  readonly logger: Logger
   readonly metrics: Metrics
-}
-
-/** Items that run on this host. */
-export interface ItemRuns {
-  /**
-   * Registers a running item.
-   * @param job - its job
-   * @returns the signal that aborts it, and what to call at its end
-   */
-  start (job: string): { readonly controller: AbortController, readonly finish: () => void }
-  /**
-   * Aborts the items of cancelled jobs.
-   * @param jobs - the jobs
-   * @returns a promise that resolves when they have stopped
-   */
-  stopJobs (jobs: readonly string[]): Promise<void>
-}
-
-/**
- * Creates the list of running items.
- * @returns the list
- */
-export function createItemRuns (): ItemRuns {
-  const running = new Map<string, Set<AbortController>>()
-  const ended = createCondition()
-  return {
-    start (job) {
-      const controller = new AbortController()
-      const runs = running.get(job) ?? new Set<AbortController>()
-      running.set(job, runs)
-      runs.add(controller)
-      return {
-        controller,
-        finish () {
-          runs.delete(controller)
-          if (runs.size === 0) running.delete(job)
-          ended.notify()
-        }
-      }
-    },
-    async stopJobs (jobs) {
-      for (const job of jobs) {
-        for (const controller of running.get(job) ?? []) controller.abort()
-      }
-      while (jobs.some(job => running.has(job))) await ended.wait(idleMs)
-    }
-  }
+  /** Aborts when the process closes its connections to control. */
+  readonly ended: AbortSignal
 }
 
 /**
@@ -91,13 +74,20 @@
  * @returns a promise that resolves when the task and all its items have ended
  */
 export async function runBatchDispatch (server: BackendServer, services: BatchServices, signal: AbortSignal): Promise<void> {
-  const { control, session, clock, holder } = services
+  const { control, clock, holder, leases, location, session } = services
   const address = server.announcement.address
   let known = 0
+  let freeSince: number | undefined
   while (!signal.aborted) {
-    const pool = findPool(services.version.configuration, server.announcement.pool)
-    if (pool === undefined || pool.batchConcurrency === 0 || !session.isAlive(clock.now()) || server.announcement.leaving) {
-      await clock.sleep(leaseRetryMs, signal)
+    if (!mayHold(server, services) || leases.find(address) !== undefined) {
+      freeSince = undefined
+      await leases.changed.wait(leaseRetryMs, signal)
+      continue
+    }
+    freeSince ??= clock.now()
+    const leftMs = freeSince + decideHeadStart(location, session.entryHosts, server.announcement) - clock.now()
+    if (leftMs > 0) {
+      await clock.sleep(Math.min(leftMs, lookMs), signal)
       continue
     }
     const outcome = await control.execute({ kind: CommandKind.AcquireLease, backendServer: address, holder, expected: known }, leaseRetryMs)
@@ -107,79 +97,112 @@
     }
     known = outcome.value.number
     if (!outcome.value.granted) {
-      await clock.sleep(leaseRetryMs, signal)
+      if (outcome.value.holder !== '') await clock.sleep(leaseRetryMs, signal)
       continue
     }
+    leases.setOwn(address, true)
     await dispatchUnderLease(server, known, services, signal)
     await control.execute({ kind: CommandKind.ReleaseLease, backendServer: address, holder, number: known }, leaseRetryMs)
+    leases.setOwn(address, false)
   }
 }
 
+function mayHold (server: BackendServer, services: BatchServices): boolean {
+  const pool = findPool(services.version.configuration, server.announcement.pool)
+  if (pool === undefined || pool.batchConcurrency === 0 || server.announcement.leaving) return false
+  return services.session.isAlive(services.clock.now())
+}
+
+/** Dispatch under one lease. */
+interface Dispatch {
+  readonly server: BackendServer
+  readonly services: BatchServices
+  readonly claimed: ClaimedItems
+  readonly items: BatchItems
+  readonly changed: Condition
+  growth: Growth
+  /** Monotonic time at which an item last ran, in milliseconds. */
+  ranAt: number
+  /** Monotonic time since which no item may run, in milliseconds. */
+  blockedSince: number | undefined
+}
+
 async function dispatchUnderLease (server: BackendServer, lease: number, services: BatchServices, signal: AbortSignal): Promise<void> {
-  const { control, session, version, clock, holder, metrics } = services
+  const { clock, logger } = services
   const address = server.announcement.address
-  const controllers = new Set<AbortController>()
-  const ended = createCondition()
-  let sequence = 0
-  while (!signal.aborted && session.isAlive(clock.now()) && !server.announcement.leaving) {
-    const pool = findPool(version.configuration, server.announcement.pool)
+  const changed = createCondition()
+  const claimed = createClaimedItems({ address, lease, services, changed })
+  const items = createBatchItems({ server, services, claimed, changed })
+  const dispatch: Dispatch = { server, services, claimed, items, changed, growth: noGrowth, ranAt: -Infinity, blockedSince: undefined }
+  const heldSince = clock.now()
+  let lookedAt = heldSince
+  logger.write(LogEvents.leaseHeld, { peer: address, value: lease })
+  while (!signal.aborted && mayHold(server, services) && !claimed.leaseLost) {
+    const now = clock.now()
+    // After such a gap the session may have expired and been confirmed again, with the lease at another host.
+    if (now - lookedAt >= holderLimitMs) break
+    if (now - heldSince >= leaseKeepMs && isNearerHostPresent(server, services)) break
+    lookedAt = now
+    const pool = findPool(services.version.configuration, server.announcement.pool)
     if (pool === undefined) break
-    if (server.liveInFlight > 0 && controllers.size > 0) {
-      metrics.count(Counter.Yields, pool.name, controllers.size)
-      for (const controller of controllers) controller.abort()
-    }
-    const room = roomFor(server, pool, controllers.size)
-    if (room <= 0) {
-      await waitForChange(server, ended, signal)
-      continue
-    }
-    sequence++
-    const outcome = await control.execute({ kind: CommandKind.Claim, backendServer: address, holder, lease, sequence, pool: pool.name, count: room })
-    if (outcome.isErr() || outcome.value.kind !== OutcomeKind.Grants) break
-    for (const grant of outcome.value.grants) {
-      const run = services.runs.start(grant.job)
-      controllers.add(run.controller)
-      server.batchInFlight++
-      runGrant(grant, server, services, run.controller.signal).finally(() => {
-        controllers.delete(run.controller)
-        server.batchInFlight--
-        run.finish()
-        ended.notify()
-      }).catch(() => {})
-    }
-    if (outcome.value.grants.length === 0) await waitForChange(server, ended, signal)
+    look(dispatch, pool, now)
+    await waitForChange(dispatch, signal)
   }
-  for (const controller of controllers) controller.abort()
-  while (controllers.size > 0) await ended.wait(idleMs)
+  // A leaving backend server finishes what it has, as long as this host may run items at all.
+  while (server.announcement.leaving && !signal.aborted && items.count > 0 && services.session.isAlive(clock.now())) {
+    await changed.wait(lookMs, signal)
+  }
+  items.stopAll(StopCause.LeaseEnded)
+  server.batchReported = 0
+  await items.ended()
+  await claimed.close()
+  logger.write(LogEvents.leaseEnded, { peer: address, value: lease })
 }
 
-function roomFor (server: BackendServer, pool: Pool, running: number): number {
-  if (server.liveInFlight > 0) return 0
-  return Math.min(pool.batchConcurrency, server.announcement.capacity) - running
+function isNearerHostPresent (server: BackendServer, services: BatchServices): boolean {
+  const rank = rankHost(services.location, server.announcement)
+  return services.session.entryHosts.some(host => !host.draining && rankHost(host, server.announcement) < rank)
 }
 
-async function waitForChange (server: BackendServer, ended: Condition, signal: AbortSignal): Promise<void> {
+/** One look: bring what runs in line with what may run. */
+function look (dispatch: Dispatch, pool: Pool, now: number): void {
+  const { server, services, claimed, items } = dispatch
+  const { liveWork, random } = services
+  const live = liveWork.countOn(server)
+  dispatch.growth = decideGrowth({
+    last: dispatch.growth,
+    now,
+    live,
+    concurrency: pool.batchConcurrency,
+    capacity: server.announcement.capacity,
+    delay: liveWork.delayOn(pool.name)
+  }, findPreference(pool.preference), random)
+  const limit = dispatch.growth.limit
+  if (items.count > 0) dispatch.ranAt = now
+  server.batchReported = now - dispatch.ranAt < loadReportAgeMs ? pool.batchConcurrency : 0
+  if (items.count > limit) items.yieldTo(limit, pool.name)
+  if (limit === 0 || isOutOfBytes(dispatch, pool, now)) {
+    dispatch.blockedSince ??= now
+    if (now - dispatch.blockedSince >= holdLimitMs) claimed.giveBack()
+    return
+  }
+  dispatch.blockedSince = undefined
+  claimed.refill(pool.name, Math.min(pool.batchConcurrency, server.announcement.capacity))
+  if (items.count < limit) items.startUpTo(limit)
+}
+
+function isOutOfBytes (dispatch: Dispatch, pool: Pool, now: number): boolean {
+  const { server, services } = dispatch
+  if (server.announcement.region === services.location.region) return false
+  return services.byteBudgetOf(pool.name).balance(now, pool.batchBytesAcrossRegions) <= 0
+}
+
+async function waitForChange (dispatch: Dispatch, signal: AbortSignal): Promise<void> {
+  const { server, services, changed, growth } = dispatch
+  const stepMs = growth.nextStepAt - services.clock.now()
+  const limitMs = stepMs > 0 ? Math.min(stepMs, lookMs) : lookMs
   const wake = new AbortController()
   const either = AbortSignal.any([wake.signal, signal])
-  await Promise.race([ended.wait(idleMs, either), server.liveChanged.wait(idleMs, either)])
+  await Promise.race([changed.wait(limitMs, either), server.liveChanged.wait(limitMs, either)])
   wake.abort()
 }
-
-async function runGrant (grant: Grant, server: BackendServer, services: BatchServices, signal: AbortSignal): Promise<void> {
-  const { completions, control, session, version, connections, protocols, metrics, clock } = services
-  const route = findRoute(version.configuration, grant.route)
-  const pool = route === undefined ? undefined : findPool(version.configuration, route.pool)
-  const unchanged = { job: grant.job, position: grant.position, grant: grant.grant, partial: grant.partial, offset: grant.offset, attempted: false }
-  if (route === undefined || pool === undefined || session.cancelledJobs.has(grant.job)) return completions.giveBack(unchanged)
-  if (!route.idempotent) {
-    const outcome = await control.execute({ kind: CommandKind.Start, items: [unchanged] })
-    if (outcome.isErr() || outcome.value.kind !== OutcomeKind.Started || outcome.value.accepted[0] !== true) return
-  }
-  if (!session.isAlive(clock.now()) || session.cancelledJobs.has(grant.job)) return completions.giveBack(unchanged)
-  const end = await runItem({ grant, route, protocol: protocols[pool.protocol], connection: connections.to(server.announcement.address), signal })
-  metrics.count(Counter.Items, end.kind)
-  switch (end.kind) {
-    case ItemEndKind.Complete: return completions.complete(end.completion)
-    case ItemEndKind.GiveBack: return completions.giveBack(end.returned)
-  }
-}
--- /dev/null
+++ b/src/connection/batchItems.ts
@@ -0,0 +1,222 @@
+/**
+ * The items that run on one backend server under one lease, from their start to their end or return.
+ * @module
+ */
+import type { BackendServer } from '../process/backendServers.ts'
+import { CommandKind, Ending, OutcomeKind } from '../process/commands.ts'
+import { type Condition, createCondition } from '../process/condition.ts'
+import { fingerprintOf } from '../process/itemCrashes.ts'
+import { type RunningItem, StopCause } from '../process/itemRuns.ts'
+import { LogEvents } from '../process/logEvents.ts'
+import { Counter, Latency } from '../process/metrics.ts'
+import { ItemEndKind, runItem } from '../request/itemRun.ts'
+import { findPool, findRoute, type Pool, type Route } from '../version/tables.ts'
+import type { BatchServices } from './batchDispatch.ts'
+import { type ClaimedItem, type ClaimedItems, toReturn } from './claimedItems.ts'
+import { isRefused } from './connectionProbe.ts'
+
+/** Longest wait between two looks at the running items, in milliseconds. */
+const lookMs = 200
+
+/** Longest time for recording items as started, in milliseconds. */
+const startLimitMs = 2_000
+
+/** Running items of one backend server under one lease. */
+export interface BatchItems {
+  /** Items that run or are about to. */
+  readonly count: number
+  /**
+   * Starts held items.
+   * @param limit - how many may run
+   */
+  startUpTo (limit: number): void
+  /**
+   * Stops the latest items with their progress kept. Items that may run only once go on.
+   * @param limit - how many may go on
+   * @param pool - name of the pool, for the metrics
+   */
+  yieldTo (limit: number, pool: string): void
+  /**
+   * Stops all items.
+   * @param cause - why
+   */
+  stopAll (cause: StopCause): void
+  /**
+   * Waits for the last item.
+   * @returns a promise that resolves when none runs
+   */
+  ended (): Promise<void>
+}
+
+/** What running items need. */
+export interface BatchItemsInputs {
+  readonly server: BackendServer
+  readonly services: BatchServices
+  readonly claimed: ClaimedItems
+  /** Notified when an item has ended. */
+  readonly changed: Condition
+}
+
+interface Entry {
+  readonly item: ClaimedItem
+  readonly route: Route
+  readonly pool: Pool
+  readonly run: RunningItem
+  readonly fingerprint: string
+  stoppedAt: number | undefined
+}
+
+/**
+ * Creates the list without running items.
+ * @param inputs - what it needs
+ * @returns the list
+ */
+export function createBatchItems (inputs: BatchItemsInputs): BatchItems {
+  const { server, services, claimed, changed } = inputs
+  const { clock, completions, connections, control, crashRule, logger, metrics, protocols, runs, session, version } = services
+  const address = server.announcement.address
+  const entries = new Set<Entry>()
+  const endedOne = createCondition()
+  // One probe answers for all streams that broke with one incarnation of the backend server.
+  let probe: { readonly incarnation: string, readonly finished: Promise<void> } | undefined
+
+  function mayRun (item: ClaimedItem): boolean {
+    const { account, route, item: { input } } = item.grant
+    if (!crashRule.isSuspect(fingerprintOf(account, route, input))) return true
+    // Two suspects on one backend server could not be told apart when it crashes.
+    return ![...entries].some(entry => crashRule.isSuspect(entry.fingerprint))
+  }
+
+  function prepare (item: ClaimedItem): Entry | undefined {
+    const { account, job, item: { input } } = item.grant
+    const route = findRoute(version.configuration, item.grant.route)
+    const pool = route === undefined ? undefined : findPool(version.configuration, route.pool)
+    if (route === undefined || pool === undefined || session.cancelledJobs.has(job)) {
+      completions.giveBack(toReturn(item))
+      return undefined
+    }
+    const fingerprint = fingerprintOf(account, item.grant.route, input)
+    if (crashRule.isQuarantined(fingerprint)) {
+      fail(item)
+      return undefined
+    }
+    const entry: Entry = { item, route, pool, run: runs.start(job), fingerprint, stoppedAt: undefined }
+    entries.add(entry)
+    server.batchInFlight++
+    return entry
+  }
+
+  function fail (item: ClaimedItem): void {
+    const { job, position, grant } = item.grant
+    const result = 'its request crashed two backend servers'
+    logger.write(LogEvents.itemQuarantined, { peer: address, detail: `${job}/${position}` })
+    completions.complete({ job, position, grant, ending: Ending.Failed, result })
+  }
+
+  function remove (entry: Entry): void {
+    entries.delete(entry)
+    server.batchInFlight--
+    entry.run.finish()
+    if (entry.stoppedAt !== undefined) metrics.record(Latency.Yield, clock.now() - entry.stoppedAt)
+    changed.notify()
+    endedOne.notify()
+  }
+
+  async function runEntry (entry: Entry): Promise<void> {
+    const { item, route, pool, run } = entry
+    if (run.signal.aborted || !session.isAlive(clock.now())) return returnEntry(entry)
+    const countsBytes = server.announcement.region !== services.location.region
+    const budget = services.byteBudgetOf(pool.name)
+    const grant = { ...item.grant, partial: item.partial, offset: item.offset }
+    const end = await runItem({
+      grant,
+      route,
+      protocol: protocols[pool.protocol],
+      connection: connections.to(address),
+      signal: run.signal,
+      countBytes: bytes => { if (countsBytes) budget.spend(bytes) }
+    })
+    metrics.count(Counter.Items, end.kind)
+    if (end.kind === ItemEndKind.Complete) return completions.complete(end.completion)
+    item.partial = end.returned.partial
+    item.offset = end.returned.offset
+    if (!end.returned.attempted) return returnEntry(entry)
+    await checkForCrash()
+    if (crashRule.isQuarantined(entry.fingerprint)) return fail(item)
+    completions.giveBack(end.returned)
+  }
+
+  // After a yield the item stays here, to go on at once when the backend server is idle again.
+  function returnEntry (entry: Entry): void {
+    if (entry.run.signal.reason === StopCause.Yield) claimed.add(entry.item)
+    else completions.giveBack(toReturn(entry.item))
+  }
+
+  async function checkForCrash (): Promise<void> {
+    const { incarnation } = server.announcement
+    if (probe?.incarnation !== incarnation) {
+      const inFlight = [...entries].map(entry => entry.fingerprint)
+      probe = { incarnation, finished: reportIfCrashed(inFlight) }
+    }
+    await probe.finished
+  }
+
+  async function reportIfCrashed (inFlight: readonly string[]): Promise<void> {
+    if (await isRefused(address)) crashRule.reportCrash(inFlight)
+    // A connection that only broke says nothing about the next one.
+    else probe = undefined
+  }
+
+  async function startEntries (group: readonly Entry[]): Promise<void> {
+    const items = group.map(entry => toReturn(entry.item))
+    const outcome = await control.execute({ kind: CommandKind.Start, items }, startLimitMs)
+    const accepted = outcome.isOk() && outcome.value.kind === OutcomeKind.Started ? outcome.value.accepted : []
+    for (const [position, entry] of group.entries()) {
+      if (accepted[position] === true) {
+        follow(entry)
+        continue
+      }
+      // Nothing was sent, so the item can go back even if control recorded the start and the answer was lost.
+      completions.giveBack(toReturn(entry.item))
+      remove(entry)
+    }
+  }
+
+  function follow (entry: Entry): void {
+    runEntry(entry).finally(() => remove(entry)).catch(() => {})
+  }
+
+  return {
+    get count () { return entries.size },
+    startUpTo (limit) {
+      const once: Entry[] = []
+      while (entries.size < limit) {
+        const item = claimed.take(mayRun)
+        if (item === undefined) break
+        const entry = prepare(item)
+        if (entry === undefined) continue
+        if (entry.route.idempotent) follow(entry)
+        else once.push(entry)
+      }
+      if (once.length > 0) startEntries(once).catch(() => {})
+    },
+    yieldTo (limit, pool) {
+      const latestFirst = [...entries].filter(entry => entry.route.idempotent).reverse()
+      let goingOn = entries.size - latestFirst.filter(entry => entry.stoppedAt !== undefined).length
+      for (const entry of latestFirst) {
+        if (goingOn <= limit) break
+        if (entry.stoppedAt !== undefined) continue
+        entry.stoppedAt = clock.now()
+        entry.run.stop(StopCause.Yield)
+        metrics.count(Counter.Yields, pool)
+        goingOn--
+      }
+    },
+    stopAll (cause) {
+      for (const entry of entries) entry.run.stop(cause)
+    },
+    async ended () {
+      while (entries.size > 0) await endedOne.wait(lookMs)
+    }
+  }
+}
--- a/src/connection/controlClient.ts
+++ b/src/connection/controlClient.ts
@@ -5,7 +5,7 @@
  */
 import { err, type Result } from 'neverthrow'
 import type { Clock } from '../process/clock.ts'
-import type { Command, Outcome } from '../process/commands.ts'
+import { type Command, CommandKind, type Outcome } from '../process/commands.ts'
 import { createFailure, type Failure, FailureReason, Step } from '../process/failure.ts'
 import { Counter, type Metrics } from '../process/metrics.ts'
 import type { Answer, Query } from '../process/queries.ts'
@@ -20,6 +20,15 @@
 /** Longest pause between two tries, in milliseconds. */
 const retryMs = 200
 
+/** Commands that may be large or many; on connections of their own they never delay a poll. */
+const batchCommands: ReadonlySet<CommandKind> = new Set([
+  CommandKind.AppendItems, CommandKind.Claim, CommandKind.Start, CommandKind.Complete, CommandKind.GiveBack
+])
+
+function classOf (command: Command): TrafficClass {
+  return batchCommands.has(command.kind) ? TrafficClass.Batch : TrafficClass.Control
+}
+
 /** Calls to the leader. */
 export interface ControlClient {
   /**
@@ -88,7 +97,7 @@
 
   return {
     execute: (command, limitMs = 10_000) => retry(limitMs, Step.Execute, async address =>
-      await clients.callReply<Outcome>(address, TrafficClass.Control, Step.Execute, limitMs, (client, abort) =>
+      await clients.callReply<Outcome>(address, classOf(command), Step.Execute, limitMs, (client, abort) =>
         client.control.execute.mutate(command, { signal: abort }))),
     read: (query, limitMs = 5_000) => retry(limitMs, Step.Read, async address =>
       await clients.callReply<Answer>(address, TrafficClass.Control, Step.Read, callLimitMs, (client, abort) =>
--- /dev/null
+++ b/src/connection/dispatchPeer.ts
@@ -0,0 +1,127 @@
+/**
+ * The task that tells one peer entry host which leases this host holds, and on which backend servers under the peer's
+ * leases it runs live requests. A start is sent at once, so that the holder can yield; ends are gathered.
+ * @module
+ */
+import type { Clock } from '../process/clock.ts'
+import type { Holder } from '../process/commands.ts'
+import { createCondition } from '../process/condition.ts'
+import { Step } from '../process/failure.ts'
+import type { LeaseDirectory } from '../process/leaseDirectory.ts'
+import type { LiveWork } from '../process/liveWork.ts'
+import { Counter, type Metrics } from '../process/metrics.ts'
+import { type InternalClients, TrafficClass } from './internalClient.ts'
+
+/** Longest time between two messages, in milliseconds. A receiver drops what is three times as old. */
+const renewMs = 1_000
+
+/** Time between two looks for ended requests, in milliseconds. */
+const gatherMs = 10
+
+/** Limit for one message, in milliseconds. */
+const messageLimitMs = 1_000
+
+/** Most messages under way to one peer. Between regions one takes 40 ms; a later start must not wait for it. */
+const underWayLimit = 8
+
+/** What one entry host tells another about batch dispatch. */
+export interface DispatchNews {
+  readonly from: Holder
+  /** Grows with each message; an older message that arrives late is dropped. */
+  readonly sequence: number
+  /** All backend servers whose lease the sender holds. */
+  readonly leases: readonly string[]
+  /** Backend servers under the receiver's leases on which the sender runs live requests. */
+  readonly live: readonly string[]
+}
+
+/** Takes news from other entry hosts. */
+export interface DispatchReceiver {
+  /**
+   * Takes a message.
+   * @param news - the message
+   * @returns true when it was newer than the last one
+   */
+  receive (news: DispatchNews): boolean
+}
+
+/** What the task needs. */
+export interface DispatchPeer {
+  readonly address: string
+  readonly peer: Holder
+  readonly holder: Holder
+  readonly leases: LeaseDirectory
+  readonly liveWork: LiveWork
+  readonly clients: InternalClients
+  readonly clock: Clock
+  readonly metrics: Metrics
+  readonly signal: AbortSignal
+}
+
+/**
+ * Creates the receiver.
+ * @param leases - takes leases
+ * @param liveWork - takes live work
+ * @returns the receiver
+ */
+export function createDispatchReceiver (leases: LeaseDirectory, liveWork: LiveWork): DispatchReceiver {
+  const sequences = new Map<Holder, number>()
+  return {
+    receive (news) {
+      if (news.sequence <= (sequences.get(news.from) ?? -1)) return false
+      sequences.set(news.from, news.sequence)
+      leases.hear(news.from, news.leases)
+      liveWork.hear(news.from, news.live)
+      return true
+    }
+  }
+}
+
+/**
+ * Runs until the signal aborts.
+ * @param task - what the task needs
+ * @returns a promise that resolves at the end
+ */
+export async function runDispatchPeer (task: DispatchPeer): Promise<void> {
+  const { address, clients, clock, metrics, signal } = task
+  const arrived = createCondition()
+  let underWay = 0
+  let sequence = clock.wallTime()
+  let sent = ''
+  let sentAt = -Infinity
+  while (!signal.aborted) {
+    const content = describe(task)
+    const key = JSON.stringify(content)
+    if (key === sent && clock.now() - sentAt < renewMs) {
+      await waitForNews(task, content.live.length > 0 ? gatherMs : sentAt + renewMs - clock.now())
+      continue
+    }
+    if (underWay >= underWayLimit) {
+      await arrived.wait(renewMs, signal)
+      continue
+    }
+    sent = key
+    sentAt = clock.now()
+    sequence++
+    underWay++
+    metrics.count(Counter.DispatchNews, 'sent')
+    const news: DispatchNews = { ...content, sequence }
+    clients.call(address, TrafficClass.Control, Step.Share, messageLimitMs, (client, abort) => client.entry.dispatch.mutate(news, { signal: abort })).then(result => {
+      underWay--
+      if (result.isErr()) sent = ''
+      arrived.notify()
+    }, () => {})
+  }
+}
+
+function describe (task: DispatchPeer): Omit<DispatchNews, 'sequence'> {
+  const live = task.liveWork.listOwn().filter(address => task.leases.find(address) === task.peer)
+  return { from: task.holder, leases: task.leases.listOwn(), live }
+}
+
+async function waitForNews (task: DispatchPeer, limitMs: number): Promise<void> {
+  const wake = new AbortController()
+  const either = AbortSignal.any([wake.signal, task.signal])
+  await Promise.race([task.liveWork.started.wait(limitMs, either), task.leases.changed.wait(limitMs, either)])
+  wake.abort()
+}
--- a/src/connection/internalRouter.ts
+++ b/src/connection/internalRouter.ts
@@ -13,12 +13,14 @@
 import type { Member } from '../process/storage.ts'
 import type { WatchRequest } from '../process/watchMessages.ts'
 import { toReply } from './internalMessages.ts'
+import type { DispatchNews, DispatchReceiver } from './dispatchPeer.ts'
 import type { Share, ShareReceiver } from './share.ts'
 
 /** What a host offers; undefined where its role has none. */
 export interface InternalServices {
   controlHost: ControlHost | undefined
   shareReceiver: ShareReceiver | undefined
+  dispatchReceiver: DispatchReceiver | undefined
 }
 
 const { router, procedure } = initTRPC.create()
@@ -60,7 +62,8 @@
         services.controlHost === undefined ? missing(Step.Watch) : toReply(await services.controlHost.watch(input)))
     }),
     entry: router({
-      share: procedure.input(message<Share>()).mutation(({ input }) => services.shareReceiver?.receive(input) ?? false)
+      share: procedure.input(message<Share>()).mutation(({ input }) => services.shareReceiver?.receive(input) ?? false),
+      dispatch: procedure.input(message<DispatchNews>()).mutation(({ input }) => services.dispatchReceiver?.receive(input) ?? false)
     })
   })
 }
--- a/src/connection/protocol.ts
+++ b/src/connection/protocol.ts
@@ -21,6 +21,8 @@
   /** Longest time between two bytes, in milliseconds. */
   readonly betweenBytesMs: number
   readonly signal: AbortSignal
+  /** Takes the size of each piece sent or received, in bytes. */
+  readonly countBytes?: (bytes: number) => void
 }
 
 /** A piece of an answer. */
--- a/src/process/backendServers.ts
+++ b/src/process/backendServers.ts
@@ -23,6 +23,8 @@
   liveInFlight: number
   /** Batch items of this entry host that run there. */
   batchInFlight: number
+  /** Batch items of this entry host that the late load report may contain. */
+  batchReported: number
   /** Monotonic time until which it is avoided, in milliseconds. */
   avoidedUntil: number
   /** Notified when a live request starts or ends there. */
@@ -51,6 +53,12 @@
    * @returns the backend servers
    */
   list (): BackendServer[]
+  /**
+   * Finds a backend server.
+   * @param address - its address
+   * @returns the backend server, if it is known
+   */
+  find (address: string): BackendServer | undefined
   /**
    * Records that a backend server refused a connection.
    * @param server - the backend server
@@ -83,7 +91,7 @@
     const known = servers.get(announcement.address)
     if (known === undefined) {
       servers.set(announcement.address, {
-        announcement, announcedAt, liveInFlight: 0, batchInFlight: 0, avoidedUntil: 0, liveChanged: createCondition()
+        announcement, announcedAt, liveInFlight: 0, batchInFlight: 0, batchReported: 0, avoidedUntil: 0, liveChanged: createCondition()
       })
       logger.write(LogEvents.backendServerAnnounced, { peer: announcement.address, detail: announcement.pool })
       changed.notify()
@@ -115,6 +123,7 @@
       expire()
       return [...servers.values()]
     },
+    find: address => servers.get(address),
     avoid (server) {
       server.avoidedUntil = clock.now() + avoidMs
     }
--- a/src/process/completions.ts
+++ b/src/process/completions.ts
@@ -12,6 +12,9 @@
 /** Most items in one command. */
 const batchLimit = 500
 
+/** Characters after which a command takes no further item, so that no command holds up the control hosts. */
+const characterLimit = 256 * 1024
+
 /** Longest time for one command with all tries, in milliseconds. */
 const commandLimitMs = 10_000
 
@@ -24,6 +27,12 @@
   complete (completion: Completion): void
   /** Adds the return of an item. */
   giveBack (returned: Return): void
+  /**
+   * Waits until everything added so far was sent.
+   * @param signal - ends the wait early
+   * @returns a promise that resolves when the queue is empty or the signal aborts
+   */
+  flushed (signal: AbortSignal): Promise<void>
   /**
    * Sends until the signal aborts and the queue is empty.
    * @param signal - ends the task
@@ -42,11 +51,12 @@
   let ended: Completion[] = []
   let returned: Return[] = []
   const added = createCondition()
+  const sent = createCondition()
 
   // A command that could not be sent stays in the queue: it may be sent again without harm.
   async function send (): Promise<boolean> {
-    const completions = ended.slice(0, batchLimit)
-    const items = returned.slice(0, batchLimit)
+    const completions = takeFirst(ended, completion => completion.result.length)
+    const items = takeFirst(returned, item => item.partial.length)
     if (completions.length > 0) {
       const outcome = await control.execute({ kind: CommandKind.Complete, completions }, commandLimitMs)
       if (outcome.isErr()) {
@@ -54,11 +64,16 @@
         return false
       }
       ended = ended.slice(completions.length)
+      sent.notify()
     }
     if (items.length > 0) {
       const outcome = await control.execute({ kind: CommandKind.GiveBack, items }, commandLimitMs)
-      if (outcome.isErr()) return false
+      if (outcome.isErr()) {
+        logger.write(LogEvents.dispatchFailed, { failure: outcome.error })
+        return false
+      }
       returned = returned.slice(items.length)
+      sent.notify()
     }
     return true
   }
@@ -72,6 +87,9 @@
       returned.push(item)
       added.notify()
     },
+    async flushed (signal) {
+      while ((ended.length > 0 || returned.length > 0) && !signal.aborted) await sent.wait(idleMs, signal)
+    },
     async run (signal) {
       while (!signal.aborted) {
         if (ended.length === 0 && returned.length === 0) await added.wait(idleMs, signal)
@@ -83,3 +101,14 @@
     }
   }
 }
+
+function takeFirst<Element> (queue: readonly Element[], sizeOf: (element: Element) => number): Element[] {
+  const taken: Element[] = []
+  let characters = 0
+  for (const element of queue) {
+    if (taken.length >= batchLimit || characters >= characterLimit) break
+    taken.push(element)
+    characters += sizeOf(element)
+  }
+  return taken
+}
--- a/src/process/daemon.ts
+++ b/src/process/daemon.ts
@@ -55,7 +55,7 @@
   const random = createSystemRandom()
   const clients = createInternalClients(lifecycle)
   const control = createControlClient({ controlHosts: settings.controlHosts, clients, clock, random, metrics, signal: lifecycle.signal })
-  const services: InternalServices = { controlHost: undefined, shareReceiver: undefined }
+  const services: InternalServices = { controlHost: undefined, shareReceiver: undefined, dispatchReceiver: undefined }
 
   if (settings.role !== Role.Entry) {
     const storage = createFileStorage({ folder: settings.dataFolder ?? '', host: settings.host, logger, metrics })
@@ -81,6 +81,7 @@
   if (settings.role !== Role.Control && settings.callerAddress !== undefined) {
     entryHost = createEntryHost({ settings, callerAddress: settings.callerAddress, control, clients, clock, random, logger, metrics, lifecycle })
     services.shareReceiver = entryHost.shareReceiver
+    services.dispatchReceiver = entryHost.dispatchReceiver
     const served = await serveApi(settings.callerAddress, entryHost.api, lifecycle)
     if (served.isErr()) return err(served.error)
     entryHost.openRequests.watch(served.value)
--- a/src/process/entryHost.ts
+++ b/src/process/entryHost.ts
@@ -4,9 +4,10 @@
  */
 import { randomUUID } from 'node:crypto'
 import { createBackendServerConnections } from '../connection/backendServerConnection.ts'
-import { type BatchServices, createItemRuns, runBatchDispatch } from '../connection/batchDispatch.ts'
+import { type BatchServices, runBatchDispatch } from '../connection/batchDispatch.ts'
 import type { ControlClient } from '../connection/controlClient.ts'
 import { createControlStream, type Session } from '../connection/controlStream.ts'
+import { createDispatchReceiver, type DispatchReceiver, runDispatchPeer } from '../connection/dispatchPeer.ts'
 import { createEngineProtocol } from '../connection/engineProtocol.ts'
 import { runEntryPeer } from '../connection/entryPeer.ts'
 import type { InternalClients } from '../connection/internalClient.ts'
@@ -22,8 +23,13 @@
 import { createAccounts } from './accounts.ts'
 import { type BackendServers, createBackendServers } from './backendServers.ts'
 import type { Clock } from './clock.ts'
+import { type ByteBudget, createByteBudget } from './byteBudget.ts'
 import { createCompletions } from './completions.ts'
+import { createCrashRule } from './itemCrashes.ts'
+import { createItemRuns } from './itemRuns.ts'
+import { createLeaseDirectory } from './leaseDirectory.ts'
 import type { Lifecycle } from './lifecycle.ts'
+import { createLiveWork } from './liveWork.ts'
 import type { Logger } from './logger.ts'
 import type { Metrics } from './metrics.ts'
 import type { Random } from './random.ts'
@@ -55,6 +61,7 @@
 export interface RunningEntryHost {
   readonly api: ReturnType<typeof createCallerApi>
   readonly shareReceiver: ShareReceiver
+  readonly dispatchReceiver: DispatchReceiver
   readonly backendServers: BackendServers
   readonly session: Session
   readonly version: CurrentVersion
@@ -78,6 +85,10 @@
   const version = createCurrentVersion()
   const backendServers = createBackendServers(clock, logger)
   const news = createSharedNews(clock)
+  const leases = createLeaseDirectory(clock)
+  const liveWork = createLiveWork(clock, backendServers.find)
+  const byteBudgets = new Map<string, ByteBudget>()
+  let claims = 0
   const runs = createItemRuns()
   const accounts = createAccounts()
   const budgets = new Map<string, RetryBudget>()
@@ -90,7 +101,7 @@
     control, version, clock, random, logger, describe, stopJobs: jobs => runs.stopJobs(jobs), signal: lifecycle.signal
   })
   const { session } = stream
-  const connections = createBackendServerConnections({ clock, metrics, lifecycle })
+  const connections = createBackendServerConnections({ clock, metrics, lifecycle, crossesRegions })
   const protocols = { [ProtocolKind.Engine]: createEngineProtocol(), [ProtocolKind.Service]: createServiceProtocol() }
   const completions = createCompletions(control, logger)
 
@@ -118,6 +129,17 @@
     return budget
   }
 
+  function crossesRegions (address: string): boolean {
+    const region = backendServers.find(address)?.announcement.region
+    return region !== undefined && region !== settings.region
+  }
+
+  function byteBudgetOf (pool: string): ByteBudget {
+    const budget = byteBudgets.get(pool) ?? createByteBudget()
+    byteBudgets.set(pool, budget)
+    return budget
+  }
+
   function hear (announcement: Announcement): void {
     backendServers.hear(announcement, 0)
     news.announce(announcement)
@@ -135,7 +157,7 @@
     }
   }
 
-  const live: LiveServices = { accounts, backendServers, connections, protocols, retryBudgetOf, location: settings, clock, random, logger, metrics }
+  const live: LiveServices = { accounts, backendServers, liveWork, connections, protocols, retryBudgetOf, location: settings, clock, random, logger, metrics }
   const errors = createErrorAnswers(metrics, () => callableHosts().filter(host => host.holder !== holder).map(host => host.callerAddress))
   const api = createCallerApi({
     live,
@@ -149,7 +171,27 @@
     hear
   })
 
-  const batch: BatchServices = { holder, control, session, version, connections, protocols, completions, runs, clock, metrics }
+  const batch: BatchServices = {
+    holder,
+    location: settings,
+    control,
+    session,
+    version,
+    connections,
+    protocols,
+    completions,
+    runs,
+    leases,
+    liveWork,
+    crashRule: createCrashRule(clock),
+    byteBudgetOf,
+    nextSequence: () => ++claims,
+    clock,
+    random,
+    logger,
+    metrics,
+    ended: lifecycle.signal
+  }
   lifecycle.run(stream.run)
   lifecycle.run(signal => completions.run(signal))
   lifecycle.run(signal => alignTasks({ batch, news, clients, settings, holder, backendServers, session, clock, signal, batchSignal: batchEnd.signal }))
@@ -159,10 +201,12 @@
     await clock.sleep(settings.addressKeepMs, lifecycle.signal)
     refusing = true
     batchEnd.abort()
+    while (leases.listOwn().length > 0 && !lifecycle.signal.aborted) await leases.changed.wait(alignMs, lifecycle.signal)
+    await completions.flushed(lifecycle.signal)
     await openRequests.ended(lifecycle.signal)
   }
 
-  return { api, shareReceiver, backendServers, session, version, openRequests, drain }
+  return { api, shareReceiver, dispatchReceiver: createDispatchReceiver(leases, liveWork), backendServers, session, version, openRequests, drain }
 }
 
 interface Alignment {
@@ -203,6 +247,13 @@
       wanted.add(name)
       ensure(name, taskSignal => runEntryPeer({ address: host.internalAddress, host: settings.host, news, clients, clock, signal: taskSignal }))
     }
+    for (const host of session.entryHosts) {
+      if (host.holder === holder) continue
+      const name = `dispatch ${host.holder}`
+      wanted.add(name)
+      const { leases, liveWork, metrics } = batch
+      ensure(name, taskSignal => runDispatchPeer({ address: host.internalAddress, peer: host.holder, holder, leases, liveWork, clients, clock, metrics, signal: taskSignal }))
+    }
     for (const server of backendServers.list()) {
       const name = `batch ${server.announcement.address}`
       wanted.add(name)
--- a/src/process/logEvents.ts
+++ b/src/process/logEvents.ts
@@ -41,5 +41,9 @@
   attemptFailed: { number: 500, level: Level.Warn, text: 'attempt on a backend server failed', action: nothing },
   requestRefused: { number: 501, level: Level.Debug, text: 'request refused', action: 'See the refusal reason in docs/operations.md.' },
   itemFailed: { number: 600, level: Level.Info, text: 'batch item ended as failed', action: 'Read the reason in the job\'s results.' },
-  dispatchFailed: { number: 601, level: Level.Warn, text: 'batch dispatch call to control failed', action: 'Check the control hosts if it repeats.' }
+  dispatchFailed: { number: 601, level: Level.Warn, text: 'batch dispatch call to control failed', action: 'Check the control hosts if it repeats.' },
+  leaseHeld: { number: 610, level: Level.Info, text: 'batch dispatch lease held', action: nothing },
+  leaseEnded: { number: 611, level: Level.Info, text: 'batch dispatch lease given up', action: nothing },
+  claimUnanswered: { number: 612, level: Level.Warn, text: 'claim of batch items was not answered; sending it again', action: 'Check the control hosts if it repeats.' },
+  itemQuarantined: { number: 613, level: Level.Warn, text: 'batch item ended as failed; its request crashed two backend servers', action: 'Check the input of the item.' }
 } as const satisfies Readonly<Record<string, LogEvent>>
--- a/src/request/choice.ts
+++ b/src/request/choice.ts
@@ -31,13 +31,18 @@
   return left.length === 0 ? undefined : lessLoadedOfTwo(left, random)
 }
 
+/** Batch work yields to a live request, which still waits for the engine's step under way. */
+const batchWeight = 0.5
+
 /**
- * Estimates the load of a backend server from own requests and the late report.
+ * Estimates the load that a live request meets. Batch items in the late report are left out: they yield, and they would
+ * hide the differences in live load.
  * @param server - the backend server
- * @returns requests that run there
+ * @returns live requests that run there, and a little more where batch items run
  */
 export function loadOf (server: BackendServer): number {
-  return Math.max(server.liveInFlight + server.batchInFlight, server.announcement.running)
+  const live = Math.max(server.liveInFlight, server.announcement.running - server.batchReported)
+  return server.batchInFlight > 0 ? live + batchWeight : live
 }
 
 function hasRoom (server: BackendServer): boolean {
--- a/src/request/itemRun.ts
+++ b/src/request/itemRun.ts
@@ -26,6 +26,8 @@
   readonly connection: BackendServerConnection
   /** Aborts when batch yields, the job is cancelled or the session has expired. */
   readonly signal: AbortSignal
+  /** Takes the size of each piece sent or received, in bytes. */
+  readonly countBytes: (bytes: number) => void
 }
 
 /**
@@ -34,7 +36,7 @@
  * @returns what becomes of the item
  */
 export async function runItem (run: ItemRun): Promise<ItemEnd> {
-  const { grant, route, protocol, connection, signal } = run
+  const { grant, route, protocol, connection, signal, countBytes } = run
   let partial = grant.partial
   let offset = grant.offset
   const result = await protocol.run(connection, {
@@ -46,7 +48,8 @@
     trafficClass: TrafficClass.Batch,
     firstByteMs: route.firstByteMs,
     betweenBytesMs: route.betweenBytesMs,
-    signal
+    signal,
+    countBytes
   }, part => {
     partial += part.text
     offset = part.offset + 1
--- a/src/request/liveRequest.ts
+++ b/src/request/liveRequest.ts
@@ -10,6 +10,7 @@
 import type { BackendServer, BackendServers } from '../process/backendServers.ts'
 import type { Clock } from '../process/clock.ts'
 import { FailureReason } from '../process/failure.ts'
+import type { LiveWork } from '../process/liveWork.ts'
 import { LogEvents } from '../process/logEvents.ts'
 import type { Logger } from '../process/logger.ts'
 import { Counter, Latency, type Metrics } from '../process/metrics.ts'
@@ -40,6 +41,7 @@
 export interface LiveServices {
   readonly accounts: Accounts
   readonly backendServers: BackendServers
+  readonly liveWork: LiveWork
   readonly connections: BackendServerConnections
   readonly protocols: Readonly<Record<ProtocolKind, Protocol>>
   readonly retryBudgetOf: (pool: string) => RetryBudget
@@ -157,6 +159,7 @@
   metrics.count(Counter.Attempts, request.pool.name)
   const timeout = AbortSignal.timeout(Math.max(1, Math.ceil(request.deadline - clock.now())))
   server.liveInFlight++
+  const observation = services.liveWork.start(server)
   server.liveChanged.notify()
   let lastAt: number | undefined
   const result = await services.protocols[request.pool.protocol].run(services.connections.to(address), {
@@ -173,11 +176,13 @@
     const now = clock.now()
     if (lastAt !== undefined) metrics.record(Latency.BetweenTokens, now - lastAt)
     lastAt = now
+    observation.part()
     progress.partial += part.text
     progress.offset = part.offset + 1
     deliver(part)
   })
   server.liveInFlight--
+  observation.end()
   server.liveChanged.notify()
   return result.isOk() ? undefined : result.error
 }
