--- a/src/connection/batchDispatch.ts
+++ b/src/connection/batchDispatch.ts
@@ -97,7 +97,7 @@
     }
     known = outcome.value.number
     if (!outcome.value.granted) {
-      if (outcome.value.holder !== '') await clock.sleep(leaseRetryMs, signal)
+      await clock.sleep(outcome.value.holder === '' ? lookMs : leaseRetryMs, signal)
       continue
     }
     leases.setOwn(address, true)
@@ -181,7 +181,7 @@
   if (items.count > 0) dispatch.ranAt = now
   server.batchReported = now - dispatch.ranAt < loadReportAgeMs ? pool.batchConcurrency : 0
   if (items.count > limit) items.yieldTo(limit, pool.name)
-  if (limit === 0 || isOutOfBytes(dispatch, pool, now)) {
+  if (limit === 0 || now < server.avoidedUntil || isOutOfBytes(dispatch, pool, now)) {
     dispatch.blockedSince ??= now
     if (now - dispatch.blockedSince >= holdLimitMs) claimed.giveBack()
     return
--- a/src/connection/batchItems.ts
+++ b/src/connection/batchItems.ts
@@ -18,6 +18,9 @@
 /** Longest wait between two looks at the running items, in milliseconds. */
 const lookMs = 200
 
+/** Time without items after a request could not be sent, in milliseconds; else items would circle through control. */
+const avoidMs = 1_000
+
 /** Longest time for recording items as started, in milliseconds. */
 const startLimitMs = 2_000
 
@@ -140,7 +143,10 @@
     if (end.kind === ItemEndKind.Complete) return completions.complete(end.completion)
     item.partial = end.returned.partial
     item.offset = end.returned.offset
-    if (!end.returned.attempted) return returnEntry(entry)
+    if (!end.returned.attempted) {
+      if (!run.signal.aborted) server.avoidedUntil = clock.now() + avoidMs
+      return returnEntry(entry)
+    }
     await checkForCrash()
     if (crashRule.isQuarantined(entry.fingerprint)) return fail(item)
     completions.giveBack(end.returned)
--- a/src/version/preference.ts
+++ b/src/version/preference.ts
@@ -40,7 +40,8 @@
 
 class LatencyPreference extends Preference {
   override readonly delayBound = 1.05
-  override readonly growthItems = 1
+  // The first item of an idle engine starts a step that later ones wait for, so single items would waste whole steps.
+  override readonly growthItems = 4
 
   override allowBeside (last: Beside): Beside {
     return { items: 0, decidedAt: last.decidedAt }
@@ -52,11 +53,12 @@
 
 class ThroughputPreference extends Preference {
   override readonly delayBound = 1.15
-  override readonly growthItems = 4
+  override readonly growthItems = 16
 
   // Additive increase and multiplicative decrease, so that a bound that was passed is left quickly.
   override allowBeside (last: Beside, delay: DelayRatio, ceiling: number): Beside {
-    if (delay.ratio === undefined) return { items: Math.min(last.items, ceiling), decidedAt: last.decidedAt }
+    // One item beside live work is needed to measure the harm at all.
+    if (delay.ratio === undefined) return { items: Math.min(1, ceiling), decidedAt: last.decidedAt }
     if (delay.observations - last.decidedAt < observationsPerDecision) return { items: Math.min(last.items, ceiling), decidedAt: last.decidedAt }
     const items = delay.ratio <= this.delayBound ? last.items + 1 : Math.floor(last.items / 2)
     return { items: Math.min(items, ceiling), decidedAt: delay.observations }
