--- a/test/batchDispatch.test.ts
+++ b/test/batchDispatch.test.ts
@@ -67,6 +67,7 @@
     await eventually('a claim under way', limitMs, () => commandsOf(system, CommandKind.Claim).length > 1 && standIn.running > 0 ? true : undefined)
     system.services.liveWork.hear('host-b/1', [standIn.address])
     await eventually('an idle backend server', limitMs, () => standIn.running === 0 ? true : undefined)
+    expect(standIn.runs.filter(run => !run.cancelled)).to.deep.equal([])
     answer()
     system.intercept = () => undefined
   })
@@ -192,10 +193,18 @@
     await eventually('running items', limitMs, () => standIn.running > 0 ? true : undefined)
     // The session is confirmed again before the task looks; only the gap between two looks tells of the freeze.
     frozenMs = 6_000
+    // Control can't be reached either, so no refused claim tells that the lease is lost.
+    let answer = (): void => {}
+    const reached = new Promise<void>(resolve => { answer = resolve })
+    system.intercept = async command => {
+      if (command.kind === CommandKind.Claim) await reached
+      return undefined
+    }
     system.state.leases.set(standIn.address, { holder: 'host-b/1', number: 2 })
     const before = standIn.runs.length
     await eventually('the end of the old lease', limitMs, () => commandsOf(system, CommandKind.ReleaseLease).length > 0 ? true : undefined)
     expect(standIn.runs).to.have.length(before)
+    answer()
     end.abort()
     await task
   })
