--- a/src/connection/backendServerConnection.ts
+++ b/src/connection/backendServerConnection.ts
@@ -62,6 +62,8 @@
 export interface ConnectionInputs {
   readonly metrics: Metrics
   readonly lifecycle: Lifecycle
+  /** Tells whether a backend server is in another region. */
+  readonly crossesRegions: (address: string) => boolean
 }
 
 /**
@@ -110,7 +112,7 @@
     async post (path, body, attempt, receive) {
       const pool = pools.get(attempt.trafficClass)
       if (pool === undefined) throw new Error(`no connections for the traffic class ${attempt.trafficClass}`)
-      const result = await exchange(pool, address, path, body, attempt, receive, inputs.metrics)
+      const result = await exchange(pool, address, path, body, attempt, receive, inputs)
       if (result.isErr() && result.error.failure.reason === FailureReason.Timeout) replacePool(attempt.trafficClass, pool)
       return result
     },
@@ -137,8 +139,15 @@
 }
 
 function exchange (
-  pool: Pool, peer: string, path: string, body: string, attempt: Attempt, receive: ChunkReceiver, metrics: Metrics
+  pool: Pool, peer: string, path: string, body: string, attempt: Attempt, receive: ChunkReceiver, inputs: ConnectionInputs
 ): Promise<Result<void, AttemptFailure>> {
+  const label = `${attempt.trafficClass} ${inputs.crossesRegions(peer) ? 'across regions' : 'within region'}`
+
+  function countBytes (bytes: number): void {
+    inputs.metrics.count(Counter.Bytes, label, bytes)
+    attempt.countBytes?.(bytes)
+  }
+
   return new Promise(resolve => {
     // Set before the first byte is handed to the socket and never reset. An exchange that is given up earlier is still in
     // undici's queue; onRequestStart aborts it there before anything is written, so "not sent" stays true.
@@ -203,7 +212,7 @@
         if (cause !== undefined) return started.abort(cause)
         sent = true
         step = Step.FirstByte
-        metrics.count(Counter.Bytes, attempt.trafficClass, body.length)
+        countBytes(Buffer.byteLength(body))
         limit(attempt.firstByteMs, 'no first byte')
       },
       onResponseStart (_, code) {
@@ -212,7 +221,7 @@
       },
       onResponseData (reading, chunk) {
         step = Step.ReadAnswer
-        metrics.count(Counter.Bytes, attempt.trafficClass, chunk.length)
+        countBytes(chunk.length)
         limit(attempt.betweenBytesMs, 'no further byte')
         if (status === 200) take(chunk, reading)
       },
--- a/src/process/backendServers.ts
+++ b/src/process/backendServers.ts
@@ -38,6 +38,8 @@
   batchInFlight: number
   /** Monotonic time since which it is avoided, in milliseconds; undefined when it is not. */
   avoidedSince: number | undefined
+  /** Batch items of this entry host that the late load report may contain. */
+  batchReported: number
   /** Notified when a live request starts or ends there. */
   readonly liveChanged: Condition
 }
@@ -64,6 +66,12 @@
    * @returns the backend servers
    */
   list (): BackendServer[]
+  /**
+   * Finds a backend server.
+   * @param address - its address
+   * @returns the backend server, if it is known
+   */
+  find (address: string): BackendServer | undefined
   /**
    * Records that a backend server refused a connection. It gets no new work until it announces itself again.
    * @param server - the backend server
@@ -140,6 +148,7 @@
         liveEnds: [],
         addressHash: hashText(announcement.address),
         batchInFlight: 0,
+        batchReported: 0,
         avoidedSince: undefined,
         liveChanged: createCondition()
       })
@@ -177,6 +186,7 @@
       expire()
       return [...servers.values()]
     },
+    find: address => servers.get(address),
     avoid (server) {
       server.avoidedSince = clock.now()
     }
--- a/src/process/completions.ts
+++ b/src/process/completions.ts
@@ -12,8 +12,8 @@
 /** Most items in one command. */
 const batchLimit = 500
 
-/** Characters of results and partial answers after which a command is full. */
-const characterLimit = 1024 * 1024
+/** Characters after which a command takes no further item, so that no command holds up the control hosts. */
+const characterLimit = 256 * 1024
 
 /** Longest time for one command with all tries, in milliseconds. */
 const commandLimitMs = 10_000
@@ -67,7 +67,10 @@
     }
     if (items.length > 0) {
       const outcome = await control.execute({ kind: CommandKind.GiveBack, items }, commandLimitMs)
-      if (outcome.isErr()) return false
+      if (outcome.isErr()) {
+        logger.write(LogEvents.dispatchFailed, { failure: outcome.error })
+        return false
+      }
       returned = returned.slice(items.length)
     }
     return true
@@ -88,6 +91,7 @@
     async run (signal) {
       while (!signal.aborted) {
         if (ended.length === 0 && returned.length === 0) await added.wait(idleMs, signal)
+        // The failed call was retried for its whole limit already, so this does not spin.
         await send()
         if (ended.length === 0 && returned.length === 0) emptied.notify()
       }
--- a/src/request/attempt.ts
+++ b/src/request/attempt.ts
@@ -47,6 +47,7 @@
   metrics.count(Counter.Attempts, request.pool.name)
   const startedAt = clock.now()
   startLive(server, startedAt)
+  const observation = services.liveWork.start(server)
   let lastAt: number | undefined
   const result = await services.protocols[request.pool.protocol].run(services.connections.to(address), {
     // Callers choose request ids, and attempts of one request follow each other: only an id of its own tells answers apart.
@@ -63,11 +64,13 @@
     const now = clock.now()
     if (lastAt !== undefined) metrics.record(Latency.BetweenTokens, now - lastAt)
     lastAt = now
+    observation.part()
     progress.partial += part.text
     progress.offset = part.offset + 1
     return deliver(part)
   })
   endLive(server, startedAt, clock.now())
+  observation.end()
   const failed = result.isOk() ? undefined : result.error
   progress.sent ||= failed?.sent ?? true
   flight.end(flightEndOf(failed))
--- a/src/request/choice.ts
+++ b/src/request/choice.ts
@@ -128,9 +128,13 @@
   return Math.max(0, load + 1 - capacity) / capacity * requestMs
 }
 
+/** Batch work yields to a live request, which still waits for the engine's step under way. */
+const batchWeight = 0.5
+
 /**
- * Estimates the load of a backend server: the late report, corrected by own requests that started or ended since, and
- * never less than the own requests that run there.
+ * Estimates the load that a live request meets on a backend server: the late report, corrected by own requests that started or ended since, and
+ * never less than the own requests that run there. Batch items in the report are left out: they yield, and they would
+ * hide the differences in live load.
  * @param server - the backend server
  * @returns requests that run there
  */
@@ -141,7 +145,8 @@
   for (const ended of server.liveEnds) {
     if (ended.startedAt <= since && ended.endedAt > since) correction--
   }
-  return Math.max(server.liveInFlight + server.batchInFlight, server.announcement.running + correction)
+  const live = Math.max(server.liveInFlight, server.announcement.running - server.batchReported + correction)
+  return server.batchInFlight > 0 ? live + batchWeight : live
 }
 
 /**
--- a/src/request/itemRun.ts
+++ b/src/request/itemRun.ts
@@ -15,8 +15,8 @@
 
 /** What becomes of the item. */
 export type ItemEnd =
-  | { readonly kind: typeof ItemEndKind.Complete, readonly completion: Completion }
-  | { readonly kind: typeof ItemEndKind.GiveBack, readonly returned: Return }
+  | { readonly kind: typeof ItemEndKind.Complete, readonly completion: Completion, readonly failed?: AttemptFailure }
+  | { readonly kind: typeof ItemEndKind.GiveBack, readonly returned: Return, readonly failed: AttemptFailure }
 
 /** What the attempt needs. */
 export interface ItemRun {
@@ -26,6 +26,8 @@
   readonly connection: BackendServerConnection
   /** Aborts when batch yields, the job is cancelled or the session has expired. */
   readonly signal: AbortSignal
+  /** Takes the size of each piece sent or received, in bytes. */
+  readonly countBytes: (bytes: number) => void
 }
 
 /**
@@ -34,7 +36,7 @@
  * @returns what becomes of the item
  */
 export async function runItem (run: ItemRun): Promise<ItemEnd> {
-  const { grant, route, protocol, connection, signal } = run
+  const { grant, route, protocol, connection, signal, countBytes } = run
   let partial = grant.partial
   let offset = grant.offset
   const result = await protocol.run(connection, {
@@ -46,7 +48,8 @@
     trafficClass: TrafficClass.Batch,
     firstByteMs: route.firstByteMs,
     betweenBytesMs: route.betweenBytesMs,
-    signal
+    signal,
+    countBytes
   }, part => {
     partial += part.text
     offset = part.offset + 1
@@ -54,10 +57,11 @@
   const { job, position, grant: number } = grant
   const reference = { job, position, grant: number }
   if (result.isOk()) return { kind: ItemEndKind.Complete, completion: { ...reference, ending: Ending.Done, result: partial } }
-  if (!route.idempotent && result.error.sent) {
-    return { kind: ItemEndKind.Complete, completion: { ...reference, ending: Ending.Unknown, result: result.error.failure.message } }
+  const { error: failed } = result
+  if (!route.idempotent && failed.sent) {
+    return { kind: ItemEndKind.Complete, failed, completion: { ...reference, ending: Ending.Unknown, result: failed.failure.message } }
   }
-  return { kind: ItemEndKind.GiveBack, returned: { ...reference, partial, offset, attempted: countsAsAttempt(result.error), reason: result.error.failure.message } }
+  return { kind: ItemEndKind.GiveBack, failed, returned: { ...reference, partial, offset, attempted: countsAsAttempt(failed), reason: failed.failure.message } }
 }
 
 // A cancelled attempt and one that never reached the backend server say nothing about the item.
--- a/src/request/liveRequest.ts
+++ b/src/request/liveRequest.ts
@@ -10,6 +10,7 @@
 import type { BackendServer, BackendServers } from '../process/backendServers.ts'
 import type { Clock } from '../process/clock.ts'
 import { FailureReason } from '../process/failure.ts'
+import type { LiveWork } from '../process/liveWork.ts'
 import { LogEvents } from '../process/logEvents.ts'
 import type { Logger } from '../process/logger.ts'
 import { Counter, Latency, type Metrics } from '../process/metrics.ts'
@@ -42,6 +43,7 @@
 export interface LiveServices {
   readonly accounts: Accounts
   readonly backendServers: BackendServers
+  readonly liveWork: LiveWork
   readonly connections: BackendServerConnections
   readonly quarantine: Quarantine
   readonly inspection: CrashInspection
