Close gaps in announcements, leaving and graceful shutdown

Announcements: the task of a peer entry host was kept by address, so a peer that restarted got nothing told before; it is now kept by the start of the peer. A share answered by a host that was still starting counted as delivered. An announcement older than the known one was told to others. A backend server that expired and was announced again between two looks left its batch task with an object that no longer changed.

Leaving: the items on a leaving backend server were cancelled; they now finish.

Shutdown: the host reports to control that it drains at once, also leaves its own address answers at once, closes the connection of each request with its answer, waits for requests of operators too, and ends only after its items and leases have gone back. Items on non-idempotent routes are not cut off.

--- a/scripts/fleet.ts
+++ b/scripts/fleet.ts
@@ -22,6 +22,8 @@
 export interface FleetSize {
   readonly controlHosts: number
   readonly entryHosts: number
+  /** How long callers may keep an address answer, in milliseconds; 500 by default. */
+  readonly addressKeepMs?: number
 }
 
 /** A running fleet. */
@@ -65,7 +67,7 @@
       '--role', isControl ? 'control' : 'entry', '--host', name, '--availability-zone', zone,
       '--region', zone === 'zone-c' ? 'region-b' : 'region-a', '--control-hosts', controlAddresses,
       '--internal-address', internalAddress, '--administration-address', administrationAddress,
-      ...(isControl ? ['--data-folder', join(folder, name)] : ['--caller-address', callerAddress, '--address-keep-ms', '500'])
+      ...(isControl ? ['--data-folder', join(folder, name)] : ['--caller-address', callerAddress, '--address-keep-ms', String(size.addressKeepMs ?? 500)])
     ]
     hosts.push({ name, internalAddress, administrationAddress, callerAddress, flags, program: startProgram(name, daemon, flags) })
   }
--- a/src/connection/batchDispatch.ts
+++ b/src/connection/batchDispatch.ts
@@ -120,6 +120,7 @@
   const address = server.announcement.address
   const controllers = new Set<AbortController>()
   const ended = createCondition()
+  const unrepeatable = new WeakSet<AbortController>()
   let sequence = 0
   while (!signal.aborted && session.isAlive(clock.now()) && !server.announcement.leaving) {
     const pool = findPool(version.configuration, server.announcement.pool)
@@ -139,6 +140,7 @@
     for (const grant of outcome.value.grants) {
       const run = services.runs.start(grant.job)
       controllers.add(run.controller)
+      if (findRoute(version.configuration, grant.route)?.idempotent === false) unrepeatable.add(run.controller)
       server.batchInFlight++
       runGrant(grant, server, services, run.controller.signal).finally(() => {
         controllers.delete(run.controller)
@@ -149,7 +151,14 @@
     }
     if (outcome.value.grants.length === 0) await waitForChange(server, ended, signal)
   }
-  for (const controller of controllers) controller.abort()
+  // A leaving backend server finishes what it has.
+  while (server.announcement.leaving && controllers.size > 0 && !signal.aborted && session.isAlive(clock.now())) {
+    await waitForChange(server, ended, signal)
+  }
+  for (const controller of controllers) {
+    // An item that must not run twice would end as unknown if a shutdown cut it off.
+    if (!unrepeatable.has(controller) || !session.isAlive(clock.now())) controller.abort()
+  }
   while (controllers.size > 0) await ended.wait(idleMs)
 }
 
--- a/src/connection/controlStream.ts
+++ b/src/connection/controlStream.ts
@@ -52,6 +52,11 @@
    * @returns a promise that resolves at the end
    */
   run (): Promise<void>
+  /**
+   * Tells control at once what this host is like now, instead of with the next poll.
+   * @returns a promise that resolves when control has answered or could not be reached
+   */
+  report (): Promise<void>
 }
 
 /**
@@ -94,6 +99,10 @@
     }
   }
 
+  async function report (): Promise<void> {
+    await control.watch({ entryHost: describe(), version: version.configuration.version, seenIndex, directoryRevision, immediate: true })
+  }
+
   function reportStaleness (): void {
     const confirmed = version.isConfirmed(clock.now())
     if (confirmed && stale) logger.write(LogEvents.configurationFresh)
@@ -107,5 +116,5 @@
     changed,
     isAlive: now => polledAt !== undefined && now - polledAt < holderLimitMs
   }
-  return { session, run }
+  return { session, run, report }
 }
--- a/src/connection/entryPeer.ts
+++ b/src/connection/entryPeer.ts
@@ -32,6 +32,7 @@
  */
 export async function runEntryPeer (peer: EntryPeer): Promise<void> {
   const { address, host, news, clients, clock, signal } = peer
+  // A new peer has nothing, so the first share carries everything that has not expired.
   let sentRevision = 0
   while (!signal.aborted) {
     if (news.revision === sentRevision) {
@@ -42,7 +43,8 @@
     const share = news.since(sentRevision, host)
     const result = await clients.call(address, TrafficClass.Control, Step.Share, shareLimitMs, (client, abort) =>
       client.entry.share.mutate(share, { signal: abort }))
-    if (result.isOk()) sentRevision = revision
+    // A share that may not have arrived goes out again; the receiver knows its content by incarnation and sequence.
+    if (result.isOk() && result.value) sentRevision = revision
     await clock.sleep(shareIntervalMs, signal)
   }
 }
--- a/src/connection/openRequests.ts
+++ b/src/connection/openRequests.ts
@@ -12,6 +12,10 @@
 export interface OpenRequests {
   /** Counts the requests of a server from now on. */
   watch (server: Server): void
+  /** Closes the connection of each request with its answer, so that callers open their next one elsewhere. */
+  closeAfterAnswers (): void
+  /** Stops listening and closes idle connections; requests under way go on. */
+  stopListening (): void
   /**
    * Waits until none is left.
    * @param signal - ends the wait early
@@ -27,16 +31,28 @@
 export function createOpenRequests (): OpenRequests {
   const changed = createCondition()
   const open = new Set<ServerResponse>()
+  const servers = new Set<Server>()
+  let closing = false
   return {
     watch (server) {
-      server.on('request', (_, response: ServerResponse) => {
+      servers.add(server)
+      // First of the listeners: the others may write the headers at once.
+      server.prependListener('request', (_, response: ServerResponse) => {
         open.add(response)
+        if (closing) response.shouldKeepAlive = false
         response.once('close', () => {
           open.delete(response)
           changed.notify()
         })
       })
     },
+    closeAfterAnswers () {
+      closing = true
+      for (const response of open) response.shouldKeepAlive = false
+    },
+    stopListening () {
+      for (const server of servers) server.close()
+    },
     async ended (signal) {
       while (open.size > 0 && !signal.aborted) await changed.wait(lookMs, signal)
     }
--- a/src/connection/share.ts
+++ b/src/connection/share.ts
@@ -46,7 +46,7 @@
   /**
    * Takes a share.
    * @param share - what changed
-   * @returns true
+   * @returns true; a host that is still starting has no receiver and answers false
    */
   receive (share: Share): boolean
 }
--- a/src/process/completions.ts
+++ b/src/process/completions.ts
@@ -30,6 +30,12 @@
    * @returns a promise that resolves at the end
    */
   run (signal: AbortSignal): Promise<void>
+  /**
+   * Waits until everything added so far has been sent.
+   * @param signal - ends the wait early
+   * @returns a promise that resolves when the queue is empty or the signal aborts
+   */
+  flushed (signal: AbortSignal): Promise<void>
 }
 
 /**
@@ -42,6 +48,7 @@
   let ended: Completion[] = []
   let returned: Return[] = []
   const added = createCondition()
+  const sent = createCondition()
 
   // A command that could not be sent stays in the queue: it may be sent again without harm.
   async function send (): Promise<boolean> {
@@ -76,10 +83,14 @@
       while (!signal.aborted) {
         if (ended.length === 0 && returned.length === 0) await added.wait(idleMs, signal)
         await send()
+        sent.notify()
       }
       while (ended.length > 0 || returned.length > 0) {
         if (!await send()) break
       }
+    },
+    async flushed (signal) {
+      while ((ended.length > 0 || returned.length > 0) && !signal.aborted) await sent.wait(idleMs, signal)
     }
   }
 }
--- a/src/process/daemon.ts
+++ b/src/process/daemon.ts
@@ -7,6 +7,7 @@
 import { createControlClient } from '../connection/controlClient.ts'
 import { createInternalClients } from '../connection/internalClient.ts'
 import { createInternalRouter, type InternalServices } from '../connection/internalRouter.ts'
+import { createOpenRequests } from '../connection/openRequests.ts'
 import { createTrpcTransport } from '../connection/replicaTransport.ts'
 import { createAdministrationApi } from '../request/administrationApi.ts'
 import { createErrorAnswers } from '../request/errorAnswer.ts'
@@ -55,6 +56,7 @@
   const random = createSystemRandom()
   const clients = createInternalClients(lifecycle)
   const control = createControlClient({ controlHosts: settings.controlHosts, clients, clock, random, metrics, signal: lifecycle.signal })
+  const openRequests = createOpenRequests()
   const services: InternalServices = { controlHost: undefined, shareReceiver: undefined }
 
   if (settings.role !== Role.Entry) {
@@ -79,17 +81,18 @@
 
   let entryHost: RunningEntryHost | undefined
   if (settings.role !== Role.Control && settings.callerAddress !== undefined) {
-    entryHost = createEntryHost({ settings, callerAddress: settings.callerAddress, control, clients, clock, random, logger, metrics, lifecycle })
+    entryHost = createEntryHost({ settings, callerAddress: settings.callerAddress, openRequests, control, clients, clock, random, logger, metrics, lifecycle })
     services.shareReceiver = entryHost.shareReceiver
     const served = await serveApi(settings.callerAddress, entryHost.api, lifecycle)
     if (served.isErr()) return err(served.error)
-    entryHost.openRequests.watch(served.value)
+    openRequests.watch(served.value)
   }
   if (settings.administrationAddress !== undefined) {
     const errors = createErrorAnswers(metrics, () => [])
     const status = (): object => describeStatus(settings, services.controlHost, entryHost)
     const served = await serveApi(settings.administrationAddress, createAdministrationApi({ control, errors, status }), lifecycle)
     if (served.isErr()) return err(served.error)
+    openRequests.watch(served.value)
   }
   if (settings.metricsAddress !== undefined) {
     const api = new Hono().get('/metrics', context => context.text(metrics.format()))
@@ -104,7 +107,10 @@
     entryHost,
     async drain () {
       logger.write(LogEvents.processDraining)
+      openRequests.closeAfterAnswers()
       await entryHost?.drain()
+      openRequests.stopListening()
+      await openRequests.ended(lifecycle.signal)
       await lifecycle.close()
     }
   })
--- a/src/process/entryHost.ts
+++ b/src/process/entryHost.ts
@@ -10,7 +10,7 @@
 import { createEngineProtocol } from '../connection/engineProtocol.ts'
 import { runEntryPeer } from '../connection/entryPeer.ts'
 import type { InternalClients } from '../connection/internalClient.ts'
-import { createOpenRequests, type OpenRequests } from '../connection/openRequests.ts'
+import type { OpenRequests } from '../connection/openRequests.ts'
 import { createServiceProtocol } from '../connection/serviceProtocol.ts'
 import type { Announcement, ShareReceiver } from '../connection/share.ts'
 import { createCallerApi } from '../request/callerApi.ts'
@@ -20,7 +20,7 @@
 import { createCurrentVersion, type CurrentVersion } from '../version/currentVersion.ts'
 import { ProtocolKind } from '../version/tables.ts'
 import { createAccounts } from './accounts.ts'
-import { type BackendServers, createBackendServers } from './backendServers.ts'
+import { type BackendServer, type BackendServers, createBackendServers } from './backendServers.ts'
 import type { Clock } from './clock.ts'
 import { createCompletions } from './completions.ts'
 import type { Lifecycle } from './lifecycle.ts'
@@ -28,9 +28,10 @@
 import type { Metrics } from './metrics.ts'
 import type { Random } from './random.ts'
 import { createRetryBudget, type RetryBudget } from './retryBudget.ts'
-import type { EntryHost } from './sessions.ts'
+import { type EntryHost, sessionLimitMs } from './sessions.ts'
 import type { Settings } from './settings.ts'
 import { createSharedNews, type SharedNews } from './sharedNews.ts'
+import { createTaskSet } from './taskSet.ts'
 
 /** How often the tasks for peers and backend servers are brought in line with what is known, in milliseconds. */
 const alignMs = 500
@@ -42,6 +43,8 @@
 export interface EntryHostInputs {
   readonly settings: Settings
   readonly callerAddress: string
+  /** Requests that callers and operators wait for. */
+  readonly openRequests: OpenRequests
   readonly control: ControlClient
   readonly clients: InternalClients
   readonly clock: Clock
@@ -58,8 +61,6 @@
   readonly backendServers: BackendServers
   readonly session: Session
   readonly version: CurrentVersion
-  /** Requests that callers wait for. */
-  readonly openRequests: OpenRequests
   /**
    * Leaves: out of the address answers at once, then no new requests, then waits for the last one.
    * @returns a promise that resolves when nothing runs any more
@@ -73,7 +74,7 @@
  * @returns the running entry host
  */
 export function createEntryHost (inputs: EntryHostInputs): RunningEntryHost {
-  const { settings, control, clients, clock, random, logger, metrics, lifecycle } = inputs
+  const { settings, openRequests, control, clients, clock, random, logger, metrics, lifecycle } = inputs
   const holder = `${settings.host}/${randomUUID()}`
   const version = createCurrentVersion()
   const backendServers = createBackendServers(clock, logger)
@@ -84,7 +85,6 @@
   const batchEnd = new AbortController()
   let draining = false
   let refusing = false
-  const openRequests = createOpenRequests()
 
   const stream = createControlStream({
     control, version, clock, random, logger, describe, stopJobs: jobs => runs.stopJobs(jobs), signal: lifecycle.signal
@@ -119,12 +119,13 @@
   }
 
   function hear (announcement: Announcement): void {
-    backendServers.hear(announcement, 0)
-    news.announce(announcement)
+    // An announcement that is not newer came by another path, and the host that heard it tells the others.
+    if (backendServers.hear(announcement, 0)) news.announce(announcement)
   }
 
   function callableHosts (): EntryHost[] {
-    const hosts = session.entryHosts.filter(host => !host.draining)
+    // Control may not have heard yet that this host drains.
+    const hosts = session.entryHosts.filter(host => !host.draining && !(draining && host.holder === holder))
     return hosts.sort((left, right) => distance(left, settings) - distance(right, settings))
   }
 
@@ -152,69 +153,92 @@
   const batch: BatchServices = { holder, control, session, version, connections, protocols, completions, runs, clock, metrics }
   lifecycle.run(stream.run)
   lifecycle.run(signal => completions.run(signal))
-  lifecycle.run(signal => alignTasks({ batch, news, clients, settings, holder, backendServers, session, clock, signal, batchSignal: batchEnd.signal }))
+  lifecycle.run(signal => alignPeers({ news, clients, settings, holder, session, clock, signal }))
+  const dispatching = alignDispatch({ batch, backendServers, signal: AbortSignal.any([lifecycle.signal, batchEnd.signal]) })
+  lifecycle.run(() => dispatching)
+
+  // Items go back and leases are released while callers may still come.
+  async function endBatch (): Promise<void> {
+    batchEnd.abort()
+    await dispatching
+    await completions.flushed(AbortSignal.any([lifecycle.signal, AbortSignal.timeout(sessionLimitMs)]))
+  }
 
   async function drain (): Promise<void> {
     draining = true
-    await clock.sleep(settings.addressKeepMs, lifecycle.signal)
+    const batchEnded = endBatch()
+    await Promise.all([stream.report(), clock.sleep(settings.addressKeepMs, lifecycle.signal)])
     refusing = true
-    batchEnd.abort()
-    await openRequests.ended(lifecycle.signal)
+    await Promise.all([batchEnded, openRequests.ended(lifecycle.signal)])
   }
 
-  return { api, shareReceiver, backendServers, session, version, openRequests, drain }
+  return { api, shareReceiver, backendServers, session, version, drain }
 }
 
-interface Alignment {
-  readonly batch: BatchServices
+interface PeerAlignment {
   readonly news: SharedNews
   readonly clients: InternalClients
   readonly settings: Settings
   readonly holder: string
-  readonly backendServers: BackendServers
   readonly session: Session
   readonly clock: Clock
   readonly signal: AbortSignal
-  readonly batchSignal: AbortSignal
 }
 
-/** Keeps one task for each peer entry host and for each backend server. */
-async function alignTasks (alignment: Alignment): Promise<void> {
-  const { batch, news, clients, settings, holder, backendServers, session, clock, signal, batchSignal } = alignment
-  const tasks = new Map<string, AbortController>()
-  const running = new Set<Promise<void>>()
-
-  function ensure (name: string, run: (taskSignal: AbortSignal) => Promise<void>): void {
-    if (tasks.has(name)) return
-    const controller = new AbortController()
-    tasks.set(name, controller)
-    const task = run(AbortSignal.any([signal, controller.signal])).finally(() => {
-      running.delete(task)
-      tasks.delete(name)
-    })
-    running.add(task)
-  }
-
+/** Keeps one task for each peer entry host. */
+async function alignPeers (alignment: PeerAlignment): Promise<void> {
+  const { news, clients, settings, holder, session, clock, signal } = alignment
+  const tasks = createTaskSet(signal)
   while (!signal.aborted) {
     const wanted = new Set<string>()
-    for (const host of session.entryHosts) {
+    for (const host of latestStarts(session.entryHosts)) {
       if (host.holder === holder) continue
-      const name = `entry ${host.internalAddress}`
-      wanted.add(name)
-      ensure(name, taskSignal => runEntryPeer({ address: host.internalAddress, host: settings.host, news, clients, clock, signal: taskSignal }))
+      // The subject is the start of the peer, not its address: a peer that restarts has lost what it was told.
+      wanted.add(host.holder)
+      tasks.ensure(host.holder, taskSignal => runEntryPeer({ address: host.internalAddress, host: settings.host, news, clients, clock, signal: taskSignal }))
     }
+    tasks.endAllBut(wanted)
+    await session.changed.wait(alignMs, signal)
+  }
+  await tasks.ended()
+}
+
+interface DispatchAlignment {
+  readonly batch: BatchServices
+  readonly backendServers: BackendServers
+  readonly signal: AbortSignal
+}
+
+/** Keeps one task for each backend server, and ends when each has returned its items and its lease. */
+async function alignDispatch (alignment: DispatchAlignment): Promise<void> {
+  const { batch, backendServers, signal } = alignment
+  const tasks = createTaskSet(signal)
+  const leaving = new Set<BackendServer>()
+  while (!signal.aborted) {
+    const wanted = new Set<BackendServer>()
     for (const server of backendServers.list()) {
-      const name = `batch ${server.announcement.address}`
-      wanted.add(name)
-      if (batchSignal.aborted) continue
-      ensure(name, taskSignal => runBatchDispatch(server, batch, AbortSignal.any([taskSignal, batchSignal])))
+      // The subject is the object: one that expired and was announced again is another object, which a task of the
+      // first would never see.
+      wanted.add(server)
+      if (server.announcement.leaving) leaving.add(server)
+      tasks.ensure(server, taskSignal => runBatchDispatch(server, batch, taskSignal))
     }
-    for (const [name, controller] of tasks) {
-      if (!wanted.has(name)) controller.abort()
+    // A backend server that leaves may stop its announcements before its last item has ended.
+    for (const server of leaving) {
+      if (server.batchInFlight === 0) leaving.delete(server)
+      else wanted.add(server)
     }
+    tasks.endAllBut(wanted)
     await backendServers.changed.wait(alignMs, signal)
   }
-  await Promise.all(running)
+  await tasks.ended()
+}
+
+/** Of two starts of a host under one address, control lists the later one last until the session of the first expires. */
+function latestStarts (entryHosts: readonly EntryHost[]): Iterable<EntryHost> {
+  const latest = new Map<string, EntryHost>()
+  for (const host of entryHosts) latest.set(host.internalAddress, host)
+  return latest.values()
 }
 
 function distance (host: EntryHost, settings: Settings): number {
--- a/src/process/sessions.ts
+++ b/src/process/sessions.ts
@@ -77,8 +77,10 @@
     get revision () { return revision },
     poll (entryHost, seenIndex, now) {
       const previous = sessions.get(entryHost.holder)
-      sessions.set(entryHost.holder, { entryHost, seenIndex, polledAt: now })
-      if (previous !== undefined && previous.entryHost.draining === entryHost.draining) return false
+      // A host that drains never returns: a poll sent before the one that said so may arrive after it.
+      const draining = entryHost.draining || previous?.entryHost.draining === true
+      sessions.set(entryHost.holder, { entryHost: { ...entryHost, draining }, seenIndex, polledAt: now })
+      if (previous !== undefined && previous.entryHost.draining === draining) return false
       revision++
       return true
     },
--- /dev/null
+++ b/test/support/entryHosts.ts
@@ -0,0 +1,140 @@
+/**
+ * Entry hosts in one process that talk over real connections; control is only a list of their sessions.
+ * @module
+ */
+import { errAsync, ok } from 'neverthrow'
+import { request } from 'undici'
+import { eventually, reserveAddresses } from '../../scripts/processes.ts'
+import type { ControlClient } from '../../src/connection/controlClient.ts'
+import { createInternalClients } from '../../src/connection/internalClient.ts'
+import { createInternalRouter, type InternalServices } from '../../src/connection/internalRouter.ts'
+import { createOpenRequests } from '../../src/connection/openRequests.ts'
+import type { Announcement } from '../../src/connection/share.ts'
+import { createSystemClock } from '../../src/process/clock.ts'
+import { createCondition } from '../../src/process/condition.ts'
+import { createEntryHost, type RunningEntryHost } from '../../src/process/entryHost.ts'
+import { createFailure, FailureReason, Step } from '../../src/process/failure.ts'
+import { createLifecycle, type Lifecycle } from '../../src/process/lifecycle.ts'
+import { Level } from '../../src/process/logEvents.ts'
+import { createSilentLogger } from '../../src/process/logger.ts'
+import { createMetrics } from '../../src/process/metrics.ts'
+import { createSystemRandom } from '../../src/process/random.ts'
+import { serveApi, serveInternal } from '../../src/process/servers.ts'
+import { createSessions, type Sessions } from '../../src/process/sessions.ts'
+import { Role } from '../../src/process/settings.ts'
+
+/** Entry hosts that know one another. */
+export interface EntryHosts {
+  readonly sessions: Sessions
+  /** Starts an entry host, under an earlier address if one is given. */
+  start (name: string, addresses?: EntryAddresses): Promise<StartedEntryHost>
+  close (): Promise<void>
+}
+
+/** Where an entry host listens. */
+export interface EntryAddresses {
+  readonly internalAddress: string
+  readonly callerAddress: string
+}
+
+/** A started entry host. */
+export interface StartedEntryHost extends EntryAddresses {
+  readonly host: RunningEntryHost
+  readonly lifecycle: Lifecycle
+  /** Sends an announcement as a backend server does. */
+  announce (announcement: Announcement): Promise<void>
+  /** Tells which sequence of a backend server's announcements is known. */
+  sequenceOf (address: string): number | undefined
+}
+
+const noControl = createFailure(FailureReason.Timeout, { step: Step.Execute }, 'there is no control host')
+const pollHoldMs = 1_000
+
+/**
+ * Builds an announcement.
+ * @param given - what differs from the default
+ * @returns the announcement
+ */
+export function announcementOf (given: Partial<Announcement> = {}): Announcement {
+  return {
+    address: '127.0.0.1:1',
+    availabilityZone: 'zone-a',
+    region: 'region-a',
+    pool: 'assist',
+    capacity: 8,
+    models: [],
+    fencingChecked: true,
+    incarnation: '1',
+    sequence: 1,
+    leaving: false,
+    running: 0,
+    ...given
+  }
+}
+
+/**
+ * Creates a group of entry hosts without any host yet.
+ * @returns the group
+ */
+export function createEntryHosts (): EntryHosts {
+  const clock = createSystemClock()
+  const sessions = createSessions()
+  const changed = createCondition()
+  const started: StartedEntryHost[] = []
+  const control: ControlClient = {
+    execute: async () => await errAsync(noControl),
+    read: async () => await errAsync(noControl),
+    async watch (poll) {
+      if (sessions.poll(poll.entryHost, 0, clock.now())) changed.notify()
+      if (!poll.immediate && poll.directoryRevision === String(sessions.revision)) await changed.wait(pollHoldMs)
+      return ok({ directoryRevision: String(sessions.revision), entryHosts: sessions.list(), appliedIndex: 0, cancelledJobs: [] })
+    }
+  }
+  return {
+    sessions,
+    async start (name, addresses) {
+      const [internalAddress = '', callerAddress = ''] = addresses === undefined ? await reserveAddresses(2) : [addresses.internalAddress, addresses.callerAddress]
+      const lifecycle = createLifecycle()
+      const services: InternalServices = { controlHost: undefined, shareReceiver: undefined }
+      const clients = createInternalClients(lifecycle)
+      const host = createEntryHost({
+        settings: { role: Role.Entry, host: name, availabilityZone: 'zone-a', region: 'region-a', internalAddress, callerAddress, controlHosts: [], addressKeepMs: 200, logLevel: Level.Error },
+        callerAddress,
+        openRequests: createOpenRequests(),
+        control,
+        clients,
+        clock,
+        random: createSystemRandom(),
+        logger: createSilentLogger(),
+        metrics: createMetrics(),
+        lifecycle
+      })
+      services.shareReceiver = host.shareReceiver
+      for (const listening of [await serveInternal(internalAddress, createInternalRouter(services), lifecycle), await serveApi(callerAddress, host.api, lifecycle)]) {
+        if (listening.isErr()) throw listening.error
+      }
+      const entry: StartedEntryHost = {
+        host,
+        lifecycle,
+        internalAddress,
+        callerAddress,
+        async announce (announcement) {
+          const answer = await request(`http://${callerAddress}/v1/backend-servers`, {
+            method: 'POST', headers: { 'content-type': 'application/json' }, body: JSON.stringify(announcement)
+          })
+          await answer.body.dump()
+        },
+        sequenceOf (address) {
+          return host.backendServers.list().find(server => server.announcement.address === address)?.announcement.sequence
+        }
+      }
+      started.push(entry)
+      await eventually('a session', 5_000, () => host.version.isConfirmed(clock.now()) ? true : undefined)
+      return entry
+    },
+    async close () {
+      changed.notify()
+      for (const { lifecycle } of started) await lifecycle.close()
+    }
+  }
+}
--- /dev/null
+++ b/test/support/fleetCalls.ts
@@ -0,0 +1,115 @@
+/**
+ * Calls to a fleet of real processes, for tests.
+ * @module
+ */
+import { writeFile } from 'node:fs/promises'
+import { join } from 'node:path'
+import { type Dispatcher, request } from 'undici'
+import type { Fleet, FleetHost } from '../../scripts/fleet.ts'
+import { eventually } from '../../scripts/processes.ts'
+import type { JobStatus } from '../../src/process/queries.ts'
+import type { RecordedRun } from '../standIn/standIn.ts'
+
+const startLimitMs = 20_000
+
+/** What an entry host says about a backend server. */
+export interface ServerStatus {
+  readonly address: string
+  readonly leaving: boolean
+  readonly liveInFlight: number
+  readonly batchInFlight: number
+}
+
+/** An answer whose body was read to its end. */
+export interface Answer {
+  readonly status: number
+  readonly headers: Readonly<Record<string, unknown>>
+  readonly text: string
+}
+
+/** Accepts a route `assist` to a pool of the same name, and waits until every entry host serves under it. */
+export async function prepare (fleet: Fleet, pool: object = {}, route: object = {}): Promise<void> {
+  for (const [table, row] of [['pools', { name: 'assist', ...pool }], ['routes', { name: 'assist', pool: 'assist', ...route }]] as const) {
+    const file = join(fleet.folder, `${table}.json`)
+    await writeFile(file, JSON.stringify([row]))
+    await eventually(`${table} applied`, startLimitMs, async () =>
+      (await fleet.operate(table, 'apply', '--file', file)).code === 0 ? true : undefined)
+  }
+  for (const host of fleet.entryHosts) {
+    await eventually(`version 2 on ${host.name}`, startLimitMs, async () => (await entryStatus(host)).version === 2 ? true : undefined)
+  }
+}
+
+/** Reads what an entry host knows. */
+export async function entryStatus (host: FleetHost): Promise<{ version: number, backendServers: ServerStatus[] }> {
+  const answer = await request(`http://${host.administrationAddress}/v1/status`)
+  return (await answer.body.json() as { entry: { version: number, backendServers: ServerStatus[] } }).entry
+}
+
+/** Waits until every entry host knows a number of backend servers. */
+export async function knowServers (fleet: Fleet, count: number): Promise<string[]> {
+  let addresses: string[] = []
+  for (const host of fleet.entryHosts) {
+    addresses = await eventually(`${count} backend servers on ${host.name}`, startLimitMs, async () => {
+      const { backendServers } = await entryStatus(host)
+      return backendServers.length === count ? backendServers.map(server => server.address) : undefined
+    })
+  }
+  return addresses
+}
+
+/** Posts a live request and hands the answer over with its body still open. */
+export function ask (host: FleetHost, maxTokens: number, dispatcher?: Dispatcher): Promise<Dispatcher.ResponseData> {
+  return request(`http://${host.callerAddress}/v1/routes/assist/requests`, {
+    method: 'POST',
+    headers: { 'content-type': 'application/json', 'jaychute-account': 'rothar' },
+    body: JSON.stringify({ input: 'site note', maxTokens, stream: maxTokens > 50 }),
+    ...(dispatcher === undefined ? {} : { dispatcher })
+  })
+}
+
+/** Posts a live request and reads the whole answer. */
+export async function askWhole (host: FleetHost, maxTokens: number, dispatcher?: Dispatcher): Promise<Answer> {
+  const answer = await ask(host, maxTokens, dispatcher)
+  return { status: answer.statusCode, headers: answer.headers, text: await answer.body.text() }
+}
+
+/** Reads the requests that reached a stand-in. */
+export async function runsOf (address: string): Promise<RecordedRun[]> {
+  return await (await request(`http://${address}/stand-in/runs`)).body.json() as RecordedRun[]
+}
+
+/** Reads the addresses that an entry host gives to callers. */
+export async function addressesOf (host: FleetHost): Promise<string[]> {
+  const answer = await request(`http://${host.callerAddress}/v1/addresses`)
+  return (await answer.body.json() as { addresses: Array<{ address: string }> }).addresses.map(({ address }) => address)
+}
+
+/** Submits a job through the operators' command. */
+export async function submit (fleet: Fleet, key: string, items: number, maxTokens: number): Promise<string> {
+  const file = join(fleet.folder, `${key}.ndjson`)
+  const lines = Array.from({ length: items }, (_, number) => JSON.stringify({ name: `item-${number}`, input: `sheet ${number}`, maxTokens }))
+  await writeFile(file, lines.join('\n'))
+  const finished = await fleet.operate('jobs', 'submit', '--file', file, '--account', 'rothar', '--key', key, '--route', 'assist')
+  if (finished.code !== 0) throw new Error(finished.errors)
+  return finished.output.trim()
+}
+
+/** Waits until a job has finished. */
+export async function finish (host: FleetHost, job: string, limitMs: number): Promise<JobStatus> {
+  return await eventually(`job ${job} finished`, limitMs, async () => {
+    const status = await (await request(`http://${host.administrationAddress}/v1/jobs/${job}`)).body.json() as JobStatus
+    return status.phase === 'finished' ? status : undefined
+  })
+}
+
+/** Waits until an entry host runs batch items, and finds it. */
+export async function findBatchHost (fleet: Fleet): Promise<FleetHost> {
+  return await eventually('an entry host with batch items', startLimitMs, async () => {
+    for (const host of fleet.entryHosts) {
+      const { backendServers } = await entryStatus(host)
+      if (backendServers.some(server => server.batchInFlight > 0)) return host
+    }
+    return undefined
+  })
+}
