--- a/src/process/daemon.ts
+++ b/src/process/daemon.ts
@@ -108,7 +108,7 @@
     async drain () {
       logger.write(LogEvents.processDraining)
       openRequests.closeAfterAnswers()
-      await entryHost?.drain()
+      await Promise.all([services.controlHost?.replica.resign(), entryHost?.drain()])
       openRequests.stopListening()
       await openRequests.ended(lifecycle.signal)
       await lifecycle.close()
--- a/src/process/replica.ts
+++ b/src/process/replica.ts
@@ -10,6 +10,7 @@
 import { type Condition, createCondition } from './condition.ts'
 import { decideVote, electionMaxMs, electionMinMs, heartbeatMs, majorityOf, reachedByMajority, votersOf } from './election.ts'
 import { createFailure, type Failure, FailureReason, Step } from './failure.ts'
+import { handOver } from './handover.ts'
 import type { Lifecycle } from './lifecycle.ts'
 import { LogEvents } from './logEvents.ts'
 import type { Logger } from './logger.ts'
@@ -106,6 +107,11 @@
    * @returns false when the replica has another membership already
    */
   form (members: readonly Member[]): Promise<boolean>
+  /**
+   * Ends the leadership, if any, and never leads again.
+   * @returns a promise that resolves when a successor has been asked
+   */
+  resign (): Promise<void>
 }
 
 interface Proposal {
@@ -176,6 +182,7 @@
   const { clock, storage, transport, lifecycle, logger, metrics } = inputs
   const proposals = new Map<number, Proposal>()
   const peers = new Map<string, AbortController>()
+  let resigned = false
 
   async function save (records: readonly StoredRecord[]): Promise<boolean> {
     const saved = await storage.append(records)
@@ -325,6 +332,10 @@
         await clock.sleep(timeoutMs - silenceMs, signal)
         continue
       }
+      if (resigned) {
+        await clock.sleep(electionMaxMs, signal)
+        continue
+      }
       if (!isVoter()) {
         state.heardAt = clock.now()
         continue
@@ -405,6 +416,7 @@
     if (state.role !== ReplicaRole.Follower) stepDown()
     state.heardAt = clock.now()
     state.leaderAddress = request.leaderAddress
+    if (request.successor !== undefined && request.term === state.term) return ok(follow(request.successor))
     const matches = termAt(state, request.previousIndex) === request.previousTerm
     if (matches) records.push(...mergeEntries(request.entries))
     if (!await save(records)) return err(storageEnded(Step.Append))
@@ -414,6 +426,14 @@
     return ok({ term: request.term, accepted: true, index })
   }
 
+  // The leader has ended its leadership itself, so neither this vote nor the successor waits for an election timeout.
+  function follow (successor: string): AppendAnswer {
+    state.heardAt = -Infinity
+    state.leaderAddress = undefined
+    if (successor === state.identity) campaign().catch(() => {})
+    return { term: state.term, accepted: true, index: state.commitIndex }
+  }
+
   function mergeEntries (entries: readonly Entry[]): StoredRecord[] {
     const records: StoredRecord[] = []
     for (const entry of entries) {
@@ -499,6 +519,10 @@
       formed: state.entries.length > 0,
       leaderAddress: state.leaderAddress
     }),
-    form
+    form,
+    async resign () {
+      resigned = true
+      await handOver({ state, transport, clock, stepDown })
+    }
   }
 }
--- a/src/process/replicaMessages.ts
+++ b/src/process/replicaMessages.ts
@@ -34,6 +34,8 @@
   readonly previousTerm: number
   readonly entries: readonly Entry[]
   readonly commitIndex: number
+  /** Present in the last message of a leader that ends its leadership: who shall lead next. */
+  readonly successor?: string | undefined
 }
 
 /** Answer to an append request. */
--- a/test/entryAnnouncements.test.ts
+++ b/test/entryAnnouncements.test.ts
@@ -72,9 +72,9 @@
     await first.announce(announcementOf({ incarnation: '2', sequence: 1, running: 7 }))
     await known(second, '127.0.0.1:1', 1)
     // An older start, an older renewal and a repeated one change nothing, by whichever host they come.
-    await second.announce(announcementOf({ incarnation: '1', sequence: 9 }))
     await second.announce(announcementOf({ incarnation: '2', sequence: 0 }))
     await second.announce(announcementOf({ incarnation: '2', sequence: 1, running: 3 }))
+    await second.announce(announcementOf({ incarnation: '1', sequence: 9 }))
     await second.announce(announcementOf({ address: '127.0.0.1:2' }))
     await known(first, '127.0.0.1:2', 1)
     for (const entry of [first, second]) {
--- a/test/entryShutdown.test.ts
+++ b/test/entryShutdown.test.ts
@@ -3,6 +3,7 @@
 import { Agent, request } from 'undici'
 import { type Fleet, type FleetHost, startFleet } from '../scripts/fleet.ts'
 import { eventually } from '../scripts/processes.ts'
+import { electionMinMs, heartbeatMs } from '../src/process/election.ts'
 import { sessionLimitMs } from '../src/process/sessions.ts'
 import { pollHoldMs } from '../src/process/watchMessages.ts'
 import { addressesOf, ask, askWhole, entryStatus, findBatchHost, finish, knowServers, prepare, runsOf, submit } from './support/fleetCalls.ts'
@@ -126,3 +127,27 @@
     await stream.body.dump().catch(() => {})
   })
 })
+
+describe('shutdown of a leading control host', () => {
+  // Failure: the other control hosts waited for an election timeout, and entry hosts went on asking the old leader.
+  it('hands over the leadership without an election timeout', async () => {
+    const fleet = await startFleet({ controlHosts: 3, entryHosts: 1 })
+    try {
+      await prepare(fleet)
+      const leaderOf = async (host: FleetHost): Promise<string | undefined> =>
+        (await (await request(`http://${host.administrationAddress}/v1/status`)).body.json() as { control: { leader?: string } }).control.leader
+      const address = await eventually('a leader', 10_000, () => leaderOf(fleet.controlHosts[0] as FleetHost))
+      const leader = fleet.controlHosts.find(host => host.internalAddress === address) as FleetHost
+      const others = fleet.controlHosts.filter(host => host !== leader)
+      const exit = leader.program.end('SIGTERM')
+      await eventually('another leader', electionMinMs - heartbeatMs, async () => {
+        const leaders = await Promise.all(others.map(leaderOf))
+        return leaders.every(found => found !== undefined && found !== address) ? true : undefined
+      })
+      expect(await exit).to.equal(0)
+      expect((await fleet.operate('routes', 'get')).code).to.equal(0)
+    } finally {
+      await fleet.close()
+    }
+  })
+})
