--- a/src/connection/controlStream.ts
+++ b/src/connection/controlStream.ts
@@ -28,6 +28,8 @@
    * @returns false when the session may have expired at control
    */
   isAlive (now: number): boolean
+  /** How often the session may have expired at control since the start; what was held before a lapse is held no more. */
+  readonly lapses: number
 }
 
 /** What the task needs. */
@@ -73,6 +75,7 @@
   let seenIndex = 0
   let directoryRevision = ''
   let stale = false
+  let lapses = 0
 
   async function run (): Promise<void> {
     while (!signal.aborted) {
@@ -89,6 +92,7 @@
         logger.write(LogEvents.configurationInForce, { value: configuration.version })
       }
       version.confirm(askedAt)
+      if (polledAt !== undefined && clock.now() - polledAt >= holderLimitMs) lapses++
       polledAt = askedAt
       entryHosts = answer.value.entryHosts ?? entryHosts
       directoryRevision = answer.value.directoryRevision
@@ -114,6 +118,7 @@
     get entryHosts () { return entryHosts },
     cancelledJobs,
     changed,
+    get lapses () { return lapses },
     isAlive: now => polledAt !== undefined && now - polledAt < holderLimitMs
   }
   return { session, run, report }
--- /dev/null
+++ b/src/connection/orderIssuer.ts
@@ -0,0 +1,153 @@
+/**
+ * The task that issues orders to the engines of one pool while this host holds the lease for it.
+ * @module
+ */
+import { Agent, request } from 'undici'
+import type { BackendServers } from '../process/backendServers.ts'
+import type { Clock } from '../process/clock.ts'
+import { CommandKind, OutcomeKind } from '../process/commands.ts'
+import { decideOrders, type LoadOrder, type LoadUnderWay, orderLimitMs, waitOfNewIssuer } from '../process/engineOrders.ts'
+import { createFailure, type Failure, FailureReason, Step, toFailure } from '../process/failure.ts'
+import type { Lifecycle } from '../process/lifecycle.ts'
+import { LogEvents } from '../process/logEvents.ts'
+import type { Logger } from '../process/logger.ts'
+import type { CurrentVersion } from '../version/currentVersion.ts'
+import { findPool, type Pool } from '../version/tables.ts'
+import type { ControlClient } from './controlClient.ts'
+import type { Session } from './controlStream.ts'
+import type { Announcement } from './share.ts'
+
+/** Pause before another host's lease is asked for again, in milliseconds. */
+const leaseRetryMs = 2_000
+
+/** Longest wait between two decisions, in milliseconds. */
+const decideMs = 500
+
+/** Answer of an engine to an order with an old fencing number. */
+const oldNumberStatus = 409
+
+/** What issuers of orders need. */
+export interface OrderServices {
+  readonly holder: string
+  readonly control: ControlClient
+  readonly session: Session
+  readonly version: CurrentVersion
+  readonly backendServers: BackendServers
+  readonly orders: OrderConnection
+  readonly clock: Clock
+  readonly logger: Logger
+}
+
+/** Connections for orders. */
+export interface OrderConnection {
+  /**
+   * Sends an order.
+   * @param order - the order
+   * @param number - fencing number of the issuer
+   * @returns nothing when the engine took it, or why it may not have
+   */
+  send (order: LoadOrder, number: number): Promise<Failure | undefined>
+}
+
+/**
+ * Creates the connections for orders; they carry nothing else.
+ * @param lifecycle - closes them
+ * @returns the connections
+ */
+export function createOrderConnection (lifecycle: Lifecycle): OrderConnection {
+  const dispatcher = new Agent({ connect: { timeout: orderLimitMs }, pipelining: 1 })
+  lifecycle.own(() => dispatcher.destroy())
+  return {
+    async send (order, number) {
+      const origin = { step: Step.Order, peer: order.backendServer }
+      try {
+        const answer = await request(`http://${order.backendServer}/v1/orders`, {
+          method: 'POST',
+          headers: { 'content-type': 'application/json' },
+          body: JSON.stringify({ order: 'load', model: order.model, number }),
+          signal: AbortSignal.timeout(orderLimitMs),
+          dispatcher
+        })
+        await answer.body.dump()
+        if (answer.statusCode === oldNumberStatus) return createFailure(FailureReason.Rejected, origin, `the fencing number ${number} is old`)
+        if (answer.statusCode >= 300) return createFailure(FailureReason.Status, origin, `the engine answered with status ${answer.statusCode}`)
+        return undefined
+      } catch (error) {
+        return toFailure(error, origin)
+      }
+    }
+  }
+}
+
+/**
+ * Runs until the signal aborts.
+ * @param poolName - the pool
+ * @param services - what the task needs
+ * @param signal - ends the task
+ * @returns a promise that resolves when the lease has been released
+ */
+export async function runOrderIssuer (poolName: string, services: OrderServices, signal: AbortSignal): Promise<void> {
+  const { control, session, clock, holder, logger } = services
+  const backendServer = `engine commands/${poolName}`
+  let known = 0
+  while (!signal.aborted) {
+    if (session.isAlive(clock.now())) {
+      const { lapses } = session
+      const outcome = await control.execute({ kind: CommandKind.AcquireLease, backendServer, holder, expected: known }, leaseRetryMs)
+      if (outcome.isOk() && outcome.value.kind === OutcomeKind.Lease) {
+        known = outcome.value.number
+        if (outcome.value.granted) {
+          logger.write(LogEvents.orderIssuerChanged, { detail: poolName, value: known })
+          await issueUnderLease({ poolName, number: known, lapses }, services, signal)
+          await control.execute({ kind: CommandKind.ReleaseLease, backendServer, holder, number: known }, leaseRetryMs)
+        }
+      }
+    }
+    await clock.sleep(leaseRetryMs, signal)
+  }
+}
+
+interface OrderLease {
+  readonly poolName: string
+  /** The fencing number. */
+  readonly number: number
+  /** Lapses of the session before the lease was asked for. */
+  readonly lapses: number
+}
+
+async function issueUnderLease (lease: OrderLease, services: OrderServices, signal: AbortSignal): Promise<void> {
+  const { backendServers, orders, clock, logger } = services
+  const { number } = lease
+  const first = poolOf(lease, services)
+  if (first !== undefined) await clock.sleep(waitOfNewIssuer(first, announced(services), number), signal)
+  let underWay: readonly LoadUnderWay[] = []
+  while (!signal.aborted) {
+    const pool = poolOf(lease, services)
+    if (pool === undefined) return
+    const decision = decideOrders({ pool, announcements: announced(services), underWay, now: clock.now() })
+    underWay = decision.underWay
+    for (const order of decision.orders) {
+      // Nothing may come between this check and the order: after its session this host is no issuer any more.
+      if (signal.aborted || !isHeld(lease, services)) return
+      const failure = await orders.send(order, number)
+      // An order without an answer may have arrived, so its load counts until it is announced.
+      if (failure?.reason !== FailureReason.Refused) underWay = [...underWay, { ...order, orderedAt: clock.now() }]
+      logger.write(failure === undefined ? LogEvents.orderSent : LogEvents.orderFailed, { peer: order.backendServer, detail: order.model, value: number, ...(failure === undefined ? {} : { failure }) })
+      if (failure?.reason === FailureReason.Rejected) return
+    }
+    await backendServers.changed.wait(decideMs, signal)
+  }
+}
+
+// A host that was frozen may have a session again before it looks at its clock, so lapses count too.
+function isHeld (lease: OrderLease, { session, clock }: OrderServices): boolean {
+  return session.isAlive(clock.now()) && session.lapses === lease.lapses
+}
+
+function poolOf (lease: OrderLease, services: OrderServices): Pool | undefined {
+  return isHeld(lease, services) ? findPool(services.version.configuration, lease.poolName) : undefined
+}
+
+function announced (services: OrderServices): Announcement[] {
+  return services.backendServers.list().map(server => server.announcement)
+}
--- a/src/process/entryHost.ts
+++ b/src/process/entryHost.ts
@@ -11,6 +11,7 @@
 import { runEntryPeer } from '../connection/entryPeer.ts'
 import type { InternalClients } from '../connection/internalClient.ts'
 import type { OpenRequests } from '../connection/openRequests.ts'
+import { createOrderConnection, type OrderServices, runOrderIssuer } from '../connection/orderIssuer.ts'
 import { createServiceProtocol } from '../connection/serviceProtocol.ts'
 import type { Announcement, ShareReceiver } from '../connection/share.ts'
 import { createCallerApi } from '../request/callerApi.ts'
@@ -154,13 +155,16 @@
   lifecycle.run(stream.run)
   lifecycle.run(signal => completions.run(signal))
   lifecycle.run(signal => alignPeers({ news, clients, settings, holder, session, clock, signal }))
+  const orderServices = { holder, control, session, version, backendServers, orders: createOrderConnection(lifecycle), clock, logger }
+  const ordering = alignOrders(orderServices, AbortSignal.any([lifecycle.signal, batchEnd.signal]))
+  lifecycle.run(() => ordering)
   const dispatching = alignDispatch({ batch, backendServers, signal: AbortSignal.any([lifecycle.signal, batchEnd.signal]) })
   lifecycle.run(() => dispatching)
 
   // Items go back and leases are released while callers may still come.
   async function endBatch (): Promise<void> {
     batchEnd.abort()
-    await dispatching
+    await Promise.all([dispatching, ordering])
     await completions.flushed(AbortSignal.any([lifecycle.signal, AbortSignal.timeout(sessionLimitMs)]))
   }
 
@@ -234,6 +238,22 @@
   await tasks.ended()
 }
 
+/** Keeps one task for each pool with models to load. */
+async function alignOrders (services: OrderServices, signal: AbortSignal): Promise<void> {
+  const tasks = createTaskSet(signal)
+  while (!signal.aborted) {
+    const wanted = new Set<string>()
+    for (const pool of services.version.configuration.pools) {
+      if (pool.models.length === 0) continue
+      wanted.add(pool.name)
+      tasks.ensure(pool.name, taskSignal => runOrderIssuer(pool.name, services, taskSignal))
+    }
+    tasks.endAllBut(wanted)
+    await services.session.changed.wait(alignMs, signal)
+  }
+  await tasks.ended()
+}
+
 /** Of two starts of a host under one address, control lists the later one last until the session of the first expires. */
 function latestStarts (entryHosts: readonly EntryHost[]): Iterable<EntryHost> {
   const latest = new Map<string, EntryHost>()
--- a/src/process/failure.ts
+++ b/src/process/failure.ts
@@ -47,6 +47,7 @@
   FirstByte: 'first byte',
   ReadAnswer: 'read answer',
   Dispatch: 'dispatch',
+  Order: 'order',
   Upload: 'upload',
   Admit: 'admit',
   Choose: 'choose backend server',
@@ -99,8 +100,8 @@
  */
 export function toFailure (error: unknown, origin: Origin): Failure {
   if (error instanceof FailureError) return error as unknown as Failure
-  const message = error instanceof Error ? error.message : String(error)
-  return createFailure(reasonOf(error), origin, message, error)
+  // The library puts the message of a cause after the own one, so a second copy of it must not be given.
+  return createFailure(reasonOf(error), origin, error instanceof Error && error.message !== '' ? '' : String(error), error)
 }
 
 const reasonByCode: Readonly<Record<string, FailureReason>> = {
--- a/src/process/operatorCommands.ts
+++ b/src/process/operatorCommands.ts
@@ -174,7 +174,7 @@
 // An answer that was lost leaves the outcome open; a rejection does not.
 function withHint (failure: Failure, hint: string): Failure {
   if (failure.reason === FailureReason.Rejected) return failure
-  return createFailure(failure.reason, failure, `${failure.message}; ${hint}`, failure)
+  return createFailure(failure.reason, failure, `${failure.message}; ${hint}`)
 }
 
 async function readSize (file: string): Promise<Result<number, Failure>> {
--- /dev/null
+++ b/test/entryOrders.test.ts
@@ -0,0 +1,77 @@
+import { expect } from 'chai'
+import { request } from 'undici'
+import { type FleetHost, startFleet } from '../scripts/fleet.ts'
+import { eventually } from '../scripts/processes.ts'
+import { decideOrders, loadsAtOnce, oldOrdersMs, orderLimitMs, waitOfNewIssuer } from '../src/process/engineOrders.ts'
+import { LogEvents } from '../src/process/logEvents.ts'
+import { sessionLimitMs } from '../src/process/sessions.ts'
+import { type Pool, poolSchema } from '../src/version/tables.ts'
+import { announcementOf } from './support/entryHosts.ts'
+import { knowServers, prepare } from './support/fleetCalls.ts'
+import type { RecordedOrder } from './standIn/standIn.ts'
+
+async function ordersOf (address: string): Promise<RecordedOrder[]> {
+  return await (await request(`http://${address}/stand-in/orders`)).body.json() as RecordedOrder[]
+}
+
+function poolOf (given: Partial<Pool>): Pool {
+  return poolSchema.parse({ name: 'assist', models: ['m1'], ...given })
+}
+
+describe('orders to engines', () => {
+  // Failure: every engine of a pool loaded at once and exceeded the rate of the weight store.
+  it('keep to the loads at once, and go only to engines that lack the model', () => {
+    const announcements = Array.from({ length: 5 }, (_, number) => announcementOf({ address: `127.0.0.1:${number + 1}`, models: number === 0 ? ['m1'] : [] }))
+    const first = decideOrders({ pool: poolOf({}), announcements, underWay: [], now: 0 })
+    expect(first.orders.map(order => order.backendServer)).to.deep.equal(['127.0.0.1:2', '127.0.0.1:3'])
+    const underWay = first.orders.map(order => ({ ...order, orderedAt: 0 }))
+    expect(underWay).to.have.length(loadsAtOnce)
+    expect(decideOrders({ pool: poolOf({}), announcements, underWay, now: 1 }).orders).to.deep.equal([])
+    const loaded = announcements.map(engine => engine.address === '127.0.0.1:2' ? { ...engine, models: ['m1'] } : engine)
+    expect(decideOrders({ pool: poolOf({}), announcements: loaded, underWay, now: 1 }).orders.map(order => order.backendServer)).to.deep.equal(['127.0.0.1:4'])
+  })
+
+  it('wait for those of an earlier issuer where an engine ignores the number', () => {
+    expect(oldOrdersMs).to.be.above(sessionLimitMs + orderLimitMs)
+    expect(waitOfNewIssuer(poolOf({}), [announcementOf()], 2)).to.equal(0)
+    expect(waitOfNewIssuer(poolOf({}), [announcementOf({ fencingChecked: false })], 2)).to.equal(oldOrdersMs)
+    expect(waitOfNewIssuer(poolOf({ fencing: 'ignored' }), [announcementOf()], 2)).to.equal(oldOrdersMs)
+    expect(waitOfNewIssuer(poolOf({ fencing: 'ignored' }), [announcementOf()], 1)).to.equal(0)
+  })
+
+  for (const fencing of ['checked', 'ignored'] as const) {
+    // Failure: an issuer that was frozen and resumed still ordered, or the next one ordered while its orders could arrive.
+    it(`have one issuer at a time after a freeze, with the number ${fencing}`, async () => {
+      const fleet = await startFleet({ controlHosts: 1, entryHosts: 2 })
+      try {
+        // Loads that never end within the test keep the frozen issuer with engines it would order next.
+        for (let number = 0; number < 3; number++) fleet.startStandIn(['--load-ms', '3000', ...(fencing === 'checked' ? [] : ['--no-fencing-checked'])])
+        await prepare(fleet, { models: ['m1'], fencing })
+        const servers = await knowServers(fleet, 3)
+        const all = async (): Promise<RecordedOrder[]> => (await Promise.all(servers.map(ordersOf))).flat().sort((left, right) => left.at - right.at)
+        const issuerLine = (host: FleetHost): string | undefined => host.program.errors().split('\n').find(line => line.includes(`"event":${LogEvents.orderIssuerChanged.number}`))
+        const isIssuer = (host: FleetHost): boolean => issuerLine(host) !== undefined
+        await eventually('the first orders', 10_000, async () => (await all()).length >= loadsAtOnce ? true : undefined)
+        const issuer = fleet.entryHosts.find(isIssuer) as FleetHost
+        const other = fleet.entryHosts.find(host => host !== issuer) as FleetHost
+        issuer.program.child.kill('SIGSTOP')
+        const frozenAt = Date.now()
+        await eventually('another issuer', sessionLimitMs + 5_000, () => isIssuer(other) ? true : undefined)
+        issuer.program.child.kill('SIGCONT')
+        const later = await eventually('an order of the second issuer', oldOrdersMs + 5_000, async () => {
+          const found = (await all()).filter(order => order.number > 1)
+          return found.length > 0 ? found : undefined
+        })
+        const acquiredAt = Date.parse((JSON.parse(issuerLine(other) ?? '{}') as { time: string }).time)
+        if (fencing === 'ignored') expect((later[0]?.at ?? 0) - acquiredAt).to.be.above(sessionLimitMs + orderLimitMs)
+        await eventually('the model on all engines', 15_000, async () => {
+          const status = await (await request(`http://${other.administrationAddress}/v1/status`)).body.json() as { entry: { backendServers: Array<{ models: string[] }> } }
+          return status.entry.backendServers.every(server => server.models.includes('m1')) ? true : undefined
+        })
+        expect((await all()).filter(order => order.number === 1 && order.at > frozenAt)).to.deep.equal([])
+      } finally {
+        await fleet.close()
+      }
+    })
+  }
+})
--- a/test/programs.test.ts
+++ b/test/programs.test.ts
@@ -60,6 +60,7 @@
     const inUse = await runProgram(daemon, flags)
     server.close()
     expect(inUse).to.include({ code: 2 })
+    expect(inUse.errors.split('\n').filter(line => line !== '' && !line.startsWith('{'))).to.have.length(1)
     expect(inUse.errors).to.match(/^jaychuted: --caller-address: .*EADDRINUSE/m)
 
     await writeFile(join(folder, 'file'), '')
--- a/test/standIn/main.ts
+++ b/test/standIn/main.ts
@@ -20,6 +20,7 @@
     prefixes: { type: 'number', default: defaultSettings.prefixes },
     loadLagMs: { type: 'number', default: defaultSettings.loadLagMs },
     entryHosts: { type: 'string', default: '' },
+    loadMs: { type: 'number', default: defaultSettings.loadMs },
     fencingChecked: { type: 'boolean', default: true }
   }
 })
