Move the tasks of an entry host to a module; count failed attempts

Failed attempts of live requests are counted by reason, from 0. The signal of the life cycle has no listener limit.

--- a/src/process/daemon.ts
+++ b/src/process/daemon.ts
@@ -127,6 +127,7 @@
   for (const reason of Object.values(RefusalReason)) metrics.count(Counter.Refusals, reason, 0)
   for (const reason of Object.values(DenialReason)) metrics.count(Counter.RetriesDenied, reason, 0)
   for (const reason of Object.values(FailureReason)) {
+    metrics.count(Counter.AttemptFailures, reason, 0)
     if (reason !== FailureReason.Aborted) metrics.count(Counter.Retries, reason, 0)
   }
 }
--- a/src/process/entryHost.ts
+++ b/src/process/entryHost.ts
@@ -4,14 +4,13 @@
  */
 import { randomUUID } from 'node:crypto'
 import { createBackendServerConnections } from '../connection/backendServerConnection.ts'
-import { type BatchServices, createItemRuns, runBatchDispatch } from '../connection/batchDispatch.ts'
+import { type BatchServices, createItemRuns } from '../connection/batchDispatch.ts'
 import type { ControlClient } from '../connection/controlClient.ts'
 import { createControlStream, type Session } from '../connection/controlStream.ts'
 import { createEngineProtocol } from '../connection/engineProtocol.ts'
-import { runEntryPeer } from '../connection/entryPeer.ts'
 import type { InternalClients } from '../connection/internalClient.ts'
 import type { OpenRequests } from '../connection/openRequests.ts'
-import { createOrderConnection, type OrderServices, runOrderIssuer } from '../connection/orderIssuer.ts'
+import { createOrderConnection } from '../connection/orderIssuer.ts'
 import { createServiceProtocol } from '../connection/serviceProtocol.ts'
 import type { Announcement, ShareReceiver } from '../connection/share.ts'
 import { createCallerApi } from '../request/callerApi.ts'
@@ -21,9 +20,10 @@
 import { createCurrentVersion, type CurrentVersion } from '../version/currentVersion.ts'
 import { ProtocolKind } from '../version/tables.ts'
 import { createAccounts } from './accounts.ts'
-import { type BackendServer, type BackendServers, createBackendServers } from './backendServers.ts'
+import { type BackendServers, createBackendServers } from './backendServers.ts'
 import type { Clock } from './clock.ts'
 import { createCompletions } from './completions.ts'
+import { alignDispatch, alignOrders, alignPeers } from './entryTasks.ts'
 import type { Lifecycle } from './lifecycle.ts'
 import type { Logger } from './logger.ts'
 import type { Metrics } from './metrics.ts'
@@ -31,11 +31,7 @@
 import { createRetryBudget, type RetryBudget } from './retryBudget.ts'
 import { type EntryHost, sessionLimitMs } from './sessions.ts'
 import type { Settings } from './settings.ts'
-import { createSharedNews, type SharedNews } from './sharedNews.ts'
-import { createTaskSet } from './taskSet.ts'
-
-/** How often the tasks for peers and backend servers are brought in line with what is known, in milliseconds. */
-const alignMs = 500
+import { createSharedNews } from './sharedNews.ts'
 
 /** Pause before a refused caller should try again, in milliseconds. */
 const refusedRetryMs = 1_000
@@ -179,88 +175,6 @@
   return { api, shareReceiver, backendServers, session, version, drain }
 }
 
-interface PeerAlignment {
-  readonly news: SharedNews
-  readonly clients: InternalClients
-  readonly settings: Settings
-  readonly holder: string
-  readonly session: Session
-  readonly clock: Clock
-  readonly signal: AbortSignal
-}
-
-/** Keeps one task for each peer entry host. */
-async function alignPeers (alignment: PeerAlignment): Promise<void> {
-  const { news, clients, settings, holder, session, clock, signal } = alignment
-  const tasks = createTaskSet(signal)
-  while (!signal.aborted) {
-    const wanted = new Set<string>()
-    for (const host of latestStarts(session.entryHosts)) {
-      if (host.holder === holder) continue
-      // The subject is the start of the peer, not its address: a peer that restarts has lost what it was told.
-      wanted.add(host.holder)
-      tasks.ensure(host.holder, taskSignal => runEntryPeer({ address: host.internalAddress, host: settings.host, news, clients, clock, signal: taskSignal }))
-    }
-    tasks.endAllBut(wanted)
-    await session.changed.wait(alignMs, signal)
-  }
-  await tasks.ended()
-}
-
-interface DispatchAlignment {
-  readonly batch: BatchServices
-  readonly backendServers: BackendServers
-  readonly signal: AbortSignal
-}
-
-/** Keeps one task for each backend server, and ends when each has returned its items and its lease. */
-async function alignDispatch (alignment: DispatchAlignment): Promise<void> {
-  const { batch, backendServers, signal } = alignment
-  const tasks = createTaskSet(signal)
-  const leaving = new Set<BackendServer>()
-  while (!signal.aborted) {
-    const wanted = new Set<BackendServer>()
-    for (const server of backendServers.list()) {
-      // The subject is the object: one that expired and was announced again is another object, which a task of the
-      // first would never see.
-      wanted.add(server)
-      if (server.announcement.leaving) leaving.add(server)
-      tasks.ensure(server, taskSignal => runBatchDispatch(server, batch, taskSignal))
-    }
-    // A backend server that leaves may stop its announcements before its last item has ended.
-    for (const server of leaving) {
-      if (server.batchInFlight === 0) leaving.delete(server)
-      else wanted.add(server)
-    }
-    tasks.endAllBut(wanted)
-    await backendServers.changed.wait(alignMs, signal)
-  }
-  await tasks.ended()
-}
-
-/** Keeps one task for each pool with models to load. */
-async function alignOrders (services: OrderServices, signal: AbortSignal): Promise<void> {
-  const tasks = createTaskSet(signal)
-  while (!signal.aborted) {
-    const wanted = new Set<string>()
-    for (const pool of services.version.configuration.pools) {
-      if (pool.models.length === 0) continue
-      wanted.add(pool.name)
-      tasks.ensure(pool.name, taskSignal => runOrderIssuer(pool.name, services, taskSignal))
-    }
-    tasks.endAllBut(wanted)
-    await services.session.changed.wait(alignMs, signal)
-  }
-  await tasks.ended()
-}
-
-/** Of two starts of a host under one address, control lists the later one last until the session of the first expires. */
-function latestStarts (entryHosts: readonly EntryHost[]): Iterable<EntryHost> {
-  const latest = new Map<string, EntryHost>()
-  for (const host of entryHosts) latest.set(host.internalAddress, host)
-  return latest.values()
-}
-
 function distance (host: EntryHost, settings: Settings): number {
   if (host.availabilityZone === settings.availabilityZone) return 0
   return host.region === settings.region ? 1 : 2
--- /dev/null
+++ b/src/process/entryTasks.ts
@@ -0,0 +1,116 @@
+/**
+ * Keeps the tasks of an entry host in line with what is known: one for each peer entry host, each backend server and
+ * each pool with models.
+ * @module
+ */
+import { type BatchServices, runBatchDispatch } from '../connection/batchDispatch.ts'
+import type { Session } from '../connection/controlStream.ts'
+import { runEntryPeer } from '../connection/entryPeer.ts'
+import type { InternalClients } from '../connection/internalClient.ts'
+import { type OrderServices, runOrderIssuer } from '../connection/orderIssuer.ts'
+import type { BackendServer, BackendServers } from './backendServers.ts'
+import type { Clock } from './clock.ts'
+import type { EntryHost } from './sessions.ts'
+import type { Settings } from './settings.ts'
+import type { SharedNews } from './sharedNews.ts'
+import { createTaskSet } from './taskSet.ts'
+
+/** How often the tasks are brought in line when nothing is reported, in milliseconds. */
+const alignMs = 500
+
+/** What the tasks of peer entry hosts need. */
+export interface PeerAlignment {
+  readonly news: SharedNews
+  readonly clients: InternalClients
+  readonly settings: Settings
+  readonly holder: string
+  readonly session: Session
+  readonly clock: Clock
+  readonly signal: AbortSignal
+}
+
+/**
+ * Keeps one task for each peer entry host.
+ * @param alignment - what the tasks need; its signal ends them
+ * @returns a promise that resolves when all have ended
+ */
+export async function alignPeers (alignment: PeerAlignment): Promise<void> {
+  const { news, clients, settings, holder, session, clock, signal } = alignment
+  const tasks = createTaskSet(signal)
+  while (!signal.aborted) {
+    const wanted = new Set<string>()
+    for (const host of latestStarts(session.entryHosts)) {
+      if (host.holder === holder) continue
+      // The subject is the start of the peer, not its address: a peer that restarts has lost what it was told.
+      wanted.add(host.holder)
+      tasks.ensure(host.holder, taskSignal => runEntryPeer({ address: host.internalAddress, host: settings.host, news, clients, clock, signal: taskSignal }))
+    }
+    tasks.endAllBut(wanted)
+    await session.changed.wait(alignMs, signal)
+  }
+  await tasks.ended()
+}
+
+/** What the tasks of batch dispatch need. */
+export interface DispatchAlignment {
+  readonly batch: BatchServices
+  readonly backendServers: BackendServers
+  readonly signal: AbortSignal
+}
+
+/**
+ * Keeps one task for each backend server.
+ * @param alignment - what the tasks need; its signal ends them
+ * @returns a promise that resolves when each has returned its items and its lease
+ */
+export async function alignDispatch (alignment: DispatchAlignment): Promise<void> {
+  const { batch, backendServers, signal } = alignment
+  const tasks = createTaskSet(signal)
+  const leaving = new Set<BackendServer>()
+  while (!signal.aborted) {
+    const wanted = new Set<BackendServer>()
+    for (const server of backendServers.list()) {
+      // The subject is the object: one that expired and was announced again is another object, which a task of the
+      // first would never see.
+      wanted.add(server)
+      if (server.announcement.leaving) leaving.add(server)
+      tasks.ensure(server, taskSignal => runBatchDispatch(server, batch, taskSignal))
+    }
+    // A backend server that leaves may stop its announcements before its last item has ended.
+    for (const server of leaving) {
+      if (server.batchInFlight === 0) leaving.delete(server)
+      else wanted.add(server)
+    }
+    tasks.endAllBut(wanted)
+    await backendServers.changed.wait(alignMs, signal)
+  }
+  await tasks.ended()
+}
+
+/**
+ * Keeps one task for each pool with models to load.
+ * @param services - what the tasks need
+ * @param signal - ends them
+ * @returns a promise that resolves when each has released its lease
+ */
+export async function alignOrders (services: OrderServices, signal: AbortSignal): Promise<void> {
+  const tasks = createTaskSet(signal)
+  while (!signal.aborted) {
+    const wanted = new Set<string>()
+    for (const pool of services.version.configuration.pools) {
+      if (pool.models.length === 0) continue
+      wanted.add(pool.name)
+      tasks.ensure(pool.name, taskSignal => runOrderIssuer(pool.name, services, taskSignal))
+    }
+    tasks.endAllBut(wanted)
+    await services.session.changed.wait(alignMs, signal)
+  }
+  await tasks.ended()
+}
+
+/** Of two starts of a host under one address, control lists the later one last until the session of the first expires. */
+function latestStarts (entryHosts: readonly EntryHost[]): Iterable<EntryHost> {
+  const latest = new Map<string, EntryHost>()
+  for (const host of entryHosts) latest.set(host.internalAddress, host)
+  return latest.values()
+}
--- a/src/process/lifecycle.ts
+++ b/src/process/lifecycle.ts
@@ -2,6 +2,7 @@
  * The life-cycle manager: owns resources and tasks and cleans up in reverse order.
  * @module
  */
+import { setMaxListeners } from 'node:events'
 import { createFailure, FailureReason, Step, type Failure } from './failure.ts'
 
 /** Owner of resources and tasks. */
@@ -43,6 +44,8 @@
  */
 export function createLifecycle (): Lifecycle {
   const controller = new AbortController()
+  // Every task of the process may wait on this signal; the usual warning at 10 listeners would say nothing.
+  setMaxListeners(0, controller.signal)
   const steps: Array<() => void | Promise<void>> = []
   const tasks = new Set<Promise<void>>()
   let closing: Promise<void> | undefined
--- a/src/request/liveRequest.ts
+++ b/src/request/liveRequest.ts
@@ -130,6 +130,7 @@
     if (server === undefined) return err(refuse(RefusalReason.NoBackendServer, `no backend server of pool ${request.pool.name} is available`, 1_000))
     const failed = await runAttempt(request, services, server, progress, deliver)
     if (failed === undefined) return ok(progress.offset)
+    metrics.count(Counter.AttemptFailures, failed.failure.reason)
     logger.write(LogEvents.attemptFailed, { requestId: request.requestId, failure: failed.failure })
     if (failed.failure.reason === FailureReason.Refused) backendServers.avoid(server)
     const leftMs = request.deadline - clock.now()
--- a/test/entryFaults.test.ts
+++ b/test/entryFaults.test.ts
@@ -5,7 +5,7 @@
 import { sessionLimitMs } from '../src/process/sessions.ts'
 import { confirmationLimitMs } from '../src/version/currentVersion.ts'
 import type { RecordedRun } from './standIn/standIn.ts'
-import { addressesOf, ask, askWhole, findBatchHost, finish, knowServers, prepare, runsOf, submit } from './support/fleetCalls.ts'
+import { addressesOf, ask, askWhole, findBatchHost, finish, knowServers, prepare, runsOf, submit } from '../scripts/fleetCalls.ts'
 
 /** Control looks for expired sessions twice a second, and a waiting host asks for a lease once a second. */
 const takeOverLimitMs = sessionLimitMs + 3_000
--- a/test/entryOrders.test.ts
+++ b/test/entryOrders.test.ts
@@ -7,7 +7,7 @@
 import { sessionLimitMs } from '../src/process/sessions.ts'
 import { type Pool, poolSchema } from '../src/version/tables.ts'
 import { announcementOf } from './support/entryHosts.ts'
-import { knowServers, prepare } from './support/fleetCalls.ts'
+import { knowServers, prepare } from '../scripts/fleetCalls.ts'
 import type { RecordedOrder } from './standIn/standIn.ts'
 
 async function ordersOf (address: string): Promise<RecordedOrder[]> {
--- a/test/entryShutdown.test.ts
+++ b/test/entryShutdown.test.ts
@@ -6,7 +6,7 @@
 import { electionMinMs, heartbeatMs } from '../src/process/election.ts'
 import { sessionLimitMs } from '../src/process/sessions.ts'
 import { pollHoldMs } from '../src/process/watchMessages.ts'
-import { addressesOf, ask, askWhole, entryStatus, findBatchHost, finish, knowServers, prepare, runsOf, submit } from './support/fleetCalls.ts'
+import { addressesOf, ask, askWhole, entryStatus, findBatchHost, finish, knowServers, prepare, runsOf, submit } from '../scripts/fleetCalls.ts'
 
 const addressKeepMs = 3_000
 /** Section 9 of the design page: a leaving backend server gets nothing new after three seconds. */
--- a/test/programs.test.ts
+++ b/test/programs.test.ts
@@ -10,7 +10,7 @@
 import { listFlags } from '../src/process/settings.ts'
 import { RefusalReason } from '../src/request/refusal.ts'
 import { DenialReason } from '../src/request/retry.ts'
-import { prepare } from './support/fleetCalls.ts'
+import { prepare } from '../scripts/fleetCalls.ts'
 
 const daemon = 'src/daemons/jaychuted.js'
 const operator = 'src/daemons/jaychute.js'
@@ -95,7 +95,7 @@
       const before = await read()
       for (const reason of Object.values(RefusalReason)) expect(before).to.match(new RegExp(`^jaychute_refusals_total\\{label="${reason}"\\} \\d+$`, 'm'))
       for (const reason of Object.values(DenialReason)) expect(before).to.include(`jaychute_retries_denied_total{label="${reason}"} 0`)
-      expect(before).to.include('jaychute_retries_total{label="connection refused"} 0').and.to.include('jaychute_refusals_total{label="no backend server"} 0')
+      expect(before).to.include('jaychute_attempt_failures_total{label="timeout"} 0').and.to.include('jaychute_retries_total{label="connection refused"} 0').and.to.include('jaychute_refusals_total{label="no backend server"} 0')
       const refused = await request(`http://${addresses[1]}/v1/routes/assist/requests`, {
         method: 'POST', headers: { 'content-type': 'application/json', 'jaychute-account': 'rothar', 'jaychute-request-id': 'r-7' }, body: '{"input":"x"}'
       })
--- a/test/support/entryHosts.ts
+++ b/test/support/entryHosts.ts
@@ -20,12 +20,11 @@
 import { createMetrics } from '../../src/process/metrics.ts'
 import { createSystemRandom } from '../../src/process/random.ts'
 import { serveApi, serveInternal } from '../../src/process/servers.ts'
-import { createSessions, type Sessions } from '../../src/process/sessions.ts'
+import { createSessions } from '../../src/process/sessions.ts'
 import { Role } from '../../src/process/settings.ts'
 
 /** Entry hosts that know one another. */
 export interface EntryHosts {
-  readonly sessions: Sessions
   /** Starts an entry host, under an earlier address if one is given. */
   start (name: string, addresses?: EntryAddresses): Promise<StartedEntryHost>
   close (): Promise<void>
@@ -91,7 +90,6 @@
     }
   }
   return {
-    sessions,
     async start (name, addresses) {
       const [internalAddress = '', callerAddress = ''] = addresses === undefined ? await reserveAddresses(2) : [addresses.internalAddress, addresses.callerAddress]
       const lifecycle = createLifecycle()
@@ -104,10 +102,10 @@
         control,
         clients,
         clock,
+        lifecycle,
         random: createSystemRandom(),
         logger: createSilentLogger(),
-        metrics: createMetrics(),
-        lifecycle
+        metrics: createMetrics()
       })
       services.shareReceiver = host.shareReceiver
       for (const listening of [await serveInternal(internalAddress, createInternalRouter(services), lifecycle), await serveApi(callerAddress, host.api, lifecycle)]) {
