--- a/src/connection/batchItems.ts
+++ b/src/connection/batchItems.ts
@@ -38,7 +38,7 @@
    */
   yieldTo (limit: number, pool: string): void
   /**
-   * Stops all items.
+   * Stops all items but those that may run only once.
    * @param cause - why
    */
   stopAll (cause: StopCause): void
@@ -212,7 +212,11 @@
       }
     },
     stopAll (cause) {
-      for (const entry of entries) entry.run.stop(cause)
+      for (const entry of entries) {
+        // An item that must not run twice would end as unknown, so it goes on while this host may run it.
+        if (!entry.route.idempotent && isCurrent(entry.item)) continue
+        entry.run.stop(cause)
+      }
     },
     async ended () {
       while (entries.size > 0) await endedOne.wait(lookMs)
--- a/src/connection/controlStream.ts
+++ b/src/connection/controlStream.ts
@@ -8,7 +8,7 @@
 import type { Logger } from '../process/logger.ts'
 import type { Random } from '../process/random.ts'
 import { type EntryHost, holderLimitMs } from '../process/sessions.ts'
-import type { WatchAnswer } from '../process/watchMessages.ts'
+import type { WatchAnswer, WatchRequest } from '../process/watchMessages.ts'
 import type { CurrentVersion } from '../version/currentVersion.ts'
 import type { ControlClient } from './controlClient.ts'
 
@@ -66,6 +66,11 @@
    * @returns a promise that resolves at the end
    */
   run (): Promise<void>
+  /**
+   * Tells control at once what this host is like now, instead of with the next poll.
+   * @returns a promise that resolves when control has answered or could not be reached
+   */
+  report (): Promise<void>
 }
 
 /**
@@ -88,17 +93,16 @@
   let stale = false
   let behind = false
 
+  function describePoll (): Omit<WatchRequest, 'immediate'> {
+    return {
+      entryHost: describe(), version: version.configuration.version, stoppedIndex, knownCancelled: [...cancelledJobs], directoryRevision
+    }
+  }
+
   async function runPolls (): Promise<void> {
     while (!signal.aborted) {
       const askedAt = clock.now()
-      const answer = await control.watch({
-        entryHost: describe(),
-        version: version.configuration.version,
-        stoppedIndex,
-        knownCancelled: [...cancelledJobs],
-        directoryRevision,
-        immediate: polledAt === undefined
-      })
+      const answer = await control.watch({ ...describePoll(), immediate: polledAt === undefined })
       checkLapse()
       if (answer.isErr()) {
         reportStaleness()
@@ -164,6 +168,10 @@
     lapsed = !isAlive && polledAt !== undefined
   }
 
+  async function report (): Promise<void> {
+    await control.watch({ ...describePoll(), immediate: true })
+  }
+
   function reportStaleness (): void {
     const confirmed = version.isConfirmed(clock.now())
     if (confirmed && stale) logger.write(LogEvents.configurationFresh)
@@ -182,5 +190,5 @@
   async function run (): Promise<void> {
     await Promise.all([runPolls(), watchLapse()])
   }
-  return { session, run }
+  return { session, run, report }
 }
--- a/src/process/entryHost.ts
+++ b/src/process/entryHost.ts
@@ -4,15 +4,15 @@
  */
 import { randomUUID } from 'node:crypto'
 import { createBackendServerConnections } from '../connection/backendServerConnection.ts'
-import { type BatchServices, runBatchDispatch } from '../connection/batchDispatch.ts'
+import type { BatchServices } from '../connection/batchDispatch.ts'
 import type { ControlClient } from '../connection/controlClient.ts'
 import { createControlStream, type Session } from '../connection/controlStream.ts'
 import { createCrashInspection } from '../connection/crashInspection.ts'
-import { createDispatchReceiver, type DispatchReceiver, runDispatchPeer } from '../connection/dispatchPeer.ts'
+import { createDispatchReceiver, type DispatchReceiver } from '../connection/dispatchPeer.ts'
 import { createEngineProtocol } from '../connection/engineProtocol.ts'
-import { runEntryPeer } from '../connection/entryPeer.ts'
 import type { InternalClients } from '../connection/internalClient.ts'
-import { createOpenRequests, type OpenRequests } from '../connection/openRequests.ts'
+import type { OpenRequests } from '../connection/openRequests.ts'
+import { createOrderConnection } from '../connection/orderIssuer.ts'
 import { createServiceProtocol } from '../connection/serviceProtocol.ts'
 import type { Announcement, ShareReceiver } from '../connection/share.ts'
 import { createCallerApi } from '../request/callerApi.ts'
@@ -28,6 +28,7 @@
 import { createCompletions } from './completions.ts'
 import { createItemRuns } from './itemRuns.ts'
 import { createLeaseDirectory } from './leaseDirectory.ts'
+import { alignDispatch, alignOrders, alignPeers } from './entryTasks.ts'
 import type { Lifecycle } from './lifecycle.ts'
 import { createLiveWork } from './liveWork.ts'
 import type { Logger } from './logger.ts'
@@ -35,12 +36,9 @@
 import { createQuarantine, type Quarantine } from './quarantine.ts'
 import type { Random } from './random.ts'
 import { createRetryBudget, type RetryBudget } from './retryBudget.ts'
-import type { EntryHost } from './sessions.ts'
+import { type EntryHost, sessionLimitMs } from './sessions.ts'
 import type { Settings } from './settings.ts'
-import { createSharedNews, type SharedNews } from './sharedNews.ts'
-
-/** How often the tasks for peers and backend servers are brought in line with what is known, in milliseconds. */
-const alignMs = 500
+import { createSharedNews } from './sharedNews.ts'
 
 /** Pause before a refused caller should try again, in milliseconds. */
 const refusedRetryMs = 1_000
@@ -49,6 +47,8 @@
 export interface EntryHostInputs {
   readonly settings: Settings
   readonly callerAddress: string
+  /** Requests that callers and operators wait for. */
+  readonly openRequests: OpenRequests
   readonly control: ControlClient
   readonly clients: InternalClients
   readonly clock: Clock
@@ -67,8 +67,6 @@
   readonly quarantine: Quarantine
   readonly session: Session
   readonly version: CurrentVersion
-  /** Requests that callers wait for. */
-  readonly openRequests: OpenRequests
   /**
    * Leaves: out of the address answers at once, then no new requests, then waits for the last one.
    * @returns a promise that resolves when nothing runs any more
@@ -82,7 +80,7 @@
  * @returns the running entry host
  */
 export function createEntryHost (inputs: EntryHostInputs): RunningEntryHost {
-  const { settings, control, clients, clock, random, logger, metrics, lifecycle } = inputs
+  const { settings, openRequests, control, clients, clock, random, logger, metrics, lifecycle } = inputs
   const holder = `${settings.host}/${randomUUID()}`
   const version = createCurrentVersion()
   const news = createSharedNews(clock)
@@ -98,7 +96,6 @@
   const batchEnd = new AbortController()
   let draining = false
   let refusing = false
-  const openRequests = createOpenRequests()
 
   const stream = createControlStream({
     control, version, clock, random, logger, describe, stopJobs: jobs => runs.stopJobs(jobs), stopAll: () => runs.stopAll(), signal: lifecycle.signal
@@ -145,12 +142,13 @@
   }
 
   function hear (announcement: Announcement): void {
-    backendServers.hear(announcement, 0)
-    news.announce(announcement)
+    // An announcement that is not newer came by another path, and the host that heard it tells the others.
+    if (backendServers.hear(announcement, 0)) news.announce(announcement)
   }
 
   function callableHosts (): EntryHost[] {
-    const hosts = session.entryHosts.filter(host => !host.draining)
+    // Control may not have heard yet that this host drains.
+    const hosts = session.entryHosts.filter(host => !host.draining && !(draining && host.holder === holder))
     return hosts.sort((left, right) => distance(left, settings) - distance(right, settings))
   }
 
@@ -165,7 +163,7 @@
   const live: LiveServices = {
     accounts, backendServers, liveWork, connections, quarantine, inspection, protocols, retryBudgetOf, location: settings, clock, random, logger, metrics
   }
-  const errors = createErrorAnswers(metrics, () => callableHosts().filter(host => host.holder !== holder).map(host => host.callerAddress))
+  const errors = createErrorAnswers(metrics, logger, () => callableHosts().filter(host => host.holder !== holder).map(host => host.callerAddress))
   const api = createCallerApi({
     live,
     control,
@@ -202,82 +200,34 @@
   }
   lifecycle.run(stream.run)
   lifecycle.run(signal => completions.run(signal))
-  lifecycle.run(signal => alignTasks({ batch, news, clients, settings, holder, backendServers, session, clock, signal, batchSignal: batchEnd.signal }))
+  lifecycle.run(signal => alignPeers({ news, leases, liveWork, metrics, clients, settings, holder, session, clock, signal }))
+  const orderServices = { holder, control, session, version, backendServers, orders: createOrderConnection(lifecycle), clock, logger }
+  const ordering = alignOrders(orderServices, AbortSignal.any([lifecycle.signal, batchEnd.signal]))
+  lifecycle.run(() => ordering)
+  const dispatching = alignDispatch({ batch, backendServers, signal: AbortSignal.any([lifecycle.signal, batchEnd.signal]) })
+  lifecycle.run(() => dispatching)
+
+  // Items go back and leases are released while callers may still come.
+  async function endBatch (): Promise<void> {
+    batchEnd.abort()
+    await Promise.all([dispatching, ordering])
+    await completions.sent(AbortSignal.any([lifecycle.signal, AbortSignal.timeout(sessionLimitMs)]))
+  }
 
   async function drain (): Promise<void> {
     draining = true
-    await clock.sleep(settings.addressKeepMs, lifecycle.signal)
+    const batchEnded = endBatch()
+    await Promise.all([stream.report(), clock.sleep(settings.addressKeepMs, lifecycle.signal)])
     refusing = true
-    batchEnd.abort()
-    while (leases.listOwn().length > 0 && !lifecycle.signal.aborted) await leases.changed.wait(alignMs, lifecycle.signal)
-    await openRequests.ended(lifecycle.signal)
+    await Promise.all([batchEnded, openRequests.ended(lifecycle.signal)])
     // Ends that were not recorded would be run again, and started items would end as unknown.
     await runs.idle()
     await completions.sent(lifecycle.signal)
   }
 
   return {
-    api, shareReceiver, dispatchReceiver: createDispatchReceiver(leases, liveWork), backendServers, quarantine, session, version, openRequests, drain
-  }
-}
-
-interface Alignment {
-  readonly batch: BatchServices
-  readonly news: SharedNews
-  readonly clients: InternalClients
-  readonly settings: Settings
-  readonly holder: string
-  readonly backendServers: BackendServers
-  readonly session: Session
-  readonly clock: Clock
-  readonly signal: AbortSignal
-  readonly batchSignal: AbortSignal
-}
-
-/** Keeps one task for each peer entry host and for each backend server. */
-async function alignTasks (alignment: Alignment): Promise<void> {
-  const { batch, news, clients, settings, holder, backendServers, session, clock, signal, batchSignal } = alignment
-  const tasks = new Map<string, AbortController>()
-  const running = new Set<Promise<void>>()
-
-  function ensure (name: string, run: (taskSignal: AbortSignal) => Promise<void>): void {
-    if (tasks.has(name)) return
-    const controller = new AbortController()
-    tasks.set(name, controller)
-    const task = run(AbortSignal.any([signal, controller.signal])).finally(() => {
-      running.delete(task)
-      tasks.delete(name)
-    })
-    running.add(task)
-  }
-
-  while (!signal.aborted) {
-    const wanted = new Set<string>()
-    for (const host of session.entryHosts) {
-      if (host.holder === holder) continue
-      const name = `entry ${host.internalAddress}`
-      wanted.add(name)
-      ensure(name, taskSignal => runEntryPeer({ address: host.internalAddress, host: settings.host, news, clients, clock, signal: taskSignal }))
-    }
-    for (const host of session.entryHosts) {
-      if (host.holder === holder) continue
-      const name = `dispatch ${host.holder}`
-      wanted.add(name)
-      const { leases, liveWork, metrics } = batch
-      ensure(name, taskSignal => runDispatchPeer({ address: host.internalAddress, peer: host.holder, holder, leases, liveWork, clients, clock, metrics, signal: taskSignal }))
-    }
-    for (const server of backendServers.list()) {
-      const name = `batch ${server.announcement.address}`
-      wanted.add(name)
-      if (batchSignal.aborted) continue
-      ensure(name, taskSignal => runBatchDispatch(server, batch, AbortSignal.any([taskSignal, batchSignal])))
-    }
-    for (const [name, controller] of tasks) {
-      if (!wanted.has(name)) controller.abort()
-    }
-    await backendServers.changed.wait(alignMs, signal)
+    api, shareReceiver, dispatchReceiver: createDispatchReceiver(leases, liveWork), backendServers, quarantine, session, version, drain
   }
-  await Promise.all(running)
 }
 
 function distance (host: EntryHost, settings: Settings): number {
--- a/src/process/lifecycle.ts
+++ b/src/process/lifecycle.ts
@@ -44,7 +44,7 @@
  */
 export function createLifecycle (): Lifecycle {
   const controller = new AbortController()
-  // Every waiting task listens to this signal; Node warns of a leak from 11 listeners on.
+  // Every task of the process may wait on this signal; the usual warning at 10 listeners would say nothing.
   setMaxListeners(0, controller.signal)
   const steps: Array<() => void | Promise<void>> = []
   const tasks = new Set<Promise<void>>()
--- a/src/process/replica.ts
+++ b/src/process/replica.ts
@@ -6,6 +6,7 @@
 import type { Command, Outcome } from './commands.ts'
 import { runCompaction } from './compaction.ts'
 import type { Failure } from './failure.ts'
+import { handOver } from './handover.ts'
 import { LogEvents } from './logEvents.ts'
 import { handleJoin, runMembership } from './membershipTask.ts'
 import { handleAppend } from './replicaAppend.ts'
@@ -52,6 +53,11 @@
    * @returns false when the replica has another membership already, or is not one of the members
    */
   form (members: readonly Member[]): Promise<boolean>
+  /**
+   * Ends the leadership, if any, and never leads again.
+   * @returns a promise that resolves when a successor has been asked
+   */
+  resign (): Promise<void>
 }
 
 /**
@@ -85,7 +91,11 @@
     handleSnapshot: request => handleSnapshot(core, request),
     handleJoin: request => handleJoin(core, request),
     identify: () => identify(core),
-    form: members => form(core, members)
+    form: members => form(core, members),
+    async resign () {
+      state.resigned = true
+      await handOver({ state, transport: inputs.transport, clock: inputs.clock, stepDown: () => stepDown(core) })
+    }
   }
 }
 
--- a/src/process/replicaAppend.ts
+++ b/src/process/replicaAppend.ts
@@ -6,6 +6,7 @@
 import { assert } from './assert.ts'
 import { createFailure, type Failure, FailureReason, Step } from './failure.ts'
 import { commit } from './replicaCommit.ts'
+import { campaign } from './replicaElection.ts'
 import { adoptMembers, enterTerm, save, stepDown } from './replicaLeadership.ts'
 import { lastIndexOf, membersAt, pushEntry, termAt, truncateFrom } from './replicaLog.ts'
 import type { AppendAnswer, AppendRequest } from './replicaMessages.ts'
@@ -56,6 +57,7 @@
   if (!await save(core, records)) return err(storageEnded(state, Step.Append))
   // Another leader may have replaced these entries during the sync; the answer must not count for them then.
   if (state.term !== request.term) return ok(refuse(state, lastIndexOf(state)))
+  if (request.successor !== undefined) return ok(follow(core, request.successor))
   if (!matches) return ok(refuse(state, hint))
   const index = request.previousIndex + request.entries.length
   const committed = Math.min(request.commitIndex, index)
@@ -63,6 +65,15 @@
   return ok({ term: request.term, accepted: true, index })
 }
 
+// The leader has ended its leadership itself, so neither this vote nor the successor waits for an election timeout.
+function follow (core: ReplicaCore, successor: string): AppendAnswer {
+  const { state } = core
+  state.heardAt = -Infinity
+  state.leaderAddress = undefined
+  if (successor === state.identity) campaign(core).catch(() => {})
+  return { term: state.term, accepted: true, index: state.commitIndex }
+}
+
 function refuse (state: ReplicaState, index: number): AppendAnswer {
   return { term: state.term, accepted: false, index }
 }
--- a/src/process/replicaElection.ts
+++ b/src/process/replicaElection.ts
@@ -38,10 +38,15 @@
 }
 
 function canCampaign (state: ReplicaState): boolean {
-  return !state.installing && votersOf(state.members).some(member => member.identity === state.identity)
+  return !state.installing && !state.resigned && votersOf(state.members).some(member => member.identity === state.identity)
 }
 
-async function campaign (core: ReplicaCore): Promise<void> {
+/**
+ * Asks for the votes of the other voters, and leads with a majority of them.
+ * @param core - the replica
+ * @returns a promise that resolves when the election is decided
+ */
+export async function campaign (core: ReplicaCore): Promise<void> {
   const { state } = core
   const term = state.term + 1
   const { heardAt } = state
--- a/src/process/replicaState.ts
+++ b/src/process/replicaState.ts
@@ -66,6 +66,8 @@
   termStart: number
   /** Number of the newest round of reads to confirm. */
   readRound: number
+  /** Whether this replica shuts down and never leads again. */
+  resigned: boolean
   /** Whether the state is being exported; commands wait meanwhile, so that all parts are of one point. */
   exporting: boolean
   /** Whether a snapshot is being written or installed; there is one at a time. */
@@ -175,6 +177,7 @@
     ledSince: 0,
     termStart: 0,
     readRound: 0,
+    resigned: false,
     exporting: false,
     snapshotBusy: false,
     installing: false,
--- a/src/request/liveRequest.ts
+++ b/src/request/liveRequest.ts
@@ -118,6 +118,7 @@
     const { incarnation } = server.announcement
     const failed = await runAttempt({ request, server, flight, progress, services, deliver })
     if (failed === undefined) return ok(progress.offset)
+    metrics.count(Counter.AttemptFailures, failed.failure.reason)
     logger.write(LogEvents.attemptFailed, { requestId: request.requestId, failure: failed.failure })
     await noteFailure(failed, server, incarnation, services)
     if (quarantine.isQuarantined(fingerprint)) return giveUp(RefusalReason.Quarantined, 'the request has crashed backend servers')
--- a/test/support/entrySide.ts
+++ b/test/support/entrySide.ts
@@ -2,7 +2,6 @@
  * An entry host's stream and dispatch, with the calls to control in the hands of the test.
  * @module
  */
-import { expect } from 'chai'
 import { err, ok, type Result } from 'neverthrow'
 import { eventually } from '../../scripts/processes.ts'
 import { runBatchDispatch } from '../../src/connection/batchDispatch.ts'
