Hold claims that find no waiting item, outside the log

Cause: each idle backend server claimed five times a second, and every claim became a synced entry on all control hosts. Change: the leader holds such a claim for up to 1 s, answers it without an entry, and wakes it when items may wait. A late copy of an answered claim is granted nothing.

--- a/src/process/controlHost.ts
+++ b/src/process/controlHost.ts
@@ -10,6 +10,7 @@
 import { createFailure, type Failure, FailureReason, Step } from './failure.ts'
 import type { Answer, Query } from './queries.ts'
 import { createQuietUploads } from './quietUploads.ts'
+import { createIdleClaims, type IdleClaims } from './idleClaims.ts'
 import { createReplica, type Replica, type ReplicaInputs, ReplicaRole } from './replica.ts'
 import { createSessions, sessionLimitMs, type Sessions } from './sessions.ts'
 import { exportState, importState } from './stateSnapshot.ts'
@@ -22,6 +23,11 @@
 /** How long the answer to a cancellation may wait for the entry hosts, in milliseconds. */
 const cancelLimitMs = sessionLimitMs + 2_000
 
+/** Commands after which items may wait that did not before. */
+const mayBringWork: ReadonlySet<CommandKind> = new Set([
+  CommandKind.Apply, CommandKind.Seal, CommandKind.GiveBack, CommandKind.ExpireHolder, CommandKind.AcquireLease, CommandKind.ReleaseLease
+])
+
 /** What a control host needs. */
 export interface ControlHostInputs extends Omit<ReplicaInputs, 'apply' | 'exportParts' | 'importParts'> {
   /** Internal addresses of all control hosts, this one included. */
@@ -61,11 +67,13 @@
 export function createControlHost (inputs: ControlHostInputs): ResultAsync<ControlHost, Failure> {
   const state = createControlState()
   const news = createCondition()
+  const idleClaims = createIdleClaims(state, inputs.clock)
   return createReplica({
     ...inputs,
     apply (command) {
       const outcome = applyCommand(state, command)
       if (command.kind === CommandKind.Apply || command.kind === CommandKind.CancelJob) news.notify()
+      if (mayBringWork.has(command.kind)) idleClaims.workArrived.notify()
       return outcome
     },
     exportParts: () => exportState(state),
@@ -73,10 +81,10 @@
       Object.assign(state, importState(parts))
       news.notify()
     }
-  }).map(replica => startControlHost(inputs, replica, state, news))
+  }).map(replica => startControlHost(inputs, replica, state, news, idleClaims))
 }
 
-function startControlHost (inputs: ControlHostInputs, replica: Replica, state: ControlState, news: Condition): ControlHost {
+function startControlHost (inputs: ControlHostInputs, replica: Replica, state: ControlState, news: Condition, idleClaims: IdleClaims): ControlHost {
   const { clock, lifecycle } = inputs
   const sessions = createSessions()
   const quietUploads = createQuietUploads()
@@ -92,6 +100,10 @@
       const taken = lease?.holder !== undefined && lease.holder !== command.holder && isHolderAlive(lease.holder)
       if (taken) return ok({ kind: OutcomeKind.Lease, holder: lease.holder, number: lease.number, granted: false })
     }
+    if (command.kind === CommandKind.Claim) {
+      const idle = await idleClaims.hold(command, () => replica.state.role === ReplicaRole.Leader, lifecycle.signal)
+      if (idle !== undefined) return ok(idle)
+    }
     const outcome = await replica.propose(stamp(command, clock))
     if (outcome.isErr() || command.kind !== CommandKind.CancelJob) return outcome
     const stop = await waitUntilStopped(command.job, replica.state.appliedIndex)
--- a/test/jobsCancellation.test.ts
+++ b/test/jobsCancellation.test.ts
@@ -1,17 +1,15 @@
 import { expect } from 'chai'
-import { errAsync, type Result } from 'neverthrow'
+import type { Result } from 'neverthrow'
 import { eventually } from '../scripts/processes.ts'
 import { CommandKind, Ending, type Grant, type Outcome, OutcomeKind } from '../src/process/commands.ts'
-import { type ControlHost, createControlHost } from '../src/process/controlHost.ts'
-import { createFailure, type Failure, FailureReason, Step } from '../src/process/failure.ts'
+import type { ControlHost } from '../src/process/controlHost.ts'
+import { type Failure, FailureReason } from '../src/process/failure.ts'
 import { createLifecycle, type Lifecycle } from '../src/process/lifecycle.ts'
-import { createSilentLogger } from '../src/process/logger.ts'
-import { createMetrics } from '../src/process/metrics.ts'
-import { createSeededRandom } from '../src/process/random.ts'
 import { createEntrySide, host, turn } from './support/entrySide.ts'
 import { MemoryStorage } from './support/memoryStorage.ts'
 import { tables } from './support/stateCommands.ts'
 import { FakeClock } from './support/fakeClock.ts'
+import { startTestControl } from './support/testControl.ts'
 
 const granted: Grant = {
   job: 'j', position: 0, grant: 1, route: 'r', account: 'a', item: { name: 'i', input: 'i', maxTokens: 1, priority: 1 }, partial: '', offset: 0, attempts: 0
@@ -90,19 +88,10 @@
     lifecycles = []
   })
 
-  async function startControl (clock: FakeClock, storage: MemoryStorage): Promise<ControlHost> {
+  function startControl (clock: FakeClock, storage: MemoryStorage): Promise<ControlHost> {
     const lifecycle = createLifecycle()
     lifecycles.push(lifecycle)
-    const transport: any = { identify: () => errAsync(createFailure(FailureReason.Timeout, { step: Step.Vote }, 'nobody')) }
-    const created = await createControlHost({
-      address: 'c', availabilityZone: 'z', controlHosts: ['c'], voters: 3, storage, transport, clock, random: createSeededRandom(1), logger: createSilentLogger(), metrics: createMetrics(), lifecycle
-    })
-    const control = created._unsafeUnwrap()
-    await eventually('a leader', 5_000, async () => {
-      await clock.advance(100)
-      return control.replica.state.role === 'leader' ? true : undefined
-    })
-    return control
+    return startTestControl(clock, storage, lifecycle)
   }
 
   async function poll (control: ControlHost, stoppedIndex: number): Promise<void> {
--- /dev/null
+++ b/test/jobsIdleClaims.test.ts
@@ -0,0 +1,71 @@
+import { expect } from 'chai'
+import { type Command, CommandKind, type CommandOf, type Outcome, OutcomeKind, Priority } from '../src/process/commands.ts'
+import type { ControlHost } from '../src/process/controlHost.ts'
+import { claimHoldMs } from '../src/process/idleClaims.ts'
+import { createLifecycle, type Lifecycle } from '../src/process/lifecycle.ts'
+import { lastIndexOf } from '../src/process/replicaLog.ts'
+import { FakeClock } from './support/fakeClock.ts'
+import { MemoryStorage } from './support/memoryStorage.ts'
+import { tables } from './support/stateCommands.ts'
+import { startTestControl } from './support/testControl.ts'
+
+const claim: CommandOf<'claim'> = { kind: CommandKind.Claim, backendServer: 'b', holder: 'h', lease: 1, sequence: 1, pool: 'p', count: 4 }
+const items = [{ name: 'i', input: 'i', maxTokens: 1, priority: Priority.Ordinary }]
+
+describe('claims while no item waits', () => {
+  let lifecycle: Lifecycle
+  let clock: FakeClock
+  let control: ControlHost
+
+  beforeEach(async () => {
+    lifecycle = createLifecycle()
+    clock = new FakeClock()
+    control = await startTestControl(clock, new MemoryStorage('memory'), lifecycle)
+    await run({ kind: CommandKind.Apply, operation: 'o', expected: 0, tables })
+    await run({ kind: CommandKind.AcquireLease, backendServer: 'b', holder: 'h', expected: 0 })
+  })
+
+  afterEach(() => lifecycle.close())
+
+  async function run (command: Command): Promise<Outcome> {
+    return (await control.execute(command))._unsafeUnwrap()
+  }
+
+  async function submit (): Promise<void> {
+    await run({ kind: CommandKind.OpenUpload, upload: 'j', account: 'a', key: 'k', route: 'r', due: 0, time: 0 })
+    await run({ kind: CommandKind.AppendItems, upload: 'j', sequence: 0, items, time: 0 })
+    await run({ kind: CommandKind.Seal, upload: 'j', account: 'a', key: 'k', digest: 'd', count: 1, time: 0 })
+  }
+
+  async function claimInVain (sequence: number): Promise<void> {
+    const claiming = run({ ...claim, sequence })
+    await clock.advance(claimHoldMs)
+    expect(await claiming).to.deep.equal({ kind: OutcomeKind.Grants, grants: [] })
+  }
+
+  // Idle backend servers would write to every control host's disk several times a second for nothing.
+  it('add nothing to the log', async () => {
+    const before = lastIndexOf(control.replica.state)
+    for (let sequence = 1; sequence <= 5; sequence++) await claimInVain(sequence)
+    expect(lastIndexOf(control.replica.state)).to.equal(before)
+  })
+
+  it('are granted items as soon as a job is sealed', async () => {
+    const claiming = run(claim)
+    await submit()
+    expect(await claiming).to.have.property('grants').with.length(1)
+  })
+
+  // Its holder has gone on to the next claim, so its grants would stay with a holder that does not know them.
+  it('grant nothing to a late copy of a claim that was answered', async () => {
+    await claimInVain(1)
+    await submit()
+    expect(await run(claim)).to.deep.equal({ kind: OutcomeKind.Grants, grants: [] })
+    expect(await run({ ...claim, sequence: 2 })).to.have.property('grants').with.length(1)
+  })
+
+  it('still tell a holder that its lease is gone', async () => {
+    await run({ kind: CommandKind.ReleaseLease, backendServer: 'b', holder: 'h', number: 1 })
+    expect(await run(claim)).to.include({ kind: OutcomeKind.Conflict })
+  })
+})
--- /dev/null
+++ b/test/support/testControl.ts
@@ -0,0 +1,28 @@
+/**
+ * A single control host on a fake clock with its storage in memory.
+ * @module
+ */
+import { errAsync } from 'neverthrow'
+import { eventually } from '../../scripts/processes.ts'
+import { type ControlHost, createControlHost } from '../../src/process/controlHost.ts'
+import { createFailure, FailureReason, Step } from '../../src/process/failure.ts'
+import type { Lifecycle } from '../../src/process/lifecycle.ts'
+import { createSilentLogger } from '../../src/process/logger.ts'
+import { createMetrics } from '../../src/process/metrics.ts'
+import { createSeededRandom } from '../../src/process/random.ts'
+import type { FakeClock } from './fakeClock.ts'
+import type { MemoryStorage } from './memoryStorage.ts'
+
+/** Starts a control host and waits until it leads. */
+export async function startTestControl (clock: FakeClock, storage: MemoryStorage, lifecycle: Lifecycle): Promise<ControlHost> {
+  const transport: any = { identify: () => errAsync(createFailure(FailureReason.Timeout, { step: Step.Vote }, 'nobody')) }
+  const created = await createControlHost({
+    address: 'c', availabilityZone: 'z', controlHosts: ['c'], voters: 3, storage, transport, clock, random: createSeededRandom(1), logger: createSilentLogger(), metrics: createMetrics(), lifecycle
+  })
+  const control = created._unsafeUnwrap()
+  await eventually('a leader', 5_000, async () => {
+    await clock.advance(100)
+    return control.replica.state.role === 'leader' ? true : undefined
+  })
+  return control
+}
