Keep the first end of an attempt in the quarantine

Cause: found in the read-through. A batch item ended its attempt a second time on clean-up, which took a broken connection off the record before the crash behind it was seen. Change: the first end stands. Figures: the new test printed 'expected false to equal true' before the change; 21 tests of quarantine and batch pass. Conclusion: items count at a crash that is noticed late, as live requests do.

--- a/src/connection/batchItems.ts
+++ b/src/connection/batchItems.ts
@@ -122,7 +122,7 @@
 
   function remove (entry: Entry): void {
     entries.delete(entry)
-    // Ending a flight twice changes nothing; this one is for items that were never sent.
+    // The first end stands; this one is for items that were never sent.
     entry.flight.end(FlightEnd.Other)
     server.batchInFlight--
     entry.run.finish()
--- a/src/process/quarantine.ts
+++ b/src/process/quarantine.ts
@@ -56,7 +56,7 @@
 /** An attempt in flight. */
 export interface Flight {
   /**
-   * Ends it.
+   * Ends it. The first end stands.
    * @param end - how it ended
    */
   end (end: FlightEnd): void
@@ -224,8 +224,11 @@
     begin (fingerprint, backendServer, incarnation) {
       const flight: OpenFlight = { fingerprint, place: placeOf(backendServer, incarnation), backendServer, startedAt: clock.now() }
       flights.add(flight)
+      let ended = false
       return {
         end (end) {
+          if (ended) return
+          ended = true
           if (end === FlightEnd.Broken) flight.brokenAt = clock.now()
           else flights.delete(flight)
           if (counts.has(fingerprint)) suspectEnded.notify()
--- a/test/liveQuarantine.test.ts
+++ b/test/liveQuarantine.test.ts
@@ -44,6 +44,18 @@
     expect(['poison', 'a', 'b'].map(quarantine.isQuarantined)).to.deep.equal([true, false, false])
   })
 
+  // Guards against a batch item whose clean-up takes its broken connection back before the crash behind it is seen.
+  it('keeps the first end of an attempt', () => {
+    const { quarantine } = createHost(new TestClock())
+    for (const server of ['x', 'y']) {
+      const flight = quarantine.begin('poison', server, '1')
+      flight.end(FlightEnd.Broken)
+      flight.end(FlightEnd.Other)
+      quarantine.reportCrash(server, '1')
+    }
+    expect(quarantine.isQuarantined('poison')).to.equal(true)
+  })
+
   // Guards against a lost report and against reports that circulate between hosts for ever.
   it('counts crashes that different hosts saw, and forwards only its own', () => {
     const clock = new TestClock()
