Wait for either of two conditions in one place

Cause: batch dispatch and the task for news between entry hosts had the same wait written twice. Change: waitForEither in condition.ts serves both. Conclusion: one wait, one clean-up.

--- a/src/connection/batchDispatch.ts
+++ b/src/connection/batchDispatch.ts
@@ -7,7 +7,7 @@
 import type { Clock } from '../process/clock.ts'
 import { CommandKind, OutcomeKind } from '../process/commands.ts'
 import type { Completions } from '../process/completions.ts'
-import { type Condition, createCondition } from '../process/condition.ts'
+import { type Condition, createCondition, waitForEither } from '../process/condition.ts'
 import { type ItemRuns, StopCause } from '../process/itemRuns.ts'
 import { decideHeadStart, type LeaseDirectory, rankHost } from '../process/leaseDirectory.ts'
 import type { LiveWork } from '../process/liveWork.ts'
@@ -207,8 +207,5 @@
   const { server, services, changed, growth } = dispatch
   const stepMs = growth.nextStepAt - services.clock.now()
   const limitMs = stepMs > 0 ? Math.min(stepMs, lookMs) : lookMs
-  const wake = new AbortController()
-  const either = AbortSignal.any([wake.signal, signal])
-  await Promise.race([changed.wait(limitMs, either), server.liveChanged.wait(limitMs, either)])
-  wake.abort()
+  await waitForEither(changed, server.liveChanged, limitMs, signal)
 }
--- a/src/connection/dispatchPeer.ts
+++ b/src/connection/dispatchPeer.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock } from '../process/clock.ts'
 import type { Holder } from '../process/commands.ts'
-import { createCondition } from '../process/condition.ts'
+import { createCondition, waitForEither } from '../process/condition.ts'
 import { Step } from '../process/failure.ts'
 import type { LeaseDirectory } from '../process/leaseDirectory.ts'
 import type { LiveWork } from '../process/liveWork.ts'
@@ -93,7 +93,8 @@
     const content = describe(task)
     const key = JSON.stringify(content)
     if (key === sent && clock.now() - sentAt < renewMs) {
-      await waitForNews(task, content.live.length > 0 ? gatherMs : sentAt + renewMs - clock.now())
+      const limitMs = content.live.length > 0 ? gatherMs : sentAt + renewMs - clock.now()
+      await waitForEither(task.liveWork.started, task.leases.changed, limitMs, signal)
       continue
     }
     if (underWay >= underWayLimit) {
@@ -118,10 +119,3 @@
   const live = task.liveWork.listOwn().filter(address => task.leases.find(address) === task.peer)
   return { from: task.holder, leases: task.leases.listOwn(), live }
 }
-
-async function waitForNews (task: DispatchPeer, limitMs: number): Promise<void> {
-  const wake = new AbortController()
-  const either = AbortSignal.any([wake.signal, task.signal])
-  await Promise.race([task.liveWork.started.wait(limitMs, either), task.leases.changed.wait(limitMs, either)])
-  wake.abort()
-}
--- a/src/process/condition.ts
+++ b/src/process/condition.ts
@@ -52,3 +52,19 @@
     }
   }
 }
+
+/**
+ * Waits for the next notification of either of two conditions.
+ * @param first - one condition
+ * @param second - the other condition
+ * @param limitMs - the longest wait, in milliseconds
+ * @param signal - ends the wait early without an error
+ * @returns a promise that resolves at the notification, at the limit or when aborted
+ */
+export async function waitForEither (first: Condition, second: Condition, limitMs: number, signal: AbortSignal): Promise<void> {
+  const end = new AbortController()
+  const either = AbortSignal.any([end.signal, signal])
+  await Promise.race([first.wait(limitMs, either), second.wait(limitMs, either)])
+  // The other wait would keep its timer and its listener until its own limit.
+  end.abort()
+}
