Carry calls between hosts in frames over one connection for each peer

Cause: a profile of an idle leader showed hardly any code of jaychute but fetch, web streams and request objects of the HTTP carrier of tRPC. Change: the procedures and types of tRPC stay; their carrier is a kept connection with length-prefixed msgpack frames, large ones compressed. The tests of compression and of the silent connection now speak frames, with one case more (a frame that announces too long a body). Ruled out: a slower poll, which keeps the cost of each call.

--- a/bench/announcements.ts
+++ b/bench/announcements.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { mkdir, writeFile } from 'node:fs/promises'
-import type { Server } from 'node:http'
+import type { Server } from 'node:net'
 import type { Socket } from 'node:net'
 import { cpus } from 'node:os'
 import { reserveAddresses } from '../scripts/processes.ts'
@@ -15,7 +15,7 @@
 import { createSystemClock } from '../src/process/clock.ts'
 import { createLifecycle } from '../src/process/lifecycle.ts'
 import { createSilentLogger } from '../src/process/logger.ts'
-import { serveInternal } from '../src/process/servers.ts'
+import { serveInternal } from '../src/connection/callServer.ts'
 import { createSharedNews, type SharedNews } from '../src/process/sharedNews.ts'
 
 const warmUpMs = 3_000
--- /dev/null
+++ b/src/connection/callConnection.ts
@@ -0,0 +1,112 @@
+/**
+ * The calling side of a connection between hosts. Calls share the connection and are told apart by number; a connection
+ * that ended is opened again by the next call.
+ * @module
+ */
+import { connect, type Socket } from 'node:net'
+import { parseAddress } from '../process/address.ts'
+import { encodeMessage, encodeSmallMessage, readMessages, writeFrame } from './frames.ts'
+
+/** Limit for opening a connection between hosts, in milliseconds. */
+const connectLimitMs = 1_000
+
+/** A call as it is sent: number, procedure, input. */
+export type CallMessage = readonly [number: number, procedure: string, input: unknown]
+
+/** An answer as it is sent: number of the call, value, and the text of an error if there was one. */
+export type AnswerMessage = readonly [number: number, value: unknown, error: string | undefined]
+
+/** Calls to one host over one connection. */
+export interface CallConnection {
+  /**
+   * Calls a procedure.
+   * @param procedure - its path
+   * @param input - its input
+   * @param signal - gives the call up; its answer is dropped
+   * @returns the value; rejected with the error of the procedure or of the connection
+   */
+  call (procedure: string, input: unknown, signal?: AbortSignal | null): Promise<unknown>
+  /** Ends the connection; calls that wait are rejected. */
+  destroy (): void
+}
+
+interface PendingCall {
+  readonly resolve: (value: unknown) => void
+  readonly reject: (error: Error) => void
+}
+
+class CallError extends Error {
+  readonly code: string
+
+  constructor (code: string, message: string) {
+    super(message)
+    this.code = code
+  }
+}
+
+/**
+ * Creates the calls to a host; the connection is opened by the first one.
+ * @param address - IP number and port
+ * @param compressFrom - length of a message from which it is compressed, in bytes
+ * @returns the calls
+ */
+export function createCallConnection (address: string, compressFrom: number): CallConnection {
+  const pending = new Map<number, PendingCall>()
+  let lastNumber = 0
+  let socket: Socket | undefined
+  let destroyed = false
+
+  function open (): Socket {
+    const { ip, port } = parseAddress(address)
+    const opened = connect({ host: ip, port, noDelay: true })
+    const limit = setTimeout(() => opened.destroy(new CallError('UND_ERR_CONNECT_TIMEOUT', `no connection to ${address} within ${connectLimitMs} ms`)), connectLimitMs)
+    opened.once('connect', () => clearTimeout(limit))
+    let failure: Error | undefined
+    opened.once('error', error => { failure = error })
+    opened.once('close', () => {
+      clearTimeout(limit)
+      if (socket !== opened) return
+      socket = undefined
+      rejectAll(failure ?? new CallError('ECONNRESET', `the connection to ${address} ended`))
+    })
+    readMessages(opened, message => {
+      const [number, value, error] = message as AnswerMessage
+      const call = pending.get(number)
+      if (call === undefined) return
+      pending.delete(number)
+      if (error === undefined) call.resolve(value)
+      else call.reject(new Error(error))
+    })
+    return opened
+  }
+
+  function rejectAll (error: Error): void {
+    const calls = [...pending.values()]
+    pending.clear()
+    for (const call of calls) call.reject(error)
+  }
+
+  return {
+    async call (procedure, input, signal) {
+      if (destroyed) throw new CallError('ECONNRESET', `the connection to ${address} is closed`)
+      const number = ++lastNumber
+      const message: CallMessage = [number, procedure, input]
+      const frame = encodeSmallMessage(message, compressFrom) ?? await encodeMessage(message, compressFrom)
+      return await new Promise((resolve, reject) => {
+        pending.set(number, { resolve, reject })
+        signal?.addEventListener('abort', () => {
+          if (pending.delete(number)) reject(new CallError('ABORT_ERR', 'the call was given up'))
+        }, { once: true })
+        socket ??= open()
+        writeFrame(socket, frame)
+      })
+    },
+    destroy () {
+      destroyed = true
+      const open = socket
+      socket = undefined
+      open?.destroy()
+      rejectAll(new CallError('ECONNRESET', `the connection to ${address} was closed`))
+    }
+  }
+}
--- /dev/null
+++ b/src/connection/callServer.ts
@@ -0,0 +1,70 @@
+/**
+ * The answering side of connections between hosts: runs the procedures of the router, one task for each connection.
+ * @module
+ */
+import { createServer, type Server, type Socket } from 'node:net'
+import { callTRPCProcedure } from '@trpc/server'
+import { ResultAsync } from 'neverthrow'
+import { parseAddress } from '../process/address.ts'
+import { type Failure, Step, toFailure } from '../process/failure.ts'
+import type { Lifecycle } from '../process/lifecycle.ts'
+import type { AnswerMessage, CallMessage } from './callConnection.ts'
+import { compressionBytes, encodeMessage, encodeSmallMessage, readMessages, writeFrame } from './frames.ts'
+import type { createInternalRouter } from './internalRouter.ts'
+
+/** How long a connection may be without a byte before its peer is probed, in milliseconds. */
+const probeAfterMs = 2_000
+
+type Router = ReturnType<typeof createInternalRouter>
+
+/**
+ * Serves the procedures for other hosts.
+ * @param address - IP number and port
+ * @param router - the procedures
+ * @param lifecycle - closes the server
+ * @returns the listening server, or a failure
+ */
+export function serveInternal (address: string, router: Router, lifecycle: Lifecycle): ResultAsync<Server, Failure> {
+  const { ip, port } = parseAddress(address)
+  const sockets = new Set<Socket>()
+  const server = createServer({ noDelay: true, keepAlive: true, keepAliveInitialDelay: probeAfterMs }, socket => {
+    sockets.add(socket)
+    serveConnection(socket, router)
+    socket.once('close', () => sockets.delete(socket))
+  })
+  lifecycle.own(() => new Promise<void>(resolve => {
+    server.close(() => resolve())
+    for (const socket of sockets) socket.destroy()
+  }))
+  const listening = new Promise<Server>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, ip, () => resolve(server))
+  })
+  return ResultAsync.fromPromise(listening, error => toFailure(error, { step: Step.Listen, peer: address }))
+}
+
+function serveConnection (socket: Socket, router: Router): void {
+  const ended = new AbortController()
+  // The peer sees the end of the connection and calls again, so there is nothing to report here.
+  socket.on('error', () => {})
+  socket.once('close', () => ended.abort())
+  readMessages(socket, message => {
+    const [number, procedure, input] = message as CallMessage
+    answerCall(router, procedure, input, ended.signal)
+      .then(async ([value, error]) => await answer(socket, [number, value, error]))
+      .catch((error: Error) => socket.destroy(error))
+  })
+}
+
+async function answerCall (router: Router, path: string, input: unknown, signal: AbortSignal): Promise<[value: unknown, error: string | undefined]> {
+  try {
+    const value = await callTRPCProcedure({ router, path, getRawInput: async () => input, ctx: {}, type: 'mutation', signal, batchIndex: 0 })
+    return [value, undefined]
+  } catch (error) {
+    return [undefined, error instanceof Error ? error.message : String(error)]
+  }
+}
+
+async function answer (socket: Socket, message: AnswerMessage): Promise<void> {
+  writeFrame(socket, encodeSmallMessage(message, compressionBytes) ?? await encodeMessage(message, compressionBytes))
+}
--- a/src/connection/internalClient.ts
+++ b/src/connection/internalClient.ts
@@ -3,22 +3,20 @@
  * so that a connection gone silent is given up and replaced.
  * @module
  */
-import { createTRPCClient, httpLink } from '@trpc/client'
+import { createTRPCClient, TRPCClientError, type TRPCLink } from '@trpc/client'
+import { observable } from '@trpc/server/observable'
 import { err, ok, ResultAsync } from 'neverthrow'
-import { Agent, fetch as undiciFetch } from 'undici'
 import { createFailure, type Failure, FailureReason, type Step, toFailure } from '../process/failure.ts'
 import type { Lifecycle } from '../process/lifecycle.ts'
+import { type CallConnection, createCallConnection } from './callConnection.ts'
+import { compressionBytes } from './frames.ts'
 import { fromReply, type Reply } from './internalMessages.ts'
 import type { InternalRouter } from './internalRouter.ts'
-import { compressionBytes, compressRequest } from './messageCompression.ts'
 
 /** Classes of traffic, which never share a connection. */
 export const TrafficClass = { Live: 'live', Control: 'control', Batch: 'batch' } as const
 export type TrafficClass = typeof TrafficClass[keyof typeof TrafficClass]
 
-/** Limit for opening a connection between hosts, in milliseconds. */
-const connectLimitMs = 1_000
-
 type Client = ReturnType<typeof createTRPCClient<InternalRouter>>
 
 /** Calls to other hosts. */
@@ -48,13 +46,13 @@
 
 interface Channel {
   readonly client: Client
-  readonly agent: Agent
+  readonly connection: CallConnection
 }
 
 /**
  * Creates the calls to other hosts.
  * @param lifecycle - closes the connections
- * @param compressFrom - length of a message from which it is compressed, in bytes; Infinity for never, also in answers
+ * @param compressFrom - length of a message from which it is compressed, in bytes; Infinity for never
  * @returns the calls
  */
 export function createInternalClients (lifecycle: Lifecycle, compressFrom = compressionBytes): InternalClients {
@@ -75,11 +73,11 @@
     const channel = channels.get(name)
     if (channel === undefined) return
     channels.delete(name)
-    channel.agent.destroy().catch(() => {})
+    channel.connection.destroy()
   }
 
-  lifecycle.own(async () => {
-    for (const channel of channels.values()) await channel.agent.destroy()
+  lifecycle.own(() => {
+    for (const channel of channels.values()) channel.connection.destroy()
   })
 
   const clients: InternalClients = {
@@ -104,15 +102,15 @@
 }
 
 function createChannel (address: string, compressFrom: number): Channel {
-  const agent = new Agent({ connect: { timeout: connectLimitMs }, keepAliveTimeout: 30_000, pipelining: 1 })
-  const client = createTRPCClient<InternalRouter>({
-    links: [httpLink({
-      url: `http://${address}`,
-      // The types of undici's fetch and of the global one differ only in the dispatcher.
-      fetch: (async (url: string, init: RequestInit) =>
-        await undiciFetch(url, { ...await compressRequest(init, compressFrom), dispatcher: agent } as Parameters<typeof undiciFetch>[1])) as unknown as typeof fetch,
-      ...(compressFrom === Infinity ? { headers: { 'accept-encoding': 'identity' } } : {})
-    })]
+  const connection = createCallConnection(address, compressFrom)
+  return { connection, client: createTRPCClient<InternalRouter>({ links: [createLink(connection)] }) }
+}
+
+function createLink (connection: CallConnection): TRPCLink<InternalRouter> {
+  return () => ({ op }) => observable(observer => {
+    connection.call(op.path, op.input, op.signal).then(data => {
+      observer.next({ result: { type: 'data', data } })
+      observer.complete()
+    }, (error: Error) => observer.error(TRPCClientError.from(error)))
   })
-  return { client, agent }
 }
--- a/src/daemons/jaychute.ts
+++ b/src/daemons/jaychute.ts
@@ -8,7 +8,7 @@
 import { FailureReason } from '../process/failure.ts'
 import { createOperatorClient } from '../process/operatorClient.ts'
 import { runOperation } from '../process/operatorCommands.ts'
-import { isAddress } from '../process/settings.ts'
+import { isAddress } from '../process/address.ts'
 
 const program = 'jaychute'
 /** Shortest time between two lines of progress, in milliseconds. */
--- a/src/process/daemon.ts
+++ b/src/process/daemon.ts
@@ -5,6 +5,7 @@
 import { Hono } from 'hono'
 import { err, ok, type Result } from 'neverthrow'
 import { createControlClient } from '../connection/controlClient.ts'
+import { serveInternal } from '../connection/callServer.ts'
 import { createInternalClients } from '../connection/internalClient.ts'
 import { createInternalRouter, type InternalServices } from '../connection/internalRouter.ts'
 import { createOpenRequests } from '../connection/openRequests.ts'
@@ -24,7 +25,7 @@
 import { describeMembers } from './memberStatus.ts'
 import { Counter, createMetrics, type Metrics } from './metrics.ts'
 import { createSystemRandom } from './random.ts'
-import { serveApi, serveInternal } from './servers.ts'
+import { serveApi } from './servers.ts'
 import { Role, type Settings } from './settings.ts'
 
 /** Content type of the text exposition format. */
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -2,9 +2,9 @@
  * Settings of the daemon: one declared schema from which flags, environment variables, checks and help text come.
  * @module
  */
-import { isIP } from 'node:net'
 import { err, ok, type Result } from 'neverthrow'
 import { z } from 'zod'
+import { isAddress } from './address.ts'
 import { type Failure, FailureReason, Step } from './failure.ts'
 import { Level } from './logEvents.ts'
 
@@ -137,32 +137,6 @@
   return { flag: '--data-folder', text: failure.message }
 }
 
-/** An address taken apart. */
-export interface Endpoint {
-  readonly ip: string
-  readonly port: number
-}
-
-/**
- * Takes an address apart.
- * @param text - IP number and port; an IPv6 number stands in brackets
- * @returns IP number and port
- */
-export function parseAddress (text: string): Endpoint {
-  const separator = text.lastIndexOf(':')
-  return { ip: text.slice(0, separator).replace(/^\[|\]$/g, ''), port: Number(text.slice(separator + 1)) }
-}
-
-/**
- * Checks an address.
- * @param text - the text
- * @returns whether it is an IP number and a port
- */
-export function isAddress (text: string): boolean {
-  const { ip, port } = parseAddress(text)
-  return isIP(ip) !== 0 && Number.isInteger(port) && port > 0 && port <= 65_535
-}
-
 function splitList (text: string): string[] {
   return text.split(',').map(part => part.trim()).filter(part => part !== '')
 }
--- a/test/entryAnnouncements.test.ts
+++ b/test/entryAnnouncements.test.ts
@@ -1,7 +1,8 @@
 import { expect } from 'chai'
 import { errAsync } from 'neverthrow'
-import { createServer } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import { createServer, type AddressInfo, type Socket } from 'node:net'
+import type { CallMessage } from '../src/connection/callConnection.ts'
+import { encodeSmallMessage, readMessages } from '../src/connection/frames.ts'
 import { eventually } from '../scripts/processes.ts'
 import { runEntryPeer } from '../src/connection/entryPeer.ts'
 import { createInternalClients, type InternalClients } from '../src/connection/internalClient.ts'
@@ -127,14 +128,14 @@
   // Failure: a connection that went silent for good held back every later share.
   it('gives up a silent connection and delivers on a new one within two seconds', async () => {
     const shares: Share[] = []
-    const silent = new Set<unknown>()
-    const server = createServer((incoming, response) => {
-      if (silent.size === 0) silent.add(incoming.socket)
-      if (silent.has(incoming.socket)) return
-      let body = ''
-      incoming.on('data', chunk => { body += String(chunk) }).on('end', () => {
-        shares.push(JSON.parse(body) as Share)
-        response.writeHead(200, { 'content-type': 'application/json' }).end('{"result":{"data":{"unheld":[]}}}')
+    const sockets: Socket[] = []
+    const server = createServer(socket => {
+      sockets.push(socket)
+      if (sockets.length === 1) return
+      readMessages(socket, message => {
+        const [number, , input] = message as CallMessage
+        shares.push(input as Share)
+        socket.write(encodeSmallMessage([number, { unheld: [] }, undefined], Infinity) ?? '')
       })
     })
     await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
@@ -142,7 +143,7 @@
       await shareOnce(createInternalClients(lifecycle), `127.0.0.1:${(server.address() as AddressInfo).port}`, () => shares.length > 0)
       expect(shares[0]?.announcements).to.have.length(1)
     } finally {
-      server.closeAllConnections()
+      for (const socket of sockets) socket.destroy()
       server.close()
     }
   })
--- a/test/jobsCompression.test.ts
+++ b/test/jobsCompression.test.ts
@@ -1,49 +1,82 @@
 import { expect } from 'chai'
-import { createServer } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import { once } from 'node:events'
+import { connect, createServer, type AddressInfo, type Socket } from 'node:net'
 import { gzipSync } from 'node:zlib'
-import { request } from 'undici'
-import { compressionBytes, compressRequest, compressResponse, decompressRequest } from '../src/connection/messageCompression.ts'
+import { compressionBytes, encodeMessage, encodeSmallMessage, frameLimitBytes, readMessages } from '../src/connection/frames.ts'
+
+const gzipEncoding = 1
+
+function frameOf (body: Buffer): Buffer {
+  const header = Buffer.alloc(5)
+  header.writeUInt32LE(body.length, 0)
+  header.writeUInt8(gzipEncoding, 4)
+  return Buffer.concat([header, body])
+}
+
+// The connection ends with the error that refused the frame.
+function ended (socket: Socket): Promise<Error> {
+  return new Promise(resolve => socket.once('error', resolve))
+}
 
 describe('compression of messages between hosts', () => {
-  const limitBytes = 100_000
-  const server = createServer((incoming, response) => {
-    compressResponse(incoming, response)
-    decompressRequest(incoming, limitBytes).then(() => {
-      const body = (incoming as unknown as { body?: string }).body ?? ''
-      response.write(body.slice(0, 10))
-      response.end(body.slice(10))
-    }, () => response.writeHead(400).end())
-  })
-  let address = ''
-  before(done => {
-    server.listen(0, '127.0.0.1', () => {
-      address = `http://127.0.0.1:${(server.address() as AddressInfo).port}`
-      done()
-    })
+  const server = createServer()
+  before(async () => {
+    server.listen(0, '127.0.0.1')
+    await once(server, 'listening')
   })
   after(() => server.close())
 
-  it('leaves small messages as they are', async () => {
-    const init = { method: 'POST', body: 'x'.repeat(compressionBytes - 1) }
-    expect(await compressRequest(init, compressionBytes)).to.equal(init)
+  async function connectPair (): Promise<[near: Socket, far: Socket]> {
+    const accepted = once(server, 'connection')
+    const near = connect((server.address() as AddressInfo).port, '127.0.0.1')
+    const [far] = await accepted as [Socket]
+    return [near, far]
+  }
+
+  it('leaves small messages as they are', () => {
+    const text = 'x'.repeat(compressionBytes - 100)
+    expect(encodeSmallMessage([1, text], compressionBytes)?.includes(text)).to.equal(true)
+    expect(encodeSmallMessage([1, 'x'.repeat(compressionBytes)], compressionBytes)).to.equal(undefined)
   })
 
-  it('carries a large message both ways and back unchanged', async () => {
+  // Pieces of one byte and several frames in one piece both occur on a real connection.
+  it('carries a large message unchanged, in whatever pieces it arrives', async () => {
     const text = 'höhe '.repeat(compressionBytes)
-    const sent = await compressRequest({ method: 'POST', body: text }, compressionBytes)
-    expect((sent.body as Uint8Array).length).to.be.lessThan(text.length / 10)
-    const answer = await fetch(address, sent)
-    expect(answer.headers.get('content-encoding')).to.equal('gzip')
-    expect(await answer.text()).to.equal(text)
+    const large = await encodeMessage({ text }, compressionBytes)
+    expect(large.length).to.be.lessThan(text.length / 10)
+    const [near, far] = await connectPair()
+    const received: unknown[] = []
+    const done = new Promise<void>(resolve => readMessages(far, message => {
+      received.push(message)
+      if (received.length === 3) resolve()
+    }))
+    const small = encodeSmallMessage('small', compressionBytes) ?? Buffer.alloc(0)
+    for (const byte of small) near.write(Buffer.from([byte]))
+    near.write(Buffer.concat([large, small]))
+    await done
+    near.destroy()
+    expect(received).to.have.deep.members(['small', { text }, 'small'])
   })
 
   // A small message that expands without limit would take the memory of the host.
-  for (const [name, body] of [['too long after decompression', gzipSync('x'.repeat(limitBytes + 1))], ['damaged', Buffer.from('no gzip')]] as const) {
-    it(`refuses a message that is ${name}`, async () => {
-      const answer = await request(address, { method: 'POST', headers: { 'content-encoding': 'gzip' }, body })
-      expect(answer.statusCode).to.equal(400)
-      await answer.body.dump()
+  for (const [name, body] of [['too long after decompression', gzipSync(Buffer.alloc(frameLimitBytes + 1))], ['damaged', Buffer.from('no gzip')]] as const) {
+    it(`ends the connection of a message that is ${name}`, async () => {
+      const [near, far] = await connectPair()
+      near.on('error', () => {})
+      readMessages(far, () => expect.fail('the message was delivered'))
+      near.write(frameOf(body))
+      await ended(far)
+      near.destroy()
     })
   }
+
+  it('ends the connection of a frame that announces too long a body', async () => {
+    const [near, far] = await connectPair()
+    readMessages(far, () => expect.fail('the message was delivered'))
+    const header = Buffer.alloc(5)
+    header.writeUInt32LE(frameLimitBytes + 1, 0)
+    near.write(header)
+    await ended(far)
+    near.destroy()
+  })
 })
