--- /dev/null
+++ b/src/connection/backendServerClient.ts
@@ -0,0 +1,75 @@
+/**
+ * Requests to backend servers, as the gateway sees them; how they are encoded is a matter of the front end in use.
+ * @module
+ */
+import type { Result } from 'neverthrow'
+import type { Failure } from '../process/failure.ts'
+
+/** A request to a backend server. */
+export interface BackendRequest {
+  readonly id: string
+  readonly host: string
+  readonly method: string
+  readonly path: string
+  /** Headers to pass on, name and value by turns. */
+  readonly headers: readonly string[]
+  readonly body: Uint8Array
+  /** Event after which a stream goes on; undefined for a stream from the start. */
+  readonly resumeAfter: number | undefined
+  /** How long the backend server may work, in milliseconds; undefined for no limit. */
+  readonly timeLeftMs: number | undefined
+}
+
+/** Where a request goes. */
+export interface BackendServerTarget {
+  readonly address: string
+  /** The server that must answer; another one at the address refuses. */
+  readonly id: string
+}
+
+/** Kinds of answer. */
+export const BackendAnswerKind = { Answer: 'answer', NotRun: 'not run' } as const
+export type BackendAnswerKind = typeof BackendAnswerKind[keyof typeof BackendAnswerKind]
+
+/** The load that a server tells with an answer. */
+export interface ToldLoad {
+  readonly running: number
+  readonly waiting: number
+}
+
+/** The answer of a backend server. */
+export type BackendAnswer =
+  | {
+    readonly kind: typeof BackendAnswerKind.Answer
+    readonly status: number
+    /** Headers to pass back, name and value by turns. */
+    readonly headers: readonly string[]
+    /** Pieces as they arrive; throws a failure when the answer breaks off. */
+    readonly body: AsyncIterable<Buffer>
+    readonly load: ToldLoad | undefined
+  }
+  | {
+    /** The server says that it has not run the request. */
+    readonly kind: typeof BackendAnswerKind.NotRun
+    readonly status: number
+    readonly load: ToldLoad | undefined
+  }
+
+/** A failure before the start of an answer. */
+export interface ExchangeFailure {
+  /** Whether the request may have reached the server and may have run. */
+  readonly sent: boolean
+  readonly failure: Failure
+}
+
+/** Calls to backend servers. */
+export abstract class BackendServerClient {
+  /**
+   * Sends a request on a connection of its own.
+   * @param target - the server
+   * @param request - the request
+   * @param signal - ends the connection, and with it the work of the server
+   * @returns the answer once its start has arrived, or a failure
+   */
+  abstract send (target: BackendServerTarget, request: BackendRequest, signal: AbortSignal): Promise<Result<BackendAnswer, ExchangeFailure>>
+}
--- a/src/connection/controlClient.ts
+++ b/src/connection/controlClient.ts
@@ -8,7 +8,9 @@
 import { type Command, CommandKind, type Outcome } from '../process/commands.ts'
 import { createFailure, type Failure, FailureReason, Step } from '../process/failure.ts'
 import { Counter, type Metrics } from '../process/metrics.ts'
-import type { Answer, Query } from '../process/queries.ts'
+import { type Answer, type Query, QueryKind } from '../process/queries.ts'
+import type { Heartbeat } from '../process/fleet/backendServerRecords.ts'
+import { fleetHoldMs, type FleetNews, type FleetWatch, type LoadReport, type LoadTotals } from '../process/fleet/fleetMessages.ts'
 import type { Random } from '../process/random.ts'
 import type { WatchAnswer, WatchRequest } from '../process/watchMessages.ts'
 import { pollHoldMs } from '../process/watchMessages.ts'
@@ -17,18 +19,25 @@
 /** Longest time for one call to one control host, in milliseconds. */
 const callLimitMs = 2_000
 
+/** Longest time for the answer to a call of the fleet, apart from the time it is held, in milliseconds. */
+const fleetLimitMs = 700
+
 /** Longest pause between two tries, in milliseconds. */
 const retryMs = 200
 
 /** Commands that may be large or many; on connections of their own they never delay a poll. */
 const batchCommands: ReadonlySet<CommandKind> = new Set([
-  CommandKind.AppendItems, CommandKind.Claim, CommandKind.Start, CommandKind.Complete, CommandKind.GiveBack
+  CommandKind.AppendItems, CommandKind.Claim, CommandKind.Start, CommandKind.Complete, CommandKind.GiveBack, CommandKind.Submit
 ])
 
 function classOf (command: Command): TrafficClass {
   return batchCommands.has(command.kind) ? TrafficClass.Batch : TrafficClass.Control
 }
 
+function holdOf (query: Query): number {
+  return query.kind === QueryKind.SubmissionResults ? query.waitMs : 0
+}
+
 /** Calls to the leader. */
 export interface ControlClient {
   /**
@@ -53,9 +62,27 @@
   watch (request: WatchRequest): Promise<Result<WatchAnswer, Failure>>
 }
 
+/** Calls of the fleet's hosts to the leader. */
+export interface FleetClient {
+  /** Polls once for news of the fleet. */
+  watchFleet (request: FleetWatch): Promise<Result<FleetNews, Failure>>
+  /** Reports the load of this host once. */
+  reportLoad (report: LoadReport): Promise<Result<LoadTotals, Failure>>
+  /**
+   * Passes a heartbeat on.
+   * @param heartbeat - the heartbeat
+   * @param limitMs - the longest time with all tries, in milliseconds
+   * @returns whether it was news, or the failure of the last try
+   */
+  hear (heartbeat: Heartbeat, limitMs: number): Promise<Result<boolean, Failure>>
+  /** Passes on that a backend server leaves. */
+  withdraw (id: string, limitMs: number): Promise<Result<boolean, Failure>>
+}
+
 /** What the calls need. */
 export interface ControlClientInputs {
-  readonly controlHosts: readonly string[]
+  /** Internal addresses of the control hosts; may change while the process runs. */
+  readonly controlHosts: readonly string[] | (() => readonly string[])
   readonly clients: InternalClients
   readonly clock: Clock
   readonly random: Random
@@ -68,9 +95,10 @@
  * @param inputs - what they need
  * @returns the calls
  */
-export function createControlClient (inputs: ControlClientInputs): ControlClient {
+export function createControlClient (inputs: ControlClientInputs): ControlClient & FleetClient {
   const { controlHosts, clients, clock, random, metrics, signal } = inputs
-  let leader = controlHosts[0] ?? ''
+  const listHosts = typeof controlHosts === 'function' ? controlHosts : () => controlHosts
+  let leader = listHosts()[0] ?? ''
 
   function follow (failure: Failure): void {
     metrics.count(Counter.ControlCalls, failure.reason)
@@ -78,8 +106,8 @@
       leader = failure.alternative
       return
     }
-    const position = controlHosts.indexOf(leader)
-    leader = controlHosts[(position + 1) % controlHosts.length] ?? leader
+    const hosts = listHosts()
+    leader = hosts[(hosts.indexOf(leader) + 1) % hosts.length] ?? leader
   }
 
   async function retry<Value> (limitMs: number, step: Step, call: (address: string) => Promise<Result<Value, Failure>>): Promise<Result<Value, Failure>> {
@@ -100,13 +128,27 @@
       await clients.callReply<Outcome>(address, classOf(command), Step.Execute, limitMs, (client, abort) =>
         client.control.execute.mutate(command, { signal: abort }))),
     read: (query, limitMs = 5_000) => retry(limitMs, Step.Read, async address =>
-      await clients.callReply<Answer>(address, TrafficClass.Control, Step.Read, callLimitMs, (client, abort) =>
+      await clients.callReply<Answer>(address, TrafficClass.Control, Step.Read, callLimitMs + holdOf(query), (client, abort) =>
         client.control.read.mutate(query, { signal: abort }))),
     async watch (request) {
       const result = await clients.callReply<WatchAnswer>(leader, TrafficClass.Control, Step.Watch, pollHoldMs + callLimitMs, (client, abort) =>
         client.control.watch.mutate(request, { signal: abort }))
       if (result.isErr()) follow(result.error)
       return result
-    }
+    },
+    async watchFleet (request) {
+      const result = await clients.callReply<FleetNews>(leader, TrafficClass.Control, Step.Watch, fleetHoldMs + fleetLimitMs, (client, abort) =>
+        client.fleet.watch.mutate(request, { signal: abort }))
+      if (result.isErr()) follow(result.error)
+      return result
+    },
+    reportLoad: async report => await clients.callReply<LoadTotals>(leader, TrafficClass.Live, Step.Report, fleetLimitMs, (client, abort) =>
+      client.fleet.report.mutate(report, { signal: abort })),
+    hear: (heartbeat, limitMs) => retry(limitMs, Step.Hear, async address =>
+      await clients.callReply<boolean>(address, TrafficClass.Control, Step.Hear, fleetLimitMs, (client, abort) =>
+        client.fleet.hear.mutate(heartbeat, { signal: abort }))),
+    withdraw: (id, limitMs) => retry(limitMs, Step.Hear, async address =>
+      await clients.callReply<boolean>(address, TrafficClass.Control, Step.Hear, fleetLimitMs, (client, abort) =>
+        client.fleet.withdraw.mutate({ id }, { signal: abort })))
   }
 }
--- /dev/null
+++ b/src/connection/fleetWatch.ts
@@ -0,0 +1,71 @@
+/**
+ * The tasks that connect a host to the leader of the fleet: one polls for news, one reports the load of a gateway.
+ * @module
+ */
+import type { Clock } from '../process/clock.ts'
+import type { FleetHost } from '../process/fleet/fleetMessages.ts'
+import type { FleetView } from '../process/fleet/fleetView.ts'
+import { LogEvents } from '../process/logEvents.ts'
+import type { Logger } from '../process/logger.ts'
+import type { Random } from '../process/random.ts'
+import type { FleetClient } from './controlClient.ts'
+
+/** Longest pause after a poll that failed, in milliseconds; random, so that hosts do not call a new leader all at once. */
+const retryMs = 150
+
+/** Longest time between two reports, in milliseconds; keeps the totals fresh on a quiet host. */
+const reportLimitMs = 1_000
+
+/** What the tasks need. */
+export interface FleetConnection {
+  readonly view: FleetView
+  readonly client: FleetClient
+  /** Describes this host as it is now. */
+  readonly describe: () => FleetHost
+  readonly clock: Clock
+  readonly random: Random
+  readonly logger: Logger
+}
+
+/**
+ * Polls the leader until the signal aborts.
+ * @param connection - what the task needs
+ * @param signal - ends the task
+ * @returns a promise that resolves at the end
+ */
+export async function runFleetWatch (connection: FleetConnection, signal: AbortSignal): Promise<void> {
+  const { view, client, clock, random, logger } = connection
+  let isReached = true
+  while (!signal.aborted) {
+    const news = await client.watchFleet(view.nextWatch(connection.describe()))
+    if (signal.aborted) return
+    if (news.isOk()) {
+      isReached = true
+      view.learn(news.value)
+      continue
+    }
+    if (isReached) logger.write(LogEvents.leaderUnreachable, { failure: news.error, value: Math.round(clock.now() - view.heardAt) })
+    isReached = false
+    await clock.sleep(random.next() * retryMs, signal)
+  }
+}
+
+/**
+ * Reports the load until the signal aborts.
+ * @param connection - what the task needs
+ * @param signal - ends the task
+ * @returns a promise that resolves at the end
+ */
+export async function runLoadReports (connection: FleetConnection, signal: AbortSignal): Promise<void> {
+  const { view, client, describe, clock } = connection
+  while (!signal.aborted) {
+    // The next wait begins before the report, so that a change during the report is not missed.
+    const next = view.loadChanged.wait(reportLimitMs, signal)
+    const reported = new Map(view.live)
+    const totals = await client.reportLoad({ holder: describe().holder, live: Object.fromEntries(reported), suspects: view.ownSuspects() })
+    // Without an answer the last totals stand; the watch reports a leader that is not reached.
+    if (totals.isOk()) view.learnLoad(totals.value, reported)
+    await clock.sleep(totals.isOk() ? totals.value.intervalMs : reportLimitMs, signal)
+    await next
+  }
+}
--- a/src/connection/internalRouter.ts
+++ b/src/connection/internalRouter.ts
@@ -7,6 +7,9 @@
 import { z } from 'zod'
 import type { Command } from '../process/commands.ts'
 import type { ControlHost } from '../process/controlHost.ts'
+import type { FleetLeader } from '../process/fleet/fleetLeader.ts'
+import type { FleetWatch, LoadReport } from '../process/fleet/fleetMessages.ts'
+import type { Heartbeat } from '../process/fleet/backendServerRecords.ts'
 import { createFailure, FailureReason, Step } from '../process/failure.ts'
 import type { Query } from '../process/queries.ts'
 import type { AppendRequest, JoinRequest, SnapshotRequest, VoteRequest } from '../process/replicaMessages.ts'
@@ -21,9 +24,12 @@
   controlHost: ControlHost | undefined
   shareReceiver: ShareReceiver | undefined
   dispatchReceiver: DispatchReceiver | undefined
+  fleetLeader?: FleetLeader | undefined
 }
 
-const { router, procedure } = initTRPC.create()
+// The carrier of the calls keeps values as they are, so nothing is converted, and the types say so.
+const transformer = { serialize: (value: unknown) => value, deserialize: (value: unknown) => value }
+const { router, procedure } = initTRPC.create({ transformer })
 
 function message<Type> (): z.ZodType<Type, Type> {
   return z.custom<Type>(value => typeof value === 'object' && value !== null)
@@ -69,6 +75,16 @@
       watch: procedure.input(message<WatchRequest>()).mutation(async ({ input }) =>
         services.controlHost === undefined ? missing(Step.Watch) : toReply(await services.controlHost.watch(input)))
     }),
+    fleet: router({
+      watch: procedure.input(message<FleetWatch>()).mutation(async ({ input }) =>
+        services.fleetLeader === undefined ? missing(Step.Watch) : toReply(await services.fleetLeader.watch(input))),
+      report: procedure.input(message<LoadReport>()).mutation(({ input }) =>
+        services.fleetLeader === undefined ? missing(Step.Report) : toReply(services.fleetLeader.report(input))),
+      hear: procedure.input(message<Heartbeat>()).mutation(({ input }) =>
+        services.fleetLeader === undefined ? missing(Step.Hear) : toReply(services.fleetLeader.hear(input))),
+      withdraw: procedure.input(message<{ readonly id: string }>()).mutation(({ input }) =>
+        services.fleetLeader === undefined ? missing(Step.Hear) : toReply(services.fleetLeader.withdraw(input.id)))
+    }),
     entry: router({
       share: procedure.input(message<Share>()).mutation(({ input }) => services.shareReceiver?.receive(input) ?? false),
       dispatch: procedure.input(message<DispatchNews>()).mutation(({ input }) => services.dispatchReceiver?.receive(input) ?? false)
--- /dev/null
+++ b/src/daemons/jaychuteHost.ts
@@ -0,0 +1,78 @@
+#!/usr/bin/env node
+/**
+ * The daemon of a host of the fleet: reads its settings, starts its role, and drains on SIGTERM.
+ * @module
+ */
+import meow from 'meow'
+import { settingsVariable } from '../platform/names.ts'
+import { ExitCode } from '../process/commandLine.ts'
+import type { Failure } from '../process/failure.ts'
+import type { FleetDaemon } from '../process/fleet/fleetDaemon.ts'
+import { FleetRole } from '../process/fleet/fleetMessages.ts'
+import { type FleetSettings, listFleetSettings, readFleetSettings } from '../process/fleet/fleetSettings.ts'
+import { LogEvents } from '../process/logEvents.ts'
+import type { Result } from 'neverthrow'
+
+const program = 'jaychute-host'
+const names = listFleetSettings()
+const help = `
+  Usage
+    $ ${program} [--settings-file <file>] [flags]
+
+  Settings (in the file, and each also as a flag in kebab case)
+${names.map(({ setting, text }) => `    ${setting.padEnd(18)}  ${text}`).join('\n')}
+
+  Without --settings-file the variable ${settingsVariable} names the file. SIGTERM drains the host.
+  Exit code 2 stands for a setting that must be corrected, 1 for any other failure.
+`
+const command = meow(help, {
+  importMeta: import.meta,
+  description: false,
+  autoHelp: true,
+  flags: { settingsFile: { type: 'string' }, ...Object.fromEntries(names.map(({ setting }) => [setting, { type: 'string' as const }])) }
+})
+
+function fail (lines: readonly string[], code: number): never {
+  for (const line of lines) console.error(`${program}: ${line}`)
+  process.exit(code)
+}
+
+const { settingsFile, ...flags } = command.flags
+const path = typeof settingsFile === 'string' ? settingsFile : process.env[settingsVariable]
+const settings = readFleetSettings(path, flags)
+if (settings.isErr()) fail(settings.error, ExitCode.Usage)
+
+// Each role loads its own modules only.
+async function start (found: FleetSettings): Promise<Result<FleetDaemon, Failure>> {
+  switch (found.role) {
+    case FleetRole.Gateway: return await (await import('../process/fleet/gatewayDaemon.ts')).startGateway(found)
+    case FleetRole.Control: return await (await import('../process/fleet/controlDaemon.ts')).startControl(found)
+    case FleetRole.Executor: return await (await import('../process/fleet/executorDaemon.ts')).startExecutor(found)
+  }
+}
+
+const started = await start(settings.value)
+if (started.isErr()) fail([`${started.error.step}: ${started.error.message}`], ExitCode.Failure)
+const daemon = started.value
+let draining = false
+
+function stop (): void {
+  if (draining) return
+  draining = true
+  daemon.drain().catch(() => process.exit(ExitCode.Failure))
+}
+
+// The settings in the file are those of the next start; a change that is not valid is told at once.
+function reload (): void {
+  const changed = readFleetSettings(path, flags)
+  const problems = changed.isErr() ? changed.error.join('; ') : ''
+  daemon.logger.write(changed.isErr() ? LogEvents.settingsRefused : LogEvents.settingsReread, { detail: problems })
+}
+
+process.on('SIGTERM', stop)
+process.on('SIGINT', stop)
+process.on('SIGHUP', reload)
+await daemon.lifecycle.closed()
+const { cause } = daemon.lifecycle
+daemon.logger.write(cause === undefined ? LogEvents.processEnded : LogEvents.processFailed, cause === undefined ? {} : { failure: cause })
+setImmediate(() => setImmediate(() => process.exit(cause === undefined ? ExitCode.Success : ExitCode.Failure)))
--- /dev/null
+++ b/src/platform/configuration.ts
@@ -0,0 +1,104 @@
+/**
+ * The platform's configuration, decoded into the gateway's tables.
+ * @module
+ */
+import { createHash } from 'node:crypto'
+import { err, ok, type Result } from 'neverthrow'
+import { z } from 'zod'
+import type { Problem } from '../version/validation.ts'
+import { type GatewayTables, type Publication, RouteKind, type RouteTarget, validateGatewayTables } from '../version/gatewayTables.ts'
+import { Word } from './names.ts'
+
+const routeSchema = z.object({
+  name: z.string(),
+  host: z.string(),
+  path_prefix: z.string(),
+  kind: z.enum([Word.safe, Word.unsafe, Word.streaming, Word.batch]),
+  timeout_ms: z.number(),
+  /** The latency objective; to the first event of a stream, to the acceptance of a job. */
+  slo_ms: z.number().default(0),
+  priority: z.number().default(0),
+  service: z.string().optional(),
+  split: z.array(z.object({ service: z.string(), weight: z.number() })).optional(),
+  /** Backend servers that may run one request, the first one included; failed runs of an item on a batch route. */
+  max_attempts: z.number().default(1),
+  resumable: z.boolean().default(false),
+  gap_target_ms: z.number().default(0),
+  /** Tokens that may wait, not a number of requests. */
+  max_queued: z.number().default(0),
+  run_target_ms: z.number().default(0),
+  /** Seconds after which an item may be given up; nothing waits for it. */
+  max_wait_s: z.number().default(0)
+})
+
+const schema = z.object({
+  version: z.number().int().positive(),
+  routes: z.array(routeSchema),
+  services: z.array(z.object({
+    name: z.string(),
+    engine: z.object({ slots: z.number().default(0) }).optional()
+  })),
+  limits: z.object({
+    header_bytes: z.number(),
+    max_body_bytes: z.number(),
+    header_timeout_ms: z.number(),
+    idle_timeout_ms: z.number()
+  })
+})
+
+const kindOf: Readonly<Record<string, RouteKind>> = {
+  [Word.safe]: RouteKind.Safe,
+  [Word.unsafe]: RouteKind.Unsafe,
+  [Word.streaming]: RouteKind.Streaming,
+  [Word.batch]: RouteKind.Batch
+}
+
+const millisecondsPerSecond = 1_000
+
+/**
+ * Decodes and checks a configuration.
+ * @param document - the text as it was sent
+ * @returns the publication, or every problem found
+ */
+export function decodeConfiguration (document: string): Result<Publication, Problem[]> {
+  let decoded: unknown
+  try {
+    decoded = JSON.parse(document)
+  } catch (error) {
+    return err([{ place: '', text: `not JSON: ${String(error)}` }])
+  }
+  const parsed = schema.safeParse(decoded)
+  if (!parsed.success) return err(parsed.error.issues.map(issue => ({ place: issue.path.join('.'), text: issue.message })))
+  const { version, routes, services, limits } = parsed.data
+  const tables: GatewayTables = {
+    version,
+    routes: routes.map(route => ({
+      name: route.name,
+      host: route.host,
+      pathPrefix: route.path_prefix,
+      kind: kindOf[route.kind] ?? RouteKind.Unsafe,
+      targets: targetsOf(route),
+      timeoutMs: route.timeout_ms,
+      objectiveMs: route.slo_ms,
+      pauseMs: route.gap_target_ms,
+      attempts: Math.max(1, route.max_attempts),
+      priority: route.priority,
+      resumable: route.resumable,
+      waitingTokens: route.max_queued,
+      dueMs: route.run_target_ms,
+      giveUpMs: route.max_wait_s * millisecondsPerSecond
+    })),
+    services: services.map(service => ({ name: service.name, slots: service.engine?.slots ?? 0 })),
+    limits: {
+      headerBytes: limits.header_bytes, bodyBytes: limits.max_body_bytes, headerMs: limits.header_timeout_ms, idleMs: limits.idle_timeout_ms
+    }
+  }
+  const problems = validateGatewayTables(tables)
+  if (problems.length > 0) return err(problems)
+  return ok({ tables, document, digest: createHash('sha256').update(JSON.stringify(decoded)).digest('base64') })
+}
+
+function targetsOf (route: z.infer<typeof routeSchema>): RouteTarget[] {
+  if (route.split !== undefined) return route.split
+  return route.service === undefined ? [] : [{ service: route.service, weight: 1 }]
+}
--- /dev/null
+++ b/src/platform/controlHttp.ts
@@ -0,0 +1,109 @@
+/**
+ * The platform's calls of operators, backend servers and callers in search of a gateway, over HTTP/1.1.
+ * @module
+ */
+import { Hono } from 'hono'
+import type { Result } from 'neverthrow'
+import type { Failure } from '../process/failure.ts'
+import type { Heartbeat } from '../process/fleet/backendServerRecords.ts'
+import type { Publication } from '../version/gatewayTables.ts'
+import type { Problem } from '../version/validation.ts'
+import { decodeConfiguration } from './configuration.ts'
+import { decodeHeartbeat } from './heartbeat.ts'
+import { Path, Word } from './names.ts'
+
+/** Kinds of answer to a publication. */
+export const PublicationEnd = { Accepted: 'accepted', Conflict: 'conflict', Unknown: 'unknown' } as const
+export type PublicationEnd = typeof PublicationEnd[keyof typeof PublicationEnd]
+
+/** Kinds of answer to the wish to empty a host. */
+export const RetirementEnd = { Accepted: 'accepted', UnknownHost: 'unknown host', TooFew: 'too few', NotReady: 'not ready' } as const
+export type RetirementEnd = typeof RetirementEnd[keyof typeof RetirementEnd]
+
+/** What a control host does with the calls. */
+export interface ControlService {
+  publish (publication: Publication): Promise<PublicationEnd>
+  refusePublication (problems: readonly Problem[]): void
+  /** The newest document; undefined value when there is none yet. */
+  publication (): Promise<Result<string | undefined, Failure>>
+  hear (heartbeat: Heartbeat): Promise<Result<boolean, Failure>>
+  ignoreHeartbeat (id: string): void
+  withdraw (id: string): Promise<Result<boolean, Failure>>
+  gateways (availabilityZone: string, region: string): string[]
+  /** How long a caller may keep an answer, in milliseconds. */
+  readonly addressKeepMs: number
+  retire (host: string): RetirementEnd
+  isRetired (host: string): boolean | undefined
+}
+
+const statusOfPublication = { [PublicationEnd.Accepted]: 200, [PublicationEnd.Conflict]: 409, [PublicationEnd.Unknown]: 503 } as const
+const statusOfRetirement = {
+  [RetirementEnd.Accepted]: 200, [RetirementEnd.UnknownHost]: 404, [RetirementEnd.TooFew]: 409, [RetirementEnd.NotReady]: 503
+} as const
+
+const millisecondsPerSecond = 1_000
+
+/**
+ * Creates the calls of operators and backend servers.
+ * @param service - what the control host does
+ * @returns the calls
+ */
+export function createControlApi (service: ControlService): Hono {
+  const api = new Hono()
+  api.put(Path.configuration, async context => {
+    const decoded = decodeConfiguration(await context.req.text())
+    if (decoded.isErr()) {
+      service.refusePublication(decoded.error)
+      return context.json({ error: decoded.error }, 400)
+    }
+    return context.json({}, statusOfPublication[await service.publish(decoded.value)])
+  })
+  api.get(Path.configuration, async context => {
+    const document = await service.publication()
+    if (document.isErr()) return context.json({ error: document.error.reason }, 503)
+    if (document.value === undefined) return context.json({ error: 'there is no configuration yet' }, 503)
+    return context.body(document.value, 200, { 'content-type': 'application/json' })
+  })
+  api.put(`${Path.heartbeats}:id`, async context => {
+    const heartbeat = decodeHeartbeat(context.req.param('id'), await context.req.json().catch(() => undefined))
+    if (heartbeat === undefined) {
+      service.ignoreHeartbeat(context.req.param('id'))
+      return context.json({})
+    }
+    const heard = await service.hear(heartbeat)
+    return context.json({}, heard.isOk() ? 200 : 503)
+  })
+  api.delete(`${Path.heartbeats}:id`, async context => {
+    const heard = await service.withdraw(context.req.param('id'))
+    return context.json({}, heard.isOk() ? 200 : 503)
+  })
+  api.post(`${Path.retire}:host`, context => context.json({}, statusOfRetirement[service.retire(context.req.param('host'))]))
+  api.get(`${Path.retire}:host`, context => {
+    const isRetired = service.isRetired(context.req.param('host'))
+    if (isRetired === undefined) return context.json({}, 404)
+    return context.json({ state: isRetired ? Word.completed : Word.running })
+  })
+  return api
+}
+
+/**
+ * Creates the call of callers in search of a gateway.
+ * @param service - what the control host does
+ * @returns the call
+ */
+export function createDirectoryApi (service: ControlService): Hono {
+  return new Hono().get(Path.resolve, context => {
+    const addrs = service.gateways(context.req.query('zone') ?? '', context.req.query('region') ?? '')
+    if (addrs.length === 0) return context.json({ error: 'no gateway is known yet' }, 503)
+    return context.json({ addrs, ttl_s: service.addressKeepMs / millisecondsPerSecond })
+  })
+}
+
+/**
+ * Creates the call that tells whether a gateway is ready.
+ * @param isReady - tells whether callers may be sent here
+ * @returns the call
+ */
+export function createReadinessApi (isReady: () => boolean): Hono {
+  return new Hono().get(Path.ready, context => context.json({}, isReady() ? 200 : 503))
+}
--- /dev/null
+++ b/src/platform/names.ts
@@ -0,0 +1,73 @@
+/**
+ * Names of the platform: headers, paths of calls, and words. Header names are in lower case.
+ * @module
+ */
+
+/** Variable with the path of the settings file of a process. */
+export const settingsVariable = 'JAYCHUTE_BOOT'
+
+/** Headers. */
+export const Header = {
+  requestId: 'x-request-id',
+  /** How many milliseconds the sender still waits, not a point in time. */
+  timeLeft: 'x-deadline-ms',
+  lastEvent: 'last-event-id',
+  /** Id of the only backend server that may run the request. */
+  expectedServer: 'x-expect-instance',
+  /** Running, waiting and all slots of a backend server, separated by commas. */
+  load: 'x-server-load',
+  /** Says that the backend server did not run the request. */
+  notRun: 'x-not-executed',
+  retryAfter: 'retry-after',
+  /** How long a read may be held, in milliseconds. */
+  wait: 'x-wait-ms'
+} as const
+
+/** Paths of calls; some are followed by an id. */
+export const Path = {
+  ready: '/v1/readyz',
+  resolve: '/v1/resolve',
+  heartbeats: '/v1/instances/',
+  configuration: '/v1/config',
+  retire: '/v1/retire/',
+  results: '/v1/lots/',
+  body: '/v1/items/'
+} as const
+
+/** Words in fields. */
+export const Word = {
+  draining: 'draining',
+  ready: 'ready',
+  running: 'running',
+  completed: 'completed',
+  errored: 'errored',
+  safe: 'safe',
+  unsafe: 'unsafe',
+  streaming: 'streaming',
+  batch: 'batch'
+} as const
+
+const hopHeaders: ReadonlySet<string> = new Set([
+  'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect'
+])
+
+/**
+ * Drops the headers that concern one connection, and others.
+ * @param raw - names and values by turns
+ * @param dropped - further names to drop, in lower case
+ * @returns names and values by turns
+ */
+export function filterHeaders (raw: readonly string[], dropped: ReadonlySet<string>): string[] {
+  const named = new Set<string>()
+  for (let index = 0; index + 1 < raw.length; index += 2) {
+    if (raw[index]?.toLowerCase() !== 'connection') continue
+    for (const name of (raw[index + 1] ?? '').split(',')) named.add(name.trim().toLowerCase())
+  }
+  const kept: string[] = []
+  for (let index = 0; index + 1 < raw.length; index += 2) {
+    const name = (raw[index] ?? '').toLowerCase()
+    if (hopHeaders.has(name) || named.has(name) || dropped.has(name)) continue
+    kept.push(raw[index] ?? '', raw[index + 1] ?? '')
+  }
+  return kept
+}
--- /dev/null
+++ b/src/process/boundedOutput.ts
@@ -0,0 +1,78 @@
+/**
+ * Standard output for log lines: never blocks the process, and drops lines beyond a bound instead of keeping them.
+ * @module
+ */
+import { write } from 'node:fs'
+
+/** Most bytes that wait to be written. */
+const waitingLimitBytes = 256 * 1024
+
+/** Most lines in one second; a host logs about three lines a request and serves some 50 requests a second. */
+const linesPerSecond = 400
+
+const millisecondsPerSecond = 1_000
+
+const standardOutput = 1
+
+/** A place for log lines. */
+export interface LineOutput {
+  /**
+   * Writes a line, or drops it.
+   * @param line - the line with its end
+   */
+  write (line: string): void
+}
+
+/**
+ * Creates the output.
+ * @param describeDropped - builds the line that tells how many lines were dropped
+ * @param descriptor - where to write
+ * @returns the output
+ */
+export function createBoundedOutput (describeDropped: (count: number) => string, descriptor: number = standardOutput): LineOutput {
+  let waiting: string[] = []
+  let waitingBytes = 0
+  let isWriting = false
+  let dropped = 0
+  let second = 0
+  let linesInSecond = 0
+
+  function flush (): void {
+    if (isWriting || waiting.length === 0) return
+    isWriting = true
+    const bytes = Buffer.from(waiting.join(''))
+    waiting = []
+    waitingBytes = 0
+    writeAll(bytes, 0)
+  }
+
+  function writeAll (bytes: Buffer, offset: number): void {
+    write(descriptor, bytes, offset, bytes.length - offset, null, (error, written) => {
+      // A reader that is gone or full loses lines; the process goes on.
+      if (error === null && offset + written < bytes.length) return writeAll(bytes, offset + written)
+      isWriting = false
+      flush()
+    })
+  }
+
+  return {
+    write (line) {
+      const now = Math.floor(performance.now() / millisecondsPerSecond)
+      if (now !== second) {
+        second = now
+        linesInSecond = 0
+        if (dropped > 0) waiting.push(describeDropped(dropped))
+        dropped = 0
+      }
+      linesInSecond++
+      if (linesInSecond > linesPerSecond || waitingBytes + line.length > waitingLimitBytes) {
+        dropped++
+        return
+      }
+      waiting.push(line)
+      waitingBytes += line.length
+      // Lines of one turn of the event loop leave in one system call.
+      if (waiting.length === 1) setImmediate(flush)
+    }
+  }
+}
--- a/src/process/commands.ts
+++ b/src/process/commands.ts
@@ -4,7 +4,9 @@
  */
 import type { Change } from '../version/difference.ts'
 import type { Tables } from '../version/tables.ts'
+import type { Publication } from '../version/gatewayTables.ts'
 import type { Problem } from '../version/validation.ts'
+import type { ItemReference, Submission } from './submissions.ts'
 
 /** Kinds of command. */
 export const CommandKind = {
@@ -20,7 +22,12 @@
   Start: 'start',
   Complete: 'complete',
   GiveBack: 'give back',
-  ExpireHolder: 'expire holder'
+  ExpireHolder: 'expire holder',
+  Publish: 'publish',
+  Submit: 'submit',
+  FinishItems: 'finish items',
+  EndSubmission: 'end submission',
+  PurgeSubmissions: 'purge submissions'
 } as const
 export type CommandKind = typeof CommandKind[keyof typeof CommandKind]
 
@@ -81,6 +88,12 @@
   readonly attempts: number
 }
 
+/** The end of an item of a gateway's job. */
+export interface FinishedItem extends ItemReference {
+  readonly ending: Ending
+  readonly output: string
+}
+
 /** Who holds leases and grants: one start of one entry host. */
 export type Holder = string
 
@@ -103,6 +116,11 @@
   | { readonly kind: typeof CommandKind.Complete, readonly completions: readonly Completion[] }
   | { readonly kind: typeof CommandKind.GiveBack, readonly items: readonly Return[] }
   | { readonly kind: typeof CommandKind.ExpireHolder, readonly holder: Holder }
+  | { readonly kind: typeof CommandKind.Publish, readonly publication: Publication }
+  | { readonly kind: typeof CommandKind.Submit, readonly submission: Submission, readonly tokenLimit: number, readonly giveUpMs: number, readonly time: number }
+  | { readonly kind: typeof CommandKind.FinishItems, readonly results: readonly FinishedItem[] }
+  | { readonly kind: typeof CommandKind.EndSubmission, readonly job: string }
+  | { readonly kind: typeof CommandKind.PurgeSubmissions, readonly jobs: readonly string[] }
 
 /** A command of one kind. */
 export type CommandOf<Kind extends CommandKind> = Extract<Command, { readonly kind: Kind }>
--- a/src/process/controlHost.ts
+++ b/src/process/controlHost.ts
@@ -8,7 +8,8 @@
 import { type Condition, createCondition } from './condition.ts'
 import { answerQuery, applyCommand, type ControlState, createControlState } from './controlState.ts'
 import { createFailure, type Failure, FailureReason, Step } from './failure.ts'
-import type { Answer, Query } from './queries.ts'
+import { type Answer, type Query, QueryKind } from './queries.ts'
+import { isClosed } from './submissions.ts'
 import { createQuietUploads } from './quietUploads.ts'
 import { createIdleClaims, type IdleClaims } from './idleClaims.ts'
 import { createReplica, type Replica, type ReplicaInputs, ReplicaRole } from './replica.ts'
@@ -30,8 +31,19 @@
 
 /** What a control host needs. */
 export interface ControlHostInputs extends Omit<ReplicaInputs, 'apply' | 'exportParts' | 'importParts'> {
-  /** Internal addresses of all control hosts, this one included. */
+  /** Internal addresses of control hosts to form the group with, or to join. */
   readonly controlHosts: readonly string[]
+  /** Whether this host may take part in forming the first group; true when it is not given. */
+  readonly mayForm?: boolean
+  /** Told of each command after it was applied. */
+  readonly applied?: (command: Command) => void
+}
+
+/** Conditions that the application of commands notifies. */
+interface StateConditions {
+  readonly news: Condition
+  /** Notified when items of a gateway's job got results. */
+  readonly finished: Condition
 }
 
 /** A control host. */
@@ -67,6 +79,7 @@
 export function createControlHost (inputs: ControlHostInputs): ResultAsync<ControlHost, Failure> {
   const state = createControlState()
   const news = createCondition()
+  const finished = createCondition()
   const idleClaims = createIdleClaims(state, inputs.clock)
   return createReplica({
     ...inputs,
@@ -74,6 +87,8 @@
       const outcome = applyCommand(state, command)
       if (command.kind === CommandKind.Apply || command.kind === CommandKind.CancelJob) news.notify()
       if (mayBringWork.has(command.kind)) idleClaims.workArrived.notify()
+      if (command.kind === CommandKind.FinishItems || command.kind === CommandKind.EndSubmission) finished.notify()
+      inputs.applied?.(command)
       return outcome
     },
     exportParts: () => exportState(state),
@@ -81,10 +96,10 @@
       Object.assign(state, importState(parts))
       news.notify()
     }
-  }).map(replica => startControlHost(inputs, replica, state, news, idleClaims))
+  }).map(replica => startControlHost(inputs, replica, state, { news, finished }, idleClaims))
 }
 
-function startControlHost (inputs: ControlHostInputs, replica: Replica, state: ControlState, news: Condition, idleClaims: IdleClaims): ControlHost {
+function startControlHost (inputs: ControlHostInputs, replica: Replica, state: ControlState, { news, finished }: StateConditions, idleClaims: IdleClaims): ControlHost {
   const { clock, lifecycle } = inputs
   const sessions = createSessions()
   const quietUploads = createQuietUploads()
@@ -141,10 +156,20 @@
   }
 
   async function read (query: Query): Promise<Result<Answer, Failure>> {
+    if (query.kind === QueryKind.SubmissionResults && query.waitMs > 0) await waitForResults(query.job, query.after, query.waitMs)
     const confirmed = await replica.confirmRead()
     return confirmed.map(() => answerQuery(state, query))
   }
 
+  async function waitForResults (job: string, after: number, waitMs: number): Promise<void> {
+    const deadline = clock.now() + Math.min(waitMs, pollHoldMs)
+    while (clock.now() < deadline && !lifecycle.signal.aborted && replica.state.role === ReplicaRole.Leader) {
+      const record = state.submissions.jobs.get(job)
+      if (record === undefined || record.results.length > after || isClosed(record)) return
+      await finished.wait(deadline - clock.now(), lifecycle.signal)
+    }
+  }
+
   async function watch (request: WatchRequest): Promise<Result<WatchAnswer, Failure>> {
     if (replica.state.role !== ReplicaRole.Leader) return err(notLeader(replica, Step.Watch))
     observeLeadership()
--- a/src/process/controlState.ts
+++ b/src/process/controlState.ts
@@ -12,18 +12,22 @@
 import { cancelJob, seal } from './jobs.ts'
 import { acquireLease, freeLeases, isUnderLease, type Leases, releaseLease } from './leases.ts'
 import { applyOnce, type Operations } from './operations.ts'
+import { publish, type Publications } from './publications.ts'
 import { type Answer, JobPhase, type Query, QueryKind } from './queries.ts'
+import { createSubmissions, endSubmission, finishItems, purgeSubmissions, readResults, submit, type Submissions } from './submissions.ts'
 import { appendItems, discardUpload, openUpload } from './uploads.ts'
 
 /** The whole durable state. */
-export interface ControlState extends Operations, Leases {}
+export interface ControlState extends Operations, Leases, Publications {
+  readonly submissions: Submissions
+}
 
 /**
  * Creates the state before the first command.
  * @returns the state
  */
 export function createControlState (): ControlState {
-  return { configuration: emptyConfiguration, operations: new Map(), changes: 0, leases: new Map(), jobs: createJobs() }
+  return { configuration: emptyConfiguration, operations: new Map(), changes: 0, leases: new Map(), jobs: createJobs(), publication: undefined, submissions: createSubmissions() }
 }
 
 /**
@@ -47,6 +51,11 @@
     case CommandKind.Complete: return complete(state.jobs, command)
     case CommandKind.GiveBack: return giveBack(state.jobs, command)
     case CommandKind.ExpireHolder: return expireHolder(state, command)
+    case CommandKind.Publish: return publish(state, command)
+    case CommandKind.Submit: return submit(state.submissions, command)
+    case CommandKind.FinishItems: return finishItems(state.submissions, command)
+    case CommandKind.EndSubmission: return endSubmission(state.submissions, command)
+    case CommandKind.PurgeSubmissions: return purgeSubmissions(state.submissions, command)
     default: return assertNever(command)
   }
 }
@@ -72,6 +81,15 @@
       const status = describeJob(job)
       return { kind: query.kind, results: listResults(job, query.after, query.limit), finished: status.phase !== JobPhase.Running }
     }
+    case QueryKind.Publication: return { kind: query.kind, document: state.publication?.document }
+    case QueryKind.SubmissionResults: {
+      const record = state.submissions.jobs.get(query.job)
+      return { kind: query.kind, page: record === undefined ? undefined : readResults(record, query.after) }
+    }
+    case QueryKind.SubmittedBody: {
+      const record = state.submissions.jobs.get(query.job)
+      return { kind: query.kind, body: record?.ended === true ? undefined : record?.open.get(query.item)?.body }
+    }
     default: return assertNever(query)
   }
 }
--- /dev/null
+++ b/src/process/fleet/controlDaemon.ts
@@ -0,0 +1,165 @@
+/**
+ * A control host of the fleet: a replica of the log, the calls of operators and backend servers, and the directory.
+ * @module
+ */
+import { err, ok, type Result } from 'neverthrow'
+import { serveInternal } from '../../connection/callServer.ts'
+import { createInternalRouter, type InternalServices } from '../../connection/internalRouter.ts'
+import { createTrpcTransport } from '../../connection/replicaTransport.ts'
+import { createBackendServerHttp } from '../../platform/backendServerHttp.ts'
+import { type ControlService, createControlApi, createDirectoryApi, PublicationEnd, RetirementEnd } from '../../platform/controlHttp.ts'
+import { chooseGateways } from '../../request/addressAnswer.ts'
+import { CommandKind, OutcomeKind } from '../commands.ts'
+import { type ControlHost, createControlHost } from '../controlHost.ts'
+import { type Failure, FailureReason } from '../failure.ts'
+import { createFileStorage } from '../fileStorage.ts'
+import { LogEvents } from '../logEvents.ts'
+import { QueryKind } from '../queries.ts'
+import { serveApi } from '../servers.ts'
+import { setAside } from '../setAside.ts'
+import { createBatchRunner, type BatchRunner } from './batchRunner.ts'
+import { createFleetHostBase, type FleetDaemon, type FleetHostBase, serveMetrics } from './fleetDaemon.ts'
+import { createFleetLeader, type FleetLeader } from './fleetLeader.ts'
+import { FleetRole } from './fleetMessages.ts'
+import { controlHostsOf, type FleetSettings } from './fleetSettings.ts'
+import { addressKeepMs } from './gatewayDaemon.ts'
+
+/** Heartbeats that a backend server may miss before it counts as gone; gateways notice a crash by themselves. */
+const missedHeartbeats = 6
+
+/** Time for the calls of operators, in milliseconds: they move on to another host after one second. */
+const publishLimitMs = 900
+
+/** Time for passing a heartbeat on, in milliseconds: the server calls another host after one second. */
+const hearLimitMs = 800
+
+/** Heartbeats after which a new leader has heard from every backend server. */
+const settleHeartbeats = 2.5
+
+/** Time for which a stopping control host answers calls under way, in milliseconds. */
+const drainMs = 500
+
+/** How many times the promised time a job is kept, so that no read near its end misses it. */
+const keepFactor = 1.5
+
+const millisecondsPerSecond = 1_000
+
+/** Executors that stay when one is to be emptied. */
+const executorsMin = 1
+
+/**
+ * Starts a control host.
+ * @param settings - its settings
+ * @returns the control host, or the failure that kept it from starting
+ */
+export async function startControl (settings: FleetSettings): Promise<Result<FleetDaemon, Failure>> {
+  const base = createFleetHostBase(settings)
+  const { lifecycle, logger, metrics, clock, random, clients } = base
+  const services: InternalServices = { controlHost: undefined, shareReceiver: undefined, dispatchReceiver: undefined, fleetLeader: undefined }
+  const parts: { fleet?: FleetLeader, runner?: BatchRunner } = {}
+  const internalAddress = `${settings.address}:${settings.controlPort}`
+
+  const create = async (): Promise<Result<ControlHost, Failure>> => await createControlHost({
+    address: internalAddress,
+    availabilityZone: settings.availabilityZone,
+    controlHosts: controlHostsOf(settings),
+    mayForm: settings.form,
+    voters: 2 * settings.toleratedLosses + 1,
+    storage: createFileStorage({ folder: settings.dataFolder ?? '', host: settings.host, logger, metrics }),
+    transport: createTrpcTransport(clients),
+    clock,
+    random,
+    logger,
+    metrics,
+    lifecycle,
+    applied (command) {
+      if (command.kind === CommandKind.Publish) parts.fleet?.publish()
+      parts.runner?.applied.notify()
+    }
+  })
+  let created = await create()
+  if (created.isErr() && created.error.reason === FailureReason.Damaged) {
+    // A damaged log counts as a lost disk: the host joins again under a new identity.
+    await setAside(settings.dataFolder ?? '', logger)
+    created = await create()
+  }
+  if (created.isErr()) return err(created.error)
+  const controlHost = created.value
+  const { replica, state } = controlHost
+  const fleet = createFleetLeader({
+    replica,
+    state,
+    clock,
+    logger,
+    lifecycle,
+    serverSilenceMs: settings.heartbeatMs * missedHeartbeats,
+    settleMs: settings.heartbeatMs * settleHeartbeats
+  })
+  parts.fleet = fleet
+  parts.runner = createBatchRunner({
+    fleet, replica, state, client: createBackendServerHttp(), clock, random, logger, metrics, lifecycle, keepMs: settings.statusKeepSeconds * keepFactor * millisecondsPerSecond
+  })
+  services.controlHost = controlHost
+  services.fleetLeader = fleet
+  const listening = await serveInternal(internalAddress, createInternalRouter(services), lifecycle)
+  if (listening.isErr()) return err(listening.error)
+  const service = createControlService(base)
+  const served = await serveApi(settings.controlAddress ?? '', createControlApi(service), lifecycle)
+  if (served.isErr()) return err(served.error)
+  if (settings.directoryAddress !== undefined) {
+    const directory = await serveApi(settings.directoryAddress, createDirectoryApi(service), lifecycle)
+    if (directory.isErr()) return err(directory.error)
+  }
+  await serveMetrics(base)
+  return ok({
+    lifecycle,
+    logger,
+    async drain () {
+      logger.write(LogEvents.processDraining)
+      await replica.resign()
+      await clock.sleep(drainMs)
+      await lifecycle.close()
+    }
+  })
+}
+
+function createControlService ({ control, view, logger }: FleetHostBase): ControlService {
+  return {
+    addressKeepMs,
+    async publish (publication) {
+      const { version } = publication.tables
+      const outcome = await control.execute({ kind: CommandKind.Publish, publication }, publishLimitMs)
+      if (outcome.isErr()) {
+        logger.write(LogEvents.publicationRefused, { value: version, failure: outcome.error })
+        return PublicationEnd.Unknown
+      }
+      if (outcome.value.kind === OutcomeKind.Conflict) {
+        logger.write(LogEvents.publicationRefused, { value: version, reason: outcome.value.text })
+        return PublicationEnd.Conflict
+      }
+      logger.write(LogEvents.publicationAccepted, { value: version })
+      return PublicationEnd.Accepted
+    },
+    refusePublication (problems) {
+      logger.write(LogEvents.publicationRefused, { reason: problems.map(problem => `${problem.place}: ${problem.text}`).slice(0, 3).join('; ') })
+    },
+    async publication () {
+      const answer = await control.read({ kind: QueryKind.Publication }, publishLimitMs)
+      return answer.map(value => value.kind === QueryKind.Publication ? value.document : undefined)
+    },
+    hear: heartbeat => control.hear(heartbeat, hearLimitMs),
+    ignoreHeartbeat (id) {
+      logger.write(LogEvents.heartbeatIgnored, { peer: id })
+    },
+    withdraw: id => control.withdraw(id, hearLimitMs),
+    gateways: (availabilityZone, region) => chooseGateways(view.hosts, availabilityZone, region),
+    // An executor keeps no data, so it is empty as soon as its work has moved, which the leader sees to when it goes.
+    retire (host) {
+      if (view.hosts.length === 0) return RetirementEnd.NotReady
+      const executors = view.hosts.filter(known => known.role === FleetRole.Executor)
+      if (!executors.some(known => known.name === host)) return RetirementEnd.UnknownHost
+      return executors.length > executorsMin ? RetirementEnd.Accepted : RetirementEnd.TooFew
+    },
+    isRetired: host => view.hosts.some(known => known.name === host && known.role === FleetRole.Executor) ? true : undefined
+  }
+}
--- /dev/null
+++ b/src/process/fleet/fleetDaemon.ts
@@ -0,0 +1,89 @@
+/**
+ * What every host of the fleet has, whatever its role.
+ * @module
+ */
+import { randomUUID } from 'node:crypto'
+import { Hono } from 'hono'
+import { createControlClient, type ControlClient, type FleetClient } from '../../connection/controlClient.ts'
+import { type FleetConnection, runFleetWatch } from '../../connection/fleetWatch.ts'
+import { createInternalClients, type InternalClients } from '../../connection/internalClient.ts'
+import { type Clock, createSystemClock } from '../clock.ts'
+import { createLifecycle, type Lifecycle } from '../lifecycle.ts'
+import { LogEvents } from '../logEvents.ts'
+import { createLogger, type Logger } from '../logger.ts'
+import { createMetrics, type Metrics } from '../metrics.ts'
+import { createSystemRandom, type Random } from '../random.ts'
+import { serveApi } from '../servers.ts'
+import type { FleetHost } from './fleetMessages.ts'
+import { controlHostsOf, type FleetSettings } from './fleetSettings.ts'
+import { createFleetView, type FleetView } from './fleetView.ts'
+
+/** Content type of the text exposition format. */
+const metricsType = 'text/plain; version=0.0.4; charset=utf-8'
+
+/** What every host of the fleet has. */
+export interface FleetHostBase {
+  readonly settings: FleetSettings
+  readonly lifecycle: Lifecycle
+  readonly logger: Logger
+  readonly metrics: Metrics
+  readonly clock: Clock
+  readonly random: Random
+  readonly clients: InternalClients
+  readonly control: ControlClient & FleetClient
+  readonly view: FleetView
+  /** Changed by the role before the host is described. */
+  readonly presence: { ready: boolean }
+  describe (): FleetHost
+}
+
+/** A running host of the fleet. */
+export interface FleetDaemon {
+  readonly lifecycle: Lifecycle
+  readonly logger: Logger
+  /** Shuts down without cutting off a request; resolves when all is closed. */
+  drain (): Promise<void>
+}
+
+/**
+ * Creates what every host has, and starts its watch.
+ * @param settings - its settings
+ * @returns the base of the host
+ */
+export function createFleetHostBase (settings: FleetSettings): FleetHostBase {
+  const lifecycle = createLifecycle()
+  const logger = createLogger(settings.host, settings.logLevel)
+  const metrics = createMetrics()
+  const clock = createSystemClock()
+  const random = createSystemRandom()
+  const clients = createInternalClients(lifecycle)
+  const view = createFleetView(clock, logger, controlHostsOf(settings))
+  const control = createControlClient({ controlHosts: () => view.controlHosts, clients, clock, random, metrics, signal: lifecycle.signal })
+  const presence = { ready: false }
+  const holder = randomUUID()
+  const describe = (): FleetHost => ({
+    name: settings.host,
+    holder,
+    role: settings.role,
+    availabilityZone: settings.availabilityZone,
+    region: settings.region,
+    callerAddress: settings.callerAddress,
+    ready: presence.ready
+  })
+  const connection: FleetConnection = { view, client: control, describe, clock, random, logger }
+  lifecycle.run(signal => runFleetWatch(connection, signal))
+  logger.write(LogEvents.processStarted, { detail: settings.role, inputs: { holder, seeds: settings.seeds.join(' '), form: settings.form } })
+  return { settings, lifecycle, logger, metrics, clock, random, clients, control, view, presence, describe }
+}
+
+/**
+ * Serves the metrics where the settings say so.
+ * @param base - the host
+ */
+export async function serveMetrics ({ settings, metrics, lifecycle, logger }: FleetHostBase): Promise<void> {
+  if (settings.metricsAddress === undefined) return
+  const api = new Hono().get('/metrics', context => context.text(metrics.format(), 200, { 'content-type': metricsType }))
+  const served = await serveApi(settings.metricsAddress, api, lifecycle)
+  // A host without metrics still serves; the line says why they are missing.
+  if (served.isErr()) logger.write(LogEvents.settingsRefused, { failure: served.error })
+}
--- /dev/null
+++ b/src/process/fleet/fleetSettings.ts
@@ -0,0 +1,87 @@
+/**
+ * Settings of a host of the fleet: one declared schema. They come from a settings file, and a flag goes before the file.
+ * @module
+ */
+import { readFileSync } from 'node:fs'
+import { err, ok, type Result } from 'neverthrow'
+import { z } from 'zod'
+import { isAddress } from '../address.ts'
+import { Level } from '../logEvents.ts'
+import { FleetRole } from './fleetMessages.ts'
+
+const address = z.string().refine(isAddress, 'must be an IP number and a port, for example 127.0.0.1:7000')
+const label = z.string().min(1).max(200)
+const milliseconds = z.coerce.number().min(0)
+
+const schema = z.object({
+  role: z.enum(FleetRole).describe('gateway, control or executor'),
+  host: label.describe('name of this host'),
+  availabilityZone: label.describe('availability zone of this host'),
+  region: label.describe('region of this host'),
+  regions: z.record(z.string(), z.string()).default({}).describe('regions by availability zone'),
+  seeds: z.string().transform(text => text.split(',').filter(part => part !== '')).pipe(z.array(address))
+    .describe('addresses of some control hosts, of which the IP numbers count'),
+  controlPort: z.coerce.number().int().min(1).max(65_535).describe('port of control hosts for other hosts'),
+  form: z.boolean().default(false).describe('whether this host may form the first group of control hosts'),
+  address: z.string().default('127.0.0.1').describe('IP number of this host'),
+  callerAddress: address.optional().describe('address for callers (gateway)'),
+  readinessAddress: address.optional().describe('address that tells whether a gateway is ready'),
+  controlAddress: address.optional().describe('address for operators and backend servers (control)'),
+  directoryAddress: address.optional().describe('address for callers in search of a gateway (control)'),
+  metricsAddress: address.optional().describe('address for metrics'),
+  dataFolder: z.string().optional().describe('folder for durable state (control)'),
+  toleratedLosses: z.coerce.number().int().min(0).max(2).default(1).describe('control hosts that may be lost at once'),
+  heartbeatMs: milliseconds.default(1_200).describe('time between two heartbeats of a backend server, in milliseconds'),
+  drainMs: milliseconds.default(2_500).describe('time after which a leaving backend server gets nothing new, in milliseconds'),
+  graceSeconds: z.coerce.number().min(0).default(8).describe('time from SIGTERM to the end of the process, in seconds'),
+  statusKeepSeconds: z.coerce.number().min(0).default(120).describe('time for which jobs can be read after their submission, in seconds'),
+  logLevel: z.enum(Level).default(Level.Info).describe('debug, info, warn or error')
+})
+
+/** Settings of a host of the fleet. */
+export type FleetSettings = z.infer<typeof schema>
+
+/** Names of the settings with their help texts. */
+export function listFleetSettings (): ReadonlyArray<{ readonly setting: string, readonly text: string }> {
+  return Object.entries(schema.shape).map(([setting, field]) => ({ setting, text: field.description ?? '' }))
+}
+
+/**
+ * Reads the settings file.
+ * @param path - the file, a JSON object with the settings; empty texts count as not given
+ * @param flags - settings from the command line
+ * @returns the settings, or one line for each problem
+ */
+export function readFleetSettings (path: string | undefined, flags: Readonly<Record<string, unknown>>): Result<FleetSettings, string[]> {
+  const given: Record<string, unknown> = {}
+  try {
+    const file = path === undefined ? {} : JSON.parse(readFileSync(path, 'utf8')) as Record<string, unknown>
+    for (const [name, value] of Object.entries({ ...file, ...flags })) {
+      if (value !== '' && value !== null && value !== undefined) given[name] = value
+    }
+  } catch (error) {
+    return err([`${path ?? ''}: ${String(error)}`])
+  }
+  const parsed = schema.safeParse(given)
+  if (!parsed.success) return err(parsed.error.issues.map(issue => `${issue.path.join('.')}: ${issue.message}`))
+  const problems = findContradictions(parsed.data)
+  return problems.length === 0 ? ok(parsed.data) : err(problems)
+}
+
+function findContradictions (settings: FleetSettings): string[] {
+  const problems: string[] = []
+  if (settings.role === FleetRole.Gateway && settings.callerAddress === undefined) problems.push('callerAddress: is required for the role gateway')
+  if (settings.role === FleetRole.Control && settings.dataFolder === undefined) problems.push('dataFolder: is required for the role control')
+  if (settings.role === FleetRole.Control && settings.controlAddress === undefined) problems.push('controlAddress: is required for the role control')
+  if (settings.seeds.length === 0) problems.push('seeds: at least one is required')
+  return problems
+}
+
+/**
+ * Lists the internal addresses of the control hosts that the settings name.
+ * @param settings - the settings
+ * @returns IP number and internal port of each seed
+ */
+export function controlHostsOf (settings: FleetSettings): string[] {
+  return settings.seeds.map(seed => `${seed.slice(0, seed.lastIndexOf(':'))}:${settings.controlPort}`)
+}
--- /dev/null
+++ b/src/process/fleet/fleetView.ts
@@ -0,0 +1,168 @@
+/**
+ * What a host knows of the fleet: the published tables, the backend servers, the hosts and the load. It holds on to what
+ * it knows while no leader is reached.
+ * @module
+ */
+import type { Clock } from '../clock.ts'
+import { type Condition, createCondition } from '../condition.ts'
+import { LogEvents } from '../logEvents.ts'
+import type { Logger } from '../logger.ts'
+import { createRouteIndex, type GatewayTables, type RouteIndex } from '../../version/gatewayTables.ts'
+import { type BackendServerRecord, isNewer, ServerPhase } from './backendServerRecords.ts'
+import type { FleetHost, FleetNews, FleetWatch, LoadTotals, ServerLoad } from './fleetMessages.ts'
+
+/** How long a backend server is avoided after a failed connection, in milliseconds: a crash lasts some seconds, and other hosts tell when it is back. */
+const suspicionMs = 2_000
+
+/** What a host knows of the fleet. */
+export interface FleetView {
+  readonly tables: GatewayTables | undefined
+  readonly routes: RouteIndex
+  /** Hosts of the fleet; known at control hosts only. */
+  readonly hosts: readonly FleetHost[]
+  /** Internal addresses of the control hosts, the seeds included. */
+  readonly controlHosts: readonly string[]
+  /** Notified when anything changed. */
+  readonly changed: Condition
+  /** Notified when the load of this host changed and should be reported. */
+  readonly loadChanged: Condition
+  /** Monotonic time of the last news, in milliseconds; -Infinity before the first. */
+  readonly heardAt: number
+  /** Builds the next poll. */
+  nextWatch (host: FleetHost): FleetWatch
+  /** Takes news. */
+  learn (news: FleetNews): void
+  /** Takes the totals that answer a report. */
+  learnLoad (totals: LoadTotals, reported: ReadonlyMap<string, number>): void
+  /** Lists the backend servers of a service that take requests. */
+  readyServers (service: string): BackendServerRecord[]
+  /** Finds a backend server, whatever its phase. */
+  findServer (id: string): BackendServerRecord | undefined
+  /** Tells the load of a server by other hosts. */
+  otherLoad (id: string): ServerLoad
+  /** Own live requests by server. */
+  readonly live: ReadonlyMap<string, number>
+  /** Counts an own live request in or out. */
+  countLive (id: string, change: 1 | -1): void
+  /** Notes a failed connection. */
+  suspect (id: string, reason: string): void
+  /** Notes a connection that worked. */
+  trust (id: string): void
+  isSuspect (id: string): boolean
+  /** Lists the servers that this host suspects by itself. */
+  ownSuspects (): string[]
+}
+
+const noLoad: ServerLoad = { live: 0, batch: 0 }
+
+/**
+ * Creates the view before the first news.
+ * @param clock - time
+ * @param logger - log events
+ * @param seeds - internal addresses of control hosts known from the settings
+ * @returns the view
+ */
+export function createFleetView (clock: Clock, logger: Logger, seeds: readonly string[]): FleetView {
+  const servers = new Map<string, BackendServerRecord>()
+  const live = new Map<string, number>()
+  const suspects = new Map<string, number>()
+  const others = new Map<string, ServerLoad>()
+  let reportedSuspects: ReadonlySet<string> = new Set()
+  const changed = createCondition(clock)
+  const loadChanged = createCondition(clock)
+  let tables: GatewayTables | undefined
+  let routes: RouteIndex = new Map()
+  let hosts: readonly FleetHost[] = []
+  let controlHosts = seeds
+  let heardAt = -Infinity
+  let leadership = ''
+  let serversRevision = 0
+  let hostsRevision = -1
+
+  function learnServers (news: FleetNews): void {
+    const isSameLeadership = news.leadership === leadership
+    for (const record of news.servers) {
+      const known = servers.get(record.id)
+      // A new leader may have missed what the old one was told, for example that a server leaves.
+      const isStale = known !== undefined && !isSameLeadership && !isNewer(record, known) && known.phase !== ServerPhase.Ready
+      if (!isStale) servers.set(record.id, record)
+    }
+    if (isSameLeadership) return
+    if (!news.isComplete) return
+    const told = new Set(news.servers.map(record => record.id))
+    for (const id of servers.keys()) {
+      if (!told.has(id)) servers.delete(id)
+    }
+  }
+
+  return {
+    get tables () { return tables },
+    get routes () { return routes },
+    get hosts () { return hosts },
+    get controlHosts () { return controlHosts },
+    get heardAt () { return heardAt },
+    changed,
+    loadChanged,
+    live,
+    nextWatch: host => ({ host, leadership, tablesVersion: tables?.version ?? 0, serversRevision, hostsRevision }),
+    learn (news) {
+      heardAt = clock.now()
+      if (news.tables !== undefined && news.tables.version > (tables?.version ?? 0)) {
+        tables = news.tables
+        routes = createRouteIndex(news.tables)
+        logger.write(LogEvents.configurationInForce, { value: tables.version, detail: news.leadership })
+      }
+      learnServers(news)
+      // Until the leader has heard from everyone, each poll asks for all servers again.
+      if (news.isComplete) {
+        if (leadership !== news.leadership) logger.write(LogEvents.leaderFound, { detail: news.leadership, value: news.serversRevision })
+        leadership = news.leadership
+        serversRevision = news.serversRevision
+      }
+      if (news.hosts !== undefined && (news.isComplete || news.hosts.length >= hosts.length)) hosts = news.hosts
+      if (news.isComplete) hostsRevision = news.hostsRevision
+      if (news.controlHosts.length > 0) controlHosts = [...new Set([...news.controlHosts, ...seeds])]
+      changed.notify()
+    },
+    learnLoad (totals, reported) {
+      others.clear()
+      for (const [id, load] of Object.entries(totals.loads)) {
+        others.set(id, { live: Math.max(0, load.live - (reported.get(id) ?? 0)), batch: load.batch })
+      }
+      reportedSuspects = new Set(totals.suspects)
+    },
+    readyServers (service) {
+      const ready: BackendServerRecord[] = []
+      for (const record of servers.values()) {
+        if (record.phase === ServerPhase.Ready && record.service === service) ready.push(record)
+      }
+      return ready
+    },
+    findServer: id => servers.get(id),
+    otherLoad: id => others.get(id) ?? noLoad,
+    countLive (id, change) {
+      const count = (live.get(id) ?? 0) + change
+      if (count > 0) live.set(id, count)
+      else live.delete(id)
+      loadChanged.notify()
+    },
+    suspect (id, reason) {
+      if (!suspects.has(id)) logger.write(LogEvents.serverSuspected, { peer: servers.get(id)?.address ?? id, detail: id, reason })
+      suspects.set(id, clock.now() + suspicionMs)
+      loadChanged.notify()
+    },
+    trust (id) {
+      suspects.delete(id)
+    },
+    isSuspect (id) {
+      return (suspects.get(id) ?? 0) > clock.now() || reportedSuspects.has(id)
+    },
+    ownSuspects () {
+      const now = clock.now()
+      for (const [id, until] of suspects) {
+        if (until <= now) suspects.delete(id)
+      }
+      return [...suspects.keys()]
+    }
+  }
+}
--- a/src/process/formation.ts
+++ b/src/process/formation.ts
@@ -7,12 +7,15 @@
 import type { Clock } from './clock.ts'
 import { LogEvents } from './logEvents.ts'
 import type { Logger } from './logger.ts'
-import type { Replica } from './replica.ts'
+import { type Replica, ReplicaRole } from './replica.ts'
 import type { Identification, JoinRequest, Transport } from './replicaMessages.ts'
 import { type Member, Standing } from './storage.ts'
 
 const retryMs = 200
 
+/** How long a member hears no leader before it asks to join again, in milliseconds: longer than an election takes. */
+const forgottenMs = 3_000
+
 /** How often a host asks to join until it is a member, in milliseconds. */
 const joinEveryMs = 1_000
 
@@ -21,6 +24,8 @@
   readonly address: string
   readonly availabilityZone: string
   readonly controlHosts: readonly string[]
+  /** Whether the first membership may be formed; true when it is not given. */
+  readonly mayForm?: boolean
   /** How many voters there should be. */
   readonly voters: number
   readonly replica: Replica
@@ -31,14 +36,19 @@
 }
 
 /**
- * Runs until this replica has a membership.
+ * Runs until the signal aborts: joins or forms a membership, and joins again when this replica was replaced.
  * @param formation - what formation needs
  * @returns a promise that resolves at the end
  */
 export async function runFormation (formation: Formation): Promise<void> {
   const { replica, clock, logger, signal } = formation
   let isJoining = false
-  while (!signal.aborted && !replica.identify().formed) {
+  while (!signal.aborted) {
+    if (replica.identify().formed && !isForgotten(formation)) {
+      isJoining = false
+      await clock.sleep(joinEveryMs, signal)
+      continue
+    }
     const found = await identifyAll(formation)
     const formed = found.filter(host => host.formed)
     if (formed.length > 0) {
@@ -48,11 +58,16 @@
       await clock.sleep(joinEveryMs, signal)
       continue
     }
-    if (await formIfFirst(formation, found)) return
+    if (!replica.identify().formed) await formIfFirst(formation, found)
     await clock.sleep(retryMs, signal)
   }
 }
 
+// A member that was silent for long may have been replaced; the leader does not call it any more, so it asks to join again.
+function isForgotten ({ replica, clock }: Formation): boolean {
+  return replica.state.role === ReplicaRole.Follower && clock.now() - replica.state.heardAt > forgottenMs
+}
+
 async function identifyAll (formation: Formation): Promise<Identification[]> {
   const others = formation.controlHosts.filter(address => address !== formation.address)
   const answers = await Promise.all(others.map(address => formation.transport.identify(address)))
@@ -78,7 +93,7 @@
 
 async function formIfFirst (formation: Formation, others: readonly Identification[]): Promise<boolean> {
   const { address, controlHosts, replica, transport, voters } = formation
-  if (controlHosts[0] !== address || others.length + 1 < controlHosts.length) return false
+  if (formation.mayForm === false || controlHosts[0] !== address || others.length + 1 < controlHosts.length) return false
   const members: Member[] = []
   for (const host of [replica.identify(), ...others]) {
     const standing = members.length < voters ? Standing.Voter : Standing.Learner
--- a/src/process/logger.ts
+++ b/src/process/logger.ts
@@ -4,7 +4,8 @@
  */
 import bunyan from 'bunyan'
 import type { Failure } from './failure.ts'
-import { type LogEvent, Level } from './logEvents.ts'
+import { createBoundedOutput, type LineOutput } from './boundedOutput.ts'
+import { type LogEvent, LogEvents, Level } from './logEvents.ts'
 import { assertNever } from './assert.ts'
 
 /** What a log event is about. */
@@ -15,6 +16,8 @@
   readonly reason?: string
   readonly detail?: string
   readonly value?: number
+  /** What decided, with ages or versions. */
+  readonly inputs?: Readonly<Record<string, string | number | boolean>>
   readonly failure?: Failure
 }
 
@@ -29,13 +32,18 @@
 }
 
 /**
- * Creates a logger that writes to standard error.
+ * Creates a logger that writes to standard output.
  * @param host - name of this host, written with each event
  * @param level - events below it are dropped
  * @returns the logger
  */
 export function createLogger (host: string, level: Level): Logger {
-  const output = bunyan.createLogger({ name: 'jaychute', host, level, stream: process.stderr })
+  const lines: LineOutput = createBoundedOutput(count => {
+    const { number, text } = LogEvents.linesDropped
+    return `${JSON.stringify({ name: 'jaychute', host, event: number, value: count, msg: text, time: new Date().toISOString() })}\n`
+  })
+  // bunyan only calls write.
+  const output = bunyan.createLogger({ name: 'jaychute', host, level, stream: lines as unknown as NodeJS.WritableStream })
   return {
     write (event, subject = {}) {
       const { failure, ...rest } = subject
--- a/src/process/membership.ts
+++ b/src/process/membership.ts
@@ -8,7 +8,14 @@
 export const membersLimit = 7
 
 /** Kinds of change. */
-export const ChangeKind = { Remove: 'remove', Add: 'add', Promote: 'promote' } as const
+export const ChangeKind = {
+  /** Removes a lost identity whose host came back with another one. */
+  Remove: 'remove',
+  /** Removes a member that does not answer. */
+  Drop: 'drop',
+  Add: 'add',
+  Promote: 'promote'
+} as const
 export type ChangeKind = typeof ChangeKind[keyof typeof ChangeKind]
 
 /** A change of the membership by one member. */
@@ -29,6 +36,8 @@
   readonly newcomers: readonly Newcomer[]
   /** Identities of the learners that are caught up and answer. */
   readonly ready: ReadonlySet<string>
+  /** Identities of the members that have not answered for long. */
+  readonly silent: ReadonlySet<string>
   /** How many voters there should be. */
   readonly voters: number
 }
@@ -52,9 +61,13 @@
     const { identity, address, availabilityZone } = newcomer
     return { kind: ChangeKind.Add, member: { identity, address, availabilityZone, standing: Standing.Learner } }
   }
-  if (votersIn(members).length >= view.voters) return undefined
   const learner = members.find(member => member.standing === Standing.Learner && view.ready.has(member.identity))
-  return learner === undefined ? undefined : { kind: ChangeKind.Promote, member: learner }
+  if (votersIn(members).length < view.voters) return learner === undefined ? undefined : { kind: ChangeKind.Promote, member: learner }
+  const silent = members.find(member => view.silent.has(member.identity) && member.identity !== self)
+  if (silent === undefined) return undefined
+  // A silent voter makes room only for a learner that is ready; a silent learner only when the list is full.
+  const isReplaceable = silent.standing === Standing.Voter ? learner !== undefined : members.length >= membersLimit
+  return isReplaceable ? { kind: ChangeKind.Drop, member: silent } : undefined
 }
 
 function votersIn (members: readonly Member[]): Member[] {
@@ -75,6 +88,7 @@
   const others = members.filter(member => member.identity !== change.member.identity)
   switch (change.kind) {
     case ChangeKind.Remove: return others
+    case ChangeKind.Drop: return others
     case ChangeKind.Add: return [...others, change.member]
     case ChangeKind.Promote: return [...others, { ...change.member, standing: Standing.Voter }]
   }
--- a/src/process/membershipTask.ts
+++ b/src/process/membershipTask.ts
@@ -16,6 +16,9 @@
 /** How long a request to join counts, in milliseconds. Hosts ask again every second. */
 const candidateLimitMs = 5_000
 
+/** How long a member may be silent before another one takes its place, in milliseconds; a restart takes about one second. */
+const silenceMs = 2_000
+
 /** How often the task looks for a change, in milliseconds. */
 const lookMs = 200
 
@@ -74,6 +77,7 @@
     members: state.members,
     newcomers: [...core.candidates.values()],
     ready: readyLearners(core),
+    silent: silentMembers(core),
     voters: inputs.voters
   })
 }
@@ -99,6 +103,17 @@
   return ready
 }
 
+function silentMembers ({ state, inputs: { clock } }: ReplicaCore): Set<string> {
+  const silent = new Set<string>()
+  const now = clock.now()
+  if (now - state.ledSince < silenceMs) return silent
+  for (const member of state.members) {
+    const progress = state.progress.get(member.identity)
+    if (progress !== undefined && now - progress.acknowledgedAt > silenceMs) silent.add(member.identity)
+  }
+  return silent
+}
+
 // A request to join is not believed alone: the address itself must answer with the new identity.
 async function isReplaced (core: ReplicaCore, change: MembershipChange): Promise<boolean> {
   const { address } = change.member
--- /dev/null
+++ b/src/process/publications.ts
@@ -0,0 +1,32 @@
+/**
+ * The published tables of the gateway, as applied from the replicated log.
+ * @module
+ */
+import type { Publication } from '../version/gatewayTables.ts'
+import { type CommandOf, type Outcome, OutcomeKind } from './commands.ts'
+
+/** The newest publication. */
+export interface Publications {
+  publication: Publication | undefined
+}
+
+/**
+ * Applies a publication. The highest version is in force; one that is not higher is accepted again and changes nothing,
+ * but other content under the version in force is a conflict.
+ * @param state - the newest publication
+ * @param command - the command
+ * @returns applied with the version in force, or a conflict
+ */
+export function publish (state: Publications, command: CommandOf<'publish'>): Outcome {
+  const { publication } = command
+  const current = state.publication
+  const { version } = publication.tables
+  if (current !== undefined && version <= current.tables.version) {
+    if (version === current.tables.version && publication.digest !== current.digest) {
+      return { kind: OutcomeKind.Conflict, text: `version ${version} is in force with other content`, version }
+    }
+    return { kind: OutcomeKind.Applied, version: current.tables.version }
+  }
+  state.publication = publication
+  return { kind: OutcomeKind.Applied, version }
+}
--- a/src/process/queries.ts
+++ b/src/process/queries.ts
@@ -6,6 +6,7 @@
 import type { Configuration, Tables } from '../version/tables.ts'
 import type { Problem } from '../version/validation.ts'
 import type { Ending } from './commands.ts'
+import type { ResultPage } from './submissions.ts'
 
 /** Kinds of query. */
 export const QueryKind = {
@@ -13,7 +14,10 @@
   Check: 'check',
   Job: 'job',
   Jobs: 'jobs',
-  Results: 'results'
+  Results: 'results',
+  Publication: 'publication',
+  SubmissionResults: 'submission results',
+  SubmittedBody: 'submitted body'
 } as const
 export type QueryKind = typeof QueryKind[keyof typeof QueryKind]
 
@@ -24,6 +28,10 @@
   | { readonly kind: typeof QueryKind.Job, readonly job: string, readonly account?: string | undefined }
   | { readonly kind: typeof QueryKind.Jobs, readonly account?: string | undefined, readonly after: string, readonly limit: number }
   | { readonly kind: typeof QueryKind.Results, readonly job: string, readonly account?: string | undefined, readonly after: number, readonly limit: number }
+  | { readonly kind: typeof QueryKind.Publication }
+  /** Waits until there is a result after the position, for `waitMs` at most. */
+  | { readonly kind: typeof QueryKind.SubmissionResults, readonly job: string, readonly after: number, readonly waitMs: number }
+  | { readonly kind: typeof QueryKind.SubmittedBody, readonly job: string, readonly item: string }
 
 /** Whether a job still runs. */
 export const JobPhase = { Running: 'running', Finished: 'finished', Cancelled: 'cancelled' } as const
@@ -61,3 +69,6 @@
   | { readonly kind: typeof QueryKind.Job, readonly job?: JobStatus | undefined }
   | { readonly kind: typeof QueryKind.Jobs, readonly jobs: readonly JobStatus[] }
   | { readonly kind: typeof QueryKind.Results, readonly results?: readonly ItemResult[] | undefined, readonly finished: boolean }
+  | { readonly kind: typeof QueryKind.Publication, readonly document?: string | undefined }
+  | { readonly kind: typeof QueryKind.SubmissionResults, readonly page?: ResultPage | undefined }
+  | { readonly kind: typeof QueryKind.SubmittedBody, readonly body?: Uint8Array | undefined }
--- a/src/process/servers.ts
+++ b/src/process/servers.ts
@@ -21,7 +21,14 @@
   return listen(address, createAdaptorServer({ fetch: api.fetch }) as Server, lifecycle)
 }
 
-function listen (address: string, server: Server, lifecycle: Lifecycle): ResultAsync<Server, Failure> {
+/**
+ * Listens with a server.
+ * @param address - IP number and port
+ * @param server - the server
+ * @param lifecycle - closes the server
+ * @returns the listening server, or a failure
+ */
+export function listen (address: string, server: Server, lifecycle: Lifecycle): ResultAsync<Server, Failure> {
   const { ip, port } = parseAddress(address)
   const listening = new Promise<Server>((resolve, reject) => {
     server.once('error', reject)
--- a/src/process/stateSnapshot.ts
+++ b/src/process/stateSnapshot.ts
@@ -13,6 +13,8 @@
 import { countInFlight, placeJob } from './jobSchedule.ts'
 import type { Lease } from './leases.ts'
 import { keepOperation, type Operation } from './operations.ts'
+import type { Publication } from '../version/gatewayTables.ts'
+import { type ItemResult, restore, type Submission, type SubmissionRecord, type SubmittedItem } from './submissions.ts'
 import { createWaitingItems } from './waitingItems.ts'
 
 /** A part of the state; msgpack can carry it. */
@@ -34,6 +36,10 @@
   Upload: 'upload',
   UploadItems: 'upload items',
   LastClaims: 'last claims',
+  Publication: 'publication',
+  Submission: 'submission',
+  SubmittedItems: 'submitted items',
+  ItemResults: 'item results',
   End: 'end'
 } as const
 
@@ -61,6 +67,10 @@
   | { readonly kind: typeof PartKind.Upload, readonly upload: UploadHeader }
   | { readonly kind: typeof PartKind.UploadItems, readonly records: readonly Item[] }
   | { readonly kind: typeof PartKind.LastClaims, readonly records: ReadonlyArray<readonly [string, LastClaim]> }
+  | { readonly kind: typeof PartKind.Publication, readonly publication: Publication }
+  | { readonly kind: typeof PartKind.Submission, readonly submission: Omit<Submission, 'items'>, readonly ended: boolean }
+  | { readonly kind: typeof PartKind.SubmittedItems, readonly records: readonly SubmittedItem[] }
+  | { readonly kind: typeof PartKind.ItemResults, readonly records: readonly ItemResult[] }
   | { readonly kind: typeof PartKind.End }
 
 interface LeaseRecord {
@@ -111,18 +121,36 @@
     for (const records of chunk(items, sizeOfItem)) yield { kind: PartKind.UploadItems, records }
   }
   for (const records of chunk(jobs.lastClaims, ([, claim]) => claim.grants.length * 100)) yield { kind: PartKind.LastClaims, records }
+  if (state.publication !== undefined) yield { kind: PartKind.Publication, publication: state.publication }
+  for (const record of state.submissions.jobs.values()) yield * exportSubmission(record)
   yield { kind: PartKind.End }
 }
 
+function * exportSubmission ({ submission: { items, ...submission }, ended, results }: SubmissionRecord): Iterable<Part> {
+  yield { kind: PartKind.Submission, submission, ended }
+  for (const records of chunk(items, item => item.body.length)) yield { kind: PartKind.SubmittedItems, records }
+  for (const records of chunk([...results], result => result.output.length)) yield { kind: PartKind.ItemResults, records }
+}
+
 /** The job or upload whose items are being read; it is complete when the next one begins. */
 interface OpenPart {
   job?: JobHeader | undefined
   items: JobItem[]
   uploadItems: Item[]
+  submission?: OpenSubmission | undefined
+}
+
+/** A job of the gateway that is being read; it is complete when another part begins. */
+interface OpenSubmission {
+  readonly submission: Omit<Submission, 'items'>
+  readonly ended: boolean
+  readonly items: SubmittedItem[]
+  readonly results: ItemResult[]
 }
 
 function importPart (state: ControlState, part: Part, open: OpenPart): void {
   if (part.kind !== PartKind.JobItems) finishJob(state.jobs, open)
+  if (part.kind === PartKind.Submission || part.kind === PartKind.End) finishSubmission(state, open)
   switch (part.kind) {
     case PartKind.Configuration:
       state.configuration = part.configuration
@@ -150,6 +178,18 @@
     case PartKind.LastClaims:
       for (const [backendServer, claim] of part.records) state.jobs.lastClaims.set(backendServer, claim)
       return
+    case PartKind.Publication:
+      state.publication = part.publication
+      return
+    case PartKind.Submission:
+      open.submission = { submission: part.submission, ended: part.ended, items: [], results: [] }
+      return
+    case PartKind.SubmittedItems:
+      for (const item of part.records) open.submission?.items.push(item)
+      return
+    case PartKind.ItemResults:
+      for (const result of part.records) open.submission?.results.push(result)
+      return
     case PartKind.End: return
     default: assertNever(part)
   }
@@ -173,6 +213,13 @@
   if (job.inFlight > 0) countInFlight(jobs.schedule, job.account, job.inFlight)
 }
 
+function finishSubmission (state: ControlState, open: OpenPart): void {
+  if (open.submission === undefined) return
+  const { submission, ended, items, results } = open.submission
+  open.submission = undefined
+  restore(state.submissions, { submission: { ...submission, items }, ended, results })
+}
+
 function toHeader (job: Job): JobHeader {
   const { id, number, account, key, route, digest, due, cancelled, lastGrant } = job
   return { id, number, account, key, route, digest, due, cancelled, lastGrant }
--- /dev/null
+++ b/src/request/batchPlan.ts
@@ -0,0 +1,65 @@
+/**
+ * The plan for batch items: which to start where, and which to interrupt for live work.
+ * @module
+ */
+
+/** Slots of a backend server that batch items leave free, so that a live request starts without waiting for one to stop. */
+export const liveReserve = 1
+
+/** A backend server as the plan sees it. */
+export interface PlannedServer {
+  readonly id: string
+  readonly slots: number
+  /** Live requests in flight there, from all hosts. */
+  readonly live: number
+  /** Items in flight there, by key, the one that has run longest first. */
+  readonly items: readonly string[]
+  /** Whether new items may go there. */
+  readonly isOpen: boolean
+}
+
+/** What is to be done. */
+export interface BatchPlan {
+  readonly starts: ReadonlyArray<{ readonly server: string, readonly item: string }>
+  /** Items to interrupt; they go on later from where they were. */
+  readonly stops: readonly string[]
+}
+
+/**
+ * Plans batch work.
+ * @param servers - the backend servers
+ * @param waiting - keys of the waiting items, the most urgent first
+ * @returns the plan
+ */
+export function planBatch (servers: readonly PlannedServer[], waiting: Iterable<string>): BatchPlan {
+  const stops: string[] = []
+  const free = new Map<string, number>()
+  for (const server of servers) {
+    const room = server.slots - liveReserve - server.live - server.items.length
+    const overBy = Math.min(-room, server.items.length)
+    // The item that has run longest is nearest to its end, so the newest ones yield.
+    if (overBy > 0) stops.push(...server.items.slice(server.items.length - overBy))
+    if (room > 0 && server.isOpen) free.set(server.id, room)
+  }
+  const starts: Array<{ server: string, item: string }> = []
+  for (const item of waiting) {
+    const server = findFreest(free)
+    if (server === undefined) break
+    starts.push({ server, item })
+    const left = (free.get(server) ?? 0) - 1
+    if (left > 0) free.set(server, left)
+    else free.delete(server)
+  }
+  return { starts, stops }
+}
+
+function findFreest (free: ReadonlyMap<string, number>): string | undefined {
+  let best: string | undefined
+  let most = 0
+  for (const [server, room] of free) {
+    if (room <= most) continue
+    best = server
+    most = room
+  }
+  return best
+}
--- /dev/null
+++ b/src/request/callerExchange.ts
@@ -0,0 +1,58 @@
+/**
+ * A request of a caller at the gateway and its answer, as the product sees them; a front end encodes them.
+ * @module
+ */
+
+/** Why the gateway answers by itself. */
+export const GatewayRefusal = {
+  /** No route allows the request. */
+  NoRoute: 'no route',
+  /** The request is not well formed. */
+  Invalid: 'invalid request',
+  TooLarge: 'body too large',
+  /** Nothing has run; the caller may come back. */
+  NotReady: 'not ready',
+  /** Nothing has run; the caller may come back. */
+  Overloaded: 'overloaded',
+  /** Nothing has run; the waiting tokens of the route are used up. */
+  QuotaExceeded: 'quota exceeded',
+  /** The time is over; the request may have run. */
+  TimedOut: 'timed out',
+  /** The attempts failed; the request may have run. */
+  Failed: 'failed'
+} as const
+export type GatewayRefusal = typeof GatewayRefusal[keyof typeof GatewayRefusal]
+
+/** A request of a caller. */
+export interface CallerRequest {
+  readonly id: string
+  readonly host: string
+  readonly method: string
+  /** Path and query. */
+  readonly path: string
+  /** Headers to pass on, name and value by turns. */
+  readonly headers: readonly string[]
+  readonly body: Uint8Array
+  /** Event after which the caller wants its stream to go on. */
+  readonly resumeAfter: number | undefined
+  /** Monotonic time at which the request arrived, in milliseconds. */
+  readonly receivedAt: number
+  /** Monotonic time until which the caller waits, in milliseconds; Infinity when it does not say. */
+  readonly deadlineAt: number
+  /** Aborts when the caller has left. */
+  readonly left: AbortSignal
+}
+
+/** The answer to a caller. */
+export abstract class CallerAnswer {
+  /** Answers with a refusal of the gateway; only before `start`. */
+  abstract refuse (refusal: GatewayRefusal, retryAfterMs?: number): void
+  /** Sends status and headers. */
+  abstract start (status: number, headers: readonly string[]): void
+  /** Sends a piece; resolves when the caller takes more. */
+  abstract write (piece: Buffer): Promise<void>
+  /** Ends a whole answer. */
+  abstract end (): void
+  /** Ends the connection, so that the answer does not look whole. */
+  abstract breakOff (): void
+}
--- /dev/null
+++ b/src/request/gatewayJobs.ts
@@ -0,0 +1,118 @@
+/**
+ * Jobs at the gateway: submission, results, bodies and the end of a job, through the leader of the control hosts.
+ * @module
+ */
+import { err, ok, type Result } from 'neverthrow'
+import type { ControlClient } from '../connection/controlClient.ts'
+import { CommandKind, OutcomeKind } from '../process/commands.ts'
+import type { Clock } from '../process/clock.ts'
+import type { FleetView } from '../process/fleet/fleetView.ts'
+import { LogEvents } from '../process/logEvents.ts'
+import type { Logger } from '../process/logger.ts'
+import { Counter, type Metrics } from '../process/metrics.ts'
+import { QueryKind } from '../process/queries.ts'
+import type { ResultPage, SubmittedItem } from '../process/submissions.ts'
+import { matchRoute, RouteKind } from '../version/gatewayTables.ts'
+import { GatewayRefusal } from './callerExchange.ts'
+
+/** Longest time for a submission, in milliseconds; its caller sends it again after that. */
+const submitLimitMs = 3_000
+
+/** Longest time for a read, apart from the time it is held, in milliseconds. */
+const readLimitMs = 1_200
+
+/** What a job needs at the gateway. */
+export interface GatewayJobServices {
+  readonly view: FleetView
+  readonly control: ControlClient
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly metrics: Metrics
+}
+
+/** A job as its caller sends it. */
+export interface JobSubmission {
+  readonly id: string
+  readonly host: string
+  readonly path: string
+  readonly items: readonly SubmittedItem[]
+}
+
+/**
+ * Submits a job. A repeat is accepted again.
+ * @param job - the job
+ * @param services - what it needs
+ * @returns nothing once the job is durable, or why not
+ */
+export async function submitJob (job: JobSubmission, services: GatewayJobServices): Promise<Result<void, GatewayRefusal>> {
+  const { view, control, clock } = services
+  const startedAt = clock.now()
+  if (view.tables === undefined) return refuseJob(job, GatewayRefusal.NotReady, services)
+  const route = matchRoute(view.routes, job.host, job.path)
+  if (route === undefined || route.kind !== RouteKind.Batch) return refuseJob(job, GatewayRefusal.NoRoute, services)
+  const { id, host, items } = job
+  const submission = { id, host, items, route: route.name, pathPrefix: route.pathPrefix, acceptedAt: 0, giveUpAt: 0 }
+  const outcome = await control.execute({
+    kind: CommandKind.Submit, submission, tokenLimit: route.waitingTokens, giveUpMs: route.giveUpMs, time: 0
+  }, submitLimitMs)
+  // A call that failed may have been carried out, so the answer must not say that nothing runs.
+  if (outcome.isErr()) return refuseJob(job, GatewayRefusal.Failed, services, outcome.error.reason)
+  if (outcome.value.kind === OutcomeKind.Limit) return refuseJob(job, GatewayRefusal.QuotaExceeded, services, outcome.value.text)
+  services.metrics.count(Counter.Requests, 'job accepted')
+  services.logger.write(LogEvents.submissionAccepted, {
+    requestId: job.id, value: items.length, inputs: { route: route.name, version: view.tables.version, totalMs: Math.round(clock.now() - startedAt) }
+  })
+  return ok(undefined)
+}
+
+function refuseJob (job: JobSubmission, refusal: GatewayRefusal, services: GatewayJobServices, detail = ''): Result<void, GatewayRefusal> {
+  services.metrics.count(Counter.Refusals, refusal)
+  services.logger.write(LogEvents.submissionRefused, { requestId: job.id, reason: refusal, detail, inputs: { version: services.view.tables?.version ?? 0 } })
+  return err(refusal)
+}
+
+/**
+ * Reads results of a job.
+ * @param job - its id
+ * @param after - position of the first result
+ * @param waitMs - how long to wait for one, in milliseconds
+ * @param services - what it needs
+ * @returns the results, undefined when there is no such job, or why it can't be told
+ */
+export async function readJobResults (job: string, after: number, waitMs: number, services: GatewayJobServices): Promise<Result<ResultPage | undefined, GatewayRefusal>> {
+  const answer = await services.control.read({ kind: QueryKind.SubmissionResults, job, after, waitMs }, readLimitMs + waitMs)
+  if (answer.isErr() || answer.value.kind !== QueryKind.SubmissionResults) return refuseRead(job, answer.isErr() ? answer.error.reason : '', services)
+  return ok(answer.value.page)
+}
+
+/**
+ * Reads the body of an item that has no result yet.
+ * @param job - the job's id
+ * @param item - the item's id
+ * @param services - what it needs
+ * @returns the body, undefined when there is none, or why it can't be told
+ */
+export async function readItemBody (job: string, item: string, services: GatewayJobServices): Promise<Result<Uint8Array | undefined, GatewayRefusal>> {
+  const answer = await services.control.read({ kind: QueryKind.SubmittedBody, job, item }, readLimitMs)
+  if (answer.isErr() || answer.value.kind !== QueryKind.SubmittedBody) return refuseRead(job, answer.isErr() ? answer.error.reason : '', services)
+  return ok(answer.value.body)
+}
+
+function refuseRead<Value> (job: string, detail: string, services: GatewayJobServices): Result<Value, GatewayRefusal> {
+  services.metrics.count(Counter.Refusals, GatewayRefusal.NotReady)
+  services.logger.write(LogEvents.requestRefused, { requestId: job, reason: GatewayRefusal.NotReady, detail, inputs: { knowledgeAgeMs: Math.round(services.clock.now() - services.view.heardAt) } })
+  return err(GatewayRefusal.NotReady)
+}
+
+/**
+ * Ends a job.
+ * @param job - its id
+ * @param services - what it needs
+ * @returns whether there is such a job, or why it is not known to be ended
+ */
+export async function endJob (job: string, services: GatewayJobServices): Promise<Result<boolean, GatewayRefusal>> {
+  const outcome = await services.control.execute({ kind: CommandKind.EndSubmission, job }, submitLimitMs)
+  if (outcome.isErr()) return err(GatewayRefusal.Failed)
+  services.logger.write(LogEvents.submissionEnded, { requestId: job, reason: outcome.value.kind })
+  return ok(outcome.value.kind !== OutcomeKind.NotFound)
+}
--- a/test/logMembership.test.ts
+++ b/test/logMembership.test.ts
@@ -124,7 +124,7 @@
     const members = Array.from({ length: membersLimit }, (_, number) => (
       { identity: `${number}`, address: `${number}:1`, availabilityZone: 'zone-a', standing: Standing.Voter }))
     const newcomers = [{ identity: 'new', address: 'new:1', availabilityZone: 'zone-a' }]
-    const view = { self: '0', newcomers, ready: new Set<string>(), voters: 5 }
+    const view = { self: '0', newcomers, ready: new Set<string>(), silent: new Set<string>(), voters: 5 }
     expect(decideChange({ ...view, members })).to.equal(undefined)
     expect(decideChange({ ...view, members: members.slice(1) })?.kind).to.equal(ChangeKind.Add)
   })
