Wait and call without abort signals; note the design on the platform

Cause: in a profile of an idle gateway and leader the exceptions and signals of aborted waits were the largest single cost after garbage collection.

--- a/src/connection/callConnection.ts
+++ b/src/connection/callConnection.ts
@@ -22,10 +22,9 @@
    * Calls a procedure.
    * @param procedure - its path
    * @param input - its input
-   * @param signal - gives the call up; its answer is dropped
    * @returns the value; rejected with the error of the procedure or of the connection
    */
-  call (procedure: string, input: unknown, signal?: AbortSignal | null): Promise<unknown>
+  call (procedure: string, input: unknown): Promise<unknown>
   /** Ends the connection; calls that wait are rejected. */
   destroy (): void
 }
@@ -87,16 +86,13 @@
   }
 
   return {
-    async call (procedure, input, signal) {
+    async call (procedure, input) {
       if (destroyed) throw new CallError('ECONNRESET', `the connection to ${address} is closed`)
       const number = ++lastNumber
       const message: CallMessage = [number, procedure, input]
       const frame = encodeSmallMessage(message, compressFrom) ?? await encodeMessage(message, compressFrom)
       return await new Promise((resolve, reject) => {
         pending.set(number, { resolve, reject })
-        signal?.addEventListener('abort', () => {
-          if (pending.delete(number)) reject(new CallError('ABORT_ERR', 'the call was given up'))
-        }, { once: true })
         socket ??= open()
         writeFrame(socket, frame)
       })
--- a/src/connection/internalClient.ts
+++ b/src/connection/internalClient.ts
@@ -76,18 +76,22 @@
     channel.connection.destroy()
   }
 
-  lifecycle.own(() => {
+  // Tasks that wait for an answer are awaited on closing, so the connections end before them.
+  lifecycle.signal.addEventListener('abort', () => {
     for (const channel of channels.values()) channel.connection.destroy()
-  })
+  }, { once: true })
 
   const clients: InternalClients = {
     call (address, trafficClass, step, limitMs, call) {
       const { client } = channelTo(address, trafficClass)
-      const limit = AbortSignal.timeout(limitMs)
       const origin = { step, peer: address }
-      return ResultAsync.fromPromise(call(client, AbortSignal.any([limit, lifecycle.signal])), error => {
-        if (!limit.aborted) return toFailure(error, origin)
+      let isLate = false
+      const limit = setTimeout(() => {
+        isLate = true
         dropChannel(address, trafficClass)
+      }, limitMs)
+      return ResultAsync.fromPromise(call(client, lifecycle.signal).finally(() => clearTimeout(limit)), error => {
+        if (!isLate) return toFailure(error, origin)
         return createFailure(FailureReason.Timeout, origin, `no answer within ${limitMs} ms`, error)
       })
     },
@@ -108,7 +112,7 @@
 
 function createLink (connection: CallConnection): TRPCLink<InternalRouter> {
   return () => ({ op }) => observable(observer => {
-    connection.call(op.path, op.input, op.signal).then(data => {
+    connection.call(op.path, op.input).then(data => {
       observer.next({ result: { type: 'data', data } })
       observer.complete()
     }, (error: Error) => observer.error(TRPCClientError.from(error)))
--- a/src/process/clock.ts
+++ b/src/process/clock.ts
@@ -24,6 +24,20 @@
    * @returns a promise that resolves at the end of the wait
    */
   abstract sleep (durationMs: number, signal?: AbortSignal): Promise<void>
+
+  /**
+   * Calls a function after a time.
+   * @param durationMs - how long, in milliseconds
+   * @param run - the function
+   * @returns cancels the call
+   */
+  schedule (durationMs: number, run: () => void): () => void {
+    const cancelled = new AbortController()
+    this.sleep(durationMs, cancelled.signal).then(() => {
+      if (!cancelled.signal.aborted) run()
+    }, () => {})
+    return () => cancelled.abort()
+  }
 }
 
 /** The clock of the operating system. */
@@ -36,6 +50,12 @@
     return Date.now()
   }
 
+  // An abort creates an exception with its stack, which costs more than all else of a short wait.
+  override schedule (durationMs: number, run: () => void): () => void {
+    const timer = setTimeout(run, durationMs)
+    return () => clearTimeout(timer)
+  }
+
   override sleep (durationMs: number, signal?: AbortSignal): Promise<void> {
     return new Promise(resolve => {
       if (signal?.aborted === true) return resolve()
--- a/src/process/condition.ts
+++ b/src/process/condition.ts
@@ -2,7 +2,6 @@
  * A condition variable for tasks: waiting costs nothing until it is notified.
  * @module
  */
-
 import { type Clock, createSystemClock } from './clock.ts'
 
 const systemClock = createSystemClock()
@@ -18,6 +17,12 @@
    * @returns true when notified, false at the limit or when aborted
    */
   wait (limitMs: number, signal?: AbortSignal): Promise<boolean>
+  /**
+   * Calls a function at the next notification.
+   * @param wake - the function
+   * @returns takes the function back
+   */
+  once (wake: () => void): () => void
 }
 
 /**
@@ -25,32 +30,21 @@
  * @param clock - measures the limits of waits; the timers of the process when it is not given
  * @returns the condition
  */
-export function createCondition (clock?: Clock): Condition {
+export function createCondition (clock: Clock = systemClock): Condition {
   let waiters = new Set<() => void>()
-  return {
+  const condition: Condition = {
     notify () {
       const woken = waiters
       waiters = new Set()
       for (const wake of woken) wake()
     },
-    wait (limitMs, signal) {
-      return new Promise(resolve => {
-        if (signal?.aborted === true) return resolve(false)
-        const end = (notified: boolean): void => {
-          limit.abort()
-          waiters.delete(wake)
-          signal?.removeEventListener('abort', abort)
-          resolve(notified)
-        }
-        const wake = (): void => end(true)
-        const abort = (): void => end(false)
-        const limit = new AbortController()
-        ;(clock ?? systemClock).sleep(limitMs, limit.signal).then(abort, () => {})
-        waiters.add(wake)
-        signal?.addEventListener('abort', abort, { once: true })
-      })
-    }
+    once (wake) {
+      waiters.add(wake)
+      return () => waiters.delete(wake)
+    },
+    wait: (limitMs, signal) => waitForAny([condition], limitMs, signal, clock)
   }
+  return condition
 }
 
 /**
@@ -62,9 +56,22 @@
  * @returns a promise that resolves at the notification, at the limit or when aborted
  */
 export async function waitForEither (first: Condition, second: Condition, limitMs: number, signal: AbortSignal): Promise<void> {
-  const end = new AbortController()
-  const either = AbortSignal.any([end.signal, signal])
-  await Promise.race([first.wait(limitMs, either), second.wait(limitMs, either)])
-  // The other wait would keep its timer and its listener until its own limit.
-  end.abort()
+  await waitForAny([first, second], limitMs, signal, systemClock)
+}
+
+function waitForAny (conditions: readonly Condition[], limitMs: number, signal: AbortSignal | undefined, clock: Clock): Promise<boolean> {
+  return new Promise(resolve => {
+    if (signal?.aborted === true) return resolve(false)
+    const takeBacks: Array<() => void> = []
+    const end = (notified: boolean): void => {
+      for (const takeBack of takeBacks) takeBack()
+      signal?.removeEventListener('abort', abort)
+      resolve(notified)
+    }
+    const wake = (): void => end(true)
+    const abort = (): void => end(false)
+    for (const condition of conditions) takeBacks.push(condition.once(wake))
+    takeBacks.push(clock.schedule(limitMs, abort))
+    signal?.addEventListener('abort', abort, { once: true })
+  })
 }
