--- a/scripts/processes.ts
+++ b/scripts/processes.ts
@@ -54,8 +54,9 @@
  * @returns the program
  */
 export function startProgram (name: string, path: string, flags: readonly string[]): Program {
-  const child = spawn(process.execPath, [`${root}dist/${path}`, ...flags], { stdio: ['ignore', 'ignore', 'pipe'] })
+  const child = spawn(process.execPath, [`${root}dist/${path}`, ...flags], { stdio: ['ignore', 'pipe', 'pipe'] })
   let errors = ''
+  child.stdout?.on('data', (chunk: Buffer) => { errors += chunk.toString() })
   child.stderr?.on('data', (chunk: Buffer) => { errors += chunk.toString() })
   const ended = new Promise<number | undefined>(resolve => child.once('exit', code => resolve(code ?? undefined)))
   return {
--- a/src/daemons/jaychuteHost.ts
+++ b/src/daemons/jaychuteHost.ts
@@ -75,4 +75,4 @@
 await daemon.lifecycle.closed()
 const { cause } = daemon.lifecycle
 daemon.logger.write(cause === undefined ? LogEvents.processEnded : LogEvents.processFailed, cause === undefined ? {} : { failure: cause })
-setImmediate(() => setImmediate(() => process.exit(cause === undefined ? ExitCode.Success : ExitCode.Failure)))
+process.exit(cause === undefined ? ExitCode.Success : ExitCode.Failure)
--- a/src/process/boundedOutput.ts
+++ b/src/process/boundedOutput.ts
@@ -2,7 +2,7 @@
  * Standard output for log lines: never blocks the process, and drops lines beyond a bound instead of keeping them.
  * @module
  */
-import { write } from 'node:fs'
+import { write, writeSync } from 'node:fs'
 
 /** Most bytes that wait to be written. */
 const waitingLimitBytes = 256 * 1024
@@ -14,6 +14,13 @@
 
 const standardOutput = 1
 
+/** Outputs whose waiting lines are written when the process exits. */
+const outputs = new Set<() => void>()
+
+process.once('exit', () => {
+  for (const flushNow of outputs) flushNow()
+})
+
 /** A place for log lines. */
 export interface LineOutput {
   /**
@@ -55,6 +62,13 @@
     })
   }
 
+  // Nothing else runs any more, so blocking is harmless; a reader that is gone loses the lines.
+  outputs.add(() => {
+    try {
+      writeSync(descriptor, waiting.join(''))
+    } catch {}
+  })
+
   return {
     write (line) {
       const now = Math.floor(performance.now() / millisecondsPerSecond)
