--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -14,7 +14,9 @@
   target: 'node20',
   format: 'esm',
   outdir,
+  // Names stay, so that stacks in the logs can be read.
   minifySyntax: true,
+  minifyWhitespace: true,
   sourcemap: false,
   // CommonJS libraries in the bundle call require for modules of Node.js.
   banner: { js: "import { createRequire as createRequireOf } from 'node:module'; const require = createRequireOf(import.meta.url);" },
--- a/src/connection/controlClient.ts
+++ b/src/connection/controlClient.ts
@@ -30,6 +30,12 @@
   CommandKind.AppendItems, CommandKind.Claim, CommandKind.Start, CommandKind.Complete, CommandKind.GiveBack, CommandKind.Submit
 ])
 
+/** Commands of the gateway, which are tried again on another control host when one does not answer soon. */
+const gatewayCommands: ReadonlySet<CommandKind> = new Set([CommandKind.Publish, CommandKind.Submit, CommandKind.EndSubmission])
+
+/** Longest time for one try of a gateway's command, in milliseconds: a commit between two regions takes less than a tenth of it. */
+const gatewayTryMs = 800
+
 function classOf (command: Command): TrafficClass {
   return batchCommands.has(command.kind) ? TrafficClass.Batch : TrafficClass.Control
 }
@@ -125,7 +131,7 @@
 
   return {
     execute: (command, limitMs = 10_000) => retry(limitMs, Step.Execute, async address =>
-      await clients.callReply<Outcome>(address, classOf(command), Step.Execute, limitMs, (client, abort) =>
+      await clients.callReply<Outcome>(address, classOf(command), Step.Execute, gatewayCommands.has(command.kind) ? Math.min(limitMs, gatewayTryMs) : limitMs, (client, abort) =>
         client.control.execute.mutate(command, { signal: abort }))),
     read: (query, limitMs = 5_000) => retry(limitMs, Step.Read, async address =>
       await clients.callReply<Answer>(address, TrafficClass.Control, Step.Read, callLimitMs + holdOf(query), (client, abort) =>
--- a/src/connection/internalRouter.ts
+++ b/src/connection/internalRouter.ts
@@ -4,7 +4,7 @@
  */
 import { initTRPC } from '@trpc/server'
 import { err } from 'neverthrow'
-import { z } from 'zod'
+import * as z from 'zod'
 import type { Command } from '../process/commands.ts'
 import type { ControlHost } from '../process/controlHost.ts'
 import type { FleetLeader } from '../process/fleet/fleetLeader.ts'
--- a/src/daemons/jaychuteHost.ts
+++ b/src/daemons/jaychuteHost.ts
@@ -3,7 +3,6 @@
  * The daemon of a host of the fleet: reads its settings, starts its role, and drains on SIGTERM.
  * @module
  */
-import meow from 'meow'
 import { settingsVariable } from '../platform/names.ts'
 import { ExitCode } from '../process/commandLine.ts'
 import type { Failure } from '../process/failure.ts'
@@ -25,19 +24,23 @@
   Without --settings-file the variable ${settingsVariable} names the file. SIGTERM drains the host.
   Exit code 2 stands for a setting that must be corrected, 1 for any other failure.
 `
-const command = meow(help, {
-  importMeta: import.meta,
-  description: false,
-  autoHelp: true,
-  flags: { settingsFile: { type: 'string' }, ...Object.fromEntries(names.map(({ setting }) => [setting, { type: 'string' as const }])) }
-})
+
+// The parser of the command line takes a quarter of the start, and on the platform there is no command line.
+async function readFlags (): Promise<Record<string, unknown>> {
+  if (process.argv.length <= 2) return {}
+  const { default: meow } = await import('meow')
+  return meow(help, {
+    importMeta: import.meta,
+    flags: { settingsFile: { type: 'string' }, ...Object.fromEntries(names.map(({ setting }) => [setting, { type: 'string' as const }])) }
+  }).flags
+}
 
 function fail (lines: readonly string[], code: number): never {
   for (const line of lines) console.error(`${program}: ${line}`)
   process.exit(code)
 }
 
-const { settingsFile, ...flags } = command.flags
+const { settingsFile, ...flags } = await readFlags()
 const path = typeof settingsFile === 'string' ? settingsFile : process.env[settingsVariable]
 const settings = readFleetSettings(path, flags)
 if (settings.isErr()) fail(settings.error, ExitCode.Usage)
--- a/src/platform/configuration.ts
+++ b/src/platform/configuration.ts
@@ -4,7 +4,7 @@
  */
 import { createHash } from 'node:crypto'
 import { err, ok, type Result } from 'neverthrow'
-import { z } from 'zod'
+import * as z from 'zod'
 import type { Problem } from '../version/validation.ts'
 import { type GatewayTables, type Publication, RouteKind, type RouteTarget, validateGatewayTables } from '../version/gatewayTables.ts'
 import { Word } from './names.ts'
--- a/src/platform/heartbeat.ts
+++ b/src/platform/heartbeat.ts
@@ -3,7 +3,7 @@
  * no server.
  * @module
  */
-import { z } from 'zod'
+import * as z from 'zod'
 import { isAddress } from '../process/address.ts'
 import type { Heartbeat } from '../process/fleet/backendServerRecords.ts'
 import { Word } from './names.ts'
--- a/src/process/fleet/batchRunner.ts
+++ b/src/process/fleet/batchRunner.ts
@@ -17,7 +17,7 @@
 import type { Random } from '../random.ts'
 import type { Replica } from '../replica.ts'
 import { isClosed, type SubmissionRecord, type SubmittedItem } from '../submissions.ts'
-import { chooseTarget, createRouteIndex, type GatewayRoute, matchRoute, type RouteIndex } from '../../version/gatewayTables.ts'
+import { chooseTarget, createRouteIndex, type GatewayRoute, matchRoute, type RouteIndex, RouteKind } from '../../version/gatewayTables.ts'
 import { ServerPhase } from './backendServerRecords.ts'
 import type { FleetLeader } from './fleetLeader.ts'
 
@@ -147,8 +147,13 @@
     const waiting = new Map<string, string[]>()
     const candidates = [...open.values()].filter(entry => entry.run === undefined && !entry.isEnding && entry.startAfter <= now)
     for (const { key } of orderByUrgency(candidates.map(urgencyOf))) {
-      const route = routeOf(open.get(key)?.record)
-      if (route === undefined) continue
+      const entry = open.get(key)
+      const route = routeOf(entry?.record)
+      if (route?.kind !== RouteKind.Batch) {
+        // No configuration in force allows the item any more.
+        if (entry !== undefined && routesVersion > 0) finish(entry, Ending.Failed, '')
+        continue
+      }
       const service = chooseTarget(route, random.next())
       const keys = waiting.get(service) ?? []
       keys.push(key)
--- a/src/process/fleet/fleetLeader.ts
+++ b/src/process/fleet/fleetLeader.ts
@@ -29,6 +29,9 @@
 /** Load reports that the leader takes in a second from all hosts together; more hosts report less often. */
 const reportsPerSecond = 400
 
+/** How long a poll is held at least while the leader has not heard from everyone, in milliseconds: each such answer lists all servers again. */
+const settlingHoldMs = 100
+
 /** How long news is gathered before the polls are answered, in milliseconds. */
 const gatherMs = 10
 
@@ -70,6 +73,12 @@
   countHosts (role: FleetRole): number
 }
 
+/** Live requests and suspicions of all hosts together. */
+interface LoadSums {
+  readonly live: ReadonlyMap<string, number>
+  readonly suspects: ReadonlySet<string>
+}
+
 interface Session {
   host: FleetHost
   heardAt: number
@@ -92,6 +101,7 @@
   let term = -1
   let ledSince = 0
   let hostsRevision = 0
+  let summed: LoadSums | undefined
 
   function isLeading (): boolean {
     if (replica.state.role !== ReplicaRole.Leader) return false
@@ -99,6 +109,7 @@
     term = replica.state.term
     ledSince = clock.now()
     sessions.clear()
+    summed = undefined
     registry.clear()
     batch.clear()
     hostsRevision++
@@ -114,6 +125,10 @@
     return `${replica.state.identity}/${term}`
   }
 
+  function isComplete (): boolean {
+    return clock.now() - ledSince > inputs.settleMs
+  }
+
   function keepSession (host: FleetHost): void {
     const known = sessions.get(host.holder)
     if (known === undefined) {
@@ -122,6 +137,7 @@
       for (const [holder, session] of sessions) {
         if (session.host.name === host.name && session.host.role === host.role) sessions.delete(holder)
       }
+      summed = undefined
     }
     if (known === undefined || known.host.ready !== host.ready) {
       hostsRevision++
@@ -147,7 +163,7 @@
       tables: (tables?.version ?? 0) > request.tablesVersion ? tables : undefined,
       serversRevision: registry.revision,
       servers: registry.since(isSameLeadership ? request.serversRevision : 0),
-      isComplete: clock.now() - ledSince > inputs.settleMs,
+      isComplete: isComplete(),
       hostsRevision,
       hosts: isHostsTold ? listHosts() : undefined,
       controlHosts: replica.state.members.map(member => member.address)
@@ -158,25 +174,27 @@
     return [...sessions.values()].map(session => session.host)
   }
 
-  function sumLoads (): Map<string, ServerLoad> {
-    const loads = new Map<string, { live: number, batch: number }>()
-    for (const [id, count] of batch) loads.set(id, { live: 0, batch: count })
+  // Sums are kept until a report changes them: the plan of batch work asks for each server.
+  function sums (): LoadSums {
+    if (summed !== undefined) return summed
+    const live = new Map<string, number>()
+    const suspects = new Set<string>()
     for (const session of sessions.values()) {
-      for (const [id, live] of Object.entries(session.live)) {
-        const load = loads.get(id) ?? { live: 0, batch: 0 }
-        load.live += live
-        loads.set(id, load)
-      }
+      for (const [id, count] of Object.entries(session.live)) live.set(id, (live.get(id) ?? 0) + count)
+      for (const id of session.suspects) suspects.add(id)
     }
-    return loads
+    summed = { live, suspects }
+    return summed
   }
 
-  function suspects (): Set<string> {
-    const ids = new Set<string>()
-    for (const session of sessions.values()) {
-      for (const id of session.suspects) ids.add(id)
-    }
-    return ids
+  function loadOf (id: string): ServerLoad {
+    return { live: sums().live.get(id) ?? 0, batch: batch.get(id) ?? 0 }
+  }
+
+  function listLoads (): Record<string, ServerLoad> {
+    const loads: Record<string, ServerLoad> = {}
+    for (const id of [...sums().live.keys(), ...batch.keys()]) loads[id] = loadOf(id)
+    return loads
   }
 
   function logServer (id: string, phaseBefore: ServerPhase | undefined): void {
@@ -196,6 +214,7 @@
       for (const [holder, session] of sessions) {
         if (now - session.heardAt <= sessionMs) continue
         sessions.delete(holder)
+        summed = undefined
         hostsRevision++
         logger.write(LogEvents.hostLost, { peer: session.host.name, value: Math.round(now - session.heardAt) })
         news.notify()
@@ -233,6 +252,8 @@
         }
         if (hasNews(request)) await clock.sleep(gatherMs, lifecycle.signal)
       }
+      const hasTables = (state.publication?.tables.version ?? 0) > request.tablesVersion
+      if (!isComplete() && !hasTables) await clock.sleep(settlingHoldMs, lifecycle.signal)
       if (!isLeading() || leadership() !== startedIn) return err(notLeading(Step.Watch))
       const session = sessions.get(request.host.holder)
       if (session !== undefined) session.heardAt = clock.now()
@@ -244,10 +265,11 @@
       if (session !== undefined) {
         session.live = report.live
         session.suspects = report.suspects
+        summed = undefined
         changed.notify()
       }
       const intervalMs = Math.max(reportIntervalMs, sessions.size * millisecondsPerSecond / reportsPerSecond)
-      return ok({ loads: Object.fromEntries(sumLoads()), suspects: [...suspects()], intervalMs })
+      return ok({ loads: listLoads(), suspects: [...sums().suspects], intervalMs })
     },
     hear (heartbeat) {
       if (!isLeading()) return err(notLeading(Step.Hear))
@@ -265,8 +287,8 @@
     },
     readyServers: () => registry.since(0).filter(record => record.phase === ServerPhase.Ready),
     findServer: id => registry.find(id),
-    loadOf: id => sumLoads().get(id) ?? { live: 0, batch: 0 },
-    isSuspect: id => suspects().has(id),
+    loadOf,
+    isSuspect: id => sums().suspects.has(id),
     findHost: name => listHosts().find(host => host.name === name),
     countHosts: role => listHosts().filter(host => host.role === role).length
   }
--- a/src/process/fleet/fleetSettings.ts
+++ b/src/process/fleet/fleetSettings.ts
@@ -4,7 +4,7 @@
  */
 import { readFileSync } from 'node:fs'
 import { err, ok, type Result } from 'neverthrow'
-import { z } from 'zod'
+import * as z from 'zod'
 import { isAddress } from '../address.ts'
 import { Level } from '../logEvents.ts'
 import { FleetRole } from './fleetMessages.ts'
--- a/src/process/fleet/fleetView.ts
+++ b/src/process/fleet/fleetView.ts
@@ -14,6 +14,9 @@
 /** How long a backend server is avoided after a failed connection, in milliseconds: a crash lasts some seconds, and other hosts tell when it is back. */
 const suspicionMs = 2_000
 
+/** Weight of the newest run in the share of failed runs: about the last ten runs count. */
+const failureWeight = 0.1
+
 /** What a host knows of the fleet. */
 export interface FleetView {
   readonly tables: GatewayTables | undefined
@@ -48,6 +51,10 @@
   suspect (id: string, reason: string): void
   /** Notes a connection that worked. */
   trust (id: string): void
+  /** Notes whether a run on a server succeeded. */
+  noteRun (id: string, succeeded: boolean): void
+  /** Tells the share of the latest runs on a server that failed, from 0 to 1. */
+  failureShare (id: string): number
   isSuspect (id: string): boolean
   /** Lists the servers that this host suspects by itself. */
   ownSuspects (): string[]
@@ -67,6 +74,7 @@
   const live = new Map<string, number>()
   const suspects = new Map<string, number>()
   const others = new Map<string, ServerLoad>()
+  const failures = new Map<string, number>()
   let reportedSuspects: ReadonlySet<string> = new Set()
   const changed = createCondition(clock)
   const loadChanged = createCondition(clock)
@@ -91,7 +99,9 @@
     if (!news.isComplete) return
     const told = new Set(news.servers.map(record => record.id))
     for (const id of servers.keys()) {
-      if (!told.has(id)) servers.delete(id)
+      if (told.has(id)) continue
+      servers.delete(id)
+      failures.delete(id)
     }
   }
 
@@ -154,6 +164,11 @@
     trust (id) {
       suspects.delete(id)
     },
+    noteRun (id, succeeded) {
+      const share = failures.get(id) ?? 0
+      failures.set(id, share + ((succeeded ? 0 : 1) - share) * failureWeight)
+    },
+    failureShare: id => failures.get(id) ?? 0,
     isSuspect (id) {
       return (suspects.get(id) ?? 0) > clock.now() || reportedSuspects.has(id)
     },
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import { err, ok, type Result } from 'neverthrow'
-import { z } from 'zod'
+import * as z from 'zod'
 import { isAddress } from './address.ts'
 import { type Failure, FailureReason, Step } from './failure.ts'
 import { Level } from './logEvents.ts'
--- a/src/request/administrationApi.ts
+++ b/src/request/administrationApi.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import { Hono } from 'hono'
-import { z } from 'zod'
+import * as z from 'zod'
 import type { ControlClient } from '../connection/controlClient.ts'
 import { CommandKind, OutcomeKind } from '../process/commands.ts'
 import { QueryKind } from '../process/queries.ts'
--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -90,6 +90,8 @@
   /** Servers that refused this request. */
   readonly avoided: Set<string>
   firstByteAt: number | undefined
+  /** Status of the latest answer of a server; 0 before the first. */
+  status: number
   server: BackendServerRecord | undefined
 }
 
@@ -120,6 +122,7 @@
     lastEvent: request.resumeAfter,
     avoided: new Set(),
     firstByteAt: undefined,
+    status: 0,
     server: undefined
   }
   while (await makeAttempt(progress, services)) services.metrics.count(Counter.Retries, route.kind)
@@ -140,6 +143,7 @@
   } finally {
     services.view.countLive(server.id, -1)
   }
+  if (end === AttemptEnd.Complete || (end === AttemptEnd.Broken && !request.left.aborted)) services.view.noteRun(server.id, end === AttemptEnd.Complete && progress.status < serverErrorStatus)
   if (end === AttemptEnd.Complete) return finish(progress, services)
   if (request.left.aborted) return leave(progress, services)
   if (progress.isTimeUp || services.clock.now() >= progress.deadlineAt) return giveUp(progress, services, GatewayRefusal.TimedOut)
@@ -186,6 +190,7 @@
       server,
       load: live + others.batch,
       isSuspect: view.isSuspect(server.id),
+      failureShare: view.failureShare(server.id),
       isSameZone: server.availabilityZone === services.availabilityZone,
       isSameRegion: services.regionOf(server.availabilityZone) === services.region
     })
@@ -249,6 +254,7 @@
   const { answer, route } = progress
   const value = sent._unsafeUnwrap()
   if (value.kind === BackendAnswerKind.NotRun) return AttemptEnd.NotRun
+  progress.status = value.status
   const isSuccess = value.status >= successStatus && value.status < redirectStatus
   if (!isSuccess) {
     if (progress.isStarted) return AttemptEnd.Broken
--- a/src/request/jobApi.ts
+++ b/src/request/jobApi.ts
@@ -4,7 +4,7 @@
  */
 import { type Context, Hono } from 'hono'
 import { stream } from 'hono/streaming'
-import { z } from 'zod'
+import * as z from 'zod'
 import type { ControlClient } from '../connection/controlClient.ts'
 import { CommandKind, OutcomeKind } from '../process/commands.ts'
 import type { Failure } from '../process/failure.ts'
--- a/src/request/serverChoice.ts
+++ b/src/request/serverChoice.ts
@@ -13,12 +13,20 @@
 /** Load that counts for a server whose connections failed lately, in requests; it is used when nothing else is left. */
 const suspectPenalty = 100
 
+/** Load that counts for a server all of whose latest runs failed, in requests: as much as a server that is full. */
+const failurePenalty = 16
+
+/** Share of failed runs that is no sign of a fault of the server. */
+const failureTolerance = 0.1
+
 /** A server that may be chosen. */
 export interface ServerCandidate {
   readonly server: BackendServerRecord
   /** Requests in flight there, from all hosts. */
   readonly load: number
   readonly isSuspect: boolean
+  /** Share of its latest runs that failed, from 0 to 1. */
+  readonly failureShare: number
   readonly isSameZone: boolean
   readonly isSameRegion: boolean
 }
@@ -43,7 +51,8 @@
   return best
 }
 
-function scoreOf ({ load, isSuspect, isSameZone, isSameRegion }: ServerCandidate): number {
+function scoreOf ({ load, isSuspect, failureShare, isSameZone, isSameRegion }: ServerCandidate): number {
   const distance = isSameZone ? 0 : isSameRegion ? zonePenalty : regionPenalty
-  return load + distance + (isSuspect ? suspectPenalty : 0)
+  const failing = failureShare > failureTolerance ? failureShare * failurePenalty : 0
+  return load + distance + failing + (isSuspect ? suspectPenalty : 0)
 }
--- a/src/version/tables.ts
+++ b/src/version/tables.ts
@@ -2,7 +2,7 @@
  * The two tables that operators edit, under one version number.
  * @module
  */
-import { z } from 'zod'
+import * as z from 'zod'
 
 /** How a pool's backend servers are spoken to. */
 export const ProtocolKind = { Engine: 'engine', Service: 'service' } as const
