--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -3,9 +3,7 @@
  * answer on as it arrives.
  * @module
  */
-import type { BackendAnswer, BackendServerClient, ExchangeFailure } from '../connection/backendServerClient.ts'
-import { BackendAnswerKind } from '../connection/backendServerClient.ts'
-import type { Result } from 'neverthrow'
+import { type BackendAnswer, BackendAnswerKind, type BackendServerClient, type ExchangeFailure } from '../connection/backendServerClient.ts'
 import type { Clock } from '../process/clock.ts'
 import { createFailure, type Failure, FailureReason, Step, toFailure } from '../process/failure.ts'
 import type { BackendServerRecord } from '../process/fleet/backendServerRecords.ts'
@@ -64,6 +62,8 @@
   readonly metrics: Metrics
 }
 
+type WholeAnswer = Extract<BackendAnswer, { readonly kind: typeof BackendAnswerKind.Answer }>
+
 /** How an attempt ended. */
 const AttemptEnd = { Complete: 'complete', NotRun: 'not run', Unsent: 'unsent', Broken: 'broken', Left: 'left' } as const
 type AttemptEnd = typeof AttemptEnd[keyof typeof AttemptEnd]
@@ -225,7 +225,7 @@
     }, abort.signal)
     if (sent.isErr()) return noteFailure(progress, server, sent.error, services)
     view.trust(server.id)
-    return await passOn(progress, sent, silence, services)
+    return await passOn(progress, sent.value, silence, services)
   } catch (error) {
     noteBroken(progress, server, toFailure(error, { step: Step.ReadAnswer, peer: server.address }), services)
     return AttemptEnd.Broken
@@ -250,9 +250,8 @@
   services.logger.write(LogEvents.attemptFailed, { requestId: progress.request.id, failure, value: progress.runs, inputs: { server: server.id, revision: server.revision } })
 }
 
-async function passOn (progress: Progress, sent: Result<BackendAnswer, ExchangeFailure>, silence: SilenceLimit, services: ForwardingServices): Promise<AttemptEnd> {
+async function passOn (progress: Progress, value: BackendAnswer, silence: SilenceLimit, services: ForwardingServices): Promise<AttemptEnd> {
   const { answer, route } = progress
-  const value = sent._unsafeUnwrap()
   if (value.kind === BackendAnswerKind.NotRun) return AttemptEnd.NotRun
   progress.status = value.status
   const isSuccess = value.status >= successStatus && value.status < redirectStatus
@@ -299,7 +298,7 @@
   progress.answer.start(status, headers)
 }
 
-async function passEventsOn (progress: Progress, value: BackendAnswer & { kind: 'answer' }, silence: SilenceLimit, services: ForwardingServices): Promise<AttemptEnd> {
+async function passEventsOn (progress: Progress, value: WholeAnswer, silence: SilenceLimit, services: ForwardingServices): Promise<AttemptEnd> {
   const { answer, route } = progress
   const splitter = createEventSplitter()
   for await (const piece of value.body) {
