Acknowledge a leaving backend server once every host knows; seed a new leader's registry

The acknowledgement did not wait for the gateways, and polls of a leader younger than 3 s were answered in a loop. Ruled out: a late heartbeat of the same server (its sequence was older). Change: the acknowledgement waits until every gateway and control host has confirmed the revision; a new leader begins with what it knew as a member.

--- a/src/process/fleet/backendServerRecords.ts
+++ b/src/process/fleet/backendServerRecords.ts
@@ -47,6 +47,12 @@
    * @returns whether it was newer than what was known
    */
   hear (heartbeat: Heartbeat, now: number): boolean
+  /**
+   * Takes a record that was known before, with its phase.
+   * @param record - the record
+   * @param now - monotonic time in milliseconds; the server counts as heard then
+   */
+  seed (record: BackendServerRecord, now: number): void
   /**
    * Takes the word of a server that it leaves.
    * @param id - the server
@@ -104,6 +110,7 @@
       put(heartbeat, heartbeat.leaving ? ServerPhase.Leaving : ServerPhase.Ready, now)
       return true
     },
+    seed: (record, now) => put(record, record.phase, now),
     withdraw (id, now) {
       const known = entries.get(id)
       if (known === undefined) return
--- a/src/process/fleet/controlDaemon.ts
+++ b/src/process/fleet/controlDaemon.ts
@@ -92,6 +92,7 @@
     clock,
     logger,
     lifecycle,
+    knownServers: () => base.view.listServers(),
     serverSilenceMs: settings.heartbeatMs * missedHeartbeats,
     settleMs: settings.heartbeatMs * settleHeartbeats
   })
--- a/src/process/fleet/fleetLeader.ts
+++ b/src/process/fleet/fleetLeader.ts
@@ -29,8 +29,8 @@
 /** Load reports that the leader takes in a second from all hosts together; more hosts report less often. */
 const reportsPerSecond = 400
 
-/** How long a poll is held at least while the leader has not heard from everyone, in milliseconds: each such answer lists all servers again. */
-const settlingHoldMs = 100
+/** How long a host that leaves waits for its acknowledgement, in milliseconds; it calls again after a second. */
+const confirmLimitMs = 600
 
 /** How long news is gathered before the polls are answered, in milliseconds. */
 const gatherMs = 10
@@ -46,6 +46,8 @@
   readonly lifecycle: Lifecycle
   /** How long a backend server may be silent, in milliseconds. */
   readonly serverSilenceMs: number
+  /** What this host knows of the backend servers as a member of the fleet; a new leader begins with it. */
+  readonly knownServers: () => readonly BackendServerRecord[]
   /** How long after its election a leader waits to have heard from everyone, in milliseconds. */
   readonly settleMs: number
 }
@@ -61,8 +63,10 @@
   publish (): void
   watch (request: FleetWatch): Promise<Result<FleetNews, Failure>>
   report (report: LoadReport): Result<LoadTotals, Failure>
-  hear (heartbeat: Heartbeat): Result<boolean, Failure>
-  withdraw (id: string): Result<boolean, Failure>
+  /** Takes a heartbeat; one of a leaving server is answered only once every host of the fleet knows. */
+  hear (heartbeat: Heartbeat): Promise<Result<boolean, Failure>>
+  /** Takes the word of a server that it leaves; answered only once every host of the fleet knows. */
+  withdraw (id: string): Promise<Result<boolean, Failure>>
   /** Lists the backend servers that take requests. */
   readyServers (): BackendServerRecord[]
   findServer (id: string): BackendServerRecord | undefined
@@ -84,6 +88,8 @@
   heardAt: number
   live: LiveCounts
   suspects: readonly string[]
+  /** Revision of the registry that the host has confirmed to know. */
+  confirmedRevision: number
 }
 
 /**
@@ -97,6 +103,7 @@
   const registry = createBackendServerRegistry(inputs.serverSilenceMs)
   const changed = createCondition(clock)
   const news = createCondition(clock)
+  const confirmed = createCondition(clock)
   const batch = new Map<string, number>()
   let term = -1
   let ledSince = 0
@@ -111,6 +118,7 @@
     sessions.clear()
     summed = undefined
     registry.clear()
+    for (const record of inputs.knownServers()) registry.seed(record, ledSince)
     batch.clear()
     hostsRevision++
     return true
@@ -129,7 +137,7 @@
     return clock.now() - ledSince > inputs.settleMs
   }
 
-  function keepSession (host: FleetHost): void {
+  function keepSession ({ host, ...request }: FleetWatch): void {
     const known = sessions.get(host.holder)
     if (known === undefined) {
       logger.write(LogEvents.hostJoined, { peer: host.name, detail: host.role })
@@ -144,11 +152,14 @@
       news.notify()
       changed.notify()
     }
-    sessions.set(host.holder, { host, heardAt: clock.now(), live: known?.live ?? {}, suspects: known?.suspects ?? [] })
+    const confirmedRevision = request.leadership === leadership() ? request.serversRevision : -1
+    sessions.set(host.holder, { host, heardAt: clock.now(), live: known?.live ?? {}, suspects: known?.suspects ?? [], confirmedRevision })
+    confirmed.notify()
   }
 
   function hasNews (request: FleetWatch): boolean {
     if (request.leadership !== leadership()) return true
+    if (isComplete() && !request.isSettled) return true
     if ((state.publication?.tables.version ?? 0) > request.tablesVersion) return true
     if (registry.revision > request.serversRevision) return true
     return request.host.role === FleetRole.Control && request.hostsRevision !== hostsRevision
@@ -157,7 +168,7 @@
   function createNews (request: FleetWatch): FleetNews {
     const isSameLeadership = request.leadership === leadership()
     const tables = state.publication?.tables
-    const isHostsTold = request.host.role === FleetRole.Control && !(isSameLeadership && request.hostsRevision === hostsRevision)
+    const isHostsTold = request.host.role === FleetRole.Control && !(isSameLeadership && request.hostsRevision === hostsRevision && request.isSettled === isComplete())
     return {
       leadership: leadership(),
       tables: (tables?.version ?? 0) > request.tablesVersion ? tables : undefined,
@@ -197,6 +208,20 @@
     return loads
   }
 
+  // The word of a leaving server must outlive this leader, and no host may send it anything later.
+  async function confirmLeaving (id: string): Promise<Result<boolean, Failure>> {
+    const revision = registry.find(id)?.revision ?? 0
+    const startedIn = leadership()
+    const deadline = clock.now() + confirmLimitMs
+    while (isLeading() && leadership() === startedIn) {
+      const unaware = [...sessions.values()].find(session => session.confirmedRevision < revision && session.host.role !== FleetRole.Executor)
+      if (unaware === undefined) return ok(true)
+      if (clock.now() >= deadline) return err(createFailure(FailureReason.Timeout, { step: Step.Hear, peer: unaware.host.name }, `host ${unaware.host.name} has not confirmed revision ${revision}`))
+      await confirmed.wait(deadline - clock.now(), lifecycle.signal)
+    }
+    return err(notLeading(Step.Hear))
+  }
+
   function logServer (id: string, phaseBefore: ServerPhase | undefined): void {
     const record = registry.find(id)
     if (record === undefined || record.phase === phaseBefore) return
@@ -215,6 +240,7 @@
         if (now - session.heardAt <= sessionMs) continue
         sessions.delete(holder)
         summed = undefined
+        confirmed.notify()
         hostsRevision++
         logger.write(LogEvents.hostLost, { peer: session.host.name, value: Math.round(now - session.heardAt) })
         news.notify()
@@ -242,7 +268,7 @@
     publish: () => news.notify(),
     async watch (request) {
       if (!isLeading()) return err(notLeading(Step.Watch))
-      keepSession(request.host)
+      keepSession(request)
       const deadline = clock.now() + fleetHoldMs
       const startedIn = leadership()
       if (!hasNews(request)) {
@@ -252,8 +278,6 @@
         }
         if (hasNews(request)) await clock.sleep(gatherMs, lifecycle.signal)
       }
-      const hasTables = (state.publication?.tables.version ?? 0) > request.tablesVersion
-      if (!isComplete() && !hasTables) await clock.sleep(settlingHoldMs, lifecycle.signal)
       if (!isLeading() || leadership() !== startedIn) return err(notLeading(Step.Watch))
       const session = sessions.get(request.host.holder)
       if (session !== undefined) session.heardAt = clock.now()
@@ -271,19 +295,19 @@
       const intervalMs = Math.max(reportIntervalMs, sessions.size * millisecondsPerSecond / reportsPerSecond)
       return ok({ loads: listLoads(), suspects: [...sums().suspects], intervalMs })
     },
-    hear (heartbeat) {
+    async hear (heartbeat) {
       if (!isLeading()) return err(notLeading(Step.Hear))
       const before = registry.find(heartbeat.id)?.phase
       const isNews = registry.hear(heartbeat, clock.now())
       if (isNews) logServer(heartbeat.id, before)
-      return ok(isNews)
+      return heartbeat.leaving ? await confirmLeaving(heartbeat.id) : ok(isNews)
     },
-    withdraw (id) {
+    async withdraw (id) {
       if (!isLeading()) return err(notLeading(Step.Hear))
       const before = registry.find(id)?.phase
       registry.withdraw(id, clock.now())
       logServer(id, before)
-      return ok(true)
+      return await confirmLeaving(id)
     },
     readyServers: () => registry.since(0).filter(record => record.phase === ServerPhase.Ready),
     findServer: id => registry.find(id),
--- a/src/process/fleet/fleetMessages.ts
+++ b/src/process/fleet/fleetMessages.ts
@@ -34,6 +34,8 @@
   readonly tablesVersion: number
   readonly serversRevision: number
   readonly hostsRevision: number
+  /** Whether the host knows that the leader has heard from every backend server. */
+  readonly isSettled: boolean
 }
 
 /** The answer to a poll. */
--- a/src/process/fleet/fleetView.ts
+++ b/src/process/fleet/fleetView.ts
@@ -39,6 +39,8 @@
   learnLoad (totals: LoadTotals, reported: ReadonlyMap<string, number>): void
   /** Lists the backend servers of a service that take requests. */
   readyServers (service: string): BackendServerRecord[]
+  /** Lists all backend servers, whatever their phase. */
+  listServers (): BackendServerRecord[]
   /** Finds a backend server, whatever its phase. */
   findServer (id: string): BackendServerRecord | undefined
   /** Tells the load of a server by other hosts. */
@@ -71,6 +73,8 @@
  */
 export function createFleetView (clock: Clock, logger: Logger, seeds: readonly string[]): FleetView {
   const servers = new Map<string, BackendServerRecord>()
+  // Servers that the present leader has told of; the others are forgotten once it has heard from everyone.
+  const told = new Set<string>()
   const live = new Map<string, number>()
   const suspects = new Map<string, number>()
   const others = new Map<string, ServerLoad>()
@@ -86,18 +90,19 @@
   let leadership = ''
   let serversRevision = 0
   let hostsRevision = -1
+  let isSettled = false
 
   function learnServers (news: FleetNews): void {
     const isSameLeadership = news.leadership === leadership
+    if (!isSameLeadership) told.clear()
     for (const record of news.servers) {
+      told.add(record.id)
       const known = servers.get(record.id)
       // A new leader may have missed what the old one was told, for example that a server leaves.
-      const isStale = known !== undefined && !isSameLeadership && !isNewer(record, known) && known.phase !== ServerPhase.Ready
+      const isStale = known !== undefined && known.phase !== ServerPhase.Ready && record.phase === ServerPhase.Ready && !isNewer(record, known)
       if (!isStale) servers.set(record.id, record)
     }
-    if (isSameLeadership) return
-    if (!news.isComplete) return
-    const told = new Set(news.servers.map(record => record.id))
+    if (!news.isComplete || (isSameLeadership && isSettled)) return
     for (const id of servers.keys()) {
       if (told.has(id)) continue
       servers.delete(id)
@@ -114,7 +119,7 @@
     changed,
     loadChanged,
     live,
-    nextWatch: host => ({ host, leadership, tablesVersion: tables?.version ?? 0, serversRevision, hostsRevision }),
+    nextWatch: host => ({ host, leadership, tablesVersion: tables?.version ?? 0, serversRevision, hostsRevision, isSettled }),
     learn (news) {
       heardAt = clock.now()
       if (news.tables !== undefined && news.tables.version > (tables?.version ?? 0)) {
@@ -123,14 +128,13 @@
         logger.write(LogEvents.configurationInForce, { value: tables.version, detail: news.leadership })
       }
       learnServers(news)
-      // Until the leader has heard from everyone, each poll asks for all servers again.
-      if (news.isComplete) {
-        if (leadership !== news.leadership) logger.write(LogEvents.leaderFound, { detail: news.leadership, value: news.serversRevision })
-        leadership = news.leadership
-        serversRevision = news.serversRevision
-      }
+      if (leadership !== news.leadership) logger.write(LogEvents.leaderFound, { detail: news.leadership, value: news.serversRevision })
+      leadership = news.leadership
+      serversRevision = news.serversRevision
+      isSettled = news.isComplete
+      // A new leader hears from the hosts within a second; until then the longer list is the better one.
       if (news.hosts !== undefined && (news.isComplete || news.hosts.length >= hosts.length)) hosts = news.hosts
-      if (news.isComplete) hostsRevision = news.hostsRevision
+      hostsRevision = news.hostsRevision
       if (news.controlHosts.length > 0) controlHosts = [...new Set([...news.controlHosts, ...seeds])]
       changed.notify()
     },
@@ -148,6 +152,7 @@
       }
       return ready
     },
+    listServers: () => [...servers.values()],
     findServer: id => servers.get(id),
     otherLoad: id => others.get(id) ?? noLoad,
     countLive (id, change) {
