--- a/src/connection/backendServerClient.ts
+++ b/src/connection/backendServerClient.ts
@@ -31,12 +31,6 @@
 export const BackendAnswerKind = { Answer: 'answer', NotRun: 'not run' } as const
 export type BackendAnswerKind = typeof BackendAnswerKind[keyof typeof BackendAnswerKind]
 
-/** The load that a server tells with an answer. */
-export interface ToldLoad {
-  readonly running: number
-  readonly waiting: number
-}
-
 /** The answer of a backend server. */
 export type BackendAnswer =
   | {
@@ -46,13 +40,11 @@
     readonly headers: readonly string[]
     /** Pieces as they arrive; throws a failure when the answer breaks off. */
     readonly body: AsyncIterable<Buffer>
-    readonly load: ToldLoad | undefined
   }
   | {
     /** The server says that it has not run the request. */
     readonly kind: typeof BackendAnswerKind.NotRun
     readonly status: number
-    readonly load: ToldLoad | undefined
   }
 
 /** A failure before the start of an answer. */
--- a/src/connection/callConnection.ts
+++ b/src/connection/callConnection.ts
@@ -55,6 +55,10 @@
   let socket: Socket | undefined
   let destroyed = false
 
+  function isDestroyed (): boolean {
+    return destroyed
+  }
+
   function open (): Socket {
     const { ip, port } = parseAddress(address)
     const opened = connect({ host: ip, port, noDelay: true })
@@ -87,10 +91,12 @@
 
   return {
     async call (procedure, input) {
-      if (destroyed) throw new CallError('ECONNRESET', `the connection to ${address} is closed`)
+      if (isDestroyed()) throw new CallError('ECONNRESET', `the connection to ${address} is closed`)
       const number = ++lastNumber
       const message: CallMessage = [number, procedure, input]
       const frame = encodeSmallMessage(message, compressFrom) ?? await encodeMessage(message, compressFrom)
+      // The connection may have been given up while the message was compressed.
+      if (isDestroyed()) throw new CallError('ECONNRESET', `the connection to ${address} is closed`)
       return await new Promise((resolve, reject) => {
         pending.set(number, { resolve, reject })
         socket ??= open()
--- a/src/platform/backendServerHttp.ts
+++ b/src/platform/backendServerHttp.ts
@@ -7,7 +7,7 @@
 import { type ClientRequest, type IncomingMessage, request as sendRequest } from 'node:http'
 import { err, ok, type Result } from 'neverthrow'
 import {
-  type BackendAnswer, BackendAnswerKind, type BackendRequest, BackendServerClient, type BackendServerTarget, type ExchangeFailure, type ToldLoad
+  type BackendAnswer, BackendAnswerKind, type BackendRequest, BackendServerClient, type BackendServerTarget, type ExchangeFailure
 } from '../connection/backendServerClient.ts'
 import { parseAddress } from '../process/address.ts'
 import { createFailure, type Failure, FailureReason, Step, toFailure } from '../process/failure.ts'
@@ -18,7 +18,7 @@
 
 const misdirectedStatus = 421
 
-/** Lengths are taken from the connection, and its load is for the gateway itself. */
+/** The load of a server is not for callers. */
 const droppedFromAnswers: ReadonlySet<string> = new Set([Header.load])
 
 class BackendServerHttp extends BackendServerClient {
@@ -78,11 +78,10 @@
 
   private receive (response: IncomingMessage): void {
     const status = response.statusCode ?? 0
-    const load = readLoad(response.headers[Header.load])
     response.on('error', error => this.fail(this.describe(error)))
     if (response.headers[Header.notRun] !== undefined || status === misdirectedStatus) {
       this.hasAnswer = true
-      this.settle(ok({ kind: BackendAnswerKind.NotRun, status, load }))
+      this.settle(ok({ kind: BackendAnswerKind.NotRun, status }))
       this.close()
       return
     }
@@ -101,7 +100,7 @@
     response.once('close', () => {
       if (!response.complete) this.fail(createFailure(FailureReason.Incomplete, { step: Step.ReadAnswer, peer: this.target.address }, 'the connection ended in the middle of the answer'))
     })
-    this.settle(ok({ kind: BackendAnswerKind.Answer, status, headers: filterHeaders(response.rawHeaders, droppedFromAnswers), body: this.body, load }))
+    this.settle(ok({ kind: BackendAnswerKind.Answer, status, headers: filterHeaders(response.rawHeaders, droppedFromAnswers), body: this.body }))
   }
 
   private describe (error: unknown): Failure {
@@ -162,10 +161,3 @@
     }
   }
 }
-
-function readLoad (value: string | string[] | undefined): ToldLoad | undefined {
-  if (typeof value !== 'string') return undefined
-  const [running, waiting] = value.split(',').map(Number)
-  if (running === undefined || waiting === undefined || !Number.isFinite(running + waiting)) return undefined
-  return { running, waiting }
-}
--- a/src/platform/callerHttp.ts
+++ b/src/platform/callerHttp.ts
@@ -4,30 +4,13 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import type { Result } from 'neverthrow'
-import { CallerAnswer, type CallerRequest, GatewayRefusal } from '../request/callerExchange.ts'
-import type { JobSubmission } from '../request/gatewayJobs.ts'
+import { CallerAnswer, GatewayRefusal } from '../request/callerExchange.ts'
+import type { CallerService } from '../request/callerService.ts'
 import type { ResultPage, SubmittedItem } from '../process/submissions.ts'
 import type { CallerLimits } from '../version/gatewayTables.ts'
 import { Ending } from '../process/commands.ts'
 import { filterHeaders, Header, Path, Word } from './names.ts'
 
-/** What the gateway does with the calls. */
-export interface CallerService {
-  /** Limits in force; undefined before the first tables. */
-  limits (): CallerLimits | undefined
-  /** Whether connections are to end after their answers. */
-  isDraining (): boolean
-  /** Whether a request with this host and path is a job. */
-  isJob (host: string, path: string): boolean
-  now (): number
-  forward (request: CallerRequest, answer: CallerAnswer): Promise<void>
-  submit (job: JobSubmission): Promise<Result<void, GatewayRefusal>>
-  results (job: string, after: number, waitMs: number): Promise<Result<ResultPage | undefined, GatewayRefusal>>
-  body (job: string, item: string): Promise<Result<Uint8Array | undefined, GatewayRefusal>>
-  end (job: string): Promise<Result<boolean, GatewayRefusal>>
-}
-
 /** Status of each refusal. 429 and 503 promise that the request has not run and will not. */
 const statusOf: Readonly<Record<GatewayRefusal, number>> = {
   [GatewayRefusal.NoRoute]: 404,
--- a/src/platform/controlHttp.ts
+++ b/src/platform/controlHttp.ts
@@ -3,39 +3,11 @@
  * @module
  */
 import { Hono } from 'hono'
-import type { Result } from 'neverthrow'
-import type { Failure } from '../process/failure.ts'
-import type { Heartbeat } from '../process/fleet/backendServerRecords.ts'
-import type { Publication } from '../version/gatewayTables.ts'
-import type { Problem } from '../version/validation.ts'
+import { type ControlService, PublicationEnd, RetirementEnd } from '../process/fleet/controlService.ts'
 import { decodeConfiguration } from './configuration.ts'
 import { decodeHeartbeat } from './heartbeat.ts'
 import { Path, Word } from './names.ts'
 
-/** Kinds of answer to a publication. */
-export const PublicationEnd = { Accepted: 'accepted', Conflict: 'conflict', Unknown: 'unknown' } as const
-export type PublicationEnd = typeof PublicationEnd[keyof typeof PublicationEnd]
-
-/** Kinds of answer to the wish to empty a host. */
-export const RetirementEnd = { Accepted: 'accepted', UnknownHost: 'unknown host', TooFew: 'too few', NotReady: 'not ready' } as const
-export type RetirementEnd = typeof RetirementEnd[keyof typeof RetirementEnd]
-
-/** What a control host does with the calls. */
-export interface ControlService {
-  publish (publication: Publication): Promise<PublicationEnd>
-  refusePublication (problems: readonly Problem[]): void
-  /** The newest document; undefined value when there is none yet. */
-  publication (): Promise<Result<string | undefined, Failure>>
-  hear (heartbeat: Heartbeat): Promise<Result<boolean, Failure>>
-  ignoreHeartbeat (id: string): void
-  withdraw (id: string): Promise<Result<boolean, Failure>>
-  gateways (availabilityZone: string, region: string): string[]
-  /** How long a caller may keep an answer, in milliseconds. */
-  readonly addressKeepMs: number
-  retire (host: string): RetirementEnd
-  isRetired (host: string): boolean | undefined
-}
-
 const statusOfPublication = { [PublicationEnd.Accepted]: 200, [PublicationEnd.Conflict]: 409, [PublicationEnd.Unknown]: 503 } as const
 const statusOfRetirement = {
   [RetirementEnd.Accepted]: 200, [RetirementEnd.UnknownHost]: 404, [RetirementEnd.TooFew]: 409, [RetirementEnd.NotReady]: 503
--- a/src/process/fleet/fleetLeader.ts
+++ b/src/process/fleet/fleetLeader.ts
@@ -70,11 +70,9 @@
   /** Lists the backend servers that take requests. */
   readyServers (): BackendServerRecord[]
   findServer (id: string): BackendServerRecord | undefined
-  /** Counts live requests and tells whether a host suspects the server. */
   loadOf (id: string): ServerLoad
+  /** Tells whether a host suspects the server. */
   isSuspect (id: string): boolean
-  findHost (name: string): FleetHost | undefined
-  countHosts (role: FleetRole): number
 }
 
 /** Live requests and suspicions of all hosts together. */
@@ -312,8 +310,6 @@
     readyServers: () => registry.since(0).filter(record => record.phase === ServerPhase.Ready),
     findServer: id => registry.find(id),
     loadOf,
-    isSuspect: id => sums().suspects.has(id),
-    findHost: name => listHosts().find(host => host.name === name),
-    countHosts: role => listHosts().filter(host => host.role === role).length
+    isSuspect: id => sums().suspects.has(id)
   }
 }
--- a/src/process/fleet/fleetSettings.ts
+++ b/src/process/fleet/fleetSettings.ts
@@ -32,7 +32,6 @@
   dataFolder: z.string().optional().describe('folder for durable state (control)'),
   toleratedLosses: z.coerce.number().int().min(0).max(2).default(1).describe('control hosts that may be lost at once'),
   heartbeatMs: milliseconds.default(1_200).describe('time between two heartbeats of a backend server, in milliseconds'),
-  drainMs: milliseconds.default(2_500).describe('time after which a leaving backend server gets nothing new, in milliseconds'),
   graceSeconds: z.coerce.number().min(0).default(8).describe('time from SIGTERM to the end of the process, in seconds'),
   statusKeepSeconds: z.coerce.number().min(0).default(120).describe('time for which jobs can be read after their submission, in seconds'),
   logLevel: z.enum(Level).default(Level.Info).describe('debug, info, warn or error')
--- a/src/process/fleet/gatewayDaemon.ts
+++ b/src/process/fleet/gatewayDaemon.ts
@@ -6,8 +6,10 @@
 import { err, ok, type Result } from 'neverthrow'
 import { runLoadReports } from '../../connection/fleetWatch.ts'
 import { createBackendServerHttp } from '../../platform/backendServerHttp.ts'
-import { type CallerService, createCallerServer } from '../../platform/callerHttp.ts'
+import { createCallerServer } from '../../platform/callerHttp.ts'
 import { createReadinessApi } from '../../platform/controlHttp.ts'
+import { addressKeepMs } from '../../request/addressAnswer.ts'
+import type { CallerService } from '../../request/callerService.ts'
 import { runForwardedRequest, type ForwardingServices } from '../../request/forwardedRequest.ts'
 import { endJob, type GatewayJobServices, readItemBody, readJobResults, submitJob } from '../../request/gatewayJobs.ts'
 import { matchRoute, RouteKind } from '../../version/gatewayTables.ts'
@@ -17,9 +19,6 @@
 import { createFleetHostBase, type FleetDaemon, type FleetHostBase, serveMetrics } from './fleetDaemon.ts'
 import type { FleetSettings } from './fleetSettings.ts'
 
-/** How long callers may keep an address answer, in milliseconds; also in force at the directory. */
-export const addressKeepMs = 1_000
-
 /** How many times its life some callers keep an address answer. */
 const keepFactor = 3
 
@@ -31,6 +30,9 @@
 
 const millisecondsPerSecond = 1_000
 
+/** How often readiness is looked at without news, in milliseconds. */
+const readinessMs = 500
+
 /** How often a draining gateway looks for open requests, in milliseconds. */
 const lookMs = 50
 
@@ -65,7 +67,7 @@
   lifecycle.run(async signal => {
     while (!signal.aborted) {
       presence.ready = view.tables !== undefined && !state.isDraining
-      await view.changed.wait(lookMs * 10, signal)
+      await view.changed.wait(readinessMs, signal)
     }
   })
   lifecycle.run(signal => runLoadReports({ view, client: base.control, describe: base.describe, clock, random, logger }, signal))
--- a/src/request/addressAnswer.ts
+++ b/src/request/addressAnswer.ts
@@ -4,6 +4,9 @@
  */
 import { type FleetHost, FleetRole } from '../process/fleet/fleetMessages.ts'
 
+/** How long callers may keep an address answer, in milliseconds; a gateway that drains listens for some lives of it. */
+export const addressKeepMs = 1_000
+
 /** Gateways that a caller should at least be told, so that it has another one when one fails. */
 const enoughGateways = 2
 
--- a/src/request/eventStream.ts
+++ b/src/request/eventStream.ts
@@ -23,6 +23,8 @@
   readonly pendingBytes: number
 }
 
+const eventStreamType = 'text/event-stream'
+
 const eventEnd = Buffer.from('\n\n')
 
 /**
@@ -48,6 +50,31 @@
   }
 }
 
+/**
+ * Tells whether an answer is a stream of events.
+ * @param headers - its headers, name and value by turns
+ * @returns whether it is
+ */
+export function isEventStream (headers: readonly string[]): boolean {
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    if (headers[index]?.toLowerCase() === 'content-type') return headers[index + 1]?.startsWith(eventStreamType) === true
+  }
+  return false
+}
+
+/**
+ * Drops the length of an answer, which does not hold when another server goes on with its stream.
+ * @param headers - name and value by turns
+ * @returns the other headers
+ */
+export function withoutLength (headers: readonly string[]): string[] {
+  const kept: string[] = []
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    if (headers[index]?.toLowerCase() !== 'content-length') kept.push(headers[index] ?? '', headers[index + 1] ?? '')
+  }
+  return kept
+}
+
 function parseEvent (bytes: Buffer): StreamEvent {
   let id: number | undefined
   let data: string | undefined
--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -14,8 +14,9 @@
 import type { Random } from '../process/random.ts'
 import { chooseTarget, type GatewayRoute, matchRoute, RouteKind } from '../version/gatewayTables.ts'
 import { type CallerAnswer, type CallerRequest, GatewayRefusal } from './callerExchange.ts'
-import { createEventSplitter } from './eventStream.ts'
+import { createEventSplitter, isEventStream, withoutLength } from './eventStream.ts'
 import { chooseServer, type ServerCandidate } from './serverChoice.ts'
+import { createSilenceLimit, type SilenceLimit } from './silenceLimit.ts'
 
 /** Live requests that may wait at one backend server beyond its slots; a slot becomes free about every 90 ms on a full server. */
 const queueAllowance = 2
@@ -44,8 +45,6 @@
 /** Status of an answer whose request was run by a server that failed. */
 const serverErrorStatus = 500
 
-const eventStreamType = 'text/event-stream'
-
 const successStatus = 200
 const redirectStatus = 300
 
@@ -276,22 +275,6 @@
   return AttemptEnd.Complete
 }
 
-function isEventStream (headers: readonly string[]): boolean {
-  for (let index = 0; index + 1 < headers.length; index += 2) {
-    if (headers[index]?.toLowerCase() === 'content-type') return headers[index + 1]?.startsWith(eventStreamType) === true
-  }
-  return false
-}
-
-// The length of the first server's answer does not hold when another one goes on.
-function withoutLength (headers: readonly string[]): string[] {
-  const kept: string[] = []
-  for (let index = 0; index + 1 < headers.length; index += 2) {
-    if (headers[index]?.toLowerCase() !== 'content-length') kept.push(headers[index] ?? '', headers[index + 1] ?? '')
-  }
-  return kept
-}
-
 function startAnswer (progress: Progress, status: number, headers: readonly string[]): void {
   if (progress.isStarted) return
   progress.isStarted = true
@@ -380,29 +363,3 @@
     }
   }
 }
-
-/** Gives an attempt up after a silence. */
-interface SilenceLimit {
-  restart (limitMs: number): void
-  stop (): void
-}
-
-function createSilenceLimit (firstMs: number, expire: () => void): SilenceLimit {
-  if (firstMs === Infinity) return { restart () {}, stop () {} }
-  let timer = setTimeout(expire, firstMs)
-  let currentMs = firstMs
-  return {
-    restart (limitMs) {
-      if (limitMs === currentMs) {
-        timer.refresh()
-        return
-      }
-      clearTimeout(timer)
-      currentMs = limitMs
-      timer = setTimeout(expire, limitMs)
-    },
-    stop () {
-      clearTimeout(timer)
-    }
-  }
-}
--- a/test/support/fakeFleet.ts
+++ b/test/support/fakeFleet.ts
@@ -47,14 +47,14 @@
     const script = this.scripts.shift() ?? { does: 'refuse' }
     const broken = createFailure(FailureReason.Reset, { step: Step.FirstByte, peer: target.address }, 'connection reset')
     switch (script.does) {
-      case 'refuse': return ok({ kind: BackendAnswerKind.NotRun, status: 503, load: undefined })
+      case 'refuse': return ok({ kind: BackendAnswerKind.NotRun, status: 503 })
       case 'fail': return err({ sent: script.sent, failure: broken })
       case 'hang':
         await aborted(signal)
         return err({ sent: true, failure: broken })
       case 'answer': {
         const headers = ['content-type', script.type ?? 'text/event-stream', 'x-server-stamp', target.id]
-        return ok({ kind: BackendAnswerKind.Answer, status: script.status ?? 200, headers, body: piecesOf(script, signal, broken), load: undefined })
+        return ok({ kind: BackendAnswerKind.Answer, status: script.status ?? 200, headers, body: piecesOf(script, signal, broken) })
       }
     }
   }
