--- a/test/entryFaults.test.ts
+++ b/test/entryFaults.test.ts
@@ -83,9 +83,7 @@
 
   it('killed: callers go on through another address, and its items come back within seconds and end once', async () => {
     const servers = await knowServers(fleet, 2)
-    // The live stream returns the items of its server to the queue, where they go before those that the killed host holds;
-    // with eight in all, both kinds fit into the first claims of the survivor.
-    const job = await submit(fleet, 'evening', 8, 1_000)
+    const job = await submit(fleet, 'evening', 12, 1_000)
     const killed = await findBatchHost(fleet)
     const [other = ''] = (await addressesOf(killed)).filter(address => address !== killed.callerAddress)
     const stream = await ask(killed, 5_000)
@@ -97,6 +95,6 @@
     expect(survivor.callerAddress).to.equal(other)
     await againElsewhere(servers, before)
     expect((await askWhole(survivor, 2)).status).to.equal(200)
-    await expectEachOnce(survivor, job, 8)
+    await expectEachOnce(survivor, job, 12)
   })
 })
