Move on once when several calls fail at one control host

Ruled out: a stuck poll (its calls ended) and the replaced membership (complete 2.9 s after the loss). Change: a failure moves the pointer only from its own address; hosts that did not answer are passed over for 2 s.

--- a/src/connection/controlClient.ts
+++ b/src/connection/controlClient.ts
@@ -22,6 +22,9 @@
 /** Longest time for the answer to a call of the fleet, apart from the time it is held, in milliseconds. */
 const fleetLimitMs = 700
 
+/** How long a control host that did not answer is passed over, in milliseconds; with all of them failed each is tried again. */
+const failedForMs = 2_000
+
 /** Longest pause between two tries, in milliseconds. */
 const retryMs = 200
 
@@ -105,25 +108,40 @@
   const { controlHosts, clients, clock, random, metrics, signal } = inputs
   const listHosts = typeof controlHosts === 'function' ? controlHosts : () => controlHosts
   let leader = listHosts()[0] ?? ''
+  const failedAt = new Map<string, number>()
 
-  function follow (failure: Failure): void {
+  // Calls run at the same time: the first failure at an address moves all of them on, and the others must not move past
+  // the next one.
+  function follow (address: string, failure: Failure): void {
     metrics.count(Counter.ControlCalls, failure.reason)
-    if (failure.alternative !== undefined && failure.alternative !== leader) {
+    if (failure.reason === FailureReason.Timeout || failure.reason === FailureReason.Refused) failedAt.set(address, clock.now())
+    if (address !== leader) return
+    if (failure.alternative !== undefined && failure.alternative !== leader && !hasFailedLately(failure.alternative)) {
       leader = failure.alternative
       return
     }
     const hosts = listHosts()
-    leader = hosts[(hosts.indexOf(leader) + 1) % hosts.length] ?? leader
+    const position = hosts.indexOf(leader)
+    for (let step = 1; step <= hosts.length; step++) {
+      const next = hosts[(position + step) % hosts.length] ?? leader
+      leader = next
+      if (!hasFailedLately(next)) return
+    }
+  }
+
+  function hasFailedLately (address: string): boolean {
+    return clock.now() - (failedAt.get(address) ?? -Infinity) < failedForMs
   }
 
   async function retry<Value> (limitMs: number, step: Step, call: (address: string) => Promise<Result<Value, Failure>>): Promise<Result<Value, Failure>> {
     const deadline = clock.now() + limitMs
     let failure = createFailure(FailureReason.Timeout, { step }, 'no time left for the call')
     while (clock.now() < deadline && !signal.aborted) {
-      const result = await call(leader)
+      const address = leader
+      const result = await call(address)
       if (result.isOk()) return result
       failure = result.error
-      follow(failure)
+      follow(address, failure)
       await clock.sleep(random.next() * retryMs, signal)
     }
     return err(failure)
@@ -137,15 +155,17 @@
       await clients.callReply<Answer>(address, TrafficClass.Control, Step.Read, callLimitMs + holdOf(query), (client, abort) =>
         client.control.read.mutate(query, { signal: abort }))),
     async watch (request) {
-      const result = await clients.callReply<WatchAnswer>(leader, TrafficClass.Control, Step.Watch, pollHoldMs + callLimitMs, (client, abort) =>
+      const address = leader
+      const result = await clients.callReply<WatchAnswer>(address, TrafficClass.Control, Step.Watch, pollHoldMs + callLimitMs, (client, abort) =>
         client.control.watch.mutate(request, { signal: abort }))
-      if (result.isErr()) follow(result.error)
+      if (result.isErr()) follow(address, result.error)
       return result
     },
     async watchFleet (request) {
-      const result = await clients.callReply<FleetNews>(leader, TrafficClass.Control, Step.Watch, fleetHoldMs + fleetLimitMs, (client, abort) =>
+      const address = leader
+      const result = await clients.callReply<FleetNews>(address, TrafficClass.Control, Step.Watch, fleetHoldMs + fleetLimitMs, (client, abort) =>
         client.fleet.watch.mutate(request, { signal: abort }))
-      if (result.isErr()) follow(result.error)
+      if (result.isErr()) follow(address, result.error)
       return result
     },
     reportLoad: async report => await clients.callReply<LoadTotals>(leader, TrafficClass.Live, Step.Report, fleetLimitMs, (client, abort) =>
--- /dev/null
+++ b/test/controlClient.test.ts
@@ -0,0 +1,63 @@
+import { expect } from 'chai'
+import { errAsync, okAsync } from 'neverthrow'
+import { createControlClient } from '../src/connection/controlClient.ts'
+import type { InternalClients } from '../src/connection/internalClient.ts'
+import { createSystemClock } from '../src/process/clock.ts'
+import { createFailure, FailureReason, Step } from '../src/process/failure.ts'
+import type { FleetWatch } from '../src/process/fleet/fleetMessages.ts'
+import { createMetrics } from '../src/process/metrics.ts'
+import { createSystemRandom } from '../src/process/random.ts'
+import { QueryKind } from '../src/process/queries.ts'
+
+const limitMs = 3_000
+const poll: FleetWatch = {
+  host: { name: 'g', holder: 'g', role: 'gateway', availabilityZone: 'z', region: 'r', callerAddress: undefined, ready: true },
+  leadership: '',
+  tablesVersion: 0,
+  serversRevision: 0,
+  hostsRevision: 0,
+  isSettled: false
+}
+
+describe('calls to the leader', () => {
+  const calls: string[] = []
+
+  /** Control hosts of which `alive` answers, the followers with the address that they take for the leader's. */
+  function clientOf (hosts: readonly string[], alive: string, followers: Readonly<Record<string, string | undefined>>) {
+    calls.length = 0
+    const clients = {
+      callReply (address: string) {
+        calls.push(address)
+        if (address === alive) return okAsync({})
+        const step = Step.Watch
+        if (address in followers) return errAsync(createFailure(FailureReason.NotLeader, { step, alternative: followers[address] }, 'follower'))
+        return errAsync(createFailure(FailureReason.Timeout, { step, peer: address }, 'no answer'))
+      }
+    } as unknown as InternalClients
+    return createControlClient({ controlHosts: hosts, clients, clock: createSystemClock(), random: createSystemRandom(), metrics: createMetrics(), signal: new AbortController().signal })
+  }
+
+  // Failure (CONFIG on rothar, deploy/days/core-replaced-twice): each of several calls that failed at the old leader moved on
+  // by one host, so that together they passed over the new leader for six seconds.
+  it('moves on once for several calls that fail at one address', async () => {
+    const client = clientOf(['old', 'new', 'other', 'gone'], 'new', { other: undefined })
+    const reads = Array.from({ length: 3 }, () => client.read({ kind: QueryKind.Publication }, limitMs))
+    const watched = await client.watchFleet(poll)
+    expect(watched.isErr()).to.equal(true)
+    for (const read of await Promise.all(reads)) expect(read.isOk()).to.equal(true)
+    expect(calls).to.deep.equal(['old', 'old', 'old', 'old', 'new', 'new', 'new'])
+  })
+
+  it('does not go back to a host that did not answer because a follower names it', async () => {
+    const client = clientOf(['dead', 'follower', 'leader'], 'leader', { follower: 'dead' })
+    expect((await client.read({ kind: QueryKind.Publication }, limitMs)).isOk()).to.equal(true)
+    expect(calls).to.deep.equal(['dead', 'follower', 'leader'])
+  })
+
+  it('tries every host again when all have failed', async () => {
+    const client = clientOf(['a', 'b'], 'none', {})
+    expect((await client.read({ kind: QueryKind.Publication }, 500)).isErr()).to.equal(true)
+    expect(new Set(calls)).to.deep.equal(new Set(['a', 'b']))
+    expect(calls.length).to.be.above(2)
+  })
+})
