Move the platform's adapter to platform/ at the root

Cause: the users asked for one small folder platform/, and a check of names found those of platform.configuration and platform.names below src/.

--- a/src/daemons/jaychuteHost.ts
+++ b/src/daemons/jaychuteHost.ts
@@ -3,7 +3,7 @@
  * The daemon of a host of the fleet: reads its settings, starts its role, and drains on SIGTERM.
  * @module
  */
-import { settingsVariable } from '../platform/names.ts'
+import { settingsVariable } from '../../platform/names.ts'
 import { ExitCode } from '../process/commandLine.ts'
 import type { Failure } from '../process/failure.ts'
 import type { FleetDaemon } from '../process/fleet/fleetDaemon.ts'
