Share what the parts of a process, requests and programs have in common

Change: OpaqueRequest, ProcessServices, createFleetDaemon, runDaemon, callOnce, one millisecondsPerSecond.

--- a/src/connection/backendServerClient.ts
+++ b/src/connection/backendServerClient.ts
@@ -4,18 +4,10 @@
  */
 import type { Result } from 'neverthrow'
 import type { Failure } from '../process/failure.ts'
+import type { OpaqueRequest } from './opaqueRequest.ts'
 
 /** A request to a backend server. */
-export interface BackendRequest {
-  readonly id: string
-  readonly host: string
-  readonly method: string
-  readonly path: string
-  /** Headers to pass on, name and value by turns. */
-  readonly headers: readonly string[]
-  readonly body: Uint8Array
-  /** Event after which a stream goes on; undefined for a stream from the start. */
-  readonly resumeAfter: number | undefined
+export interface BackendRequest extends OpaqueRequest {
   /** How long the backend server may work, in milliseconds; undefined for no limit. */
   readonly timeLeftMs: number | undefined
 }
--- a/src/connection/controlClient.ts
+++ b/src/connection/controlClient.ts
@@ -133,48 +133,43 @@
     return clock.now() - (failedAt.get(address) ?? -Infinity) < failedForMs
   }
 
-  async function retry<Value> (limitMs: number, step: Step, call: (address: string) => Promise<Result<Value, Failure>>): Promise<Result<Value, Failure>> {
+  async function callOnce<Value> (call: (address: string) => PromiseLike<Result<Value, Failure>>): Promise<Result<Value, Failure>> {
+    const address = leader
+    const result = await call(address)
+    if (result.isErr()) follow(address, result.error)
+    return result
+  }
+
+  async function retry<Value> (limitMs: number, step: Step, call: (address: string) => PromiseLike<Result<Value, Failure>>): Promise<Result<Value, Failure>> {
     const deadline = clock.now() + limitMs
     let failure = createFailure(FailureReason.Timeout, { step }, 'no time left for the call')
     while (clock.now() < deadline && !signal.aborted) {
-      const address = leader
-      const result = await call(address)
+      const result = await callOnce(call)
       if (result.isOk()) return result
       failure = result.error
-      follow(address, failure)
       await clock.sleep(random.next() * retryMs, signal)
     }
     return err(failure)
   }
 
   return {
-    execute: (command, limitMs = 10_000) => retry(limitMs, Step.Execute, async address =>
-      await clients.callReply<Outcome>(address, classOf(command), Step.Execute, gatewayCommands.has(command.kind) ? Math.min(limitMs, gatewayTryMs) : limitMs, (client, abort) =>
+    execute: (command, limitMs = 10_000) => retry(limitMs, Step.Execute, address =>
+      clients.callReply<Outcome>(address, classOf(command), Step.Execute, gatewayCommands.has(command.kind) ? Math.min(limitMs, gatewayTryMs) : limitMs, (client, abort) =>
         client.control.execute.mutate(command, { signal: abort }))),
-    read: (query, limitMs = 5_000) => retry(limitMs, Step.Read, async address =>
-      await clients.callReply<Answer>(address, TrafficClass.Control, Step.Read, callLimitMs + holdOf(query), (client, abort) =>
+    read: (query, limitMs = 5_000) => retry(limitMs, Step.Read, address =>
+      clients.callReply<Answer>(address, TrafficClass.Control, Step.Read, callLimitMs + holdOf(query), (client, abort) =>
         client.control.read.mutate(query, { signal: abort }))),
-    async watch (request) {
-      const address = leader
-      const result = await clients.callReply<WatchAnswer>(address, TrafficClass.Control, Step.Watch, pollHoldMs + callLimitMs, (client, abort) =>
-        client.control.watch.mutate(request, { signal: abort }))
-      if (result.isErr()) follow(address, result.error)
-      return result
-    },
-    async watchFleet (request) {
-      const address = leader
-      const result = await clients.callReply<FleetNews>(address, TrafficClass.Control, Step.Watch, fleetHoldMs + fleetLimitMs, (client, abort) =>
-        client.fleet.watch.mutate(request, { signal: abort }))
-      if (result.isErr()) follow(address, result.error)
-      return result
-    },
+    watch: request => callOnce(address => clients.callReply<WatchAnswer>(address, TrafficClass.Control, Step.Watch, pollHoldMs + callLimitMs, (client, abort) =>
+      client.control.watch.mutate(request, { signal: abort }))),
+    watchFleet: request => callOnce(address => clients.callReply<FleetNews>(address, TrafficClass.Control, Step.Watch, fleetHoldMs + fleetLimitMs, (client, abort) =>
+      client.fleet.watch.mutate(request, { signal: abort }))),
     reportLoad: async report => await clients.callReply<LoadTotals>(leader, TrafficClass.Live, Step.Report, fleetLimitMs, (client, abort) =>
       client.fleet.report.mutate(report, { signal: abort })),
-    hear: (heartbeat, limitMs) => retry(limitMs, Step.Hear, async address =>
-      await clients.callReply<boolean>(address, TrafficClass.Control, Step.Hear, fleetLimitMs, (client, abort) =>
+    hear: (heartbeat, limitMs) => retry(limitMs, Step.Hear, address =>
+      clients.callReply<boolean>(address, TrafficClass.Control, Step.Hear, fleetLimitMs, (client, abort) =>
         client.fleet.hear.mutate(heartbeat, { signal: abort }))),
-    withdraw: (id, limitMs) => retry(limitMs, Step.Hear, async address =>
-      await clients.callReply<boolean>(address, TrafficClass.Control, Step.Hear, fleetLimitMs, (client, abort) =>
+    withdraw: (id, limitMs) => retry(limitMs, Step.Hear, address =>
+      clients.callReply<boolean>(address, TrafficClass.Control, Step.Hear, fleetLimitMs, (client, abort) =>
         client.fleet.withdraw.mutate({ id }, { signal: abort })))
   }
 }
--- a/src/connection/fleetWatch.ts
+++ b/src/connection/fleetWatch.ts
@@ -2,12 +2,10 @@
  * The tasks that connect a host to the leader of the fleet: one polls for news, one reports the load of a gateway.
  * @module
  */
-import type { Clock } from '../process/clock.ts'
 import type { FleetHost } from '../process/fleet/fleetMessages.ts'
 import type { FleetView } from '../process/fleet/fleetView.ts'
 import { LogEvents } from '../process/logEvents.ts'
-import type { Logger } from '../process/logger.ts'
-import type { Random } from '../process/random.ts'
+import type { ProcessServices } from '../process/processServices.ts'
 import type { FleetClient } from './controlClient.ts'
 
 /** Longest pause after a poll that failed, in milliseconds; random, so that hosts do not call a new leader all at once. */
@@ -20,14 +18,11 @@
 const busyReportFactor = 2.5
 
 /** What the tasks need. */
-export interface FleetConnection {
+export interface FleetConnection extends Pick<ProcessServices, 'clock' | 'random' | 'logger'> {
   readonly view: FleetView
   readonly client: FleetClient
   /** Describes this host as it is now. */
   readonly describe: () => FleetHost
-  readonly clock: Clock
-  readonly random: Random
-  readonly logger: Logger
 }
 
 /**
--- a/src/daemons/jaychuteHost.ts
+++ b/src/daemons/jaychuteHost.ts
@@ -5,6 +5,7 @@
  */
 import { settingsVariable } from '../../platform/names.ts'
 import { ExitCode } from '../process/commandLine.ts'
+import { runDaemon, SecondSignal } from '../process/daemonRun.ts'
 import type { Failure } from '../process/failure.ts'
 import type { FleetDaemon } from '../process/fleet/fleetDaemon.ts'
 import { FleetRole } from '../process/fleet/fleetMessages.ts'
@@ -57,13 +58,6 @@
 const started = await start(settings.value)
 if (started.isErr()) fail([`${started.error.step}: ${started.error.message}`], ExitCode.Failure)
 const daemon = started.value
-let draining = false
-
-function stop (): void {
-  if (draining) return
-  draining = true
-  daemon.drain().catch(() => process.exit(ExitCode.Failure))
-}
 
 // The settings in the file are those of the next start; a change that is not valid is told at once.
 function reload (): void {
@@ -72,10 +66,5 @@
   daemon.logger.write(changed.isErr() ? LogEvents.settingsRefused : LogEvents.settingsReread, { detail: problems })
 }
 
-process.on('SIGTERM', stop)
-process.on('SIGINT', stop)
 process.on('SIGHUP', reload)
-await daemon.lifecycle.closed()
-const { cause } = daemon.lifecycle
-daemon.logger.write(cause === undefined ? LogEvents.processEnded : LogEvents.processFailed, cause === undefined ? {} : { failure: cause })
-process.exit(cause === undefined ? ExitCode.Success : ExitCode.Failure)
+await runDaemon(daemon, SecondSignal.Ignored)
--- a/src/daemons/jaychuted.ts
+++ b/src/daemons/jaychuted.ts
@@ -6,7 +6,7 @@
 import meow from 'meow'
 import { ExitCode, findUnknown, reportProblems } from '../process/commandLine.ts'
 import { startDaemon } from '../process/daemon.ts'
-import { LogEvents } from '../process/logEvents.ts'
+import { runDaemon, SecondSignal } from '../process/daemonRun.ts'
 import { explainStart, listFlags, readSettings } from '../process/settings.ts'
 
 const program = 'jaychuted'
@@ -41,18 +41,4 @@
   reportProblems(program, [problem ?? { flag: started.error.step, text: started.error.message }])
   process.exit(problem === undefined ? ExitCode.Failure : ExitCode.Usage)
 }
-const daemon = started.value
-let draining = false
-
-function stop (): void {
-  if (draining) process.exit(ExitCode.Failure)
-  draining = true
-  daemon.drain().catch(() => process.exit(ExitCode.Failure))
-}
-
-process.on('SIGTERM', stop)
-process.on('SIGINT', stop)
-await daemon.lifecycle.closed()
-const { cause } = daemon.lifecycle
-daemon.logger.write(cause === undefined ? LogEvents.processEnded : LogEvents.processFailed, cause === undefined ? {} : { failure: cause })
-process.exit(cause === undefined ? ExitCode.Success : ExitCode.Failure)
+await runDaemon(started.value, SecondSignal.Ends)
--- a/src/process/boundedOutput.ts
+++ b/src/process/boundedOutput.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import { write, writeSync } from 'node:fs'
+import { millisecondsPerSecond } from './units.ts'
 
 /** Most bytes that wait to be written. */
 const waitingLimitBytes = 256 * 1024
@@ -10,8 +11,6 @@
 /** Most lines in one second; a host logs about three lines a request and serves some 50 requests a second. */
 const linesPerSecond = 400
 
-const millisecondsPerSecond = 1_000
-
 const standardOutput = 1
 
 /** Outputs whose waiting lines are written when the process exits. */
--- a/src/process/daemon.ts
+++ b/src/process/daemon.ts
@@ -17,6 +17,7 @@
 import { createSystemClock } from './clock.ts'
 import { type ControlHost, createControlHost } from './controlHost.ts'
 import { createEntryHost, type RunningEntryHost } from './entryHost.ts'
+import type { RunningDaemon } from './daemonRun.ts'
 import { type Failure, FailureReason } from './failure.ts'
 import { createFileStorage } from './fileStorage.ts'
 import { createLifecycle, type Lifecycle } from './lifecycle.ts'
@@ -32,16 +33,9 @@
 const metricsType = 'text/plain; version=0.0.4; charset=utf-8'
 
 /** A running daemon. */
-export interface Daemon {
-  readonly lifecycle: Lifecycle
-  readonly logger: Logger
+export interface Daemon extends RunningDaemon {
   readonly controlHost: ControlHost | undefined
   readonly entryHost: RunningEntryHost | undefined
-  /**
-   * Shuts down without cutting off a request.
-   * @returns a promise that resolves when all is closed
-   */
-  drain (): Promise<void>
 }
 
 /**
--- a/src/process/fleet/batchRunner.ts
+++ b/src/process/fleet/batchRunner.ts
@@ -6,15 +6,12 @@
 import type { BackendServerClient } from '../../connection/backendServerClient.ts'
 import { type ItemUrgency, orderByUrgency, planBatch, type PlannedServer } from '../../request/batchPlan.ts'
 import { type ItemProgress, RunEnd, type RunOutcome, runSubmittedItem } from '../../request/submittedItemRun.ts'
-import type { Clock } from '../clock.ts'
 import { CommandKind, Ending, type FinishedItem } from '../commands.ts'
 import { type Condition, createCondition, waitForEither } from '../condition.ts'
 import type { ControlState } from '../controlState.ts'
-import type { Lifecycle } from '../lifecycle.ts'
 import { LogEvents } from '../logEvents.ts'
-import type { Logger } from '../logger.ts'
-import { Counter, type Metrics } from '../metrics.ts'
-import type { Random } from '../random.ts'
+import { Counter } from '../metrics.ts'
+import type { ProcessServices } from '../processServices.ts'
 import type { Replica } from '../replica.ts'
 import { isClosed, type SubmissionRecord, type SubmittedItem } from '../submissions.ts'
 import { chooseTarget, createRouteIndex, type GatewayRoute, matchRoute, type RouteIndex, RouteKind } from '../../version/gatewayTables.ts'
@@ -46,16 +43,11 @@
 const avoidMs = 1_000
 
 /** What the runner needs. */
-export interface BatchRunnerInputs {
+export interface BatchRunnerInputs extends ProcessServices {
   readonly fleet: FleetLeader
   readonly replica: Replica
   readonly state: ControlState
   readonly client: BackendServerClient
-  readonly clock: Clock
-  readonly random: Random
-  readonly logger: Logger
-  readonly metrics: Metrics
-  readonly lifecycle: Lifecycle
   /** How long a job is kept after it was accepted, in milliseconds. */
   readonly keepMs: number
 }
--- a/src/process/fleet/controlDaemon.ts
+++ b/src/process/fleet/controlDaemon.ts
@@ -19,10 +19,11 @@
 import { setAside } from '../setAside.ts'
 import { createBatchRunner, type BatchRunner } from './batchRunner.ts'
 import { type ControlService, PublicationEnd, RetirementEnd } from './controlService.ts'
-import { createFleetHostBase, type FleetDaemon, type FleetHostBase, serveMetrics } from './fleetDaemon.ts'
+import { createFleetDaemon, createFleetHostBase, type FleetDaemon, type FleetHostBase, serveMetrics } from './fleetDaemon.ts'
 import { createFleetLeader, type FleetLeader } from './fleetLeader.ts'
 import { FleetRole } from './fleetMessages.ts'
 import { controlHostsOf, type FleetSettings } from './fleetSettings.ts'
+import { millisecondsPerSecond } from '../units.ts'
 
 /** Heartbeats that a backend server may miss before it counts as gone; gateways notice a crash by themselves. */
 const missedHeartbeats = 6
@@ -42,8 +43,6 @@
 /** How many times the promised time a job is kept, so that no read near its end misses it. */
 const keepFactor = 1.5
 
-const millisecondsPerSecond = 1_000
-
 /** Executors that stay when one is to be emptied. */
 const executorsMin = 1
 
@@ -112,16 +111,10 @@
     if (directory.isErr()) return err(directory.error)
   }
   await serveMetrics(base)
-  return ok({
-    lifecycle,
-    logger,
-    async drain () {
-      logger.write(LogEvents.processDraining)
-      await replica.resign()
-      await clock.sleep(drainMs)
-      await lifecycle.close()
-    }
-  })
+  return ok(createFleetDaemon(base, async () => {
+    await replica.resign()
+    await clock.sleep(drainMs)
+  }))
 }
 
 function createControlService ({ control, view, logger }: FleetHostBase): ControlService {
--- a/src/process/fleet/executorDaemon.ts
+++ b/src/process/fleet/executorDaemon.ts
@@ -4,8 +4,7 @@
  */
 import { ok, type Result } from 'neverthrow'
 import type { Failure } from '../failure.ts'
-import { LogEvents } from '../logEvents.ts'
-import { createFleetHostBase, type FleetDaemon, serveMetrics } from './fleetDaemon.ts'
+import { createFleetDaemon, createFleetHostBase, type FleetDaemon, serveMetrics } from './fleetDaemon.ts'
 import type { FleetSettings } from './fleetSettings.ts'
 
 /**
@@ -15,14 +14,6 @@
  */
 export async function startExecutor (settings: FleetSettings): Promise<Result<FleetDaemon, Failure>> {
   const base = createFleetHostBase(settings)
-  const { lifecycle, logger } = base
   await serveMetrics(base)
-  return ok({
-    lifecycle,
-    logger,
-    async drain () {
-      logger.write(LogEvents.processDraining)
-      await lifecycle.close()
-    }
-  })
+  return ok(createFleetDaemon(base))
 }
--- a/src/process/fleet/fleetDaemon.ts
+++ b/src/process/fleet/fleetDaemon.ts
@@ -7,12 +7,14 @@
 import { createControlClient, type ControlClient, type FleetClient } from '../../connection/controlClient.ts'
 import { type FleetConnection, runFleetWatch } from '../../connection/fleetWatch.ts'
 import { createInternalClients, type InternalClients } from '../../connection/internalClient.ts'
-import { type Clock, createSystemClock } from '../clock.ts'
-import { createLifecycle, type Lifecycle } from '../lifecycle.ts'
+import { createSystemClock } from '../clock.ts'
+import type { RunningDaemon } from '../daemonRun.ts'
+import { createLifecycle } from '../lifecycle.ts'
 import { LogEvents } from '../logEvents.ts'
-import { createLogger, type Logger } from '../logger.ts'
-import { createMetrics, type Metrics } from '../metrics.ts'
-import { createSystemRandom, type Random } from '../random.ts'
+import { createLogger } from '../logger.ts'
+import { createMetrics } from '../metrics.ts'
+import type { ProcessServices } from '../processServices.ts'
+import { createSystemRandom } from '../random.ts'
 import { serveApi } from '../servers.ts'
 import type { FleetHost } from './fleetMessages.ts'
 import { controlHostsOf, type FleetSettings } from './fleetSettings.ts'
@@ -22,27 +24,35 @@
 const metricsType = 'text/plain; version=0.0.4; charset=utf-8'
 
 /** What every host of the fleet has. */
-export interface FleetHostBase {
+export interface FleetHostBase extends ProcessServices {
   readonly settings: FleetSettings
-  readonly lifecycle: Lifecycle
-  readonly logger: Logger
-  readonly metrics: Metrics
-  readonly clock: Clock
-  readonly random: Random
   readonly clients: InternalClients
   readonly control: ControlClient & FleetClient
   readonly view: FleetView
-  /** Changed by the role before the host is described. */
-  readonly presence: { ready: boolean }
+  /** Whether callers may be sent here; set by the role, and told with each poll. */
+  readonly readiness: { isReady: boolean }
   describe (): FleetHost
 }
 
 /** A running host of the fleet. */
-export interface FleetDaemon {
-  readonly lifecycle: Lifecycle
-  readonly logger: Logger
-  /** Shuts down without cutting off a request; resolves when all is closed. */
-  drain (): Promise<void>
+export type FleetDaemon = RunningDaemon
+
+/**
+ * Creates the daemon of a started host.
+ * @param base - the host
+ * @param drain - ends the role's own work
+ * @returns the daemon
+ */
+export function createFleetDaemon ({ lifecycle, logger }: FleetHostBase, drain: () => Promise<void> = async () => {}): FleetDaemon {
+  return {
+    lifecycle,
+    logger,
+    async drain () {
+      logger.write(LogEvents.processDraining)
+      await drain()
+      await lifecycle.close()
+    }
+  }
 }
 
 /**
@@ -59,7 +69,7 @@
   const clients = createInternalClients(lifecycle)
   const view = createFleetView(clock, logger, controlHostsOf(settings))
   const control = createControlClient({ controlHosts: () => view.controlHosts, clients, clock, random, metrics, signal: lifecycle.signal })
-  const presence = { ready: false }
+  const readiness = { isReady: false }
   const holder = randomUUID()
   const describe = (): FleetHost => ({
     name: settings.host,
@@ -68,12 +78,12 @@
     availabilityZone: settings.availabilityZone,
     region: settings.region,
     callerAddress: settings.callerAddress,
-    ready: presence.ready
+    ready: readiness.isReady
   })
   const connection: FleetConnection = { view, client: control, describe, clock, random, logger }
   lifecycle.run(signal => runFleetWatch(connection, signal))
   logger.write(LogEvents.processStarted, { detail: settings.role, inputs: { holder, seeds: settings.seeds.join(' '), form: settings.form } })
-  return { settings, lifecycle, logger, metrics, clock, random, clients, control, view, presence, describe }
+  return { settings, lifecycle, logger, metrics, clock, random, clients, control, view, readiness, describe }
 }
 
 /**
--- a/src/process/fleet/fleetLeader.ts
+++ b/src/process/fleet/fleetLeader.ts
@@ -4,18 +4,17 @@
  * @module
  */
 import { err, ok, type Result } from 'neverthrow'
-import type { Clock } from '../clock.ts'
 import { type Condition, createCondition } from '../condition.ts'
 import type { ControlState } from '../controlState.ts'
 import { createFailure, type Failure, FailureReason, Step } from '../failure.ts'
-import type { Lifecycle } from '../lifecycle.ts'
 import { LogEvents } from '../logEvents.ts'
-import type { Logger } from '../logger.ts'
+import type { ProcessServices } from '../processServices.ts'
 import { type Replica, ReplicaRole } from '../replica.ts'
 import { createBackendServerRegistry, type BackendServerRecord, type Heartbeat, ServerPhase } from './backendServerRecords.ts'
 import {
   fleetHoldMs, type FleetHost, type FleetNews, FleetRole, type FleetWatch, type LiveCounts, type LoadReport, type LoadTotals, type ServerLoad
 } from './fleetMessages.ts'
+import { millisecondsPerSecond } from '../units.ts'
 
 /** How long a host may be silent before its session ends, in milliseconds: two polls held to their limit, and one lost. */
 const sessionMs = 3 * fleetHoldMs
@@ -35,15 +34,10 @@
 /** How long news is gathered before the polls are answered, in milliseconds. */
 const gatherMs = 10
 
-const millisecondsPerSecond = 1_000
-
 /** What the fleet's leader needs. */
-export interface FleetLeaderInputs {
+export interface FleetLeaderInputs extends Pick<ProcessServices, 'clock' | 'logger' | 'lifecycle'> {
   readonly replica: Replica
   readonly state: ControlState
-  readonly clock: Clock
-  readonly logger: Logger
-  readonly lifecycle: Lifecycle
   /** How long a backend server may be silent, in milliseconds. */
   readonly serverSilenceMs: number
   /** What this host knows of the backend servers as a member of the fleet; a new leader begins with it. */
--- a/src/process/fleet/gatewayDaemon.ts
+++ b/src/process/fleet/gatewayDaemon.ts
@@ -14,10 +14,10 @@
 import { endJob, type GatewayJobServices, readItemBody, readJobResults, submitJob } from '../../request/gatewayJobs.ts'
 import { matchRoute, RouteKind } from '../../version/gatewayTables.ts'
 import type { Failure } from '../failure.ts'
-import { LogEvents } from '../logEvents.ts'
 import { listen, serveApi } from '../servers.ts'
-import { createFleetHostBase, type FleetDaemon, type FleetHostBase, serveMetrics } from './fleetDaemon.ts'
+import { createFleetDaemon, createFleetHostBase, type FleetDaemon, type FleetHostBase, serveMetrics } from './fleetDaemon.ts'
 import type { FleetSettings } from './fleetSettings.ts'
+import { millisecondsPerSecond } from '../units.ts'
 
 /** How many times its life some callers keep an address answer. */
 const keepFactor = 3
@@ -28,8 +28,6 @@
 /** Time before the end of the process in which nothing may be left running, in milliseconds. */
 const endMarginMs = 600
 
-const millisecondsPerSecond = 1_000
-
 /** How often readiness is looked at without news, in milliseconds. */
 const readinessMs = 500
 
@@ -43,7 +41,7 @@
  */
 export async function startGateway (settings: FleetSettings): Promise<Result<FleetDaemon, Failure>> {
   const base = createFleetHostBase(settings)
-  const { lifecycle, logger, view, presence, clock, metrics, random } = base
+  const { lifecycle, logger, view, readiness, clock, metrics, random } = base
   const state = { isDraining: false, open: 0 }
   const forwarding: ForwardingServices = {
     view,
@@ -60,22 +58,18 @@
   const listening = await listen(settings.callerAddress ?? '', server, lifecycle)
   if (listening.isErr()) return err(listening.error)
   if (settings.readinessAddress !== undefined) {
-    const served = await serveApi(settings.readinessAddress, createReadinessApi(() => presence.ready), lifecycle)
+    const served = await serveApi(settings.readinessAddress, createReadinessApi(() => readiness.isReady), lifecycle)
     if (served.isErr()) return err(served.error)
   }
   await serveMetrics(base)
   lifecycle.run(async signal => {
     while (!signal.aborted) {
-      presence.ready = view.tables !== undefined && !state.isDraining
+      readiness.isReady = view.tables !== undefined && !state.isDraining
       await view.changed.wait(readinessMs, signal)
     }
   })
   lifecycle.run(signal => runLoadReports({ view, client: base.control, describe: base.describe, clock, random, logger }, signal))
-  return ok({
-    lifecycle,
-    logger,
-    drain: () => drain(base, server, state)
-  })
+  return ok(createFleetDaemon(base, () => drain(base, server, state)))
 }
 
 interface GatewayState {
@@ -111,11 +105,10 @@
 
 // Callers that keep an old address answer still come for a while, so the gateway listens until the last of them has gone.
 async function drain (base: FleetHostBase, server: Server, state: GatewayState): Promise<void> {
-  const { lifecycle, logger, presence, clock, control, view, settings, describe } = base
+  const { readiness, clock, control, view, settings, describe } = base
   const startedAt = clock.now()
-  logger.write(LogEvents.processDraining, { value: state.open })
   state.isDraining = true
-  presence.ready = false
+  readiness.isReady = false
   await control.watchFleet({ ...view.nextWatch(describe()), leadership: '' })
   await clock.sleep(newsMs + addressKeepMs * keepFactor - (clock.now() - startedAt))
   server.close()
@@ -127,5 +120,4 @@
   }
   // The last answers are still on their way to their callers.
   await clock.sleep(lookMs)
-  await lifecycle.close()
 }
--- /dev/null
+++ b/src/process/processServices.ts
@@ -0,0 +1,18 @@
+/**
+ * What the parts of one process share.
+ * @module
+ */
+import type { Clock } from './clock.ts'
+import type { Lifecycle } from './lifecycle.ts'
+import type { Logger } from './logger.ts'
+import type { Metrics } from './metrics.ts'
+import type { Random } from './random.ts'
+
+/** What the parts of one process share; each part names what it uses. */
+export interface ProcessServices {
+  readonly clock: Clock
+  readonly random: Random
+  readonly logger: Logger
+  readonly metrics: Metrics
+  readonly lifecycle: Lifecycle
+}
--- a/src/process/replicaState.ts
+++ b/src/process/replicaState.ts
@@ -3,14 +3,10 @@
  * @module
  */
 import type { Result } from 'neverthrow'
-import type { Clock } from './clock.ts'
 import type { Command, Outcome } from './commands.ts'
 import { type Condition, createCondition } from './condition.ts'
 import { createFailure, type Failure, FailureReason, type Step } from './failure.ts'
-import type { Lifecycle } from './lifecycle.ts'
-import type { Logger } from './logger.ts'
-import type { Metrics } from './metrics.ts'
-import type { Random } from './random.ts'
+import type { ProcessServices } from './processServices.ts'
 import type { Transport } from './replicaMessages.ts'
 import type { StatePart } from './stateSnapshot.ts'
 import { emptyPoint, type Entry, type Member, type SavedLog, type SnapshotPoint, type Storage } from './storage.ts'
@@ -94,18 +90,13 @@
 }
 
 /** What a replica needs. */
-export interface ReplicaInputs {
+export interface ReplicaInputs extends ProcessServices {
   readonly address: string
   readonly availabilityZone: string
   /** How many voters there should be. */
   readonly voters: number
   readonly storage: Storage
   readonly transport: Transport
-  readonly clock: Clock
-  readonly random: Random
-  readonly logger: Logger
-  readonly metrics: Metrics
-  readonly lifecycle: Lifecycle
   readonly compaction?: CompactionLimits
   /** Applies a committed command in log order. */
   readonly apply: (command: Command, index: number) => Outcome
--- a/src/request/callerExchange.ts
+++ b/src/request/callerExchange.ts
@@ -2,6 +2,7 @@
  * A request of a caller at the gateway and its answer, as the product sees them; a front end encodes them.
  * @module
  */
+import type { OpaqueRequest } from '../connection/opaqueRequest.ts'
 
 /** Why the gateway answers by itself. */
 export const GatewayRefusal = {
@@ -24,17 +25,7 @@
 export type GatewayRefusal = typeof GatewayRefusal[keyof typeof GatewayRefusal]
 
 /** A request of a caller. */
-export interface CallerRequest {
-  readonly id: string
-  readonly host: string
-  readonly method: string
-  /** Path and query. */
-  readonly path: string
-  /** Headers to pass on, name and value by turns. */
-  readonly headers: readonly string[]
-  readonly body: Uint8Array
-  /** Event after which the caller wants its stream to go on. */
-  readonly resumeAfter: number | undefined
+export interface CallerRequest extends OpaqueRequest {
   /** Monotonic time at which the request arrived, in milliseconds. */
   readonly receivedAt: number
   /** Monotonic time until which the caller waits, in milliseconds; Infinity when it does not say. */
--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -4,14 +4,12 @@
  * @module
  */
 import { type BackendAnswer, BackendAnswerKind, type BackendServerClient, type ExchangeFailure } from '../connection/backendServerClient.ts'
-import type { Clock } from '../process/clock.ts'
 import { createFailure, type Failure, FailureReason, Step, toFailure } from '../process/failure.ts'
 import type { BackendServerRecord } from '../process/fleet/backendServerRecords.ts'
 import type { FleetView } from '../process/fleet/fleetView.ts'
 import { LogEvents } from '../process/logEvents.ts'
-import type { Logger } from '../process/logger.ts'
-import { Counter, Latency, type Metrics } from '../process/metrics.ts'
-import type { Random } from '../process/random.ts'
+import { Counter, Latency } from '../process/metrics.ts'
+import type { ProcessServices } from '../process/processServices.ts'
 import { chooseTarget, type GatewayRoute, matchRoute, RouteKind } from '../version/gatewayTables.ts'
 import { type CallerAnswer, type CallerRequest, GatewayRefusal } from './callerExchange.ts'
 import { createEventSplitter, isEventStream, withoutLength } from './eventStream.ts'
@@ -49,16 +47,12 @@
 const redirectStatus = 300
 
 /** What the task needs. */
-export interface ForwardingServices {
+export interface ForwardingServices extends Omit<ProcessServices, 'lifecycle'> {
   readonly view: FleetView
   readonly client: BackendServerClient
   readonly availabilityZone: string
   readonly regionOf: (availabilityZone: string) => string | undefined
   readonly region: string
-  readonly clock: Clock
-  readonly random: Random
-  readonly logger: Logger
-  readonly metrics: Metrics
 }
 
 type WholeAnswer = Extract<BackendAnswer, { readonly kind: typeof BackendAnswerKind.Answer }>
--- a/src/request/gatewayJobs.ts
+++ b/src/request/gatewayJobs.ts
@@ -5,11 +5,10 @@
 import { err, ok, type Result } from 'neverthrow'
 import type { ControlClient } from '../connection/controlClient.ts'
 import { CommandKind, OutcomeKind } from '../process/commands.ts'
-import type { Clock } from '../process/clock.ts'
 import type { FleetView } from '../process/fleet/fleetView.ts'
 import { LogEvents } from '../process/logEvents.ts'
-import type { Logger } from '../process/logger.ts'
-import { Counter, type Metrics } from '../process/metrics.ts'
+import { Counter } from '../process/metrics.ts'
+import type { ProcessServices } from '../process/processServices.ts'
 import { QueryKind } from '../process/queries.ts'
 import type { ResultPage, SubmittedItem } from '../process/submissions.ts'
 import { matchRoute, RouteKind } from '../version/gatewayTables.ts'
@@ -22,12 +21,9 @@
 const readLimitMs = 1_200
 
 /** What a job needs at the gateway. */
-export interface GatewayJobServices {
+export interface GatewayJobServices extends Pick<ProcessServices, 'clock' | 'logger' | 'metrics'> {
   readonly view: FleetView
   readonly control: ControlClient
-  readonly clock: Clock
-  readonly logger: Logger
-  readonly metrics: Metrics
 }
 
 /** A job as its caller sends it. */
