Record ends of items again once, and do not run them again meanwhile

Cause: when the log did not take ends of items, each was put back once for every result with the same item id, and its item counted as open, so that it could be started again.

--- a/src/process/fleet/batchRunner.ts
+++ b/src/process/fleet/batchRunner.ts
@@ -271,12 +271,10 @@
       const results = ends.splice(0)
       const outcome = await replica.propose({ kind: CommandKind.FinishItems, results })
       for (const { job, item, ending } of results) {
-        const entry = open.get(`${job} ${item}`)
-        // An end that may not have been recorded is recorded again by this or the next leader; the first one stands.
-        if (entry !== undefined) entry.isEnding = outcome.isOk()
-        if (outcome.isErr() && entry !== undefined && fleet.isLeading()) ends.push(...results.filter(result => result.item === item))
         logger.write(LogEvents.itemRecorded, { requestId: item, reason: outcome.isOk() ? ending : outcome.error.reason, inputs: { job, index: replica.state.commitIndex } })
       }
+      // An end that may not have been recorded is recorded again; the first one stands. Another leader runs its item again.
+      if (outcome.isErr() && fleet.isLeading()) ends.push(...results)
       if (outcome.isErr()) await clock.sleep(backoffMs, signal)
     }
   }
