Read through: split what had two jobs, rename what needed explaining

Cause: reading the change as a newcomer. The runner of batch items, the leader of the fleet, the forwarded request and the start of a control host each did several things; some names and comments were figurative or said more than was measured. Found on the way: a path that is no part of an address ended the caller's connection without an answer. Test: platformHttp, 'whatever its path', fails with the old parsing.

--- a/src/connection/controlClient.ts
+++ b/src/connection/controlClient.ts
@@ -36,7 +36,7 @@
 /** Commands of the gateway, which are tried again on another control host when one does not answer soon. */
 const gatewayCommands: ReadonlySet<CommandKind> = new Set([CommandKind.Publish, CommandKind.Submit, CommandKind.EndSubmission])
 
-/** Longest time for one try of a gateway's command, in milliseconds: a commit between two regions takes less than a tenth of it. */
+/** Longest time for one try of a gateway's command, in milliseconds: several round trips between regions. */
 const gatewayTryMs = 800
 
 function classOf (command: Command): TrafficClass {
@@ -81,9 +81,9 @@
    * Passes a heartbeat on.
    * @param heartbeat - the heartbeat
    * @param limitMs - the longest time with all tries, in milliseconds
-   * @returns whether it was news, or the failure of the last try
+   * @returns whether it was newer than what was known, or the failure of the last try
    */
-  hear (heartbeat: Heartbeat, limitMs: number): Promise<Result<boolean, Failure>>
+  passHeartbeat (heartbeat: Heartbeat, limitMs: number): Promise<Result<boolean, Failure>>
   /** Passes on that a backend server leaves. */
   withdraw (id: string, limitMs: number): Promise<Result<boolean, Failure>>
 }
@@ -165,11 +165,11 @@
       client.fleet.watch.mutate(request, { signal: abort }))),
     reportLoad: async report => await clients.callReply<LoadTotals>(leader, TrafficClass.Live, Step.Report, fleetLimitMs, (client, abort) =>
       client.fleet.report.mutate(report, { signal: abort })),
-    hear: (heartbeat, limitMs) => retry(limitMs, Step.Hear, address =>
-      clients.callReply<boolean>(address, TrafficClass.Control, Step.Hear, fleetLimitMs, (client, abort) =>
-        client.fleet.hear.mutate(heartbeat, { signal: abort }))),
-    withdraw: (id, limitMs) => retry(limitMs, Step.Hear, address =>
-      clients.callReply<boolean>(address, TrafficClass.Control, Step.Hear, fleetLimitMs, (client, abort) =>
+    passHeartbeat: (heartbeat, limitMs) => retry(limitMs, Step.Heartbeat, address =>
+      clients.callReply<boolean>(address, TrafficClass.Control, Step.Heartbeat, fleetLimitMs, (client, abort) =>
+        client.fleet.heartbeat.mutate(heartbeat, { signal: abort }))),
+    withdraw: (id, limitMs) => retry(limitMs, Step.Heartbeat, address =>
+      clients.callReply<boolean>(address, TrafficClass.Control, Step.Heartbeat, fleetLimitMs, (client, abort) =>
         client.fleet.withdraw.mutate({ id }, { signal: abort })))
   }
 }
--- a/src/connection/fleetWatch.ts
+++ b/src/connection/fleetWatch.ts
@@ -39,7 +39,7 @@
     if (signal.aborted) return
     if (news.isOk()) {
       isReached = true
-      view.learn(news.value)
+      view.applyNews(news.value)
       continue
     }
     if (isReached) logger.write(LogEvents.leaderUnreachable, { failure: news.error, value: Math.round(clock.now() - view.heardAt) })
@@ -63,7 +63,7 @@
     const reported = new Map(view.live)
     const totals = await client.reportLoad({ holder: describe().holder, live: Object.fromEntries(reported), suspects: view.ownSuspects() })
     // Without an answer the last totals stand; the watch reports a leader that is not reached.
-    if (totals.isOk()) view.learnLoad(totals.value, reported)
+    if (totals.isOk()) view.applyLoads(totals.value, reported)
     intervalMs = totals.isOk() ? totals.value.intervalMs : quietReportMs
     await clock.sleep(intervalMs, signal)
     await next
--- a/src/connection/internalRouter.ts
+++ b/src/connection/internalRouter.ts
@@ -80,10 +80,10 @@
         services.fleetLeader === undefined ? missing(Step.Watch) : toReply(await services.fleetLeader.watch(input))),
       report: procedure.input(message<LoadReport>()).mutation(({ input }) =>
         services.fleetLeader === undefined ? missing(Step.Report) : toReply(services.fleetLeader.report(input))),
-      hear: procedure.input(message<Heartbeat>()).mutation(async ({ input }) =>
-        services.fleetLeader === undefined ? missing(Step.Hear) : toReply(await services.fleetLeader.hear(input))),
+      heartbeat: procedure.input(message<Heartbeat>()).mutation(async ({ input }) =>
+        services.fleetLeader === undefined ? missing(Step.Heartbeat) : toReply(await services.fleetLeader.receiveHeartbeat(input))),
       withdraw: procedure.input(message<{ readonly id: string }>()).mutation(async ({ input }) =>
-        services.fleetLeader === undefined ? missing(Step.Hear) : toReply(await services.fleetLeader.withdraw(input.id)))
+        services.fleetLeader === undefined ? missing(Step.Heartbeat) : toReply(await services.fleetLeader.withdraw(input.id)))
     }),
     entry: router({
       share: procedure.input(message<Share>()).mutation(({ input }) => services.shareReceiver?.receive(input) ?? false),
--- a/src/daemons/jaychuteHost.ts
+++ b/src/daemons/jaychuteHost.ts
@@ -26,7 +26,7 @@
   Exit code 2 stands for a setting that must be corrected, 1 for any other failure.
 `
 
-// The parser of the command line takes a quarter of the start, and on the platform there is no command line.
+// The parser of the command line is loaded only where there is one; a start is charged as work.
 async function readFlags (): Promise<Record<string, unknown>> {
   if (process.argv.length <= 2) return {}
   const { default: meow } = await import('meow')
--- a/src/process/boundedOutput.ts
+++ b/src/process/boundedOutput.ts
@@ -8,7 +8,7 @@
 /** Most bytes that wait to be written. */
 const waitingLimitBytes = 256 * 1024
 
-/** Most lines in one second; a host logs about three lines a request and serves some 50 requests a second. */
+/** Most lines in one second, several times what a host writes for the requests that it can serve. */
 const linesPerSecond = 400
 
 const standardOutput = 1
--- a/src/process/failure.ts
+++ b/src/process/failure.ts
@@ -43,7 +43,7 @@
   Read: 'read',
   Share: 'share',
   Report: 'report load',
-  Hear: 'hear backend server',
+  Heartbeat: 'heartbeat',
   Publish: 'publish',
   Submit: 'submit job',
   ReadJob: 'read job',
--- a/src/process/fleet/backendServerRecords.ts
+++ b/src/process/fleet/backendServerRecords.ts
@@ -46,7 +46,7 @@
    * @param now - monotonic time in milliseconds
    * @returns whether it was newer than what was known
    */
-  hear (heartbeat: Heartbeat, now: number): boolean
+  receive (heartbeat: Heartbeat, now: number): boolean
   /**
    * Takes a record that was known before, with its phase.
    * @param record - the record
@@ -54,7 +54,7 @@
    */
   seed (record: BackendServerRecord, now: number): void
   /**
-   * Takes the word of a server that it leaves.
+   * Takes a server out that says that it leaves.
    * @param id - the server
    * @param now - monotonic time in milliseconds
    */
@@ -98,7 +98,7 @@
 
   return {
     get revision () { return revision },
-    hear (heartbeat, now) {
+    receive (heartbeat, now) {
       const known = entries.get(heartbeat.id)
       if (known !== undefined && !isNewer(heartbeat, known.record)) return false
       for (const { record } of entries.values()) {
@@ -114,7 +114,7 @@
     withdraw (id, now) {
       const known = entries.get(id)
       if (known === undefined) return
-      // The server may serve what it has for a while, but every heartbeat of this start is older than this word.
+      // The server may serve what it has for a while, but every heartbeat of this start is older than its withdrawal.
       put({ ...known.record, leaving: true, sequence: Infinity }, ServerPhase.Leaving, now)
     },
     expire (now) {
@@ -145,10 +145,10 @@
 }
 
 /**
- * Decides which of two reports of one server is newer.
- * @param heartbeat - a report
+ * Decides which of two heartbeats of one server is newer.
+ * @param heartbeat - a heartbeat
  * @param known - what is known
- * @returns whether the report is newer: a later start, or within one start a higher sequence number
+ * @returns whether the heartbeat is newer: a later start, or within one start a higher sequence number
  */
 export function isNewer (heartbeat: Heartbeat, known: Heartbeat): boolean {
   if (heartbeat.startedAt !== known.startedAt) return heartbeat.startedAt > known.startedAt
--- a/src/process/fleet/controlDaemon.ts
+++ b/src/process/fleet/controlDaemon.ts
@@ -2,7 +2,7 @@
  * A control host of the fleet: a replica of the log, the calls of operators and backend servers, and the directory.
  * @module
  */
-import { err, ok, type Result } from 'neverthrow'
+import { err, ok, type Result, type ResultAsync } from 'neverthrow'
 import { serveInternal } from '../../connection/callServer.ts'
 import { createInternalRouter, type InternalServices } from '../../connection/internalRouter.ts'
 import { createTrpcTransport } from '../../connection/replicaTransport.ts'
@@ -32,7 +32,7 @@
 const publishLimitMs = 900
 
 /** Time for passing a heartbeat on, in milliseconds: the server calls another host after one second. */
-const hearLimitMs = 800
+const heartbeatLimitMs = 800
 
 /** Heartbeats after which a new leader has heard from every backend server. */
 const settleHeartbeats = 2.5
@@ -53,68 +53,86 @@
  */
 export async function startControl (settings: FleetSettings): Promise<Result<FleetDaemon, Failure>> {
   const base = createFleetHostBase(settings)
-  const { lifecycle, logger, metrics, clock, random, clients } = base
-  const services: InternalServices = { controlHost: undefined, shareReceiver: undefined, dispatchReceiver: undefined, fleetLeader: undefined }
-  const parts: { fleet?: FleetLeader, runner?: BatchRunner } = {}
-  const internalAddress = `${settings.address}:${settings.controlPort}`
+  const { lifecycle, clock } = base
+  const address = `${settings.address}:${settings.controlPort}`
+  const parts: LeaderParts = {}
+  const opened = await openReplica(base, address, parts)
+  if (opened.isErr()) return err(opened.error)
+  const controlHost = opened.value
+  const fleetLeader = createLeaderParts(base, controlHost, parts)
+  const services: InternalServices = { controlHost, shareReceiver: undefined, dispatchReceiver: undefined, fleetLeader }
+  const listening = await serveInternal(address, createInternalRouter(services), lifecycle)
+  if (listening.isErr()) return err(listening.error)
+  const served = await serveOutside(base)
+  if (served.isErr()) return err(served.error)
+  await serveMetrics(base)
+  return ok(createFleetDaemon(base, async () => {
+    await controlHost.replica.resign()
+    await clock.sleep(drainMs)
+  }))
+}
 
-  const create = async (): Promise<Result<ControlHost, Failure>> => await createControlHost({
-    address: internalAddress,
+/** What works only while this host leads; created after the replica, which notifies it. */
+interface LeaderParts {
+  fleetLeader?: FleetLeader
+  runner?: BatchRunner
+}
+
+// A damaged log counts as a lost disk: the host joins again under a new identity.
+async function openReplica (base: FleetHostBase, address: string, parts: LeaderParts): Promise<Result<ControlHost, Failure>> {
+  const { settings, logger } = base
+  const opened = await createReplicaHost(base, address, parts)
+  if (opened.isOk() || opened.error.reason !== FailureReason.Damaged) return opened
+  await setAside(settings.dataFolder ?? '', logger)
+  return await createReplicaHost(base, address, parts)
+}
+
+function createReplicaHost (base: FleetHostBase, address: string, parts: LeaderParts): ResultAsync<ControlHost, Failure> {
+  const { settings, logger, metrics, clients } = base
+  return createControlHost({
+    ...base,
+    address,
     availabilityZone: settings.availabilityZone,
     controlHosts: controlHostsOf(settings),
     mayForm: settings.form,
     voters: 2 * settings.toleratedLosses + 1,
     storage: createFileStorage({ folder: settings.dataFolder ?? '', host: settings.host, logger, metrics }),
     transport: createTrpcTransport(clients),
-    clock,
-    random,
-    logger,
-    metrics,
-    lifecycle,
     applied (command) {
-      if (command.kind === CommandKind.Publish) parts.fleet?.publish()
+      if (command.kind === CommandKind.Publish) parts.fleetLeader?.publish()
       parts.runner?.applied.notify()
     }
   })
-  let created = await create()
-  if (created.isErr() && created.error.reason === FailureReason.Damaged) {
-    // A damaged log counts as a lost disk: the host joins again under a new identity.
-    await setAside(settings.dataFolder ?? '', logger)
-    created = await create()
-  }
-  if (created.isErr()) return err(created.error)
-  const controlHost = created.value
-  const { replica, state } = controlHost
-  const fleet = createFleetLeader({
+}
+
+function createLeaderParts (base: FleetHostBase, { replica, state }: ControlHost, parts: LeaderParts): FleetLeader {
+  const { settings, view } = base
+  const fleetLeader = createFleetLeader({
+    ...base,
     replica,
     state,
-    clock,
-    logger,
-    lifecycle,
-    knownServers: () => base.view.listServers(),
+    knownServers: () => view.listServers(),
     serverSilenceMs: settings.heartbeatMs * missedHeartbeats,
     settleMs: settings.heartbeatMs * settleHeartbeats
   })
-  parts.fleet = fleet
+  parts.fleetLeader = fleetLeader
   parts.runner = createBatchRunner({
-    fleet, replica, state, client: createBackendServerHttp(), clock, random, logger, metrics, lifecycle, keepMs: settings.statusKeepSeconds * keepFactor * millisecondsPerSecond
+    ...base,
+    fleet: fleetLeader,
+    replica,
+    state,
+    client: createBackendServerHttp(),
+    keepMs: settings.statusKeepSeconds * keepFactor * millisecondsPerSecond
   })
-  services.controlHost = controlHost
-  services.fleetLeader = fleet
-  const listening = await serveInternal(internalAddress, createInternalRouter(services), lifecycle)
-  if (listening.isErr()) return err(listening.error)
+  return fleetLeader
+}
+
+async function serveOutside (base: FleetHostBase): Promise<Result<unknown, Failure>> {
+  const { settings, lifecycle } = base
   const service = createControlService(base)
   const served = await serveApi(settings.controlAddress ?? '', createControlApi(service), lifecycle)
-  if (served.isErr()) return err(served.error)
-  if (settings.directoryAddress !== undefined) {
-    const directory = await serveApi(settings.directoryAddress, createDirectoryApi(service), lifecycle)
-    if (directory.isErr()) return err(directory.error)
-  }
-  await serveMetrics(base)
-  return ok(createFleetDaemon(base, async () => {
-    await replica.resign()
-    await clock.sleep(drainMs)
-  }))
+  if (served.isErr() || settings.directoryAddress === undefined) return served
+  return await serveApi(settings.directoryAddress, createDirectoryApi(service), lifecycle)
 }
 
 function createControlService ({ control, view, logger }: FleetHostBase): ControlService {
@@ -141,13 +159,13 @@
       const answer = await control.read({ kind: QueryKind.Publication }, publishLimitMs)
       return answer.map(value => value.kind === QueryKind.Publication ? value.document : undefined)
     },
-    hear: heartbeat => control.hear(heartbeat, hearLimitMs),
+    receiveHeartbeat: heartbeat => control.passHeartbeat(heartbeat, heartbeatLimitMs),
     ignoreHeartbeat (id) {
       logger.write(LogEvents.heartbeatIgnored, { peer: id })
     },
-    withdraw: id => control.withdraw(id, hearLimitMs),
+    withdraw: id => control.withdraw(id, heartbeatLimitMs),
     gateways: (availabilityZone, region) => chooseGateways(view.hosts, availabilityZone, region),
-    // An executor keeps no data, so it is empty as soon as its work has moved, which the leader sees to when it goes.
+    // An executor keeps no data, so there is nothing to move.
     retire (host) {
       if (view.hosts.length === 0) return RetirementEnd.NotReady
       const executors = view.hosts.filter(known => known.role === FleetRole.Executor)
--- a/src/process/fleet/controlService.ts
+++ b/src/process/fleet/controlService.ts
@@ -23,7 +23,7 @@
   refusePublication (problems: readonly Problem[]): void
   /** The newest document; undefined value when there is none yet. */
   publication (): Promise<Result<string | undefined, Failure>>
-  hear (heartbeat: Heartbeat): Promise<Result<boolean, Failure>>
+  receiveHeartbeat (heartbeat: Heartbeat): Promise<Result<boolean, Failure>>
   ignoreHeartbeat (id: string): void
   withdraw (id: string): Promise<Result<boolean, Failure>>
   gateways (availabilityZone: string, region: string): string[]
--- a/src/process/fleet/fleetView.ts
+++ b/src/process/fleet/fleetView.ts
@@ -33,10 +33,10 @@
   readonly heardAt: number
   /** Builds the next poll. */
   nextWatch (host: FleetHost): FleetWatch
-  /** Takes news. */
-  learn (news: FleetNews): void
+  /** Takes the answer to a poll. */
+  applyNews (news: FleetNews): void
   /** Takes the totals that answer a report. */
-  learnLoad (totals: LoadTotals, reported: ReadonlyMap<string, number>): void
+  applyLoads (totals: LoadTotals, reported: ReadonlyMap<string, number>): void
   /** Lists the backend servers of a service that take requests. */
   readyServers (service: string): BackendServerRecord[]
   /** Lists all backend servers, whatever their phase. */
@@ -50,9 +50,9 @@
   /** Counts an own live request in or out. */
   countLive (id: string, change: 1 | -1): void
   /** Notes a failed connection. */
-  suspect (id: string, reason: string): void
+  markSuspect (id: string, reason: string): void
   /** Notes a connection that worked. */
-  trust (id: string): void
+  clearSuspect (id: string): void
   /** Notes whether a run on a server succeeded. */
   noteRun (id: string, succeeded: boolean): void
   /** Tells the share of the latest runs on a server that failed, from 0 to 1. */
@@ -73,8 +73,8 @@
  */
 export function createFleetView (clock: Clock, logger: Logger, seeds: readonly string[]): FleetView {
   const servers = new Map<string, BackendServerRecord>()
-  // Servers that the present leader has told of; the others are forgotten once it has heard from everyone.
-  const told = new Set<string>()
+  // Servers that the present leader has listed; the others are forgotten once it has heard from everyone.
+  const listed = new Set<string>()
   const live = new Map<string, number>()
   const suspects = new Map<string, number>()
   const others = new Map<string, ServerLoad>()
@@ -92,11 +92,11 @@
   let hostsRevision = -1
   let isSettled = false
 
-  function learnServers (news: FleetNews): void {
+  function applyServers (news: FleetNews): void {
     const isSameLeadership = news.leadership === leadership
-    if (!isSameLeadership) told.clear()
+    if (!isSameLeadership) listed.clear()
     for (const record of news.servers) {
-      told.add(record.id)
+      listed.add(record.id)
       const known = servers.get(record.id)
       // A new leader may have missed what the old one was told, for example that a server leaves.
       const isStale = known !== undefined && known.phase !== ServerPhase.Ready && record.phase === ServerPhase.Ready && !isNewer(record, known)
@@ -104,7 +104,7 @@
     }
     if (!news.isComplete || (isSameLeadership && isSettled)) return
     for (const id of servers.keys()) {
-      if (told.has(id)) continue
+      if (listed.has(id)) continue
       servers.delete(id)
       failures.delete(id)
     }
@@ -120,14 +120,14 @@
     loadChanged,
     live,
     nextWatch: host => ({ host, leadership, tablesVersion: tables?.version ?? 0, serversRevision, hostsRevision, isSettled }),
-    learn (news) {
+    applyNews (news) {
       heardAt = clock.now()
       if (news.tables !== undefined && news.tables.version > (tables?.version ?? 0)) {
         tables = news.tables
         routes = createRouteIndex(news.tables)
         logger.write(LogEvents.configurationInForce, { value: tables.version, detail: news.leadership })
       }
-      learnServers(news)
+      applyServers(news)
       if (leadership !== news.leadership) logger.write(LogEvents.leaderFound, { detail: news.leadership, value: news.serversRevision })
       leadership = news.leadership
       serversRevision = news.serversRevision
@@ -138,7 +138,7 @@
       if (news.controlHosts.length > 0) controlHosts = [...new Set([...news.controlHosts, ...seeds])]
       changed.notify()
     },
-    learnLoad (totals, reported) {
+    applyLoads (totals, reported) {
       others.clear()
       for (const [id, load] of Object.entries(totals.loads)) {
         others.set(id, { live: Math.max(0, load.live - (reported.get(id) ?? 0)), batch: load.batch })
@@ -161,12 +161,12 @@
       else live.delete(id)
       loadChanged.notify()
     },
-    suspect (id, reason) {
+    markSuspect (id, reason) {
       if (!suspects.has(id)) logger.write(LogEvents.serverSuspected, { peer: servers.get(id)?.address ?? id, detail: id, reason })
       suspects.set(id, clock.now() + suspicionMs)
       loadChanged.notify()
     },
-    trust (id) {
+    clearSuspect (id) {
       suspects.delete(id)
     },
     noteRun (id, succeeded) {
--- /dev/null
+++ b/src/process/fleet/itemEnds.ts
@@ -0,0 +1,67 @@
+/**
+ * Records the ends of items in the log; ends that come up during one write are recorded together by the next.
+ * @module
+ */
+import { CommandKind, type FinishedItem } from '../commands.ts'
+import { createCondition } from '../condition.ts'
+import { LogEvents } from '../logEvents.ts'
+import type { ProcessServices } from '../processServices.ts'
+import type { Replica } from '../replica.ts'
+
+/** How often the task looks without being notified, in milliseconds. */
+const lookMs = 1_000
+
+/** Pause after a write that failed, in milliseconds. */
+const retryMs = 150
+
+/** What the recording needs. */
+export interface ItemEndsInputs extends Pick<ProcessServices, 'clock' | 'logger' | 'lifecycle'> {
+  readonly replica: Replica
+  readonly isLeading: () => boolean
+}
+
+/** The recording of ends. */
+export interface ItemEnds {
+  /**
+   * Records the end of an item.
+   * @param end - the end
+   */
+  record (end: FinishedItem): void
+}
+
+/**
+ * Starts the recording.
+ * @param inputs - what it needs
+ * @returns the recording
+ */
+export function createItemEnds (inputs: ItemEndsInputs): ItemEnds {
+  const { replica, clock, logger, lifecycle } = inputs
+  const waiting: FinishedItem[] = []
+  const arrived = createCondition(clock)
+
+  async function writeWaiting (signal: AbortSignal): Promise<void> {
+    const results = waiting.splice(0)
+    const outcome = await replica.propose({ kind: CommandKind.FinishItems, results })
+    for (const { job, item, ending } of results) {
+      const reason = outcome.isOk() ? ending : outcome.error.reason
+      logger.write(LogEvents.itemRecorded, { requestId: item, reason, inputs: { job, index: replica.state.commitIndex } })
+    }
+    if (outcome.isOk()) return
+    // An end that may not have been recorded is recorded again; the first one stands. Another leader runs its item again.
+    if (inputs.isLeading()) waiting.push(...results)
+    await clock.sleep(retryMs, signal)
+  }
+
+  lifecycle.run(async signal => {
+    while (!signal.aborted) {
+      if (waiting.length > 0) await writeWaiting(signal)
+      else await arrived.wait(lookMs, signal)
+    }
+  })
+  return {
+    record (end) {
+      waiting.push(end)
+      arrived.notify()
+    }
+  }
+}
--- a/src/process/logEvents.ts
+++ b/src/process/logEvents.ts
@@ -61,7 +61,7 @@
   requestRefused: { number: 501, level: Level.Info, text: 'request refused', action: 'See the refusal reason in docs/operations.md.' },
   requestAnswered: { number: 502, level: Level.Info, text: 'request answered', action: nothing },
   requestBrokenOff: { number: 503, level: Level.Warn, text: 'answer broken off', action: 'See docs/OPERATIONS.md.' },
-  callerLeft: { number: 504, level: Level.Info, text: 'caller left before the end of its answer', action: nothing },
+  callerDisconnected: { number: 504, level: Level.Info, text: 'caller disconnected before the end of its answer', action: nothing },
   backendServerCrashed: { number: 510, level: Level.Warn, text: 'backend server crashed with requests in flight', action: 'Check the backend server if it repeats.' },
   requestQuarantined: { number: 511, level: Level.Error, text: 'request quarantined because it crashes backend servers', action: 'Find the request by its fingerprint and the attempts that failed before; correct it at its caller.' },
   connectionSilent: { number: 520, level: Level.Warn, text: 'connection to a backend server went silent and was closed', action: 'Check the network to the backend server if it repeats.' },
--- a/src/request/callerExchange.ts
+++ b/src/request/callerExchange.ts
@@ -30,8 +30,8 @@
   readonly receivedAt: number
   /** Monotonic time until which the caller waits, in milliseconds; Infinity when it does not say. */
   readonly deadlineAt: number
-  /** Aborts when the caller has left. */
-  readonly left: AbortSignal
+  /** Aborts when the caller has disconnected. */
+  readonly disconnected: AbortSignal
 }
 
 /** The answer to a caller. */
@@ -50,5 +50,5 @@
   /** Ends a whole answer. */
   abstract end (): void
   /** Ends the connection, so that the answer does not look whole. */
-  abstract breakOff (): void
+  abstract abort (): void
 }
--- a/test/fleetLeader.test.ts
+++ b/test/fleetLeader.test.ts
@@ -50,7 +50,7 @@
     for (const host of hosts) news.push((await fleet.watch(firstPoll(host)))._unsafeUnwrap())
     const held = hosts.map(async (host, index) => (await fleet.watch(nextPoll(host, news[index] as FleetNews)))._unsafeUnwrap())
     let isAcknowledged = false
-    const hearing = fleet.hear(leaving).then(result => {
+    const hearing = fleet.receiveHeartbeat(leaving).then(result => {
       isAcknowledged = true
       return result
     })
@@ -66,10 +66,10 @@
 
   it('does not acknowledge it while a gateway is silent, and does not wait for an executor', async () => {
     await fleet.watch(firstPoll(hostOf('s-1', 'executor')))
-    expect((await fleet.hear(leaving)).isOk()).to.equal(true)
+    expect((await fleet.receiveHeartbeat(leaving)).isOk()).to.equal(true)
     await fleet.watch(firstPoll(hostOf('g-1')))
     const other = { ...leaving, id: 'i-2', address: '10.0.0.2:80' }
-    expect((await fleet.hear(other)).isErr()).to.equal(true)
+    expect((await fleet.receiveHeartbeat(other)).isErr()).to.equal(true)
   })
 
   // Failure: a new leader that knew nothing of a leaving server took a late heartbeat for news.
@@ -77,14 +77,14 @@
     await lifecycle.close()
     start([recordOf('i-1', { phase: ServerPhase.Leaving, startedAt: 1, sequence: 9 })])
     expect(fleet.isLeading()).to.equal(true)
-    expect((await fleet.hear({ ...leaving, leaving: false, sequence: 8 }))._unsafeUnwrap()).to.equal(false)
+    expect((await fleet.receiveHeartbeat({ ...leaving, leaving: false, sequence: 8 }))._unsafeUnwrap()).to.equal(false)
     expect(fleet.readyServers()).to.deep.equal([])
   })
 
   it('answers nothing while it does not lead', async () => {
     role.role = ReplicaRole.Follower
     expect((await fleet.watch(firstPoll(hostOf('g-1')))).isErr()).to.equal(true)
-    expect((await fleet.hear(leaving)).isErr()).to.equal(true)
+    expect((await fleet.receiveHeartbeat(leaving)).isErr()).to.equal(true)
     expect(fleet.report({ holder: 'g-1', live: {}, suspects: [] }).isErr()).to.equal(true)
   })
 
--- a/test/fleetRegistry.test.ts
+++ b/test/fleetRegistry.test.ts
@@ -20,36 +20,36 @@
 describe('the registry of backend servers', () => {
   it('ignores a heartbeat that is late', () => {
     const registry = createBackendServerRegistry(silenceMs)
-    registry.hear(beat({ sequence: 5, leaving: true }), 0)
-    expect(registry.hear(beat({ sequence: 4 }), 1)).to.equal(false)
+    registry.receive(beat({ sequence: 5, leaving: true }), 0)
+    expect(registry.receive(beat({ sequence: 4 }), 1)).to.equal(false)
     expect(registry.find('i-1')?.phase).to.equal(ServerPhase.Leaving)
   })
 
   // Failure: a heartbeat held up by a partition put a crashed server back at an address that another one has by now.
   it('gives an address to the server that started last', () => {
     const registry = createBackendServerRegistry(silenceMs)
-    registry.hear(beat({ id: 'old', startedAt: 100 }), 0)
-    registry.hear(beat({ id: 'new', startedAt: 200 }), 1)
-    expect(registry.hear(beat({ id: 'old', startedAt: 100, sequence: 9 }), 2)).to.equal(false)
+    registry.receive(beat({ id: 'old', startedAt: 100 }), 0)
+    registry.receive(beat({ id: 'new', startedAt: 200 }), 1)
+    expect(registry.receive(beat({ id: 'old', startedAt: 100, sequence: 9 }), 2)).to.equal(false)
     expect(registry.find('old')?.phase).to.equal(ServerPhase.Gone)
     expect(registry.find('new')?.phase).to.equal(ServerPhase.Ready)
   })
 
   it('does not bring a server back that has withdrawn, unless it starts again', () => {
     const registry = createBackendServerRegistry(silenceMs)
-    registry.hear(beat(), 0)
+    registry.receive(beat(), 0)
     registry.withdraw('i-1', 1)
-    expect(registry.hear(beat({ sequence: 50 }), 2)).to.equal(false)
+    expect(registry.receive(beat({ sequence: 50 }), 2)).to.equal(false)
     expect(registry.find('i-1')?.phase).to.equal(ServerPhase.Leaving)
-    expect(registry.hear(beat({ startedAt: 300, sequence: 1 }), 3)).to.equal(true)
+    expect(registry.receive(beat({ startedAt: 300, sequence: 1 }), 3)).to.equal(true)
     expect(registry.find('i-1')?.phase).to.equal(ServerPhase.Ready)
   })
 
   it('tells only what changed, and no plain renewal', () => {
     const registry = createBackendServerRegistry(silenceMs)
-    registry.hear(beat(), 0)
+    registry.receive(beat(), 0)
     const { revision } = registry
-    registry.hear(beat({ sequence: 2 }), 500)
+    registry.receive(beat({ sequence: 2 }), 500)
     expect(registry.since(revision)).to.deep.equal([])
     expect(registry.expire(1_400)).to.deep.equal([])
     expect(registry.expire(1_501).map(record => record.id)).to.deep.equal(['i-1'])
@@ -63,25 +63,25 @@
   // Failure: a new leader that had not heard from a server yet made the gateways forget it.
   it('keeps servers until a new leader has heard from everyone', () => {
     const fleet = view()
-    fleet.learn(newsOf())
-    fleet.learn(newsOf({ leadership: 'b/2', servers: [], isComplete: false }))
+    fleet.applyNews(newsOf())
+    fleet.applyNews(newsOf({ leadership: 'b/2', servers: [], isComplete: false }))
     expect(fleet.readyServers('s')).to.have.length(3)
-    fleet.learn(newsOf({ leadership: 'b/2', servers: [recordOf('i-2')], isComplete: true }))
+    fleet.applyNews(newsOf({ leadership: 'b/2', servers: [recordOf('i-2')], isComplete: true }))
     expect(fleet.readyServers('s').map(record => record.id)).to.deep.equal(['i-2'])
   })
 
   // Failure: a new leader that was told of a server only by an older heartbeat made a leaving server ready again.
   it('does not take a leaving server for ready by an older word of a new leader', () => {
     const fleet = view()
-    fleet.learn(newsOf({ servers: [recordOf('i-1', { phase: ServerPhase.Leaving, sequence: 9 })] }))
-    fleet.learn(newsOf({ leadership: 'b/2', servers: [recordOf('i-1', { sequence: 8 })], isComplete: false }))
+    fleet.applyNews(newsOf({ servers: [recordOf('i-1', { phase: ServerPhase.Leaving, sequence: 9 })] }))
+    fleet.applyNews(newsOf({ leadership: 'b/2', servers: [recordOf('i-1', { sequence: 8 })], isComplete: false }))
     expect(fleet.readyServers('s')).to.deep.equal([])
   })
 
   it('never goes back to an older version of the tables', () => {
     const fleet = view()
-    fleet.learn(newsOf({ tables: tablesOf(5, []) }))
-    fleet.learn(newsOf({ leadership: 'b/2', tables: tablesOf(4, []) }))
+    fleet.applyNews(newsOf({ tables: tablesOf(5, []) }))
+    fleet.applyNews(newsOf({ leadership: 'b/2', tables: tablesOf(4, []) }))
     expect(fleet.tables?.version).to.equal(5)
   })
 })
--- a/test/gatewayForwarding.test.ts
+++ b/test/gatewayForwarding.test.ts
@@ -135,10 +135,10 @@
   it('ends the work of the server when the caller leaves', async () => {
     const servers = new ScriptedServers([{ does: 'answer', pieces: [first], then: 'hang' }])
     const answer = new NotedAnswer()
-    const { request, leave } = requestOf()
+    const { request, disconnect } = requestOf()
     const running = runForwardedRequest(request, answer, forwardingOf(servers, [routeOf()]))
     while (answer.text === '') await new Promise(resolve => setImmediate(resolve))
-    leave()
+    disconnect()
     await running
     expect(servers.arrivals).to.have.length(1)
     expect(servers.arrivals[0]?.signal.aborted).to.equal(true)
@@ -157,7 +157,7 @@
 
   it('refuses early when every server has more live requests than it can start in time', async () => {
     const services = forwardingOf(new ScriptedServers([]), [routeOf()])
-    services.view.learnLoad({ loads: { 'i-1': { live: 20, batch: 0 }, 'i-2': { live: 20, batch: 0 }, 'i-3': { live: 20, batch: 0 } }, suspects: [], intervalMs: 40 }, new Map())
+    services.view.applyLoads({ loads: { 'i-1': { live: 20, batch: 0 }, 'i-2': { live: 20, batch: 0 }, 'i-3': { live: 20, batch: 0 } }, suspects: [], intervalMs: 40 }, new Map())
     const answer = new NotedAnswer()
     const startedAt = performance.now()
     await runForwardedRequest(requestOf().request, answer, services)
--- a/test/platformHttp.test.ts
+++ b/test/platformHttp.test.ts
@@ -206,6 +206,19 @@
     expect(text).to.match(/keep-alive: timeout=\d+/i)
   })
 
+  // Failure: a path that is no part of an address ended the connection without an answer.
+  it('answers a request whatever its path', async () => {
+    const { gateway } = await start(() => {})
+    for (const path of ['//', '//[', '/%', '/p/?x=1?y=/v1/lots/']) {
+      const caller = connect(gateway.port, '127.0.0.1')
+      caller.write(`DELETE ${path} HTTP/1.1\r\nHost: none.example\r\nX-Request-Id: q-1\r\nConnection: close\r\n\r\n`)
+      let text = ''
+      caller.on('data', data => { text += data.toString() })
+      await once(caller, 'close')
+      expect(text, path).to.match(/^HTTP\/1\.1 404 /)
+    }
+  })
+
   it('takes a job with its items, and refuses one that is not understood or does not fit', async () => {
     const { gateway } = await start(() => {})
     const item = { id: 'x', path: '/batch/1', headers: { 'X-Model': 'm' }, body: Buffer.from([0, 255]).toString('base64'), tokens: 7 }
--- a/test/support/fakeFleet.ts
+++ b/test/support/fakeFleet.ts
@@ -15,7 +15,7 @@
 import { createMetrics } from '../../src/process/metrics.ts'
 import { createSystemRandom } from '../../src/process/random.ts'
 import { CallerAnswer, type CallerRequest, type GatewayRefusal } from '../../src/request/callerExchange.ts'
-import type { ForwardingServices } from '../../src/request/forwardedRequest.ts'
+import type { ForwardingServices } from '../../src/request/forwardedAttempt.ts'
 import { type GatewayRoute, type GatewayTables, RouteKind } from '../../src/version/gatewayTables.ts'
 
 /** What a scripted server does with a request. */
@@ -105,7 +105,7 @@
     this.isWhole = true
   }
 
-  override breakOff (): void {
+  override abort (): void {
     this.isBrokenOff = true
   }
 }
@@ -150,11 +150,11 @@
   }
 }
 
-/** Builds a request of a caller; `leave` makes the caller leave. */
-export function requestOf (given: Partial<CallerRequest> = {}): { readonly request: CallerRequest, readonly leave: () => void } {
-  const left = new AbortController()
+/** Builds a request of a caller; `disconnect` ends its connection. */
+export function requestOf (given: Partial<CallerRequest> = {}): { readonly request: CallerRequest, readonly disconnect: () => void } {
+  const disconnected = new AbortController()
   return {
-    leave: () => left.abort(),
+    disconnect: () => disconnected.abort(),
     request: {
       id: 'q-1',
       host: 'a.example',
@@ -165,7 +165,7 @@
       resumeAfter: undefined,
       receivedAt: performance.now(),
       deadlineAt: Infinity,
-      left: left.signal,
+      disconnected: disconnected.signal,
       ...given
     }
   }
@@ -176,6 +176,6 @@
   const clock = createSystemClock()
   const logger = createSilentLogger()
   const view = createFleetView(clock, logger, [])
-  view.learn(newsOf({ tables: tablesOf(1, routes), ...news }))
+  view.applyNews(newsOf({ tables: tablesOf(1, routes), ...news }))
   return { view, client, availabilityZone: 'z1', region: 'r1', regionOf: () => 'r1', clock, random: createSystemRandom(), logger, metrics: createMetrics() }
 }
