Claim batch items ahead only for the ends that are expected

Cause: a backend server with all its slots taken claimed up to its whole concurrency again and held these items until its own ended, while another backend server was idle. In entryFaults 'killed' the leases of a killed host come to the survivor about a second apart: the first backend server took eight items to run and the four others ahead, so they came back only after items of 8 s.

Ruled out: live work of the killed host that stays counted (reports expire after 3 s, and none was renewed); items lost with the carrier of frames (all were found at the first backend server).

Change: items claimed ahead are as many as ended in the last second; a full backend server on which nothing ends gives them back after 250 ms.

A test keeps short items claimed several at a time.

--- a/src/connection/batchDispatch.ts
+++ b/src/connection/batchDispatch.ts
@@ -42,6 +42,12 @@
 /** Age up to which a load report may still count batch items that have ended, in milliseconds. */
 const loadReportAgeMs = 2_000
 
+/**
+ * Items are claimed ahead for the ends that are expected in this time, in milliseconds: as many as in the time before. More
+ * would be held behind long items while other backend servers are idle; a claim takes a few milliseconds.
+ */
+const claimAheadMs = 1_000
+
 /** What batch dispatch on one host needs. */
 export interface BatchServices {
   readonly holder: string
@@ -187,13 +193,14 @@
   if (items.count > 0) dispatch.ranAt = now
   server.batchReported = now - dispatch.ranAt < loadReportAgeMs ? pool.batchConcurrency : 0
   if (items.count > limit) items.yieldTo(limit, pool.name)
-  if (limit === 0 || server.avoidedSince !== undefined || isOutOfBytes(dispatch, pool, now)) {
+  const wanted = Math.max(0, limit - items.count) + items.countEndedSince(now - claimAheadMs)
+  if (limit === 0 || wanted === 0 || server.avoidedSince !== undefined || isOutOfBytes(dispatch, pool, now)) {
     dispatch.blockedSince ??= now
     if (now - dispatch.blockedSince >= holdLimitMs) claimed.giveBack()
     return
   }
   dispatch.blockedSince = undefined
-  claimed.refill(pool.name, Math.min(pool.batchConcurrency, server.announcement.capacity))
+  claimed.refill(pool.name, Math.min(wanted, pool.batchConcurrency, server.announcement.capacity))
   if (items.count < limit) items.startUpTo(limit)
 }
 
--- a/src/connection/batchItems.ts
+++ b/src/connection/batchItems.ts
@@ -26,6 +26,12 @@
 export interface BatchItems {
   /** Items that run or are about to. */
   readonly count: number
+  /**
+   * Counts items that ran to their end.
+   * @param since - monotonic time in milliseconds; never earlier than that of the call before
+   * @returns how many ended after it
+   */
+  countEndedSince (since: number): number
   /**
    * Starts held items.
    * @param limit - how many may run
@@ -80,6 +86,7 @@
   const address = server.announcement.address
   const entries = new Set<Entry>()
   const endedOne = createCondition()
+  let endTimes: number[] = []
   const { lapses } = session
 
   function mayRun (item: ClaimedItem): boolean {
@@ -147,7 +154,10 @@
     })
     metrics.count(Counter.Items, end.kind)
     entry.flight.end(flightEndOf(end.failed))
-    if (end.kind === ItemEndKind.Complete) return completions.complete(end.completion)
+    if (end.kind === ItemEndKind.Complete) {
+      endTimes.push(clock.now())
+      return completions.complete(end.completion)
+    }
     item.partial = end.returned.partial
     item.offset = end.returned.offset
     if (!end.returned.attempted) {
@@ -187,6 +197,10 @@
 
   return {
     get count () { return entries.size },
+    countEndedSince (since) {
+      endTimes = endTimes.filter(time => time > since)
+      return endTimes.length
+    },
     startUpTo (limit) {
       const once: Entry[] = []
       while (entries.size < limit) {
--- a/test/batchDispatch.test.ts
+++ b/test/batchDispatch.test.ts
@@ -72,6 +72,29 @@
     system.intercept = () => undefined
   })
 
+  // Failure: a full backend server claimed further items ahead and held them until its own ended, while another was idle.
+  it('leaves items that it cannot start to another backend server', async () => {
+    const full = await start({ tokenMs: 20 })
+    system.submit('j', 'engine', Array.from({ length: 12 }, () => ({ maxTokens: 1_000 })))
+    system.dispatch(system.hear(full))
+    await eventually('a full backend server', limitMs, () => full.running === 8 ? true : undefined)
+    // Time for a claim of the items that are left.
+    await new Promise(resolve => setTimeout(resolve, 100))
+    const idle = await start({ tokenMs: 20 })
+    system.dispatch(system.hear(idle))
+    await eventually('the other items on the idle backend server', 2_000, () => idle.running === 4 ? true : undefined)
+    expect(full.runs).to.have.length(8)
+  })
+
+  // Failure guarded against: with items claimed one by one, short ones would wait for a claim each.
+  it('claims short items ahead, several in one claim', async () => {
+    const standIn = await start({ tokenMs: 1, slowdownMs: 0, prefillMs: 1 })
+    system.submit('j', 'engine', Array.from({ length: 200 }, () => ({ maxTokens: 2 })))
+    system.dispatch(system.hear(standIn))
+    await finished('j')
+    expect(commandsOf(system, CommandKind.Claim).length).to.be.lessThan(100)
+  })
+
   it('gets the items of a claim whose answer was lost', async () => {
     const server = system.hear(await start())
     system.submit('j', 'engine', [{}, {}, {}])
