Read the settings file again when it changes; reserve test ports below the ephemeral range

Cause: settings were read at the start only; SIGHUP checked the file, and a change of the file without a signal, which the platform's pages allow, went unseen.

Seeds, regions, heartbeat, grace and the time jobs are kept count at once, since their users read them at each use; the rest counts from the next start, and the log line names both. A file that is wrong is refused with one line, and what was read before stays in use. The three new tests fail without the task.

With the exit of each program printed, one of 15 runs of 'killed', five at a time, failed with "--caller-address: listen EADDRINUSE": reserved ports came from the range of outgoing connections, which another program may take before the start. They now come from 10000 to 32000.

--- a/scripts/processes.ts
+++ b/scripts/processes.ts
@@ -29,23 +29,41 @@
 }
 
 /**
- * Asks the system for free ports on the loopback address.
+ * Ports from here to `lastPort` are below those that the system gives to outgoing connections, which would take a port
+ * between its reservation and the start of the program that it is for.
+ */
+const firstPort = 10_000
+const lastPort = 32_000
+
+/** Ports that one process reserves before it comes near those of the next process id. */
+const portsEach = 97
+let nextPort = firstPort + process.pid * portsEach % (lastPort - firstPort)
+
+/**
+ * Finds free ports on the loopback address.
  * @param count - how many
  * @returns addresses with different ports
  */
 export async function reserveAddresses (count: number): Promise<string[]> {
-  const servers = Array.from({ length: count }, () => createServer())
   const addresses: string[] = []
-  for (const server of servers) {
-    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
-    const bound = server.address()
-    if (bound === null || typeof bound === 'string') throw new Error('no port was given')
-    addresses.push(`127.0.0.1:${bound.port}`)
+  while (addresses.length < count) {
+    const port = nextPort
+    nextPort = port < lastPort ? port + 1 : firstPort
+    if (await isFree(port)) addresses.push(`127.0.0.1:${port}`)
   }
-  for (const server of servers) await new Promise(resolve => server.close(resolve))
   return addresses
 }
 
+async function isFree (port: number): Promise<boolean> {
+  const server = createServer()
+  const bound = await new Promise<boolean>(resolve => {
+    server.once('error', () => resolve(false))
+    server.listen(port, '127.0.0.1', () => resolve(true))
+  })
+  await new Promise(resolve => server.close(resolve))
+  return bound
+}
+
 /**
  * Starts a compiled program of the project.
  * @param name - name for messages
--- a/src/daemons/jaychuteHost.ts
+++ b/src/daemons/jaychuteHost.ts
@@ -5,12 +5,13 @@
  */
 import { settingsVariable } from '../../platform/names.ts'
 import { ExitCode } from '../process/commandLine.ts'
+import { createCondition } from '../process/condition.ts'
 import { runDaemon, SecondSignal } from '../process/daemonRun.ts'
 import type { Failure } from '../process/failure.ts'
 import type { FleetDaemon } from '../process/fleet/fleetDaemon.ts'
 import { FleetRole } from '../process/fleet/fleetMessages.ts'
 import { type FleetSettings, listFleetSettings, readFleetSettings } from '../process/fleet/fleetSettings.ts'
-import { LogEvents } from '../process/logEvents.ts'
+import { runSettingsReload } from '../process/fleet/settingsReload.ts'
 import type { Result } from 'neverthrow'
 
 const program = 'jaychute-host'
@@ -59,12 +60,7 @@
 if (started.isErr()) fail([`${started.error.step}: ${started.error.message}`], ExitCode.Failure)
 const daemon = started.value
 
-// The settings in the file are those of the next start; a change that is not valid is told at once.
-function reload (): void {
-  const changed = readFleetSettings(path, flags)
-  const problems = changed.isErr() ? changed.error.join('; ') : ''
-  daemon.logger.write(changed.isErr() ? LogEvents.settingsRefused : LogEvents.settingsReread, { detail: problems })
-}
-
-process.on('SIGHUP', reload)
+const requested = createCondition()
+process.on('SIGHUP', () => requested.notify())
+daemon.lifecycle.run(signal => runSettingsReload({ path, flags, settings: settings.value, requested, logger: daemon.logger }, signal))
 await runDaemon(daemon, SecondSignal.Ignored)
--- a/src/process/fleet/backendServerRecords.ts
+++ b/src/process/fleet/backendServerRecords.ts
@@ -78,10 +78,10 @@
 
 /**
  * Creates an empty registry.
- * @param silenceMs - how long a server may be silent, in milliseconds
+ * @param silenceMs - tells how long a server may be silent, in milliseconds
  * @returns the registry
  */
-export function createBackendServerRegistry (silenceMs: number): BackendServerRegistry {
+export function createBackendServerRegistry (silenceMs: () => number): BackendServerRegistry {
   const entries = new Map<string, RegistryEntry>()
   let revision = 0
 
@@ -122,7 +122,7 @@
       for (const [id, { record, heardAt }] of entries) {
         if (record.phase === ServerPhase.Gone) {
           if (now - heardAt > goneKeepMs) entries.delete(id)
-        } else if (now - heardAt > silenceMs) {
+        } else if (now - heardAt > silenceMs()) {
           gone.push(record)
           put(record, ServerPhase.Gone, now)
         }
--- a/src/process/fleet/controlDaemon.ts
+++ b/src/process/fleet/controlDaemon.ts
@@ -112,8 +112,9 @@
     replica,
     state,
     knownServers: () => view.listServers(),
-    serverSilenceMs: settings.heartbeatMs * missedHeartbeats,
-    settleMs: settings.heartbeatMs * settleHeartbeats
+    // Read at each use, since the settings may change.
+    get serverSilenceMs () { return settings.heartbeatMs * missedHeartbeats },
+    get settleMs () { return settings.heartbeatMs * settleHeartbeats }
   })
   parts.fleetLeader = fleetLeader
   parts.runner = createBatchRunner({
@@ -122,7 +123,7 @@
     replica,
     state,
     client: createBackendServerHttp(),
-    keepMs: settings.statusKeepSeconds * keepFactor * millisecondsPerSecond
+    get keepMs () { return settings.statusKeepSeconds * keepFactor * millisecondsPerSecond }
   })
   return fleetLeader
 }
--- a/src/process/fleet/fleetDaemon.ts
+++ b/src/process/fleet/fleetDaemon.ts
@@ -67,7 +67,7 @@
   const clock = createSystemClock()
   const random = createSystemRandom()
   const clients = createInternalClients(lifecycle)
-  const view = createFleetView(clock, logger, controlHostsOf(settings))
+  const view = createFleetView(clock, logger, () => controlHostsOf(settings))
   const control = createControlClient({ controlHosts: () => view.controlHosts, clients, clock, random, metrics, signal: lifecycle.signal })
   const readiness = { isReady: false }
   const holder = randomUUID()
--- a/src/process/fleet/fleetLeader.ts
+++ b/src/process/fleet/fleetLeader.ts
@@ -75,7 +75,7 @@
 export function createFleetLeader (inputs: FleetLeaderInputs): FleetLeader {
   const { replica, state, clock, logger, lifecycle } = inputs
   const sessions = createHostSessions()
-  const registry = createBackendServerRegistry(inputs.serverSilenceMs)
+  const registry = createBackendServerRegistry(() => inputs.serverSilenceMs)
   const changed = createCondition(clock)
   const news = createCondition(clock)
   const confirmed = createCondition(clock)
--- a/src/process/fleet/fleetView.ts
+++ b/src/process/fleet/fleetView.ts
@@ -68,10 +68,10 @@
  * Creates the view before the first news.
  * @param clock - time
  * @param logger - log events
- * @param seeds - internal addresses of control hosts known from the settings
+ * @param seeds - tells the internal addresses of control hosts known from the settings
  * @returns the view
  */
-export function createFleetView (clock: Clock, logger: Logger, seeds: readonly string[]): FleetView {
+export function createFleetView (clock: Clock, logger: Logger, seeds: () => readonly string[]): FleetView {
   const servers = new Map<string, BackendServerRecord>()
   // Servers that the present leader has listed; the others are forgotten once it has heard from everyone.
   const listed = new Set<string>()
@@ -85,7 +85,7 @@
   let tables: GatewayTables | undefined
   let routes: RouteIndex = new Map()
   let hosts: readonly FleetHost[] = []
-  let controlHosts = seeds
+  let toldControlHosts: readonly string[] = []
   let heardAt = -Infinity
   let leadership = ''
   let serversRevision = 0
@@ -114,7 +114,7 @@
     get tables () { return tables },
     get routes () { return routes },
     get hosts () { return hosts },
-    get controlHosts () { return controlHosts },
+    get controlHosts () { return [...new Set([...toldControlHosts, ...seeds()])] },
     get heardAt () { return heardAt },
     changed,
     loadChanged,
@@ -135,7 +135,7 @@
       // A new leader hears from the hosts within a second; until then the longer list is the better one.
       if (news.hosts !== undefined && (news.isComplete || news.hosts.length >= hosts.length)) hosts = news.hosts
       hostsRevision = news.hostsRevision
-      if (news.controlHosts.length > 0) controlHosts = [...new Set([...news.controlHosts, ...seeds])]
+      if (news.controlHosts.length > 0) toldControlHosts = news.controlHosts
       changed.notify()
     },
     applyLoads (totals, reported) {
--- a/src/process/logEvents.ts
+++ b/src/process/logEvents.ts
@@ -25,7 +25,7 @@
   processEnded: { number: 102, level: Level.Info, text: 'process ended', action: nothing },
   processFailed: { number: 103, level: Level.Error, text: 'process ended by a failure', action: 'Read the failure; restart the process.' },
   settingsRefused: { number: 104, level: Level.Error, text: 'a setting was refused', action: 'Correct the setting.' },
-  settingsReread: { number: 105, level: Level.Info, text: 'settings file read again; it counts from the next start', action: nothing },
+  settingsReread: { number: 105, level: Level.Info, text: 'settings file read again', action: nothing },
   linesDropped: { number: 106, level: Level.Warn, text: 'log lines dropped, since there were too many', action: 'The counters are complete; raise the log level if it repeats.' },
   folderSetAside: { number: 213, level: Level.Error, text: 'damaged data folder set aside; joining under a new identity', action: 'Check the disk.' },
   logLoaded: { number: 200, level: Level.Info, text: 'log loaded from the data folder', action: nothing },
--- a/test/fleetRegistry.test.ts
+++ b/test/fleetRegistry.test.ts
@@ -19,7 +19,7 @@
 
 describe('the registry of backend servers', () => {
   it('ignores a heartbeat that is late', () => {
-    const registry = createBackendServerRegistry(silenceMs)
+    const registry = createBackendServerRegistry(() => silenceMs)
     registry.receive(beat({ sequence: 5, leaving: true }), 0)
     expect(registry.receive(beat({ sequence: 4 }), 1)).to.equal(false)
     expect(registry.find('i-1')?.phase).to.equal(ServerPhase.Leaving)
@@ -27,7 +27,7 @@
 
   // Failure: a heartbeat held up by a partition put a crashed server back at an address that another one has by now.
   it('gives an address to the server that started last', () => {
-    const registry = createBackendServerRegistry(silenceMs)
+    const registry = createBackendServerRegistry(() => silenceMs)
     registry.receive(beat({ id: 'old', startedAt: 100 }), 0)
     registry.receive(beat({ id: 'new', startedAt: 200 }), 1)
     expect(registry.receive(beat({ id: 'old', startedAt: 100, sequence: 9 }), 2)).to.equal(false)
@@ -36,7 +36,7 @@
   })
 
   it('does not bring a server back that has withdrawn, unless it starts again', () => {
-    const registry = createBackendServerRegistry(silenceMs)
+    const registry = createBackendServerRegistry(() => silenceMs)
     registry.receive(beat(), 0)
     registry.withdraw('i-1', 1)
     expect(registry.receive(beat({ sequence: 50 }), 2)).to.equal(false)
@@ -46,7 +46,7 @@
   })
 
   it('tells only what changed, and no plain renewal', () => {
-    const registry = createBackendServerRegistry(silenceMs)
+    const registry = createBackendServerRegistry(() => silenceMs)
     registry.receive(beat(), 0)
     const { revision } = registry
     registry.receive(beat({ sequence: 2 }), 500)
@@ -58,7 +58,7 @@
 })
 
 describe('what a host knows of the fleet', () => {
-  const view = () => createFleetView(createSystemClock(), createSilentLogger(), [])
+  const view = () => createFleetView(createSystemClock(), createSilentLogger(), () => [])
 
   // Failure: a new leader that had not heard from a server yet made the gateways forget it.
   it('keeps servers until a new leader has heard from everyone', () => {
--- /dev/null
+++ b/test/settingsReload.test.ts
@@ -0,0 +1,79 @@
+import { expect } from 'chai'
+import { mkdtemp, rename, rm, writeFile } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { eventually } from '../scripts/processes.ts'
+import { createCondition } from '../src/process/condition.ts'
+import { type FleetSettings, readFleetSettings } from '../src/process/fleet/fleetSettings.ts'
+import { runSettingsReload, settingsLookMs } from '../src/process/fleet/settingsReload.ts'
+import { LogEvents } from '../src/process/logEvents.ts'
+import type { Subject } from '../src/process/logger.ts'
+
+const given = {
+  role: 'gateway',
+  host: 'host-a',
+  availabilityZone: 'zone-a',
+  region: 'region-a',
+  seeds: '127.0.0.1:7000',
+  controlPort: 7100,
+  callerAddress: '127.0.0.1:7001',
+  graceSeconds: 8
+}
+
+describe('reload of the settings of a host', () => {
+  let folder: string
+  let path: string
+  let settings: FleetSettings
+  let written: Array<{ readonly number: number, readonly subject: Subject | undefined }>
+  const requested = createCondition()
+  let end: AbortController
+  let running: Promise<void>
+
+  beforeEach(async () => {
+    folder = await mkdtemp(join(tmpdir(), 'jaychute-'))
+    path = join(folder, 'settings.json')
+    await writeFile(path, JSON.stringify(given))
+    settings = readFleetSettings(path, {})._unsafeUnwrap()
+    written = []
+    end = new AbortController()
+    const logger = { write: (event: { readonly number: number }, subject?: Subject) => { written.push({ number: event.number, subject }) } }
+    running = runSettingsReload({ path, flags: {}, settings, requested, logger }, end.signal)
+    // Time for the first look, with which later ones are compared.
+    await new Promise(resolve => setTimeout(resolve, 100))
+  })
+
+  afterEach(async () => {
+    end.abort()
+    await running
+    await rm(folder, { recursive: true })
+  })
+
+  async function replaceFile (change: object): Promise<void> {
+    await writeFile(`${path}.next`, JSON.stringify({ ...given, ...change }))
+    await rename(`${path}.next`, path)
+  }
+
+  // Failure: a change without a signal was never read, and one with a signal was only checked.
+  it('takes what may change from a file that is replaced without a signal', async () => {
+    await replaceFile({ graceSeconds: 20, seeds: '127.0.0.1:7500', host: 'host-b' })
+    await eventually('the new settings', settingsLookMs * 2, () => settings.graceSeconds === 20 ? true : undefined)
+    expect(settings.seeds).to.deep.equal(['127.0.0.1:7500'])
+    expect(settings.host).to.equal('host-a')
+    expect(written).to.deep.equal([{ number: LogEvents.settingsReread.number, subject: { inputs: { applied: 'seeds graceSeconds', fromNextStart: 'host' } } }])
+  })
+
+  it('reads the file at once when asked to', async () => {
+    await replaceFile({ graceSeconds: 20 })
+    requested.notify()
+    await eventually('the new settings', settingsLookMs / 2, () => settings.graceSeconds === 20 ? true : undefined)
+  })
+
+  it('keeps what it has when the new file is wrong, and says why', async () => {
+    await replaceFile({ graceSeconds: 'soon' })
+    requested.notify()
+    await eventually('the log line', settingsLookMs / 2, () => written.length > 0 ? true : undefined)
+    expect(settings.graceSeconds).to.equal(8)
+    expect(written[0]?.number).to.equal(LogEvents.settingsRefused.number)
+    expect(written[0]?.subject?.detail).to.include('graceSeconds')
+  })
+})
--- a/test/support/fakeFleet.ts
+++ b/test/support/fakeFleet.ts
@@ -175,7 +175,7 @@
 export function forwardingOf (client: BackendServerClient, routes: readonly GatewayRoute[], news: Partial<FleetNews> = {}): ForwardingServices & { readonly view: FleetView } {
   const clock = createSystemClock()
   const logger = createSilentLogger()
-  const view = createFleetView(clock, logger, [])
+  const view = createFleetView(clock, logger, () => [])
   view.applyNews(newsOf({ tables: tablesOf(1, routes), ...news }))
   return { view, client, availabilityZone: 'z1', region: 'r1', regionOf: () => 'r1', clock, random: createSystemRandom(), logger, metrics: createMetrics() }
 }
