Stream long bodies in both directions with backpressure; bound how long a body may stop

Cause: a gateway read each request body whole (up to 4 MB) before it passed it on, took answers from backend servers faster than a slow caller reads them, and waited without end for a body that stopped arriving.

Change: bodies up to 256 KB are still read whole, so that they can be sent again. Of a longer one the beginning is read; the rest goes on at the pace of the backend server, with its length or in chunks. A request whose rest was read is not sent again: "not run" stays true, a failure is a 502. A body that stops for the idle time is answered 408 before anything was sent, and ends the connection to the server after; one that is too long is answered 413, at once where its length says so. An answer pauses its server at 256 KB unread.

Ruled out: one stream for every body. Short ones would lose the second attempt, which callers gain more from than from the memory.

Left: bodies of jobs are held whole.

--- a/src/request/callerExchange.ts
+++ b/src/request/callerExchange.ts
@@ -11,6 +11,8 @@
   /** The request is not well formed. */
   Invalid: 'invalid request',
   TooLarge: 'body too large',
+  /** The body stopped arriving; nothing has run. */
+  Stalled: 'body stalled',
   /** Nothing has run; the caller may come back. */
   NotReady: 'not ready',
   /** Nothing has run; the caller may come back. */
--- a/src/request/forwardedAttempt.ts
+++ b/src/request/forwardedAttempt.ts
@@ -95,8 +95,7 @@
     progress.isTimeUp = true
     abort.abort()
   }, Math.max(0, timeLeftMs))
-  const canMove = progress.isRepeatable && progress.runs + 1 < route.attempts
-  const silence = createSilenceLimit(canMove ? Math.max(silenceMinMs, route.objectiveMs * firstEventObjectives) : Infinity, giveUpAttempt)
+  const silence = createSilenceLimit(mayRunAgain(progress) ? Math.max(silenceMinMs, route.objectiveMs * firstEventObjectives) : Infinity, giveUpAttempt)
   try {
     const sent = await client.send({ address: server.address, id: server.id }, {
       id: request.id,
@@ -105,6 +104,7 @@
       path: request.path,
       headers: request.headers,
       body: request.body,
+      rest: request.rest,
       resumeAfter: progress.lastEvent,
       timeLeftMs: Math.max(1, Math.floor(timeLeftMs))
     }, abort.signal)
@@ -122,6 +122,20 @@
   }
 }
 
+/**
+ * Tells whether a body that was read on its way to a server keeps the request from being sent again.
+ * @param progress - the request
+ * @returns true when the body is still there
+ */
+export function isBodyKept ({ request }: Progress): boolean {
+  return request.rest?.isTaken !== true
+}
+
+// Whether another server may run the request should the present one fail.
+function mayRunAgain (progress: Progress): boolean {
+  return progress.isRepeatable && progress.runs + 1 < progress.route.attempts && isBodyKept(progress)
+}
+
 function noteFailure (progress: Progress, server: BackendServerRecord, { sent, failure }: ExchangeFailure, services: ForwardingServices): AttemptEnd {
   if (progress.request.disconnected.aborted) return AttemptEnd.Disconnected
   noteBroken(progress, server, failure, services)
@@ -136,15 +150,14 @@
 }
 
 async function passOn (progress: Progress, value: BackendAnswer, silence: SilenceLimit, services: ForwardingServices): Promise<AttemptEnd> {
-  const { answer, route } = progress
+  const { answer } = progress
   if (value.kind === BackendAnswerKind.NotRun) return AttemptEnd.NotRun
   progress.status = value.status
   progress.isEndCertain = value.isFramed
   const isSuccess = value.status >= successStatus && value.status < redirectStatus
   if (!isSuccess) {
     if (progress.isStarted) return AttemptEnd.Broken
-    const mayRepeat = progress.isRepeatable && value.status >= serverErrorStatus && progress.runs + 1 < route.attempts
-    if (mayRepeat) return AttemptEnd.Broken
+    if (value.status >= serverErrorStatus && mayRunAgain(progress)) return AttemptEnd.Broken
   }
   if (isSuccess && isEventStream(value.headers)) return await passEventsOn(progress, value, silence, services)
   // Another server would begin a body without events from its start.
--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -2,12 +2,13 @@
  * The task of one live request at the gateway: chooses backend servers, repeats what may be repeated, and ends the answer.
  * @module
  */
+import { BodyProblem } from '../connection/opaqueRequest.ts'
 import type { BackendServerRecord } from '../process/fleet/backendServerRecords.ts'
 import { LogEvents } from '../process/logEvents.ts'
 import { Counter } from '../process/metrics.ts'
 import { chooseTarget, matchRoute, RouteKind } from '../version/gatewayTables.ts'
 import { type CallerAnswer, type CallerRequest, GatewayRefusal } from './callerExchange.ts'
-import { AttemptEnd, type ForwardingServices, type Progress, runAttempt, serverErrorStatus } from './forwardedAttempt.ts'
+import { AttemptEnd, type ForwardingServices, isBodyKept, type Progress, runAttempt, serverErrorStatus } from './forwardedAttempt.ts'
 import { chooseServer, type ServerCandidate } from './serverChoice.ts'
 
 /** Live requests that may wait at one backend server beyond its slots: with answers of about 0.7 s and 8 slots, each waits some 90 ms. */
@@ -75,7 +76,8 @@
   } finally {
     services.view.countLive(server.id, -1)
   }
-  if (end === AttemptEnd.Complete || (end === AttemptEnd.Broken && !request.disconnected.aborted)) services.view.noteRun(server.id, end === AttemptEnd.Complete && progress.status < serverErrorStatus)
+  const isServersEnd = end === AttemptEnd.Broken && !request.disconnected.aborted && request.rest?.problem === undefined
+  if (end === AttemptEnd.Complete || isServersEnd) services.view.noteRun(server.id, end === AttemptEnd.Complete && progress.status < serverErrorStatus)
   if (end === AttemptEnd.Complete) {
     // A server without framing may have crashed, so its end must not complete an answer that is framed.
     if (progress.isFramed && !progress.isEndCertain) return giveUp(progress, services, GatewayRefusal.Failed)
@@ -83,15 +85,16 @@
   }
   if (request.disconnected.aborted) return endAfterDisconnect(progress, services)
   if (progress.isTimeUp || services.clock.now() >= progress.deadlineAt) return giveUp(progress, services, GatewayRefusal.TimedOut)
+  if (request.rest?.problem !== undefined) return giveUp(progress, services, request.rest.problem === BodyProblem.TooLarge ? GatewayRefusal.TooLarge : GatewayRefusal.Failed)
   if (end === AttemptEnd.NotRun || end === AttemptEnd.Unsent) {
     progress.notRun++
     progress.avoided.add(server.id)
-    if (progress.notRun < notRunLimit) return true
+    if (progress.notRun < notRunLimit && isBodyKept(progress)) return true
     return giveUp(progress, services, GatewayRefusal.Overloaded)
   }
   progress.runs++
   progress.avoided.add(server.id)
-  const mayGoOn = !progress.isStarted || progress.hasResumePoint
+  const mayGoOn = (!progress.isStarted || progress.hasResumePoint) && isBodyKept(progress)
   if (progress.isRepeatable && mayGoOn && progress.runs < route.attempts) return true
   return giveUp(progress, services, GatewayRefusal.Failed)
 }
--- a/test/platformHttp.test.ts
+++ b/test/platformHttp.test.ts
@@ -11,9 +11,11 @@
 import { Ending } from '../src/process/commands.ts'
 import { GatewayRefusal } from '../src/request/callerExchange.ts'
 import type { CallerService } from '../src/request/callerService.ts'
+import { wholeBytes } from '../platform/requestBody.ts'
 import { runForwardedRequest } from '../src/request/forwardedRequest.ts'
 import type { JobSubmission } from '../src/request/gatewayJobs.ts'
-import { type GatewayRoute, matchRoute, RouteKind } from '../src/version/gatewayTables.ts'
+import { type CallerLimits, type GatewayRoute, matchRoute, RouteKind } from '../src/version/gatewayTables.ts'
+import { eventually } from '../scripts/processes.ts'
 import { forwardingOf, recordOf, routeOf } from './support/fakeFleet.ts'
 
 /** A backend server that notes the bytes of each request and answers with bytes. */
@@ -55,12 +57,13 @@
   close (): void
 }
 
-async function startGateway (address: string, route: Partial<GatewayRoute> = {}): Promise<Gateway> {
+async function startGateway (address: string, route: Partial<GatewayRoute> = {}, limits: Partial<CallerLimits> = {}): Promise<Gateway> {
   const routes = [routeOf({ attempts: 1, ...route }), routeOf({ name: 'b', pathPrefix: '/batch/', kind: RouteKind.Batch })]
   const services = forwardingOf(createBackendServerHttp(), routes, { servers: [recordOf('i-1', { address })] })
   const jobs: JobSubmission[] = []
+  const allowed: CallerLimits = { headerBytes: 16_384, bodyBytes: 1_000_000, headerMs: 3_000, idleMs: 15_000, ...limits }
   const service: CallerService = {
-    limits: () => services.view.tables?.limits,
+    limits: () => allowed,
     isDraining: () => false,
     isJob: (host, path) => matchRoute(services.view.routes, host, path)?.kind === RouteKind.Batch,
     now: () => performance.now(),
@@ -110,9 +113,9 @@
     for (const one of opened.splice(0)) one.close()
   })
 
-  async function start (answer: (socket: Socket, text: string) => void, route: Partial<GatewayRoute> = {}): Promise<{ server: RawServer, gateway: Gateway }> {
+  async function start (answer: (socket: Socket, text: string) => void, route: Partial<GatewayRoute> = {}, limits: Partial<CallerLimits> = {}): Promise<{ server: RawServer, gateway: Gateway }> {
     const server = await startRawServer(answer)
-    const gateway = await startGateway(server.address, route)
+    const gateway = await startGateway(server.address, route, limits)
     opened.push(server, gateway)
     return { server, gateway }
   }
@@ -192,6 +195,91 @@
     await closed
   })
 
+  const longBody = Buffer.alloc(wholeBytes * 3, 'b')
+
+  /** Opens a connection of a caller and sends the head of a request with a body. */
+  function sendHead (gateway: Gateway, framing: string): { readonly caller: Socket, readonly text: () => string } {
+    const caller = connect(gateway.port, '127.0.0.1')
+    caller.on('error', () => {})
+    let text = ''
+    caller.on('data', data => { text += data.toString() })
+    caller.write(`POST /p/1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: q-1\r\n${framing}\r\n\r\n`)
+    return { caller, text: () => text }
+  }
+
+  function chunkOf (bytes: Buffer): Buffer {
+    return Buffer.concat([Buffer.from(`${bytes.length.toString(16)}\r\n`), bytes, Buffer.from('\r\n')])
+  }
+
+  // Failure: long bodies were held whole, however many came at once.
+  for (const framing of [`Content-Length: ${longBody.length}`, 'Transfer-Encoding: chunked']) {
+    it(`passes a long body on before its end has arrived, and whole: ${framing}`, async () => {
+      const { server, gateway } = await start(() => {})
+      const { caller, text } = sendHead(gateway, framing)
+      const isChunked = framing.includes('chunked')
+      const [first, second] = [longBody.subarray(0, wholeBytes * 2), longBody.subarray(wholeBytes * 2)]
+      caller.write(isChunked ? chunkOf(first) : first)
+      await eventually('the beginning at the server', 2_000, () => server.received.join('').length > wholeBytes ? true : undefined)
+      expect(text()).to.equal('')
+      caller.write(isChunked ? Buffer.concat([chunkOf(second), Buffer.from('0\r\n\r\n')]) : second)
+      await eventually('the whole body at the server', 2_000, () => server.received.join('').replaceAll(/[^b]/g, '').length >= longBody.length ? true : undefined)
+      server.sockets[0]?.end(`${head}Content-Length: 2\r\n\r\nok`)
+      await eventually('the answer', 2_000, () => text().endsWith('ok') ? true : undefined)
+      caller.destroy()
+    })
+  }
+
+  it('does not run a request again whose long body was read on the way to a server that failed', async () => {
+    const { server, gateway } = await start(socket => socket.resetAndDestroy(), { kind: RouteKind.Safe, attempts: 3 })
+    const answer = await request(`${gateway.url}/p/1`, { method: 'POST', body: longBody, headers })
+    expect(answer.statusCode).to.equal(502)
+    expect(server.sockets).to.have.length(1)
+    await answer.body.dump()
+  })
+
+  it('refuses a body that is too long, by its length at once and by its chunks when they are', async () => {
+    const { server, gateway } = await start(() => {}, {}, { bodyBytes: 1_000 })
+    const known = sendHead(gateway, 'Content-Length: 5000')
+    await eventually('the refusal', 2_000, () => known.text().startsWith('HTTP/1.1 413') ? true : undefined)
+    const unknown = sendHead(gateway, 'Transfer-Encoding: chunked')
+    unknown.caller.write(chunkOf(Buffer.alloc(1_200)))
+    await eventually('the refusal', 2_000, () => unknown.text().startsWith('HTTP/1.1 413') ? true : undefined)
+    expect(server.sockets).to.have.length(0)
+  })
+
+  // Failure: a caller that stopped in the middle of its body held its connection and its memory for ever.
+  it('answers 408 when a body stops arriving, and sends nothing', async () => {
+    const { server, gateway } = await start(() => {}, {}, { idleMs: 100 })
+    const { caller, text } = sendHead(gateway, 'Content-Length: 500')
+    caller.write('half')
+    await eventually('the refusal', 2_000, () => text().startsWith('HTTP/1.1 408') ? true : undefined)
+    expect(server.sockets).to.have.length(0)
+  })
+
+  it('ends the connection to the server when a long body stops arriving', async () => {
+    const { server, gateway } = await start(() => {}, {}, { idleMs: 100 })
+    const { caller, text } = sendHead(gateway, `Content-Length: ${longBody.length}`)
+    caller.write(longBody.subarray(0, wholeBytes * 2))
+    await eventually('the end of the answer', 2_000, () => text().startsWith('HTTP/1.1 502') && server.sockets[0]?.destroyed === true ? true : undefined)
+  })
+
+  // Failure: an answer that its caller read slowly was held whole in memory.
+  it('holds the server up when the caller reads slowly', async () => {
+    const answerBytes = 30_000_000
+    const { server, gateway } = await start(socket => socket.end(Buffer.concat([Buffer.from(`${head}Content-Length: ${answerBytes}\r\n\r\n`), Buffer.alloc(answerBytes)])))
+    const caller = connect(gateway.port, '127.0.0.1')
+    caller.pause()
+    caller.write('GET /p/1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: q-1\r\n\r\n')
+    await eventually('the answer under way', 2_000, () => (server.sockets[0]?.bytesWritten ?? 0) > 0 ? true : undefined)
+    await new Promise(resolve => setTimeout(resolve, 300))
+    expect(server.sockets[0]?.writableLength).to.be.above(0)
+    let bytes = 0
+    caller.on('data', data => { bytes += data.length })
+    caller.resume()
+    await eventually('the whole answer', 5_000, () => bytes > answerBytes ? true : undefined)
+    caller.destroy()
+  })
+
   it('gives an answer of its own on a kept connection only to a request', async () => {
     const { gateway } = await start(() => {})
     const caller = connect(gateway.port, '127.0.0.1')
