Move the program's frame (settings, life cycle, logs, metrics, time, failures) to src/process/program

Cause: src/process held half of the code in one flat folder, so that the subject of a module had to be guessed from its name.

--- a/bench/choice.ts
+++ b/bench/choice.ts
@@ -7,10 +7,10 @@
 import { mkdir, writeFile } from 'node:fs/promises'
 import * as hdr from 'hdr-histogram-js'
 import { type BackendServer, createBackendServers, endLive, startLive } from '../src/process/backendServers.ts'
-import { Clock } from '../src/process/clock.ts'
-import { Level } from '../src/process/logEvents.ts'
-import { createLogger } from '../src/process/logger.ts'
-import { createSeededRandom, type Random } from '../src/process/random.ts'
+import { Clock } from '../src/process/program/clock.ts'
+import { Level } from '../src/process/program/logEvents.ts'
+import { createLogger } from '../src/process/program/logger.ts'
+import { createSeededRandom, type Random } from '../src/process/program/random.ts'
 import { chooseBackendServer } from '../src/request/choice.ts'
 
 const capacity = 16
--- a/bench/load.ts
+++ b/bench/load.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import * as hdr from 'hdr-histogram-js'
-import { createSeededRandom } from '../src/process/random.ts'
+import { createSeededRandom } from '../src/process/program/random.ts'
 
 /** Rates and length of one run. */
 export interface LoadShape {
--- a/bench/log.ts
+++ b/bench/log.ts
@@ -14,11 +14,11 @@
 import { eventually } from '../scripts/processes.ts'
 import { createControlClient } from '../src/connection/controlClient.ts'
 import { createInternalClients } from '../src/connection/internalClient.ts'
-import { createSystemClock } from '../src/process/clock.ts'
+import { createSystemClock } from '../src/process/program/clock.ts'
 import { CommandKind } from '../src/process/commands.ts'
-import { createLifecycle } from '../src/process/lifecycle.ts'
-import { createMetrics } from '../src/process/metrics.ts'
-import { createSystemRandom } from '../src/process/random.ts'
+import { createLifecycle } from '../src/process/program/lifecycle.ts'
+import { createMetrics } from '../src/process/program/metrics.ts'
+import { createSystemRandom } from '../src/process/program/random.ts'
 
 const writerCounts = [1, 8, 64, 512]
 const loadMs = 5_000
--- a/bench/subset.ts
+++ b/bench/subset.ts
@@ -6,7 +6,7 @@
  */
 import { writeFile } from 'node:fs/promises'
 import { fileURLToPath } from 'node:url'
-import { createSeededRandom, type Random } from '../src/process/random.ts'
+import { createSeededRandom, type Random } from '../src/process/program/random.ts'
 
 const resultFile = fileURLToPath(new URL('results/subset.json', import.meta.url))
 const seed = 20261204
--- a/scripts/logEventsPage.ts
+++ b/scripts/logEventsPage.ts
@@ -4,7 +4,7 @@
  */
 import { writeFile } from 'node:fs/promises'
 import { fileURLToPath } from 'node:url'
-import { LogEvents } from '../src/process/logEvents.ts'
+import { LogEvents } from '../src/process/program/logEvents.ts'
 
 const page = fileURLToPath(new URL('../docs/log-events.md', import.meta.url))
 
--- a/src/connection/backendServerClient.ts
+++ b/src/connection/backendServerClient.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import type { Result } from 'neverthrow'
-import type { Failure } from '../process/failure.ts'
+import type { Failure } from '../process/program/failure.ts'
 import type { OpaqueRequest } from './opaqueRequest.ts'
 
 /** A request to a backend server. */
--- a/src/connection/batchGrowth.ts
+++ b/src/connection/batchGrowth.ts
@@ -2,7 +2,7 @@
  * How many batch items may run on one backend server.
  * @module
  */
-import type { Random } from '../process/random.ts'
+import type { Random } from '../process/program/random.ts'
 import type { Beside, DelayRatio, Preference } from '../version/preference.ts'
 
 /** Time between two growth steps while the measured delay is within the bound, in milliseconds. */
--- a/src/connection/callConnection.ts
+++ b/src/connection/callConnection.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { connect, type Socket } from 'node:net'
-import { parseAddress } from '../process/address.ts'
+import { parseAddress } from '../process/program/address.ts'
 import { encodeMessage, encodeSmallMessage, readMessages, writeFrame } from './frames.ts'
 
 /** Limit for opening a connection between hosts, in milliseconds. */
--- a/src/connection/claimedItems.ts
+++ b/src/connection/claimedItems.ts
@@ -3,8 +3,8 @@
  * @module
  */
 import { CommandKind, type Grant, OutcomeKind } from '../process/commands.ts'
-import type { Condition } from '../process/condition.ts'
-import { LogEvents } from '../process/logEvents.ts'
+import type { Condition } from '../process/program/condition.ts'
+import { LogEvents } from '../process/program/logEvents.ts'
 import type { BatchServices } from './batchDispatch.ts'
 
 /** Time without room after which held items go back to control, to run elsewhere, in milliseconds. */
--- a/src/connection/controlStream.ts
+++ b/src/connection/controlStream.ts
@@ -2,11 +2,11 @@
  * The task that keeps an entry host's session with control and brings it newer versions.
  * @module
  */
-import type { Clock } from '../process/clock.ts'
-import { type Condition, createCondition } from '../process/condition.ts'
-import { LogEvents } from '../process/logEvents.ts'
-import type { Logger } from '../process/logger.ts'
-import type { Random } from '../process/random.ts'
+import type { Clock } from '../process/program/clock.ts'
+import { type Condition, createCondition } from '../process/program/condition.ts'
+import { LogEvents } from '../process/program/logEvents.ts'
+import type { Logger } from '../process/program/logger.ts'
+import type { Random } from '../process/program/random.ts'
 import { type EntryHost, holderLimitMs } from '../process/sessions.ts'
 import type { WatchAnswer, WatchRequest } from '../process/watchMessages.ts'
 import type { CurrentVersion } from '../version/currentVersion.ts'
--- a/src/connection/dispatchPeer.ts
+++ b/src/connection/dispatchPeer.ts
@@ -3,13 +3,13 @@
  * leases it runs live requests. A start is sent at once, so that the holder can yield; ends are gathered.
  * @module
  */
-import type { Clock } from '../process/clock.ts'
+import type { Clock } from '../process/program/clock.ts'
 import type { Holder } from '../process/commands.ts'
-import { createCondition, waitForEither } from '../process/condition.ts'
-import { Step } from '../process/failure.ts'
+import { createCondition, waitForEither } from '../process/program/condition.ts'
+import { Step } from '../process/program/failure.ts'
 import type { LeaseDirectory } from '../process/leaseDirectory.ts'
 import type { LiveWork } from '../process/liveWork.ts'
-import { Counter, type Metrics } from '../process/metrics.ts'
+import { Counter, type Metrics } from '../process/program/metrics.ts'
 import { type InternalClients, TrafficClass } from './internalClient.ts'
 
 /** Longest time between two messages, in milliseconds. A receiver drops what is three times as old. */
--- a/src/connection/engineProtocol.ts
+++ b/src/connection/engineProtocol.ts
@@ -5,7 +5,7 @@
 import { createParser, type EventSourceParser } from 'eventsource-parser'
 import { err, ok, type Result } from 'neverthrow'
 import * as z from 'zod'
-import { createFailure, FailureReason, Step } from '../process/failure.ts'
+import { createFailure, FailureReason, Step } from '../process/program/failure.ts'
 import type { BackendServerConnection } from './backendServerConnection.ts'
 import { type Attempt, type AttemptFailure, type PartReceiver, Protocol } from './protocol.ts'
 
--- a/src/connection/entryPeer.ts
+++ b/src/connection/entryPeer.ts
@@ -2,8 +2,8 @@
  * The task that tells one peer entry host what changed here: announcements and crash reports.
  * @module
  */
-import type { Clock } from '../process/clock.ts'
-import { Step } from '../process/failure.ts'
+import type { Clock } from '../process/program/clock.ts'
+import { Step } from '../process/program/failure.ts'
 import type { SharedNews } from '../process/sharedNews.ts'
 import { type InternalClients, TrafficClass } from './internalClient.ts'
 
--- a/src/connection/fleetWatch.ts
+++ b/src/connection/fleetWatch.ts
@@ -4,8 +4,8 @@
  */
 import type { FleetHost } from '../process/fleet/fleetMessages.ts'
 import type { FleetView } from '../process/fleet/fleetView.ts'
-import { LogEvents } from '../process/logEvents.ts'
-import type { ProcessServices } from '../process/processServices.ts'
+import { LogEvents } from '../process/program/logEvents.ts'
+import type { ProcessServices } from '../process/program/processServices.ts'
 import type { FleetClient } from './controlClient.ts'
 
 /** Longest pause after a poll that failed, in milliseconds; random, so that hosts do not call a new leader all at once. */
--- a/src/connection/internalMessages.ts
+++ b/src/connection/internalMessages.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import { err, ok, type Result } from 'neverthrow'
-import { createFailure, type Failure, type FailureReason, type Step } from '../process/failure.ts'
+import { createFailure, type Failure, type FailureReason, type Step } from '../process/program/failure.ts'
 
 /** Kinds of reply. */
 export const ReplyKind = { Value: 'value', Failure: 'failure' } as const
--- a/src/connection/openRequests.ts
+++ b/src/connection/openRequests.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import type { Server, ServerResponse } from 'node:http'
-import { createCondition } from '../process/condition.ts'
+import { createCondition } from '../process/program/condition.ts'
 
 /** Longest wait between two looks, in milliseconds. */
 const lookMs = 1_000
--- a/src/connection/replicaPeer.ts
+++ b/src/connection/replicaPeer.ts
@@ -2,7 +2,7 @@
  * The task of a leader for one other replica: sends entries, heartbeats and snapshots, one request at a time.
  * @module
  */
-import type { Clock } from '../process/clock.ts'
+import type { Clock } from '../process/program/clock.ts'
 import { electionMinMs, heartbeatMs } from '../process/election.ts'
 import { entriesFrom, lastIndexOf, termAt } from '../process/replicaLog.ts'
 import type { AppendRequest, Transport } from '../process/replicaMessages.ts'
--- a/src/connection/replicaTransport.ts
+++ b/src/connection/replicaTransport.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import { err, ok, type ResultAsync } from 'neverthrow'
-import { createFailure, type Failure, FailureReason, Step } from '../process/failure.ts'
+import { createFailure, type Failure, FailureReason, Step } from '../process/program/failure.ts'
 import {
   type AppendAnswer, type AppendRequest, type Identification, type JoinAnswer, type JoinRequest, type SnapshotAnswer, type SnapshotRequest,
   Transport, type VoteAnswer, type VoteRequest
--- a/src/connection/share.ts
+++ b/src/connection/share.ts
@@ -2,7 +2,7 @@
  * What entry hosts tell one another.
  * @module
  */
-import { hashText } from '../process/hash.ts'
+import { hashText } from '../process/program/hash.ts'
 
 /** An announcement of a backend server, as entry hosts share it. */
 export interface Announcement {
--- a/src/daemons/jaychute.ts
+++ b/src/daemons/jaychute.ts
@@ -4,11 +4,11 @@
  * @module
  */
 import meow from 'meow'
-import { ExitCode, findUnknown, operatorAddressVariable, reportProblems } from '../process/commandLine.ts'
-import { FailureReason } from '../process/failure.ts'
+import { ExitCode, findUnknown, operatorAddressVariable, reportProblems } from '../process/program/commandLine.ts'
+import { FailureReason } from '../process/program/failure.ts'
 import { createOperatorClient } from '../process/operatorClient.ts'
 import { runOperation } from '../process/operatorCommands.ts'
-import { isAddress } from '../process/address.ts'
+import { isAddress } from '../process/program/address.ts'
 
 const program = 'jaychute'
 /** Shortest time between two lines of progress, in milliseconds. */
--- a/src/daemons/jaychuteHost.ts
+++ b/src/daemons/jaychuteHost.ts
@@ -4,10 +4,10 @@
  * @module
  */
 import { settingsVariable } from '../../platform/names.ts'
-import { ExitCode } from '../process/commandLine.ts'
-import { createCondition } from '../process/condition.ts'
-import { runDaemon, SecondSignal } from '../process/daemonRun.ts'
-import type { Failure } from '../process/failure.ts'
+import { ExitCode } from '../process/program/commandLine.ts'
+import { createCondition } from '../process/program/condition.ts'
+import { runDaemon, SecondSignal } from '../process/program/daemonRun.ts'
+import type { Failure } from '../process/program/failure.ts'
 import type { FleetDaemon } from '../process/fleet/fleetDaemon.ts'
 import { FleetRole } from '../process/fleet/fleetMessages.ts'
 import { type FleetSettings, listFleetSettings, readFleetSettings } from '../process/fleet/fleetSettings.ts'
--- a/src/daemons/jaychuted.ts
+++ b/src/daemons/jaychuted.ts
@@ -4,10 +4,10 @@
  * @module
  */
 import meow from 'meow'
-import { ExitCode, findUnknown, reportProblems } from '../process/commandLine.ts'
+import { ExitCode, findUnknown, reportProblems } from '../process/program/commandLine.ts'
 import { startDaemon } from '../process/daemon.ts'
-import { runDaemon, SecondSignal } from '../process/daemonRun.ts'
-import { explainStart, listFlags, readSettings } from '../process/settings.ts'
+import { runDaemon, SecondSignal } from '../process/program/daemonRun.ts'
+import { explainStart, listFlags, readSettings } from '../process/program/settings.ts'
 
 const program = 'jaychuted'
 const flags = listFlags()
--- a/src/index.ts
+++ b/src/index.ts
@@ -3,7 +3,7 @@
  * @module
  */
 export { type Daemon, startDaemon } from './process/daemon.ts'
-export { listFlags, readSettings, Role, type Settings } from './process/settings.ts'
+export { listFlags, readSettings, Role, type Settings } from './process/program/settings.ts'
 export { createOperatorClient, type OperatorClient } from './process/operatorClient.ts'
 export { runLiveRequest, type LiveRequest, type LiveServices } from './request/liveRequest.ts'
 export { chooseBackendServer } from './request/choice.ts'
--- a/src/process/backendServers.ts
+++ b/src/process/backendServers.ts
@@ -3,11 +3,11 @@
  * @module
  */
 import { type Announcement, fingerprintContent, type Renewal } from '../connection/share.ts'
-import type { Clock } from './clock.ts'
-import { hashText } from './hash.ts'
-import { type Condition, createCondition } from './condition.ts'
-import { LogEvents } from './logEvents.ts'
-import type { Logger } from './logger.ts'
+import type { Clock } from './program/clock.ts'
+import { hashText } from './program/hash.ts'
+import { type Condition, createCondition } from './program/condition.ts'
+import { LogEvents } from './program/logEvents.ts'
+import type { Logger } from './program/logger.ts'
 
 /** Time after which an announcement that was not renewed expires, in milliseconds. */
 export const announcementLimitMs = 5_000
--- a/src/process/completions.ts
+++ b/src/process/completions.ts
@@ -5,9 +5,9 @@
  */
 import type { ControlClient } from '../connection/controlClient.ts'
 import { CommandKind, type Completion, type Return } from './commands.ts'
-import { createCondition } from './condition.ts'
-import { LogEvents } from './logEvents.ts'
-import type { Logger } from './logger.ts'
+import { createCondition } from './program/condition.ts'
+import { LogEvents } from './program/logEvents.ts'
+import type { Logger } from './program/logger.ts'
 
 /** Most items in one command. */
 const batchLimit = 500
--- a/src/process/controlHost.ts
+++ b/src/process/controlHost.ts
@@ -3,11 +3,11 @@
  * @module
  */
 import { err, ok, type Result, type ResultAsync } from 'neverthrow'
-import type { Clock } from './clock.ts'
+import type { Clock } from './program/clock.ts'
 import { type Command, CommandKind, type Holder, type Outcome, OutcomeKind } from './commands.ts'
-import { type Condition, createCondition } from './condition.ts'
+import { type Condition, createCondition } from './program/condition.ts'
 import { answerQuery, applyCommand, type ControlState, createControlState } from './controlState.ts'
-import { createFailure, type Failure, FailureReason, Step } from './failure.ts'
+import { createFailure, type Failure, FailureReason, Step } from './program/failure.ts'
 import { type Answer, type Query, QueryKind } from './queries.ts'
 import { isClosed } from './submissions.ts'
 import { createQuietUploads } from './quietUploads.ts'
--- a/src/process/controlState.ts
+++ b/src/process/controlState.ts
@@ -5,7 +5,7 @@
 import { compareTables } from '../version/difference.ts'
 import { emptyConfiguration } from '../version/tables.ts'
 import { validateTables } from '../version/validation.ts'
-import { assertNever } from './assert.ts'
+import { assertNever } from './program/assert.ts'
 import { type Command, CommandKind, type CommandOf, done, type Outcome, OutcomeKind } from './commands.ts'
 import { claim, complete, giveBack, start, takeBack } from './grants.ts'
 import { createJobs, describeJob, type Job, listResults } from './jobRecords.ts'
--- a/src/process/entryTasks.ts
+++ b/src/process/entryTasks.ts
@@ -10,14 +10,14 @@
 import type { InternalClients } from '../connection/internalClient.ts'
 import { type OrderServices, runOrderIssuer } from '../connection/orderIssuer.ts'
 import type { BackendServer, BackendServers } from './backendServers.ts'
-import type { Clock } from './clock.ts'
+import type { Clock } from './program/clock.ts'
 import type { LeaseDirectory } from './leaseDirectory.ts'
 import type { LiveWork } from './liveWork.ts'
-import type { Metrics } from './metrics.ts'
+import type { Metrics } from './program/metrics.ts'
 import type { EntryHost } from './sessions.ts'
-import type { Settings } from './settings.ts'
+import type { Settings } from './program/settings.ts'
 import type { SharedNews } from './sharedNews.ts'
-import { createTaskSet } from './taskSet.ts'
+import { createTaskSet } from './program/taskSet.ts'
 
 /** How often the tasks are brought in line when nothing is reported, in milliseconds. */
 const alignMs = 500
--- a/src/process/fleet/controlDaemon.ts
+++ b/src/process/fleet/controlDaemon.ts
@@ -11,11 +11,11 @@
 import { addressKeepMs, chooseGateways } from '../../request/addressAnswer.ts'
 import { CommandKind, OutcomeKind } from '../commands.ts'
 import { type ControlHost, createControlHost } from '../controlHost.ts'
-import { type Failure, FailureReason } from '../failure.ts'
+import { type Failure, FailureReason } from '../program/failure.ts'
 import { createFileStorage } from '../fileStorage.ts'
-import { LogEvents } from '../logEvents.ts'
+import { LogEvents } from '../program/logEvents.ts'
 import { QueryKind } from '../queries.ts'
-import { serveApi } from '../servers.ts'
+import { serveApi } from '../program/servers.ts'
 import { setAside } from '../setAside.ts'
 import { createBatchRunner, type BatchRunner } from './batchRunner.ts'
 import { type ControlService, PublicationEnd, RetirementEnd } from './controlService.ts'
@@ -23,7 +23,7 @@
 import { createFleetLeader, type FleetLeader } from './fleetLeader.ts'
 import { FleetRole } from './fleetMessages.ts'
 import { controlHostsOf, type FleetSettings } from './fleetSettings.ts'
-import { millisecondsPerSecond } from '../units.ts'
+import { millisecondsPerSecond } from '../program/units.ts'
 
 /** Heartbeats that a backend server may miss before it counts as gone; gateways notice a crash by themselves. */
 const missedHeartbeats = 6
--- a/src/process/fleet/controlService.ts
+++ b/src/process/fleet/controlService.ts
@@ -6,7 +6,7 @@
 import type { Result } from 'neverthrow'
 import type { Publication } from '../../version/gatewayTables.ts'
 import type { Problem } from '../../version/validation.ts'
-import type { Failure } from '../failure.ts'
+import type { Failure } from '../program/failure.ts'
 import type { Heartbeat } from './backendServerRecords.ts'
 
 /** Kinds of answer to a publication. */
--- a/src/process/fleet/executorDaemon.ts
+++ b/src/process/fleet/executorDaemon.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import { ok, type Result } from 'neverthrow'
-import type { Failure } from '../failure.ts'
+import type { Failure } from '../program/failure.ts'
 import { createFleetDaemon, createFleetHostBase, type FleetDaemon, serveMetrics } from './fleetDaemon.ts'
 import type { FleetSettings } from './fleetSettings.ts'
 
--- a/src/process/fleet/fleetLeader.ts
+++ b/src/process/fleet/fleetLeader.ts
@@ -4,13 +4,13 @@
  * @module
  */
 import { err, ok, type Result } from 'neverthrow'
-import { type Condition, createCondition } from '../condition.ts'
+import { type Condition, createCondition } from '../program/condition.ts'
 import type { ControlState } from '../controlState.ts'
-import { createFailure, type Failure, FailureReason, Step } from '../failure.ts'
-import { LogEvents } from '../logEvents.ts'
-import type { ProcessServices } from '../processServices.ts'
+import { createFailure, type Failure, FailureReason, Step } from '../program/failure.ts'
+import { LogEvents } from '../program/logEvents.ts'
+import type { ProcessServices } from '../program/processServices.ts'
 import { type Replica, ReplicaRole } from '../replica.ts'
-import { millisecondsPerSecond } from '../units.ts'
+import { millisecondsPerSecond } from '../program/units.ts'
 import { createBackendServerRegistry, type BackendServerRecord, type Heartbeat, ServerPhase } from './backendServerRecords.ts'
 import { fleetHoldMs, type FleetNews, FleetRole, type FleetWatch, type LoadReport, type LoadTotals, type ServerLoad } from './fleetMessages.ts'
 import { createHostSessions, sessionMs } from './hostSessions.ts'
--- a/src/process/fleet/fleetSettings.ts
+++ b/src/process/fleet/fleetSettings.ts
@@ -5,8 +5,8 @@
 import { readFileSync } from 'node:fs'
 import { err, ok, type Result } from 'neverthrow'
 import * as z from 'zod'
-import { isAddress } from '../address.ts'
-import { Level } from '../logEvents.ts'
+import { isAddress } from '../program/address.ts'
+import { Level } from '../program/logEvents.ts'
 import { FleetRole } from './fleetMessages.ts'
 
 const address = z.string().refine(isAddress, 'must be an IP number and a port, for example 127.0.0.1:7000')
--- a/src/process/fleet/fleetView.ts
+++ b/src/process/fleet/fleetView.ts
@@ -3,10 +3,10 @@
  * it knows while no leader is reached.
  * @module
  */
-import type { Clock } from '../clock.ts'
-import { type Condition, createCondition } from '../condition.ts'
-import { LogEvents } from '../logEvents.ts'
-import type { Logger } from '../logger.ts'
+import type { Clock } from '../program/clock.ts'
+import { type Condition, createCondition } from '../program/condition.ts'
+import { LogEvents } from '../program/logEvents.ts'
+import type { Logger } from '../program/logger.ts'
 import { createRouteIndex, type GatewayTables, type RouteIndex } from '../../version/gatewayTables.ts'
 import { type BackendServerRecord, isNewer, ServerPhase } from './backendServerRecords.ts'
 import type { FleetHost, FleetNews, FleetWatch, LoadTotals, ServerLoad } from './fleetMessages.ts'
--- a/src/process/fleet/gatewayDaemon.ts
+++ b/src/process/fleet/gatewayDaemon.ts
@@ -14,11 +14,11 @@
 import { runForwardedRequest } from '../../request/forwardedRequest.ts'
 import { endJob, type GatewayJobServices, readItemBody, readJobResults, submitJob } from '../../request/gatewayJobs.ts'
 import { matchRoute, RouteKind } from '../../version/gatewayTables.ts'
-import type { Failure } from '../failure.ts'
-import { listen, serveApi } from '../servers.ts'
+import type { Failure } from '../program/failure.ts'
+import { listen, serveApi } from '../program/servers.ts'
 import { createFleetDaemon, createFleetHostBase, type FleetDaemon, type FleetHostBase, serveMetrics } from './fleetDaemon.ts'
 import type { FleetSettings } from './fleetSettings.ts'
-import { millisecondsPerSecond } from '../units.ts'
+import { millisecondsPerSecond } from '../program/units.ts'
 
 /** How many times its life some callers keep an address answer. */
 const keepFactor = 3
--- a/src/process/fleet/itemEnds.ts
+++ b/src/process/fleet/itemEnds.ts
@@ -3,9 +3,9 @@
  * @module
  */
 import { CommandKind, type FinishedItem } from '../commands.ts'
-import { createCondition } from '../condition.ts'
-import { LogEvents } from '../logEvents.ts'
-import type { ProcessServices } from '../processServices.ts'
+import { createCondition } from '../program/condition.ts'
+import { LogEvents } from '../program/logEvents.ts'
+import type { ProcessServices } from '../program/processServices.ts'
 import type { Replica } from '../replica.ts'
 
 /** How often the task looks without being notified, in milliseconds. */
--- a/src/process/fleet/settingsReload.ts
+++ b/src/process/fleet/settingsReload.ts
@@ -4,9 +4,9 @@
  * @module
  */
 import { stat } from 'node:fs/promises'
-import type { Condition } from '../condition.ts'
-import { LogEvents } from '../logEvents.ts'
-import type { Logger } from '../logger.ts'
+import type { Condition } from '../program/condition.ts'
+import { LogEvents } from '../program/logEvents.ts'
+import type { Logger } from '../program/logger.ts'
 import { type FleetSettings, readFleetSettings } from './fleetSettings.ts'
 
 /** Time between two looks at the settings file, in milliseconds: the file may change without a signal. */
--- a/src/process/leaseDirectory.ts
+++ b/src/process/leaseDirectory.ts
@@ -4,9 +4,9 @@
  * @module
  */
 import type { Location } from '../request/choice.ts'
-import type { Clock } from './clock.ts'
+import type { Clock } from './program/clock.ts'
 import type { Holder } from './commands.ts'
-import { createCondition, type Condition } from './condition.ts'
+import { createCondition, type Condition } from './program/condition.ts'
 import type { EntryHost } from './sessions.ts'
 
 /** Time after which a holder that was not heard of no longer counts, in milliseconds. */
--- a/src/process/operatorClient.ts
+++ b/src/process/operatorClient.ts
@@ -11,7 +11,7 @@
 import type { ErrorBody } from '../request/refusal.ts'
 import type { Configuration, Tables } from '../version/tables.ts'
 import type { Outcome } from './commands.ts'
-import { createFailure, type Failure, FailureReason, Step, toFailure } from './failure.ts'
+import { createFailure, type Failure, FailureReason, Step, toFailure } from './program/failure.ts'
 import type { Answer, ItemResult, JobStatus, QueryKind } from './queries.ts'
 
 /** A change of both tables. */
--- a/src/process/operatorCommands.ts
+++ b/src/process/operatorCommands.ts
@@ -7,7 +7,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import { TableName, type Tables } from '../version/tables.ts'
 import { OutcomeKind } from './commands.ts'
-import { createFailure, type Failure, FailureReason, Step, toFailure } from './failure.ts'
+import { createFailure, type Failure, FailureReason, Step, toFailure } from './program/failure.ts'
 import type { OperatorClient } from './operatorClient.ts'
 import { formatStatus, formatTable } from './operatorTables.ts'
 
--- a/src/process/quarantine.ts
+++ b/src/process/quarantine.ts
@@ -6,10 +6,10 @@
  */
 import { createHash } from 'node:crypto'
 import type { CrashReport } from '../connection/share.ts'
-import type { Clock } from './clock.ts'
-import { type Condition, createCondition } from './condition.ts'
-import { LogEvents } from './logEvents.ts'
-import type { Logger } from './logger.ts'
+import type { Clock } from './program/clock.ts'
+import { type Condition, createCondition } from './program/condition.ts'
+import { LogEvents } from './program/logEvents.ts'
+import type { Logger } from './program/logger.ts'
 
 /** How long a crash stays on record, in milliseconds. */
 export const crashKeepMs = 600_000
--- a/src/process/replicaProposals.ts
+++ b/src/process/replicaProposals.ts
@@ -4,8 +4,8 @@
  */
 import { err, ok, type Result } from 'neverthrow'
 import type { Command, Outcome } from './commands.ts'
-import { createFailure, type Failure, FailureReason, Step } from './failure.ts'
-import { Latency } from './metrics.ts'
+import { createFailure, type Failure, FailureReason, Step } from './program/failure.ts'
+import { Latency } from './program/metrics.ts'
 import { isRoundConfirmed } from './replicaCommit.ts'
 import { appendOwn, checkLeadership } from './replicaLeadership.ts'
 import { notLeader, type ReplicaCore, ReplicaRole } from './replicaState.ts'
--- a/src/process/sharedNews.ts
+++ b/src/process/sharedNews.ts
@@ -3,8 +3,8 @@
  * @module
  */
 import { type Announcement, type CrashReport, createRenewal, describeContent, type Renewal, type Share } from '../connection/share.ts'
-import type { Clock } from './clock.ts'
-import { type Condition, createCondition } from './condition.ts'
+import type { Clock } from './program/clock.ts'
+import { type Condition, createCondition } from './program/condition.ts'
 import { announcementLimitMs } from './backendServers.ts'
 
 /** How long a crash report is told and believed, in milliseconds. */
--- a/src/process/stateSnapshot.ts
+++ b/src/process/stateSnapshot.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Configuration } from '../version/tables.ts'
-import { assert, assertNever } from './assert.ts'
+import { assert, assertNever } from './program/assert.ts'
 import type { Ending, Item } from './commands.ts'
 import { type ControlState, createControlState } from './controlState.ts'
 import {
--- a/src/process/storage.ts
+++ b/src/process/storage.ts
@@ -4,7 +4,7 @@
  */
 import type { ResultAsync } from 'neverthrow'
 import type { Command } from './commands.ts'
-import type { Failure } from './failure.ts'
+import type { Failure } from './program/failure.ts'
 import type { StatePart } from './stateSnapshot.ts'
 
 /** Standing of a member of the log. */
--- a/src/request/choice.ts
+++ b/src/request/choice.ts
@@ -3,8 +3,8 @@
  * @module
  */
 import { type BackendServer, reportedAt } from '../process/backendServers.ts'
-import { combineHashes, hashText } from '../process/hash.ts'
-import type { Random } from '../process/random.ts'
+import { combineHashes, hashText } from '../process/program/hash.ts'
+import type { Random } from '../process/program/random.ts'
 
 /** Where the choosing entry host is. */
 export interface Location {
--- a/src/request/errorAnswer.ts
+++ b/src/request/errorAnswer.ts
@@ -4,10 +4,10 @@
  */
 import type { Context } from 'hono'
 import type { ContentfulStatusCode } from 'hono/utils/http-status'
-import { Step } from '../process/failure.ts'
-import { LogEvents } from '../process/logEvents.ts'
-import type { Logger } from '../process/logger.ts'
-import { Counter, type Metrics } from '../process/metrics.ts'
+import { Step } from '../process/program/failure.ts'
+import { LogEvents } from '../process/program/logEvents.ts'
+import type { Logger } from '../process/program/logger.ts'
+import { Counter, type Metrics } from '../process/program/metrics.ts'
 import { type ErrorBody, type Refusal, statusOf } from './refusal.ts'
 
 /** Encodes refusals and counts them. */
--- a/src/request/forwardedAttempt.ts
+++ b/src/request/forwardedAttempt.ts
@@ -3,12 +3,12 @@
  * @module
  */
 import { type BackendAnswer, BackendAnswerKind, type BackendServerClient, type ExchangeFailure } from '../connection/backendServerClient.ts'
-import { createFailure, type Failure, FailureReason, Step, toFailure } from '../process/failure.ts'
+import { createFailure, type Failure, FailureReason, Step, toFailure } from '../process/program/failure.ts'
 import type { BackendServerRecord } from '../process/fleet/backendServerRecords.ts'
 import type { FleetView } from '../process/fleet/fleetView.ts'
-import { LogEvents } from '../process/logEvents.ts'
-import { Counter, Latency } from '../process/metrics.ts'
-import type { ProcessServices } from '../process/processServices.ts'
+import { LogEvents } from '../process/program/logEvents.ts'
+import { Counter, Latency } from '../process/program/metrics.ts'
+import type { ProcessServices } from '../process/program/processServices.ts'
 import type { GatewayRoute } from '../version/gatewayTables.ts'
 import type { CallerAnswer, CallerRequest } from './callerExchange.ts'
 import { createEventSplitter, isEventStream, withoutLength } from './eventStream.ts'
--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -4,8 +4,8 @@
  */
 import { BodyProblem } from '../connection/opaqueRequest.ts'
 import type { BackendServerRecord } from '../process/fleet/backendServerRecords.ts'
-import { LogEvents } from '../process/logEvents.ts'
-import { Counter } from '../process/metrics.ts'
+import { LogEvents } from '../process/program/logEvents.ts'
+import { Counter } from '../process/program/metrics.ts'
 import { chooseTarget, matchRoute, RouteKind } from '../version/gatewayTables.ts'
 import { type CallerAnswer, type CallerRequest, GatewayRefusal } from './callerExchange.ts'
 import { AttemptEnd, type ForwardingServices, isBodyKept, type Progress, runAttempt, serverErrorStatus } from './forwardedAttempt.ts'
--- a/src/request/itemRun.ts
+++ b/src/request/itemRun.ts
@@ -6,7 +6,7 @@
 import { TrafficClass } from '../connection/internalClient.ts'
 import type { AttemptFailure, Protocol } from '../connection/protocol.ts'
 import { type Completion, Ending, type Grant, type Return } from '../process/commands.ts'
-import { FailureReason } from '../process/failure.ts'
+import { FailureReason } from '../process/program/failure.ts'
 import type { Route } from '../version/tables.ts'
 
 /** Kinds of end of one attempt. */
--- a/src/request/place.ts
+++ b/src/request/place.ts
@@ -6,8 +6,8 @@
 import {
   dequeue, enqueue, enterAccount, freePlace, grantPlaces, leaveAccount, type PoolLoad, type Waiter, WaitEnd
 } from '../process/accounts.ts'
-import { assertNever } from '../process/assert.ts'
-import type { Clock } from '../process/clock.ts'
+import { assertNever } from '../process/program/assert.ts'
+import type { Clock } from '../process/program/clock.ts'
 import type { Pool } from '../version/tables.ts'
 import { AdmissionKind, decideAdmission } from './admission.ts'
 import { refuse, type Refusal, RefusalReason } from './refusal.ts'
--- a/src/request/retry.ts
+++ b/src/request/retry.ts
@@ -3,8 +3,8 @@
  * @module
  */
 import type { AttemptFailure } from '../connection/protocol.ts'
-import { FailureReason } from '../process/failure.ts'
-import type { Random } from '../process/random.ts'
+import { FailureReason } from '../process/program/failure.ts'
+import type { Random } from '../process/program/random.ts'
 
 /** Longest pause before the first retry, in milliseconds; it doubles with each further one. */
 const firstPauseMs = 20
--- a/src/request/submittedItemRun.ts
+++ b/src/request/submittedItemRun.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import { BackendAnswerKind, type BackendServerClient, type BackendServerTarget } from '../connection/backendServerClient.ts'
-import { type Failure, Step, toFailure } from '../process/failure.ts'
+import { type Failure, Step, toFailure } from '../process/program/failure.ts'
 import type { SubmittedItem } from '../process/submissions.ts'
 import { createEventSplitter } from './eventStream.ts'
 
--- a/test/logEvents.test.ts
+++ b/test/logEvents.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import { readFile } from 'node:fs/promises'
 import { formatLogEventsPage } from '../scripts/logEventsPage.ts'
-import { LogEvents } from '../src/process/logEvents.ts'
+import { LogEvents } from '../src/process/program/logEvents.ts'
 
 describe('log events', () => {
   it('are described by docs/log-events.md', async () => {
--- a/test/logMembership.test.ts
+++ b/test/logMembership.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { LogEvents } from '../src/process/logEvents.ts'
+import { LogEvents } from '../src/process/program/logEvents.ts'
 import { ChangeKind, decideChange, membersLimit } from '../src/process/membership.ts'
 import { Standing } from '../src/process/storage.ts'
 import { startTestLog, type TestHost, type TestLog } from './support/testLog.ts'
--- a/test/logSnapshot.test.ts
+++ b/test/logSnapshot.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { createSeededRandom } from '../src/process/random.ts'
+import { createSeededRandom } from '../src/process/program/random.ts'
 import { runCompaction } from '../src/process/compaction.ts'
 import { done } from '../src/process/commands.ts'
 import { createCore, type ReplicaInputs } from '../src/process/replicaState.ts'
--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
-import { findUnknown } from '../src/process/commandLine.ts'
-import { listFlags, readSettings } from '../src/process/settings.ts'
+import { findUnknown } from '../src/process/program/commandLine.ts'
+import { listFlags, readSettings } from '../src/process/program/settings.ts'
 
 const entry = {
   role: 'entry',
--- a/test/settingsReload.test.ts
+++ b/test/settingsReload.test.ts
@@ -3,11 +3,11 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { eventually } from '../scripts/processes.ts'
-import { createCondition } from '../src/process/condition.ts'
+import { createCondition } from '../src/process/program/condition.ts'
 import { type FleetSettings, readFleetSettings } from '../src/process/fleet/fleetSettings.ts'
 import { runSettingsReload, settingsLookMs } from '../src/process/fleet/settingsReload.ts'
-import { LogEvents } from '../src/process/logEvents.ts'
-import type { Subject } from '../src/process/logger.ts'
+import { LogEvents } from '../src/process/program/logEvents.ts'
+import type { Subject } from '../src/process/program/logger.ts'
 
 const given = {
   role: 'gateway',
--- a/test/stateVersion.test.ts
+++ b/test/stateVersion.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import { err } from 'neverthrow'
-import { createFailure, FailureReason, Step } from '../src/process/failure.ts'
+import { createFailure, FailureReason, Step } from '../src/process/program/failure.ts'
 import { confirmationLimitMs } from '../src/version/currentVersion.ts'
 import { createEntrySide, turn } from './support/entrySide.ts'
 import { tables } from './support/stateCommands.ts'
--- a/test/support/fakeClock.ts
+++ b/test/support/fakeClock.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import { setImmediate } from 'node:timers/promises'
-import { Clock } from '../../src/process/clock.ts'
+import { Clock } from '../../src/process/program/clock.ts'
 
 /** Turns of the event loop after each step, so that tasks woken by it run until they wait again. */
 const turnsPerStep = 6
--- a/test/support/memoryStorage.ts
+++ b/test/support/memoryStorage.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import { err, errAsync, ok, okAsync, ResultAsync } from 'neverthrow'
-import { createFailure, type Failure, FailureReason, Step } from '../../src/process/failure.ts'
+import { createFailure, type Failure, FailureReason, Step } from '../../src/process/program/failure.ts'
 import { replay } from '../../src/process/logSegments.ts'
 import { chunkBytes, decodeSnapshot, encodeSnapshot } from '../../src/process/snapshotFile.ts'
 import { emptyPoint, type SavedLog, type Snapshot, type SnapshotChunk, type SnapshotPoint, Storage, type StoredRecord } from '../../src/process/storage.ts'
--- a/test/support/testLog.ts
+++ b/test/support/testLog.ts
@@ -2,11 +2,11 @@
  * A replicated log of several replicas in one process, on a fake clock, a test network and storage in memory.
  * @module
  */
-import { createSeededRandom, type Random } from '../../src/process/random.ts'
+import { createSeededRandom, type Random } from '../../src/process/program/random.ts'
 import { type Command, CommandKind, done } from '../../src/process/commands.ts'
-import { createLifecycle, type Lifecycle } from '../../src/process/lifecycle.ts'
-import type { LogEvent } from '../../src/process/logEvents.ts'
-import { createMetrics } from '../../src/process/metrics.ts'
+import { createLifecycle, type Lifecycle } from '../../src/process/program/lifecycle.ts'
+import type { LogEvent } from '../../src/process/program/logEvents.ts'
+import { createMetrics } from '../../src/process/program/metrics.ts'
 import { createReplica, type Replica, ReplicaRole } from '../../src/process/replica.ts'
 import type { CompactionLimits } from '../../src/process/replicaState.ts'
 import { runFormation } from '../../src/process/formation.ts'
--- a/test/support/testNetwork.ts
+++ b/test/support/testNetwork.ts
@@ -3,9 +3,9 @@
  * @module
  */
 import { err, ok, type Result, ResultAsync } from 'neverthrow'
-import type { Clock } from '../../src/process/clock.ts'
-import { createFailure, type Failure, FailureReason, Step } from '../../src/process/failure.ts'
-import type { Random } from '../../src/process/random.ts'
+import type { Clock } from '../../src/process/program/clock.ts'
+import { createFailure, type Failure, FailureReason, Step } from '../../src/process/program/failure.ts'
+import type { Random } from '../../src/process/program/random.ts'
 import type { Replica } from '../../src/process/replica.ts'
 import {
   type AppendAnswer, type AppendRequest, type Identification, type JoinAnswer, type JoinRequest, type SnapshotAnswer, type SnapshotRequest,
