Move the replicated log to src/process/log

Cause: src/process held half of the code in one flat folder, so that the subject of a module had to be guessed from its name. Type check and lint are clean; the state, log, registry and settings tests pass (65 passing (6s) ).

--- a/scripts/controlCalls.ts
+++ b/scripts/controlCalls.ts
@@ -4,7 +4,7 @@
  */
 import { setTimeout } from 'node:timers/promises'
 import { request } from 'undici'
-import type { MemberStatus } from '../src/process/memberStatus.ts'
+import type { MemberStatus } from '../src/process/log/memberStatus.ts'
 import type { FleetHost } from './fleet.ts'
 import { eventually } from './processes.ts'
 
--- a/src/connection/replicaPeer.ts
+++ b/src/connection/replicaPeer.ts
@@ -3,11 +3,11 @@
  * @module
  */
 import type { Clock } from '../process/program/clock.ts'
-import { electionMinMs, heartbeatMs } from '../process/election.ts'
-import { entriesFrom, lastIndexOf, termAt } from '../process/replicaLog.ts'
-import type { AppendRequest, Transport } from '../process/replicaMessages.ts'
-import { type Progress, ReplicaRole, type ReplicaState } from '../process/replicaState.ts'
-import type { Member, Storage } from '../process/storage.ts'
+import { electionMinMs, heartbeatMs } from '../process/log/election.ts'
+import { entriesFrom, lastIndexOf, termAt } from '../process/log/replicaLog.ts'
+import type { AppendRequest, Transport } from '../process/log/replicaMessages.ts'
+import { type Progress, ReplicaRole, type ReplicaState } from '../process/log/replicaState.ts'
+import type { Member, Storage } from '../process/log/storage.ts'
 
 /** Most entries in one request. */
 const entriesLimit = 512
--- a/src/connection/replicaTransport.ts
+++ b/src/connection/replicaTransport.ts
@@ -7,8 +7,8 @@
 import {
   type AppendAnswer, type AppendRequest, type Identification, type JoinAnswer, type JoinRequest, type SnapshotAnswer, type SnapshotRequest,
   Transport, type VoteAnswer, type VoteRequest
-} from '../process/replicaMessages.ts'
-import type { Member } from '../process/storage.ts'
+} from '../process/log/replicaMessages.ts'
+import type { Member } from '../process/log/storage.ts'
 import { type InternalClients, TrafficClass } from './internalClient.ts'
 
 /** Limit for a call between replicas, in milliseconds. */
--- a/src/process/controlHost.ts
+++ b/src/process/controlHost.ts
@@ -12,11 +12,11 @@
 import { isClosed } from './submissions.ts'
 import { createQuietUploads } from './quietUploads.ts'
 import { createIdleClaims, type IdleClaims } from './idleClaims.ts'
-import { createReplica, type Replica, type ReplicaInputs, ReplicaRole } from './replica.ts'
+import { createReplica, type Replica, type ReplicaInputs, ReplicaRole } from './log/replica.ts'
 import { createSessions, sessionLimitMs, type Sessions } from './sessions.ts'
 import { exportState, importState } from './stateSnapshot.ts'
 import { pollHoldMs, type WatchAnswer, type WatchRequest } from './watchMessages.ts'
-import { runFormation } from './formation.ts'
+import { runFormation } from './log/formation.ts'
 
 /** How often the leader looks for expired sessions and uploads, in milliseconds. */
 const sweepMs = 500
--- a/src/process/fleet/itemEnds.ts
+++ b/src/process/fleet/itemEnds.ts
@@ -6,7 +6,7 @@
 import { createCondition } from '../program/condition.ts'
 import { LogEvents } from '../program/logEvents.ts'
 import type { ProcessServices } from '../program/processServices.ts'
-import type { Replica } from '../replica.ts'
+import type { Replica } from '../log/replica.ts'
 
 /** How often the task looks without being notified, in milliseconds. */
 const lookMs = 1_000
--- a/src/process/compaction.ts
+++ b/src/process/log/compaction.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import { setImmediate } from 'node:timers/promises'
-import { LogEvents } from './program/logEvents.ts'
+import { LogEvents } from '../program/logEvents.ts'
 import { encodeRecord } from './recordCodec.ts'
 import { applyCommitted } from './replicaCommit.ts'
 import { failStorage } from './replicaLeadership.ts'
--- a/src/process/formation.ts
+++ b/src/process/log/formation.ts
@@ -4,9 +4,9 @@
  * formed, because its disk was lost or because it is new, asks to join and never forms a second membership.
  * @module
  */
-import type { Clock } from './program/clock.ts'
-import { LogEvents } from './program/logEvents.ts'
-import type { Logger } from './program/logger.ts'
+import type { Clock } from '../program/clock.ts'
+import { LogEvents } from '../program/logEvents.ts'
+import type { Logger } from '../program/logger.ts'
 import { type Replica, ReplicaRole } from './replica.ts'
 import type { Identification, JoinRequest, Transport } from './replicaMessages.ts'
 import { type Member, Standing } from './storage.ts'
--- a/src/process/handover.ts
+++ b/src/process/log/handover.ts
@@ -2,7 +2,7 @@
  * Handing over the leadership of the replicated log, so that a leader that shuts down costs no election timeout.
  * @module
  */
-import type { Clock } from './program/clock.ts'
+import type { Clock } from '../program/clock.ts'
 import { votersOf } from './election.ts'
 import { lastIndexOf } from './replicaLog.ts'
 import type { AppendRequest, Transport } from './replicaMessages.ts'
--- a/src/process/membershipTask.ts
+++ b/src/process/log/membershipTask.ts
@@ -4,8 +4,8 @@
  */
 import { err, ok, type Result } from 'neverthrow'
 import { electionMinMs } from './election.ts'
-import { type Failure, Step } from './program/failure.ts'
-import { LogEvents } from './program/logEvents.ts'
+import { type Failure, Step } from '../program/failure.ts'
+import { LogEvents } from '../program/logEvents.ts'
 import { ChangeKind, changeMembers, decideChange, type MembershipChange, membersLimit } from './membership.ts'
 import { appendOwn, checkLeadership } from './replicaLeadership.ts'
 import { membersIndexOf } from './replicaLog.ts'
--- a/src/process/replica.ts
+++ b/src/process/log/replica.ts
@@ -3,11 +3,11 @@
  * @module
  */
 import { type Result, ResultAsync } from 'neverthrow'
-import type { Command, Outcome } from './commands.ts'
+import type { Command, Outcome } from '../commands.ts'
 import { runCompaction } from './compaction.ts'
-import type { Failure } from './program/failure.ts'
+import type { Failure } from '../program/failure.ts'
 import { handOver } from './handover.ts'
-import { LogEvents } from './program/logEvents.ts'
+import { LogEvents } from '../program/logEvents.ts'
 import { handleJoin, runMembership } from './membershipTask.ts'
 import { handleAppend } from './replicaAppend.ts'
 import { handleVote, runElections } from './replicaElection.ts'
--- a/src/process/replicaAppend.ts
+++ b/src/process/log/replicaAppend.ts
@@ -3,8 +3,8 @@
  * @module
  */
 import { err, ok, type Result } from 'neverthrow'
-import { assert } from './program/assert.ts'
-import { createFailure, type Failure, FailureReason, Step } from './program/failure.ts'
+import { assert } from '../program/assert.ts'
+import { createFailure, type Failure, FailureReason, Step } from '../program/failure.ts'
 import { commit } from './replicaCommit.ts'
 import { campaign } from './replicaElection.ts'
 import { adoptMembers, enterTerm, save, stepDown } from './replicaLeadership.ts'
--- a/src/process/replicaCommit.ts
+++ b/src/process/log/replicaCommit.ts
@@ -3,9 +3,9 @@
  * @module
  */
 import { err, ok } from 'neverthrow'
-import { assert, assertNever } from './program/assert.ts'
+import { assert, assertNever } from '../program/assert.ts'
 import { majorityOf, reachedByMajority, votersOf } from './election.ts'
-import { createFailure, type Failure, FailureReason, Step } from './program/failure.ts'
+import { createFailure, type Failure, FailureReason, Step } from '../program/failure.ts'
 import { approximateSize, entryAt, termAt } from './replicaLog.ts'
 import { type ReplicaCore, ReplicaRole, type ReplicaState } from './replicaState.ts'
 import { type Entry, type Member, PayloadKind } from './storage.ts'
--- a/src/process/replicaElection.ts
+++ b/src/process/log/replicaElection.ts
@@ -4,7 +4,7 @@
  */
 import { err, ok, type Result } from 'neverthrow'
 import { decideVote, electionMaxMs, electionMinMs, heartbeatMs, majorityOf, votersOf } from './election.ts'
-import { type Failure, Step } from './program/failure.ts'
+import { type Failure, Step } from '../program/failure.ts'
 import { becomeLeader, checkLeadership, enterTerm, reportTerm, save, stepDown } from './replicaLeadership.ts'
 import { lastIndexOf, lastTermOf } from './replicaLog.ts'
 import type { VoteAnswer, VoteRequest } from './replicaMessages.ts'
--- a/src/process/replicaLeadership.ts
+++ b/src/process/log/replicaLeadership.ts
@@ -3,11 +3,11 @@
  * @module
  */
 import { err } from 'neverthrow'
-import { runReplicaPeer } from '../connection/replicaPeer.ts'
+import { runReplicaPeer } from '../../connection/replicaPeer.ts'
 import { electionMinMs } from './election.ts'
-import type { Failure } from './program/failure.ts'
-import { LogEvents } from './program/logEvents.ts'
-import { Counter } from './program/metrics.ts'
+import type { Failure } from '../program/failure.ts'
+import { LogEvents } from '../program/logEvents.ts'
+import { Counter } from '../program/metrics.ts'
 import { advanceCommit, isMajorityHeardSince, leadershipLost } from './replicaCommit.ts'
 import { lastIndexOf, membersIndexOf, pushEntry } from './replicaLog.ts'
 import { type Progress, type ReplicaCore, ReplicaRole } from './replicaState.ts'
--- a/src/process/replicaLog.ts
+++ b/src/process/log/replicaLog.ts
@@ -2,7 +2,7 @@
  * The log in memory: entries after a base point, by index.
  * @module
  */
-import { assert } from './program/assert.ts'
+import { assert } from '../program/assert.ts'
 import type { ReplicaState } from './replicaState.ts'
 import { type Entry, type Member, PayloadKind, RecordKind, type SnapshotPoint, type StoredRecord } from './storage.ts'
 
--- a/src/process/replicaMessages.ts
+++ b/src/process/log/replicaMessages.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import type { ResultAsync } from 'neverthrow'
-import type { Failure } from './program/failure.ts'
+import type { Failure } from '../program/failure.ts'
 import type { Entry, Member } from './storage.ts'
 
 /** Asks for a vote, or, with `preVote`, whether a vote would be given. */
--- a/src/process/replicaProposals.ts
+++ b/src/process/log/replicaProposals.ts
@@ -3,9 +3,9 @@
  * @module
  */
 import { err, ok, type Result } from 'neverthrow'
-import type { Command, Outcome } from './commands.ts'
-import { createFailure, type Failure, FailureReason, Step } from './program/failure.ts'
-import { Latency } from './program/metrics.ts'
+import type { Command, Outcome } from '../commands.ts'
+import { createFailure, type Failure, FailureReason, Step } from '../program/failure.ts'
+import { Latency } from '../program/metrics.ts'
 import { isRoundConfirmed } from './replicaCommit.ts'
 import { appendOwn, checkLeadership } from './replicaLeadership.ts'
 import { notLeader, type ReplicaCore, ReplicaRole } from './replicaState.ts'
--- a/src/process/setAside.ts
+++ b/src/process/log/setAside.ts
@@ -5,8 +5,8 @@
 import { mkdir, readdir, rename, rm } from 'node:fs/promises'
 import { join } from 'node:path'
 import { syncFolder } from './folderFiles.ts'
-import { LogEvents } from './program/logEvents.ts'
-import type { Logger } from './program/logger.ts'
+import { LogEvents } from '../program/logEvents.ts'
+import type { Logger } from '../program/logger.ts'
 
 const asideName = 'damaged'
 
--- a/src/process/snapshotInstall.ts
+++ b/src/process/log/snapshotInstall.ts
@@ -3,8 +3,8 @@
  * @module
  */
 import { err, ok, type Result } from 'neverthrow'
-import { type Failure, Step } from './program/failure.ts'
-import { LogEvents } from './program/logEvents.ts'
+import { type Failure, Step } from '../program/failure.ts'
+import { LogEvents } from '../program/logEvents.ts'
 import { followLeader } from './replicaAppend.ts'
 import { adoptMembers, failStorage, save } from './replicaLeadership.ts'
 import { lastIndexOf, membersAt, recordsAfter, termAt } from './replicaLog.ts'
--- a/test/batchRunner.test.ts
+++ b/test/batchRunner.test.ts
@@ -12,7 +12,7 @@
 import { createSilentLogger } from '../src/process/program/logger.ts'
 import { createMetrics } from '../src/process/program/metrics.ts'
 import { createSystemRandom } from '../src/process/program/random.ts'
-import type { Replica } from '../src/process/replica.ts'
+import type { Replica } from '../src/process/log/replica.ts'
 import { RouteKind } from '../src/version/gatewayTables.ts'
 import { recordOf, routeOf, type Script, ScriptedServers, tablesOf } from './support/fakeFleet.ts'
 
--- a/test/fleetLeader.test.ts
+++ b/test/fleetLeader.test.ts
@@ -7,7 +7,7 @@
 import type { FleetHost, FleetNews, FleetRole, FleetWatch } from '../src/process/fleet/fleetMessages.ts'
 import { createLifecycle, type Lifecycle } from '../src/process/program/lifecycle.ts'
 import { createSilentLogger } from '../src/process/program/logger.ts'
-import { type Replica, ReplicaRole } from '../src/process/replica.ts'
+import { type Replica, ReplicaRole } from '../src/process/log/replica.ts'
 import { recordOf, tablesOf } from './support/fakeFleet.ts'
 
 const leaving: Heartbeat = { id: 'i-1', service: 's', address: '10.0.0.1:80', availabilityZone: 'z1', slots: 8, leaving: true, startedAt: 1, sequence: 5 }
--- a/test/jobsIdleClaims.test.ts
+++ b/test/jobsIdleClaims.test.ts
@@ -3,7 +3,7 @@
 import type { ControlHost } from '../src/process/controlHost.ts'
 import { claimHoldMs } from '../src/process/idleClaims.ts'
 import { createLifecycle, type Lifecycle } from '../src/process/program/lifecycle.ts'
-import { lastIndexOf } from '../src/process/replicaLog.ts'
+import { lastIndexOf } from '../src/process/log/replicaLog.ts'
 import { FakeClock } from './support/fakeClock.ts'
 import { MemoryStorage } from './support/memoryStorage.ts'
 import { tables } from './support/stateCommands.ts'
--- a/test/logMembership.test.ts
+++ b/test/logMembership.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import { LogEvents } from '../src/process/program/logEvents.ts'
-import { ChangeKind, decideChange, membersLimit } from '../src/process/membership.ts'
-import { Standing } from '../src/process/storage.ts'
+import { ChangeKind, decideChange, membersLimit } from '../src/process/log/membership.ts'
+import { Standing } from '../src/process/log/storage.ts'
 import { startTestLog, type TestHost, type TestLog } from './support/testLog.ts'
 
 const addresses = ['a:1', 'b:1', 'c:1']
--- a/test/support/memoryStorage.ts
+++ b/test/support/memoryStorage.ts
@@ -4,9 +4,9 @@
  */
 import { err, errAsync, ok, okAsync, ResultAsync } from 'neverthrow'
 import { createFailure, type Failure, FailureReason, Step } from '../../src/process/program/failure.ts'
-import { replay } from '../../src/process/logSegments.ts'
-import { chunkBytes, decodeSnapshot, encodeSnapshot } from '../../src/process/snapshotFile.ts'
-import { emptyPoint, type SavedLog, type Snapshot, type SnapshotChunk, type SnapshotPoint, Storage, type StoredRecord } from '../../src/process/storage.ts'
+import { replay } from '../../src/process/log/logSegments.ts'
+import { chunkBytes, decodeSnapshot, encodeSnapshot } from '../../src/process/log/snapshotFile.ts'
+import { emptyPoint, type SavedLog, type Snapshot, type SnapshotChunk, type SnapshotPoint, Storage, type StoredRecord } from '../../src/process/log/storage.ts'
 
 /** Storage of one replica; `restart` gives the storage of the next start on the same disk. */
 export class MemoryStorage extends Storage {
--- a/test/support/testNetwork.ts
+++ b/test/support/testNetwork.ts
@@ -6,12 +6,12 @@
 import type { Clock } from '../../src/process/program/clock.ts'
 import { createFailure, type Failure, FailureReason, Step } from '../../src/process/program/failure.ts'
 import type { Random } from '../../src/process/program/random.ts'
-import type { Replica } from '../../src/process/replica.ts'
+import type { Replica } from '../../src/process/log/replica.ts'
 import {
   type AppendAnswer, type AppendRequest, type Identification, type JoinAnswer, type JoinRequest, type SnapshotAnswer, type SnapshotRequest,
   Transport, type VoteAnswer, type VoteRequest
-} from '../../src/process/replicaMessages.ts'
-import type { Member } from '../../src/process/storage.ts'
+} from '../../src/process/log/replicaMessages.ts'
+import type { Member } from '../../src/process/log/storage.ts'
 
 const callLimitMs = 1_000
 
