Move jobs and items to src/process/jobs

Cause: src/process held half of the code in one flat folder, so that the subject of a module had to be guessed from its name. Type check and lint are clean; the state, log, registry and settings tests pass (65 passing (6s) ).

--- a/src/connection/batchDispatch.ts
+++ b/src/connection/batchDispatch.ts
@@ -3,12 +3,12 @@
  * @module
  */
 import type { BackendServer } from '../process/backendServers.ts'
-import type { ByteBudget } from '../process/byteBudget.ts'
+import type { ByteBudget } from '../process/jobs/byteBudget.ts'
 import type { Clock } from '../process/program/clock.ts'
 import { CommandKind, OutcomeKind } from '../process/commands.ts'
-import type { Completions } from '../process/completions.ts'
+import type { Completions } from '../process/jobs/completions.ts'
 import { type Condition, createCondition, waitForEither } from '../process/program/condition.ts'
-import { type ItemRuns, StopCause } from '../process/itemRuns.ts'
+import { type ItemRuns, StopCause } from '../process/jobs/itemRuns.ts'
 import { decideHeadStart, type LeaseDirectory, rankHost } from '../process/leaseDirectory.ts'
 import type { LiveWork } from '../process/liveWork.ts'
 import { LogEvents } from '../process/program/logEvents.ts'
--- a/src/connection/batchItems.ts
+++ b/src/connection/batchItems.ts
@@ -5,7 +5,7 @@
 import type { BackendServer } from '../process/backendServers.ts'
 import { CommandKind, Ending, OutcomeKind } from '../process/commands.ts'
 import { type Condition, createCondition } from '../process/program/condition.ts'
-import { type RunningItem, StopCause } from '../process/itemRuns.ts'
+import { type RunningItem, StopCause } from '../process/jobs/itemRuns.ts'
 import { FailureReason } from '../process/program/failure.ts'
 import { LogEvents } from '../process/program/logEvents.ts'
 import { Counter, Latency } from '../process/program/metrics.ts'
--- a/src/process/fleet/openItems.ts
+++ b/src/process/fleet/openItems.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import type { ItemProgress } from '../../request/submittedItemRun.ts'
-import { isClosed, type SubmissionRecord, type Submissions, type SubmittedItem } from '../submissions.ts'
+import { isClosed, type SubmissionRecord, type Submissions, type SubmittedItem } from '../jobs/submissions.ts'
 
 /** Pause after a run that failed or was not run, in milliseconds, for each such run so far. */
 const backoffMs = 150
--- a/src/process/completions.ts
+++ b/src/process/jobs/completions.ts
@@ -3,11 +3,11 @@
  * next one.
  * @module
  */
-import type { ControlClient } from '../connection/controlClient.ts'
-import { CommandKind, type Completion, type Return } from './commands.ts'
-import { createCondition } from './program/condition.ts'
-import { LogEvents } from './program/logEvents.ts'
-import type { Logger } from './program/logger.ts'
+import type { ControlClient } from '../../connection/controlClient.ts'
+import { CommandKind, type Completion, type Return } from '../commands.ts'
+import { createCondition } from '../program/condition.ts'
+import { LogEvents } from '../program/logEvents.ts'
+import type { Logger } from '../program/logger.ts'
 
 /** Most items in one command. */
 const batchLimit = 500
--- a/src/process/grants.ts
+++ b/src/process/jobs/grants.ts
@@ -2,10 +2,10 @@
  * Grants of items to holders and their ends, as applied from the replicated log.
  * @module
  */
-import type { Configuration } from '../version/tables.ts'
+import type { Configuration } from '../../version/tables.ts'
 import {
   type CommandOf, type Completion, done, Ending, type Grant, type GrantReference, type Holder, type Outcome, OutcomeKind, type Return
-} from './commands.ts'
+} from '../commands.ts'
 import { countEnding, hold, ItemPhase, type Job, type JobItem, type Jobs, unhold } from './jobRecords.ts'
 import { chooseJob, countInFlight, placeJob } from './jobSchedule.ts'
 
--- a/src/process/idleClaims.ts
+++ b/src/process/jobs/idleClaims.ts
@@ -3,10 +3,10 @@
  * written to it, the claims of idle backend servers would be most of the log.
  * @module
  */
-import type { Clock } from './program/clock.ts'
-import { type CommandOf, type Outcome, OutcomeKind } from './commands.ts'
-import { type Condition, createCondition } from './program/condition.ts'
-import type { ControlState } from './controlState.ts'
+import type { Clock } from '../program/clock.ts'
+import { type CommandOf, type Outcome, OutcomeKind } from '../commands.ts'
+import { type Condition, createCondition } from '../program/condition.ts'
+import type { ControlState } from '../controlState.ts'
 import { chooseJob } from './jobSchedule.ts'
 
 /** How long a claim is held when nothing waits, in milliseconds. */
--- a/src/process/itemRuns.ts
+++ b/src/process/jobs/itemRuns.ts
@@ -2,7 +2,7 @@
  * Batch items that run on this host, by job, so that a cancelled job can be stopped.
  * @module
  */
-import { createCondition } from './program/condition.ts'
+import { createCondition } from '../program/condition.ts'
 
 /** Longest wait between two looks at the running items, in milliseconds. */
 const lookMs = 200
--- a/src/process/jobSchedule.ts
+++ b/src/process/jobs/jobSchedule.ts
@@ -3,7 +3,7 @@
  * so many grants the job that has waited longest goes first. A choice costs the logarithm of the number of open jobs.
  * @module
  */
-import { createHeap, type Heap } from './program/heap.ts'
+import { createHeap, type Heap } from '../program/heap.ts'
 import type { Job } from './jobRecords.ts'
 
 /** Every so many grants the job that has waited longest goes first, so that no job starves. */
--- a/src/process/waitingItems.ts
+++ b/src/process/jobs/waitingItems.ts
@@ -2,7 +2,7 @@
  * The waiting items of one job, for each priority in order of their position.
  * @module
  */
-import { createHeap, type Heap } from './program/heap.ts'
+import { createHeap, type Heap } from '../program/heap.ts'
 import { ItemPhase, type JobItem } from './jobRecords.ts'
 
 /** Number of priorities. */
--- a/src/process/queries.ts
+++ b/src/process/queries.ts
@@ -6,7 +6,7 @@
 import type { Configuration, Tables } from '../version/tables.ts'
 import type { Problem } from '../version/validation.ts'
 import type { Ending } from './commands.ts'
-import type { ResultPage } from './submissions.ts'
+import type { ResultPage } from './jobs/submissions.ts'
 
 /** Kinds of query. */
 export const QueryKind = {
--- a/src/process/stateSnapshot.ts
+++ b/src/process/stateSnapshot.ts
@@ -9,13 +9,13 @@
 import { type ControlState, createControlState } from './controlState.ts'
 import {
   countEnding, createItem, hold, identityOf, ItemPhase, type Job, type JobHeader, type JobItem, type Jobs, type LastClaim, type Upload
-} from './jobRecords.ts'
-import { countInFlight, placeJob } from './jobSchedule.ts'
+} from './jobs/jobRecords.ts'
+import { countInFlight, placeJob } from './jobs/jobSchedule.ts'
 import type { Lease } from './leases.ts'
 import { keepOperation, type Operation } from './operations.ts'
 import type { Publication } from '../version/gatewayTables.ts'
-import { type ItemResult, restore, type Submission, type SubmissionRecord, type SubmittedItem } from './submissions.ts'
-import { createWaitingItems } from './waitingItems.ts'
+import { type ItemResult, restore, type Submission, type SubmissionRecord, type SubmittedItem } from './jobs/submissions.ts'
+import { createWaitingItems } from './jobs/waitingItems.ts'
 
 /** A part of the state; msgpack can carry it. */
 export type StatePart = object
--- a/src/request/callerService.ts
+++ b/src/request/callerService.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import type { Result } from 'neverthrow'
-import type { ResultPage } from '../process/submissions.ts'
+import type { ResultPage } from '../process/jobs/submissions.ts'
 import type { CallerLimits } from '../version/gatewayTables.ts'
 import type { CallerAnswer, CallerRequest, GatewayRefusal } from './callerExchange.ts'
 import type { JobSubmission } from './gatewayJobs.ts'
--- a/src/request/gatewayJobs.ts
+++ b/src/request/gatewayJobs.ts
@@ -10,7 +10,7 @@
 import { Counter } from '../process/program/metrics.ts'
 import type { ProcessServices } from '../process/program/processServices.ts'
 import { QueryKind } from '../process/queries.ts'
-import type { ResultPage, SubmittedItem } from '../process/submissions.ts'
+import type { ResultPage, SubmittedItem } from '../process/jobs/submissions.ts'
 import { matchRoute, RouteKind } from '../version/gatewayTables.ts'
 import { GatewayRefusal } from './callerExchange.ts'
 
--- a/test/gatewayState.test.ts
+++ b/test/gatewayState.test.ts
@@ -3,7 +3,7 @@
 import { answerQuery, applyCommand, type ControlState, createControlState } from '../src/process/controlState.ts'
 import { QueryKind } from '../src/process/queries.ts'
 import { exportState, importState } from '../src/process/stateSnapshot.ts'
-import type { SubmittedItem } from '../src/process/submissions.ts'
+import type { SubmittedItem } from '../src/process/jobs/submissions.ts'
 import { tablesOf } from './support/fakeFleet.ts'
 
 function itemOf (id: string, tokens = 100): SubmittedItem {
--- a/test/jobsIdleClaims.test.ts
+++ b/test/jobsIdleClaims.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import { type Command, CommandKind, type CommandOf, type Outcome, OutcomeKind, Priority } from '../src/process/commands.ts'
 import type { ControlHost } from '../src/process/controlHost.ts'
-import { claimHoldMs } from '../src/process/idleClaims.ts'
+import { claimHoldMs } from '../src/process/jobs/idleClaims.ts'
 import { createLifecycle, type Lifecycle } from '../src/process/program/lifecycle.ts'
 import { lastIndexOf } from '../src/process/log/replicaLog.ts'
 import { FakeClock } from './support/fakeClock.ts'
