Move the replicated state and its commands to src/process/state

Cause: src/process held half of the code in one flat folder, so that the subject of a module had to be guessed from its name.

--- a/bench/grants.ts
+++ b/bench/grants.ts
@@ -4,8 +4,8 @@
  * @module
  */
 import { mkdir, writeFile } from 'node:fs/promises'
-import { CommandKind, Ending, type Grant, OutcomeKind, Priority } from '../src/process/commands.ts'
-import { applyCommand, type ControlState, createControlState } from '../src/process/controlState.ts'
+import { CommandKind, Ending, type Grant, OutcomeKind, Priority } from '../src/process/state/commands.ts'
+import { applyCommand, type ControlState, createControlState } from '../src/process/state/controlState.ts'
 import { poolSchema, routeSchema } from '../src/version/tables.ts'
 
 /** Jobs that are open at the same time; 8,600 is the size to design for. */
--- a/scripts/fleetCalls.ts
+++ b/scripts/fleetCalls.ts
@@ -5,7 +5,7 @@
 import { writeFile } from 'node:fs/promises'
 import { join } from 'node:path'
 import { type Dispatcher, request } from 'undici'
-import type { JobStatus } from '../src/process/queries.ts'
+import type { JobStatus } from '../src/process/state/queries.ts'
 import type { RecordedRun } from '../test/standIn/standIn.ts'
 import type { Fleet, FleetHost } from './fleet.ts'
 import { eventually } from './processes.ts'
--- a/src/connection/batchItems.ts
+++ b/src/connection/batchItems.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import type { BackendServer } from '../process/backendServers.ts'
-import { CommandKind, Ending, OutcomeKind } from '../process/commands.ts'
+import { CommandKind, Ending, OutcomeKind } from '../process/state/commands.ts'
 import { type Condition, createCondition } from '../process/program/condition.ts'
 import { type RunningItem, StopCause } from '../process/jobs/itemRuns.ts'
 import { FailureReason } from '../process/program/failure.ts'
--- a/src/connection/claimedItems.ts
+++ b/src/connection/claimedItems.ts
@@ -2,7 +2,7 @@
  * Items granted to this host for one backend server that are not running there: claimed ahead, or stopped by a yield.
  * @module
  */
-import { CommandKind, type Grant, OutcomeKind } from '../process/commands.ts'
+import { CommandKind, type Grant, OutcomeKind } from '../process/state/commands.ts'
 import type { Condition } from '../process/program/condition.ts'
 import { LogEvents } from '../process/program/logEvents.ts'
 import type { BatchServices } from './batchDispatch.ts'
--- a/src/connection/controlClient.ts
+++ b/src/connection/controlClient.ts
@@ -5,15 +5,15 @@
  */
 import { err, type Result } from 'neverthrow'
 import type { Clock } from '../process/program/clock.ts'
-import { type Command, CommandKind, type Outcome } from '../process/commands.ts'
+import { type Command, CommandKind, type Outcome } from '../process/state/commands.ts'
 import { createFailure, type Failure, FailureReason, Step } from '../process/program/failure.ts'
 import { Counter, type Metrics } from '../process/program/metrics.ts'
-import { type Answer, type Query, QueryKind } from '../process/queries.ts'
+import { type Answer, type Query, QueryKind } from '../process/state/queries.ts'
 import type { Heartbeat } from '../process/fleet/backendServerRecords.ts'
 import { fleetHoldMs, type FleetNews, type FleetWatch, type LoadReport, type LoadTotals } from '../process/fleet/fleetMessages.ts'
 import type { Random } from '../process/program/random.ts'
-import type { WatchAnswer, WatchRequest } from '../process/watchMessages.ts'
-import { pollHoldMs } from '../process/watchMessages.ts'
+import type { WatchAnswer, WatchRequest } from '../process/state/watchMessages.ts'
+import { pollHoldMs } from '../process/state/watchMessages.ts'
 import { type InternalClients, TrafficClass } from './internalClient.ts'
 
 /** Longest time for one call to one control host, in milliseconds. */
--- a/src/connection/controlStream.ts
+++ b/src/connection/controlStream.ts
@@ -7,8 +7,8 @@
 import { LogEvents } from '../process/program/logEvents.ts'
 import type { Logger } from '../process/program/logger.ts'
 import type { Random } from '../process/program/random.ts'
-import { type EntryHost, holderLimitMs } from '../process/sessions.ts'
-import type { WatchAnswer, WatchRequest } from '../process/watchMessages.ts'
+import { type EntryHost, holderLimitMs } from '../process/state/sessions.ts'
+import type { WatchAnswer, WatchRequest } from '../process/state/watchMessages.ts'
 import type { CurrentVersion } from '../version/currentVersion.ts'
 import type { ControlClient } from './controlClient.ts'
 
--- a/src/connection/dispatchPeer.ts
+++ b/src/connection/dispatchPeer.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Clock } from '../process/program/clock.ts'
-import type { Holder } from '../process/commands.ts'
+import type { Holder } from '../process/state/commands.ts'
 import { createCondition, waitForEither } from '../process/program/condition.ts'
 import { Step } from '../process/program/failure.ts'
 import type { LeaseDirectory } from '../process/leaseDirectory.ts'
--- a/src/process/fleet/fleetLeader.ts
+++ b/src/process/fleet/fleetLeader.ts
@@ -5,7 +5,7 @@
  */
 import { err, ok, type Result } from 'neverthrow'
 import { type Condition, createCondition } from '../program/condition.ts'
-import type { ControlState } from '../controlState.ts'
+import type { ControlState } from '../state/controlState.ts'
 import { createFailure, type Failure, FailureReason, Step } from '../program/failure.ts'
 import { LogEvents } from '../program/logEvents.ts'
 import type { ProcessServices } from '../program/processServices.ts'
--- a/src/process/fleet/itemEnds.ts
+++ b/src/process/fleet/itemEnds.ts
@@ -2,7 +2,7 @@
  * Records the ends of items in the log; ends that come up during one write are recorded together by the next.
  * @module
  */
-import { CommandKind, type FinishedItem } from '../commands.ts'
+import { CommandKind, type FinishedItem } from '../state/commands.ts'
 import { createCondition } from '../program/condition.ts'
 import { LogEvents } from '../program/logEvents.ts'
 import type { ProcessServices } from '../program/processServices.ts'
--- a/src/process/jobs/completions.ts
+++ b/src/process/jobs/completions.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { ControlClient } from '../../connection/controlClient.ts'
-import { CommandKind, type Completion, type Return } from '../commands.ts'
+import { CommandKind, type Completion, type Return } from '../state/commands.ts'
 import { createCondition } from '../program/condition.ts'
 import { LogEvents } from '../program/logEvents.ts'
 import type { Logger } from '../program/logger.ts'
--- a/src/process/jobs/grants.ts
+++ b/src/process/jobs/grants.ts
@@ -5,7 +5,7 @@
 import type { Configuration } from '../../version/tables.ts'
 import {
   type CommandOf, type Completion, done, Ending, type Grant, type GrantReference, type Holder, type Outcome, OutcomeKind, type Return
-} from '../commands.ts'
+} from '../state/commands.ts'
 import { countEnding, hold, ItemPhase, type Job, type JobItem, type Jobs, unhold } from './jobRecords.ts'
 import { chooseJob, countInFlight, placeJob } from './jobSchedule.ts'
 
--- a/src/process/jobs/idleClaims.ts
+++ b/src/process/jobs/idleClaims.ts
@@ -4,9 +4,9 @@
  * @module
  */
 import type { Clock } from '../program/clock.ts'
-import { type CommandOf, type Outcome, OutcomeKind } from '../commands.ts'
+import { type CommandOf, type Outcome, OutcomeKind } from '../state/commands.ts'
 import { type Condition, createCondition } from '../program/condition.ts'
-import type { ControlState } from '../controlState.ts'
+import type { ControlState } from '../state/controlState.ts'
 import { chooseJob } from './jobSchedule.ts'
 
 /** How long a claim is held when nothing waits, in milliseconds. */
--- a/src/process/jobs/jobRecords.ts
+++ b/src/process/jobs/jobRecords.ts
@@ -2,9 +2,9 @@
  * Records of jobs, items, uploads and claims, and what is derived from them.
  * @module
  */
-import { Ending, type GrantReference, type Holder, type Item } from '../commands.ts'
+import { Ending, type GrantReference, type Holder, type Item } from '../state/commands.ts'
 import { createSchedule, type Schedule } from './jobSchedule.ts'
-import { type ItemResult, JobPhase, type JobStatus } from '../queries.ts'
+import { type ItemResult, JobPhase, type JobStatus } from '../state/queries.ts'
 import type { WaitingItems } from './waitingItems.ts'
 
 /** Where an item stands. */
--- a/src/process/jobs/jobs.ts
+++ b/src/process/jobs/jobs.ts
@@ -2,7 +2,7 @@
  * Sealing and cancelling jobs, as applied from the replicated log.
  * @module
  */
-import { type CommandOf, done, notFound, type Outcome, OutcomeKind } from '../commands.ts'
+import { type CommandOf, done, notFound, type Outcome, OutcomeKind } from '../state/commands.ts'
 import { createItem, identityOf, type Job, type Jobs, type Upload } from './jobRecords.ts'
 import { placeJob } from './jobSchedule.ts'
 import { createWaitingItems } from './waitingItems.ts'
--- a/src/process/jobs/submissions.ts
+++ b/src/process/jobs/submissions.ts
@@ -3,7 +3,7 @@
  * each route. Applied from the replicated log.
  * @module
  */
-import { type CommandOf, done, Ending, notFound, type Outcome, OutcomeKind } from '../commands.ts'
+import { type CommandOf, done, Ending, notFound, type Outcome, OutcomeKind } from '../state/commands.ts'
 
 /** An item as submitted. */
 export interface SubmittedItem {
--- a/src/process/jobs/uploads.ts
+++ b/src/process/jobs/uploads.ts
@@ -2,7 +2,7 @@
  * Uploads of jobs, as applied from the replicated log.
  * @module
  */
-import { type CommandOf, done, notFound, type Outcome, OutcomeKind } from '../commands.ts'
+import { type CommandOf, done, notFound, type Outcome, OutcomeKind } from '../state/commands.ts'
 import type { Jobs } from './jobRecords.ts'
 
 /** Most uploads that one account may have open, so that uploads that broke off hold a bounded amount of memory. */
--- a/src/process/liveWork.ts
+++ b/src/process/liveWork.ts
@@ -7,7 +7,7 @@
 import type { BackendServer } from './backendServers.ts'
 import type { Clock } from './program/clock.ts'
 import { type Condition, createCondition } from './program/condition.ts'
-import type { Holder } from './commands.ts'
+import type { Holder } from './state/commands.ts'
 
 /** Time after which a report of another entry host that was not renewed is dropped, in milliseconds. */
 export const liveReportLimitMs = 3_000
--- a/src/process/log/replica.ts
+++ b/src/process/log/replica.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import { type Result, ResultAsync } from 'neverthrow'
-import type { Command, Outcome } from '../commands.ts'
+import type { Command, Outcome } from '../state/commands.ts'
 import { runCompaction } from './compaction.ts'
 import type { Failure } from '../program/failure.ts'
 import { handOver } from './handover.ts'
--- a/src/process/log/replicaProposals.ts
+++ b/src/process/log/replicaProposals.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import { err, ok, type Result } from 'neverthrow'
-import type { Command, Outcome } from '../commands.ts'
+import type { Command, Outcome } from '../state/commands.ts'
 import { createFailure, type Failure, FailureReason, Step } from '../program/failure.ts'
 import { Latency } from '../program/metrics.ts'
 import { isRoundConfirmed } from './replicaCommit.ts'
--- a/src/process/log/replicaState.ts
+++ b/src/process/log/replicaState.ts
@@ -3,12 +3,12 @@
  * @module
  */
 import type { Result } from 'neverthrow'
-import type { Command, Outcome } from '../commands.ts'
+import type { Command, Outcome } from '../state/commands.ts'
 import { type Condition, createCondition } from '../program/condition.ts'
 import { createFailure, type Failure, FailureReason, type Step } from '../program/failure.ts'
 import type { ProcessServices } from '../program/processServices.ts'
 import type { Transport } from './replicaMessages.ts'
-import type { StatePart } from '../stateSnapshot.ts'
+import type { StatePart } from '../state/stateSnapshot.ts'
 import { emptyPoint, type Entry, type Member, type SavedLog, type SnapshotPoint, type Storage } from './storage.ts'
 
 /** What a replica does at the moment. */
--- a/src/process/log/snapshotFile.ts
+++ b/src/process/log/snapshotFile.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import { decodeFrames, encodeFrame, encodeRecord, ReadEnd } from './recordCodec.ts'
-import type { StatePart } from '../stateSnapshot.ts'
+import type { StatePart } from '../state/stateSnapshot.ts'
 import type { Snapshot, SnapshotPoint } from './storage.ts'
 
 /** Name of the newest snapshot. */
--- a/src/process/log/storage.ts
+++ b/src/process/log/storage.ts
@@ -3,9 +3,9 @@
  * @module
  */
 import type { ResultAsync } from 'neverthrow'
-import type { Command } from '../commands.ts'
+import type { Command } from '../state/commands.ts'
 import type { Failure } from '../program/failure.ts'
-import type { StatePart } from '../stateSnapshot.ts'
+import type { StatePart } from '../state/stateSnapshot.ts'
 
 /** Standing of a member of the log. */
 export const Standing = { Voter: 'voter', Learner: 'learner' } as const
--- a/src/process/accounts.ts
+++ b/src/process/state/accounts.ts
@@ -3,7 +3,7 @@
  * accounts are served in turn.
  * @module
  */
-import type { Pool } from '../version/tables.ts'
+import type { Pool } from '../../version/tables.ts'
 
 /** How a wait for a place ended. */
 export const WaitEnd = { Granted: 'granted', Displaced: 'displaced', Deadline: 'deadline', CallerGone: 'caller gone' } as const
--- a/src/process/commands.ts
+++ b/src/process/state/commands.ts
@@ -2,11 +2,11 @@
  * Commands of the replicated log and their outcomes. Each may be sent again without harm.
  * @module
  */
-import type { Change } from '../version/difference.ts'
-import type { Tables } from '../version/tables.ts'
-import type { Publication } from '../version/gatewayTables.ts'
-import type { Problem } from '../version/validation.ts'
-import type { ItemReference, Submission } from './jobs/submissions.ts'
+import type { Change } from '../../version/difference.ts'
+import type { Tables } from '../../version/tables.ts'
+import type { Publication } from '../../version/gatewayTables.ts'
+import type { Problem } from '../../version/validation.ts'
+import type { ItemReference, Submission } from '../jobs/submissions.ts'
 
 /** Kinds of command. */
 export const CommandKind = {
--- a/src/process/controlHost.ts
+++ b/src/process/state/controlHost.ts
@@ -3,20 +3,20 @@
  * @module
  */
 import { err, ok, type Result, type ResultAsync } from 'neverthrow'
-import type { Clock } from './program/clock.ts'
+import type { Clock } from '../program/clock.ts'
 import { type Command, CommandKind, type Holder, type Outcome, OutcomeKind } from './commands.ts'
-import { type Condition, createCondition } from './program/condition.ts'
+import { type Condition, createCondition } from '../program/condition.ts'
 import { answerQuery, applyCommand, type ControlState, createControlState } from './controlState.ts'
-import { createFailure, type Failure, FailureReason, Step } from './program/failure.ts'
+import { createFailure, type Failure, FailureReason, Step } from '../program/failure.ts'
 import { type Answer, type Query, QueryKind } from './queries.ts'
-import { isClosed } from './jobs/submissions.ts'
-import { createQuietUploads } from './jobs/quietUploads.ts'
-import { createIdleClaims, type IdleClaims } from './jobs/idleClaims.ts'
-import { createReplica, type Replica, type ReplicaInputs, ReplicaRole } from './log/replica.ts'
+import { isClosed } from '../jobs/submissions.ts'
+import { createQuietUploads } from '../jobs/quietUploads.ts'
+import { createIdleClaims, type IdleClaims } from '../jobs/idleClaims.ts'
+import { createReplica, type Replica, type ReplicaInputs, ReplicaRole } from '../log/replica.ts'
 import { createSessions, sessionLimitMs, type Sessions } from './sessions.ts'
 import { exportState, importState } from './stateSnapshot.ts'
 import { pollHoldMs, type WatchAnswer, type WatchRequest } from './watchMessages.ts'
-import { runFormation } from './log/formation.ts'
+import { runFormation } from '../log/formation.ts'
 
 /** How often the leader looks for expired sessions and uploads, in milliseconds. */
 const sweepMs = 500
--- a/src/process/controlState.ts
+++ b/src/process/state/controlState.ts
@@ -2,20 +2,20 @@
  * The durable state: what applying the replicated log in order leads to. The same commands always lead to the same state.
  * @module
  */
-import { compareTables } from '../version/difference.ts'
-import { emptyConfiguration } from '../version/tables.ts'
-import { validateTables } from '../version/validation.ts'
-import { assertNever } from './program/assert.ts'
+import { compareTables } from '../../version/difference.ts'
+import { emptyConfiguration } from '../../version/tables.ts'
+import { validateTables } from '../../version/validation.ts'
+import { assertNever } from '../program/assert.ts'
 import { type Command, CommandKind, type CommandOf, done, type Outcome, OutcomeKind } from './commands.ts'
-import { claim, complete, giveBack, start, takeBack } from './jobs/grants.ts'
-import { createJobs, describeJob, type Job, listResults } from './jobs/jobRecords.ts'
-import { cancelJob, seal } from './jobs/jobs.ts'
+import { claim, complete, giveBack, start, takeBack } from '../jobs/grants.ts'
+import { createJobs, describeJob, type Job, listResults } from '../jobs/jobRecords.ts'
+import { cancelJob, seal } from '../jobs/jobs.ts'
 import { acquireLease, freeLeases, isUnderLease, type Leases, releaseLease } from './leases.ts'
 import { applyOnce, type Operations } from './operations.ts'
 import { publish, type Publications } from './publications.ts'
 import { type Answer, JobPhase, type Query, QueryKind } from './queries.ts'
-import { createSubmissions, endSubmission, finishItems, purgeSubmissions, readResults, submit, type Submissions } from './jobs/submissions.ts'
-import { appendItems, discardUpload, openUpload } from './jobs/uploads.ts'
+import { createSubmissions, endSubmission, finishItems, purgeSubmissions, readResults, submit, type Submissions } from '../jobs/submissions.ts'
+import { appendItems, discardUpload, openUpload } from '../jobs/uploads.ts'
 
 /** The whole durable state. */
 export interface ControlState extends Operations, Leases, Publications {
--- a/src/process/engineOrders.ts
+++ b/src/process/state/engineOrders.ts
@@ -3,8 +3,8 @@
  * each engine has.
  * @module
  */
-import { Fencing, type Pool } from '../version/tables.ts'
-import type { Announcement } from '../connection/share.ts'
+import { Fencing, type Pool } from '../../version/tables.ts'
+import type { Announcement } from '../../connection/share.ts'
 import { sessionLimitMs } from './sessions.ts'
 
 /** Longest time for one order, in milliseconds. */
--- a/src/process/leases.ts
+++ b/src/process/state/leases.ts
@@ -3,8 +3,8 @@
  * @module
  */
 import { type CommandOf, done, type Holder, type Outcome, OutcomeKind } from './commands.ts'
-import { returnUnreceived } from './jobs/grants.ts'
-import type { Jobs } from './jobs/jobRecords.ts'
+import { returnUnreceived } from '../jobs/grants.ts'
+import type { Jobs } from '../jobs/jobRecords.ts'
 
 /** The batch dispatch lease of one backend server. */
 export interface Lease {
--- a/src/process/operations.ts
+++ b/src/process/state/operations.ts
@@ -3,9 +3,9 @@
  * @module
  */
 import { createHash } from 'node:crypto'
-import { compareTables } from '../version/difference.ts'
-import type { Configuration } from '../version/tables.ts'
-import { validateTables } from '../version/validation.ts'
+import { compareTables } from '../../version/difference.ts'
+import type { Configuration } from '../../version/tables.ts'
+import { validateTables } from '../../version/validation.ts'
 import { type CommandOf, type Outcome, OutcomeKind } from './commands.ts'
 
 /** How many outcomes are kept by operation id. */
--- a/src/process/publications.ts
+++ b/src/process/state/publications.ts
@@ -2,7 +2,7 @@
  * The published tables of the gateway, as applied from the replicated log.
  * @module
  */
-import type { Publication } from '../version/gatewayTables.ts'
+import type { Publication } from '../../version/gatewayTables.ts'
 import { type CommandOf, type Outcome, OutcomeKind } from './commands.ts'
 
 /** The newest publication. */
--- a/src/process/queries.ts
+++ b/src/process/state/queries.ts
@@ -2,11 +2,11 @@
  * Queries of the durable state and their answers.
  * @module
  */
-import type { Change } from '../version/difference.ts'
-import type { Configuration, Tables } from '../version/tables.ts'
-import type { Problem } from '../version/validation.ts'
+import type { Change } from '../../version/difference.ts'
+import type { Configuration, Tables } from '../../version/tables.ts'
+import type { Problem } from '../../version/validation.ts'
 import type { Ending } from './commands.ts'
-import type { ResultPage } from './jobs/submissions.ts'
+import type { ResultPage } from '../jobs/submissions.ts'
 
 /** Kinds of query. */
 export const QueryKind = {
--- a/src/process/stateSnapshot.ts
+++ b/src/process/state/stateSnapshot.ts
@@ -3,19 +3,19 @@
  * schedule, counters) is not exported but built again, so it can't disagree with the records.
  * @module
  */
-import type { Configuration } from '../version/tables.ts'
-import { assert, assertNever } from './program/assert.ts'
+import type { Configuration } from '../../version/tables.ts'
+import { assert, assertNever } from '../program/assert.ts'
 import type { Ending, Item } from './commands.ts'
 import { type ControlState, createControlState } from './controlState.ts'
 import {
   countEnding, createItem, hold, identityOf, ItemPhase, type Job, type JobHeader, type JobItem, type Jobs, type LastClaim, type Upload
-} from './jobs/jobRecords.ts'
-import { countInFlight, placeJob } from './jobs/jobSchedule.ts'
+} from '../jobs/jobRecords.ts'
+import { countInFlight, placeJob } from '../jobs/jobSchedule.ts'
 import type { Lease } from './leases.ts'
 import { keepOperation, type Operation } from './operations.ts'
-import type { Publication } from '../version/gatewayTables.ts'
-import { type ItemResult, restore, type Submission, type SubmissionRecord, type SubmittedItem } from './jobs/submissions.ts'
-import { createWaitingItems } from './jobs/waitingItems.ts'
+import type { Publication } from '../../version/gatewayTables.ts'
+import { type ItemResult, restore, type Submission, type SubmissionRecord, type SubmittedItem } from '../jobs/submissions.ts'
+import { createWaitingItems } from '../jobs/waitingItems.ts'
 
 /** A part of the state; msgpack can carry it. */
 export type StatePart = object
--- a/src/process/watchMessages.ts
+++ b/src/process/state/watchMessages.ts
@@ -2,7 +2,7 @@
  * The long poll by which an entry host keeps its session with control.
  * @module
  */
-import type { Configuration } from '../version/tables.ts'
+import type { Configuration } from '../../version/tables.ts'
 import type { EntryHost } from './sessions.ts'
 
 /** How long control holds a poll without news, in milliseconds. */
--- a/src/request/admission.ts
+++ b/src/request/admission.ts
@@ -2,7 +2,7 @@
  * Whether a live request runs, waits or is refused.
  * @module
  */
-import type { PoolLoad, Waiter } from '../process/accounts.ts'
+import type { PoolLoad, Waiter } from '../process/state/accounts.ts'
 import type { Pool } from '../version/tables.ts'
 import { RefusalReason } from './refusal.ts'
 
--- a/src/request/place.ts
+++ b/src/request/place.ts
@@ -5,7 +5,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import {
   dequeue, enqueue, enterAccount, freePlace, grantPlaces, leaveAccount, type PoolLoad, type Waiter, WaitEnd
-} from '../process/accounts.ts'
+} from '../process/state/accounts.ts'
 import { assertNever } from '../process/program/assert.ts'
 import type { Clock } from '../process/program/clock.ts'
 import type { Pool } from '../version/tables.ts'
--- a/src/request/upload.ts
+++ b/src/request/upload.ts
@@ -8,7 +8,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import * as z from 'zod'
 import type { ControlClient } from '../connection/controlClient.ts'
-import { type Command, CommandKind, type Item, type Outcome, OutcomeKind, Priority } from '../process/commands.ts'
+import { type Command, CommandKind, type Item, type Outcome, OutcomeKind, Priority } from '../process/state/commands.ts'
 import { Execution, refuse, type Refusal, RefusalReason } from './refusal.ts'
 
 /** Most items in one job. */
--- a/test/batchDispatch.test.ts
+++ b/test/batchDispatch.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import { eventually } from '../scripts/processes.ts'
 import { runBatchDispatch } from '../src/connection/batchDispatch.ts'
-import { CommandKind, OutcomeKind } from '../src/process/commands.ts'
+import { CommandKind, OutcomeKind } from '../src/process/state/commands.ts'
 import { describeJob } from '../src/process/jobs/jobRecords.ts'
 import { answerText, crashMark, type StandIn, type StandInSettings, startStandIn } from './standIn/standIn.ts'
 import { type BatchSystem, commandsOf, heldItems, startBatchSystem } from './support/batch.ts'
--- a/test/controlClient.test.ts
+++ b/test/controlClient.test.ts
@@ -7,7 +7,7 @@
 import type { FleetWatch } from '../src/process/fleet/fleetMessages.ts'
 import { createMetrics } from '../src/process/program/metrics.ts'
 import { createSystemRandom } from '../src/process/program/random.ts'
-import { QueryKind } from '../src/process/queries.ts'
+import { QueryKind } from '../src/process/state/queries.ts'
 
 const limitMs = 3_000
 const poll: FleetWatch = {
--- a/test/entryShutdown.test.ts
+++ b/test/entryShutdown.test.ts
@@ -4,8 +4,8 @@
 import { type Fleet, type FleetHost, startFleet } from '../scripts/fleet.ts'
 import { eventually } from '../scripts/processes.ts'
 import { electionMinMs, heartbeatMs } from '../src/process/log/election.ts'
-import { sessionLimitMs } from '../src/process/sessions.ts'
-import { pollHoldMs } from '../src/process/watchMessages.ts'
+import { sessionLimitMs } from '../src/process/state/sessions.ts'
+import { pollHoldMs } from '../src/process/state/watchMessages.ts'
 import { addressesOf, ask, askWhole, entryStatus, findBatchHost, finish, knowServers, prepare, runsOf, submit } from '../scripts/fleetCalls.ts'
 
 const addressKeepMs = 3_000
--- a/test/fleetLeader.test.ts
+++ b/test/fleetLeader.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import { createSystemClock } from '../src/process/program/clock.ts'
 import { createCondition } from '../src/process/program/condition.ts'
-import { createControlState } from '../src/process/controlState.ts'
+import { createControlState } from '../src/process/state/controlState.ts'
 import { type BackendServerRecord, type Heartbeat, ServerPhase } from '../src/process/fleet/backendServerRecords.ts'
 import { createFleetLeader, type FleetLeader } from '../src/process/fleet/fleetLeader.ts'
 import type { FleetHost, FleetNews, FleetRole, FleetWatch } from '../src/process/fleet/fleetMessages.ts'
--- a/test/gatewayState.test.ts
+++ b/test/gatewayState.test.ts
@@ -1,8 +1,8 @@
 import { expect } from 'chai'
-import { type Command, CommandKind, Ending, OutcomeKind } from '../src/process/commands.ts'
-import { answerQuery, applyCommand, type ControlState, createControlState } from '../src/process/controlState.ts'
-import { QueryKind } from '../src/process/queries.ts'
-import { exportState, importState } from '../src/process/stateSnapshot.ts'
+import { type Command, CommandKind, Ending, OutcomeKind } from '../src/process/state/commands.ts'
+import { answerQuery, applyCommand, type ControlState, createControlState } from '../src/process/state/controlState.ts'
+import { QueryKind } from '../src/process/state/queries.ts'
+import { exportState, importState } from '../src/process/state/stateSnapshot.ts'
 import type { SubmittedItem } from '../src/process/jobs/submissions.ts'
 import { tablesOf } from './support/fakeFleet.ts'
 
--- a/test/jobsIdleClaims.test.ts
+++ b/test/jobsIdleClaims.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
-import { type Command, CommandKind, type CommandOf, type Outcome, OutcomeKind, Priority } from '../src/process/commands.ts'
-import type { ControlHost } from '../src/process/controlHost.ts'
+import { type Command, CommandKind, type CommandOf, type Outcome, OutcomeKind, Priority } from '../src/process/state/commands.ts'
+import type { ControlHost } from '../src/process/state/controlHost.ts'
 import { claimHoldMs } from '../src/process/jobs/idleClaims.ts'
 import { createLifecycle, type Lifecycle } from '../src/process/program/lifecycle.ts'
 import { lastIndexOf } from '../src/process/log/replicaLog.ts'
--- a/test/livePolicy.test.ts
+++ b/test/livePolicy.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
-import { createPoolLoad, enqueue, enterAccount, freePlace, grantPlaces, type PoolLoad, type Waiter, WaitEnd } from '../src/process/accounts.ts'
+import { createPoolLoad, enqueue, enterAccount, freePlace, grantPlaces, type PoolLoad, type Waiter, WaitEnd } from '../src/process/state/accounts.ts'
 import { type BackendServer, createBackendServers, startLive } from '../src/process/backendServers.ts'
 import { Clock } from '../src/process/program/clock.ts'
 import { createFailure, FailureReason, Step } from '../src/process/program/failure.ts'
--- a/test/logProcesses.test.ts
+++ b/test/logProcesses.test.ts
@@ -3,7 +3,7 @@
 import { changeTables, findLeader, readStatus, readVersion } from '../scripts/controlCalls.ts'
 import { type Fleet, type FleetHost, startFleet } from '../scripts/fleet.ts'
 import { eventually } from '../scripts/processes.ts'
-import { sessionLimitMs } from '../src/process/sessions.ts'
+import { sessionLimitMs } from '../src/process/state/sessions.ts'
 
 const limitMs = 30_000
 
--- a/test/logSnapshot.test.ts
+++ b/test/logSnapshot.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import { createSeededRandom } from '../src/process/program/random.ts'
 import { runCompaction } from '../src/process/log/compaction.ts'
-import { done } from '../src/process/commands.ts'
+import { done } from '../src/process/state/commands.ts'
 import { createCore, type ReplicaInputs } from '../src/process/log/replicaState.ts'
 import { commit } from '../src/process/log/replicaCommit.ts'
 import { electionMinMs } from '../src/process/log/election.ts'
--- a/test/stateDifferential.test.ts
+++ b/test/stateDifferential.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
-import { type Command, CommandKind, Ending, type Grant, OutcomeKind, Priority } from '../src/process/commands.ts'
-import { applyCommand, createControlState } from '../src/process/controlState.ts'
+import { type Command, CommandKind, Ending, type Grant, OutcomeKind, Priority } from '../src/process/state/commands.ts'
+import { applyCommand, createControlState } from '../src/process/state/controlState.ts'
 import { NaiveState } from './support/naiveState.ts'
 import { restore, tables } from './support/stateCommands.ts'
 
--- a/test/stateSnapshot.test.ts
+++ b/test/stateSnapshot.test.ts
@@ -1,8 +1,8 @@
 import { expect } from 'chai'
 import { pack, unpack } from 'msgpackr'
-import { CommandKind, Ending, type Grant, OutcomeKind, Priority } from '../src/process/commands.ts'
-import { applyCommand, type ControlState, createControlState } from '../src/process/controlState.ts'
-import { exportState, importState } from '../src/process/stateSnapshot.ts'
+import { CommandKind, Ending, type Grant, OutcomeKind, Priority } from '../src/process/state/commands.ts'
+import { applyCommand, type ControlState, createControlState } from '../src/process/state/controlState.ts'
+import { exportState, importState } from '../src/process/state/stateSnapshot.ts'
 import { applyTables, claim, restore, submit } from './support/stateCommands.ts'
 
 // A snapshot that loses a record, or rebuilds it in another order, makes replicas diverge.
--- a/test/support/entryHosts.ts
+++ b/test/support/entryHosts.ts
@@ -21,7 +21,7 @@
 import { createMetrics } from '../../src/process/program/metrics.ts'
 import { createSystemRandom } from '../../src/process/program/random.ts'
 import { serveApi } from '../../src/process/program/servers.ts'
-import { createSessions } from '../../src/process/sessions.ts'
+import { createSessions } from '../../src/process/state/sessions.ts'
 import { Role } from '../../src/process/program/settings.ts'
 
 /** Entry hosts that know one another. */
--- a/test/support/naiveState.ts
+++ b/test/support/naiveState.ts
@@ -2,7 +2,7 @@
  * A naive version of the durable state to compare with: one process, plain lists, every command once and in order.
  * @module
  */
-import { type Completion, Ending, type Grant, type GrantReference, type Priority, type Return } from '../../src/process/commands.ts'
+import { type Completion, Ending, type Grant, type GrantReference, type Priority, type Return } from '../../src/process/state/commands.ts'
 
 interface NaiveItem {
   readonly priority: Priority
--- a/test/support/stateCommands.ts
+++ b/test/support/stateCommands.ts
@@ -3,9 +3,9 @@
  * @module
  */
 import { pack, unpack } from 'msgpackr'
-import { CommandKind, type Grant, type Item, type Outcome, Priority } from '../../src/process/commands.ts'
-import { applyCommand, type ControlState } from '../../src/process/controlState.ts'
-import { exportState, importState } from '../../src/process/stateSnapshot.ts'
+import { CommandKind, type Grant, type Item, type Outcome, Priority } from '../../src/process/state/commands.ts'
+import { applyCommand, type ControlState } from '../../src/process/state/controlState.ts'
+import { exportState, importState } from '../../src/process/state/stateSnapshot.ts'
 import { poolSchema, routeSchema, type Tables } from '../../src/version/tables.ts'
 
 /** One route `r` on one pool `p`. */
--- a/test/support/testControl.ts
+++ b/test/support/testControl.ts
@@ -4,7 +4,7 @@
  */
 import { errAsync } from 'neverthrow'
 import { eventually } from '../../scripts/processes.ts'
-import { type ControlHost, createControlHost } from '../../src/process/controlHost.ts'
+import { type ControlHost, createControlHost } from '../../src/process/state/controlHost.ts'
 import { createFailure, FailureReason, Step } from '../../src/process/program/failure.ts'
 import type { Lifecycle } from '../../src/process/program/lifecycle.ts'
 import { createSilentLogger } from '../../src/process/program/logger.ts'
--- a/test/support/testLog.ts
+++ b/test/support/testLog.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import { createSeededRandom, type Random } from '../../src/process/program/random.ts'
-import { type Command, CommandKind, done } from '../../src/process/commands.ts'
+import { type Command, CommandKind, done } from '../../src/process/state/commands.ts'
 import { createLifecycle, type Lifecycle } from '../../src/process/program/lifecycle.ts'
 import type { LogEvent } from '../../src/process/program/logEvents.ts'
 import { createMetrics } from '../../src/process/program/metrics.ts'
