Move what an entry host knows for routing to src/process/routing

Cause: src/process held half of the code in one flat folder, so that the subject of a module had to be guessed from its name.

--- a/bench/announcements.ts
+++ b/bench/announcements.ts
@@ -10,12 +10,12 @@
 import { runEntryPeer } from '../src/connection/entryPeer.ts'
 import { createInternalClients } from '../src/connection/internalClient.ts'
 import { createInternalRouter } from '../src/connection/internalRouter.ts'
-import { createBackendServers } from '../src/process/backendServers.ts'
+import { createBackendServers } from '../src/process/routing/backendServers.ts'
 import { createSystemClock } from '../src/process/program/clock.ts'
 import { createLifecycle } from '../src/process/program/lifecycle.ts'
 import { createSilentLogger } from '../src/process/program/logger.ts'
 import { serveInternal } from '../src/connection/callServer.ts'
-import { createSharedNews, type SharedNews } from '../src/process/sharedNews.ts'
+import { createSharedNews, type SharedNews } from '../src/process/routing/sharedNews.ts'
 
 const warmUpMs = 3_000
 const measureMs = 10_000
--- a/bench/choice.ts
+++ b/bench/choice.ts
@@ -6,7 +6,7 @@
  */
 import { mkdir, writeFile } from 'node:fs/promises'
 import * as hdr from 'hdr-histogram-js'
-import { type BackendServer, createBackendServers, endLive, startLive } from '../src/process/backendServers.ts'
+import { type BackendServer, createBackendServers, endLive, startLive } from '../src/process/routing/backendServers.ts'
 import { Clock } from '../src/process/program/clock.ts'
 import { Level } from '../src/process/program/logEvents.ts'
 import { createLogger } from '../src/process/program/logger.ts'
--- a/src/connection/batchDispatch.ts
+++ b/src/connection/batchDispatch.ts
@@ -2,19 +2,19 @@
  * The task that dispatches batch items to one backend server while this host holds its lease.
  * @module
  */
-import type { BackendServer } from '../process/backendServers.ts'
+import type { BackendServer } from '../process/routing/backendServers.ts'
 import type { ByteBudget } from '../process/jobs/byteBudget.ts'
 import type { Clock } from '../process/program/clock.ts'
 import { CommandKind, OutcomeKind } from '../process/state/commands.ts'
 import type { Completions } from '../process/jobs/completions.ts'
 import { type Condition, createCondition, waitForEither } from '../process/program/condition.ts'
 import { type ItemRuns, StopCause } from '../process/jobs/itemRuns.ts'
-import { decideHeadStart, type LeaseDirectory, rankHost } from '../process/leaseDirectory.ts'
-import type { LiveWork } from '../process/liveWork.ts'
+import { decideHeadStart, type LeaseDirectory, rankHost } from '../process/routing/leaseDirectory.ts'
+import type { LiveWork } from '../process/routing/liveWork.ts'
 import { LogEvents } from '../process/program/logEvents.ts'
 import type { Logger } from '../process/program/logger.ts'
 import type { Metrics } from '../process/program/metrics.ts'
-import type { Quarantine } from '../process/quarantine.ts'
+import type { Quarantine } from '../process/routing/quarantine.ts'
 import type { Random } from '../process/program/random.ts'
 import { holderLimitMs } from '../process/state/sessions.ts'
 import type { Location } from '../request/choice.ts'
--- a/src/connection/batchItems.ts
+++ b/src/connection/batchItems.ts
@@ -2,14 +2,14 @@
  * The items that run on one backend server under one lease, from their start to their end or return.
  * @module
  */
-import type { BackendServer } from '../process/backendServers.ts'
+import type { BackendServer } from '../process/routing/backendServers.ts'
 import { CommandKind, Ending, OutcomeKind } from '../process/state/commands.ts'
 import { type Condition, createCondition } from '../process/program/condition.ts'
 import { type RunningItem, StopCause } from '../process/jobs/itemRuns.ts'
 import { FailureReason } from '../process/program/failure.ts'
 import { LogEvents } from '../process/program/logEvents.ts'
 import { Counter, Latency } from '../process/program/metrics.ts'
-import { fingerprintOf, type Flight, FlightEnd } from '../process/quarantine.ts'
+import { fingerprintOf, type Flight, FlightEnd } from '../process/routing/quarantine.ts'
 import { ItemEndKind, runItem } from '../request/itemRun.ts'
 import { findPool, findRoute, type Pool, type Route } from '../version/tables.ts'
 import type { BatchServices } from './batchDispatch.ts'
--- a/src/connection/crashInspection.ts
+++ b/src/connection/crashInspection.ts
@@ -2,8 +2,8 @@
  * Finds out what a broken or silent connection means: a new connection to the backend server decides.
  * @module
  */
-import type { BackendServer, BackendServers } from '../process/backendServers.ts'
-import type { Quarantine } from '../process/quarantine.ts'
+import type { BackendServer, BackendServers } from '../process/routing/backendServers.ts'
+import type { Quarantine } from '../process/routing/quarantine.ts'
 import { type BackendServerConnections, ProbeResult } from './backendServerConnection.ts'
 
 /** Inspects backend servers. */
--- a/src/connection/entryPeer.ts
+++ b/src/connection/entryPeer.ts
@@ -4,7 +4,7 @@
  */
 import type { Clock } from '../process/program/clock.ts'
 import { Step } from '../process/program/failure.ts'
-import type { SharedNews } from '../process/sharedNews.ts'
+import type { SharedNews } from '../process/routing/sharedNews.ts'
 import { type InternalClients, TrafficClass } from './internalClient.ts'
 
 /** Shortest time between two shares, in milliseconds; what comes in between goes together. */
--- a/src/connection/orderIssuer.ts
+++ b/src/connection/orderIssuer.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import { Agent, request } from 'undici'
-import type { BackendServers } from '../process/backendServers.ts'
+import type { BackendServers } from '../process/routing/backendServers.ts'
 import type { Clock } from '../process/program/clock.ts'
 import { CommandKind, OutcomeKind } from '../process/state/commands.ts'
 import { decideOrders, type LoadOrder, type LoadUnderWay, orderLimitMs, waitOfNewIssuer } from '../process/state/engineOrders.ts'
--- a/src/index.ts
+++ b/src/index.ts
@@ -7,7 +7,7 @@
 export { createOperatorClient, type OperatorClient } from './process/operatorClient.ts'
 export { runLiveRequest, type LiveRequest, type LiveServices } from './request/liveRequest.ts'
 export { chooseBackendServer } from './request/choice.ts'
-export { countCrashes } from './process/quarantine.ts'
+export { countCrashes } from './process/routing/quarantine.ts'
 export { decideRetry } from './request/retry.ts'
 export { decideAdmission } from './request/admission.ts'
 export { applyCommand, answerQuery, createControlState } from './process/state/controlState.ts'
--- a/src/process/backendServers.ts
+++ b/src/process/routing/backendServers.ts
@@ -2,12 +2,12 @@
  * Routing state of an entry host: which backend servers there are, how loaded they are and whether they can be reached.
  * @module
  */
-import { type Announcement, fingerprintContent, type Renewal } from '../connection/share.ts'
-import type { Clock } from './program/clock.ts'
-import { hashText } from './program/hash.ts'
-import { type Condition, createCondition } from './program/condition.ts'
-import { LogEvents } from './program/logEvents.ts'
-import type { Logger } from './program/logger.ts'
+import { type Announcement, fingerprintContent, type Renewal } from '../../connection/share.ts'
+import type { Clock } from '../program/clock.ts'
+import { hashText } from '../program/hash.ts'
+import { type Condition, createCondition } from '../program/condition.ts'
+import { LogEvents } from '../program/logEvents.ts'
+import type { Logger } from '../program/logger.ts'
 
 /** Time after which an announcement that was not renewed expires, in milliseconds. */
 export const announcementLimitMs = 5_000
--- a/src/process/leaseDirectory.ts
+++ b/src/process/routing/leaseDirectory.ts
@@ -3,11 +3,11 @@
  * asks for a lease.
  * @module
  */
-import type { Location } from '../request/choice.ts'
-import type { Clock } from './program/clock.ts'
-import type { Holder } from './state/commands.ts'
-import { createCondition, type Condition } from './program/condition.ts'
-import type { EntryHost } from './state/sessions.ts'
+import type { Location } from '../../request/choice.ts'
+import type { Clock } from '../program/clock.ts'
+import type { Holder } from '../state/commands.ts'
+import { createCondition, type Condition } from '../program/condition.ts'
+import type { EntryHost } from '../state/sessions.ts'
 
 /** Time after which a holder that was not heard of no longer counts, in milliseconds. */
 export const leaseNewsLimitMs = 3_000
--- a/src/process/liveWork.ts
+++ b/src/process/routing/liveWork.ts
@@ -3,11 +3,11 @@
  * and the delay of its own relative to the delay without batch work.
  * @module
  */
-import type { DelayRatio } from '../version/preference.ts'
+import type { DelayRatio } from '../../version/preference.ts'
 import type { BackendServer } from './backendServers.ts'
-import type { Clock } from './program/clock.ts'
-import { type Condition, createCondition } from './program/condition.ts'
-import type { Holder } from './state/commands.ts'
+import type { Clock } from '../program/clock.ts'
+import { type Condition, createCondition } from '../program/condition.ts'
+import type { Holder } from '../state/commands.ts'
 
 /** Time after which a report of another entry host that was not renewed is dropped, in milliseconds. */
 export const liveReportLimitMs = 3_000
--- a/src/process/quarantine.ts
+++ b/src/process/routing/quarantine.ts
@@ -5,11 +5,11 @@
  * @module
  */
 import { createHash } from 'node:crypto'
-import type { CrashReport } from '../connection/share.ts'
-import type { Clock } from './program/clock.ts'
-import { type Condition, createCondition } from './program/condition.ts'
-import { LogEvents } from './program/logEvents.ts'
-import type { Logger } from './program/logger.ts'
+import type { CrashReport } from '../../connection/share.ts'
+import type { Clock } from '../program/clock.ts'
+import { type Condition, createCondition } from '../program/condition.ts'
+import { LogEvents } from '../program/logEvents.ts'
+import type { Logger } from '../program/logger.ts'
 
 /** How long a crash stays on record, in milliseconds. */
 export const crashKeepMs = 600_000
--- a/src/process/sharedNews.ts
+++ b/src/process/routing/sharedNews.ts
@@ -2,9 +2,9 @@
  * What this entry host heard itself and tells the other entry hosts. Only the latest news of each subject is kept.
  * @module
  */
-import { type Announcement, type CrashReport, createRenewal, describeContent, type Renewal, type Share } from '../connection/share.ts'
-import type { Clock } from './program/clock.ts'
-import { type Condition, createCondition } from './program/condition.ts'
+import { type Announcement, type CrashReport, createRenewal, describeContent, type Renewal, type Share } from '../../connection/share.ts'
+import type { Clock } from '../program/clock.ts'
+import { type Condition, createCondition } from '../program/condition.ts'
 import { announcementLimitMs } from './backendServers.ts'
 
 /** How long a crash report is told and believed, in milliseconds. */
--- a/src/request/choice.ts
+++ b/src/request/choice.ts
@@ -2,7 +2,7 @@
  * Which backend server a request goes to.
  * @module
  */
-import { type BackendServer, reportedAt } from '../process/backendServers.ts'
+import { type BackendServer, reportedAt } from '../process/routing/backendServers.ts'
 import { combineHashes, hashText } from '../process/program/hash.ts'
 import type { Random } from '../process/program/random.ts'
 
--- a/test/announcementRenewals.test.ts
+++ b/test/announcementRenewals.test.ts
@@ -5,11 +5,11 @@
 import { runEntryPeer } from '../src/connection/entryPeer.ts'
 import type { InternalClients } from '../src/connection/internalClient.ts'
 import { createRenewal, type Share, type ShareAnswer } from '../src/connection/share.ts'
-import { announcementLimitMs, type BackendServers, createBackendServers } from '../src/process/backendServers.ts'
+import { announcementLimitMs, type BackendServers, createBackendServers } from '../src/process/routing/backendServers.ts'
 import { Clock, createSystemClock } from '../src/process/program/clock.ts'
 import { toFailure } from '../src/process/program/failure.ts'
 import { createSilentLogger } from '../src/process/program/logger.ts'
-import { createSharedNews, type SharedNews } from '../src/process/sharedNews.ts'
+import { createSharedNews, type SharedNews } from '../src/process/routing/sharedNews.ts'
 import { announcementOf } from './support/entryHosts.ts'
 
 /** Section 9 of the design page: announcements are shared with every entry host within two seconds. */
--- a/test/entryAnnouncements.test.ts
+++ b/test/entryAnnouncements.test.ts
@@ -7,11 +7,11 @@
 import { runEntryPeer } from '../src/connection/entryPeer.ts'
 import { createInternalClients, type InternalClients } from '../src/connection/internalClient.ts'
 import type { Share } from '../src/connection/share.ts'
-import { announcementLimitMs } from '../src/process/backendServers.ts'
+import { announcementLimitMs } from '../src/process/routing/backendServers.ts'
 import { createSystemClock } from '../src/process/program/clock.ts'
 import { createFailure, FailureReason, Step } from '../src/process/program/failure.ts'
 import { createLifecycle } from '../src/process/program/lifecycle.ts'
-import { createSharedNews } from '../src/process/sharedNews.ts'
+import { createSharedNews } from '../src/process/routing/sharedNews.ts'
 import { announcementOf, createEntryHosts, type EntryHosts, type StartedEntryHost } from './support/entryHosts.ts'
 
 /** Section 9 of the design page: announcements are shared with every entry host within two seconds. */
