Move the entry host and the operators' program to src/process/entry

Cause: src/process held half of the code in one flat folder, so that the subject of a module had to be guessed from its name. Type check and lint are clean; the state, log, registry and settings tests pass (65 passing (6s) ).

--- a/src/daemons/jaychute.ts
+++ b/src/daemons/jaychute.ts
@@ -6,8 +6,8 @@
 import meow from 'meow'
 import { ExitCode, findUnknown, operatorAddressVariable, reportProblems } from '../process/program/commandLine.ts'
 import { FailureReason } from '../process/program/failure.ts'
-import { createOperatorClient } from '../process/operatorClient.ts'
-import { runOperation } from '../process/operatorCommands.ts'
+import { createOperatorClient } from '../process/entry/operatorClient.ts'
+import { runOperation } from '../process/entry/operatorCommands.ts'
 import { isAddress } from '../process/program/address.ts'
 
 const program = 'jaychute'
--- a/src/daemons/jaychuted.ts
+++ b/src/daemons/jaychuted.ts
@@ -5,7 +5,7 @@
  */
 import meow from 'meow'
 import { ExitCode, findUnknown, reportProblems } from '../process/program/commandLine.ts'
-import { startDaemon } from '../process/daemon.ts'
+import { startDaemon } from '../process/entry/daemon.ts'
 import { runDaemon, SecondSignal } from '../process/program/daemonRun.ts'
 import { explainStart, listFlags, readSettings } from '../process/program/settings.ts'
 
--- a/src/index.ts
+++ b/src/index.ts
@@ -2,9 +2,9 @@
  * The library behind the daemon and the operators' command line.
  * @module
  */
-export { type Daemon, startDaemon } from './process/daemon.ts'
+export { type Daemon, startDaemon } from './process/entry/daemon.ts'
 export { listFlags, readSettings, Role, type Settings } from './process/program/settings.ts'
-export { createOperatorClient, type OperatorClient } from './process/operatorClient.ts'
+export { createOperatorClient, type OperatorClient } from './process/entry/operatorClient.ts'
 export { runLiveRequest, type LiveRequest, type LiveServices } from './request/liveRequest.ts'
 export { chooseBackendServer } from './request/choice.ts'
 export { countCrashes } from './process/routing/quarantine.ts'
--- a/src/process/entryTasks.ts
+++ b/src/process/entry/entryTasks.ts
@@ -3,21 +3,21 @@
  * each pool with models.
  * @module
  */
-import { type BatchServices, runBatchDispatch } from '../connection/batchDispatch.ts'
-import type { Session } from '../connection/controlStream.ts'
-import { runDispatchPeer } from '../connection/dispatchPeer.ts'
-import { runEntryPeer } from '../connection/entryPeer.ts'
-import type { InternalClients } from '../connection/internalClient.ts'
-import { type OrderServices, runOrderIssuer } from '../connection/orderIssuer.ts'
-import type { BackendServer, BackendServers } from './routing/backendServers.ts'
-import type { Clock } from './program/clock.ts'
-import type { LeaseDirectory } from './routing/leaseDirectory.ts'
-import type { LiveWork } from './routing/liveWork.ts'
-import type { Metrics } from './program/metrics.ts'
-import type { EntryHost } from './state/sessions.ts'
-import type { Settings } from './program/settings.ts'
-import type { SharedNews } from './routing/sharedNews.ts'
-import { createTaskSet } from './program/taskSet.ts'
+import { type BatchServices, runBatchDispatch } from '../../connection/batchDispatch.ts'
+import type { Session } from '../../connection/controlStream.ts'
+import { runDispatchPeer } from '../../connection/dispatchPeer.ts'
+import { runEntryPeer } from '../../connection/entryPeer.ts'
+import type { InternalClients } from '../../connection/internalClient.ts'
+import { type OrderServices, runOrderIssuer } from '../../connection/orderIssuer.ts'
+import type { BackendServer, BackendServers } from '../routing/backendServers.ts'
+import type { Clock } from '../program/clock.ts'
+import type { LeaseDirectory } from '../routing/leaseDirectory.ts'
+import type { LiveWork } from '../routing/liveWork.ts'
+import type { Metrics } from '../program/metrics.ts'
+import type { EntryHost } from '../state/sessions.ts'
+import type { Settings } from '../program/settings.ts'
+import type { SharedNews } from '../routing/sharedNews.ts'
+import { createTaskSet } from '../program/taskSet.ts'
 
 /** How often the tasks are brought in line when nothing is reported, in milliseconds. */
 const alignMs = 500
--- a/src/process/operatorClient.ts
+++ b/src/process/entry/operatorClient.ts
@@ -7,12 +7,12 @@
 import type { Readable } from 'node:stream'
 import { err, ok, type Result } from 'neverthrow'
 import { type Dispatcher, request } from 'undici'
-import { linesType } from '../request/jobApi.ts'
-import type { ErrorBody } from '../request/refusal.ts'
-import type { Configuration, Tables } from '../version/tables.ts'
-import type { Outcome } from './state/commands.ts'
-import { createFailure, type Failure, FailureReason, Step, toFailure } from './program/failure.ts'
-import type { Answer, ItemResult, JobStatus, QueryKind } from './state/queries.ts'
+import { linesType } from '../../request/jobApi.ts'
+import type { ErrorBody } from '../../request/refusal.ts'
+import type { Configuration, Tables } from '../../version/tables.ts'
+import type { Outcome } from '../state/commands.ts'
+import { createFailure, type Failure, FailureReason, Step, toFailure } from '../program/failure.ts'
+import type { Answer, ItemResult, JobStatus, QueryKind } from '../state/queries.ts'
 
 /** A change of both tables. */
 export interface TablesChange {
--- a/src/process/operatorCommands.ts
+++ b/src/process/entry/operatorCommands.ts
@@ -5,11 +5,11 @@
 import { randomUUID } from 'node:crypto'
 import { readFile, stat } from 'node:fs/promises'
 import { err, ok, type Result } from 'neverthrow'
-import { TableName, type Tables } from '../version/tables.ts'
-import { OutcomeKind } from './state/commands.ts'
-import { createFailure, type Failure, FailureReason, Step, toFailure } from './program/failure.ts'
+import { TableName, type Tables } from '../../version/tables.ts'
+import { OutcomeKind } from '../state/commands.ts'
+import { createFailure, type Failure, FailureReason, Step, toFailure } from '../program/failure.ts'
 import type { OperatorClient } from './operatorClient.ts'
-import { formatStatus, formatTable } from './state/operatorTables.ts'
+import { formatStatus, formatTable } from '../state/operatorTables.ts'
 
 /** Flags of the operators' commands. */
 export interface OperatorFlags {
