Cut the circles of imports

Cause: six circles of imports, all of types that lived in the module of their main user: commands and submissions; jobs, their items and their schedule; batch dispatch and its items; the calls between hosts and the news of dispatch; an attempt and its connection; a live request and its attempts.

Change: each shared type has a module of its own below both (`jobs/job`, `jobs/submission`, `connection/batchServices`, `connection/dispatchNews`, `connection/backendAttempt`, `request/liveServices`). No code changes.

--- a/src/connection/backendServerConnection.ts
+++ b/src/connection/backendServerConnection.ts
@@ -11,7 +11,7 @@
 import { parseAddress } from '../process/program/address.ts'
 import { Counter, type Metrics } from '../process/program/metrics.ts'
 import { TrafficClass } from './internalClient.ts'
-import type { Attempt, AttemptFailure } from './protocol.ts'
+import type { Attempt, AttemptFailure } from './backendAttempt.ts'
 
 /** Limit from the start of an exchange until it has a connection, and for a probe, in milliseconds. */
 export const connectLimitMs = 1_000
--- a/src/connection/batchDispatch.ts
+++ b/src/connection/batchDispatch.ts
@@ -2,33 +2,19 @@
  * The task that dispatches batch items to one backend server while this host holds its lease.
  * @module
  */
+import type { BatchServices } from './batchServices.ts'
 import type { BackendServer } from '../process/routing/backendServers.ts'
-import type { ByteBudget } from '../process/jobs/byteBudget.ts'
-import type { Clock } from '../process/program/clock.ts'
 import { CommandKind, OutcomeKind } from '../process/state/commands.ts'
-import type { Completions } from '../process/jobs/completions.ts'
 import { type Condition, createCondition, waitForEither } from '../process/program/condition.ts'
-import { type ItemRuns, StopCause } from '../process/jobs/itemRuns.ts'
-import { decideHeadStart, type LeaseDirectory, rankHost } from '../process/routing/leaseDirectory.ts'
-import type { LiveWork } from '../process/routing/liveWork.ts'
+import { StopCause } from '../process/jobs/itemRuns.ts'
+import { decideHeadStart, rankHost } from '../process/routing/leaseDirectory.ts'
 import { LogEvents } from '../process/program/logEvents.ts'
-import type { Logger } from '../process/program/logger.ts'
-import type { Metrics } from '../process/program/metrics.ts'
-import type { Quarantine } from '../process/routing/quarantine.ts'
-import type { Random } from '../process/program/random.ts'
 import { holderLimitMs } from '../process/state/sessions.ts'
-import type { Location } from '../request/choice.ts'
-import type { CurrentVersion } from '../version/currentVersion.ts'
 import { findPreference } from '../version/preference.ts'
-import { findPool, type Pool, type ProtocolKind } from '../version/tables.ts'
-import type { BackendServerConnections } from './backendServerConnection.ts'
+import { findPool, type Pool } from '../version/tables.ts'
 import { decideGrowth, type Growth, noGrowth } from './batchGrowth.ts'
 import { type BatchItems, createBatchItems } from './batchItems.ts'
 import { type ClaimedItems, createClaimedItems, holdLimitMs } from './claimedItems.ts'
-import type { ControlClient } from './controlClient.ts'
-import type { Session } from './controlStream.ts'
-import type { CrashInspection } from './crashInspection.ts'
-import type { Protocol } from './protocol.ts'
 
 /** Pause before another host's lease is asked for again, in milliseconds. */
 const leaseRetryMs = 1_000
@@ -48,32 +34,6 @@
  */
 const claimAheadMs = 1_000
 
-/** What batch dispatch on one host needs. */
-export interface BatchServices {
-  readonly holder: string
-  readonly location: Location
-  readonly control: ControlClient
-  readonly session: Session
-  readonly version: CurrentVersion
-  readonly connections: BackendServerConnections
-  readonly protocols: Readonly<Record<ProtocolKind, Protocol>>
-  readonly completions: Completions
-  readonly runs: ItemRuns
-  readonly leases: LeaseDirectory
-  readonly liveWork: LiveWork
-  readonly quarantine: Quarantine
-  readonly inspection: CrashInspection
-  readonly byteBudgetOf: (pool: string) => ByteBudget
-  /** Draws the sequence of a claim. It never repeats, since the same lease may be held again after a failed release. */
-  readonly nextSequence: () => number
-  readonly clock: Clock
-  readonly random: Random
-  readonly logger: Logger
-  readonly metrics: Metrics
-  /** Aborts when the process closes its connections to control. */
-  readonly ended: AbortSignal
-}
-
 /**
  * Runs until the signal aborts.
  * @param server - the backend server
--- a/src/connection/batchItems.ts
+++ b/src/connection/batchItems.ts
@@ -12,8 +12,8 @@
 import { fingerprintOf, type Flight, FlightEnd } from '../process/routing/quarantine.ts'
 import { ItemEndKind, runItem } from '../request/itemRun.ts'
 import { findPool, findRoute, type Pool, type Route } from '../version/tables.ts'
-import type { BatchServices } from './batchDispatch.ts'
-import type { AttemptFailure } from './protocol.ts'
+import type { BatchServices } from './batchServices.ts'
+import type { AttemptFailure } from './backendAttempt.ts'
 import { type ClaimedItem, type ClaimedItems, toReturn } from './claimedItems.ts'
 
 /** Longest wait between two looks at the running items, in milliseconds. */
--- a/src/connection/claimedItems.ts
+++ b/src/connection/claimedItems.ts
@@ -5,7 +5,7 @@
 import { CommandKind, type Grant, OutcomeKind } from '../process/state/commands.ts'
 import type { Condition } from '../process/program/condition.ts'
 import { LogEvents } from '../process/program/logEvents.ts'
-import type { BatchServices } from './batchDispatch.ts'
+import type { BatchServices } from './batchServices.ts'
 
 /** Time without room after which held items go back to control, to run elsewhere, in milliseconds. */
 export const holdLimitMs = 250
--- /dev/null
+++ b/src/connection/dispatchNews.ts
@@ -0,0 +1,47 @@
+/**
+ * What one entry host tells another about batch dispatch, and its receiver.
+ * @module
+ */
+import type { Holder } from '../process/state/commands.ts'
+import type { LeaseDirectory } from '../process/routing/leaseDirectory.ts'
+import type { LiveWork } from '../process/routing/liveWork.ts'
+
+/** What one entry host tells another about batch dispatch. */
+export interface DispatchNews {
+  readonly from: Holder
+  /** Grows with each message; an older message that arrives late is dropped. */
+  readonly sequence: number
+  /** All backend servers whose lease the sender holds. */
+  readonly leases: readonly string[]
+  /** Backend servers under the receiver's leases on which the sender runs live requests. */
+  readonly live: readonly string[]
+}
+
+/** Takes news from other entry hosts. */
+export interface DispatchReceiver {
+  /**
+   * Takes a message.
+   * @param news - the message
+   * @returns true when it was newer than the last one
+   */
+  receive (news: DispatchNews): boolean
+}
+
+/**
+ * Creates the receiver.
+ * @param leases - takes leases
+ * @param liveWork - takes live work
+ * @returns the receiver
+ */
+export function createDispatchReceiver (leases: LeaseDirectory, liveWork: LiveWork): DispatchReceiver {
+  const sequences = new Map<Holder, number>()
+  return {
+    receive (news) {
+      if (news.sequence <= (sequences.get(news.from) ?? -1)) return false
+      sequences.set(news.from, news.sequence)
+      leases.hear(news.from, news.leases)
+      liveWork.hear(news.from, news.live)
+      return true
+    }
+  }
+}
--- a/src/connection/dispatchPeer.ts
+++ b/src/connection/dispatchPeer.ts
@@ -3,6 +3,7 @@
  * leases it runs live requests. A start is sent at once, so that the holder can yield; ends are gathered.
  * @module
  */
+import type { DispatchNews } from './dispatchNews.ts'
 import type { Clock } from '../process/program/clock.ts'
 import type { Holder } from '../process/state/commands.ts'
 import { createCondition, waitForEither } from '../process/program/condition.ts'
@@ -24,27 +25,6 @@
 /** Most messages under way to one peer. Between regions one takes 40 ms; a later start must not wait for it. */
 const underWayLimit = 8
 
-/** What one entry host tells another about batch dispatch. */
-export interface DispatchNews {
-  readonly from: Holder
-  /** Grows with each message; an older message that arrives late is dropped. */
-  readonly sequence: number
-  /** All backend servers whose lease the sender holds. */
-  readonly leases: readonly string[]
-  /** Backend servers under the receiver's leases on which the sender runs live requests. */
-  readonly live: readonly string[]
-}
-
-/** Takes news from other entry hosts. */
-export interface DispatchReceiver {
-  /**
-   * Takes a message.
-   * @param news - the message
-   * @returns true when it was newer than the last one
-   */
-  receive (news: DispatchNews): boolean
-}
-
 /** What the task needs. */
 export interface DispatchPeer {
   readonly address: string
@@ -58,25 +38,6 @@
   readonly signal: AbortSignal
 }
 
-/**
- * Creates the receiver.
- * @param leases - takes leases
- * @param liveWork - takes live work
- * @returns the receiver
- */
-export function createDispatchReceiver (leases: LeaseDirectory, liveWork: LiveWork): DispatchReceiver {
-  const sequences = new Map<Holder, number>()
-  return {
-    receive (news) {
-      if (news.sequence <= (sequences.get(news.from) ?? -1)) return false
-      sequences.set(news.from, news.sequence)
-      leases.hear(news.from, news.leases)
-      liveWork.hear(news.from, news.live)
-      return true
-    }
-  }
-}
-
 /**
  * Runs until the signal aborts.
  * @param task - what the task needs
--- a/src/connection/engineProtocol.ts
+++ b/src/connection/engineProtocol.ts
@@ -7,7 +7,8 @@
 import * as z from 'zod'
 import { createFailure, FailureReason, Step } from '../process/program/failure.ts'
 import type { BackendServerConnection } from './backendServerConnection.ts'
-import { type Attempt, type AttemptFailure, type PartReceiver, Protocol } from './protocol.ts'
+import { type PartReceiver, Protocol } from './protocol.ts'
+import type { Attempt, AttemptFailure } from './backendAttempt.ts'
 
 /** A server-sent event of an engine: a token, or the end of the answer. */
 const eventSchema = z.object({
--- a/src/connection/internalRouter.ts
+++ b/src/connection/internalRouter.ts
@@ -16,7 +16,7 @@
 import type { Member } from '../process/log/storage.ts'
 import type { WatchRequest } from '../process/state/watchMessages.ts'
 import { toReply } from './internalMessages.ts'
-import type { DispatchNews, DispatchReceiver } from './dispatchPeer.ts'
+import type { DispatchNews, DispatchReceiver } from './dispatchNews.ts'
 import type { Share, ShareReceiver } from './share.ts'
 
 /** What a host offers; undefined where its role has none. */
--- a/src/connection/serviceProtocol.ts
+++ b/src/connection/serviceProtocol.ts
@@ -6,7 +6,8 @@
 import * as z from 'zod'
 import { createFailure, FailureReason, Step } from '../process/program/failure.ts'
 import type { BackendServerConnection } from './backendServerConnection.ts'
-import { type Attempt, type AttemptFailure, type PartReceiver, Protocol } from './protocol.ts'
+import { type PartReceiver, Protocol } from './protocol.ts'
+import type { Attempt, AttemptFailure } from './backendAttempt.ts'
 
 class ServiceProtocol extends Protocol {
   override async run (connection: BackendServerConnection, attempt: Attempt, deliver: PartReceiver): Promise<Result<void, AttemptFailure>> {
--- a/src/process/entry/entryTasks.ts
+++ b/src/process/entry/entryTasks.ts
@@ -3,7 +3,8 @@
  * each pool with models.
  * @module
  */
-import { type BatchServices, runBatchDispatch } from '../../connection/batchDispatch.ts'
+import { runBatchDispatch } from '../../connection/batchDispatch.ts'
+import type { BatchServices } from '../../connection/batchServices.ts'
 import type { Session } from '../../connection/controlStream.ts'
 import { runDispatchPeer } from '../../connection/dispatchPeer.ts'
 import { runEntryPeer } from '../../connection/entryPeer.ts'
--- a/src/process/fleet/openItems.ts
+++ b/src/process/fleet/openItems.ts
@@ -3,7 +3,8 @@
  * @module
  */
 import type { ItemProgress } from '../../request/submittedItemRun.ts'
-import { isClosed, type SubmissionRecord, type Submissions, type SubmittedItem } from '../jobs/submissions.ts'
+import { isClosed, type SubmissionRecord, type Submissions } from '../jobs/submissions.ts'
+import type { SubmittedItem } from '../jobs/submission.ts'
 
 /** Pause after a run that failed or was not run, in milliseconds, for each such run so far. */
 const backoffMs = 150
--- a/src/process/jobs/grants.ts
+++ b/src/process/jobs/grants.ts
@@ -6,7 +6,8 @@
 import {
   type CommandOf, type Completion, done, Ending, type Grant, type GrantReference, type Holder, type Outcome, OutcomeKind, type Return
 } from '../state/commands.ts'
-import { countEnding, hold, ItemPhase, type Job, type JobItem, type Jobs, unhold } from './jobRecords.ts'
+import { countEnding, hold, type Jobs, unhold } from './jobRecords.ts'
+import { ItemPhase, type Job, type JobItem } from './job.ts'
 import { chooseJob, countInFlight, placeJob } from './jobSchedule.ts'
 
 /** Attempts that ran before an item ends as failed. */
--- a/src/process/jobs/jobRecords.ts
+++ b/src/process/jobs/jobRecords.ts
@@ -2,55 +2,10 @@
  * Records of jobs, items, uploads and claims, and what is derived from them.
  * @module
  */
+import { ItemPhase, type JobItem, type Job } from './job.ts'
 import { Ending, type GrantReference, type Holder, type Item } from '../state/commands.ts'
 import { createSchedule, type Schedule } from './jobSchedule.ts'
 import { type ItemResult, JobPhase, type JobStatus } from '../state/queries.ts'
-import type { WaitingItems } from './waitingItems.ts'
-
-/** Where an item stands. */
-export const ItemPhase = { Waiting: 'waiting', Granted: 'granted', Started: 'started', Ended: 'ended' } as const
-export type ItemPhase = typeof ItemPhase[keyof typeof ItemPhase]
-
-/** An item of a sealed job. */
-export interface JobItem {
-  /** As submitted; the input is dropped once the item has ended. */
-  item: Item
-  phase: ItemPhase
-  /** Number of the last grant, 0 before the first. */
-  grant: number
-  holder: Holder | undefined
-  /** Attempts that ran. */
-  attempts: number
-  partial: string
-  offset: number
-  ending: Ending | undefined
-  result: string
-}
-
-/** What stays the same about a job, and whether it is cancelled. */
-export interface JobHeader {
-  readonly id: string
-  /** Position in the order in which jobs were sealed, from 1. */
-  readonly number: number
-  readonly account: string
-  readonly key: string
-  readonly route: string
-  readonly digest: string
-  readonly due: number
-  cancelled: boolean
-  /** Number of the last grant made from this job; for a job without a grant, of the last one before it was sealed. */
-  lastGrant: number
-}
-
-/** A sealed job. */
-export interface Job extends JobHeader {
-  readonly items: readonly JobItem[]
-  readonly waiting: WaitingItems
-  inFlight: number
-  done: number
-  failed: number
-  unknown: number
-}
 
 /** A job that is still being uploaded. */
 export interface Upload {
--- a/src/process/jobs/jobSchedule.ts
+++ b/src/process/jobs/jobSchedule.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { createHeap, type Heap } from '../program/heap.ts'
-import type { Job } from './jobRecords.ts'
+import type { Job } from './job.ts'
 
 /** Every so many grants the job that has waited longest goes first, so that no job starves. */
 export const starvationInterval = 16
--- a/src/process/jobs/jobs.ts
+++ b/src/process/jobs/jobs.ts
@@ -3,7 +3,8 @@
  * @module
  */
 import { type CommandOf, done, notFound, type Outcome, OutcomeKind } from '../state/commands.ts'
-import { createItem, identityOf, type Job, type Jobs, type Upload } from './jobRecords.ts'
+import { createItem, identityOf, type Jobs, type Upload } from './jobRecords.ts'
+import type { Job } from './job.ts'
 import { placeJob } from './jobSchedule.ts'
 import { createWaitingItems } from './waitingItems.ts'
 
--- a/src/process/jobs/waitingItems.ts
+++ b/src/process/jobs/waitingItems.ts
@@ -2,8 +2,8 @@
  * The waiting items of one job, for each priority in order of their position.
  * @module
  */
+import { ItemPhase, type JobItem, type WaitingItems } from './job.ts'
 import { createHeap, type Heap } from '../program/heap.ts'
-import { ItemPhase, type JobItem } from './jobRecords.ts'
 
 /** Number of priorities. */
 const priorities = 2
@@ -16,26 +16,6 @@
   readonly returned: Heap<number>
 }
 
-/** Waiting items of a job. */
-export interface WaitingItems {
-  /**
-   * Reads the priority of the item that goes next.
-   * @returns the priority, or undefined when nothing waits
-   */
-  firstPriority (): number | undefined
-  /**
-   * Takes the item that goes next.
-   * @returns its position, or undefined when nothing waits
-   */
-  take (): number | undefined
-  /**
-   * Puts an item back.
-   * @param priority - its priority
-   * @param position - its position
-   */
-  giveBack (priority: number, position: number): void
-}
-
 /**
  * Collects the waiting items. The order follows from the items alone, so a restored job goes on in the same order.
  * @param items - all items of the job
--- a/src/process/state/commands.ts
+++ b/src/process/state/commands.ts
@@ -6,7 +6,7 @@
 import type { Tables } from '../../version/tables.ts'
 import type { Publication } from '../../version/gatewayTables.ts'
 import type { Problem } from '../../version/validation.ts'
-import type { ItemReference, Submission } from '../jobs/submissions.ts'
+import type { ItemReference, Submission } from '../jobs/submission.ts'
 
 /** Kinds of command. */
 export const CommandKind = {
--- a/src/process/state/stateSnapshot.ts
+++ b/src/process/state/stateSnapshot.ts
@@ -7,14 +7,14 @@
 import { assert, assertNever } from '../program/assert.ts'
 import type { Ending, Item } from './commands.ts'
 import { type ControlState, createControlState } from './controlState.ts'
-import {
-  countEnding, createItem, hold, identityOf, ItemPhase, type Job, type JobHeader, type JobItem, type Jobs, type LastClaim, type Upload
-} from '../jobs/jobRecords.ts'
+import { countEnding, createItem, hold, identityOf, type Jobs, type LastClaim, type Upload } from '../jobs/jobRecords.ts'
+import { ItemPhase, type Job, type JobHeader, type JobItem } from '../jobs/job.ts'
 import { countInFlight, placeJob } from '../jobs/jobSchedule.ts'
 import type { Lease } from './leases.ts'
 import { keepOperation, type Operation } from './operations.ts'
 import type { Publication } from '../../version/gatewayTables.ts'
-import { type ItemResult, restore, type Submission, type SubmissionRecord, type SubmittedItem } from '../jobs/submissions.ts'
+import { type ItemResult, restore, type SubmissionRecord } from '../jobs/submissions.ts'
+import type { Submission, SubmittedItem } from '../jobs/submission.ts'
 import { createWaitingItems } from '../jobs/waitingItems.ts'
 
 /** A part of the state; msgpack can carry it. */
--- a/src/request/attempt.ts
+++ b/src/request/attempt.ts
@@ -4,12 +4,13 @@
  */
 import { randomUUID } from 'node:crypto'
 import { TrafficClass } from '../connection/internalClient.ts'
-import type { AttemptFailure, PartReceiver } from '../connection/protocol.ts'
+import type { PartReceiver } from '../connection/protocol.ts'
+import type { AttemptFailure } from '../connection/backendAttempt.ts'
 import { type BackendServer, endLive, startLive } from '../process/routing/backendServers.ts'
 import { FailureReason } from '../process/program/failure.ts'
 import { Counter, Latency } from '../process/program/metrics.ts'
 import { type Flight, FlightEnd } from '../process/routing/quarantine.ts'
-import type { LiveRequest, LiveServices } from './liveRequest.ts'
+import type { LiveRequest, LiveServices } from './liveServices.ts'
 
 /** What the attempts of a request have brought so far. */
 export interface Progress {
--- a/src/request/callerApi.ts
+++ b/src/request/callerApi.ts
@@ -17,7 +17,8 @@
 import { callerStallMs, createAnswerQueue, isTaken } from './answerQueue.ts'
 import type { ErrorAnswers } from './errorAnswer.ts'
 import { createJobApi } from './jobApi.ts'
-import { type LiveRequest, type LiveServices, runLiveRequest } from './liveRequest.ts'
+import { runLiveRequest } from './liveRequest.ts'
+import type { LiveRequest, LiveServices } from './liveServices.ts'
 import { Execution, refuse, type Refusal, RefusalReason } from './refusal.ts'
 
 /** Largest body of a live request, in bytes. */
--- a/src/request/itemRun.ts
+++ b/src/request/itemRun.ts
@@ -4,7 +4,8 @@
  */
 import type { BackendServerConnection } from '../connection/backendServerConnection.ts'
 import { TrafficClass } from '../connection/internalClient.ts'
-import type { AttemptFailure, Protocol } from '../connection/protocol.ts'
+import type { Protocol } from '../connection/protocol.ts'
+import type { AttemptFailure } from '../connection/backendAttempt.ts'
 import { type Completion, Ending, type Grant, type Return } from '../process/state/commands.ts'
 import { FailureReason } from '../process/program/failure.ts'
 import type { Route } from '../version/tables.ts'
--- a/src/request/liveRequest.ts
+++ b/src/request/liveRequest.ts
@@ -2,60 +2,21 @@
  * The task of one live request: admission, attempts, retries, and the whole answer in order.
  * @module
  */
+import type { LiveRequest, LiveServices } from './liveServices.ts'
 import { err, ok, type Result } from 'neverthrow'
-import type { BackendServerConnections } from '../connection/backendServerConnection.ts'
-import type { CrashInspection } from '../connection/crashInspection.ts'
-import type { AttemptFailure, PartReceiver, Protocol } from '../connection/protocol.ts'
-import type { Accounts } from '../process/state/accounts.ts'
-import type { BackendServer, BackendServers } from '../process/routing/backendServers.ts'
-import type { Clock } from '../process/program/clock.ts'
+import type { PartReceiver } from '../connection/protocol.ts'
+import type { AttemptFailure } from '../connection/backendAttempt.ts'
+import type { BackendServer } from '../process/routing/backendServers.ts'
 import { FailureReason } from '../process/program/failure.ts'
-import type { LiveWork } from '../process/routing/liveWork.ts'
 import { LogEvents } from '../process/program/logEvents.ts'
-import type { Logger } from '../process/program/logger.ts'
-import { Counter, Latency, type Metrics } from '../process/program/metrics.ts'
-import { fingerprintOf, type Flight, type Quarantine } from '../process/routing/quarantine.ts'
-import type { Random } from '../process/program/random.ts'
-import type { RetryBudget } from '../process/routing/retryBudget.ts'
-import type { Pool, ProtocolKind, Route } from '../version/tables.ts'
+import { Counter, Latency } from '../process/program/metrics.ts'
+import { fingerprintOf, type Flight } from '../process/routing/quarantine.ts'
 import { type Progress, runAttempt } from './attempt.ts'
-import { chooseBackendServer, estimateBytes, type Location, prefixKeyOf } from './choice.ts'
+import { chooseBackendServer, estimateBytes, prefixKeyOf } from './choice.ts'
 import { takePlace } from './place.ts'
 import { executionOf, explainFailure, refuse, type Refusal, RefusalReason } from './refusal.ts'
 import { decideRetry, RetryKind } from './retry.ts'
 
-/** A live request as any front end gives it. */
-export interface LiveRequest {
-  readonly requestId: string
-  readonly account: string
-  readonly route: Route
-  readonly pool: Pool
-  readonly input: string
-  readonly maxTokens: number
-  readonly idempotent: boolean
-  /** Monotonic time by which the answer must be complete, in milliseconds. */
-  readonly deadline: number
-  /** Aborts when the caller has gone. */
-  readonly signal: AbortSignal
-}
-
-/** What live requests need. */
-export interface LiveServices {
-  readonly accounts: Accounts
-  readonly backendServers: BackendServers
-  readonly liveWork: LiveWork
-  readonly connections: BackendServerConnections
-  readonly quarantine: Quarantine
-  readonly inspection: CrashInspection
-  readonly protocols: Readonly<Record<ProtocolKind, Protocol>>
-  readonly retryBudgetOf: (pool: string) => RetryBudget
-  readonly location: Location
-  readonly clock: Clock
-  readonly random: Random
-  readonly logger: Logger
-  readonly metrics: Metrics
-}
-
 /** Usual duration of a request that is assumed before the first has ended, in milliseconds. */
 const assumedRequestMs = 1_000
 
--- a/src/request/retry.ts
+++ b/src/request/retry.ts
@@ -2,7 +2,7 @@
  * Whether a failed attempt is followed by another one.
  * @module
  */
-import type { AttemptFailure } from '../connection/protocol.ts'
+import type { AttemptFailure } from '../connection/backendAttempt.ts'
 import { FailureReason } from '../process/program/failure.ts'
 import type { Random } from '../process/program/random.ts'
 
--- a/src/request/submittedItemRun.ts
+++ b/src/request/submittedItemRun.ts
@@ -4,7 +4,7 @@
  */
 import { BackendAnswerKind, type BackendServerClient, type BackendServerTarget } from '../connection/backendServerClient.ts'
 import { type Failure, Step, toFailure } from '../process/program/failure.ts'
-import type { SubmittedItem } from '../process/jobs/submissions.ts'
+import type { SubmittedItem } from '../process/jobs/submission.ts'
 import { createEventSplitter } from './eventStream.ts'
 
 /** How a run ended. */
--- a/test/gatewayState.test.ts
+++ b/test/gatewayState.test.ts
@@ -3,7 +3,7 @@
 import { answerQuery, applyCommand, type ControlState, createControlState } from '../src/process/state/controlState.ts'
 import { QueryKind } from '../src/process/state/queries.ts'
 import { exportState, importState } from '../src/process/state/stateSnapshot.ts'
-import type { SubmittedItem } from '../src/process/jobs/submissions.ts'
+import type { SubmittedItem } from '../src/process/jobs/submission.ts'
 import { tablesOf } from './support/fakeFleet.ts'
 
 function itemOf (id: string, tokens = 100): SubmittedItem {
--- a/test/support/batch.ts
+++ b/test/support/batch.ts
@@ -4,7 +4,8 @@
  */
 import { err, ok } from 'neverthrow'
 import { createBackendServerConnections } from '../../src/connection/backendServerConnection.ts'
-import { type BatchServices, runBatchDispatch } from '../../src/connection/batchDispatch.ts'
+import { runBatchDispatch } from '../../src/connection/batchDispatch.ts'
+import type { BatchServices } from '../../src/connection/batchServices.ts'
 import type { ControlClient } from '../../src/connection/controlClient.ts'
 import { createEngineProtocol } from '../../src/connection/engineProtocol.ts'
 import { createServiceProtocol } from '../../src/connection/serviceProtocol.ts'
