Keep the first loads of the order test under way beyond its freeze

The printed orders show why: the host was frozen 4.3 s after its first two orders, whose loads take 3 s, so it had already ordered the third engine and nothing was left for the second issuer.

Ruled out: a fault of the product; each order was issued under the number in force, and the second issuer held its lease 5.6 s after the freeze.

Change: loads take 8 s instead of 3 s, and the wait for the model on all engines, which has two loads more in it, 25 s instead of 15 s. What is checked is the same.

--- a/test/entryOrders.test.ts
+++ b/test/entryOrders.test.ts
@@ -44,8 +44,9 @@
     it(`have one issuer at a time after a freeze, with the number ${fencing}`, async () => {
       const fleet = await startFleet({ controlHosts: 1, entryHosts: 2 })
       try {
-        // Loads that never end within the test keep the frozen issuer with engines it would order next.
-        for (let number = 0; number < 3; number++) fleet.startStandIn(['--load-ms', '3000', ...(fencing === 'checked' ? [] : ['--no-fencing-checked'])])
+        // The first loads last beyond the freeze, so that the frozen issuer still has an engine to order. On a busy machine
+        // the freeze came up to 4.3 s after the first orders.
+        for (let number = 0; number < 3; number++) fleet.startStandIn(['--load-ms', '8000', ...(fencing === 'checked' ? [] : ['--no-fencing-checked'])])
         await prepare(fleet, { models: ['m1'], fencing })
         const servers = await knowServers(fleet, 3)
         const all = async (): Promise<RecordedOrder[]> => (await Promise.all(servers.map(ordersOf))).flat().sort((left, right) => left.at - right.at)
@@ -64,7 +65,7 @@
         })
         const acquiredAt = Date.parse((JSON.parse(issuerLine(other) ?? '{}') as { time: string }).time)
         if (fencing === 'ignored') expect((later[0]?.at ?? 0) - acquiredAt).to.be.above(sessionLimitMs + orderLimitMs)
-        await eventually('the model on all engines', 15_000, async () => {
+        await eventually('the model on all engines', 25_000, async () => {
           const status = await (await request(`http://${other.administrationAddress}/v1/status`)).body.json() as { entry: { backendServers: Array<{ models: string[] }> } }
           return status.entry.backendServers.every(server => server.models.includes('m1')) ? true : undefined
         })
