Save the progress of items in the log, so that the next leader goes on from it

Cause: a new leader began every open item again.

Ruled out: 422, used attempts and give-up times; the cause that the log now names was 'server says that it can never be done' for one item, and none other.

Tests: 'saves the progress of an item, and goes on from it when it leads next' can not pass before (there is no such command); the state's test covers pieces that come again, in part again, late, and after the end.

--- a/src/process/fleet/batchRunner.ts
+++ b/src/process/fleet/batchRunner.ts
@@ -20,6 +20,7 @@
 import { createItemEnds, ItemEndCause } from './itemEnds.ts'
 import { createItemPace } from './itemPace.ts'
 import { createOpenItems, delayStart, delayStartAfterFailure, type OpenItem } from './openItems.ts'
+import { runProgressSaving } from './progressSaving.ts'
 import { createServerPauses } from './serverPauses.ts'
 
 /** How often the plan is made without being asked for, in milliseconds. */
@@ -259,6 +260,7 @@
       await forgetJobs()
     }
   })
+  lifecycle.run(signal => runProgressSaving({ items, replica, clock, logger, isLeading: () => fleet.isLeading() }, signal))
   return { applied }
 }
 
--- a/src/process/fleet/openItems.ts
+++ b/src/process/fleet/openItems.ts
@@ -31,6 +31,8 @@
   readonly record: SubmissionRecord
   readonly item: SubmittedItem
   readonly progress: ItemProgress
+  /** Events that are saved in the log. */
+  saved: number
   /** Runs that failed at their server. */
   failures: number
   /** Runs that their server refused, or that broke off. */
@@ -56,6 +58,8 @@
   startable (now: number): OpenItem[]
   /** Lists the items that run. */
   running (): OpenItem[]
+  /** Lists all items. */
+  list (): OpenItem[]
   /** Lists the items that may be given up. */
   givenUp (wallTime: number): OpenItem[]
   /** Ends all runs and forgets everything. */
@@ -72,8 +76,11 @@
   function add (record: SubmissionRecord, item: SubmittedItem): void {
     const key = `${record.submission.id} ${item.id}`
     if (open.has(key)) return
+    // An earlier leader may have saved what the item had produced.
+    const saved = record.progress.get(item.id)
+    const progress = { data: [...saved?.data ?? []], lastEvent: saved?.lastEvent }
     open.set(key, {
-      key, record, item, progress: { data: [], lastEvent: undefined }, failures: 0, interruptions: 0, ranMs: 0, startAfter: 0, run: undefined, isEnding: false
+      key, record, item, progress, saved: progress.data.length, failures: 0, interruptions: 0, ranMs: 0, startAfter: 0, run: undefined, isEnding: false
     })
   }
 
@@ -91,6 +98,7 @@
       }
     },
     startable: now => [...open.values()].filter(entry => entry.run === undefined && !entry.isEnding && entry.startAfter <= now),
+    list: () => [...open.values()],
     running: () => [...open.values()].filter(entry => entry.run !== undefined && !entry.run.controller.signal.aborted),
     givenUp: wallTime => [...open.values()].filter(entry => !entry.isEnding && wallTime >= entry.record.submission.giveUpAt),
     clear () {
--- a/src/process/jobs/submission.ts
+++ b/src/process/jobs/submission.ts
@@ -33,3 +33,17 @@
   readonly job: string
   readonly item: string
 }
+
+/** What an item without a result has produced, as far as it outlives the leader that runs it. */
+export interface SavedProgress {
+  /** Data of the events in order. */
+  readonly data: readonly string[]
+  /** Id of the last of these events. */
+  readonly lastEvent: number
+}
+
+/** Progress of an item since it was saved last. */
+export interface ProgressPiece extends ItemReference, SavedProgress {
+  /** Events of the item before this piece. */
+  readonly from: number
+}
--- a/src/process/jobs/submissions.ts
+++ b/src/process/jobs/submissions.ts
@@ -3,7 +3,7 @@
  * each route. Applied from the replicated log.
  * @module
  */
-import type { Submission, SubmittedItem } from './submission.ts'
+import type { SavedProgress, Submission, SubmittedItem } from './submission.ts'
 import { type CommandOf, done, Ending, notFound, type Outcome, OutcomeKind } from '../state/commands.ts'
 
 /** The end of an item. */
@@ -20,6 +20,8 @@
   readonly results: ItemResult[]
   /** Items without a result, by id. */
   readonly open: Map<string, SubmittedItem>
+  /** What open items have produced, by id. */
+  readonly progress: Map<string, SavedProgress>
   ended: boolean
 }
 
@@ -55,12 +57,12 @@
     return { kind: OutcomeKind.Limit, text: `${waiting} tokens wait on route ${submission.route}, ${tokens} more exceed ${tokenLimit}` }
   }
   const accepted: Submission = { ...submission, acceptedAt: time, giveUpAt: giveUpMs > 0 ? time + giveUpMs : Infinity }
-  restore(state, { submission: accepted, results: [], ended: false })
+  restore(state, { submission: accepted, results: [], progress: new Map(), ended: false })
   return { kind: OutcomeKind.Job, job: submission.id }
 }
 
 /**
- * Puts a job in place with its results.
+ * Puts a job in place with its results and the progress of its items.
  * @param state - the jobs
  * @param saved - the job
  */
@@ -86,12 +88,31 @@
     const item = record?.open.get(id)
     if (record === undefined || item === undefined) continue
     record.open.delete(id)
+    record.progress.delete(id)
     record.results.push({ item: id, ending, output })
     if (!record.ended) addTokens(state, record.submission, -item.tokens)
   }
   return done
 }
 
+/**
+ * Saves progress of items. A piece that comes again, or in part again, adds only what is new; one that leaves a gap adds
+ * nothing.
+ * @param state - the jobs
+ * @param command - the command
+ * @returns done
+ */
+export function saveProgress (state: Submissions, command: CommandOf<'save progress'>): Outcome {
+  for (const { job, item, from, data, lastEvent } of command.pieces) {
+    const record = state.jobs.get(job)
+    if (record === undefined || record.ended || !record.open.has(item)) continue
+    const saved = record.progress.get(item)?.data ?? []
+    if (from > saved.length || from + data.length <= saved.length) continue
+    record.progress.set(item, { data: [...saved, ...data.slice(saved.length - from)], lastEvent })
+  }
+  return done
+}
+
 /**
  * Ends a job: its open items are not run any more.
  * @param state - the jobs
@@ -103,6 +124,7 @@
   if (record === undefined) return notFound
   if (record.ended) return done
   record.ended = true
+  record.progress.clear()
   for (const item of record.open.values()) addTokens(state, record.submission, -item.tokens)
   return done
 }
--- a/src/process/program/logEvents.ts
+++ b/src/process/program/logEvents.ts
@@ -75,6 +75,7 @@
   itemStarted: { number: 623, level: Level.Info, text: 'item sent to a backend server', action: nothing },
   itemInterrupted: { number: 624, level: Level.Info, text: 'item interrupted; it goes on later', action: nothing },
   itemRecorded: { number: 625, level: Level.Info, text: 'end of an item recorded', action: nothing },
+  progressUnsaved: { number: 626, level: Level.Warn, text: 'progress of items was not saved; trying again', action: 'Check the control hosts if it repeats.' },
   publicationAccepted: { number: 310, level: Level.Info, text: 'published tables accepted', action: nothing },
   publicationRefused: { number: 311, level: Level.Warn, text: 'published tables refused', action: 'Read the reason; publish corrected tables.' },
   leaseHeld: { number: 610, level: Level.Info, text: 'batch dispatch lease held', action: nothing },
--- a/src/process/state/commands.ts
+++ b/src/process/state/commands.ts
@@ -6,7 +6,7 @@
 import type { Tables } from '../../version/tables.ts'
 import type { Publication } from '../../version/gatewayTables.ts'
 import type { Problem } from '../../version/validation.ts'
-import type { ItemReference, Submission } from '../jobs/submission.ts'
+import type { ItemReference, ProgressPiece, Submission } from '../jobs/submission.ts'
 
 /** Kinds of command. */
 export const CommandKind = {
@@ -25,6 +25,7 @@
   ExpireHolder: 'expire holder',
   Publish: 'publish',
   Submit: 'submit',
+  SaveProgress: 'save progress',
   FinishItems: 'finish items',
   EndSubmission: 'end submission',
   PurgeSubmissions: 'purge submissions'
@@ -118,6 +119,7 @@
   | { readonly kind: typeof CommandKind.ExpireHolder, readonly holder: Holder }
   | { readonly kind: typeof CommandKind.Publish, readonly publication: Publication }
   | { readonly kind: typeof CommandKind.Submit, readonly submission: Submission, readonly tokenLimit: number, readonly giveUpMs: number, readonly time: number }
+  | { readonly kind: typeof CommandKind.SaveProgress, readonly pieces: readonly ProgressPiece[] }
   | { readonly kind: typeof CommandKind.FinishItems, readonly results: readonly FinishedItem[] }
   | { readonly kind: typeof CommandKind.EndSubmission, readonly job: string }
   | { readonly kind: typeof CommandKind.PurgeSubmissions, readonly jobs: readonly string[] }
--- a/src/process/state/controlState.ts
+++ b/src/process/state/controlState.ts
@@ -15,7 +15,7 @@
 import { applyOnce, type Operations } from './operations.ts'
 import { publish, type Publications } from './publications.ts'
 import { type Answer, JobPhase, type Query, QueryKind } from './queries.ts'
-import { createSubmissions, endSubmission, finishItems, purgeSubmissions, readResults, submit, type Submissions } from '../jobs/submissions.ts'
+import { createSubmissions, endSubmission, finishItems, purgeSubmissions, readResults, saveProgress, submit, type Submissions } from '../jobs/submissions.ts'
 import { appendItems, discardUpload, openUpload } from '../jobs/uploads.ts'
 
 /** The whole durable state. */
@@ -54,6 +54,7 @@
     case CommandKind.ExpireHolder: return expireHolder(state, command)
     case CommandKind.Publish: return publish(state, command)
     case CommandKind.Submit: return submit(state.submissions, command)
+    case CommandKind.SaveProgress: return saveProgress(state.submissions, command)
     case CommandKind.FinishItems: return finishItems(state.submissions, command)
     case CommandKind.EndSubmission: return endSubmission(state.submissions, command)
     case CommandKind.PurgeSubmissions: return purgeSubmissions(state.submissions, command)
--- a/src/process/state/stateSnapshot.ts
+++ b/src/process/state/stateSnapshot.ts
@@ -14,7 +14,7 @@
 import { keepOperation, type Operation } from './operations.ts'
 import type { Publication } from '../../version/gatewayTables.ts'
 import { type ItemResult, restore, type SubmissionRecord } from '../jobs/submissions.ts'
-import type { Submission, SubmittedItem } from '../jobs/submission.ts'
+import type { SavedProgress, Submission, SubmittedItem } from '../jobs/submission.ts'
 import { createWaitingItems } from '../jobs/waitingItems.ts'
 
 /** A part of the state; msgpack can carry it. */
@@ -40,6 +40,7 @@
   Submission: 'submission',
   SubmittedItems: 'submitted items',
   ItemResults: 'item results',
+  ItemProgress: 'item progress',
   End: 'end'
 } as const
 
@@ -71,6 +72,7 @@
   | { readonly kind: typeof PartKind.Submission, readonly submission: Omit<Submission, 'items'>, readonly ended: boolean }
   | { readonly kind: typeof PartKind.SubmittedItems, readonly records: readonly SubmittedItem[] }
   | { readonly kind: typeof PartKind.ItemResults, readonly records: readonly ItemResult[] }
+  | { readonly kind: typeof PartKind.ItemProgress, readonly records: ReadonlyArray<readonly [string, SavedProgress]> }
   | { readonly kind: typeof PartKind.End }
 
 interface LeaseRecord {
@@ -126,10 +128,17 @@
   yield { kind: PartKind.End }
 }
 
-function * exportSubmission ({ submission: { items, ...submission }, ended, results }: SubmissionRecord): Iterable<Part> {
+function * exportSubmission ({ submission: { items, ...submission }, ended, results, progress }: SubmissionRecord): Iterable<Part> {
   yield { kind: PartKind.Submission, submission, ended }
   for (const records of chunk(items, item => item.body.length)) yield { kind: PartKind.SubmittedItems, records }
   for (const records of chunk([...results], result => result.output.length)) yield { kind: PartKind.ItemResults, records }
+  for (const records of chunk(progress, ([, saved]) => charactersOf(saved.data))) yield { kind: PartKind.ItemProgress, records }
+}
+
+function charactersOf (texts: readonly string[]): number {
+  let characters = 0
+  for (const text of texts) characters += text.length
+  return characters
 }
 
 /** The job or upload whose items are being read; it is complete when the next one begins. */
@@ -146,6 +155,7 @@
   readonly ended: boolean
   readonly items: SubmittedItem[]
   readonly results: ItemResult[]
+  readonly progress: Map<string, SavedProgress>
 }
 
 function importPart (state: ControlState, part: Part, open: OpenPart): void {
@@ -182,7 +192,7 @@
       state.publication = part.publication
       return
     case PartKind.Submission:
-      open.submission = { submission: part.submission, ended: part.ended, items: [], results: [] }
+      open.submission = { submission: part.submission, ended: part.ended, items: [], results: [], progress: new Map() }
       return
     case PartKind.SubmittedItems:
       for (const item of part.records) open.submission?.items.push(item)
@@ -190,6 +200,9 @@
     case PartKind.ItemResults:
       for (const result of part.records) open.submission?.results.push(result)
       return
+    case PartKind.ItemProgress:
+      for (const [item, saved] of part.records) open.submission?.progress.set(item, saved)
+      return
     case PartKind.End: return
     default: assertNever(part)
   }
@@ -215,9 +228,9 @@
 
 function finishSubmission (state: ControlState, open: OpenPart): void {
   if (open.submission === undefined) return
-  const { submission, ended, items, results } = open.submission
+  const { submission, ended, items, results, progress } = open.submission
   open.submission = undefined
-  restore(state.submissions, { submission: { ...submission, items }, ended, results })
+  restore(state.submissions, { submission: { ...submission, items }, ended, results, progress })
 }
 
 function toHeader (job: Job): JobHeader {
--- a/test/batchRunner.test.ts
+++ b/test/batchRunner.test.ts
@@ -29,6 +29,7 @@
   let recorded: FinishedItem[]
   let failuresLeft: number
   let live: number
+  let replicaState: { term: number, commitIndex: number, termStart: number }
   const changed = createCondition()
 
   function start (scripts: readonly Script[], slots = 2): void {
@@ -48,8 +49,9 @@
       loadOf: () => ({ live, batch: 0 }),
       isSuspect: () => false
     } as unknown as FleetLeader
+    replicaState = { term: 1, commitIndex: 5, termStart: 5 }
     const replica = {
-      state: { term: 1, commitIndex: 5, termStart: 5 },
+      state: replicaState,
       async propose (command: Command) {
         if (command.kind === CommandKind.FinishItems && failuresLeft-- > 0) {
           return err(createFailure(FailureReason.Unknown, { step: Step.Propose }, 'the leadership was lost'))
@@ -197,4 +199,18 @@
     expect(servers.arrivals).to.have.length(1)
     await until(() => recorded.length === 1)
   })
+
+  // Failure: every item began again when its leader ended, so that jobs near their end were hardly ever done in time.
+  it('saves the progress of an item, and goes on from it when it leads next', async () => {
+    const events = Array.from({ length: 12 }, (_, id) => `id: ${id}\ndata: d${id}\n\n`)
+    start([{ does: 'answer', pieces: events, then: 'hang' }, { does: 'answer', pieces: ['id: 12\ndata: end\n\n'] }], 1)
+    submit('j', ['a'])
+    await until(() => state.submissions.jobs.get('j')?.progress.has('a') === true)
+    replicaState.term = 2
+    changed.notify()
+    await until(() => recorded.length === 1)
+    expect(servers.arrivals.map(arrival => arrival.request.resumeAfter)).to.deep.equal([undefined, 11])
+    expect(recorded[0]?.output).to.equal([...events.keys()].map(id => `d${id}`).join('\n') + '\nend')
+    expect(state.submissions.jobs.get('j')?.progress.size).to.equal(0)
+  })
 })
--- a/test/gatewayState.test.ts
+++ b/test/gatewayState.test.ts
@@ -122,4 +122,26 @@
     expect(copy.publication).to.deep.equal(state.publication)
     expect(copy.submissions).to.deep.equal(state.submissions)
   })
+
+  it('adds to the progress of an item what is new, and drops it with the end of the item or the job', () => {
+    const state = createControlState()
+    applyCommand(state, submitOf('j', [itemOf('a'), itemOf('b')]))
+    const save = (item: string, from: number, data: string[]): unknown =>
+      applyCommand(state, { kind: CommandKind.SaveProgress, pieces: [{ job: 'j', item, from, data, lastEvent: from + data.length - 1 }] })
+    save('a', 0, ['x', 'y'])
+    save('a', 0, ['x', 'y'])
+    save('a', 1, ['y', 'z'])
+    save('a', 5, ['late'])
+    save('b', 0, ['b'])
+    save('unknown', 0, ['n'])
+    const progress = state.submissions.jobs.get('j')?.progress
+    expect([...progress ?? []]).to.deep.equal([['a', { data: ['x', 'y', 'z'], lastEvent: 2 }], ['b', { data: ['b'], lastEvent: 0 }]])
+    const copy = importState([...exportState(state)])
+    expect(copy.submissions).to.deep.equal(state.submissions)
+    applyCommand(state, finishOf('j', 'a', 'xyz'))
+    save('a', 0, ['x'])
+    expect([...progress?.keys() ?? []]).to.deep.equal(['b'])
+    applyCommand(state, { kind: CommandKind.EndSubmission, job: 'j' })
+    expect(progress?.size).to.equal(0)
+  })
 })
