Log why a leadership ends, slow replication requests and the load of a process

Cause: on the grown sites a leader loses its leadership without a fault, and the logs cannot tell a blocked event loop, a large request and a silent peer apart; a member that has lost its leader logs event 210, "data folder is empty". Change: event 205 has a reason and the state of each voter; event 214 reports requests to other control hosts that fail or take 350 ms and more; events 107 and 108 report event loop delay, CPU time and memory; event 215 replaces 210 for a member without a leader. Metrics for each. No logic changes.

--- a/src/connection/replicaPeer.ts
+++ b/src/connection/replicaPeer.ts
@@ -8,6 +8,9 @@
 import type { AppendRequest, Transport } from '../process/log/replicaMessages.ts'
 import { type Progress, ReplicaRole, type ReplicaState } from '../process/log/replicaState.ts'
 import type { Member, Storage } from '../process/log/storage.ts'
+import type { Logger } from '../process/program/logger.ts'
+import type { Metrics } from '../process/program/metrics.ts'
+import { createReplicationMonitor, type ReplicationMonitor } from './replicationMonitor.ts'
 
 /** Maximum number of entries in one request. */
 const maxEntriesPerRequest = 512
@@ -23,6 +26,8 @@
   readonly transport: Transport
   readonly storage: Storage
   readonly clock: Clock
+  readonly logger: Logger
+  readonly metrics: Metrics
   /** Called with the term of a response when it is higher than the term of the leader. */
   readonly reportTerm: (term: number) => void
   /** Called when the match index of the peer may have advanced. */
@@ -43,11 +48,12 @@
  * @returns a promise that resolves when the task has ended
  */
 export async function runReplicaPeer (peer: ReplicaPeer): Promise<void> {
-  const { state, progress, clock, signal } = peer
+  const { state, member, progress, clock, signal } = peer
   const { term } = state
+  const monitor = createReplicationMonitor(member, peer)
   while (isLeading(peer, term)) {
     const isNextEntryCompacted = progress.nextIndex <= state.base.index
-    const succeeded = isNextEntryCompacted ? await sendSnapshot(peer, term) : await sendEntries(peer, term)
+    const succeeded = isNextEntryCompacted ? await sendSnapshot(peer, term, monitor) : await sendEntries(peer, term, monitor)
     if (!isLeading(peer, term)) return
     if (!succeeded) {
       await clock.sleep(heartbeatMs, signal)
@@ -62,10 +68,12 @@
   return !signal.aborted && state.role === ReplicaRole.Leader && state.term === term
 }
 
-async function sendEntries (peer: ReplicaPeer, term: number): Promise<boolean> {
+async function sendEntries (peer: ReplicaPeer, term: number, monitor: ReplicationMonitor): Promise<boolean> {
   const { state, member, progress, transport, clock } = peer
   const sentRequest: SentRequest = { sentAt: clock.now(), readRound: state.readRound }
-  const response = await transport.append(member.address, createAppend(state, member, progress.nextIndex - 1))
+  const request = createAppend(state, member, progress.nextIndex - 1)
+  const response = await transport.append(member.address, request)
+  monitor.record({ sentAt: sentRequest.sentAt, entries: request.entries, snapshotBytes: 0 }, response.isErr() ? response.error : undefined)
   if (response.isErr() || !isLeading(peer, term)) return false
   if (response.value.term > term) {
     peer.reportTerm(response.value.term)
@@ -113,7 +121,7 @@
 }
 
 // When a newer snapshot replaces the one being sent, the transfer starts over.
-async function sendSnapshot (peer: ReplicaPeer, term: number): Promise<boolean> {
+async function sendSnapshot (peer: ReplicaPeer, term: number, monitor: ReplicationMonitor): Promise<boolean> {
   const { state, member, transport, storage, clock } = peer
   let offset = 0
   let index: number | undefined
@@ -127,6 +135,7 @@
     const response = await transport.snapshot(member.address, {
       to: member.identity, term, leaderAddress: state.address, index, offset, bytes: bytes.toString('base64'), last
     })
+    monitor.record({ sentAt: sentRequest.sentAt, entries: [], snapshotBytes: bytes.length }, response.isErr() ? response.error : undefined)
     if (response.isErr() || !isLeading(peer, term)) return false
     if (response.value.term > term) {
       peer.reportTerm(response.value.term)
--- a/src/process/entry/daemon.ts
+++ b/src/process/entry/daemon.ts
@@ -25,6 +25,7 @@
 import { createLogger, type Logger } from '../program/logger.ts'
 import { describeMembers } from '../log/memberStatus.ts'
 import { Counter, createMetrics, type Metrics } from '../program/metrics.ts'
+import { runProcessMonitor } from '../program/processMonitor.ts'
 import { createSystemRandom } from '../program/random.ts'
 import { serveApi } from '../program/servers.ts'
 import { Role, type Settings } from '../program/settings.ts'
@@ -105,6 +106,7 @@
     const served = await serveApi(settings.metricsAddress, api, lifecycle)
     if (served.isErr()) return err(served.error)
   }
+  lifecycle.run(signal => runProcessMonitor({ clock, logger, metrics }, signal))
   logger.write(LogEvents.processStarted, { detail: settings.role })
   return ok({
     lifecycle,
--- a/src/process/fleet/fleetDaemon.ts
+++ b/src/process/fleet/fleetDaemon.ts
@@ -13,6 +13,7 @@
 import { LogEvents } from '../program/logEvents.ts'
 import { createLogger } from '../program/logger.ts'
 import { createMetrics } from '../program/metrics.ts'
+import { runProcessMonitor } from '../program/processMonitor.ts'
 import type { ProcessServices } from '../program/processServices.ts'
 import { createSystemRandom } from '../program/random.ts'
 import { serveApi } from '../program/servers.ts'
@@ -83,6 +84,7 @@
   })
   const taskInputs: FleetTaskInputs = { view, client: control, describe, clock, random, logger }
   lifecycle.run(signal => runFleetWatch(taskInputs, signal))
+  lifecycle.run(signal => runProcessMonitor({ clock, logger, metrics }, signal))
   logger.write(LogEvents.processStarted, { detail: settings.role, inputs: { holder, seeds: settings.seeds.join(' '), form: settings.form } })
   return { settings, lifecycle, logger, metrics, clock, random, clients, control, view, readiness, describe }
 }
--- a/src/process/log/bootstrap.ts
+++ b/src/process/log/bootstrap.ts
@@ -44,7 +44,7 @@
  * @returns a promise that resolves when the task has ended
  */
 export async function runBootstrap (bootstrap: Bootstrap): Promise<void> {
-  const { replica, clock, logger, signal } = bootstrap
+  const { replica, clock, signal } = bootstrap
   let isJoining = false
   while (!signal.aborted) {
     if (replica.identify().formed && !hasLostLeader(bootstrap)) {
@@ -55,7 +55,7 @@
     const others = await identifyAll(bootstrap)
     const formedHosts = others.filter(host => host.formed)
     if (formedHosts.length > 0) {
-      if (!isJoining) logger.write(LogEvents.joinRequested, { detail: replica.state.identity })
+      if (!isJoining) logJoinRequest(bootstrap)
       isJoining = true
       await requestJoin(bootstrap, formedHosts)
       await clock.sleep(joinIntervalMs, signal)
@@ -72,6 +72,12 @@
   return replica.state.role === ReplicaRole.Follower && clock.now() - replica.state.lastContactAt > leaderContactTimeoutMs
 }
 
+function logJoinRequest ({ replica, clock, logger }: Bootstrap): void {
+  const { identity, lastContactAt } = replica.state
+  if (!replica.identify().formed) return logger.write(LogEvents.joinRequested, { detail: identity })
+  logger.write(LogEvents.leaderContactLost, { detail: identity, value: Math.round(clock.now() - lastContactAt) })
+}
+
 async function identifyAll (bootstrap: Bootstrap): Promise<Identification[]> {
   const others = bootstrap.controlHosts.filter(address => address !== bootstrap.address)
   const responses = await Promise.all(others.map(address => bootstrap.transport.identify(address)))
--- a/src/process/log/replica.ts
+++ b/src/process/log/replica.ts
@@ -11,7 +11,7 @@
 import { handleJoin, runMembership } from './membershipTask.ts'
 import { handleAppend } from './replicaAppend.ts'
 import { handleVote, runElections } from './replicaElection.ts'
-import { adoptMembers, save, stepDown } from './replicaLeadership.ts'
+import { adoptMembers, LeadershipEnd, save, stepDown } from './replicaLeadership.ts'
 import { lastIndexOf, membersAt, pushEntry } from './replicaLog.ts'
 import type {
   AppendRequest, AppendResponse, Identification, JoinRequest, JoinResponse, SnapshotRequest, SnapshotResponse, VoteRequest, VoteResponse
@@ -98,7 +98,7 @@
   const { inputs, state } = core
   const { lifecycle, storage } = inputs
   lifecycle.addCleanup(() => storage.close())
-  lifecycle.addCleanup(() => stepDown(core))
+  lifecycle.addCleanup(() => stepDown(core, LeadershipEnd.Closed))
   lifecycle.run(signal => runElections(core, signal))
   lifecycle.run(signal => runCompaction(core, signal))
   lifecycle.run(signal => runMembership(core, signal))
@@ -114,7 +114,7 @@
     form: members => form(core, members),
     async resign () {
       state.hasResigned = true
-      await transferLeadership({ state, transport: inputs.transport, clock: inputs.clock, stepDown: () => stepDown(core) })
+      await transferLeadership({ state, transport: inputs.transport, clock: inputs.clock, stepDown: () => stepDown(core, LeadershipEnd.Transferred) })
     }
   }
 }
--- a/src/process/log/replicaAppend.ts
+++ b/src/process/log/replicaAppend.ts
@@ -7,7 +7,7 @@
 import { createFailure, type Failure, FailureReason, Step } from '../program/failure.ts'
 import { commit } from './replicaCommit.ts'
 import { campaign } from './replicaElection.ts'
-import { adoptMembers, enterTerm, save, stepDown } from './replicaLeadership.ts'
+import { adoptMembers, enterTerm, LeadershipEnd, save, stepDown } from './replicaLeadership.ts'
 import { lastIndexOf, membersAt, pushEntry, termAt, truncateFrom } from './replicaLog.ts'
 import type { AppendRequest, AppendResponse } from './replicaMessages.ts'
 import { createStorageFailure, createWrongIdentityFailure, type ReplicaCore, ReplicaRole, type ReplicaState } from './replicaState.ts'
@@ -29,7 +29,7 @@
   const { state } = core
   assert(state.role !== ReplicaRole.Leader || message.term > state.term, `there are two leaders in term ${message.term}`)
   const records = message.term > state.term ? [enterTerm(core, message.term, undefined)] : []
-  if (state.role !== ReplicaRole.Follower) stepDown(core)
+  if (state.role !== ReplicaRole.Follower) stepDown(core, LeadershipEnd.NewerTerm)
   state.lastContactAt = core.inputs.clock.now()
   state.leaderAddress = message.leaderAddress
   return records
--- a/src/process/log/replicaElection.ts
+++ b/src/process/log/replicaElection.ts
@@ -5,7 +5,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import { decideVote, heartbeatMs, majorityOf, maxElectionTimeoutMs, minElectionTimeoutMs, votersOf } from './election.ts'
 import { type Failure, Step } from '../program/failure.ts'
-import { adoptNewerTerm, becomeLeader, checkLeadership, enterTerm, save, stepDown } from './replicaLeadership.ts'
+import { adoptNewerTerm, becomeLeader, checkLeadership, enterTerm, LeadershipEnd, save, stepDown } from './replicaLeadership.ts'
 import { lastIndexOf, lastTermOf } from './replicaLog.ts'
 import type { VoteRequest, VoteResponse } from './replicaMessages.ts'
 import { createStorageFailure, createWrongIdentityFailure, type ReplicaCore, ReplicaRole, type ReplicaState } from './replicaState.ts'
@@ -101,7 +101,7 @@
     term: state.term, votedFor: state.votedFor, lastIndex: lastIndexOf(state), lastTerm: lastTermOf(state), sinceLeaderContactMs
   }, request)
   if (!granted || request.preVote) return ok({ term: state.term, granted })
-  if (request.term > state.term && state.role !== ReplicaRole.Follower) stepDown(core)
+  if (request.term > state.term && state.role !== ReplicaRole.Follower) stepDown(core, LeadershipEnd.NewerTerm)
   const record = enterTerm(core, request.term, request.candidate)
   state.lastContactAt = clock.now()
   if (!await save(core, [record])) return err(createStorageFailure(state, Step.Vote))
--- a/src/process/log/replicaLeadership.ts
+++ b/src/process/log/replicaLeadership.ts
@@ -4,7 +4,7 @@
  */
 import { err } from 'neverthrow'
 import { runReplicaPeer } from '../../connection/replicaPeer.ts'
-import { minElectionTimeoutMs } from './election.ts'
+import { minElectionTimeoutMs, votersOf } from './election.ts'
 import type { Failure } from '../program/failure.ts'
 import { LogEvents } from '../program/logEvents.ts'
 import { Counter } from '../program/metrics.ts'
@@ -13,6 +13,17 @@
 import { type Progress, type ReplicaCore, ReplicaRole } from './replicaState.ts'
 import { type Entry, type Member, type Payload, PayloadKind, RecordKind, type StoredRecord } from './storage.ts'
 
+/** Why a leadership ended. */
+export const LeadershipEnd = {
+  NoMajority: 'no contact with a majority',
+  NewerTerm: 'newer term',
+  Transferred: 'leadership transferred',
+  Removed: 'removed from the membership',
+  StorageFailed: 'storage failed',
+  Closed: 'replica closed'
+} as const
+export type LeadershipEnd = typeof LeadershipEnd[keyof typeof LeadershipEnd]
+
 /**
  * Appends records to storage and syncs them. A failure ends the process, because the content of the file is then unknown.
  * @param core - the replica
@@ -39,7 +50,7 @@
  */
 export function handleStorageFailure (core: ReplicaCore, failure: Failure): void {
   core.hasStorageFailed = true
-  stepDown(core)
+  stepDown(core, LeadershipEnd.StorageFailed)
   core.inputs.lifecycle.fail(failure)
 }
 
@@ -65,16 +76,20 @@
 export function adoptNewerTerm (core: ReplicaCore, term: number): void {
   if (term <= core.state.term) return
   save(core, [enterTerm(core, term, undefined)]).catch(() => {})
-  stepDown(core)
+  stepDown(core, LeadershipEnd.NewerTerm)
 }
 
 /**
  * Becomes a follower. Pending proposals end with an unknown outcome.
  * @param core - the replica
+ * @param reason - why the leadership ends, if this replica is the leader
  */
-export function stepDown (core: ReplicaCore): void {
-  const { state, peers, proposals, pendingJoins } = core
-  if (state.role === ReplicaRole.Leader) core.inputs.logger.write(LogEvents.leaderLost, { value: state.term })
+export function stepDown (core: ReplicaCore, reason: LeadershipEnd): void {
+  const { state, peers, proposals, pendingJoins, inputs: { logger, metrics } } = core
+  if (state.role === ReplicaRole.Leader) {
+    logger.write(LogEvents.leaderLost, { value: state.term, reason, inputs: describeLeadership(core) })
+    metrics.count(Counter.LeadershipEnds, reason)
+  }
   state.role = ReplicaRole.Follower
   state.leaderAddress = undefined
   for (const controller of peers.values()) controller.abort()
@@ -87,6 +102,19 @@
   state.changed.notify()
 }
 
+// What the majority check depends on: for each voter the time since the last request that it answered was sent.
+function describeLeadership ({ state, proposals, inputs: { clock } }: ReplicaCore): Record<string, number> {
+  const now = clock.now()
+  const inputs: Record<string, number> = { leaderMs: Math.round(now - state.leaderSince), lastIndex: lastIndexOf(state), commitIndex: state.commitIndex, proposals: proposals.size }
+  for (const { identity, address } of votersOf(state.members)) {
+    const progress = state.progress.get(identity)
+    if (progress === undefined) continue
+    inputs[`silentMs ${address}`] = Math.round(Math.min(now - progress.acknowledgedAt, now - state.leaderSince))
+    inputs[`behind ${address}`] = lastIndexOf(state) - progress.matchIndex
+  }
+  return inputs
+}
+
 /**
  * Becomes leader of the current term.
  * @param core - the replica
@@ -116,7 +144,7 @@
   if (state.role !== ReplicaRole.Leader) return false
   const now = core.inputs.clock.now()
   if (now - state.leaderSince <= minElectionTimeoutMs || hasMajorityContactSince(state, now - minElectionTimeoutMs)) return true
-  stepDown(core)
+  stepDown(core, LeadershipEnd.NoMajority)
   return false
 }
 
@@ -187,6 +215,8 @@
     transport: inputs.transport,
     storage: inputs.storage,
     clock: inputs.clock,
+    logger: inputs.logger,
+    metrics: inputs.metrics,
     reportTerm: term => adoptNewerTerm(core, term),
     reportMatch: () => handleMatchProgress(core),
     signal: AbortSignal.any([signal, controller.signal])
@@ -198,5 +228,5 @@
   advanceCommit(core)
   if (state.role !== ReplicaRole.Leader || state.members.some(member => member.identity === state.identity)) return
   // A leader that is removed from the membership steps down only once its removal is committed.
-  if (state.commitIndex >= membersIndexOf(state)) stepDown(core)
+  if (state.commitIndex >= membersIndexOf(state)) stepDown(core, LeadershipEnd.Removed)
 }
--- a/src/process/program/metrics.ts
+++ b/src/process/program/metrics.ts
@@ -18,7 +18,9 @@
   DispatchUpdates: 'jaychute_dispatch_news_total',
   ControlCalls: 'jaychute_control_calls_total',
   Syncs: 'jaychute_log_syncs_total',
-  LogEntries: 'jaychute_log_entries_total'
+  LogEntries: 'jaychute_log_entries_total',
+  LeadershipEnds: 'jaychute_leadership_ends_total',
+  ReplicationFailures: 'jaychute_replication_failures_total'
 } as const
 export type Counter = typeof Counter[keyof typeof Counter]
 
@@ -28,7 +30,9 @@
   BetweenTokens: 'jaychute_between_tokens_microseconds',
   OwnDelay: 'jaychute_own_delay_microseconds',
   Commit: 'jaychute_commit_microseconds',
-  Yield: 'jaychute_yield_microseconds'
+  Yield: 'jaychute_yield_microseconds',
+  Replication: 'jaychute_replication_microseconds',
+  EventLoopDelay: 'jaychute_event_loop_delay_microseconds'
 } as const
 export type Latency = typeof Latency[keyof typeof Latency]
 
