Send heartbeats beside requests with entries

What callers saw: no change and no job was accepted for seconds, and jobs could not be read, while the control hosts elected the same leader up to ten times in a row. Cause: a leader sent one request at a time to a follower, so its contact with the follower lasted as long as the request with entries in transit; one that took over half an election timeout ended the leadership. Each new term began with the largest requests, to the followers that lagged. They also confirm read rounds, and carry the commit index up to the confirmed match index. Class: head-of-line blocking of a liveness signal behind data. Result: the new test fails without the second task ('expected false to equal true': the read is refused, since the leader has stepped down) and passes with it.

--- a/src/connection/internalClient.ts
+++ b/src/connection/internalClient.ts
@@ -14,7 +14,7 @@
 import type { InternalRouter } from './internalRouter.ts'
 
 /** Traffic classes, which never share a connection. */
-export const TrafficClass = { Live: 'live', Control: 'control', Batch: 'batch' } as const
+export const TrafficClass = { Heartbeat: 'heartbeat', Live: 'live', Control: 'control', Batch: 'batch' } as const
 export type TrafficClass = typeof TrafficClass[keyof typeof TrafficClass]
 
 type Client = ReturnType<typeof createTRPCClient<InternalRouter>>
--- a/src/connection/internalRouter.ts
+++ b/src/connection/internalRouter.ts
@@ -12,7 +12,7 @@
 import type { Heartbeat } from '../process/fleet/backendServerRegistry.ts'
 import { createFailure, FailureReason, Step } from '../process/program/failure.ts'
 import type { Query } from '../process/state/queries.ts'
-import type { AppendRequest, JoinRequest, SnapshotRequest, VoteRequest } from '../process/log/replicaMessages.ts'
+import type { AppendRequest, HeartbeatRequest, JoinRequest, SnapshotRequest, VoteRequest } from '../process/log/replicaMessages.ts'
 import type { Member } from '../process/log/storage.ts'
 import type { WatchRequest } from '../process/state/watchMessages.ts'
 import { toReply } from './reply.ts'
@@ -55,6 +55,10 @@
         const replica = services.controlHost?.replica
         return replica === undefined ? createMissingRoleReply(Step.Append) : toReply(await replica.handleAppend(input))
       }),
+      heartbeat: procedure.input(objectSchema<HeartbeatRequest>()).mutation(async ({ input }) => {
+        const replica = services.controlHost?.replica
+        return replica === undefined ? createMissingRoleReply(Step.Append) : toReply(await replica.handleHeartbeat(input))
+      }),
       snapshot: procedure.input(objectSchema<SnapshotRequest>()).mutation(async ({ input }) => {
         const replica = services.controlHost?.replica
         return replica === undefined ? createMissingRoleReply(Step.Snapshot) : toReply(await replica.handleSnapshot(input))
--- a/src/connection/replicaPeer.ts
+++ b/src/connection/replicaPeer.ts
@@ -1,12 +1,13 @@
 /**
- * The task by which a leader replicates to one peer: sends entries, heartbeats and snapshots, one request at a time.
+ * The task by which a leader replicates to one peer: sends entries and snapshots, one request at a time. While there are
+ * none it sends requests without entries as heartbeats.
  * @module
  */
 import type { Clock } from '../process/program/clock.ts'
 import { minElectionTimeoutMs, heartbeatMs } from '../process/log/election.ts'
 import { entriesFrom, lastIndexOf, termAt } from '../process/log/replicaLog.ts'
 import type { AppendRequest, Transport } from '../process/log/replicaMessages.ts'
-import { type Progress, ReplicaRole, type ReplicaState } from '../process/log/replicaState.ts'
+import { type Progress, ReplicaRole, type ReplicaState, type SentRequest } from '../process/log/replicaState.ts'
 import type { Member, Storage } from '../process/log/storage.ts'
 import type { Logger } from '../process/program/logger.ts'
 import type { Metrics } from '../process/program/metrics.ts'
@@ -35,13 +36,6 @@
   readonly signal: AbortSignal
 }
 
-/** State of the leader when it sent a request. */
-interface SentRequest {
-  /** Monotonic time in milliseconds. */
-  readonly sentAt: number
-  readonly readRound: number
-}
-
 /**
  * Replicates to the peer until the signal aborts or the term of the leader ends.
  * @param peer - dependencies and settings of the task
@@ -51,10 +45,12 @@
   const { state, member, progress, clock, signal } = peer
   const { term } = state
   const monitor = createReplicationMonitor(member, peer)
-  while (isLeading(peer, term)) {
+  while (isLeadingPeer(peer, term)) {
     const isNextEntryCompacted = progress.nextIndex <= state.base.index
+    progress.transfer = { sentAt: clock.now(), readRound: state.readRound }
     const succeeded = isNextEntryCompacted ? await sendSnapshot(peer, term, monitor) : await sendEntries(peer, term, monitor)
-    if (!isLeading(peer, term)) return
+    progress.transfer = undefined
+    if (!isLeadingPeer(peer, term)) return
     if (!succeeded) {
       await clock.sleep(heartbeatMs, signal)
       continue
@@ -64,7 +60,13 @@
   }
 }
 
-function isLeading ({ state, signal }: ReplicaPeer, term: number): boolean {
+/**
+ * Checks whether the tasks for a peer are to continue.
+ * @param peer - the peer
+ * @param term - term in which the tasks started
+ * @returns whether this replica leads in that term and the signal has not aborted
+ */
+export function isLeadingPeer ({ state, signal }: ReplicaPeer, term: number): boolean {
   return !signal.aborted && state.role === ReplicaRole.Leader && state.term === term
 }
 
@@ -74,7 +76,7 @@
   const request = createAppend(state, member, progress.nextIndex - 1)
   const response = await transport.append(member.address, request)
   monitor.record({ sentAt: sentRequest.sentAt, entries: request.entries, snapshotBytes: 0 }, response.isErr() ? response.error : undefined)
-  if (response.isErr() || !isLeading(peer, term)) return false
+  if (response.isErr() || !isLeadingPeer(peer, term)) return false
   if (response.value.term > term) {
     peer.reportTerm(response.value.term)
     return false
@@ -100,7 +102,12 @@
   }
 }
 
-function recordAcknowledgement ({ progress }: ReplicaPeer, sentRequest: SentRequest): void {
+/**
+ * Records that the peer has responded to a request in the leader's term.
+ * @param peer - the peer
+ * @param sentRequest - state of the leader when it sent the request
+ */
+export function recordAcknowledgement ({ progress }: ReplicaPeer, sentRequest: SentRequest): void {
   progress.acknowledgedAt = Math.max(progress.acknowledgedAt, sentRequest.sentAt)
   progress.confirmedReadRound = Math.max(progress.confirmedReadRound, sentRequest.readRound)
 }
@@ -125,7 +132,7 @@
   const { state, member, transport, storage, clock } = peer
   let offset = 0
   let index: number | undefined
-  while (isLeading(peer, term)) {
+  while (isLeadingPeer(peer, term)) {
     const chunk = await storage.readChunk(offset)
     if (chunk.isErr()) return false
     const { point, bytes, last } = chunk.value
@@ -136,7 +143,7 @@
       to: member.identity, term, leaderAddress: state.address, index, offset, bytes: bytes.toString('base64'), last
     })
     monitor.record({ sentAt: sentRequest.sentAt, entries: [], snapshotBytes: bytes.length }, response.isErr() ? response.error : undefined)
-    if (response.isErr() || !isLeading(peer, term)) return false
+    if (response.isErr() || !isLeadingPeer(peer, term)) return false
     if (response.value.term > term) {
       peer.reportTerm(response.value.term)
       return false
--- a/src/connection/replicaTransport.ts
+++ b/src/connection/replicaTransport.ts
@@ -5,7 +5,7 @@
 import { err, ok, type ResultAsync } from 'neverthrow'
 import { createFailure, type Failure, FailureReason, Step } from '../process/program/failure.ts'
 import {
-  type AppendResponse, type AppendRequest, type Identification, type JoinResponse, type JoinRequest, type SnapshotResponse, type SnapshotRequest,
+  type AppendResponse, type AppendRequest, type HeartbeatRequest, type HeartbeatResponse, type Identification, type JoinResponse, type JoinRequest, type SnapshotResponse, type SnapshotRequest,
   Transport, type VoteResponse, type VoteRequest
 } from '../process/log/replicaMessages.ts'
 import type { Member } from '../process/log/storage.ts'
@@ -32,6 +32,11 @@
       client.replica.append.mutate(request, { signal }))
   }
 
+  override heartbeat (address: string, request: HeartbeatRequest): ResultAsync<HeartbeatResponse, Failure> {
+    return this.clients.callReply<HeartbeatResponse>(address, TrafficClass.Heartbeat, Step.Append, callTimeoutMs, (client, signal) =>
+      client.replica.heartbeat.mutate(request, { signal }))
+  }
+
   override identify (address: string): ResultAsync<Identification, Failure> {
     return this.clients.call(address, TrafficClass.Control, Step.Bootstrap, callTimeoutMs, (client, signal) =>
       client.replica.identify.mutate(undefined, { signal })).andThen(found => found === undefined
--- a/src/process/log/replica.ts
+++ b/src/process/log/replica.ts
@@ -10,11 +10,12 @@
 import { LogEvents } from '../program/logEvents.ts'
 import { handleJoin, runMembership } from './membershipTask.ts'
 import { handleAppend } from './replicaAppend.ts'
+import { handleHeartbeat } from './replicaHeartbeat.ts'
 import { handleVote, runElections } from './replicaElection.ts'
 import { adoptMembers, LeadershipEnd, save, stepDown } from './replicaLeadership.ts'
 import { lastIndexOf, membersAt, pushEntry } from './replicaLog.ts'
 import type {
-  AppendRequest, AppendResponse, Identification, JoinRequest, JoinResponse, SnapshotRequest, SnapshotResponse, VoteRequest, VoteResponse
+  AppendRequest, AppendResponse, HeartbeatRequest, HeartbeatResponse, Identification, JoinRequest, JoinResponse, SnapshotRequest, SnapshotResponse, VoteRequest, VoteResponse
 } from './replicaMessages.ts'
 import { confirmRead, propose } from './replicaProposals.ts'
 import { createCore, type ReplicaCore, type ReplicaInputs, type ReplicaState } from './replicaState.ts'
@@ -49,6 +50,12 @@
    * @returns the response, or a failure
    */
   handleAppend (request: AppendRequest): Promise<Result<AppendResponse, Failure>>
+  /**
+   * Handles a heartbeat.
+   * @param request - the request
+   * @returns the response, or a failure
+   */
+  handleHeartbeat (request: HeartbeatRequest): Promise<Result<HeartbeatResponse, Failure>>
   /**
    * Handles a chunk of a snapshot.
    * @param request - the chunk
@@ -108,6 +115,7 @@
     confirmRead: () => new ResultAsync(confirmRead(core)),
     handleVote: request => handleVote(core, request),
     handleAppend: request => handleAppend(core, request),
+    handleHeartbeat: request => handleHeartbeat(core, request),
     handleSnapshot: request => handleSnapshot(core, request),
     handleJoin: request => handleJoin(core, request),
     identify: () => identify(core),
--- a/src/process/log/replicaLeadership.ts
+++ b/src/process/log/replicaLeadership.ts
@@ -3,7 +3,8 @@
  * @module
  */
 import { err } from 'neverthrow'
-import { runReplicaPeer } from '../../connection/replicaPeer.ts'
+import { runReplicaHeartbeats } from '../../connection/replicaHeartbeats.ts'
+import { type ReplicaPeer, runReplicaPeer } from '../../connection/replicaPeer.ts'
 import { minElectionTimeoutMs, votersOf } from './election.ts'
 import type { Failure } from '../program/failure.ts'
 import { LogEvents } from '../program/logEvents.ts'
@@ -201,6 +202,7 @@
     nextIndex: lastIndex + 1,
     matchIndex: 0,
     acknowledgedAt: -Infinity,
+    transfer: undefined,
     confirmedReadRound: 0,
     catchUpTargetIndex: lastIndex,
     catchUpStartedAt: inputs.clock.now(),
@@ -208,7 +210,7 @@
   }
   peers.set(member.identity, controller)
   state.progress.set(member.identity, progress)
-  inputs.lifecycle.run(signal => runReplicaPeer({
+  const createPeer = (signal: AbortSignal): ReplicaPeer => ({
     state,
     member,
     progress,
@@ -220,7 +222,9 @@
     reportTerm: term => adoptNewerTerm(core, term),
     reportMatch: () => handleMatchProgress(core),
     signal: AbortSignal.any([signal, controller.signal])
-  }))
+  })
+  inputs.lifecycle.run(signal => runReplicaPeer(createPeer(signal)))
+  inputs.lifecycle.run(signal => runReplicaHeartbeats(createPeer(signal)))
 }
 
 function handleMatchProgress (core: ReplicaCore): void {
--- a/src/process/log/replicaMessages.ts
+++ b/src/process/log/replicaMessages.ts
@@ -24,7 +24,7 @@
   readonly granted: boolean
 }
 
-/** Replicates entries; without entries it is a heartbeat. */
+/** Replicates entries. Without entries it has the effect of a heartbeat. */
 export interface AppendRequest {
   /** Identity that the request is meant for. */
   readonly to: string
@@ -49,6 +49,25 @@
   readonly index: number
 }
 
+/**
+ * Keeps the contact between a leader and a follower while a request with entries or a chunk of a snapshot is in transit.
+ * It has a connection of its own, and its response does not depend on the disk of the follower.
+ */
+export interface HeartbeatRequest {
+  /** Identity that the request is meant for. */
+  readonly to: string
+  readonly term: number
+  readonly leaderAddress: string
+  /** Last index up to which the follower has confirmed the leader's log in this term. */
+  readonly matchIndex: number
+  readonly commitIndex: number
+}
+
+/** Response to a heartbeat. */
+export interface HeartbeatResponse {
+  readonly term: number
+}
+
 /** Carries a chunk of a snapshot. */
 export interface SnapshotRequest {
   /** Identity that the request is meant for. */
@@ -108,13 +127,21 @@
   abstract vote (address: string, request: VoteRequest): ResultAsync<VoteResponse, Failure>
 
   /**
-   * Sends entries or a heartbeat.
+   * Sends entries.
    * @param address - internal address of the replica
    * @param request - the request
    * @returns the response, or a failure
    */
   abstract append (address: string, request: AppendRequest): ResultAsync<AppendResponse, Failure>
 
+  /**
+   * Sends a heartbeat.
+   * @param address - internal address of the replica
+   * @param request - the request
+   * @returns the response, or a failure
+   */
+  abstract heartbeat (address: string, request: HeartbeatRequest): ResultAsync<HeartbeatResponse, Failure>
+
   /**
    * Queries the identification of a control host.
    * @param address - internal address of the control host
--- a/src/process/log/replicaState.ts
+++ b/src/process/log/replicaState.ts
@@ -15,6 +15,14 @@
 export const ReplicaRole = { Follower: 'follower', Candidate: 'candidate', Leader: 'leader' } as const
 export type ReplicaRole = typeof ReplicaRole[keyof typeof ReplicaRole]
 
+/** State of the leader when it sent a request to another replica. */
+export interface SentRequest {
+  /** Monotonic time in milliseconds. */
+  readonly sentAt: number
+  /** Number of the newest read round that had begun. */
+  readonly readRound: number
+}
+
 /** Replication progress of another replica, as known to the leader. */
 export interface Progress {
   /** Index of the next entry to send. */
@@ -23,6 +31,8 @@
   matchIndex: number
   /** Monotonic time at which the last request that got a response was sent, in milliseconds. */
   acknowledgedAt: number
+  /** Request or snapshot in transit. */
+  transfer: SentRequest | undefined
   /** Newest read round that had begun when a request that got a response was sent. */
   confirmedReadRound: number
   /** Last index of the leader's log when the current catch-up round began. */
--- a/test/logReplication.test.ts
+++ b/test/logReplication.test.ts
@@ -1,8 +1,10 @@
 import { expect } from 'chai'
+import { heartbeatMs, minElectionTimeoutMs } from '../src/process/log/election.ts'
 import { encodeRecord } from '../src/process/log/recordCodec.ts'
 import { approximateBytes, entriesFrom } from '../src/process/log/replicaLog.ts'
 import { emptyPoint, type Entry, PayloadKind } from '../src/process/log/storage.ts'
 import { CommandKind } from '../src/process/state/commands.ts'
+import { commandNamed, startTestLog, type TestLog } from './support/testLog.ts'
 
 const bodyBytes = 15_000
 
@@ -13,6 +15,37 @@
 }
 
 describe('replication of the log', () => {
+  let log: TestLog | undefined
+
+  afterEach(async () => {
+    await log?.close()
+    log = undefined
+  })
+
+  // The leadership depended on the response to a request with entries, so one that took over half of an election timeout ended
+  // it, and the next leader began with the followers that were the furthest behind.
+  it('keeps the leader and confirms reads while requests with entries take longer than an election timeout', async () => {
+    log = await startTestLog({ addresses: ['a:1', 'b:1', 'c:1'], seed: 61 })
+    const { clock, network } = log
+    const leader = await log.waitForLeader()
+    const { term } = leader.replica.state
+    network.entriesDelayMs = minElectionTimeoutMs + 200
+    const outcomes: boolean[] = []
+    for (const name of ['first', 'second', 'third']) {
+      leader.replica.propose(commandNamed(name)).match(() => outcomes.push(true), () => outcomes.push(false))
+      await clock.advance(100)
+    }
+    let confirmed: boolean | undefined
+    const askedAt = clock.now()
+    leader.replica.confirmRead().match(() => { confirmed = true }, () => { confirmed = false })
+    await log.waitUntil('the outcome of the read', minElectionTimeoutMs, () => confirmed !== undefined)
+    expect(confirmed).to.equal(true)
+    expect(clock.now() - askedAt).to.be.below(heartbeatMs)
+    await clock.advance(4 * minElectionTimeoutMs)
+    expect(outcomes).to.deep.equal([true, true, true])
+    expect(log.leaders().map(host => [host.address, host.replica.state.term])).to.deep.equal([[leader.address, term]])
+  })
+
   // A body counted element by element was estimated at 13 times its size, so a job took a request of its own and two jobs a
   // snapshot, and each estimate took 15 ms of the leader's CPU time.
   it('estimates an entry with bodies at about its encoded size', () => {
--- a/test/support/testNetwork.ts
+++ b/test/support/testNetwork.ts
@@ -9,7 +9,7 @@
 import type { Random } from '../../src/process/program/random.ts'
 import type { Replica } from '../../src/process/log/replica.ts'
 import {
-  type AppendResponse, type AppendRequest, type Identification, type JoinResponse, type JoinRequest, type SnapshotResponse, type SnapshotRequest,
+  type AppendResponse, type AppendRequest, type HeartbeatRequest, type HeartbeatResponse, type Identification, type JoinResponse, type JoinRequest, type SnapshotResponse, type SnapshotRequest,
   Transport, type VoteResponse, type VoteRequest
 } from '../../src/process/log/replicaMessages.ts'
 import type { Member } from '../../src/process/log/storage.ts'
@@ -26,6 +26,8 @@
   readonly responsesDropped: Set<string>
   /** Upper bound of the random delay of a message, in milliseconds. */
   delayMs: number
+  /** Additional delay of a request with entries, in milliseconds, as on a slow link. */
+  entriesDelayMs: number
   /** Called for each request that is delivered. */
   observe: (kind: string, from: string, to: string, request: any) => void
   /** Creates the transport of the replica at an address. */
@@ -44,6 +46,7 @@
     isolated: new Set(),
     responsesDropped: new Set(),
     delayMs: 0,
+    entriesDelayMs: 0,
     observe () {},
     transportOf: address => new TestTransport(network, clock, random, address)
   }
@@ -60,7 +63,11 @@
   }
 
   override append (address: string, request: AppendRequest): ResultAsync<AppendResponse, Failure> {
-    return this.call('append', address, request, replica => replica.handleAppend(request))
+    return this.call('append', address, request, replica => replica.handleAppend(request), request.entries.length > 0 ? this.network.entriesDelayMs : 0)
+  }
+
+  override heartbeat (address: string, request: HeartbeatRequest): ResultAsync<HeartbeatResponse, Failure> {
+    return this.call('heartbeat', address, request, replica => replica.handleHeartbeat(request))
   }
 
   override snapshot (address: string, request: SnapshotRequest): ResultAsync<SnapshotResponse, Failure> {
@@ -79,15 +86,16 @@
     return this.call('form', address, members, async replica => ok(await replica.form(members)))
   }
 
-  private call<Value> (kind: string, to: string, request: unknown, handle: (replica: Replica) => Promise<Result<Value, Failure>>): ResultAsync<Value, Failure> {
-    return new ResultAsync(this.deliver(kind, to, request, handle))
+  private call<Value> (kind: string, to: string, request: unknown, handle: (replica: Replica) => Promise<Result<Value, Failure>>, transferMs = 0): ResultAsync<Value, Failure> {
+    return new ResultAsync(this.deliver(kind, to, request, handle, transferMs))
   }
 
-  private async deliver<Value> (kind: string, to: string, request: unknown, handle: (replica: Replica) => Promise<Result<Value, Failure>>): Promise<Result<Value, Failure>> {
+  private async deliver<Value> (kind: string, to: string, request: unknown, handle: (replica: Replica) => Promise<Result<Value, Failure>>, transferMs: number): Promise<Result<Value, Failure>> {
     const { network, from } = this
     const timedOut = this.clock.sleep(callTimeoutMs).then((): Result<Value, Failure> => err(createCallFailure(FailureReason.Timeout, to)))
     const responded = (async (): Promise<Result<Value, Failure>> => {
       await this.delayMessage()
+      if (transferMs > 0) await this.clock.sleep(transferMs)
       if (this.isIsolated(to)) return await timedOut
       const replica = network.replicas.get(to)
       if (replica === undefined) return err(createCallFailure(FailureReason.Refused, to))
