Keep the number of failed runs of an item in the replicated log

What was seen: an item whose runs all end with status 500 reaches backend servers ten times and more where its route allows three (BUDGET). Cause: the leader counts failed runs in its own memory, so each new leader grants the item all attempts again. Class: a limit that is enforced from volatile state. A leader that is lost in between costs one run, not all of them.

--- a/src/process/fleet/batchRunner.ts
+++ b/src/process/fleet/batchRunner.ts
@@ -35,6 +35,9 @@
 /** Longest time without an event of a run, in milliseconds; several times the longest pause that counts as on time. */
 const eventIdleTimeoutMs = 2_000
 
+/** Delay after a failure of a run could not be recorded, in milliseconds. */
+const recordRetryDelayMs = 150
+
 /** Dependencies and settings of the batch runner. */
 export interface BatchRunnerInputs extends ProcessServices {
   readonly fleet: FleetLeader
@@ -208,7 +211,8 @@
         // A server that fails its runs immediately always has free slots, so the planner would send it every item.
         backoffs.recordFailure(server)
         if (entry.failures >= (findRoute(entry)?.attempts ?? 1)) return finish(entry, Ending.Failed, '', ItemEndCause.AttemptsUsedUp)
-        return delayStartAfterFailure(entry, clock.now())
+        delayStartAfterFailure(entry, clock.now())
+        return lifecycle.run(signal => recordFailure(entry, signal))
       case RunEnd.NotRun:
         entry.interruptions++
         if (isUnreachable === true) backoffs.recordUnreachable(server)
@@ -221,6 +225,19 @@
     }
   }
 
+  // The item runs again only once the failure is durable; otherwise each new leader would grant it all attempts of its route.
+  async function recordFailure (entry: OpenItem, signal: AbortSignal): Promise<void> {
+    const { record: { submission }, item, failures } = entry
+    const runTerm = replica.state.term
+    entry.isFailureUnrecorded = true
+    while (!signal.aborted && fleet.isLeading() && replica.state.term === runTerm) {
+      const recorded = await replica.propose({ kind: CommandKind.RecordFailures, failures: [{ job: submission.id, item: item.id, count: failures }] })
+      if (recorded.isOk()) break
+      await clock.sleep(recordRetryDelayMs, signal)
+    }
+    entry.isFailureUnrecorded = false
+  }
+
   function finish (entry: OpenItem, ending: Ending, output: string, cause: ItemEndCause): void {
     entry.isEnding = true
     endRecorder.record({ job: entry.record.submission.id, item: entry.item.id, ending, output }, cause)
--- a/src/process/fleet/openItems.ts
+++ b/src/process/fleet/openItems.ts
@@ -34,8 +34,10 @@
   readonly progress: ItemProgress
   /** Number of events saved in the replicated log. */
   savedEvents: number
-  /** Runs that failed on the server. */
+  /** Runs that failed on the server, also under earlier leaders. */
   failures: number
+  /** Whether the last failed run is not durable yet. */
+  isFailureUnrecorded: boolean
   /** Runs that the server refused or that were cut short. */
   interruptions: number
   /** Total time of all runs so far, in milliseconds. */
@@ -63,7 +65,7 @@
   /**
    * Lists the items that may be started.
    * @param now - monotonic time in milliseconds
-   * @returns the items without a run whose start is not delayed and whose end is not being recorded
+   * @returns the items without a run whose start is not delayed and of which neither an end nor a failure is being recorded
    */
   startable (now: number): OpenItem[]
   /** Lists the items with a run in progress that has not been aborted. */
@@ -94,7 +96,7 @@
     const saved = record.progress.get(item.id)
     const progress = { data: [...saved?.data ?? []], lastEvent: saved?.lastEvent }
     open.set(key, {
-      key, record, item, progress, savedEvents: progress.data.length, failures: 0, interruptions: 0, runTimeMs: 0, startAfter: 0, run: undefined, isEnding: false
+      key, record, item, progress, savedEvents: progress.data.length, failures: record.failures.get(item.id) ?? 0, isFailureUnrecorded: false, interruptions: 0, runTimeMs: 0, startAfter: 0, run: undefined, isEnding: false
     })
   }
 
@@ -111,7 +113,7 @@
         open.delete(key)
       }
     },
-    startable: now => [...open.values()].filter(entry => entry.run === undefined && !entry.isEnding && entry.startAfter <= now),
+    startable: now => [...open.values()].filter(entry => entry.run === undefined && !entry.isEnding && !entry.isFailureUnrecorded && entry.startAfter <= now),
     list: () => [...open.values()],
     running: () => [...open.values()].filter(entry => entry.run !== undefined && !entry.run.controller.signal.aborted),
     pastGiveUpTime: wallTime => [...open.values()].filter(entry => !entry.isEnding && wallTime >= entry.record.submission.giveUpAt),
--- a/src/process/jobs/submissions.ts
+++ b/src/process/jobs/submissions.ts
@@ -22,6 +22,8 @@
   readonly open: Map<string, SubmittedItem>
   /** Saved progress of open items, by id. */
   readonly progress: Map<string, SavedProgress>
+  /** Failed runs of open items, by id; an item without one is absent. */
+  readonly failures: Map<string, number>
   ended: boolean
 }
 
@@ -57,7 +59,7 @@
     return { kind: OutcomeKind.Limit, text: `${waiting} tokens wait on route ${submission.route}, ${tokens} more exceed ${tokenLimit}` }
   }
   const accepted: Submission = { ...submission, acceptedAt: time, giveUpAt: giveUpMs > 0 ? time + giveUpMs : Infinity }
-  restoreSubmission(state, { submission: accepted, results: [], progress: new Map(), ended: false })
+  restoreSubmission(state, { submission: accepted, results: [], progress: new Map(), failures: new Map(), ended: false })
   return { kind: OutcomeKind.Job, job: submission.id }
 }
 
@@ -89,6 +91,7 @@
     if (record === undefined || item === undefined) continue
     record.open.delete(id)
     record.progress.delete(id)
+    record.failures.delete(id)
     record.results.push({ item: id, ending, output })
     if (!record.ended) adjustWaitingTokens(state, record.submission, -item.tokens)
   }
@@ -113,6 +116,21 @@
   return done
 }
 
+/**
+ * Records failed runs of items. The count, not an increment, makes a repeated command harmless.
+ * @param state - the jobs
+ * @param command - the command
+ * @returns done
+ */
+export function recordFailures (state: Submissions, command: CommandOf<'record failures'>): Outcome {
+  for (const { job, item, count } of command.failures) {
+    const record = state.jobs.get(job)
+    if (record === undefined || record.ended || !record.open.has(item)) continue
+    record.failures.set(item, Math.max(record.failures.get(item) ?? 0, count))
+  }
+  return done
+}
+
 /**
  * Ends a job. Its open items are not run.
  * @param state - the jobs
@@ -125,6 +143,7 @@
   if (record.ended) return done
   record.ended = true
   record.progress.clear()
+  record.failures.clear()
   for (const item of record.open.values()) adjustWaitingTokens(state, record.submission, -item.tokens)
   return done
 }
--- a/src/process/state/commands.ts
+++ b/src/process/state/commands.ts
@@ -27,6 +27,7 @@
   Submit: 'submit',
   SaveProgress: 'save progress',
   FinishItems: 'finish items',
+  RecordFailures: 'record failures',
   EndSubmission: 'end submission',
   PurgeSubmissions: 'purge submissions'
 } as const
@@ -95,6 +96,12 @@
   readonly output: string
 }
 
+/** A run of an item of a job that was submitted to a gateway, failed by its backend server. */
+export interface FailedItem extends ItemReference {
+  /** Number of failed runs of the item, including this one. */
+  readonly count: number
+}
+
 /** Identifies one process run of an entry host, which holds leases and grants. */
 export type Holder = string
 
@@ -123,6 +130,7 @@
   | { readonly kind: typeof CommandKind.Submit, readonly submission: Submission, readonly tokenLimit: number, readonly giveUpMs: number, readonly time: number }
   | { readonly kind: typeof CommandKind.SaveProgress, readonly pieces: readonly ProgressChunk[] }
   | { readonly kind: typeof CommandKind.FinishItems, readonly results: readonly FinishedItem[] }
+  | { readonly kind: typeof CommandKind.RecordFailures, readonly failures: readonly FailedItem[] }
   | { readonly kind: typeof CommandKind.EndSubmission, readonly job: string }
   | { readonly kind: typeof CommandKind.PurgeSubmissions, readonly jobs: readonly string[] }
 
--- a/src/process/state/controlState.ts
+++ b/src/process/state/controlState.ts
@@ -16,7 +16,7 @@
 import { applyOnce, type Operations } from './operations.ts'
 import { type Publications, publish } from './publications.ts'
 import { JobPhase, type Query, QueryKind, type QueryResponse } from './queries.ts'
-import { createSubmissions, endSubmission, finishItems, purgeSubmissions, readResults, saveProgress, type Submissions, submit } from '../jobs/submissions.ts'
+import { createSubmissions, endSubmission, finishItems, purgeSubmissions, readResults, recordFailures, saveProgress, type Submissions, submit } from '../jobs/submissions.ts'
 import { appendItems, discardUpload, openUpload } from '../jobs/uploads.ts'
 
 /** The complete durable state. */
@@ -57,6 +57,7 @@
     case CommandKind.Submit: return submit(state.submissions, command)
     case CommandKind.SaveProgress: return saveProgress(state.submissions, command)
     case CommandKind.FinishItems: return finishItems(state.submissions, command)
+    case CommandKind.RecordFailures: return recordFailures(state.submissions, command)
     case CommandKind.EndSubmission: return endSubmission(state.submissions, command)
     case CommandKind.PurgeSubmissions: return purgeSubmissions(state.submissions, command)
     default: return assertNever(command)
--- a/src/process/state/stateSnapshot.ts
+++ b/src/process/state/stateSnapshot.ts
@@ -39,6 +39,7 @@
   SubmittedItems: 'submitted items',
   ItemResults: 'item results',
   ItemProgress: 'item progress',
+  ItemFailures: 'item failures',
   End: 'end'
 } as const
 
@@ -71,6 +72,7 @@
   | { readonly kind: typeof ChunkKind.SubmittedItems, readonly records: readonly SubmittedItem[] }
   | { readonly kind: typeof ChunkKind.ItemResults, readonly records: readonly ItemResult[] }
   | { readonly kind: typeof ChunkKind.ItemProgress, readonly records: ReadonlyArray<readonly [string, SavedProgress]> }
+  | { readonly kind: typeof ChunkKind.ItemFailures, readonly records: ReadonlyArray<readonly [string, number]> }
   | { readonly kind: typeof ChunkKind.End }
 
 interface LeaseRecord {
@@ -127,11 +129,12 @@
   yield { kind: ChunkKind.End }
 }
 
-function * exportSubmission ({ submission: { items, ...submission }, ended, results, progress }: SubmissionRecord): Iterable<Chunk> {
+function * exportSubmission ({ submission: { items, ...submission }, ended, results, progress, failures }: SubmissionRecord): Iterable<Chunk> {
   yield { kind: ChunkKind.Submission, submission, ended }
   for (const records of chunk(items, chunkLimits, item => item.body.length)) yield { kind: ChunkKind.SubmittedItems, records }
   for (const records of chunk([...results], chunkLimits, result => result.output.length)) yield { kind: ChunkKind.ItemResults, records }
   for (const records of chunk(progress, chunkLimits, ([, saved]) => countCharacters(saved.data))) yield { kind: ChunkKind.ItemProgress, records }
+  for (const records of chunk(failures, chunkLimits)) yield { kind: ChunkKind.ItemFailures, records }
 }
 
 /** The job and the upload whose items are being imported. A job is complete when a chunk of another kind follows. */
@@ -149,6 +152,7 @@
   readonly items: SubmittedItem[]
   readonly results: ItemResult[]
   readonly progress: Map<string, SavedProgress>
+  readonly failures: Map<string, number>
 }
 
 function importChunk (state: ControlState, stateChunk: Chunk, pending: PartialImport): void {
@@ -185,7 +189,7 @@
       state.publication = stateChunk.publication
       return
     case ChunkKind.Submission:
-      pending.submission = { submission: stateChunk.submission, ended: stateChunk.ended, items: [], results: [], progress: new Map() }
+      pending.submission = { submission: stateChunk.submission, ended: stateChunk.ended, items: [], results: [], progress: new Map(), failures: new Map() }
       return
     case ChunkKind.SubmittedItems:
       for (const item of stateChunk.records) pending.submission?.items.push(item)
@@ -196,6 +200,9 @@
     case ChunkKind.ItemProgress:
       for (const [item, saved] of stateChunk.records) pending.submission?.progress.set(item, saved)
       return
+    case ChunkKind.ItemFailures:
+      for (const [item, count] of stateChunk.records) pending.submission?.failures.set(item, count)
+      return
     case ChunkKind.End: return
     default: assertNever(stateChunk)
   }
@@ -221,9 +228,9 @@
 
 function finishSubmission (state: ControlState, pending: PartialImport): void {
   if (pending.submission === undefined) return
-  const { submission, ended, items, results, progress } = pending.submission
+  const { submission, ended, items, results, progress, failures } = pending.submission
   pending.submission = undefined
-  restoreSubmission(state.submissions, { submission: { ...submission, items }, ended, results, progress })
+  restoreSubmission(state.submissions, { submission: { ...submission, items }, ended, results, progress, failures })
 }
 
 function toHeader (job: Job): JobHeader {
--- a/test/batchRunner.test.ts
+++ b/test/batchRunner.test.ts
@@ -208,6 +208,19 @@
     await waitUntil(() => recordedResults.length === 1)
   })
 
+  // Failure (BUDGET): the failed runs were counted in the leader's memory, so an item that fails at each run got all attempts of
+  // its route from each leader.
+  it('counts the failed runs of an item under all leaders together', async () => {
+    startRunner(Array.from({ length: 4 }, () => ({ does: 'answer', status: 500, pieces: [] })), 1)
+    submit('j', ['a'])
+    await waitUntil(() => servers.arrivals.length === 1 && state.submissions.jobs.get('j')?.failures.get('a') === 1)
+    replicaState.term = 2
+    changed.notify()
+    await waitUntil(() => recordedResults.length === 1)
+    expect(servers.arrivals).to.have.length(2)
+    expect(recordedResults[0]?.ending).to.equal(Ending.Failed)
+  })
+
   // Failure: every item started over after a change of leader, so that jobs near their due time were rarely done in time.
   it('saves the progress of an item, and resumes from it in the next term', async () => {
     const events = Array.from({ length: 12 }, (_, id) => `id: ${id}\ndata: d${id}\n\n`)
--- a/test/gatewayState.test.ts
+++ b/test/gatewayState.test.ts
@@ -130,6 +130,24 @@
     expect(copy.submissions).to.deep.equal(state.submissions)
   })
 
+  // Failure: the count was in the leader's memory, so an item that fails at each run got all attempts from each new leader.
+  it('keeps the number of failed runs of an item until it has a result', () => {
+    const state = createControlState()
+    applyCommand(state, submitOf('j', [itemOf('a'), itemOf('b')]))
+    const fail = (item: string, count: number): unknown => applyCommand(state, { kind: CommandKind.RecordFailures, failures: [{ job: 'j', item, count }] })
+    for (const count of [1, 2, 2, 1]) fail('a', count)
+    fail('b', 1)
+    fail('unknown', 1)
+    const failures = state.submissions.jobs.get('j')?.failures
+    expect([...failures ?? []]).to.deep.equal([['a', 2], ['b', 1]])
+    expect(importState([...exportState(state)]).submissions).to.deep.equal(state.submissions)
+    applyCommand(state, finishOf('j', 'a'))
+    fail('a', 3)
+    expect([...failures ?? []]).to.deep.equal([['b', 1]])
+    applyCommand(state, { kind: CommandKind.EndSubmission, job: 'j' })
+    expect(failures?.size).to.equal(0)
+  })
+
   // Guards against progress with repeated or missing events, and against progress that outlives its item.
   it('appends only new events to the progress of an item, and drops it when the item or the job ends', () => {
     const state = createControlState()
