--- a/src/process/log/compaction.ts
+++ b/src/process/log/compaction.ts
@@ -7,12 +7,13 @@
 import { encodeRecord } from './recordCodec.ts'
 import { applyCommitted } from './replicaCommit.ts'
 import { handleStorageFailure } from './replicaLeadership.ts'
-import { discardThrough, pointAt, recordsAfter } from './replicaLog.ts'
+import type { StateChunk } from '../state/stateSnapshot.ts'
+import { approximateBytes, discardThrough, entryAt, pointAt, recordsAfter } from './replicaLog.ts'
 import type { CompactionLimits, ReplicaCore, ReplicaState } from './replicaState.ts'
 import type { SnapshotPoint } from './storage.ts'
 
 /** Default limits, which keep the log of a control host small. */
-export const defaultCompaction: CompactionLimits = { entries: 1_000, bytes: 4 * 1024 * 1024, retained: 256 }
+export const defaultCompaction: CompactionLimits = { entries: 1_000, bytes: 4 * 1024 * 1024, retained: 256, retainedBytes: 4 * 1024 * 1024 }
 
 /** Longest time for which the export blocks the event loop, and with it responses to heartbeats, in milliseconds. */
 const exportSliceMs = 20
@@ -52,27 +53,47 @@
   state.isSnapshotInProgress = true
   const point = pointAt(state, state.appliedIndex)
   const stateChunks = await exportState(core, point)
-  const saved = await storage.saveSnapshot(point, stateChunks, recordsAfter(state, point.index))
+  const saved = await storage.saveSnapshot(point, encodeChunks(state, stateChunks), recordsAfter(state, point.index))
   state.isSnapshotInProgress = false
   if (saved.isErr()) return handleStorageFailure(core, saved.error)
   state.snapshot = point
-  discardThrough(state, point.index - limits.retained)
+  discardThrough(state, findRetainedStart(state, point.index, limits) - 1)
   logger.write(LogEvents.snapshotWritten, { detail: `${state.snapshotBytes} bytes`, value: point.index })
 }
 
+// Returns the index of the first entry up to the snapshot that stays in memory.
+function findRetainedStart (state: ReplicaState, snapshotIndex: number, limits: CompactionLimits): number {
+  let first = snapshotIndex + 1
+  let bytes = 0
+  while (first - 1 > state.base.index && first - 1 > snapshotIndex - limits.retained) {
+    bytes += approximateBytes(entryAt(state, first - 1)?.payload)
+    if (bytes > limits.retainedBytes) break
+    first--
+  }
+  return first
+}
+
+// The chunks are encoded only when they are written, since their encoding is as large as the state.
+function * encodeChunks (state: ReplicaState, stateChunks: Iterable<StateChunk>): Iterable<Buffer> {
+  let bytes = 0
+  for (const stateChunk of stateChunks) {
+    const encoded = encodeRecord(stateChunk)
+    bytes += encoded.length
+    yield encoded
+  }
+  state.snapshotBytes = bytes
+}
+
 // No command is applied during the export, so all chunks reflect the same log index. The export yields between slices, so
 // that messages from other replicas are handled meanwhile.
-async function exportState (core: ReplicaCore, point: SnapshotPoint): Promise<Buffer[]> {
+async function exportState (core: ReplicaCore, point: SnapshotPoint): Promise<StateChunk[]> {
   const { state, inputs: { clock, exportChunks } } = core
-  const stateChunks: Buffer[] = []
-  let bytes = 0
+  const stateChunks: StateChunk[] = []
   let sliceStart = clock.now()
   state.isExporting = true
   try {
     for (const stateChunk of exportChunks()) {
-      const encoded = encodeRecord(stateChunk)
-      bytes += encoded.length
-      stateChunks.push(encoded)
+      stateChunks.push(stateChunk)
       if (clock.now() - sliceStart < exportSliceMs) continue
       await setImmediate()
       sliceStart = clock.now()
@@ -80,7 +101,6 @@
   } finally {
     state.isExporting = false
   }
-  state.snapshotBytes = bytes
   state.appliedBytes = 0
   if (state.commitIndex > point.index) applyCommitted(core)
   return stateChunks
--- a/src/process/log/fileStorage.ts
+++ b/src/process/log/fileStorage.ts
@@ -71,7 +71,7 @@
     return this.enqueue(records.map(encodeRecord), false)
   }
 
-  override saveSnapshot (point: SnapshotPoint, stateChunks: readonly Buffer[], retained: readonly StoredRecord[]): ResultAsync<void, Failure> {
+  override saveSnapshot (point: SnapshotPoint, stateChunks: Iterable<Buffer>, retained: readonly StoredRecord[]): ResultAsync<void, Failure> {
     const rotated = this.rotate(point, retained)
     return this.runStep(Step.Snapshot, async () => {
       await writeSynced(join(this.inputs.folder, newSnapshotName), encodeSnapshot(point, stateChunks))
--- a/src/process/log/replicaState.ts
+++ b/src/process/log/replicaState.ts
@@ -100,6 +100,8 @@
   readonly bytes: number
   /** Entries before the newest snapshot that are retained in memory for followers that are slightly behind. */
   readonly retained: number
+  /** Approximate maximum size of these entries, in bytes. */
+  readonly retainedBytes: number
 }
 
 /** Dependencies and settings of a replica. */
--- a/src/process/log/snapshotFile.ts
+++ b/src/process/log/snapshotFile.ts
@@ -29,14 +29,16 @@
 /**
  * Encodes a snapshot file.
  * @param point - the point of the log
- * @param stateChunks - encoded chunks of the exported state machine
+ * @param stateChunks - encoded chunks of the exported state machine; consumed frame by frame, so that one frame is in memory
  * @returns the content, frame by frame
  */
-export function * encodeSnapshot (point: SnapshotPoint, stateChunks: readonly Buffer[]): Iterable<Buffer> {
+export function * encodeSnapshot (point: SnapshotPoint, stateChunks: Iterable<Buffer>): Iterable<Buffer> {
   let position = 0
   let pending: Buffer[] = [encodeRecord(point)]
   let pendingBytes = 0
-  for (const record of [...stateChunks, encodeRecord({ parts: stateChunks.length } satisfies SnapshotEnd)]) {
+  let parts = 0
+  for (const record of stateChunks) {
+    parts++
     if (pendingBytes >= frameBytes) {
       const frame = encodeFrame(position, pending)
       position += frame.length
@@ -47,6 +49,7 @@
     pending.push(record)
     pendingBytes += record.length
   }
+  pending.push(encodeRecord({ parts } satisfies SnapshotEnd))
   yield encodeFrame(position, pending)
 }
 
--- a/src/process/log/storage.ts
+++ b/src/process/log/storage.ts
@@ -107,7 +107,7 @@
    * @param retained - term, vote and the entries after the point, as of the call
    * @returns nothing once the snapshot is durable, or a failure
    */
-  abstract saveSnapshot (point: SnapshotPoint, stateChunks: readonly Buffer[], retained: readonly StoredRecord[]): ResultAsync<void, Failure>
+  abstract saveSnapshot (point: SnapshotPoint, stateChunks: Iterable<Buffer>, retained: readonly StoredRecord[]): ResultAsync<void, Failure>
 
   /**
    * Reads a chunk of the newest snapshot.
--- a/test/logSafety.test.ts
+++ b/test/logSafety.test.ts
@@ -294,7 +294,7 @@
   let totalAcknowledged = 0
 
   async function runFaultInjection (seed: number): Promise<void> {
-    log = await startTestLog({ addresses, seed, compaction: { entries: 12, bytes: 1_000_000, retained: 3 } })
+    log = await startTestLog({ addresses, seed, compaction: { entries: 12, bytes: 1_000_000, retained: 3, retainedBytes: 1_000_000 } })
     const random = createSeededRandom(seed + 1)
     const acknowledged: string[] = []
     const leaderOfTerm = new Map<number, string>()
--- a/test/logSnapshot.test.ts
+++ b/test/logSnapshot.test.ts
@@ -1,6 +1,8 @@
 import { expect } from 'chai'
 import { createSeededRandom } from '../src/process/program/random.ts'
 import { runCompaction } from '../src/process/log/compaction.ts'
+import { encodeRecord } from '../src/process/log/recordCodec.ts'
+import { decodeSnapshot, encodeSnapshot } from '../src/process/log/snapshotFile.ts'
 import { done } from '../src/process/state/commands.ts'
 import { createCore, type ReplicaInputs } from '../src/process/log/replicaState.ts'
 import { commit } from '../src/process/log/replicaCommit.ts'
@@ -8,15 +10,24 @@
 import { type Entry, emptyPoint, PayloadKind, type SnapshotPoint } from '../src/process/log/storage.ts'
 import { FakeClock, runPendingTasks } from './support/fakeClock.ts'
 import { MemoryStorage } from './support/memoryStorage.ts'
-import { commandNamed, startTestLog, type TestHost, type TestLog } from './support/testLog.ts'
+import { commandNamed, startTestLog, type TestHost, type TestLog, type TestLogSettings } from './support/testLog.ts'
 
 const addresses = ['a:1', 'b:1', 'c:1']
-const compaction = { entries: 20, bytes: 100_000_000, retained: 5 }
+const compaction = { entries: 20, bytes: 100_000_000, retained: 5, retainedBytes: 1_000_000 }
 
 describe('snapshots of the log', () => {
   let log: TestLog
+  const logs: TestLog[] = []
 
-  afterEach(() => log.close())
+  afterEach(async () => {
+    for (const started of logs.splice(0)) await started.close()
+  })
+
+  async function start (settings: TestLogSettings): Promise<TestLog> {
+    const started = await startTestLog(settings)
+    logs.push(started)
+    return started
+  }
 
   async function proposeCommands (leader: TestHost, count: number, suffix = ''): Promise<string[]> {
     const names = Array.from({ length: count }, (_, number) => `${leader.replica.state.commitIndex}-${number}${suffix}`)
@@ -27,7 +38,7 @@
   // Without compaction the log grows without limit. Compaction must not remove what only the log holds: the membership and
   // the commands after the snapshot.
   it('bound the entries in memory and on disk, and a restart loses no command', async () => {
-    log = await startTestLog({ addresses, seed: 41, compaction })
+    log = await start({ addresses, seed: 41, compaction })
     const leader = await log.waitForLeader()
     const names = await proposeCommands(leader, 200)
     for (const host of log.hosts) {
@@ -42,9 +53,37 @@
     expect(next.replica.state.members, 'the members restored from the snapshot').to.have.length(3)
   })
 
+  // Failure: 256 entries were retained whatever their size, and a job may have megabytes.
+  it('retain entries for followers up to a number of bytes', async () => {
+    log = await start({ addresses, seed: 46, compaction: { ...compaction, retained: 20, retainedBytes: 2_000 } })
+    const leader = await log.waitForLeader()
+    await proposeCommands(leader, 3 * compaction.entries, 'x'.repeat(500))
+    await log.waitUntil('a snapshot', 5_000, () => leader.replica.state.snapshot.index > 0)
+    const { snapshot, base } = leader.replica.state
+    expect(snapshot.index - base.index).to.be.within(1, 4)
+  })
+
+  // Failure: the whole snapshot was encoded in memory before it was written, and all control hosts write theirs at the same
+  // index, so that they exceeded their memory limit within seconds of one another.
+  it('are encoded frame by frame while they are written', () => {
+    const partBytes = 64 * 1024
+    let consumed = 0
+    function * parts (): Iterable<Buffer> {
+      for (consumed = 0; consumed < 100; consumed++) yield encodeRecord({ part: 'x'.repeat(partBytes) })
+    }
+    const consumedByFrame: number[] = []
+    const frames: Buffer[] = []
+    for (const frame of encodeSnapshot({ index: 1, term: 1, members: [] }, parts())) {
+      consumedByFrame.push(consumed)
+      frames.push(frame)
+    }
+    expect(consumedByFrame[0]).to.be.below(6)
+    expect(decodeSnapshot(Buffer.concat(frames))?.parts).to.have.length(100)
+  })
+
   // The leader no longer has the entries that the follower lacks, and a large snapshot in one message would delay heartbeats.
   it('are sent in chunks to a follower that lacks entries which the leader has compacted', async () => {
-    log = await startTestLog({ addresses, seed: 42, compaction })
+    log = await start({ addresses, seed: 42, compaction })
     const leader = await log.waitForLeader()
     const follower = log.hosts.find(host => host !== leader) as TestHost
     await log.crash(follower)
@@ -66,7 +105,7 @@
   // The follower loses the received chunks with the crash, while the leader's offset is past the first one. A transfer
   // that continues from that offset never completes.
   it('are sent again from the start when the follower crashes during the transfer', async () => {
-    log = await startTestLog({ addresses, seed: 43, compaction })
+    log = await start({ addresses, seed: 43, compaction })
     const leader = await log.waitForLeader()
     const follower = log.hosts.find(host => host !== leader) as TestHost
     await log.crash(follower)
@@ -86,7 +125,7 @@
 
   // Uncommitted entries of an isolated leader that stay in its log would be applied on top of the snapshot.
   it('replace a log with conflicting entries', async () => {
-    log = await startTestLog({ addresses, seed: 44, compaction })
+    log = await start({ addresses, seed: 44, compaction })
     const leader = await log.waitForLeader()
     await proposeCommands(leader, 3)
     log.network.isolated.add(leader.address)
@@ -104,7 +143,7 @@
   // An export that yields to other tasks must not see commands applied meanwhile, and one that does not yield delays
   // heartbeats until the followers elect another leader.
   it('are consistent at one index of the log, and their export does not block the handling of messages', async () => {
-    log = await startTestLog({ addresses: ['a:1'], seed: 45 })
+    log = await start({ addresses: ['a:1'], seed: 45 })
     const clock = new FakeClock()
     const random = createSeededRandom(45)
     const parts = 500
@@ -125,7 +164,7 @@
       clock,
       random,
       storage,
-      compaction: { entries: 10, bytes: 1_000_000, retained: 0 },
+      compaction: { entries: 10, bytes: 1_000_000, retained: 0, retainedBytes: 0 },
       logger: { write () {} },
       lifecycle: { fail (failure: Error) { throw failure } },
       apply (command: { upload: string }) {
--- a/test/support/memoryStorage.ts
+++ b/test/support/memoryStorage.ts
@@ -59,7 +59,7 @@
     return this.write(() => { this.records = [...this.records, ...records] })
   }
 
-  override saveSnapshot (point: SnapshotPoint, parts: readonly Buffer[], kept: readonly StoredRecord[]): ResultAsync<void, Failure> {
+  override saveSnapshot (point: SnapshotPoint, parts: Iterable<Buffer>, kept: readonly StoredRecord[]): ResultAsync<void, Failure> {
     return this.write(() => {
       this.snapshotBytes = Buffer.concat([...encodeSnapshot(point, parts)])
       this.records = [...kept]
