Plan batch items only when there is a free slot

Cause: each plan, up to 100 a second, orders all waiting items, and each poll and report of an executor builds the keys of all open items; with some hundred waiting items this is most of the leader's garbage. Change: the waiting items are ordered only when a slot is free, the items of a server only when some have to be interrupted, and a job is added once.

--- a/src/process/fleet/batchRunner.ts
+++ b/src/process/fleet/batchRunner.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { err, type Result } from 'neverthrow'
-import { type ItemUrgency, orderByUrgency, planBatch, type PlannedServer } from '../../request/batchPlan.ts'
+import { hasFreeSlot, type ItemUrgency, orderByUrgency, planBatch, type PlannedServer } from '../../request/batchPlan.ts'
 import { RunEnd } from '../../request/submittedItemRun.ts'
 import { chooseTarget, createRouteIndex, type GatewayRoute, matchRoute, type RouteIndex, RouteKind } from '../../version/gatewayTables.ts'
 import { CommandKind, Ending } from '../state/commands.ts'
@@ -89,6 +89,7 @@
   let term = -1
   let routes: RouteIndex = new Map()
   let routesVersion = -1
+  let synchronizedIndex = -1
 
   // Returns whether this host leads and has applied all entries of earlier terms, which may contain the ends of items.
   function prepareTerm (): boolean {
@@ -96,9 +97,12 @@
     if (term !== replica.state.term) {
       term = replica.state.term
       items.clear()
+      synchronizedIndex = -1
       backoffs.clear()
       assignments.beginTerm(fleet.getLeadership())
     }
+    if (synchronizedIndex === replica.state.appliedIndex) return true
+    synchronizedIndex = replica.state.appliedIndex
     updateRoutes()
     for (const entry of items.synchronize(state.submissions)) {
       // The report that ended an item releases its run itself.
@@ -129,14 +133,16 @@
   }
 
   function plan (): void {
-    const startableByService = groupStartableByService()
     const running = groupBy(items.running(), entry => entry.run?.server ?? '')
     const serversByService = groupBy(fleet.listReadyServers(), server => server.service)
-    const canStart = assignments.canStart()
-    for (const [service, servers] of serversByService) {
-      const { starts, interruptions } = planBatch(servers.map(server => describeServer(server, running.get(server.id) ?? [])), startableByService.get(service) ?? [])
+    const plannedByService = new Map<string, PlannedServer[]>()
+    for (const [service, servers] of serversByService) plannedByService.set(service, servers.map(server => describeServer(server, running.get(server.id) ?? [])))
+    // Ordering the waiting items is the larger part of a plan, and mostly there is no free slot.
+    const canStart = assignments.canStart() && [...plannedByService.values()].some(servers => servers.some(hasFreeSlot))
+    const startableByService = canStart ? groupStartableByService() : new Map<string, string[]>()
+    for (const [service, servers] of plannedByService) {
+      const { starts, interruptions } = planBatch(servers, startableByService.get(service) ?? [])
       for (const key of interruptions) interrupt(items.find(key))
-      if (!canStart) continue
       for (const { server, item } of starts) start(item, server)
     }
     const ready = new Set([...serversByService.values()].flat().map(server => server.id))
@@ -167,11 +173,14 @@
   }
 
   function describeServer ({ id, slots }: BackendServerRecord, running: readonly OpenItem[]): PlannedServer {
+    const { live } = fleet.getLoad(id)
+    // The order counts only when items have to be interrupted.
+    const ordered = live + running.length > slots ? orderByUrgency(running.map(getUrgency)) : running
     return {
       id,
       slots,
-      live: fleet.getLoad(id).live,
-      items: orderByUrgency(running.map(getUrgency)).map(item => item.key),
+      live,
+      items: ordered.map(item => item.key),
       canStartItems: !backoffs.isBackingOff(id) && !fleet.isSuspect(id)
     }
   }
--- a/src/process/fleet/openItems.ts
+++ b/src/process/fleet/openItems.ts
@@ -84,10 +84,11 @@
  */
 export function createOpenItems (): OpenItems {
   const open = new Map<string, OpenItem>()
+  // Jobs whose items were added; a job never gets further items.
+  let knownJobs = new WeakSet<SubmissionRecord>()
 
   function add (record: SubmissionRecord, item: SubmittedItem): void {
     const key = createItemKey({ job: record.submission.id, item: item.id })
-    if (open.has(key)) return
     open.set(key, { key, record, item, interruptions: 0, runTimeMs: 0, startAfter: 0, run: undefined, isEnding: false })
   }
 
@@ -95,7 +96,8 @@
     find: key => open.get(key),
     synchronize (submissions) {
       for (const record of submissions.jobs.values()) {
-        if (isSubmissionClosed(record)) continue
+        if (knownJobs.has(record) || isSubmissionClosed(record)) continue
+        knownJobs.add(record)
         for (const item of record.open.values()) add(record, item)
       }
       const removed: OpenItem[] = []
@@ -109,7 +111,10 @@
     startable: now => [...open.values()].filter(entry => entry.run === undefined && !entry.isEnding && entry.startAfter <= now),
     running: () => [...open.values()].filter(entry => entry.run?.isInterrupted === false),
     pastGiveUpTime: wallTime => [...open.values()].filter(entry => !entry.isEnding && wallTime >= entry.record.submission.giveUpAt),
-    clear: () => open.clear()
+    clear () {
+      open.clear()
+      knownJobs = new WeakSet()
+    }
   }
 }
 
--- a/src/request/batchPlan.ts
+++ b/src/request/batchPlan.ts
@@ -9,12 +9,21 @@
   readonly slots: number
   /** Live requests in flight on the server, from all hosts. */
   readonly live: number
-  /** Keys of the items in flight on the server, the most urgent first. */
+  /** Keys of the items in flight on the server, the most urgent first if there are more than free slots. */
   readonly items: readonly string[]
   /** Whether new items may be started on the server. */
   readonly canStartItems: boolean
 }
 
+/**
+ * Checks whether an item may be started on a server.
+ * @param server - the server
+ * @returns whether it has a free slot and accepts new items
+ */
+export function hasFreeSlot ({ slots, live, items, canStartItems }: PlannedServer): boolean {
+  return canStartItems && slots > live + items.length
+}
+
 /** Items to start and to interrupt. */
 export interface BatchPlan {
   /** Items to start, each as the id of the server and the key of the item. */
--- a/test/batchRunner.test.ts
+++ b/test/batchRunner.test.ts
@@ -32,7 +32,7 @@
   let recordedResults: FinishedItem[]
   let proposalFailuresLeft: number
   let live: number
-  let replicaState: { term: number, commitIndex: number, termStartIndex: number }
+  let replicaState: { term: number, commitIndex: number, termStartIndex: number, appliedIndex: number }
   const changed = createCondition()
   const executors: Lifecycle[] = []
 
@@ -76,7 +76,7 @@
       getLoad: () => ({ live, batch: 0 }),
       isSuspect: () => false
     } as unknown as FleetLeader
-    replicaState = { term: 1, commitIndex: 5, termStartIndex: 5 }
+    replicaState = { term: 1, commitIndex: 5, termStartIndex: 5, appliedIndex: 5 }
     const replica = {
       state: replicaState,
       async propose (command: Command) {
@@ -102,6 +102,7 @@
 
   function apply (command: Command): unknown {
     const outcome = applyCommand(state, command)
+    replicaState.appliedIndex++
     runner.applied.notify()
     return outcome
   }
