Copy encoded entries out of the codec's buffer

Cause: a small encoded entry is a part of a buffer of the codec that is up to 32 KiB, so 1 MiB of kept entries held some 13 MiB. Change: it is copied.

--- a/src/connection/entryCodec.ts
+++ b/src/connection/entryCodec.ts
@@ -75,7 +75,8 @@
 
 async function encodeEntry ({ index, term, payload }: Entry): Promise<EncodedEntry> {
   const plain = codec.pack(payload)
-  if (plain.length < compressionThresholdBytes) return { index, term, bytes: plain, isCompressed: false }
+  // A copy, since the result of the codec is a part of a larger buffer.
+  if (plain.length < compressionThresholdBytes) return { index, term, bytes: Buffer.from(plain), isCompressed: false }
   const compressed = compress(plain)
   return { index, term, bytes: compressed instanceof Promise ? await compressed : compressed, isCompressed: true }
 }
