Keep items owed under which backend servers crashed

It can happen here, at the product's own entry hosts: an item that was in flight at two crashes was quarantined and ended as failed, one whose connection broke three times ended as failed after three attempts, and two suspects never ran on one server. Cause: items were treated like live requests, which may crash servers; items of jobs never do so by themselves. Change: items are neither registered with the quarantine nor refused by it, and a run whose connection broke is not an attempt; such an item waits 250 ms. Event 613 has no use any more.

--- a/src/connection/batchItems.ts
+++ b/src/connection/batchItems.ts
@@ -3,13 +3,11 @@
  * @module
  */
 import type { BackendServer } from '../process/routing/backendServers.ts'
-import { CommandKind, Ending, OutcomeKind } from '../process/state/commands.ts'
+import { CommandKind, OutcomeKind } from '../process/state/commands.ts'
 import { type Condition, createCondition } from '../process/program/condition.ts'
 import { type RunningItem, StopCause } from '../process/jobs/itemRuns.ts'
 import { FailureReason } from '../process/program/failure.ts'
-import { LogEvents } from '../process/program/logEvents.ts'
 import { Counter, Latency } from '../process/program/metrics.ts'
-import { createFingerprint, type InFlightAttempt, AttemptEnd } from '../process/routing/quarantine.ts'
 import { ItemEndKind, runItem } from '../request/itemRun.ts'
 import { findPool, findRoute, type Pool, type Route } from '../version/tables.ts'
 import type { BatchServices } from './batchServices.ts'
@@ -19,6 +17,9 @@
 /** Maximum interval between two checks of the running items, in milliseconds. */
 const maxCheckIntervalMs = 200
 
+/** Delay before an item whose connection broke may run again, in milliseconds; a crash of a backend server lasts longer. */
+const brokenRunDelayMs = 250
+
 /** Timeout for recording items as started, in milliseconds. */
 const startTimeoutMs = 2_000
 
@@ -69,8 +70,6 @@
   readonly route: Route
   readonly pool: Pool
   readonly run: RunningItem
-  readonly fingerprint: string
-  readonly attempt: InFlightAttempt
   readonly incarnation: string
   /** Monotonic time at which the item was stopped by a yield, in milliseconds. */
   stoppedAt: number | undefined
@@ -83,25 +82,19 @@
  */
 export function createBatchItems (inputs: BatchItemsInputs): BatchItems {
   const { server, services, claimed, changed } = inputs
-  const { clock, completions, connections, control, inspection, logger, metrics, protocols, quarantine, runs, session, version } = services
+  const { clock, completions, connections, control, inspection, metrics, protocols, runs, session, version } = services
   const address = server.announcement.address
   const inFlightItems = new Set<InFlightItem>()
   const itemEnded = createCondition()
   let completionTimes: number[] = []
   const { lapses } = session
 
-  function canRun (item: ClaimedItem): boolean {
-    const { account, route, item: { input } } = item.grant
-    return quarantine.canRun(createFingerprint(account, route, input), address)
-  }
-
   // A grant claimed before the session expired may have moved to another host, or its job may have been cancelled.
   function isGrantValid (item: ClaimedItem): boolean {
     return session.isAlive(clock.now()) && session.lapses === lapses && !session.cancelledJobs.has(item.grant.job)
   }
 
   function createInFlightItem (item: ClaimedItem): InFlightItem | undefined {
-    const { account, job, item: { input } } = item.grant
     const { incarnation } = server.announcement
     const route = findRoute(version.configuration, item.grant.route)
     const pool = route === undefined ? undefined : findPool(version.configuration, route.pool)
@@ -109,29 +102,14 @@
       completions.requeue(createRequeuedItem(item))
       return undefined
     }
-    const fingerprint = createFingerprint(account, item.grant.route, input)
-    if (quarantine.isQuarantined(fingerprint)) {
-      failQuarantined(item)
-      return undefined
-    }
-    const attempt = quarantine.registerAttempt(fingerprint, address, incarnation)
-    const entry: InFlightItem = { item, route, pool, run: runs.start(job), fingerprint, attempt, incarnation, stoppedAt: undefined }
+    const entry: InFlightItem = { item, route, pool, run: runs.start(item.grant.job), incarnation, stoppedAt: undefined }
     inFlightItems.add(entry)
     server.batchInFlight++
     return entry
   }
 
-  function failQuarantined (item: ClaimedItem): void {
-    const { job, position, grant } = item.grant
-    const result = 'its request crashed two backend servers'
-    logger.write(LogEvents.itemQuarantined, { peer: address, detail: `${job}/${position}` })
-    completions.complete({ job, position, grant, ending: Ending.Failed, result })
-  }
-
   function remove (entry: InFlightItem): void {
     inFlightItems.delete(entry)
-    // Only the first end counts; this one applies to items that were never sent.
-    entry.attempt.end(AttemptEnd.Other)
     server.batchInFlight--
     entry.run.finish()
     if (entry.stoppedAt !== undefined) metrics.record(Latency.Yield, clock.now() - entry.stoppedAt)
@@ -154,21 +132,25 @@
       countBytes: bytes => { if (shouldCountBytes) budget.spend(bytes) }
     })
     metrics.count(Counter.Items, end.kind)
-    entry.attempt.end(toAttemptEnd(end.failed))
     if (end.kind === ItemEndKind.Complete) {
       completionTimes.push(clock.now())
       return completions.complete(end.completion)
     }
     item.partial = end.requeue.partial
     item.offset = end.requeue.offset
-    if (!end.requeue.attempted) {
-      // Otherwise the item would be claimed and requeued in a loop until the backend server is reachable again.
-      if (!run.signal.aborted) server.avoidedSince = clock.now()
-      return requeueOrKeep(entry)
+    if (end.requeue.attempted) return completions.requeue(end.requeue)
+    if (!run.signal.aborted) await waitAfterBrokenRun(entry, end.failed)
+    requeueOrKeep(entry)
+  }
+
+  // Otherwise the item would be claimed and requeued in a loop until the backend server is reachable again.
+  async function waitAfterBrokenRun (entry: InFlightItem, { sent, failure }: AttemptFailure): Promise<void> {
+    if (!sent) {
+      server.avoidedSince = clock.now()
+      return
     }
-    if (end.failed?.failure.reason === FailureReason.Reset) await inspection.inspect(server, entry.incarnation)
-    if (quarantine.isQuarantined(entry.fingerprint)) return failQuarantined(item)
-    completions.requeue(end.requeue)
+    if (failure.reason === FailureReason.Reset) await inspection.inspect(server, entry.incarnation)
+    await clock.sleep(brokenRunDelayMs, entry.run.signal)
   }
 
   // After a yield the item stays on this host and resumes as soon as the backend server is idle again.
@@ -205,7 +187,7 @@
     startUpTo (limit) {
       const nonIdempotent: InFlightItem[] = []
       while (inFlightItems.size < limit) {
-        const item = claimed.take(canRun)
+        const item = claimed.take()
         if (item === undefined) break
         const entry = createInFlightItem(item)
         if (entry === undefined) continue
@@ -238,8 +220,3 @@
     }
   }
 }
-
-function toAttemptEnd (failed: AttemptFailure | undefined): AttemptEnd {
-  if (failed === undefined) return AttemptEnd.Complete
-  return failed.sent && failed.failure.reason === FailureReason.Reset ? AttemptEnd.Broken : AttemptEnd.Other
-}
--- a/src/connection/batchServices.ts
+++ b/src/connection/batchServices.ts
@@ -10,7 +10,6 @@
 import type { LiveWork } from '../process/routing/liveWork.ts'
 import type { Logger } from '../process/program/logger.ts'
 import type { Metrics } from '../process/program/metrics.ts'
-import type { Quarantine } from '../process/routing/quarantine.ts'
 import type { Random } from '../process/program/random.ts'
 import type { Location } from '../request/backendServerChoice.ts'
 import type { CurrentVersion } from '../version/currentVersion.ts'
@@ -34,7 +33,6 @@
   readonly runs: ItemRuns
   readonly leases: LeaseDirectory
   readonly liveWork: LiveWork
-  readonly quarantine: Quarantine
   readonly inspection: CrashInspection
   readonly getByteBudget: (pool: string) => ByteBudget
   /** Returns the sequence number of the next claim. It never repeats, since the same lease may be held again after a failed release. */
--- a/src/connection/claimedItems.ts
+++ b/src/connection/claimedItems.ts
@@ -42,11 +42,10 @@
    */
   refill (pool: string, wanted: number): void
   /**
-   * Removes the first waiting item that may run.
-   * @param canRun - checks whether an item may run
-   * @returns the item, or undefined when none may run
+   * Removes the first waiting item.
+   * @returns the item, or undefined when none waits
    */
-  take (canRun: (item: ClaimedItem) => boolean): ClaimedItem | undefined
+  take (): ClaimedItem | undefined
   /**
    * Adds a stopped item at the head of the waiting items.
    * @param item - the item
@@ -127,10 +126,7 @@
         changed.notify()
       })
     },
-    take (canRun) {
-      const position = waiting.findIndex(canRun)
-      return position < 0 ? undefined : waiting.splice(position, 1)[0]
-    },
+    take: () => waiting.shift(),
     add (item) {
       waiting.unshift(item)
     },
--- a/src/process/entry/entryHost.ts
+++ b/src/process/entry/entryHost.ts
@@ -189,7 +189,6 @@
     runs,
     leases,
     liveWork,
-    quarantine,
     inspection,
     getByteBudget,
     nextSequence: () => ++lastClaimSequence,
--- a/src/process/program/logEvents.ts
+++ b/src/process/program/logEvents.ts
@@ -89,6 +89,5 @@
   publicationRefused: { number: 311, level: Level.Warn, text: 'published tables refused', action: 'Read the reason; publish corrected tables.' },
   leaseAcquired: { number: 610, level: Level.Info, text: 'batch dispatch lease acquired', action: noAction },
   leaseEnded: { number: 611, level: Level.Info, text: 'batch dispatch under the lease ended', action: noAction },
-  claimFailed: { number: 612, level: Level.Warn, text: 'claim of batch items failed; retrying', action: 'Check the control hosts if it repeats.' },
-  itemQuarantined: { number: 613, level: Level.Warn, text: 'batch item ended as failed; its request crashed two backend servers', action: 'Check the input of the item.' }
+  claimFailed: { number: 612, level: Level.Warn, text: 'claim of batch items failed; retrying', action: 'Check the control hosts if it repeats.' }
 } as const satisfies Readonly<Record<string, LogEvent>>
--- a/src/process/routing/quarantine.ts
+++ b/src/process/routing/quarantine.ts
@@ -1,8 +1,8 @@
 /**
- * Quarantine of requests that crash backend servers. Attempts of live requests and batch items are registered while
- * they are in flight. Each crash is recorded with the fingerprints that were in flight, and a request that is blamed
- * for two crashes is quarantined. Crashes detected by this host are broadcast to the other entry hosts; crashes
- * reported by them are recorded but not forwarded.
+ * Quarantine of live requests that crash backend servers. Their attempts are registered while they are in flight. Each
+ * crash is recorded with the fingerprints that were in flight, and a request that is blamed for two crashes is
+ * quarantined. Crashes detected by this host are broadcast to the other entry hosts; crashes reported by them are
+ * recorded but not forwarded. Items of jobs never crash backend servers and are not registered.
  * @module
  */
 import { createHash } from 'node:crypto'
@@ -82,8 +82,8 @@
    */
   canRun (fingerprint: string, backendServer: string): boolean
   /**
-   * Registers a live or batch attempt immediately before it is sent.
-   * @param fingerprint - fingerprint of the request or item
+   * Registers an attempt immediately before it is sent.
+   * @param fingerprint - fingerprint of the request
    * @param backendServer - address of the backend server
    * @param incarnation - its incarnation
    * @returns the attempt in flight
@@ -126,10 +126,10 @@
 }
 
 /**
- * Computes the fingerprint of a request or item. It is the same on every entry host and for each retry.
+ * Computes the fingerprint of a request. It is the same on every entry host and for each retry.
  * @param account - the account that sent it
  * @param route - name of the route
- * @param input - input of the request or item
+ * @param input - input of the request
  * @returns the fingerprint
  */
 export function createFingerprint (account: string, route: string, input: string): string {
--- a/src/request/itemRun.ts
+++ b/src/request/itemRun.ts
@@ -65,7 +65,8 @@
   return { kind: ItemEndKind.Requeue, failed, requeue: { ...reference, partial, offset, attempted: countsAsAttempt(failed), reason: failed.failure.message } }
 }
 
-// An attempt that was cancelled or never reached the backend server does not count against the item.
+// An attempt that was cancelled, that never reached the backend server, or under which its connection broke says nothing about
+// the item: the server may have crashed by itself.
 function countsAsAttempt (failed: AttemptFailure): boolean {
-  return failed.sent && failed.failure.reason !== FailureReason.Aborted
+  return failed.sent && failed.failure.reason !== FailureReason.Aborted && failed.failure.reason !== FailureReason.Reset
 }
