Answer reads at the closest control host

Cause: the leader answers all reads; pages of up to 900,000 characters share the connection of the long polls and the link between the regions, and a poll that times out closes the connection with the page. Change: any control host answers a read once the leader has confirmed an index and it has applied it (read index), so results cross a region once, with the log; hosts ask the closest control host first; results and bodies use the connections of batch work; a page has at most 256 KiB. Class: bulk data on the path of a liveness signal, and through the process that has to stay responsive. New tests: a follower does not answer before it has applied what was committed, refuses when the leader is unreachable, and shares requests for an index only with reads that began before the request.

--- a/src/connection/controlClient.ts
+++ b/src/connection/controlClient.ts
@@ -23,6 +23,9 @@
 /** Timeout for the response to a fleet call, in milliseconds, in addition to the time of a long poll. */
 const fleetResponseTimeoutMs = 700
 
+/** Timeout for one query to a control host that need not be the leader, in milliseconds, in addition to the time of a long poll. */
+const nearestReadTimeoutMs = 700
+
 /** Backoff for a control host that did not respond or refused the connection, in milliseconds; when all have failed, each is tried again. */
 const failedHostBackoffMs = 2_000
 
@@ -44,6 +47,11 @@
   return batchCommands.has(command.kind) ? TrafficClass.Batch : TrafficClass.Control
 }
 
+// Results and bodies of items are large, so they do not share a connection with long polls.
+function selectQueryClass (query: Query): TrafficClass {
+  return query.kind === QueryKind.SubmissionResults || query.kind === QueryKind.SubmittedBody ? TrafficClass.Batch : TrafficClass.Control
+}
+
 function getLongPollMs (query: Query): number {
   return query.kind === QueryKind.SubmissionResults ? query.waitMs : 0
 }
@@ -114,10 +122,20 @@
   withdraw (id: string, timeoutMs: number): Promise<Result<boolean, Failure>>
 }
 
+/** Where queries are sent. */
+export const ReadTarget = {
+  Leader: 'leader',
+  /** The first control host of the list that responds; the list is ordered by distance. */
+  Nearest: 'nearest'
+} as const
+export type ReadTarget = typeof ReadTarget[keyof typeof ReadTarget]
+
 /** Dependencies and settings of the control client. */
 export interface ControlClientInputs {
   /** Internal addresses of the control hosts; may change while the process runs. */
   readonly controlHosts: readonly string[] | (() => readonly string[])
+  /** Where queries are sent; the leader by default. */
+  readonly readTarget?: ReadTarget
   readonly clients: InternalClients
   readonly clock: Clock
   readonly random: Random
@@ -169,23 +187,47 @@
 
   async function retry<Value> (timeoutMs: number, step: Step, call: (address: string) => PromiseLike<Result<Value, Failure>>): Promise<Result<Value, Failure>> {
     const deadline = clock.now() + timeoutMs
-    let failure = createFailure(FailureReason.Timeout, { step }, 'no time left for the call')
+    let failure: Failure | undefined
     while (clock.now() < deadline && !signal.aborted) {
       const result = await callOnce(call)
       if (result.isOk()) return result
       failure = result.error
       await clock.sleep(random.next() * maxRetryDelayMs, signal)
     }
-    return err(failure)
+    return err(failure ?? createFailure(FailureReason.Timeout, { step }, 'no time left for the call'))
+  }
+
+  function callRead (address: string, query: Query, timeoutMs: number): PromiseLike<Result<QueryResponse, Failure>> {
+    return clients.callReply<QueryResponse>(address, selectQueryClass(query), Step.Read, timeoutMs + getLongPollMs(query), (client, abort) =>
+      client.control.read.mutate(query, { signal: abort }))
+  }
+
+  async function readNearest (query: Query, timeoutMs: number): Promise<Result<QueryResponse, Failure>> {
+    const deadline = clock.now() + timeoutMs
+    let failure: Failure | undefined
+    while (clock.now() < deadline && !signal.aborted) {
+      const hosts = listHosts()
+      const responsive = hosts.filter(address => !hasFailedRecently(address))
+      for (const address of responsive.length > 0 ? responsive : hosts) {
+        const result = await callRead(address, query, nearestReadTimeoutMs)
+        if (result.isOk()) return result
+        failure = result.error
+        handleCallFailure(address, failure)
+        if (clock.now() >= deadline || signal.aborted) return err(failure)
+      }
+      await clock.sleep(random.next() * maxRetryDelayMs, signal)
+    }
+    return err(failure ?? createFailure(FailureReason.Timeout, { step: Step.Read }, 'no time left for the call'))
   }
 
   return {
     execute: (command, timeoutMs = 10_000) => retry(timeoutMs, Step.Execute, address =>
       clients.callReply<Outcome>(address, selectTrafficClass(command), Step.Execute, gatewayCommands.has(command.kind) ? Math.min(timeoutMs, gatewayAttemptTimeoutMs) : timeoutMs, (client, abort) =>
         client.control.execute.mutate(command, { signal: abort }))),
-    read: (query, timeoutMs = 5_000) => retry(timeoutMs, Step.Read, address =>
-      clients.callReply<QueryResponse>(address, TrafficClass.Control, Step.Read, callTimeoutMs + getLongPollMs(query), (client, abort) =>
-        client.control.read.mutate(query, { signal: abort }))),
+    async read (query, timeoutMs = 5_000) {
+      if (inputs.readTarget === ReadTarget.Nearest) return await readNearest(query, timeoutMs)
+      return await retry(timeoutMs, Step.Read, address => callRead(address, query, callTimeoutMs))
+    },
     watch: request => callOnce(address => clients.callReply<WatchResponse>(address, TrafficClass.Control, Step.Watch, longPollMs + callTimeoutMs, (client, abort) =>
       client.control.watch.mutate(request, { signal: abort }))),
     watchFleet: request => callOnce(address => clients.callReply<FleetUpdate>(address, TrafficClass.Control, Step.Watch, fleetLongPollMs + fleetResponseTimeoutMs, (client, abort) =>
--- a/src/connection/internalRouter.ts
+++ b/src/connection/internalRouter.ts
@@ -67,6 +67,10 @@
         const replica = services.controlHost?.replica
         return replica === undefined ? createMissingRoleReply(Step.Append) : toReply(await replica.handleHeartbeat(input))
       }),
+      readIndex: procedure.mutation(async () => {
+        const replica = services.controlHost?.replica
+        return replica === undefined ? createMissingRoleReply(Step.ConfirmRead) : toReply(await replica.confirmRead())
+      }),
       snapshot: procedure.input(objectSchema<SnapshotRequest>()).mutation(async ({ input }) => {
         const replica = services.controlHost?.replica
         return replica === undefined ? createMissingRoleReply(Step.Snapshot) : toReply(await replica.handleSnapshot(input))
--- a/src/connection/replicaTransport.ts
+++ b/src/connection/replicaTransport.ts
@@ -41,6 +41,11 @@
       client.replica.heartbeat.mutate(request, { signal }))
   }
 
+  override readIndex (address: string): ResultAsync<number, Failure> {
+    return this.clients.callReply<number>(address, TrafficClass.Heartbeat, Step.ConfirmRead, callTimeoutMs, (client, signal) =>
+      client.replica.readIndex.mutate(undefined, { signal }))
+  }
+
   override identify (address: string): ResultAsync<Identification, Failure> {
     return this.clients.call(address, TrafficClass.Control, Step.Bootstrap, callTimeoutMs, (client, signal) =>
       client.replica.identify.mutate(undefined, { signal })).andThen(found => found === undefined
--- a/src/process/fleet/controlDaemon.ts
+++ b/src/process/fleet/controlDaemon.ts
@@ -115,6 +115,7 @@
     replica,
     state,
     knownServers: () => view.listServers(),
+    getRegion: zone => settings.regions[zone],
     // Getters, because the settings may change at run time.
     get heartbeatTimeoutMs () { return settings.heartbeatMs * maxMissedHeartbeats },
     get settleMs () { return settings.heartbeatMs * settleHeartbeatIntervals }
--- a/src/process/fleet/fleetDaemon.ts
+++ b/src/process/fleet/fleetDaemon.ts
@@ -4,7 +4,7 @@
  */
 import { randomUUID } from 'node:crypto'
 import { Hono } from 'hono'
-import { createControlClient, type ControlClient, type FleetClient } from '../../connection/controlClient.ts'
+import { createControlClient, type ControlClient, type FleetClient, ReadTarget } from '../../connection/controlClient.ts'
 import { type FleetTaskInputs, runFleetWatch } from '../../connection/fleetWatch.ts'
 import { createInternalClients, type InternalClients } from '../../connection/internalClient.ts'
 import { createSystemClock } from '../program/clock.ts'
@@ -70,7 +70,7 @@
   const random = createSystemRandom()
   const clients = createInternalClients(lifecycle)
   const view = createFleetView(clock, logger, () => listControlHosts(settings))
-  const control = createControlClient({ controlHosts: () => view.controlHosts, clients, clock, random, metrics, signal: lifecycle.signal })
+  const control = createControlClient({ controlHosts: () => view.controlHosts, readTarget: ReadTarget.Nearest, clients, clock, random, metrics, signal: lifecycle.signal })
   const readiness = { isReady: false }
   const holder = randomUUID()
   const describe = (): FleetHost => ({
--- a/src/process/fleet/fleetLeader.ts
+++ b/src/process/fleet/fleetLeader.ts
@@ -12,7 +12,7 @@
 import { type Replica, ReplicaRole } from '../log/replica.ts'
 import { millisecondsPerSecond } from '../program/units.ts'
 import { createBackendServerRegistry, type BackendServerRecord, type Heartbeat, ServerPhase } from './backendServerRegistry.ts'
-import { fleetLongPollMs, type FleetUpdate, FleetRole, type FleetWatchRequest, type LoadReport, type LoadTotals, type ServerLoad } from './fleetMessages.ts'
+import { type FleetHost, fleetLongPollMs, type FleetUpdate, FleetRole, type FleetWatchRequest, type LoadReport, type LoadTotals, type ServerLoad } from './fleetMessages.ts'
 import { createHostSessions, sessionTimeoutMs } from './hostSessions.ts'
 
 /** Interval between checks for expired sessions and backend servers, in milliseconds. */
@@ -38,6 +38,8 @@
   readonly heartbeatTimeoutMs: number
   /** Backend servers in this host's own view of the fleet; a new leader seeds its registry with them. */
   readonly knownServers: () => readonly BackendServerRecord[]
+  /** Returns the region of an availability zone; undefined when the settings do not name it. */
+  readonly getRegion: (availabilityZone: string) => string | undefined
   /** Time after an election within which every backend server and host contacts the new leader, in milliseconds. */
   readonly settleMs: number
 }
@@ -186,10 +188,18 @@
       isComplete: isComplete(),
       hostsRevision: sessions.revision,
       hosts: shouldSendHosts(request) ? sessions.list() : undefined,
-      controlHosts: replica.state.members.map(member => member.address)
+      controlHosts: listControlHostsByDistance(request.host)
     }
   }
 
+  function listControlHostsByDistance (host: FleetHost): string[] {
+    const distances = new Map<string, number>()
+    for (const { address, availabilityZone } of replica.state.members) {
+      distances.set(address, availabilityZone === host.availabilityZone ? 0 : inputs.getRegion(availabilityZone) === host.region ? 1 : 2)
+    }
+    return [...distances.keys()].sort((left, right) => (distances.get(left) ?? 0) - (distances.get(right) ?? 0))
+  }
+
   async function waitForUpdate (request: FleetWatchRequest): Promise<void> {
     if (hasUpdate(request)) return
     const deadline = clock.now() + fleetLongPollMs
--- a/src/process/fleet/fleetMessages.ts
+++ b/src/process/fleet/fleetMessages.ts
@@ -51,7 +51,7 @@
   readonly hostsRevision: number
   /** Present when the list or the leadership changed; sent to control hosts only. */
   readonly hosts?: readonly FleetHost[] | undefined
-  /** Internal addresses of the control hosts. */
+  /** Internal addresses of the control hosts, the closest to the polling host first. */
   readonly controlHosts: readonly string[]
 }
 
--- a/src/process/fleet/fleetView.ts
+++ b/src/process/fleet/fleetView.ts
@@ -23,7 +23,7 @@
   readonly routes: RouteIndex
   /** Hosts of the fleet; only control hosts receive them. */
   readonly hosts: readonly FleetHost[]
-  /** Internal addresses of the control hosts, including the configured seeds. */
+  /** Internal addresses of the control hosts, the closest first, and the configured seeds. */
   readonly controlHosts: readonly string[]
   /** Notified after each update from the leader. */
   readonly changed: Condition
--- a/src/process/jobs/submissions.ts
+++ b/src/process/jobs/submissions.ts
@@ -197,8 +197,8 @@
   readonly results: readonly ItemResult[]
 }
 
-/** Maximum number of output characters per page; a page holds at least one result. */
-const pageLimitCharacters = 900_000
+/** Maximum number of output characters per page; a page holds at least one result. A large page delays the other answers on its way. */
+const pageLimitCharacters = 256 * 1024
 
 /**
  * Reads a page of results.
--- a/src/process/log/replica.ts
+++ b/src/process/log/replica.ts
@@ -5,6 +5,7 @@
 import { type Result, ResultAsync } from 'neverthrow'
 import type { Command, Outcome } from '../state/commands.ts'
 import { runCompaction } from './compaction.ts'
+import { createFollowerReads } from './followerReads.ts'
 import type { Failure } from '../program/failure.ts'
 import { transferLeadership } from './leadershipTransfer.ts'
 import { LogEvents } from '../program/logEvents.ts'
@@ -18,7 +19,7 @@
   AppendRequest, AppendResponse, HeartbeatRequest, HeartbeatResponse, Identification, JoinRequest, JoinResponse, SnapshotRequest, SnapshotResponse, VoteRequest, VoteResponse
 } from './replicaMessages.ts'
 import { confirmRead, propose } from './replicaProposals.ts'
-import { createCore, type ReplicaCore, type ReplicaInputs, type ReplicaState } from './replicaState.ts'
+import { createCore, type ReplicaCore, type ReplicaInputs, ReplicaRole, type ReplicaState } from './replicaState.ts'
 import { handleSnapshot } from './snapshotInstall.ts'
 import { type Entry, type Member, PayloadKind, RecordKind } from './storage.ts'
 
@@ -38,6 +39,11 @@
    * @returns the applied index, or a failure
    */
   confirmRead (): ResultAsync<number, Failure>
+  /**
+   * Waits until this replica, whatever its role, has applied every entry that was committed before the call.
+   * @returns the applied index, or a failure
+   */
+  confirmLocalRead (): ResultAsync<number, Failure>
   /**
    * Handles a vote request.
    * @param request - the request
@@ -104,6 +110,7 @@
 function startReplica (core: ReplicaCore): Replica {
   const { inputs, state } = core
   const { lifecycle, storage } = inputs
+  const followerReads = createFollowerReads(core)
   lifecycle.addCleanup(() => storage.close())
   lifecycle.addCleanup(() => stepDown(core, LeadershipEnd.Closed))
   lifecycle.run(signal => runElections(core, signal))
@@ -113,6 +120,7 @@
     state,
     propose: command => new ResultAsync(propose(core, command)),
     confirmRead: () => new ResultAsync(confirmRead(core)),
+    confirmLocalRead: () => new ResultAsync(state.role === ReplicaRole.Leader ? confirmRead(core) : followerReads.confirm()),
     handleVote: request => handleVote(core, request),
     handleAppend: request => handleAppend(core, request),
     handleHeartbeat: request => handleHeartbeat(core, request),
--- a/src/process/log/replicaMessages.ts
+++ b/src/process/log/replicaMessages.ts
@@ -142,6 +142,13 @@
    */
   abstract heartbeat (address: string, request: HeartbeatRequest): ResultAsync<HeartbeatResponse, Failure>
 
+  /**
+   * Requests an index for a read at this replica.
+   * @param address - internal address of the leader
+   * @returns the index of the log that the read must include, confirmed by a majority, or a failure
+   */
+  abstract readIndex (address: string): ResultAsync<number, Failure>
+
   /**
    * Queries the identification of a control host.
    * @param address - internal address of the control host
--- a/src/process/state/controlHost.ts
+++ b/src/process/state/controlHost.ts
@@ -63,7 +63,7 @@
    */
   execute (command: Command): Promise<Result<Outcome, Failure>>
   /**
-   * Answers a query after the leadership was confirmed (linearizable read). A query for the results of a job submitted to
+   * Answers a query once the leader has confirmed it (linearizable read); followers answer, too. A query for the results of a job submitted to
    * a gateway is a long poll and first waits for further results.
    * @param query - the query
    * @returns the response, or a failure
@@ -164,13 +164,13 @@
 
   async function read (query: Query): Promise<Result<QueryResponse, Failure>> {
     if (query.kind === QueryKind.SubmissionResults && query.waitMs > 0) await waitForResults(query.job, query.after, query.waitMs)
-    const confirmed = await replica.confirmRead()
+    const confirmed = await replica.confirmLocalRead()
     return confirmed.map(() => answerQuery(state, query))
   }
 
   async function waitForResults (job: string, after: number, waitMs: number): Promise<void> {
     const deadline = clock.now() + Math.min(waitMs, longPollMs)
-    while (clock.now() < deadline && !lifecycle.signal.aborted && replica.state.role === ReplicaRole.Leader) {
+    while (clock.now() < deadline && !lifecycle.signal.aborted) {
       const record = state.submissions.jobs.get(job)
       if (record === undefined || record.results.length > after || isSubmissionClosed(record)) return
       await finished.wait(deadline - clock.now(), lifecycle.signal)
--- a/test/controlClient.test.ts
+++ b/test/controlClient.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import { errAsync, okAsync } from 'neverthrow'
-import { createControlClient } from '../src/connection/controlClient.ts'
+import { createControlClient, ReadTarget } from '../src/connection/controlClient.ts'
 import type { InternalClients } from '../src/connection/internalClient.ts'
 import { createSystemClock } from '../src/process/program/clock.ts'
 import { createFailure, FailureReason, Step } from '../src/process/program/failure.ts'
@@ -23,7 +23,7 @@
   const calls: string[] = []
 
   /** Creates a client of control hosts: one responds, followers name the leader that they know, and the others time out. */
-  function createClient (hosts: readonly string[], respondingHost: string, followers: Readonly<Record<string, string | undefined>>) {
+  function createClient (hosts: readonly string[], respondingHost: string, followers: Readonly<Record<string, string | undefined>>, readTarget: ReadTarget = ReadTarget.Leader) {
     calls.length = 0
     const clients = {
       callReply (address: string) {
@@ -34,7 +34,7 @@
         return errAsync(createFailure(FailureReason.Timeout, { step, peer: address }, 'no response'))
       }
     } as unknown as InternalClients
-    return createControlClient({ controlHosts: hosts, clients, clock: createSystemClock(), random: createSystemRandom(), metrics: createMetrics(), signal: new AbortController().signal })
+    return createControlClient({ controlHosts: hosts, readTarget, clients, clock: createSystemClock(), random: createSystemRandom(), metrics: createMetrics(), signal: new AbortController().signal })
   }
 
   // Failure (CONFIG on rothar, deploy/days/core-replaced-twice): each of several calls that failed at the old leader moved on
@@ -55,6 +55,16 @@
     expect(calls).to.deep.equal(['dead', 'follower', 'leader'])
   })
 
+  // Guards against reads that pass through the leader, and against a read that ends with the failure of the closest host.
+  it('read from the closest control host that responds', async () => {
+    const client = createClient(['near', 'next', 'far'], 'next', { near: 'far' }, ReadTarget.Nearest)
+    for (let read = 0; read < 2; read++) expect((await client.read({ kind: QueryKind.Publication }, timeoutMs)).isOk()).to.equal(true)
+    expect(calls).to.deep.equal(['near', 'next', 'near', 'next'])
+    const other = createClient(['silent', 'next'], 'next', {}, ReadTarget.Nearest)
+    for (let read = 0; read < 2; read++) expect((await other.read({ kind: QueryKind.Publication }, timeoutMs)).isOk()).to.equal(true)
+    expect(calls).to.deep.equal(['silent', 'next', 'next'])
+  })
+
   // Guards against calls that give up before their time limit because every host has failed once.
   it('try every host again when all have failed', async () => {
     const client = createClient(['a', 'b'], 'none', {})
--- a/test/fleetLeader.test.ts
+++ b/test/fleetLeader.test.ts
@@ -32,7 +32,7 @@
     const clock = createSystemClock()
     const replicaState = { identity: 'a', address: '10.0.0.9:1', leaderAddress: undefined, members: [], changed: createCondition(clock), get role () { return leadership.role }, get term () { return leadership.term } }
     const replica = { state: replicaState } as unknown as Replica
-    fleet = createFleetLeader({ replica, state, clock, logger: createSilentLogger(), lifecycle, knownServers: () => knownServers, heartbeatTimeoutMs: 5_000, settleMs: 0 })
+    fleet = createFleetLeader({ replica, state, clock, logger: createSilentLogger(), lifecycle, knownServers: () => knownServers, getRegion: () => undefined, heartbeatTimeoutMs: 5_000, settleMs: 0 })
   }
 
   function firstPoll (host: FleetHost): FleetWatchRequest {
--- a/test/logReplication.test.ts
+++ b/test/logReplication.test.ts
@@ -46,6 +46,44 @@
     expect(log.leaders().map(host => [host.address, host.replica.state.term])).to.deep.equal([[leader.address, term]])
   })
 
+  // Failure: all reads of results were answered by the leader, so that at the end of a day the pages for one region took the
+  // bandwidth of its long polls. A follower must not answer with less than what was committed when it was asked.
+  it('confirms a read at a follower once it has applied what was committed before', async () => {
+    log = await startTestLog({ addresses: ['a:1', 'b:1', 'c:1'], seed: 62 })
+    const { clock, network } = log
+    const leader = await log.waitForLeader()
+    const follower = log.hosts.find(host => host !== leader) ?? expect.fail()
+    follower.replica.state.isExporting = true
+    expect(await log.propose(leader, 'first')).to.equal(true)
+    const confirmed: boolean[] = []
+    follower.replica.confirmLocalRead().match(() => confirmed.push(follower.applied.includes('first')), () => confirmed.push(false))
+    await clock.advance(300)
+    expect(confirmed).to.deep.equal([])
+    follower.replica.state.isExporting = false
+    expect(await log.propose(leader, 'second')).to.equal(true)
+    await clock.advance(300)
+    expect(confirmed).to.deep.equal([true])
+    network.isolated.add(leader.address)
+    let isRefused: boolean | undefined
+    follower.replica.confirmLocalRead().match(() => { isRefused = false }, () => { isRefused = true })
+    await log.waitUntil('the outcome of the read', 3_000, () => isRefused !== undefined)
+    expect(isRefused).to.equal(true)
+  })
+
+  // Guards against one request to the leader for each read, and against an index that was confirmed before a read began.
+  it('shares requests for an index between reads at a follower, but not one that began before the read', async () => {
+    log = await startTestLog({ addresses: ['a:1', 'b:1', 'c:1'], seed: 63 })
+    const leader = await log.waitForLeader()
+    const follower = log.hosts.find(host => host !== leader) ?? expect.fail()
+    let requests = 0
+    log.network.observe = kind => { if (kind === 'readIndex') requests++ }
+    const reads = Array.from({ length: 5 }, () => follower.replica.confirmLocalRead())
+    let confirmed = 0
+    for (const read of reads) read.match(() => { confirmed++ }, () => {})
+    await log.clock.advance(300)
+    expect([confirmed, requests]).to.deep.equal([5, 2])
+  })
+
   // A body counted element by element was estimated at 13 times its size, so a job took a request of its own and two jobs a
   // snapshot, and each estimate took 15 ms of the leader's CPU time.
   it('estimates an entry with bodies at about its encoded size', () => {
--- a/test/support/testNetwork.ts
+++ b/test/support/testNetwork.ts
@@ -78,6 +78,10 @@
     return this.call('join', address, request, async replica => replica.handleJoin(request))
   }
 
+  override readIndex (address: string): ResultAsync<number, Failure> {
+    return this.call('readIndex', address, {}, async replica => await replica.confirmRead())
+  }
+
   override identify (address: string): ResultAsync<Identification, Failure> {
     return this.call('identify', address, {}, async replica => ok(replica.identify()))
   }
