--- a/src/connection/replicaPeer.ts
+++ b/src/connection/replicaPeer.ts
@@ -16,8 +16,11 @@
 /** Maximum number of entries in one request. */
 const maxEntriesPerRequest = 512
 
-/** Approximate maximum size of the entries in one request, in bytes. */
-const maxBytesPerRequest = 1024 * 1024
+/**
+ * Approximate maximum size of the entries in one request, in bytes. A connection between regions may carry no more than
+ * 400 KB a second, and a request that does not arrive within its timeout is sent again from the start.
+ */
+const maxBytesPerRequest = 256 * 1024
 
 /** Dependencies and settings of the task for one peer. */
 export interface ReplicaPeer {
@@ -50,6 +53,7 @@
     progress.transfer = { sentAt: clock.now(), readRound: state.readRound }
     const succeeded = isNextEntryCompacted ? await sendSnapshot(peer, term, monitor) : await sendEntries(peer, term, monitor)
     progress.transfer = undefined
+    progress.sentSnapshotIndex = undefined
     if (!isLeadingPeer(peer, term)) return
     if (!succeeded) {
       await clock.sleep(heartbeatMs, signal)
@@ -138,9 +142,10 @@
     const { point, bytes, last } = chunk.value
     if (index !== undefined && point.index !== index) return true
     index = point.index
+    peer.progress.sentSnapshotIndex = index
     const sentRequest: SentRequest = { sentAt: clock.now(), readRound: state.readRound }
     const response = await transport.snapshot(member.address, {
-      to: member.identity, term, leaderAddress: state.address, index, offset, bytes: bytes.toString('base64'), last
+      to: member.identity, term, leaderAddress: state.address, index, offset, bytes, last
     })
     monitor.record({ sentAt: sentRequest.sentAt, entries: [], snapshotBytes: bytes.length }, response.isErr() ? response.error : undefined)
     if (response.isErr() || !isLeadingPeer(peer, term)) return false
--- a/src/connection/replicaTransport.ts
+++ b/src/connection/replicaTransport.ts
@@ -4,6 +4,7 @@
  */
 import { err, ok, type ResultAsync } from 'neverthrow'
 import { createFailure, type Failure, FailureReason, Step } from '../process/program/failure.ts'
+import { approximateBytes } from '../process/log/replicaLog.ts'
 import {
   type AppendResponse, type AppendRequest, type HeartbeatRequest, type HeartbeatResponse, type Identification, type JoinResponse, type JoinRequest, type SnapshotResponse, type SnapshotRequest,
   Transport, type VoteResponse, type VoteRequest
@@ -12,9 +13,12 @@
 import { createEntryEncoder } from './entryCodec.ts'
 import { compressedInputContext, type InternalClients, TrafficClass } from './internalClient.ts'
 
-/** Timeout for a call between replicas, in milliseconds. */
+/** Timeout for a call between replicas, in milliseconds, in addition to the time for its data. */
 const callTimeoutMs = 1_000
 
+/** Lowest rate at which data counts as arriving, in bytes per millisecond. */
+const minTransferRate = 128
+
 class TrpcTransport extends Transport {
   private readonly clients: InternalClients
   private readonly encoder = createEntryEncoder()
@@ -30,7 +34,7 @@
   }
 
   override append (address: string, request: AppendRequest): ResultAsync<AppendResponse, Failure> {
-    return this.clients.callReply<AppendResponse>(address, TrafficClass.Control, Step.Append, callTimeoutMs, async (client, signal) => {
+    return this.clients.callReply<AppendResponse>(address, TrafficClass.Control, Step.Append, computeTimeoutMs(approximateBytes(request.entries)), async (client, signal) => {
       const entries = await this.encoder.encode(request.entries)
       return await client.replica.append.mutate({ ...request, entries }, { signal, context: compressedInputContext })
     })
@@ -59,7 +63,7 @@
   }
 
   override snapshot (address: string, request: SnapshotRequest): ResultAsync<SnapshotResponse, Failure> {
-    return this.clients.callReply<SnapshotResponse>(address, TrafficClass.Control, Step.Snapshot, callTimeoutMs, (client, signal) =>
+    return this.clients.callReply<SnapshotResponse>(address, TrafficClass.Control, Step.Snapshot, computeTimeoutMs(request.bytes.length), (client, signal) =>
       client.replica.snapshot.mutate(request, { signal }))
   }
 
@@ -69,6 +73,10 @@
   }
 }
 
+function computeTimeoutMs (bytes: number): number {
+  return callTimeoutMs + bytes / minTransferRate
+}
+
 /**
  * Creates the transport.
  * @param clients - clients for calls to other hosts
--- a/src/process/log/compaction.ts
+++ b/src/process/log/compaction.ts
@@ -13,7 +13,10 @@
 import type { SnapshotPoint } from './storage.ts'
 
 /** Default limits, which keep the log of a control host small. */
-export const defaultCompaction: CompactionLimits = { entries: 1_000, bytes: 4 * 1024 * 1024, retained: 256, retainedBytes: 4 * 1024 * 1024 }
+export const defaultCompaction: CompactionLimits = { entries: 1_000, bytes: 4 * 1024 * 1024, maxBytes: 8 * 1024 * 1024, retained: 256, retainedBytes: 2 * 1024 * 1024 }
+
+/** Multiple of the maximum size of the log in memory up to which a snapshot waits for the transfer of the previous one. */
+const transferFactor = 2
 
 /** Longest time for which the export blocks the event loop, and with it responses to heartbeats, in milliseconds. */
 const exportSliceMs = 20
@@ -23,17 +26,26 @@
 
 /**
  * Checks whether the log should be compacted. The cost of a snapshot is proportional to its size, so the log must have
- * grown by at least the size of the previous snapshot.
+ * grown by at least the size of the previous snapshot, or by the maximum that is kept in memory.
  * @param state - the replica
  * @param limits - the limits
  * @returns whether a snapshot is due
  */
 export function isCompactionDue (state: ReplicaState, limits: CompactionLimits): boolean {
   if (state.isSnapshotInProgress) return false
-  if (state.appliedBytes < state.snapshotBytes) return false
+  if (isSnapshotInTransit(state) && state.appliedBytes < transferFactor * limits.maxBytes) return false
+  if (state.appliedBytes < Math.min(state.snapshotBytes, limits.maxBytes)) return false
   return state.appliedIndex - state.snapshot.index >= limits.entries || state.appliedBytes >= limits.bytes
 }
 
+// A new snapshot ends the transfer of the previous one, which then starts over.
+function isSnapshotInTransit ({ progress, snapshot }: ReplicaState): boolean {
+  for (const { sentSnapshotIndex } of progress.values()) {
+    if (sentSnapshotIndex === snapshot.index) return true
+  }
+  return false
+}
+
 /**
  * Compacts the log whenever a snapshot is due, until the signal aborts.
  * @param core - the replica
--- a/src/process/log/replicaLeadership.ts
+++ b/src/process/log/replicaLeadership.ts
@@ -203,6 +203,7 @@
     matchIndex: 0,
     acknowledgedAt: -Infinity,
     transfer: undefined,
+    sentSnapshotIndex: undefined,
     confirmedReadRound: 0,
     catchUpTargetIndex: lastIndex,
     catchUpStartedAt: inputs.clock.now(),
--- a/src/process/log/replicaMessages.ts
+++ b/src/process/log/replicaMessages.ts
@@ -78,8 +78,8 @@
   readonly index: number
   /** Offset of the chunk in the snapshot, in bytes. */
   readonly offset: number
-  /** The chunk, in base64. */
-  readonly bytes: string
+  /** The chunk; in base64 from a leader of the version before. */
+  readonly bytes: Uint8Array | string
   /** Whether this is the last chunk. */
   readonly last: boolean
 }
--- a/src/process/log/replicaState.ts
+++ b/src/process/log/replicaState.ts
@@ -33,6 +33,8 @@
   acknowledgedAt: number
   /** Request or snapshot in transit. */
   transfer: SentRequest | undefined
+  /** Index of the snapshot that is being sent; undefined without one. */
+  sentSnapshotIndex: number | undefined
   /** Newest read round that had begun when a request that got a response was sent. */
   confirmedReadRound: number
   /** Last index of the leader's log when the current catch-up round began. */
@@ -98,6 +100,8 @@
   readonly entries: number
   /** Approximate bytes of entries since the newest snapshot that make a snapshot due. */
   readonly bytes: number
+  /** Approximate bytes of entries since the newest snapshot that make a snapshot due, however large that snapshot is. */
+  readonly maxBytes: number
   /** Entries before the newest snapshot that are retained in memory for followers that are slightly behind. */
   readonly retained: number
   /** Approximate maximum size of these entries, in bytes. */
--- a/src/process/log/snapshotFile.ts
+++ b/src/process/log/snapshotFile.ts
@@ -17,7 +17,7 @@
 export const receivedSnapshotName = 'snapshot.received'
 
 /** Maximum size of a chunk of a snapshot file, in bytes; one message carries one chunk. */
-export const chunkBytes = 256 * 1024
+export const chunkBytes = 128 * 1024
 
 /** Bytes of records after which a frame ends. */
 const frameBytes = 256 * 1024
--- a/src/process/log/snapshotInstall.ts
+++ b/src/process/log/snapshotInstall.ts
@@ -27,7 +27,7 @@
   if (!await save(core, records)) return err(createStorageFailure(state, Step.Snapshot))
   const { term } = request
   if (state.commitIndex >= request.index) return ok({ term, received: 0, installed: true })
-  const bytes = Buffer.from(request.bytes, 'base64')
+  const bytes = typeof request.bytes === 'string' ? Buffer.from(request.bytes, 'base64') : Buffer.from(request.bytes)
   const end = request.offset + bytes.length
   if (state.isSnapshotInProgress) return ok({ term, received: state.isInstalling ? end : request.offset, installed: false })
   const received = await storage.receiveChunk(request.offset, bytes)
--- a/test/logReplication.test.ts
+++ b/test/logReplication.test.ts
@@ -1,5 +1,7 @@
 import { expect } from 'chai'
 import { heartbeatMs, minElectionTimeoutMs } from '../src/process/log/election.ts'
+import { isCompactionDue } from '../src/process/log/compaction.ts'
+import type { ReplicaState } from '../src/process/log/replicaState.ts'
 import { encodeRecord } from '../src/process/log/recordCodec.ts'
 import { approximateBytes, entriesFrom } from '../src/process/log/replicaLog.ts'
 import { emptyPoint, type Entry, PayloadKind } from '../src/process/log/storage.ts'
@@ -84,6 +86,32 @@
     expect([confirmed, requests]).to.deep.equal([5, 2])
   })
 
+  // Failure: a follower in another region was sent 1 MiB again and again, each time until the timeout of one second.
+  it('sends a follower that is behind requests that arrive within their timeout on a slow connection', async () => {
+    log = await startTestLog({ addresses: ['a:1', 'b:1', 'c:1'], seed: 64 })
+    const { clock, network } = log
+    const leader = await log.waitForLeader()
+    const behind = log.hosts.find(host => host !== leader) ?? expect.fail()
+    network.isolated.add(behind.address)
+    for (let number = 0; number < 20; number++) expect(await log.propose(leader, `${number}`.padEnd(100_000, 'x'))).to.equal(true)
+    const sentBytes: number[] = []
+    network.observe = (kind, _from, to, request) => { if (kind === 'append' && to === behind.address) sentBytes.push(approximateBytes(request.entries)) }
+    network.isolated.clear()
+    await log.waitUntil('the entries at the follower', 10_000, () => behind.applied.length === leader.applied.length)
+    await clock.advance(100)
+    expect(Math.max(...sentBytes)).to.be.within(100_000, 256 * 1024)
+  })
+
+  // Failure: with each snapshot that the leader wrote, the transfer of the previous one to a distant follower started over.
+  it('writes no snapshot while the previous one is being sent, up to a size of the log', () => {
+    const limits = { entries: 10, bytes: 100, maxBytes: 1_000, retained: 0, retainedBytes: 0 }
+    const progress = new Map([['b', { sentSnapshotIndex: 5 }]])
+    const state = { isSnapshotInProgress: false, appliedIndex: 50, snapshot: { index: 5 }, snapshotBytes: 10_000, appliedBytes: 1_500, progress } as unknown as ReplicaState
+    expect(isCompactionDue(state, limits)).to.equal(false)
+    expect(isCompactionDue({ ...state, appliedBytes: 2_500 }, limits)).to.equal(true)
+    expect(isCompactionDue({ ...state, progress: new Map() }, limits)).to.equal(true)
+  })
+
   // A body counted element by element was estimated at 13 times its size, so a job took a request of its own and two jobs a
   // snapshot, and each estimate took 15 ms of the leader's CPU time.
   it('estimates an entry with bodies at about its encoded size', () => {
--- a/test/logSafety.test.ts
+++ b/test/logSafety.test.ts
@@ -121,7 +121,7 @@
     core.state.members = members
     core.state.role = ReplicaRole.Leader
     core.state.syncedIndex = 7
-    const progress = { nextIndex: 7, matchIndex: 6, acknowledgedAt: 0, transfer: undefined, confirmedReadRound: 0, catchUpTargetIndex: 0, catchUpStartedAt: 0, isCaughtUp: false }
+    const progress = { nextIndex: 7, matchIndex: 6, acknowledgedAt: 0, transfer: undefined, sentSnapshotIndex: undefined, confirmedReadRound: 0, catchUpTargetIndex: 0, catchUpStartedAt: 0, isCaughtUp: false }
     core.state.progress.set('b', progress)
     advanceCommit(core)
     expect(core.state.commitIndex).to.equal(5)
@@ -294,7 +294,7 @@
   let totalAcknowledged = 0
 
   async function runFaultInjection (seed: number): Promise<void> {
-    log = await startTestLog({ addresses, seed, compaction: { entries: 12, bytes: 1_000_000, retained: 3, retainedBytes: 1_000_000 } })
+    log = await startTestLog({ addresses, seed, compaction: { entries: 12, bytes: 1_000_000, maxBytes: 1_000_000, retained: 3, retainedBytes: 1_000_000 } })
     const random = createSeededRandom(seed + 1)
     const acknowledged: string[] = []
     const leaderOfTerm = new Map<number, string>()
--- a/test/logSnapshot.test.ts
+++ b/test/logSnapshot.test.ts
@@ -13,7 +13,7 @@
 import { commandNamed, startTestLog, type TestHost, type TestLog, type TestLogSettings } from './support/testLog.ts'
 
 const addresses = ['a:1', 'b:1', 'c:1']
-const compaction = { entries: 20, bytes: 100_000_000, retained: 5, retainedBytes: 1_000_000 }
+const compaction = { entries: 20, bytes: 100_000_000, maxBytes: 100_000_000, retained: 5, retainedBytes: 1_000_000 }
 
 describe('snapshots of the log', () => {
   let log: TestLog
@@ -164,7 +164,7 @@
       clock,
       random,
       storage,
-      compaction: { entries: 10, bytes: 1_000_000, retained: 0, retainedBytes: 0 },
+      compaction: { entries: 10, bytes: 1_000_000, maxBytes: 1_000_000, retained: 0, retainedBytes: 0 },
       logger: { write () {} },
       lifecycle: { fail (failure: Error) { throw failure } },
       apply (command: { upload: string }) {
