Log the prompt parts of broken attempts, and whether they had output

Cause: the logs could not show whether the requests in flight at a crashed server have a prompt part in common, nor which of them had not begun to be answered. No decision uses them yet.

--- a/src/process/program/metrics.ts
+++ b/src/process/program/metrics.ts
@@ -12,6 +12,7 @@
   RetriesDenied: 'jaychute_retries_denied_total',
   Attempts: 'jaychute_attempts_total',
   AttemptFailures: 'jaychute_attempt_failures_total',
+  BrokenAttempts: 'jaychute_broken_attempts_total',
   Items: 'jaychute_items_total',
   Yields: 'jaychute_batch_yields_total',
   Bytes: 'jaychute_bytes_total',
--- a/src/request/callerExchange.ts
+++ b/src/request/callerExchange.ts
@@ -28,6 +28,8 @@
 
 /** Request of a caller. */
 export interface CallerRequest extends OpaqueRequest {
+  /** Ids of the parts at the start of the prompt that other requests may have too, in order; empty when they are unknown. */
+  readonly sharedPromptParts: readonly string[]
   /** Monotonic time at which the request arrived, in milliseconds. */
   readonly receivedAt: number
   /** Monotonic time of the caller's deadline, in milliseconds; Infinity when it has set none. */
--- a/src/request/forwardedAttempt.ts
+++ b/src/request/forwardedAttempt.ts
@@ -80,6 +80,8 @@
   lastEvent: number | undefined
   /** Ids of servers that refused or failed this request; cleared when no candidate is left, so that each may be tried again. */
   readonly avoided: Set<string>
+  /** Whether the current attempt has received output: the first event of a stream, or the first bytes of another body. */
+  hasOutput: boolean
   /** Monotonic time at which relaying of the response began, in milliseconds. */
   firstByteAt: number | undefined
   /** Status of the latest response of a server; 0 before the first. */
@@ -102,6 +104,7 @@
 export async function runForwardedAttempt (progress: ForwardingProgress, server: BackendServerRecord, services: ForwardingServices): Promise<ForwardedAttemptEnd> {
   const { request, route } = progress
   const { clock, client, view } = services
+  progress.hasOutput = false
   const abort = new AbortController()
   const abortAttempt = (): void => abort.abort()
   request.disconnectSignal.addEventListener('abort', abortAttempt, { once: true })
@@ -161,8 +164,10 @@
 
 function reportFailedAttempt (progress: ForwardingProgress, server: BackendServerRecord, failure: Failure, services: ForwardingServices): void {
   if (progress.request.disconnectSignal.aborted) return
+  if (failure.reason === FailureReason.Reset || failure.reason === FailureReason.Incomplete) services.metrics.count(Counter.BrokenAttempts, progress.hasOutput ? 'after output' : 'before output')
   services.metrics.count(Counter.AttemptFailures, failure.reason)
-  services.logger.write(LogEvents.attemptFailed, { requestId: progress.request.id, failure, value: progress.runs, inputs: { server: server.id, revision: server.revision } })
+  const { request, runs, hasOutput } = progress
+  services.logger.write(LogEvents.attemptFailed, { requestId: request.id, failure, value: runs, inputs: { server: server.id, revision: server.revision, hasOutput, parts: request.sharedPromptParts.join(' ') } })
 }
 
 async function relayResponse (progress: ForwardingProgress, received: BackendResponse, idleTimeout: IdleTimeout, services: ForwardingServices): Promise<ForwardedAttemptEnd> {
@@ -183,6 +188,7 @@
   idleTimeout.stop()
   let isFirst = true
   for await (const chunk of received.body) {
+    progress.hasOutput = true
     if (isFirst) startResponse(progress, received, received.headers)
     isFirst = false
     await response.write(chunk)
@@ -212,6 +218,7 @@
       eventChunks.push(event.bytes)
     }
     if (eventChunks.length === 0) continue
+    progress.hasOutput = true
     idleTimeout.restart(Math.max(minIdleTimeoutMs, route.pauseMs * eventPauseTimeoutFactor))
     if (progress.firstByteAt === undefined) {
       progress.firstByteAt = services.clock.now()
--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -52,6 +52,7 @@
     isTimedOut: false,
     lastEvent: request.resumeAfter,
     avoided: new Set(),
+    hasOutput: false,
     firstByteAt: undefined,
     status: 0,
     isResponseFramed: true,
--- a/test/support/fakeFleet.ts
+++ b/test/support/fakeFleet.ts
@@ -166,6 +166,7 @@
       body: Buffer.from('body'),
       remainder: undefined,
       resumeAfter: undefined,
+      sharedPromptParts: [],
       receivedAt: performance.now(),
       deadlineAt: Infinity,
       disconnectSignal: disconnectController.signal,
