--- a/test/support/fleetProcesses.ts
+++ b/test/support/fleetProcesses.ts
@@ -14,14 +14,23 @@
 const heartbeatMs = 300
 const eventIntervalMs = 20
 
+/** Time for which a crashed backend server is down, in milliseconds. */
+const downMs = 500
+
 /** A backend server that responds to each request with a stream of events. */
 export interface StreamServer {
+  /** Changes with each crash. */
   readonly id: string
   readonly address: string
   /** Ids of the requests that it ran, in order. */
   readonly ran: string[]
   /** Number of events in a response. */
   events: number
+  /** Prompt part under which the server crashes when it begins to answer. */
+  crashingPart: string | undefined
+  readonly crashes: number
+  /** Whether it is running. */
+  readonly isUp: boolean
   close (): void
 }
 
@@ -46,14 +55,29 @@
  */
 export async function startStreamServer (id: string): Promise<StreamServer> {
   const ran: string[] = []
+  let crashes = 0
+  let restart: NodeJS.Timeout | undefined
   const server: Server = createServer((incoming, response) => {
     incoming.resume()
     incoming.once('end', () => {
       ran.push(String(incoming.headers['x-request-id']))
+      if (hasCrashingPart(String(incoming.headers['x-prefix-hash'] ?? ''))) return crash()
       streamEvents(response, Number(incoming.headers['last-event-id'] ?? -1) + 1)
     })
   })
 
+  function hasCrashingPart (parts: string): boolean {
+    return parts.split(',').some(part => part.split(':')[0] === streamServer.crashingPart)
+  }
+
+  function crash (): void {
+    const { port } = server.address() as AddressInfo
+    crashes++
+    server.close()
+    server.closeAllConnections()
+    restart = setTimeout(() => server.listen(port, '127.0.0.1'), downMs)
+  }
+
   function streamEvents (response: ServerResponse, firstEventId: number): void {
     response.writeHead(200, { 'content-type': 'text/event-stream', 'x-server-stamp': `stamp-${id}` })
     let next = firstEventId
@@ -70,11 +94,15 @@
   server.listen(0, '127.0.0.1')
   await new Promise(resolve => server.once('listening', resolve))
   const streamServer: StreamServer = {
-    id,
+    get id () { return crashes === 0 ? id : `${id}-${crashes}` },
     address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
     ran,
     events: 5,
+    crashingPart: undefined,
+    get crashes () { return crashes },
+    get isUp () { return server.listening },
     close () {
+      clearTimeout(restart)
       server.close()
       server.closeAllConnections()
     }
@@ -83,11 +111,11 @@
 }
 
 /**
- * Starts three control hosts, two gateways and two backend servers, and waits until the control hosts
- * respond to reads.
+ * Starts three control hosts, two gateways and backend servers, and waits until the control hosts respond to reads.
+ * @param serverCount - number of backend servers
  * @returns the fleet, without tables
  */
-export async function startFleet (): Promise<Fleet> {
+export async function startFleet (serverCount = 2): Promise<Fleet> {
   const folder = await mkdtemp(join(tmpdir(), 'jaychute-fleet-'))
   // Control hosts share their ports and differ in their loopback addresses.
   const ports = (await reserveAddresses(3)).map(address => Number(address.split(':')[1]))
@@ -96,7 +124,7 @@
   const seeds = controlIps.map(ip => `${ip}:${operatorPort}`)
   const controlPrograms = new Map<string, Program>()
   const gatewayPrograms: Program[] = []
-  const servers = await Promise.all([startStreamServer('i-1'), startStreamServer('i-2')])
+  const servers = await Promise.all(Array.from({ length: serverCount }, (_, index) => startStreamServer(`i-${index + 1}`)))
   const commonSettings = { availabilityZone: 'z1', region: 'r1', regions: { z1: 'r1' }, seeds: seeds.join(','), controlPort, heartbeatMs }
   let isFirstStart = true
 
@@ -157,7 +185,8 @@
   const heartbeats = setInterval(() => {
     sequence++
     for (const server of servers) {
-      const heartbeat = { service: 's', addr: server.address, zone: 'z1', version: 'v1', slots: 2, state: 'ready', seq: sequence, born: 1 }
+      if (!server.isUp) continue
+      const heartbeat = { service: 's', addr: server.address, zone: 'z1', version: 'v1', slots: 2, state: 'ready', seq: sequence, born: 1 + server.crashes }
       fleet.callControl('PUT', `/v1/instances/${server.id}`, heartbeat).catch(() => {})
     }
   }, heartbeatMs)
