--- a/src/connection/backendServerClient.ts
+++ b/src/connection/backendServerClient.ts
@@ -61,4 +61,10 @@
    * @returns the response once its head has arrived, or a failure
    */
   abstract send (target: BackendServerTarget, request: BackendRequest, signal: AbortSignal): Promise<Result<BackendResponse, ExchangeFailure>>
+  /**
+   * Checks whether a server has stopped listening, by a connection without a request.
+   * @param target - the server
+   * @returns true if it refuses the connection; false if it accepts or does not respond
+   */
+  abstract hasStopped (target: BackendServerTarget): Promise<boolean>
 }
--- a/src/connection/controlClient.ts
+++ b/src/connection/controlClient.ts
@@ -10,7 +10,7 @@
 import { Counter, type Metrics } from '../process/program/metrics.ts'
 import { type QueryResponse, type Query, QueryKind } from '../process/state/queries.ts'
 import type { Heartbeat } from '../process/fleet/backendServerRegistry.ts'
-import { fleetLongPollMs, type FleetUpdate, type FleetWatchRequest, type LoadReport, type LoadTotals } from '../process/fleet/fleetMessages.ts'
+import { fleetLongPollMs, type FleetUpdate, type FleetWatchRequest, type LoadReport, type LoadTotals, type ServerCrashReport, type ServerCrashVerdict } from '../process/fleet/fleetMessages.ts'
 import type { RunPoll, RunReports, RunUpdate } from '../process/fleet/runMessages.ts'
 import type { Random } from '../process/program/random.ts'
 import type { WatchResponse, WatchRequest } from '../process/state/watchMessages.ts'
@@ -23,6 +23,9 @@
 /** Timeout for the response to a fleet call, in milliseconds, in addition to the time of a long poll. */
 const fleetResponseTimeoutMs = 700
 
+/** Timeout for the report of a crash, in milliseconds. The request waits meanwhile; the leader takes up to 250 ms, and a round trip 40 ms. */
+const crashReportTimeoutMs = 350
+
 /** Timeout for one query to a control host that need not be the leader, in milliseconds, in addition to the time of a long poll. */
 const nearestReadTimeoutMs = 700
 
@@ -94,6 +97,12 @@
    * @returns the totals over all hosts, or a failure
    */
   reportLoad (report: LoadReport): Promise<Result<LoadTotals, Failure>>
+  /**
+   * Reports a crash of a backend server once; it is not retried.
+   * @param report - the backend server and the traits of a request that was in flight
+   * @returns whether the request may be sent again, or a failure
+   */
+  reportCrash (report: ServerCrashReport): Promise<Result<ServerCrashVerdict, Failure>>
   /**
    * Sends one long poll of an executor; it is not retried.
    * @param poll - the runs of the executor
@@ -234,6 +243,8 @@
       client.fleet.watch.mutate(request, { signal: abort }))),
     reportLoad: async report => await clients.callReply<LoadTotals>(leader, TrafficClass.Live, Step.Report, fleetResponseTimeoutMs, (client, abort) =>
       client.fleet.report.mutate(report, { signal: abort })),
+    reportCrash: async report => await clients.callReply<ServerCrashVerdict>(leader, TrafficClass.Live, Step.Report, crashReportTimeoutMs, (client, abort) =>
+      client.fleet.reportCrash.mutate(report, { signal: abort })),
     pollRuns: poll => callOnce(address => clients.callReply<RunUpdate>(address, TrafficClass.Batch, Step.Dispatch, fleetLongPollMs + callTimeoutMs, (client, abort) =>
       client.fleet.pollRuns.mutate(poll, { signal: abort }))),
     reportRuns: reports => callOnce(address => clients.callReply<void>(address, TrafficClass.Batch, Step.Report, callTimeoutMs, (client, abort) =>
--- a/src/connection/fleetWatch.ts
+++ b/src/connection/fleetWatch.ts
@@ -64,9 +64,13 @@
     // The next wait begins before the report, so that a change during the report is not missed.
     const nextChange = view.loadChanged.wait(view.live.size > 0 ? intervalMs * busyReportFactor : idleReportIntervalMs, signal)
     const reported = new Map(view.live)
-    const totals = await client.reportLoad({ holder: describe().holder, live: Object.fromEntries(reported), suspects: view.listLocalSuspects() })
+    const outputs = view.quarantine.listOutputs()
+    const totals = await client.reportLoad({ holder: describe().holder, live: Object.fromEntries(reported), suspects: view.listLocalSuspects(), outputs })
     // Without a response the last totals remain valid; the watch task logs an unreachable leader.
-    if (totals.isOk()) view.applyLoads(totals.value, reported)
+    if (totals.isOk()) {
+      view.applyLoads(totals.value, reported)
+      view.quarantine.confirmOutputs(outputs)
+    }
     intervalMs = totals.isOk() ? totals.value.intervalMs : idleReportIntervalMs
     await clock.sleep(intervalMs, signal)
     await nextChange
--- a/src/process/fleet/batchRunner.ts
+++ b/src/process/fleet/batchRunner.ts
@@ -5,6 +5,7 @@
  */
 import { err, type Result } from 'neverthrow'
 import { hasFreeSlot, type ItemUrgency, orderByUrgency, planBatch, type PlannedServer } from '../../request/batchPlan.ts'
+import { listPartTraits } from '../../request/requestTraits.ts'
 import { RunEnd } from '../../request/submittedItemRun.ts'
 import { chooseTarget, createRouteIndex, type GatewayRoute, matchRoute, type RouteIndex, RouteKind } from '../../version/gatewayTables.ts'
 import { CommandKind, Ending } from '../state/commands.ts'
@@ -15,6 +16,7 @@
 import { Counter } from '../program/metrics.ts'
 import type { ProcessServices } from '../program/processServices.ts'
 import type { Replica } from '../log/replica.ts'
+import type { SubmittedItem } from '../jobs/submission.ts'
 import { isSubmissionClosed } from '../jobs/submissions.ts'
 import { assertNever } from '../program/assert.ts'
 import type { BackendServerRecord } from './backendServerRegistry.ts'
@@ -49,6 +51,8 @@
   readonly state: ControlState
   /** Names of the executors that this host knows of. */
   readonly knownExecutors: () => readonly string[]
+  /** Returns the ids of the parts of an item's prompt that other requests may have too. */
+  readonly listSharedPromptParts: (item: SubmittedItem) => readonly string[]
   /** Returns the region of an availability zone; undefined when the settings do not name it. */
   readonly getRegion: (availabilityZone: string) => string | undefined
   /** Retention time of a job from its acceptance, in milliseconds. */
@@ -164,6 +168,8 @@
         if (routesVersion > 0) finish(entry, ItemEndCause.NoRoute)
         continue
       }
+      // It stays open until the quarantine ends, or until it is given up.
+      if (fleet.quarantine.isBlocked(listPartTraits(inputs.listSharedPromptParts(entry.item)))) continue
       const service = chooseTarget(route, random.next())
       const keys = startableByService.get(service) ?? []
       keys.push(key)
--- a/src/process/fleet/controlDaemon.ts
+++ b/src/process/fleet/controlDaemon.ts
@@ -7,6 +7,7 @@
 import { createInternalRouter, type InternalServices } from '../../connection/internalRouter.ts'
 import { createTrpcTransport } from '../../connection/replicaTransport.ts'
 import { createControlApi, createDirectoryApi } from '../../../platform/controlHttp.ts'
+import { readSharedPromptParts } from '../../../platform/promptParts.ts'
 import { addressKeepMs, chooseGateways } from '../../request/gatewayChoice.ts'
 import { CommandKind, OutcomeKind } from '../state/commands.ts'
 import { type ControlHost, createControlHost } from '../state/controlHost.ts'
@@ -103,6 +104,7 @@
     transport: createTrpcTransport(clients),
     applied (command) {
       if (command.kind === CommandKind.Publish) components.fleetLeader?.publish()
+      if (command.kind === CommandKind.UpdateQuarantine) components.fleetLeader?.quarantine.handleApplied()
       components.batchRunner?.applied.notify()
     }
   })
@@ -126,6 +128,7 @@
     fleet: fleetLeader,
     replica,
     state,
+    listSharedPromptParts: item => readSharedPromptParts(item.headers),
     knownExecutors: () => listExecutors(view).map(host => host.name),
     getRegion: zone => settings.regions[zone],
     get keepMs () { return settings.statusKeepSeconds * jobRetentionFactor * millisecondsPerSecond }
--- a/src/process/fleet/fleetLeader.ts
+++ b/src/process/fleet/fleetLeader.ts
@@ -12,8 +12,9 @@
 import { type Replica, ReplicaRole } from '../log/replica.ts'
 import { millisecondsPerSecond } from '../program/units.ts'
 import { createBackendServerRegistry, type BackendServerRecord, type Heartbeat, ServerPhase } from './backendServerRegistry.ts'
-import { type FleetHost, fleetLongPollMs, type FleetUpdate, FleetRole, type FleetWatchRequest, type LoadReport, type LoadTotals, type ServerLoad } from './fleetMessages.ts'
+import { type FleetHost, fleetLongPollMs, type FleetUpdate, FleetRole, type FleetWatchRequest, type LoadReport, type LoadTotals, type ServerCrashReport, type ServerCrashVerdict, type ServerLoad } from './fleetMessages.ts'
 import { createHostSessions, sessionTimeoutMs } from './hostSessions.ts'
+import { createTraitQuarantine, type TraitQuarantine } from './traitQuarantine.ts'
 
 /** Interval between checks for expired sessions and backend servers, in milliseconds. */
 const sweepIntervalMs = 250
@@ -48,6 +49,8 @@
 export interface FleetLeader {
   /** Notified when backend servers, loads or the leadership change. */
   readonly changed: Condition
+  /** Requests that crash backend servers. */
+  readonly quarantine: TraitQuarantine
   /** Batch items in flight by backend server; maintained by the batch runner. */
   readonly batch: Map<string, number>
   /** Checks whether this host leads. The first call in a new term discards the state of the previous one. */
@@ -68,6 +71,12 @@
    * @returns the load of all hosts, or a `NotLeader` failure
    */
   report (report: LoadReport): Result<LoadTotals, Failure>
+  /**
+   * Records a crash of a backend server under a request without output.
+   * @param report - the server and the traits of the request
+   * @returns whether the request may be sent again, or a `NotLeader` failure
+   */
+  reportCrash (report: ServerCrashReport): Promise<Result<ServerCrashVerdict, Failure>>
   /**
    * Processes a heartbeat. For a leaving server it resolves only once every host that may send it requests has confirmed.
    * @param heartbeat - the heartbeat
@@ -116,6 +125,7 @@
   const updateAvailable = createCondition(clock)
   const sessionChanged = createCondition(clock)
   const batch = new Map<string, number>()
+  const quarantine = createTraitQuarantine({ replica, state, clock, logger, lifecycle, changed: () => updateAvailable.notify() })
   let term = -1
   // Monotonic time at which the current leadership began, in milliseconds.
   let leaderSince = 0
@@ -133,6 +143,7 @@
     batch.clear()
     registry.clear()
     for (const record of inputs.knownServers()) registry.seed(record, leaderSince)
+    quarantine.beginTerm()
   }
 
   function createNotLeaderFailure (step: Step): Failure {
@@ -169,9 +180,14 @@
     if (isComplete() && !request.isSettled) return true
     if ((state.publication?.tables.version ?? 0) > request.tablesVersion) return true
     if (registry.revision > request.serversRevision) return true
+    if (shouldSendQuarantine(request)) return true
     return shouldSendHosts(request)
   }
 
+  function shouldSendQuarantine (request: FleetWatchRequest): boolean {
+    return request.leadership !== getLeadership() || quarantine.revision > (request.quarantineRevision ?? 0)
+  }
+
   // Only control hosts serve the gateway directory, so only they receive the list of hosts.
   function shouldSendHosts (request: FleetWatchRequest): boolean {
     if (request.host.role !== FleetRole.Control) return false
@@ -188,6 +204,7 @@
       isComplete: isComplete(),
       hostsRevision: sessions.revision,
       hosts: shouldSendHosts(request) ? sessions.list() : undefined,
+      quarantine: shouldSendQuarantine(request) ? quarantine.createUpdate() : undefined,
       controlHosts: listControlHostsByDistance(request.host)
     }
   }
@@ -257,7 +274,9 @@
   lifecycle.run(async signal => {
     while (!signal.aborted) {
       await clock.sleep(sweepIntervalMs, signal)
-      if (isLeading()) removeExpired()
+      if (!isLeading()) continue
+      removeExpired()
+      quarantine.sweep()
     }
   })
   lifecycle.run(async signal => {
@@ -269,6 +288,7 @@
 
   return {
     changed,
+    quarantine,
     batch,
     isLeading,
     getLeadership,
@@ -285,9 +305,14 @@
     report (report) {
       if (!isLeading()) return err(createNotLeaderFailure(Step.Report))
       if (sessions.report(report)) changed.notify()
+      quarantine.recordOutputs(report.outputs ?? [])
       const intervalMs = Math.max(minReportIntervalMs, sessions.size * millisecondsPerSecond / maxReportsPerSecond)
       return ok({ loads: listLoads(), suspects: [...sessions.getLoadSums().suspects], intervalMs })
     },
+    async reportCrash (report) {
+      if (!isLeading()) return err(createNotLeaderFailure(Step.Report))
+      return ok({ isBlocked: await quarantine.reportCrash(report) })
+    },
     async receiveHeartbeat (heartbeat) {
       if (!isLeading()) return err(createNotLeaderFailure(Step.Heartbeat))
       const previousPhase = registry.find(heartbeat.id)?.phase
--- a/src/process/fleet/fleetMessages.ts
+++ b/src/process/fleet/fleetMessages.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import type { GatewayTables } from '../../version/gatewayTables.ts'
+import type { Trait } from '../../request/requestTraits.ts'
 import type { BackendServerRecord } from './backendServerRegistry.ts'
 
 /** Longest time for which the leader delays the response to a long poll while it has no update, in milliseconds. */
@@ -36,6 +37,46 @@
   readonly hostsRevision: number
   /** Whether the host has received an update of this leadership with `isComplete` set. */
   readonly isSettled: boolean
+  /** Revision of the quarantine; undefined if the host has none. */
+  readonly quarantineRevision?: number | undefined
+}
+
+/** A trait of requests that are refused. */
+export interface BlockedTrait {
+  readonly trait: Trait
+  /** Time until it is released, in milliseconds. */
+  readonly remainingMs: number
+}
+
+/** The traits of requests that crash backend servers. */
+export interface QuarantineUpdate {
+  readonly revision: number
+  readonly blocked: readonly BlockedTrait[]
+  /** Traits whose output is to be reported. */
+  readonly suspects: readonly Trait[]
+}
+
+/** A crash of a backend server under a request that had no output yet. */
+export interface ServerCrashReport {
+  /** Id of the backend server. */
+  readonly server: string
+  /** Time of day at which the backend server had started, in milliseconds. */
+  readonly startedAt: number
+  /** Traits of the request: the shared parts of its prompt in order, then its content. */
+  readonly traits: readonly Trait[]
+}
+
+/** The response to the report of a crash. */
+export interface ServerCrashVerdict {
+  /** Whether the request must not be sent to another backend server. */
+  readonly isBlocked: boolean
+}
+
+/** The latest output to a request with a trait. */
+export interface TraitOutput {
+  readonly trait: Trait
+  /** Time since the output, in milliseconds. */
+  readonly ageMs: number
 }
 
 /** The response to a long poll. */
@@ -51,6 +92,8 @@
   readonly hostsRevision: number
   /** Present when the list or the leadership changed; sent to control hosts only. */
   readonly hosts?: readonly FleetHost[] | undefined
+  /** Present when newer than the revision in the poll, and when the leadership differs. */
+  readonly quarantine?: QuarantineUpdate | undefined
   /** Internal addresses of the control hosts, the closest to the polling host first. */
   readonly controlHosts: readonly string[]
 }
@@ -64,6 +107,8 @@
   readonly live: LiveCounts
   /** Backend servers to which a connection failed recently. */
   readonly suspects: readonly string[]
+  /** Outputs with suspect traits since the last accepted report. */
+  readonly outputs?: readonly TraitOutput[] | undefined
 }
 
 /** Requests in flight on one backend server. */
--- a/src/process/fleet/fleetView.ts
+++ b/src/process/fleet/fleetView.ts
@@ -9,6 +9,7 @@
 import type { Logger } from '../program/logger.ts'
 import { createRouteIndex, type GatewayTables, type RouteIndex } from '../../version/gatewayTables.ts'
 import { type BackendServerRecord, isNewer, ServerPhase } from './backendServerRegistry.ts'
+import { createQuarantineView, type QuarantineView } from './quarantineView.ts'
 import type { FleetHost, FleetUpdate, FleetWatchRequest, LoadTotals, ServerLoad } from './fleetMessages.ts'
 
 /** Time for which a backend server is avoided after a failed connection, in milliseconds. A crash lasts a few seconds, and other hosts report when the server is reachable again. */
@@ -25,6 +26,8 @@
   readonly hosts: readonly FleetHost[]
   /** Internal addresses of the control hosts, the closest first, and the configured seeds. */
   readonly controlHosts: readonly string[]
+  /** Requests to refuse because backend servers crash under them. */
+  readonly quarantine: QuarantineView
   /** Notified after each update from the leader. */
   readonly changed: Condition
   /** Notified when the load or the suspects of this host changed and should be reported. */
@@ -108,6 +111,7 @@
   const remoteLoads = new Map<string, ServerLoad>()
   const failureRates = new Map<string, number>()
   let reportedSuspects: ReadonlySet<string> = new Set()
+  const quarantine = createQuarantineView(clock)
   const changed = createCondition(clock)
   const loadChanged = createCondition(clock)
   let tables: GatewayTables | undefined
@@ -144,10 +148,11 @@
     get hosts () { return hosts },
     get controlHosts () { return [...new Set([...reportedControlHosts, ...seeds()])] },
     get lastContactAt () { return lastContactAt },
+    quarantine,
     changed,
     loadChanged,
     live,
-    createWatchRequest: host => ({ host, leadership, tablesVersion: tables?.version ?? 0, serversRevision, hostsRevision, isSettled }),
+    createWatchRequest: host => ({ host, leadership, tablesVersion: tables?.version ?? 0, serversRevision, hostsRevision, isSettled, quarantineRevision: quarantine.revision }),
     applyUpdate (update) {
       lastContactAt = clock.now()
       if (update.tables !== undefined && update.tables.version > (tables?.version ?? 0)) {
@@ -163,6 +168,7 @@
       // Hosts contact a new leader within a second; until then the longer list is the more complete one.
       if (update.hosts !== undefined && (update.isComplete || update.hosts.length >= hosts.length)) hosts = update.hosts
       hostsRevision = update.hostsRevision
+      if (update.quarantine !== undefined) quarantine.applyUpdate(update.quarantine)
       if (update.controlHosts.length > 0) reportedControlHosts = update.controlHosts
       changed.notify()
     },
--- a/src/process/fleet/gatewayDaemon.ts
+++ b/src/process/fleet/gatewayDaemon.ts
@@ -47,6 +47,7 @@
   const forwarding: ForwardingServices = {
     view,
     client: createBackendServerHttp(),
+    control: base.control,
     availabilityZone: settings.availabilityZone,
     region: settings.region,
     getRegion: zone => settings.regions[zone],
--- /dev/null
+++ b/src/process/fleet/quarantineView.ts
@@ -0,0 +1,126 @@
+/**
+ * A gateway's view of the quarantine: which requests to refuse, and the outputs that clear suspect traits.
+ * @module
+ */
+import { isPartTrait, type RequestTraits, type Trait } from '../../request/requestTraits.ts'
+import type { Clock } from '../program/clock.ts'
+import type { QuarantineUpdate, TraitOutput } from './fleetMessages.ts'
+
+/** Maximum number of prompt parts whose latest output is remembered; the oldest go first. */
+const maxRememberedOutputs = 4_096
+
+/** A gateway's view of the quarantine. */
+export interface QuarantineView {
+  /** Revision of the last update; 0 before the first. */
+  readonly revision: number
+  /**
+   * Applies an update, and aborts the attempts of blocked requests.
+   * @param update - the blocked traits and the suspects
+   */
+  applyUpdate (update: QuarantineUpdate): void
+  /**
+   * Determines for how long a request is blocked.
+   * @param traits - its traits
+   * @returns the remaining time in milliseconds, or undefined if it may be sent
+   */
+  getBlockedMs (traits: RequestTraits): number | undefined
+  /**
+   * Registers an attempt without output, which is aborted if its request is blocked.
+   * @param traits - traits of the request
+   * @param abort - aborts the attempt
+   * @returns a function that removes the attempt
+   */
+  registerAttempt (traits: RequestTraits, abort: () => void): () => void
+  /**
+   * Records that a request had output.
+   * @param traits - its traits
+   */
+  recordOutput (traits: RequestTraits): void
+  /** Lists the latest outputs with suspect traits that were not reported yet. */
+  listOutputs (): TraitOutput[]
+  /**
+   * Marks outputs as reported.
+   * @param outputs - the outputs
+   */
+  confirmOutputs (outputs: readonly TraitOutput[]): void
+}
+
+/**
+ * Creates a view without blocked traits.
+ * @param clock - source of time
+ * @returns the view
+ */
+export function createQuarantineView (clock: Clock): QuarantineView {
+  // Monotonic time at which a trait is released, in milliseconds.
+  const blockedUntil = new Map<Trait, number>()
+  let hasBlockedContent = false
+  let suspects: readonly Trait[] = []
+  let revision = 0
+  // Monotonic time of the latest output by prompt part, the oldest first.
+  const outputAt = new Map<Trait, number>()
+  const reportedAt = new Map<Trait, number>()
+  const attempts = new Map<() => void, RequestTraits>()
+
+  function getBlockedMs (traits: RequestTraits): number | undefined {
+    if (blockedUntil.size === 0) return undefined
+    let until: number | undefined
+    for (const trait of traits.parts) until = latest(until, blockedUntil.get(trait))
+    const content = hasBlockedContent ? traits.getContent() : undefined
+    if (content !== undefined) until = latest(until, blockedUntil.get(content))
+    return until === undefined ? undefined : Math.max(0, until - clock.now())
+  }
+
+  return {
+    get revision () { return revision },
+    applyUpdate (update) {
+      revision = update.revision
+      suspects = update.suspects
+      blockedUntil.clear()
+      hasBlockedContent = false
+      for (const { trait, remainingMs } of update.blocked) {
+        blockedUntil.set(trait, clock.now() + remainingMs)
+        hasBlockedContent ||= !isPartTrait(trait)
+      }
+      for (const trait of reportedAt.keys()) {
+        if (!suspects.includes(trait)) reportedAt.delete(trait)
+      }
+      for (const [abort, traits] of attempts) {
+        if (getBlockedMs(traits) !== undefined) abort()
+      }
+    },
+    getBlockedMs,
+    registerAttempt (traits, abort) {
+      attempts.set(abort, traits)
+      return () => attempts.delete(abort)
+    },
+    recordOutput (traits) {
+      for (const trait of traits.parts) {
+        outputAt.delete(trait)
+        outputAt.set(trait, clock.now())
+      }
+      for (const trait of outputAt.keys()) {
+        if (outputAt.size <= maxRememberedOutputs) break
+        outputAt.delete(trait)
+      }
+    },
+    listOutputs () {
+      const now = clock.now()
+      const outputs: TraitOutput[] = []
+      for (const trait of suspects) {
+        const at = outputAt.get(trait)
+        if (at === undefined || at <= (reportedAt.get(trait) ?? -Infinity)) continue
+        outputs.push({ trait, ageMs: Math.round(now - at) })
+      }
+      return outputs
+    },
+    confirmOutputs (outputs) {
+      // An output between the list and its confirmation is reported with the next one.
+      for (const { trait } of outputs) reportedAt.set(trait, outputAt.get(trait) ?? clock.now())
+    }
+  }
+}
+
+function latest (left: number | undefined, right: number | undefined): number | undefined {
+  if (left === undefined || right === undefined) return left ?? right
+  return Math.max(left, right)
+}
--- /dev/null
+++ b/src/process/fleet/traitQuarantine.ts
@@ -0,0 +1,257 @@
+/**
+ * Quarantine of requests that crash backend servers, on the leading control host: collects the traits of the requests that were
+ * in flight at crashes, and blocks the traits that are blamed. The blocked traits are in the replicated log; the crashes are in
+ * memory, and a new leader collects them anew.
+ * @module
+ */
+import { isPartTrait, type Trait } from '../../request/requestTraits.ts'
+import type { Replica } from '../log/replica.ts'
+import type { Clock } from '../program/clock.ts'
+import { type Condition, createCondition } from '../program/condition.ts'
+import type { Lifecycle } from '../program/lifecycle.ts'
+import { LogEvents } from '../program/logEvents.ts'
+import type { Logger } from '../program/logger.ts'
+import { CommandKind } from '../state/commands.ts'
+import type { QuarantinedTrait, QuarantinedTraits } from '../state/quarantinedTraits.ts'
+import { attributeCrashes, type BlamedTrait, type ServerCrash } from './crashAttribution.ts'
+import type { QuarantineUpdate, ServerCrashReport, TraitOutput } from './fleetMessages.ts'
+
+/** Time from the first report of a crash to its attribution, in milliseconds: reports of other regions arrive a round trip later. */
+const attributionDelayMs = 100
+
+/** Longest time for which the response to a report waits for the attribution, in milliseconds. */
+const maxReportWaitMs = 250
+
+/** How long a crash is kept, in milliseconds. */
+const crashRetentionMs = 600_000
+
+/** Maximum number of crashes that are kept; the oldest go first. */
+const maxCrashes = 200
+
+/**
+ * Time for which a trait is blocked while its crashes are few, in milliseconds. A sound trait that was in flight at unrelated
+ * crashes is then cleared by the first output; a crash blocks it again.
+ */
+const trialAfterMs = 10_000
+
+/** Crashes from which a trait is blocked for `crashRetentionMs`: every further trial would cost a backend server. */
+const provenLimit = 5
+
+/** Position of the content of a request, behind that of any prompt part. */
+const contentPosition = Infinity
+
+/** Dependencies of the quarantine. */
+export interface TraitQuarantineInputs {
+  readonly replica: Pick<Replica, 'propose'>
+  readonly state: QuarantinedTraits
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly lifecycle: Pick<Lifecycle, 'run'>
+  /** Called when the blocked traits or the suspects have changed. */
+  readonly changed: () => void
+}
+
+/** The quarantine. */
+export interface TraitQuarantine {
+  /** Incremented when the blocked traits or the suspects change. */
+  readonly revision: number
+  /** Discards the crashes of the previous term. */
+  beginTerm (): void
+  /** To be called when a command has changed the blocked traits. */
+  handleApplied (): void
+  /**
+   * Records a crash.
+   * @param report - the backend server, and the traits of one request that was in flight there without output
+   * @returns whether one of the traits is blocked; resolves after the attribution when one of them was at an earlier crash
+   */
+  reportCrash (report: ServerCrashReport): Promise<boolean>
+  /**
+   * Clears traits with which requests had output.
+   * @param outputs - the latest outputs
+   */
+  recordOutputs (outputs: readonly TraitOutput[]): void
+  /**
+   * Checks whether a request may be sent.
+   * @param traits - its traits
+   * @returns true if one of them is blocked
+   */
+  isBlocked (traits: Iterable<Trait>): boolean
+  /** Releases traits whose time is over, and removes old crashes. */
+  sweep (): void
+  /** Describes the blocked traits and the suspects to other hosts. */
+  createUpdate (): QuarantineUpdate
+}
+
+interface RecordedCrash extends ServerCrash {
+  /** Notified after the first attribution. */
+  readonly attributed: Condition
+  /** Whether all hosts have had time to report the requests that were in flight. */
+  isSettled: boolean
+}
+
+/**
+ * Creates a quarantine without recorded crashes.
+ * @param inputs - dependencies
+ * @returns the quarantine
+ */
+export function createTraitQuarantine (inputs: TraitQuarantineInputs): TraitQuarantine {
+  const { replica, clock, logger, lifecycle } = inputs
+  // By backend server and its start.
+  const crashes = new Map<string, RecordedCrash>()
+  // Monotonic time at which a blocked trait is released, in milliseconds.
+  const releaseAt = new Map<Trait, number>()
+  let suspects: ReadonlySet<Trait> = new Set()
+  let revision = 1
+
+  // Not kept, because a snapshot replaces the map.
+  function getKnown (): ReadonlyMap<Trait, QuarantinedTrait> {
+    return inputs.state.quarantinedTraits
+  }
+
+  function notifyChanged (): void {
+    revision++
+    inputs.changed()
+  }
+
+  function getOrCreateCrash ({ server, startedAt }: ServerCrashReport): RecordedCrash {
+    const key = `${server} ${startedAt}`
+    const existing = crashes.get(key)
+    if (existing !== undefined) return existing
+    const attributed = createCondition(clock)
+    const crash: RecordedCrash = { at: clock.now(), traits: new Map(), attributedTo: undefined, attributed, isSettled: false }
+    crashes.set(key, crash)
+    lifecycle.run(async signal => {
+      await clock.sleep(attributionDelayMs, signal)
+      crash.isSettled = true
+      await attribute()
+      attributed.notify()
+    })
+    for (const oldest of crashes.keys()) {
+      if (crashes.size <= maxCrashes) break
+      crashes.delete(oldest)
+    }
+    return crash
+  }
+
+  async function attribute (): Promise<void> {
+    const settled = [...crashes.values()].filter(crash => crash.isSettled)
+    const { blamed, suspects: parts } = attributeCrashes(settled, getKnown())
+    for (const { trait, crashes: count, added } of blamed) {
+      for (const crash of added) crash.attributedTo = trait
+      logger.write(LogEvents.traitQuarantined, { detail: trait, value: count })
+    }
+    setSuspects(parts)
+    if (blamed.length > 0) await block(blamed)
+  }
+
+  async function block (blamed: readonly BlamedTrait[]): Promise<void> {
+    const changed: QuarantinedTrait[] = []
+    for (const { trait, crashes: count } of blamed) {
+      changed.push({ trait, crashes: count, isBlocked: true })
+      releaseAt.set(trait, clock.now() + getBlockDuration(count))
+    }
+    await replica.propose({ kind: CommandKind.UpdateQuarantine, changed, removed: [] })
+  }
+
+  function setSuspects (parts: ReadonlySet<Trait>): void {
+    const listed = new Set(parts)
+    for (const trait of getKnown().keys()) listed.add(trait)
+    if (listed.size === suspects.size && [...listed].every(trait => suspects.has(trait))) return
+    suspects = listed
+    notifyChanged()
+  }
+
+  function isImplicated (traits: readonly Trait[], current: RecordedCrash): boolean {
+    for (const trait of traits) {
+      if (getKnown().has(trait)) return true
+      for (const crash of crashes.values()) {
+        if (crash !== current && crash.traits.has(trait)) return true
+      }
+    }
+    return false
+  }
+
+  function getLastCrashAt (trait: Trait): number {
+    let last = -Infinity
+    for (const crash of crashes.values()) {
+      if (crash.traits.has(trait)) last = Math.max(last, crash.at)
+    }
+    return last
+  }
+
+  function isBlocked (traits: Iterable<Trait>): boolean {
+    for (const trait of traits) {
+      if (getKnown().get(trait)?.isBlocked === true) return true
+    }
+    return false
+  }
+
+  return {
+    get revision () { return revision },
+    beginTerm () {
+      crashes.clear()
+      releaseAt.clear()
+      suspects = new Set(getKnown().keys())
+      notifyChanged()
+    },
+    handleApplied: notifyChanged,
+    async reportCrash (report) {
+      const crash = getOrCreateCrash(report)
+      if (crash.traits.size === 0) logger.write(LogEvents.backendServerCrashed, { peer: report.server, detail: report.traits.join(' ') })
+      for (const [position, trait] of report.traits.entries()) crash.traits.set(trait, isPartTrait(trait) ? position : contentPosition)
+      if (crash.isSettled) await attribute()
+      else if (isImplicated(report.traits, crash)) await crash.attributed.wait(maxReportWaitMs)
+      return isBlocked(report.traits)
+    },
+    recordOutputs (outputs) {
+      if (outputs.length === 0) return
+      const removed: Trait[] = []
+      for (const { trait, ageMs } of outputs) {
+        const at = clock.now() - ageMs
+        if (getKnown().has(trait) && at > getLastCrashAt(trait)) removed.push(trait)
+        for (const crash of crashes.values()) {
+          if (crash.at < at) crash.traits.delete(trait)
+        }
+      }
+      for (const trait of removed) logger.write(LogEvents.traitReleased, { detail: trait, reason: 'output' })
+      lifecycle.run(async () => {
+        if (removed.length > 0) await replica.propose({ kind: CommandKind.UpdateQuarantine, changed: [], removed })
+        await attribute()
+      })
+    },
+    isBlocked,
+    sweep () {
+      const now = clock.now()
+      for (const [key, crash] of crashes) {
+        if (now - crash.at >= crashRetentionMs) crashes.delete(key)
+      }
+      const changed: QuarantinedTrait[] = []
+      for (const record of getKnown().values()) {
+        if (!record.isBlocked) continue
+        const until = releaseAt.get(record.trait) ?? now + getBlockDuration(record.crashes)
+        releaseAt.set(record.trait, until)
+        if (now < until) continue
+        changed.push({ ...record, isBlocked: false })
+        logger.write(LogEvents.traitReleased, { detail: record.trait, reason: 'trial' })
+      }
+      if (changed.length > 0) lifecycle.run(async () => { await replica.propose({ kind: CommandKind.UpdateQuarantine, changed, removed: [] }) })
+    },
+    createUpdate () {
+      const now = clock.now()
+      const blocked = []
+      for (const { trait, isBlocked: isActive, crashes: count } of getKnown().values()) {
+        if (isActive) blocked.push({ trait, remainingMs: Math.max(0, Math.round((releaseAt.get(trait) ?? now + getBlockDuration(count)) - now)) })
+      }
+      return { revision, blocked, suspects: [...suspects] }
+    }
+  }
+}
+
+/**
+ * Determines for how long a trait is blocked.
+ * @param crashes - number of crashes that are attributed to it
+ * @returns the duration in milliseconds
+ */
+function getBlockDuration (crashes: number): number {
+  return crashes >= provenLimit ? crashRetentionMs : trialAfterMs
+}
--- a/src/process/program/logEvents.ts
+++ b/src/process/program/logEvents.ts
@@ -72,6 +72,8 @@
   callerDisconnected: { number: 504, level: Level.Info, text: 'caller disconnected before the end of the response', action: noAction },
   backendServerCrashed: { number: 510, level: Level.Warn, text: 'backend server crashed with requests in flight', action: 'Check the backend server if it repeats.' },
   requestQuarantined: { number: 511, level: Level.Error, text: 'request quarantined because it crashes backend servers', action: 'Find the request by its fingerprint and its earlier failed attempts; correct it at the caller.' },
+  traitQuarantined: { number: 512, level: Level.Error, text: 'requests with a trait quarantined because backend servers crash under them', action: 'Find the requests by the trait and by event 500; correct them at the caller.' },
+  traitReleased: { number: 513, level: Level.Info, text: 'quarantine of a trait ended', action: noAction },
   connectionTimedOut: { number: 520, level: Level.Warn, text: 'connection to a backend server timed out and was closed', action: 'Check the network to the backend server if it repeats.' },
   callerStalled: { number: 521, level: Level.Info, text: 'caller stopped reading the response; connection closed', action: noAction },
   itemFailed: { number: 600, level: Level.Info, text: 'batch item ended as failed', action: 'Read the reason in the job\'s results.' },
--- a/src/process/state/commands.ts
+++ b/src/process/state/commands.ts
@@ -7,6 +7,8 @@
 import type { Publication } from '../../version/gatewayTables.ts'
 import type { Problem } from '../../version/validation.ts'
 import type { ItemReference, ProgressChunk, Submission } from '../jobs/submission.ts'
+import type { Trait } from '../../request/requestTraits.ts'
+import type { QuarantinedTrait } from './quarantinedTraits.ts'
 
 /** Commands of the replicated state machine. */
 export const CommandKind = {
@@ -29,7 +31,8 @@
   FinishItems: 'finish items',
   RecordFailures: 'record failures',
   EndSubmission: 'end submission',
-  PurgeSubmissions: 'purge submissions'
+  PurgeSubmissions: 'purge submissions',
+  UpdateQuarantine: 'update quarantine'
 } as const
 export type CommandKind = typeof CommandKind[keyof typeof CommandKind]
 
@@ -136,6 +139,7 @@
   | { readonly kind: typeof CommandKind.RecordFailures, readonly failures: readonly FailedItem[] }
   | { readonly kind: typeof CommandKind.EndSubmission, readonly job: string }
   | { readonly kind: typeof CommandKind.PurgeSubmissions, readonly jobs: readonly string[] }
+  | { readonly kind: typeof CommandKind.UpdateQuarantine, readonly changed: readonly QuarantinedTrait[], readonly removed: readonly Trait[] }
 
 /** A command of one kind. */
 export type CommandOf<Kind extends CommandKind> = Extract<Command, { readonly kind: Kind }>
--- a/src/process/state/controlState.ts
+++ b/src/process/state/controlState.ts
@@ -15,12 +15,13 @@
 import { acquireLease, isUnderLease, type Leases, releaseHolderLeases, releaseLease } from './leases.ts'
 import { applyOnce, type Operations } from './operations.ts'
 import { type Publications, publish } from './publications.ts'
+import { type QuarantinedTraits, updateQuarantine } from './quarantinedTraits.ts'
 import { JobPhase, type Query, QueryKind, type QueryResponse } from './queries.ts'
 import { createSubmissions, endSubmission, finishItems, purgeSubmissions, readResults, recordFailures, saveProgress, type Submissions, submit } from '../jobs/submissions.ts'
 import { appendItems, discardUpload, openUpload } from '../jobs/uploads.ts'
 
 /** The complete durable state. */
-export interface ControlState extends Operations, Leases, Publications {
+export interface ControlState extends Operations, Leases, Publications, QuarantinedTraits {
   readonly submissions: Submissions
 }
 
@@ -29,7 +30,7 @@
  * @returns the state
  */
 export function createControlState (): ControlState {
-  return { configuration: emptyConfiguration, operations: new Map(), changes: 0, leases: new Map(), jobs: createJobs(), publication: undefined, submissions: createSubmissions() }
+  return { configuration: emptyConfiguration, operations: new Map(), changes: 0, leases: new Map(), jobs: createJobs(), publication: undefined, submissions: createSubmissions(), quarantinedTraits: new Map() }
 }
 
 /**
@@ -60,6 +61,7 @@
     case CommandKind.RecordFailures: return recordFailures(state.submissions, command)
     case CommandKind.EndSubmission: return endSubmission(state.submissions, command)
     case CommandKind.PurgeSubmissions: return purgeSubmissions(state.submissions, command)
+    case CommandKind.UpdateQuarantine: return updateQuarantine(state, command)
     default: return assertNever(command)
   }
 }
--- a/src/process/state/stateSnapshot.ts
+++ b/src/process/state/stateSnapshot.ts
@@ -13,6 +13,7 @@
 import { adjustInFlight, rescheduleJob } from '../jobs/jobSchedule.ts'
 import type { Lease } from './leases.ts'
 import { type Operation, retainOperation } from './operations.ts'
+import type { QuarantinedTrait } from './quarantinedTraits.ts'
 import type { Publication } from '../../version/gatewayTables.ts'
 import { type ItemResult, restoreSubmission, type SubmissionRecord } from '../jobs/submissions.ts'
 import type { SavedProgress, SubmissionHeader, SubmittedItem } from '../jobs/submission.ts'
@@ -40,6 +41,7 @@
   ItemResults: 'item results',
   ItemProgress: 'item progress',
   ItemFailures: 'item failures',
+  QuarantinedTraits: 'quarantined traits',
   End: 'end'
 } as const
 
@@ -73,6 +75,7 @@
   | { readonly kind: typeof ChunkKind.ItemResults, readonly records: readonly ItemResult[] }
   | { readonly kind: typeof ChunkKind.ItemProgress, readonly records: ReadonlyArray<readonly [string, SavedProgress]> }
   | { readonly kind: typeof ChunkKind.ItemFailures, readonly records: ReadonlyArray<readonly [string, number]> }
+  | { readonly kind: typeof ChunkKind.QuarantinedTraits, readonly records: readonly QuarantinedTrait[] }
   | { readonly kind: typeof ChunkKind.End }
 
 interface LeaseRecord {
@@ -126,6 +129,7 @@
   for (const records of chunk(jobs.lastClaims, chunkLimits, ([, claim]) => claim.grants.length * 100)) yield { kind: ChunkKind.LastClaims, records }
   if (state.publication !== undefined) yield { kind: ChunkKind.Publication, publication: state.publication }
   for (const record of state.submissions.jobs.values()) yield * exportSubmission(record)
+  for (const records of chunk(state.quarantinedTraits.values(), chunkLimits)) yield { kind: ChunkKind.QuarantinedTraits, records }
   yield { kind: ChunkKind.End }
 }
 
@@ -205,6 +209,9 @@
     case ChunkKind.ItemFailures:
       for (const [item, count] of stateChunk.records) pending.submission?.failures.set(item, count)
       return
+    case ChunkKind.QuarantinedTraits:
+      for (const record of stateChunk.records) state.quarantinedTraits.set(record.trait, record)
+      return
     case ChunkKind.End: return
     default: assertNever(stateChunk)
   }
--- a/src/request/callerExchange.ts
+++ b/src/request/callerExchange.ts
@@ -17,6 +17,8 @@
   NotReady: 'not ready',
   /** No backend server has capacity; the request has not run and can be retried. */
   Overloaded: 'overloaded',
+  /** Backend servers crash under requests with a trait of this one; it has not run and can be retried when the quarantine ends. */
+  Quarantined: 'quarantined',
   /** The limit of waiting tokens of the route is reached; the job has not been accepted. */
   QuotaExceeded: 'quota exceeded',
   /** The deadline passed; the request may have run. */
--- /dev/null
+++ b/src/request/crashReport.ts
@@ -0,0 +1,30 @@
+/**
+ * Detects that a backend server crashed under a request, and reports it.
+ * @module
+ */
+import type { BackendServerRecord } from '../process/fleet/backendServerRegistry.ts'
+import { FailureReason } from '../process/program/failure.ts'
+import { ForwardedAttemptEnd, type ForwardingProgress, type ForwardingServices } from './forwardedAttempt.ts'
+import { listTraits } from './requestTraits.ts'
+
+/**
+ * Reports a crash under the last attempt of a request, if there was one. A request that had output is not reported: a server
+ * that crashes under a request does so before the first output.
+ * @param progress - state of the request; `isBlocked` is set when it must not be sent again
+ * @param server - the backend server of the attempt
+ * @param end - how the attempt ended
+ * @param services - dependencies of the request
+ * @returns a promise that resolves when the crash has been reported, or its report has failed
+ */
+export async function reportCrash (progress: ForwardingProgress, server: BackendServerRecord, end: ForwardedAttemptEnd, services: ForwardingServices): Promise<void> {
+  const { client, view, control } = services
+  if (end !== ForwardedAttemptEnd.Broken || progress.hasOutput) return
+  if (progress.failureReason !== FailureReason.Reset && progress.failureReason !== FailureReason.Incomplete) return
+  const traits = listTraits(progress.traits)
+  if (traits.length === 0) return
+  // One connection may also break while the server goes on; after a crash no process listens at its address.
+  if (!await client.hasStopped({ address: server.address, id: server.id })) return
+  view.markSuspect(server.id, FailureReason.Refused)
+  const verdict = await control.reportCrash({ server: server.id, startedAt: server.startedAt, traits })
+  if (verdict.isOk() && verdict.value.isBlocked) progress.isBlocked = true
+}
--- a/src/request/forwardedAttempt.ts
+++ b/src/request/forwardedAttempt.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import { type BackendResponse, BackendResponseKind, type BackendServerClient, type ExchangeFailure } from '../connection/backendServerClient.ts'
+import type { FleetClient } from '../connection/controlClient.ts'
 import { createFailure, type Failure, FailureReason, Step, toFailure } from '../process/program/failure.ts'
 import type { BackendServerRecord } from '../process/fleet/backendServerRegistry.ts'
 import type { FleetView } from '../process/fleet/fleetView.ts'
@@ -13,6 +14,7 @@
 import type { CallerResponse, CallerRequest } from './callerExchange.ts'
 import { createEventSplitter, isEventStream, removeContentLength } from './eventStream.ts'
 import { createIdleTimeout, type IdleTimeout } from './idleTimeout.ts'
+import type { RequestTraits } from './requestTraits.ts'
 
 /** Timeout for the headers and first event of a response while another server may still run the request, in latency objectives of the route. */
 const firstEventTimeoutFactor = 3
@@ -33,6 +35,7 @@
 export interface ForwardingServices extends Omit<ProcessServices, 'lifecycle'> {
   readonly view: FleetView
   readonly client: BackendServerClient
+  readonly control: Pick<FleetClient, 'reportCrash'>
   readonly availabilityZone: string
   /** Returns the region of an availability zone; undefined when the settings do not name it. */
   readonly getRegion: (availabilityZone: string) => string | undefined
@@ -62,6 +65,7 @@
   readonly answer: CallerResponse
   readonly route: GatewayRoute
   readonly service: string
+  readonly traits: RequestTraits
   /** Monotonic time at which the request is given up, in milliseconds. */
   readonly deadlineAt: number
   /** Whether the request may run again after an attempt that may have run. */
@@ -82,6 +86,10 @@
   readonly avoided: Set<string>
   /** Whether the current attempt has received output: the first event of a stream, or the first bytes of another body. */
   hasOutput: boolean
+  /** Why the latest attempt failed; undefined before the first failure. */
+  failureReason: FailureReason | undefined
+  /** Whether the request must not be sent again, since backend servers crash under requests like it. */
+  isBlocked: boolean
   /** Monotonic time at which relaying of the response began, in milliseconds. */
   firstByteAt: number | undefined
   /** Status of the latest response of a server; 0 before the first. */
@@ -114,6 +122,9 @@
     progress.isTimedOut = true
     abort.abort()
   }, Math.max(0, timeLeftMs))
+  const unregister = view.quarantine.registerAttempt(progress.traits, () => {
+    if (!progress.hasOutput) abort.abort()
+  })
   const idleTimeout = createIdleTimeout(canRunAgain(progress) ? Math.max(minIdleTimeoutMs, route.objectiveMs * firstEventTimeoutFactor) : Infinity, abortAttempt)
   try {
     const sent = await client.send({ address: server.address, id: server.id }, {
@@ -134,6 +145,7 @@
     reportFailedAttempt(progress, server, toFailure(error, { step: Step.ReadResponse, peer: server.address }), services)
     return ForwardedAttemptEnd.Broken
   } finally {
+    unregister()
     clearTimeout(deadlineTimer)
     idleTimeout.stop()
     request.disconnectSignal.removeEventListener('abort', abortAttempt)
@@ -164,6 +176,7 @@
 
 function reportFailedAttempt (progress: ForwardingProgress, server: BackendServerRecord, failure: Failure, services: ForwardingServices): void {
   if (progress.request.disconnectSignal.aborted) return
+  progress.failureReason = failure.reason
   if (failure.reason === FailureReason.Reset || failure.reason === FailureReason.Incomplete) services.metrics.count(Counter.BrokenAttempts, progress.hasOutput ? 'after output' : 'before output')
   services.metrics.count(Counter.AttemptFailures, failure.reason)
   const { request, runs, hasOutput } = progress
@@ -190,6 +203,7 @@
   for await (const chunk of received.body) {
     progress.hasOutput = true
     if (isFirst) startResponse(progress, received, received.headers)
+    if (isFirst && isSuccess) services.view.quarantine.recordOutput(progress.traits)
     isFirst = false
     await response.write(chunk)
   }
@@ -218,6 +232,7 @@
       eventChunks.push(event.bytes)
     }
     if (eventChunks.length === 0) continue
+    if (!progress.hasOutput) services.view.quarantine.recordOutput(progress.traits)
     progress.hasOutput = true
     idleTimeout.restart(Math.max(minIdleTimeoutMs, route.pauseMs * eventPauseTimeoutFactor))
     if (progress.firstByteAt === undefined) {
--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -9,6 +9,8 @@
 import { chooseTarget, matchRoute, RouteKind } from '../version/gatewayTables.ts'
 import { type CallerResponse, type CallerRequest, GatewayRefusal } from './callerExchange.ts'
 import { ForwardedAttemptEnd, type ForwardingServices, isBodyReplayable, type ForwardingProgress, runForwardedAttempt, minServerErrorStatus } from './forwardedAttempt.ts'
+import { reportCrash } from './crashReport.ts'
+import { createRequestTraits } from './requestTraits.ts'
 import { chooseServer, type ServerCandidate } from './serverChoice.ts'
 
 /** Live requests that may queue at a backend server beyond its slots; with 8 slots and responses of about 0.7 s, each waits about 90 ms. */
@@ -23,6 +25,9 @@
 /** Interval at which a request without a free slot checks the servers again, in milliseconds. */
 const recheckIntervalMs = 20
 
+/** Refusals that promise that the request has not run; they must not be reported after a run. */
+const notRunRefusals: ReadonlySet<GatewayRefusal> = new Set([GatewayRefusal.Overloaded, GatewayRefusal.Quarantined])
+
 /** Maximum number of attempts that the backend servers did not run. */
 const maxNotRunAttempts = 6
 
@@ -43,6 +48,7 @@
     answer: response,
     route,
     service: chooseTarget(route, random.next()),
+    traits: createRequestTraits(request),
     deadlineAt: Math.min(request.deadlineAt, request.receivedAt + route.timeoutMs),
     isRetryable: route.kind === RouteKind.Safe || (route.kind === RouteKind.Streaming && route.resumable),
     hasResumePoint: true,
@@ -53,6 +59,8 @@
     lastEvent: request.resumeAfter,
     avoided: new Set(),
     hasOutput: false,
+    failureReason: undefined,
+    isBlocked: false,
     firstByteAt: undefined,
     status: 0,
     isResponseFramed: true,
@@ -64,15 +72,22 @@
 
 // Returns whether another attempt is to be made.
 async function makeAttempt (progress: ForwardingProgress, services: ForwardingServices): Promise<boolean> {
+  if (isQuarantined(progress, services)) return giveUp(progress, services, GatewayRefusal.Quarantined)
   const server = await findServer(progress, services)
   if (progress.request.disconnectSignal.aborted) return abortAfterDisconnect(progress, services)
+  if (isQuarantined(progress, services)) return giveUp(progress, services, GatewayRefusal.Quarantined)
   if (server === undefined) return giveUp(progress, services, GatewayRefusal.Overloaded)
   progress.server = server
   const end = await runCountedAttempt(progress, server, services)
   recordRun(progress, server, end, services)
+  await reportCrash(progress, server, end, services)
   return concludeAttempt(progress, server, end, services)
 }
 
+function isQuarantined ({ isBlocked, traits }: ForwardingProgress, { view }: ForwardingServices): boolean {
+  return isBlocked || view.quarantine.getBlockedMs(traits) !== undefined
+}
+
 async function runCountedAttempt (progress: ForwardingProgress, server: BackendServerRecord, services: ForwardingServices): Promise<ForwardedAttemptEnd> {
   services.metrics.count(Counter.Attempts, progress.route.kind)
   services.view.adjustLiveCount(server.id, 1)
@@ -83,11 +98,11 @@
   }
 }
 
-// An attempt that was aborted by the caller or never ran does not count for or against the server.
-function recordRun ({ request, status }: ForwardingProgress, server: BackendServerRecord, end: ForwardedAttemptEnd, { view }: ForwardingServices): void {
+// An attempt that was aborted by the caller or the quarantine, or never ran, does not count for or against the server.
+function recordRun ({ request, status, traits }: ForwardingProgress, server: BackendServerRecord, end: ForwardedAttemptEnd, { view }: ForwardingServices): void {
   if (end === ForwardedAttemptEnd.Complete) return view.recordRun(server.id, status < minServerErrorStatus)
-  const isCallerFault = request.disconnectSignal.aborted || request.remainder?.problem !== undefined
-  if (end === ForwardedAttemptEnd.Broken && !isCallerFault) view.recordRun(server.id, false)
+  const isServerFault = !request.disconnectSignal.aborted && request.remainder?.problem === undefined && view.quarantine.getBlockedMs(traits) === undefined
+  if (end === ForwardedAttemptEnd.Broken && isServerFault) view.recordRun(server.id, false)
 }
 
 // Returns whether another attempt is to be made; if not, the response has ended.
@@ -175,16 +190,15 @@
     services.logger.write(LogEvents.responseAborted, { ...describeProgress(progress, services), reason: refusal })
     return false
   }
-  // "Overloaded" means that the request has not run, so it must not be reported after a run.
-  const isNotRun = refusal === GatewayRefusal.Overloaded && progress.runs === 0
-  const reportedRefusal = refusal === GatewayRefusal.Overloaded && !isNotRun ? GatewayRefusal.Failed : refusal
-  sendRefusal(services, progress.request, response, reportedRefusal, progress)
+  const isRun = progress.runs > 0 && notRunRefusals.has(refusal)
+  sendRefusal(services, progress.request, response, isRun ? GatewayRefusal.Failed : refusal, progress)
   return false
 }
 
 function sendRefusal (services: ForwardingServices, request: CallerRequest, response: CallerResponse, refusal: GatewayRefusal, progress: ForwardingProgress | undefined): void {
   const jitteredRetryAfterMs = retryAfterBaseMs + services.random.next() * retryAfterBaseMs
-  response.refuse(refusal, jitteredRetryAfterMs)
+  const blockedMs = progress === undefined ? undefined : services.view.quarantine.getBlockedMs(progress.traits)
+  response.refuse(refusal, Math.max(jitteredRetryAfterMs, blockedMs ?? 0))
   services.metrics.count(Counter.Refusals, refusal)
   const described = progress === undefined ? { requestId: request.id, inputs: { version: services.view.tables?.version ?? 0 } } : describeProgress(progress, services)
   services.logger.write(LogEvents.requestRefused, { ...described, reason: refusal })
--- a/test/batchRunner.test.ts
+++ b/test/batchRunner.test.ts
@@ -32,6 +32,7 @@
   let recordedResults: FinishedItem[]
   let proposalFailuresLeft: number
   let live: number
+  const blocked = new Set<string>()
   let replicaState: { term: number, commitIndex: number, termStartIndex: number, appliedIndex: number }
   const changed = createCondition()
   const executors: Lifecycle[] = []
@@ -66,6 +67,7 @@
     recordedResults = []
     proposalFailuresLeft = 0
     live = 0
+    blocked.clear()
     const fleet = {
       changed,
       batch: new Map<string, number>(),
@@ -74,7 +76,8 @@
       listReadyServers: () => server.phase === 'ready' ? [server] : [],
       findServer: () => server,
       getLoad: () => ({ live, batch: 0 }),
-      isSuspect: () => false
+      isSuspect: () => false,
+      quarantine: { isBlocked: (traits: readonly string[]) => traits.some(trait => blocked.has(trait)) }
     } as unknown as FleetLeader
     replicaState = { term: 1, commitIndex: 5, termStartIndex: 5, appliedIndex: 5 }
     const replica = {
@@ -94,7 +97,7 @@
       }
     } as unknown as Replica
     runner = createBatchRunner({
-      fleet, replica, state, knownExecutors: () => [], getRegion: () => 'r1', clock: createSystemClock(), random: createSystemRandom(), logger: createSilentLogger(), metrics: createMetrics(), lifecycle, keepMs: 60_000
+      fleet, replica, state, listSharedPromptParts: item => (item.headers['X-Parts'] ?? '').split(' '), knownExecutors: () => [], getRegion: () => 'r1', clock: createSystemClock(), random: createSystemRandom(), logger: createSilentLogger(), metrics: createMetrics(), lifecycle, keepMs: 60_000
     })
     executors.push(startExecutor('e-1'))
     apply({ kind: CommandKind.Publish, publication: { tables: tablesOf(1, [routeOf({ kind: RouteKind.Batch, attempts: 2, dueMs: 10_000 })]), document: '', digest: '' } })
@@ -107,8 +110,8 @@
     return outcome
   }
 
-  function submit (job: string, ids: readonly string[]): void {
-    const items = ids.map(id => ({ id, path: '/p/1', headers: { 'X-Model': 'm' }, body: Buffer.from('body'), tokens: 100 }))
+  function submit (job: string, ids: readonly string[], headers: Readonly<Record<string, string>> = { 'X-Model': 'm' }): void {
+    const items = ids.map(id => ({ id, path: '/p/1', headers, body: Buffer.from('body'), tokens: 100 }))
     const submission = { id: job, host: 'a.example', route: 'r', pathPrefix: '/p/', acceptedAt: 0, giveUpAt: 0, items }
     apply({ kind: CommandKind.Submit, submission, tokenLimit: 0, giveUpMs: 0, time: Date.now() })
   }
@@ -166,6 +169,20 @@
     expect(recordedResults[0]?.output).to.equal('a\nb')
   })
 
+  // Guards against an item that crashes servers although its prompt part is known to, and against one that is never run again.
+  it('starts no item with a blocked prompt part, and starts it when the part is released', async () => {
+    startRunner([{ does: 'answer', pieces: [firstEvent] }, { does: 'answer', pieces: [firstEvent] }])
+    blocked.add('part dead')
+    submit('j', ['a'], { 'X-Parts': 'first dead' })
+    submit('k', ['b'], { 'X-Parts': 'first' })
+    await waitUntil(() => recordedResults.length === 1)
+    expect(servers.arrivals.map(arrival => arrival.request.id)).to.deep.equal(['b'])
+    blocked.clear()
+    changed.notify()
+    await waitUntil(() => recordedResults.length === 2)
+    expect(recordedResults[1]).to.include({ item: 'a', ending: 'done' })
+  })
+
   // Guards against items that are sent to, or keep running on, a server that is about to shut down.
   it('interrupts an item on a leaving server, and starts no other item there', async () => {
     startRunner([{ does: 'answer', pieces: [firstEvent], then: 'hang' }])
--- /dev/null
+++ b/test/requestQuarantine.test.ts
@@ -0,0 +1,170 @@
+import { expect } from 'chai'
+import { ok } from 'neverthrow'
+import type { ServerCrashReport } from '../src/process/fleet/fleetMessages.ts'
+import { attributeCrashes, type ServerCrash } from '../src/process/fleet/crashAttribution.ts'
+import { createTraitQuarantine, type TraitQuarantine } from '../src/process/fleet/traitQuarantine.ts'
+import { createLifecycle, type Lifecycle } from '../src/process/program/lifecycle.ts'
+import { createSilentLogger } from '../src/process/program/logger.ts'
+import type { Command } from '../src/process/state/commands.ts'
+import { applyCommand, type ControlState, createControlState } from '../src/process/state/controlState.ts'
+import { GatewayRefusal } from '../src/request/callerExchange.ts'
+import { runForwardedRequest } from '../src/request/forwardedRequest.ts'
+import { listPartTraits, type Trait } from '../src/request/requestTraits.ts'
+import { FakeClock } from './support/fakeClock.ts'
+import { forwardingServicesOf, RecordedResponse, requestOf, routeOf, ScriptedServers } from './support/fakeFleet.ts'
+import { restore } from './support/stateCommands.ts'
+
+const [first = '', second = '', dead = '', other = ''] = listPartTraits(['first', 'second', 'dead', 'other'])
+
+function crashOf (...requests: ReadonlyArray<readonly Trait[]>): ServerCrash {
+  const traits = new Map<Trait, number>()
+  for (const request of requests) {
+    for (const [position, trait] of request.entries()) traits.set(trait, position)
+  }
+  return { at: 0, traits, attributedTo: undefined }
+}
+
+function blamedOf (crashes: readonly ServerCrash[]): Array<[Trait, number]> {
+  return attributeCrashes(crashes, new Map()).blamed.map(({ trait, crashes: count }) => [trait, count])
+}
+
+describe('attribution of crashes', () => {
+  const crashing = [first, second, dead]
+
+  // Guards against blocking the parts that sound requests share with the crashing ones.
+  it('blames the last part of requests that were at the same crashes, and no part that others share', () => {
+    expect(blamedOf([crashOf(crashing), crashOf(crashing, [first, other])])).to.deep.equal([])
+    expect(blamedOf([crashOf(crashing), crashOf(crashing, [first, other]), crashOf(crashing)])).to.deep.equal([[dead, 3]])
+  })
+
+  // Guards against a part that is recognized late because it does not stand last.
+  it('blames an earlier part when the later ones differ', () => {
+    expect(blamedOf([crashOf([dead, first]), crashOf([dead, second]), crashOf([dead, other])])).to.deep.equal([[dead, 3]])
+  })
+
+  // Guards against blaming sound requests that happened to be at the crashes of a part that is known to crash servers.
+  it('attributes each crash under a known part to that part alone', () => {
+    const known = new Map([[dead, { trait: dead, crashes: 3, isBlocked: false }]])
+    const { blamed, suspects } = attributeCrashes([crashOf(crashing, [other]), crashOf(crashing, [other]), crashOf(crashing, [other])], known)
+    expect(blamed.map(({ trait, crashes }) => [trait, crashes])).to.deep.equal([[dead, 6]])
+    expect([...suspects]).to.deep.equal([])
+  })
+})
+
+describe('trait quarantine of the leader', () => {
+  let clock: FakeClock
+  let lifecycle: Lifecycle
+  let state: ControlState
+  let quarantine: TraitQuarantine
+  let starts = 0
+
+  beforeEach(() => {
+    clock = new FakeClock()
+    lifecycle = createLifecycle()
+    state = createControlState()
+    quarantine = startQuarantine()
+  })
+  afterEach(() => lifecycle.close())
+
+  function startQuarantine (): TraitQuarantine {
+    const replica = { propose: async (command: Command) => ok(applyCommand(state, command)) } as unknown as Parameters<typeof createTraitQuarantine>[0]['replica']
+    return createTraitQuarantine({ replica, state, clock, logger: createSilentLogger(), lifecycle, changed: () => {} })
+  }
+
+  // Reports a crash of another start of a server, and returns whether the request is blocked.
+  async function crash (...traits: readonly Trait[]): Promise<boolean> {
+    const report: ServerCrashReport = { server: 'i-1', startedAt: ++starts, traits }
+    const reported = quarantine.reportCrash(report)
+    await clock.advance(200)
+    return await reported
+  }
+
+  // Guards against a retry of the crashing request at yet another server.
+  it('blocks a part at its third crash, before it answers the report', async () => {
+    expect([await crash(first, dead), await crash(first, dead), await crash(first, dead)]).to.deep.equal([false, false, true])
+    expect([quarantine.isBlocked([first, other]), quarantine.isBlocked([dead])]).to.deep.equal([false, true])
+  })
+
+  // Guards against a part that is blamed because its requests were in flight when servers crashed for other reasons.
+  it('does not count crashes before the latest output to a request with the part', async () => {
+    await crash(first)
+    await crash(first)
+    await clock.advance(100)
+    quarantine.recordOutputs([{ trait: first, ageMs: 50 }])
+    expect([await crash(first), await crash(first)]).to.deep.equal([false, false])
+    expect(await crash(first)).to.equal(true)
+  })
+
+  // Guards against a sound part that stays blocked, and against a crashing part that is tried again and again.
+  it('tries a part again while its crashes are few, blocks it at the next crash, and clears it at the first output', async () => {
+    for (let count = 0; count < 3; count++) await crash(dead)
+    await clock.advance(10_000, 100)
+    quarantine.sweep()
+    await clock.advance(10)
+    expect(quarantine.isBlocked([dead])).to.equal(false)
+    expect(await crash(dead)).to.equal(true)
+    await clock.advance(10_000, 100)
+    quarantine.sweep()
+    await clock.advance(10)
+    expect(await crash(dead)).to.equal(true)
+    await clock.advance(100_000, 1_000)
+    quarantine.sweep()
+    await clock.advance(10)
+    expect(quarantine.isBlocked([dead]), 'after the fifth crash').to.equal(true)
+    quarantine.recordOutputs([{ trait: dead, ageMs: 0 }])
+    await clock.advance(10)
+    expect(quarantine.isBlocked([dead]), 'after an output').to.equal(false)
+  })
+
+  // Guards against a part that crashes servers anew under the next leader, or after a snapshot.
+  it('keeps blocked parts for the next leader and in a snapshot', async () => {
+    for (let count = 0; count < 3; count++) await crash(first, dead)
+    state = restore(state)
+    quarantine = startQuarantine()
+    quarantine.beginTerm()
+    expect(quarantine.isBlocked([dead])).to.equal(true)
+    expect(quarantine.createUpdate().blocked.map(({ trait }) => trait)).to.deep.equal([dead])
+  })
+})
+
+describe('forwarded request with a blocked part', () => {
+  const parts = ['first', 'dead']
+  const quarantine = { revision: 1, blocked: [{ trait: dead, remainingMs: 9_000 }], suspects: [] }
+
+  // Guards against a request that is known to crash servers and reaches one more, or waits until its deadline.
+  it('is refused as not run, with the time until the quarantine ends', async () => {
+    const servers = new ScriptedServers([])
+    const answer = new RecordedResponse()
+    await runForwardedRequest(requestOf({ sharedPromptParts: parts }).request, answer, forwardingServicesOf(servers, [routeOf()], { quarantine }))
+    expect(servers.arrivals).to.have.length(0)
+    expect(answer.refusal).to.equal(GatewayRefusal.Quarantined)
+    expect(answer.retryAfterMs).to.be.within(8_000, 9_000)
+  })
+
+  // Guards against a request that waits at a server when its part is blocked, and crashes it when its turn comes.
+  it('is withdrawn from a server that has not begun to answer, and is not sent to another one', async () => {
+    const servers = new ScriptedServers([{ does: 'hang' }])
+    const services = forwardingServicesOf(servers, [routeOf()])
+    const answer = new RecordedResponse()
+    const forwarding = runForwardedRequest(requestOf({ sharedPromptParts: parts }).request, answer, services)
+    while (servers.arrivals.length === 0) await new Promise(resolve => setImmediate(resolve))
+    services.view.quarantine.applyUpdate(quarantine)
+    await forwarding
+    expect(servers.arrivals).to.have.length(1)
+    expect(servers.arrivals[0]?.signal.aborted).to.equal(true)
+    expect(answer.refusal).to.equal(GatewayRefusal.Failed)
+  })
+
+  // Guards against a crash that is spread by a retry, and against crash reports about single broken connections.
+  for (const [name, stopped, sends] of [['is not sent again after a crash under it', true, 1], ['is sent again when only its connection broke', false, 2]] as const) {
+    it(name, async () => {
+      const servers = new ScriptedServers([{ does: 'fail', sent: true }, { does: 'answer', pieces: ['id: 0\ndata: a\n\n'] }])
+      if (stopped) for (const id of ['i-1', 'i-2', 'i-3']) servers.stopped.add(id)
+      const reports: ServerCrashReport[] = []
+      const control = { reportCrash: async (report: ServerCrashReport) => { reports.push(report); return ok({ isBlocked: true }) } }
+      await runForwardedRequest(requestOf({ sharedPromptParts: parts }).request, new RecordedResponse(), { ...forwardingServicesOf(servers, [routeOf()]), control })
+      expect(servers.arrivals).to.have.length(sends)
+      expect(reports.map(({ traits }) => traits.slice(0, 2))).to.deep.equal(stopped ? [[first, dead]] : [])
+    })
+  }
+})
--- a/test/support/fakeFleet.ts
+++ b/test/support/fakeFleet.ts
@@ -36,6 +36,8 @@
 /** Backend servers that handle each request by the next script, and refuse it when no script is left. */
 export class ScriptedServers extends BackendServerClient {
   readonly arrivals: Arrival[] = []
+  /** Ids of servers that have stopped listening. */
+  readonly stopped = new Set<string>()
   private readonly scripts: Script[]
 
   constructor (scripts: readonly Script[]) {
@@ -43,6 +45,10 @@
     this.scripts = [...scripts]
   }
 
+  override async hasStopped ({ id }: BackendServerTarget): Promise<boolean> {
+    return this.stopped.has(id)
+  }
+
   override async send (target: BackendServerTarget, request: BackendRequest, signal: AbortSignal): Promise<Result<BackendResponse, ExchangeFailure>> {
     this.arrivals.push({ server: target.id, request, signal })
     const script = this.scripts.shift() ?? { does: 'refuse' }
@@ -181,5 +187,6 @@
   const logger = createSilentLogger()
   const view = createFleetView(clock, logger, () => [])
   view.applyUpdate(fleetUpdateOf({ tables: tablesOf(1, routes), ...update }))
-  return { view, client, availabilityZone: 'z1', region: 'r1', getRegion: () => 'r1', clock, random: createSystemRandom(), logger, metrics: createMetrics() }
+  const control = { reportCrash: async () => ok({ isBlocked: false }) }
+  return { view, client, control, availabilityZone: 'z1', region: 'r1', getRegion: () => 'r1', clock, random: createSystemRandom(), logger, metrics: createMetrics() }
 }
