Try a blocked trait with one request at a time

When the quarantine of a part ended for a trial, everything that waited for it was sent at once: five servers crashed within 0.3 s. Cause: a trial lifted the block for every gateway and item, and crashes that were reported while a command was in flight were counted once only. Change: a trait on trial needs the leader's permission, which is granted to one request until its crash, its output or 3 s have passed; crashes are counted in the leader's memory ahead of the log; from the fifth crash on a trait is blocked for 60 s, and twice as long after each further one, in place of ten minutes. New tests: trials after the fifth crash, crashes reported at once (1 instead of 5 counted before).

--- a/src/process/fleet/crashAttribution.ts
+++ b/src/process/fleet/crashAttribution.ts
@@ -21,10 +21,9 @@
   attributedTo: Trait | undefined
 }
 
-/** A trait with the number of crashes that are attributed to it. */
+/** A trait to which further crashes are attributed. */
 export interface BlamedTrait {
   readonly trait: Trait
-  readonly crashes: number
   /** The crashes that were not attributed to it before. */
   readonly added: readonly ServerCrash[]
 }
@@ -64,7 +63,7 @@
   function blame (trait: Trait): void {
     const explained = listCrashesWith(trait, unexplained)
     const added = explained.filter(crash => crash.attributedTo !== trait)
-    if (added.length > 0) blamed.push({ trait, crashes: (known.get(trait)?.crashes ?? 0) + added.length, added })
+    if (added.length > 0) blamed.push({ trait, added })
     for (const crash of explained) unexplained.delete(crash)
   }
 }
--- a/src/process/fleet/fleetLeader.ts
+++ b/src/process/fleet/fleetLeader.ts
@@ -12,7 +12,7 @@
 import { type Replica, ReplicaRole } from '../log/replica.ts'
 import { millisecondsPerSecond } from '../program/units.ts'
 import { createBackendServerRegistry, type BackendServerRecord, type Heartbeat, ServerPhase } from './backendServerRegistry.ts'
-import { type FleetHost, fleetLongPollMs, type FleetUpdate, FleetRole, type FleetWatchRequest, type LoadReport, type LoadTotals, type ServerCrashReport, type ServerCrashVerdict, type ServerLoad } from './fleetMessages.ts'
+import { type FleetHost, fleetLongPollMs, type FleetUpdate, FleetRole, type FleetWatchRequest, type LoadReport, type LoadTotals, type ServerCrashReport, type ServerCrashVerdict, type ServerLoad, type TrialRequest } from './fleetMessages.ts'
 import { createHostSessions, sessionTimeoutMs } from './hostSessions.ts'
 import { createTraitQuarantine, type TraitQuarantine } from './traitQuarantine.ts'
 
@@ -77,6 +77,12 @@
    * @returns whether the request may be sent again, or a `NotLeader` failure
    */
   reportCrash (report: ServerCrashReport): Promise<Result<ServerCrashVerdict, Failure>>
+  /**
+   * Asks whether a request with traits on trial may be sent.
+   * @param request - the traits of the request
+   * @returns whether it may, or a `NotLeader` failure
+   */
+  acquireTrial (request: TrialRequest): Result<boolean, Failure>
   /**
    * Processes a heartbeat. For a leaving server it resolves only once every host that may send it requests has confirmed.
    * @param heartbeat - the heartbeat
@@ -313,6 +319,9 @@
       if (!isLeading()) return err(createNotLeaderFailure(Step.Report))
       return ok({ isBlocked: await quarantine.reportCrash(report) })
     },
+    acquireTrial ({ traits }) {
+      return isLeading() ? ok(quarantine.acquireTrial(traits)) : err(createNotLeaderFailure(Step.Report))
+    },
     async receiveHeartbeat (heartbeat) {
       if (!isLeading()) return err(createNotLeaderFailure(Step.Heartbeat))
       const previousPhase = registry.find(heartbeat.id)?.phase
--- a/src/process/fleet/fleetMessages.ts
+++ b/src/process/fleet/fleetMessages.ts
@@ -52,6 +52,8 @@
 export interface QuarantineUpdate {
   readonly revision: number
   readonly blocked: readonly BlockedTrait[]
+  /** Traits of requests that may be sent only with the permission of the leader. */
+  readonly onTrial: readonly Trait[]
   /** Traits whose output is to be reported. */
   readonly suspects: readonly Trait[]
 }
@@ -72,6 +74,11 @@
   readonly isBlocked: boolean
 }
 
+/** A request for a trial: asks whether a request with traits on trial may be sent. */
+export interface TrialRequest {
+  readonly traits: readonly Trait[]
+}
+
 /** The latest output to a request with a trait. */
 export interface TraitOutput {
   readonly trait: Trait
--- a/src/process/fleet/quarantineView.ts
+++ b/src/process/fleet/quarantineView.ts
@@ -24,6 +24,12 @@
    * @returns the remaining time in milliseconds, or undefined if it may be sent
    */
   getBlockedMs (traits: RequestTraits): number | undefined
+  /**
+   * Checks whether the leader has to permit a request.
+   * @param traits - its traits
+   * @returns true if one of them is on trial
+   */
+  isOnTrial (traits: RequestTraits): boolean
   /**
    * Registers an attempt without output, which is aborted if its request is blocked.
    * @param traits - traits of the request
@@ -53,6 +59,7 @@
 export function createQuarantineView (clock: Clock): QuarantineView {
   // Monotonic time at which a trait is released, in milliseconds.
   const blockedUntil = new Map<Trait, number>()
+  let onTrial: ReadonlySet<Trait> = new Set()
   let hasBlockedContent = false
   let suspects: readonly Trait[] = []
   let revision = 0
@@ -75,6 +82,7 @@
     applyUpdate (update) {
       revision = update.revision
       suspects = update.suspects
+      onTrial = new Set(update.onTrial)
       blockedUntil.clear()
       hasBlockedContent = false
       for (const { trait, remainingMs } of update.blocked) {
@@ -89,6 +97,11 @@
       }
     },
     getBlockedMs,
+    isOnTrial (traits) {
+      if (onTrial.size === 0) return false
+      const content = traits.getContent()
+      return traits.parts.some(trait => onTrial.has(trait)) || (content !== undefined && onTrial.has(content))
+    },
     registerAttempt (traits, abort) {
       attempts.set(abort, traits)
       return () => attempts.delete(abort)
--- a/src/process/fleet/traitQuarantine.ts
+++ b/src/process/fleet/traitQuarantine.ts
@@ -14,7 +14,7 @@
 import { CommandKind } from '../state/commands.ts'
 import type { QuarantinedTrait, QuarantinedTraits } from '../state/quarantinedTraits.ts'
 import { attributeCrashes, type BlamedTrait, type ServerCrash } from './crashAttribution.ts'
-import type { QuarantineUpdate, ServerCrashReport, TraitOutput } from './fleetMessages.ts'
+import type { BlockedTrait, QuarantineUpdate, ServerCrashReport, TraitOutput } from './fleetMessages.ts'
 
 /** Time from the first report of a crash to its attribution, in milliseconds: reports of other regions arrive a round trip later. */
 const attributionDelayMs = 100
@@ -29,14 +29,23 @@
 const maxCrashes = 200
 
 /**
- * Time for which a trait is blocked while its crashes are few, in milliseconds. A sound trait that was in flight at unrelated
- * crashes is then cleared by the first output; a crash blocks it again.
+ * Time for which a trait is blocked while its crashes are few, in milliseconds. It is then on trial: one request at a time may be
+ * sent. The first output clears a sound trait that was in flight at unrelated crashes; a crash blocks the trait again.
  */
-const trialAfterMs = 10_000
+const minBlockMs = 10_000
 
-/** Crashes from which a trait is blocked for `crashRetentionMs`: every further trial would cost a backend server. */
+/**
+ * Time for which a trait is blocked after `provenLimit` crashes, in milliseconds; doubles with each further crash, since every
+ * trial costs a backend server.
+ */
+const provenBlockMs = 60_000
+
+/** Crashes from which it is unlikely that a trait was in flight by chance. */
 const provenLimit = 5
 
+/** Time for which a granted trial without an outcome prevents the next one, in milliseconds. */
+const trialTimeoutMs = 3_000
+
 /** Position of the content of a request, behind that of any prompt part. */
 const contentPosition = Infinity
 
@@ -71,11 +80,17 @@
    */
   recordOutputs (outputs: readonly TraitOutput[]): void
   /**
-   * Checks whether a request may be sent.
+   * Checks whether a request must not be sent.
    * @param traits - its traits
    * @returns true if one of them is blocked
    */
   isBlocked (traits: Iterable<Trait>): boolean
+  /**
+   * Asks whether a request with traits on trial may be sent. A granted trial ends with a crash or an output, or expires.
+   * @param traits - its traits
+   * @returns false if one of them is blocked or in another trial
+   */
+  acquireTrial (traits: readonly Trait[]): boolean
   /** Releases traits whose time is over, and removes old crashes. */
   sweep (): void
   /** Describes the blocked traits and the suspects to other hosts. */
@@ -100,6 +115,10 @@
   const crashes = new Map<string, RecordedCrash>()
   // Monotonic time at which a blocked trait is released, in milliseconds.
   const releaseAt = new Map<Trait, number>()
+  // Crashes attributed to a trait in this term and before; ahead of the replicated state while a command is in flight.
+  const counts = new Map<Trait, number>()
+  // Monotonic time at which the last trial of a trait was granted, in milliseconds.
+  const trialGrantedAt = new Map<Trait, number>()
   let suspects: ReadonlySet<Trait> = new Set()
   let revision = 1
 
@@ -136,19 +155,20 @@
   async function attribute (): Promise<void> {
     const settled = [...crashes.values()].filter(crash => crash.isSettled)
     const { blamed, suspects: parts } = attributeCrashes(settled, getKnown())
-    for (const { trait, crashes: count, added } of blamed) {
-      for (const crash of added) crash.attributedTo = trait
-      logger.write(LogEvents.traitQuarantined, { detail: trait, value: count })
-    }
     setSuspects(parts)
     if (blamed.length > 0) await block(blamed)
   }
 
   async function block (blamed: readonly BlamedTrait[]): Promise<void> {
     const changed: QuarantinedTrait[] = []
-    for (const { trait, crashes: count } of blamed) {
+    for (const { trait, added } of blamed) {
+      for (const crash of added) crash.attributedTo = trait
+      const count = (counts.get(trait) ?? getKnown().get(trait)?.crashes ?? 0) + added.length
+      counts.set(trait, count)
       changed.push({ trait, crashes: count, isBlocked: true })
       releaseAt.set(trait, clock.now() + getBlockDuration(count))
+      trialGrantedAt.delete(trait)
+      logger.write(LogEvents.traitQuarantined, { detail: trait, value: count })
     }
     await replica.propose({ kind: CommandKind.UpdateQuarantine, changed, removed: [] })
   }
@@ -171,6 +191,14 @@
     return false
   }
 
+  function isRecorded (trait: Trait): boolean {
+    if (getKnown().has(trait)) return true
+    for (const crash of crashes.values()) {
+      if (crash.traits.has(trait)) return true
+    }
+    return false
+  }
+
   function getLastCrashAt (trait: Trait): number {
     let last = -Infinity
     for (const crash of crashes.values()) {
@@ -191,6 +219,8 @@
     beginTerm () {
       crashes.clear()
       releaseAt.clear()
+      counts.clear()
+      trialGrantedAt.clear()
       suspects = new Set(getKnown().keys())
       notifyChanged()
     },
@@ -204,22 +234,36 @@
       return isBlocked(report.traits)
     },
     recordOutputs (outputs) {
-      if (outputs.length === 0) return
+      const recorded = outputs.filter(({ trait }) => isRecorded(trait))
+      if (recorded.length === 0) return
       const removed: Trait[] = []
-      for (const { trait, ageMs } of outputs) {
+      for (const { trait, ageMs } of recorded) {
         const at = clock.now() - ageMs
         if (getKnown().has(trait) && at > getLastCrashAt(trait)) removed.push(trait)
         for (const crash of crashes.values()) {
           if (crash.at < at) crash.traits.delete(trait)
         }
       }
-      for (const trait of removed) logger.write(LogEvents.traitReleased, { detail: trait, reason: 'output' })
+      for (const trait of removed) {
+        counts.delete(trait)
+        logger.write(LogEvents.traitReleased, { detail: trait, reason: 'output' })
+      }
       lifecycle.run(async () => {
         if (removed.length > 0) await replica.propose({ kind: CommandKind.UpdateQuarantine, changed: [], removed })
         await attribute()
       })
     },
     isBlocked,
+    acquireTrial (traits) {
+      if (isBlocked(traits)) return false
+      const now = clock.now()
+      const onTrial = traits.filter(trait => getKnown().has(trait))
+      for (const trait of onTrial) {
+        if (now - (trialGrantedAt.get(trait) ?? -Infinity) < trialTimeoutMs) return false
+      }
+      for (const trait of onTrial) trialGrantedAt.set(trait, now)
+      return true
+    },
     sweep () {
       const now = clock.now()
       for (const [key, crash] of crashes) {
@@ -238,11 +282,13 @@
     },
     createUpdate () {
       const now = clock.now()
-      const blocked = []
+      const blocked: BlockedTrait[] = []
+      const onTrial: Trait[] = []
       for (const { trait, isBlocked: isActive, crashes: count } of getKnown().values()) {
         if (isActive) blocked.push({ trait, remainingMs: Math.max(0, Math.round((releaseAt.get(trait) ?? now + getBlockDuration(count)) - now)) })
+        else onTrial.push(trait)
       }
-      return { revision, blocked, suspects: [...suspects] }
+      return { revision, blocked, onTrial, suspects: [...suspects] }
     }
   }
 }
@@ -253,5 +299,6 @@
  * @returns the duration in milliseconds
  */
 function getBlockDuration (crashes: number): number {
-  return crashes >= provenLimit ? crashRetentionMs : trialAfterMs
+  if (crashes < provenLimit) return minBlockMs
+  return Math.min(crashRetentionMs, provenBlockMs * 2 ** (crashes - provenLimit))
 }
--- a/src/request/forwardedAttempt.ts
+++ b/src/request/forwardedAttempt.ts
@@ -35,7 +35,7 @@
 export interface ForwardingServices extends Omit<ProcessServices, 'lifecycle'> {
   readonly view: FleetView
   readonly client: BackendServerClient
-  readonly control: Pick<FleetClient, 'reportCrash'>
+  readonly control: Pick<FleetClient, 'reportCrash' | 'acquireTrial'>
   readonly availabilityZone: string
   /** Returns the region of an availability zone; undefined when the settings do not name it. */
   readonly getRegion: (availabilityZone: string) => string | undefined
@@ -90,6 +90,8 @@
   failureReason: FailureReason | undefined
   /** Whether the request must not be sent again, since backend servers crash under requests like it. */
   isBlocked: boolean
+  /** Whether the leader has permitted the request although it has a trait on trial. */
+  hasTrial: boolean
   /** Monotonic time at which relaying of the response began, in milliseconds. */
   firstByteAt: number | undefined
   /** Status of the latest response of a server; 0 before the first. */
--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -10,7 +10,7 @@
 import { type CallerResponse, type CallerRequest, GatewayRefusal } from './callerExchange.ts'
 import { ForwardedAttemptEnd, type ForwardingServices, isBodyReplayable, type ForwardingProgress, runForwardedAttempt, minServerErrorStatus } from './forwardedAttempt.ts'
 import { reportCrash } from './crashReport.ts'
-import { createRequestTraits } from './requestTraits.ts'
+import { createRequestTraits, listTraits } from './requestTraits.ts'
 import { chooseServer, type ServerCandidate } from './serverChoice.ts'
 
 /** Live requests that may queue at a backend server beyond its slots; with 8 slots and responses of about 0.7 s, each waits about 90 ms. */
@@ -61,6 +61,7 @@
     hasOutput: false,
     failureReason: undefined,
     isBlocked: false,
+    hasTrial: false,
     firstByteAt: undefined,
     status: 0,
     isResponseFramed: true,
@@ -77,6 +78,7 @@
   if (progress.request.disconnectSignal.aborted) return abortAfterDisconnect(progress, services)
   if (isQuarantined(progress, services)) return giveUp(progress, services, GatewayRefusal.Quarantined)
   if (server === undefined) return giveUp(progress, services, GatewayRefusal.Overloaded)
+  if (!await acquireTrial(progress, services)) return giveUp(progress, services, GatewayRefusal.Quarantined)
   progress.server = server
   const end = await runCountedAttempt(progress, server, services)
   recordRun(progress, server, end, services)
@@ -88,6 +90,14 @@
   return isBlocked || view.quarantine.getBlockedMs(traits) !== undefined
 }
 
+// Returns whether the request may be sent: if one of its traits is on trial, only one request at a time may.
+async function acquireTrial (progress: ForwardingProgress, { view, control }: ForwardingServices): Promise<boolean> {
+  if (progress.hasTrial || !view.quarantine.isOnTrial(progress.traits)) return true
+  const granted = await control.acquireTrial({ traits: listTraits(progress.traits) })
+  progress.hasTrial = granted.isOk() && granted.value
+  return progress.hasTrial
+}
+
 async function runCountedAttempt (progress: ForwardingProgress, server: BackendServerRecord, services: ForwardingServices): Promise<ForwardedAttemptEnd> {
   services.metrics.count(Counter.Attempts, progress.route.kind)
   services.view.adjustLiveCount(server.id, 1)
--- a/test/requestQuarantine.test.ts
+++ b/test/requestQuarantine.test.ts
@@ -25,7 +25,7 @@
 }
 
 function blamedOf (crashes: readonly ServerCrash[]): Array<[Trait, number]> {
-  return attributeCrashes(crashes, new Map()).blamed.map(({ trait, crashes: count }) => [trait, count])
+  return attributeCrashes(crashes, new Map()).blamed.map(({ trait, added }) => [trait, added.length])
 }
 
 describe('attribution of crashes', () => {
@@ -46,7 +46,7 @@
   it('attributes each crash under a known part to that part alone', () => {
     const known = new Map([[dead, { trait: dead, crashes: 3, isBlocked: false }]])
     const { blamed, suspects } = attributeCrashes([crashOf(crashing, [other]), crashOf(crashing, [other]), crashOf(crashing, [other])], known)
-    expect(blamed.map(({ trait, crashes }) => [trait, crashes])).to.deep.equal([[dead, 6]])
+    expect(blamed.map(({ trait, added }) => [trait, added.length])).to.deep.equal([[dead, 3]])
     expect([...suspects]).to.deep.equal([])
   })
 })
@@ -95,25 +95,45 @@
     expect(await crash(first)).to.equal(true)
   })
 
-  // Guards against a sound part that stays blocked, and against a crashing part that is tried again and again.
-  it('tries a part again while its crashes are few, blocks it at the next crash, and clears it at the first output', async () => {
-    for (let count = 0; count < 3; count++) await crash(dead)
-    await clock.advance(10_000, 100)
-    quarantine.sweep()
-    await clock.advance(10)
-    expect(quarantine.isBlocked([dead])).to.equal(false)
-    expect(await crash(dead)).to.equal(true)
-    await clock.advance(10_000, 100)
+  async function waitForTrial (durationMs: number): Promise<void> {
+    await clock.advance(durationMs, 100)
     quarantine.sweep()
     await clock.advance(10)
+  }
+
+  // Guards against a sound part that stays blocked, and against a crashing part that is tried by many requests at once.
+  it('tries a part again with one request at a time, blocks it at the next crash, and clears it at the first output', async () => {
+    for (let count = 0; count < 3; count++) await crash(dead)
+    expect(quarantine.acquireTrial([dead]), 'while blocked').to.equal(false)
+    await waitForTrial(10_000)
+    expect([quarantine.acquireTrial([first, dead]), quarantine.acquireTrial([dead])]).to.deep.equal([true, false])
     expect(await crash(dead)).to.equal(true)
-    await clock.advance(100_000, 1_000)
-    quarantine.sweep()
-    await clock.advance(10)
-    expect(quarantine.isBlocked([dead]), 'after the fifth crash').to.equal(true)
+    await waitForTrial(10_000)
+    expect(quarantine.acquireTrial([dead])).to.equal(true)
     quarantine.recordOutputs([{ trait: dead, ageMs: 0 }])
     await clock.advance(10)
-    expect(quarantine.isBlocked([dead]), 'after an output').to.equal(false)
+    expect([quarantine.acquireTrial([dead]), quarantine.acquireTrial([dead])], 'after an output').to.deep.equal([true, true])
+  })
+
+  // Guards against more than three further crashes under a part that has crashed five servers, in a day of several minutes.
+  it('tries a part less and less often from the fifth crash on', async () => {
+    for (let count = 0; count < 5; count++) await crash(dead)
+    let trials = 0
+    for (let second = 0; second < 400; second++) {
+      await waitForTrial(990)
+      if (!quarantine.acquireTrial([dead])) continue
+      trials++
+      await crash(dead)
+    }
+    expect(trials).to.equal(2)
+  })
+
+  // Guards against crashes that are not counted while the command for the one before is in flight.
+  it('counts crashes that are reported at the same time', async () => {
+    const reports = [1, 2, 3, 4, 5].map(startedAt => quarantine.reportCrash({ server: 'i-1', startedAt, traits: [dead] }))
+    await clock.advance(200)
+    await Promise.all(reports)
+    expect(state.quarantinedTraits.get(dead)?.crashes).to.equal(5)
   })
 
   // Guards against a part that crashes servers anew under the next leader, or after a snapshot.
@@ -128,8 +148,20 @@
 })
 
 describe('forwarded request with a blocked part', () => {
+  // Guards against a trial of every gateway at the same time.
+  it('is sent on trial only with the permission of the leader', async () => {
+    for (const granted of [false, true]) {
+      const servers = new ScriptedServers([{ does: 'answer', pieces: ['id: 0\ndata: a\n\n'] }])
+      const services = forwardingServicesOf(servers, [routeOf()], { quarantine: { revision: 1, blocked: [], onTrial: [dead], suspects: [dead] } })
+      const answer = new RecordedResponse()
+      await runForwardedRequest(requestOf({ sharedPromptParts: parts }).request, answer, { ...services, control: { ...services.control, acquireTrial: async () => ok(granted) } })
+      expect([servers.arrivals.length, answer.refusal]).to.deep.equal(granted ? [1, undefined] : [0, GatewayRefusal.Quarantined])
+      expect(services.view.quarantine.listOutputs().map(({ trait }) => trait)).to.deep.equal(granted ? [dead] : [])
+    }
+  })
+
   const parts = ['first', 'dead']
-  const quarantine = { revision: 1, blocked: [{ trait: dead, remainingMs: 9_000 }], suspects: [] }
+  const quarantine = { revision: 1, blocked: [{ trait: dead, remainingMs: 9_000 }], onTrial: [], suspects: [] }
 
   // Guards against a request that is known to crash servers and reaches one more, or waits until its deadline.
   it('is refused as not run, with the time until the quarantine ends', async () => {
@@ -161,7 +193,7 @@
       const servers = new ScriptedServers([{ does: 'fail', sent: true }, { does: 'answer', pieces: ['id: 0\ndata: a\n\n'] }])
       if (stopped) for (const id of ['i-1', 'i-2', 'i-3']) servers.stopped.add(id)
       const reports: ServerCrashReport[] = []
-      const control = { reportCrash: async (report: ServerCrashReport) => { reports.push(report); return ok({ isBlocked: true }) } }
+      const control = { reportCrash: async (report: ServerCrashReport) => { reports.push(report); return ok({ isBlocked: true }) }, acquireTrial: async () => ok(true) }
       await runForwardedRequest(requestOf({ sharedPromptParts: parts }).request, new RecordedResponse(), { ...forwardingServicesOf(servers, [routeOf()]), control })
       expect(servers.arrivals).to.have.length(sends)
       expect(reports.map(({ traits }) => traits.slice(0, 2))).to.deep.equal(stopped ? [[first, dead]] : [])
