Report crashes under items of jobs, and outputs of items

Change: an executor whose run breaks before any output of the item checks whether the server still listens, and says so in its report; the leader adds the shared prompt parts of the item to the crash. The first output of a run clears its parts. Items of a part on trial are started one at a time; a run in progress is not interrupted, so a sound part that was at unrelated crashes is cleared by its own output.

--- a/src/process/fleet/batchRunner.ts
+++ b/src/process/fleet/batchRunner.ts
@@ -5,7 +5,7 @@
  */
 import { err, type Result } from 'neverthrow'
 import { hasFreeSlot, type ItemUrgency, orderByUrgency, planBatch, type PlannedServer } from '../../request/batchPlan.ts'
-import { listPartTraits } from '../../request/requestTraits.ts'
+import { listPartTraits, type Trait } from '../../request/requestTraits.ts'
 import { RunEnd } from '../../request/submittedItemRun.ts'
 import { chooseTarget, createRouteIndex, type GatewayRoute, matchRoute, type RouteIndex, RouteKind } from '../../version/gatewayTables.ts'
 import { CommandKind, Ending } from '../state/commands.ts'
@@ -23,7 +23,7 @@
 import type { FleetLeader } from './fleetLeader.ts'
 import { createItemEndRecorder, ItemEndCause, logItemEnd } from './itemEndRecorder.ts'
 import { createItemDurationEstimator } from './itemDurationEstimator.ts'
-import { countSavedEvents, createOpenItems, delayStartAfterInterruption, delayStartAfterFailure, type OpenItem } from './openItems.ts'
+import { countSavedEvents, createItemKey, createOpenItems, delayStartAfterInterruption, delayStartAfterFailure, type OpenItem } from './openItems.ts'
 import { createRunAssignments } from './runAssignments.ts'
 import type { RunPoll, RunReports, RunUpdate } from './runMessages.ts'
 import { type CurrentReport, recordRunReports } from './runReports.ts'
@@ -169,7 +169,7 @@
         continue
       }
       // It stays open until the quarantine ends, or until it is given up.
-      if (fleet.quarantine.isBlocked(listPartTraits(inputs.listSharedPromptParts(entry.item)))) continue
+      if (fleet.quarantine.isBlocked(listTraitsOf(entry))) continue
       const service = chooseTarget(route, random.next())
       const keys = startableByService.get(service) ?? []
       keys.push(key)
@@ -212,6 +212,7 @@
     const entry = items.find(key)
     const server = fleet.findServer(serverId)
     if (entry === undefined || server === undefined) return
+    if (!fleet.quarantine.acquireTrial(listTraitsOf(entry))) return
     assignments.start(entry, server)
   }
 
@@ -239,6 +240,7 @@
         delayStartAfterInterruption(entry, entry.interruptions, clock.now())
         break
       case RunEnd.Interrupted:
+        if (report.hasCrashed === true) reportCrash(entry, run.server)
         if (run.isInterrupted) break
         entry.interruptions++
         delayStartAfterInterruption(entry, entry.interruptions, clock.now())
@@ -248,6 +250,26 @@
     fleet.changed.notify()
   }
 
+  function listTraitsOf ({ item }: OpenItem): Trait[] {
+    return listPartTraits(inputs.listSharedPromptParts(item))
+  }
+
+  function reportCrash (entry: OpenItem, server: string): void {
+    const traits = listTraitsOf(entry)
+    const startedAt = fleet.findServer(server)?.startedAt ?? 0
+    lifecycle.run(async () => { await fleet.quarantine.reportCrash({ server, startedAt, traits }) })
+  }
+
+  // Reports the first output of each run, which clears the parts of the item.
+  function recordOutputs (reports: RunReports): void {
+    for (const report of reports.reports) {
+      const entry = items.find(createItemKey(report))
+      if (entry?.run?.id !== report.run || entry.run.hasOutput || report.data.length === 0) continue
+      entry.run.hasOutput = true
+      fleet.quarantine.recordOutputs(listTraitsOf(entry).map(trait => ({ trait, ageMs: 0 })))
+    }
+  }
+
   function finish (entry: OpenItem, cause: ItemEndCause): void {
     entry.isEnding = true
     endRecorder.record({ job: entry.record.submission.id, item: entry.item.id, ending: Ending.Failed, output: '' }, cause)
@@ -299,6 +321,7 @@
     },
     async report (reports) {
       if (!await waitForTerm()) return err(createNotReadyFailure())
+      recordOutputs(reports)
       const services = { items, replica, getAttempts: (entry: OpenItem) => findRoute(entry)?.attempts ?? 1, handleEnd, release: assignments.release }
       return await recordRunReports(reports, services)
     }
--- a/src/process/fleet/openItems.ts
+++ b/src/process/fleet/openItems.ts
@@ -25,6 +25,8 @@
   readonly server: string
   /** Identifies the process start of the executor. */
   readonly executor: string
+  /** Whether output of the item was reported, in this run or an earlier one. */
+  hasOutput: boolean
   /** Whether the run was interrupted and has not been reported as ended yet. */
   isInterrupted: boolean
 }
--- a/src/process/fleet/runAssignments.ts
+++ b/src/process/fleet/runAssignments.ts
@@ -108,7 +108,7 @@
       const key = createItemKey(reference)
       const entry = items.find(key)
       if (entry === undefined || entry.run !== undefined) continue
-      entry.run = { id: reference.run, server: reference.server, executor: holder, isInterrupted: false }
+      entry.run = { id: reference.run, server: reference.server, executor: holder, hasOutput: countSavedEvents(entry) > 0, isInterrupted: false }
       executors.assign(holder, { run: reference.run, key, assignment: undefined, isStopped: false, isSent: true })
       adjustBatchCount(reference.server, 1)
     }
@@ -143,7 +143,7 @@
       if (executor === undefined) return
       const { key, record: { submission, progress }, item } = entry
       const run = `${leadership}/${++lastRun}`
-      entry.run = { id: run, server: server.id, executor: executor.holder, isInterrupted: false }
+      entry.run = { id: run, server: server.id, executor: executor.holder, hasOutput: countSavedEvents(entry) > 0, isInterrupted: false }
       const lastEvent = progress.get(item.id)?.lastEvent
       const assignment = {
         run, job: submission.id, item, host: submission.host, target: { address: server.address, id: server.id }, savedEvents: countSavedEvents(entry), lastEvent
--- a/src/request/crashReport.ts
+++ b/src/request/crashReport.ts
@@ -2,6 +2,7 @@
  * Detects that a backend server crashed under a request, and reports it.
  * @module
  */
+import type { BackendServerClient, BackendServerTarget } from '../connection/backendServerClient.ts'
 import type { BackendServerRecord } from '../process/fleet/backendServerRegistry.ts'
 import { FailureReason } from '../process/program/failure.ts'
 import { ForwardedAttemptEnd, type ForwardingProgress, type ForwardingServices } from './forwardedAttempt.ts'
@@ -19,12 +20,23 @@
 export async function reportCrash (progress: ForwardingProgress, server: BackendServerRecord, end: ForwardedAttemptEnd, services: ForwardingServices): Promise<void> {
   const { client, view, control } = services
   if (end !== ForwardedAttemptEnd.Broken || progress.hasOutput) return
-  if (progress.failureReason !== FailureReason.Reset && progress.failureReason !== FailureReason.Incomplete) return
   const traits = listTraits(progress.traits)
   if (traits.length === 0) return
-  // One connection may also break while the server goes on; after a crash no process listens at its address.
-  if (!await client.hasStopped({ address: server.address, id: server.id })) return
+  if (!await hasCrashed({ address: server.address, id: server.id }, progress.failureReason, client)) return
   view.markSuspect(server.id, FailureReason.Refused)
   const verdict = await control.reportCrash({ server: server.id, startedAt: server.startedAt, traits })
   if (verdict.isOk() && verdict.value.isBlocked) progress.isBlocked = true
 }
+
+/**
+ * Checks whether a backend server crashed when a connection to it broke.
+ * @param target - the server
+ * @param reason - why the attempt failed
+ * @param client - client of the backend servers
+ * @returns false if it goes on, or if the attempt failed for another reason
+ */
+export async function hasCrashed (target: BackendServerTarget, reason: FailureReason | undefined, client: BackendServerClient): Promise<boolean> {
+  if (reason !== FailureReason.Reset && reason !== FailureReason.Incomplete) return false
+  // One connection may also break while the server goes on; after a crash no process listens at its address.
+  return await client.hasStopped(target)
+}
