Log the request limits that backend servers name

Cause: no log told which server named which limit and when. Change: platform/ decodes the header into the response of a backend server, event 426 is written when a response names another limit than the last one, and jaychute_limited_requests_total counts requests to servers with a limit. No decision uses the limits yet.

--- a/src/connection/backendServerClient.ts
+++ b/src/connection/backendServerClient.ts
@@ -28,6 +28,8 @@
   | {
     readonly kind: typeof BackendResponseKind.Response
     readonly status: number
+    /** Requests per second that the server takes from all hosts together; undefined if it names no limit. */
+    readonly requestLimit: number | undefined
     /** Headers to forward to the caller, as alternating names and values. */
     readonly headers: readonly string[]
     /**
@@ -42,6 +44,7 @@
     /** The server reports that it has not run the request. */
     readonly kind: typeof BackendResponseKind.NotRun
     readonly status: number
+    readonly requestLimit: number | undefined
   }
 
 /** A failure before the head of a response was received. */
--- a/src/process/fleet/fleetView.ts
+++ b/src/process/fleet/fleetView.ts
@@ -10,6 +10,7 @@
 import { createRouteIndex, type GatewayTables, type RouteIndex } from '../../version/gatewayTables.ts'
 import { type BackendServerRecord, isNewer, ServerPhase } from './backendServerRegistry.ts'
 import { createQuarantineView, type QuarantineView } from './quarantineView.ts'
+import { createRequestLimits, type RequestLimits } from './requestLimits.ts'
 import type { FleetHost, FleetUpdate, FleetWatchRequest, LoadTotals, ServerLoad } from './fleetMessages.ts'
 
 /** Time for which a backend server is avoided after a failed connection, in milliseconds. A crash lasts a few seconds, and other hosts report when the server is reachable again. */
@@ -28,6 +29,8 @@
   readonly controlHosts: readonly string[]
   /** Requests to refuse because backend servers crash under them. */
   readonly quarantine: QuarantineView
+  /** Limits that backend servers name in their responses to this host. */
+  readonly requestLimits: RequestLimits
   /** Notified after each update from the leader. */
   readonly changed: Condition
   /** Notified when the load or the suspects of this host changed and should be reported. */
@@ -112,6 +115,7 @@
   const failureRates = new Map<string, number>()
   let reportedSuspects: ReadonlySet<string> = new Set()
   const quarantine = createQuarantineView(clock)
+  const requestLimits = createRequestLimits(logger)
   const changed = createCondition(clock)
   const loadChanged = createCondition(clock)
   let tables: GatewayTables | undefined
@@ -149,6 +153,7 @@
     get controlHosts () { return [...new Set([...reportedControlHosts, ...seeds()])] },
     get lastContactAt () { return lastContactAt },
     quarantine,
+    requestLimits,
     changed,
     loadChanged,
     live,
--- a/src/process/fleet/itemExecutor.ts
+++ b/src/process/fleet/itemExecutor.ts
@@ -98,9 +98,19 @@
 
   async function perform (run: ExecutorRun, closeSignal: AbortSignal): Promise<void> {
     const { assignment: { item, host, target }, controller, progress } = run
+    if (view.requestLimits.find(target.id) !== undefined) metrics.count(Counter.LimitedRequests, 'item')
     const outcome: RunOutcome = isLeaving(target.id)
       ? { end: RunEnd.NotRun }
-      : await runSubmittedItem({ item, host, target, client, progress, idleTimeoutMs: eventIdleTimeoutMs, signal: AbortSignal.any([closeSignal, controller.signal]) })
+      : await runSubmittedItem({
+        item,
+        host,
+        target,
+        client,
+        progress,
+        idleTimeoutMs: eventIdleTimeoutMs,
+        recordRequestLimit: perSecond => view.requestLimits.record(target.id, perSecond),
+        signal: AbortSignal.any([closeSignal, controller.signal])
+      })
     const { end, failure } = outcome
     // Before the end is set, since a run with an end is reported.
     if (end === RunEnd.Interrupted && run.savedEvents + progress.data.length === 0) run.hasCrashed = await hasCrashed(target, failure?.reason, client)
--- a/src/process/program/logEvents.ts
+++ b/src/process/program/logEvents.ts
@@ -62,6 +62,7 @@
   leaderUnreachable: { number: 423, level: Level.Warn, text: 'leader of the control hosts unreachable; continuing with the last known state', action: 'Check that a majority of control hosts runs and is reachable.' },
   serverSuspected: { number: 424, level: Level.Warn, text: 'backend server suspected after a failed connection; avoided temporarily', action: 'Check the backend server if it repeats.' },
   heartbeatIgnored: { number: 425, level: Level.Debug, text: 'late or invalid heartbeat ignored', action: noAction },
+  requestLimitChanged: { number: 426, level: Level.Info, text: 'backend server named another request limit', action: 'Check the backend server: it takes fewer requests than it has slots for.' },
   orderIssuerChanged: { number: 410, level: Level.Info, text: 'this host issues the orders to the engines of a pool', action: noAction },
   orderSent: { number: 411, level: Level.Info, text: 'engine ordered to load a model', action: noAction },
   orderFailed: { number: 412, level: Level.Warn, text: 'order to an engine failed', action: 'Check the backend server if it repeats.' },
--- a/src/process/program/metrics.ts
+++ b/src/process/program/metrics.ts
@@ -8,6 +8,7 @@
 export const Counter = {
   Requests: 'jaychute_requests_total',
   Refusals: 'jaychute_refusals_total',
+  LimitedRequests: 'jaychute_limited_requests_total',
   Retries: 'jaychute_retries_total',
   RetriesDenied: 'jaychute_retries_denied_total',
   Attempts: 'jaychute_attempts_total',
--- a/src/request/forwardedAttempt.ts
+++ b/src/request/forwardedAttempt.ts
@@ -142,6 +142,7 @@
     }, abort.signal)
     if (sent.isErr()) return handleSendFailure(progress, server, sent.error, services)
     view.clearSuspect(server.id)
+    view.requestLimits.record(server.id, sent.value.requestLimit)
     return await relayResponse(progress, sent.value, idleTimeout, services)
   } catch (error) {
     reportFailedAttempt(progress, server, toFailure(error, { step: Step.ReadResponse, peer: server.address }), services)
--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -100,6 +100,7 @@
 
 async function runCountedAttempt (progress: ForwardingProgress, server: BackendServerRecord, services: ForwardingServices): Promise<ForwardedAttemptEnd> {
   services.metrics.count(Counter.Attempts, progress.route.kind)
+  if (services.view.requestLimits.find(server.id) !== undefined) services.metrics.count(Counter.LimitedRequests, 'live')
   services.view.adjustLiveCount(server.id, 1)
   try {
     return await runForwardedAttempt(progress, server, services)
--- a/src/request/submittedItemRun.ts
+++ b/src/request/submittedItemRun.ts
@@ -40,6 +40,8 @@
   readonly progress: ItemProgress
   /** Longest time without an event of the output, in milliseconds. */
   readonly idleTimeoutMs: number
+  /** Called with the request limit that the response names; undefined for none. */
+  readonly recordRequestLimit: (perSecond: number | undefined) => void
   /** Aborts to interrupt the run. */
   readonly signal: AbortSignal
 }
@@ -75,6 +77,7 @@
     }, abort.signal)
     if (sent.isErr()) return { end: sent.error.sent ? RunEnd.Interrupted : RunEnd.NotRun, failure: sent.error.failure, isUnreachable: !sent.error.sent }
     const response = sent.value
+    run.recordRequestLimit(response.requestLimit)
     if (response.kind === BackendResponseKind.NotRun) return { end: RunEnd.NotRun }
     if (response.status === impossibleStatus) return { end: RunEnd.Impossible }
     if (response.status !== successStatus) return { end: RunEnd.Failed }
--- a/test/support/fakeFleet.ts
+++ b/test/support/fakeFleet.ts
@@ -54,14 +54,14 @@
     const script = this.scripts.shift() ?? { does: 'refuse' }
     const connectionReset = createFailure(FailureReason.Reset, { step: Step.FirstByte, peer: target.address }, 'connection reset')
     switch (script.does) {
-      case 'refuse': return ok({ kind: BackendResponseKind.NotRun, status: 503 })
+      case 'refuse': return ok({ kind: BackendResponseKind.NotRun, status: 503, requestLimit: undefined })
       case 'fail': return err({ sent: script.sent, failure: connectionReset })
       case 'hang':
         await waitForAbort(signal)
         return err({ sent: true, failure: connectionReset })
       case 'answer': {
         const headers = ['content-type', script.type ?? 'text/event-stream', 'x-server-stamp', target.id]
-        return ok({ kind: BackendResponseKind.Response, status: script.status ?? 200, isFramed: script.unframed !== true, headers, body: streamChunks(script, signal, connectionReset) })
+        return ok({ kind: BackendResponseKind.Response, status: script.status ?? 200, requestLimit: undefined, isFramed: script.unframed !== true, headers, body: streamChunks(script, signal, connectionReset) })
       }
     }
   }
