Permit requests to backend servers with a limit at the leader

Cause: the limit was not read, and no host knows what the others send; items add to live requests. Class: a limit on the sum of all hosts that no one counts. Change: hosts report the limits that they read; a live request to a server with a limit needs a permit of the leader, from one budget for live requests and items of all hosts; a host without a leader keeps to its share, which begins empty. Servers without a limit are preferred while they have free slots.

--- a/src/connection/controlClient.ts
+++ b/src/connection/controlClient.ts
@@ -10,7 +10,7 @@
 import { Counter, type Metrics } from '../process/program/metrics.ts'
 import { type QueryResponse, type Query, QueryKind } from '../process/state/queries.ts'
 import type { Heartbeat } from '../process/fleet/backendServerRegistry.ts'
-import { fleetLongPollMs, type FleetUpdate, type FleetWatchRequest, type LoadReport, type LoadTotals, type ServerCrashReport, type ServerCrashVerdict, type TrialRequest } from '../process/fleet/fleetMessages.ts'
+import { fleetLongPollMs, type FleetUpdate, type FleetWatchRequest, type LimitReport, type LoadReport, type LoadTotals, type PermitRequest, type PermitResponse, type ServerCrashReport, type ServerCrashVerdict, type TrialRequest } from '../process/fleet/fleetMessages.ts'
 import type { RunPoll, RunReports, RunUpdate } from '../process/fleet/runMessages.ts'
 import type { Random } from '../process/program/random.ts'
 import type { WatchResponse, WatchRequest } from '../process/state/watchMessages.ts'
@@ -26,8 +26,8 @@
 /** Timeout for the report of a crash, in milliseconds. The request waits meanwhile; the leader takes up to 250 ms, and a round trip 40 ms. */
 const crashReportTimeoutMs = 350
 
-/** Timeout for a request for a trial, in milliseconds. */
-const trialTimeoutMs = 200
+/** Timeout for asking whether a request may be sent, in milliseconds. */
+const permissionTimeoutMs = 200
 
 /** Timeout for one query to a control host that need not be the leader, in milliseconds, in addition to the time of a long poll. */
 const nearestReadTimeoutMs = 700
@@ -112,6 +112,18 @@
    * @returns whether it may, or a failure
    */
   acquireTrial (trial: TrialRequest): Promise<Result<boolean, Failure>>
+  /**
+   * Reports limits that this host has read in responses once; it is not retried.
+   * @param report - the limits
+   * @returns nothing, or a failure
+   */
+  reportLimits (report: LimitReport): Promise<Result<void, Failure>>
+  /**
+   * Asks whether a request may be sent to a backend server with a limit; it is not retried.
+   * @param permit - the server, with the limit that this host knows
+   * @returns whether it may, or a failure
+   */
+  acquirePermit (permit: PermitRequest): Promise<Result<PermitResponse, Failure>>
   /**
    * Sends one long poll of an executor; it is not retried.
    * @param poll - the runs of the executor
@@ -254,8 +266,12 @@
       client.fleet.report.mutate(report, { signal: abort })),
     reportCrash: async report => await clients.callReply<ServerCrashVerdict>(leader, TrafficClass.Live, Step.Report, crashReportTimeoutMs, (client, abort) =>
       client.fleet.reportCrash.mutate(report, { signal: abort })),
-    acquireTrial: async trial => await clients.callReply<boolean>(leader, TrafficClass.Live, Step.Report, trialTimeoutMs, (client, abort) =>
+    acquireTrial: async trial => await clients.callReply<boolean>(leader, TrafficClass.Live, Step.Report, permissionTimeoutMs, (client, abort) =>
       client.fleet.acquireTrial.mutate(trial, { signal: abort })),
+    reportLimits: async report => await clients.callReply<void>(leader, TrafficClass.Live, Step.Report, fleetResponseTimeoutMs, (client, abort) =>
+      client.fleet.reportLimits.mutate(report, { signal: abort })),
+    acquirePermit: async permit => await clients.callReply<PermitResponse>(leader, TrafficClass.Live, Step.Report, permissionTimeoutMs, (client, abort) =>
+      client.fleet.acquirePermit.mutate(permit, { signal: abort })),
     pollRuns: poll => callOnce(address => clients.callReply<RunUpdate>(address, TrafficClass.Batch, Step.Dispatch, fleetLongPollMs + callTimeoutMs, (client, abort) =>
       client.fleet.pollRuns.mutate(poll, { signal: abort }))),
     reportRuns: reports => callOnce(address => clients.callReply<void>(address, TrafficClass.Batch, Step.Report, callTimeoutMs, (client, abort) =>
--- a/src/connection/fleetWatch.ts
+++ b/src/connection/fleetWatch.ts
@@ -76,3 +76,22 @@
     await nextChange
   }
 }
+
+/**
+ * Reports the request limits that backend servers name to this host, until the signal aborts.
+ * @param inputs - dependencies of the task
+ * @param signal - ends the task
+ * @returns a promise that resolves when the task has ended
+ */
+export async function runLimitReports ({ view: { requestLimits }, client, clock, random }: FleetTaskInputs, signal: AbortSignal): Promise<void> {
+  while (!signal.aborted) {
+    const limits = requestLimits.listUnreported()
+    if (limits.length === 0) {
+      await requestLimits.changed.wait(idleReportIntervalMs, signal)
+      continue
+    }
+    const reported = await client.reportLimits({ limits })
+    if (reported.isOk()) requestLimits.confirm(limits)
+    else await clock.sleep(random.next() * maxRetryDelayMs, signal)
+  }
+}
--- a/src/connection/internalRouter.ts
+++ b/src/connection/internalRouter.ts
@@ -9,7 +9,7 @@
 import type { ControlHost } from '../process/state/controlHost.ts'
 import type { FleetLeader } from '../process/fleet/fleetLeader.ts'
 import type { BatchRunner } from '../process/fleet/batchRunner.ts'
-import type { FleetWatchRequest, LoadReport, ServerCrashReport, TrialRequest } from '../process/fleet/fleetMessages.ts'
+import type { FleetWatchRequest, LimitReport, LoadReport, PermitRequest, ServerCrashReport, TrialRequest } from '../process/fleet/fleetMessages.ts'
 import type { RunPoll, RunReports } from '../process/fleet/runMessages.ts'
 import type { Heartbeat } from '../process/fleet/backendServerRegistry.ts'
 import { createFailure, FailureReason, Step } from '../process/program/failure.ts'
@@ -100,6 +100,10 @@
         services.fleetLeader === undefined ? createMissingRoleReply(Step.Report) : toReply(await services.fleetLeader.reportCrash(input))),
       acquireTrial: procedure.input(objectSchema<TrialRequest>()).mutation(({ input }) =>
         services.fleetLeader === undefined ? createMissingRoleReply(Step.Report) : toReply(services.fleetLeader.acquireTrial(input))),
+      reportLimits: procedure.input(objectSchema<LimitReport>()).mutation(({ input }) =>
+        services.fleetLeader === undefined ? createMissingRoleReply(Step.Report) : toReply(services.fleetLeader.reportLimits(input))),
+      acquirePermit: procedure.input(objectSchema<PermitRequest>()).mutation(({ input }) =>
+        services.fleetLeader === undefined ? createMissingRoleReply(Step.Report) : toReply(services.fleetLeader.acquirePermit(input))),
       pollRuns: procedure.input(objectSchema<RunPoll>()).mutation(async ({ input }) =>
         services.batchRunner === undefined ? createMissingRoleReply(Step.Dispatch) : toReply(await services.batchRunner.poll(input))),
       reportRuns: procedure.input(objectSchema<RunReports>()).mutation(async ({ input }) =>
--- a/src/process/fleet/batchRunner.ts
+++ b/src/process/fleet/batchRunner.ts
@@ -187,7 +187,8 @@
       slots,
       live,
       items: ordered.map(item => item.key),
-      canStartItems: !backoffs.isBackingOff(id) && !fleet.isSuspect(id)
+      canStartItems: !backoffs.isBackingOff(id) && !fleet.isSuspect(id),
+      maxStarts: fleet.permits.countItemPermits(id)
     }
   }
 
@@ -213,6 +214,7 @@
     const server = fleet.findServer(serverId)
     if (entry === undefined || server === undefined) return
     if (!fleet.quarantine.acquireTrial(listTraitsOf(entry))) return
+    fleet.permits.takeItemPermit(serverId)
     assignments.start(entry, server)
   }
 
--- a/src/process/fleet/fleetDaemon.ts
+++ b/src/process/fleet/fleetDaemon.ts
@@ -5,7 +5,7 @@
 import { randomUUID } from 'node:crypto'
 import { Hono } from 'hono'
 import { createControlClient, type ControlClient, type FleetClient, ReadTarget } from '../../connection/controlClient.ts'
-import { type FleetTaskInputs, runFleetWatch } from '../../connection/fleetWatch.ts'
+import { type FleetTaskInputs, runFleetWatch, runLimitReports } from '../../connection/fleetWatch.ts'
 import { createInternalClients, type InternalClients } from '../../connection/internalClient.ts'
 import { createSystemClock } from '../program/clock.ts'
 import type { RunningDaemon } from '../program/daemonRun.ts'
@@ -84,6 +84,7 @@
   })
   const taskInputs: FleetTaskInputs = { view, client: control, describe, clock, random, logger }
   lifecycle.run(signal => runFleetWatch(taskInputs, signal))
+  lifecycle.run(signal => runLimitReports(taskInputs, signal))
   lifecycle.run(signal => runProcessMonitor({ clock, logger, metrics }, signal))
   logger.write(LogEvents.processStarted, { detail: settings.role, inputs: { holder, seeds: settings.seeds.join(' '), form: settings.form } })
   return { settings, lifecycle, logger, metrics, clock, random, clients, control, view, readiness, describe }
--- a/src/process/fleet/fleetLeader.ts
+++ b/src/process/fleet/fleetLeader.ts
@@ -12,8 +12,12 @@
 import { type Replica, ReplicaRole } from '../log/replica.ts'
 import { millisecondsPerSecond } from '../program/units.ts'
 import { createBackendServerRegistry, type BackendServerRecord, type Heartbeat, ServerPhase } from './backendServerRegistry.ts'
-import { type FleetHost, fleetLongPollMs, type FleetUpdate, FleetRole, type FleetWatchRequest, type LoadReport, type LoadTotals, type ServerCrashReport, type ServerCrashVerdict, type ServerLoad, type TrialRequest } from './fleetMessages.ts'
+import {
+  type FleetHost, fleetLongPollMs, type FleetUpdate, FleetRole, type FleetWatchRequest, type LimitReport, type LoadReport, type LoadTotals, type PermitRequest, type PermitResponse,
+  type RequestLimitUpdate, type ServerCrashReport, type ServerCrashVerdict, type ServerLoad, type TrialRequest
+} from './fleetMessages.ts'
 import { createHostSessions, sessionTimeoutMs } from './hostSessions.ts'
+import { createRequestPermits, type RequestPermits } from './requestPermits.ts'
 import { createTraitQuarantine, type TraitQuarantine } from './traitQuarantine.ts'
 
 /** Interval between checks for expired sessions and backend servers, in milliseconds. */
@@ -51,6 +55,8 @@
   readonly changed: Condition
   /** Requests that crash backend servers. */
   readonly quarantine: TraitQuarantine
+  /** Permits for requests to backend servers that name a limit. */
+  readonly permits: RequestPermits
   /** Batch items in flight by backend server; maintained by the batch runner. */
   readonly batch: Map<string, number>
   /** Checks whether this host leads. The first call in a new term discards the state of the previous one. */
@@ -77,6 +83,18 @@
    * @returns whether the request may be sent again, or a `NotLeader` failure
    */
   reportCrash (report: ServerCrashReport): Promise<Result<ServerCrashVerdict, Failure>>
+  /**
+   * Records limits that a host has read.
+   * @param report - the limits
+   * @returns nothing, or a `NotLeader` failure
+   */
+  reportLimits (report: LimitReport): Result<void, Failure>
+  /**
+   * Decides on a live request to a backend server with a limit.
+   * @param request - the server, with the limit that the host knows
+   * @returns whether it may be sent, or a `NotLeader` failure
+   */
+  acquirePermit (request: PermitRequest): Result<PermitResponse, Failure>
   /**
    * Asks whether a request with traits on trial may be sent.
    * @param request - the traits of the request
@@ -132,6 +150,7 @@
   const sessionChanged = createCondition(clock)
   const batch = new Map<string, number>()
   const quarantine = createTraitQuarantine({ replica, state, clock, logger, lifecycle, changed: () => updateAvailable.notify() })
+  const permits = createRequestPermits(clock)
   let term = -1
   // Monotonic time at which the current leadership began, in milliseconds.
   let leaderSince = 0
@@ -150,6 +169,7 @@
     registry.clear()
     for (const record of inputs.knownServers()) registry.seed(record, leaderSince)
     quarantine.beginTerm()
+    permits.clear()
   }
 
   function createNotLeaderFailure (step: Step): Failure {
@@ -186,7 +206,7 @@
     if (isComplete() && !request.isSettled) return true
     if ((state.publication?.tables.version ?? 0) > request.tablesVersion) return true
     if (registry.revision > request.serversRevision) return true
-    if (shouldSendQuarantine(request)) return true
+    if (shouldSendQuarantine(request) || shouldSendLimits(request)) return true
     return shouldSendHosts(request)
   }
 
@@ -194,6 +214,15 @@
     return request.leadership !== getLeadership() || quarantine.revision > (request.quarantineRevision ?? 0)
   }
 
+  function shouldSendLimits (request: FleetWatchRequest): boolean {
+    return request.leadership !== getLeadership() || permits.revision > (request.limitsRevision ?? 0)
+  }
+
+  function createLimitUpdate (): RequestLimitUpdate {
+    const hosts = sessions.list().filter(({ role }) => role !== FleetRole.Control).length
+    return { revision: permits.revision, limits: permits.list(), hosts }
+  }
+
   // Only control hosts serve the gateway directory, so only they receive the list of hosts.
   function shouldSendHosts (request: FleetWatchRequest): boolean {
     if (request.host.role !== FleetRole.Control) return false
@@ -211,6 +240,7 @@
       hostsRevision: sessions.revision,
       hosts: shouldSendHosts(request) ? sessions.list() : undefined,
       quarantine: shouldSendQuarantine(request) ? quarantine.createUpdate() : undefined,
+      requestLimits: shouldSendLimits(request) ? createLimitUpdate() : undefined,
       controlHosts: listControlHostsByDistance(request.host)
     }
   }
@@ -283,6 +313,7 @@
       if (!isLeading()) continue
       removeExpired()
       quarantine.sweep()
+      permits.retain(id => registry.find(id)?.phase !== ServerPhase.Gone && registry.find(id) !== undefined)
     }
   })
   lifecycle.run(async signal => {
@@ -295,6 +326,7 @@
   return {
     changed,
     quarantine,
+    permits,
     batch,
     isLeading,
     getLeadership,
@@ -319,6 +351,19 @@
       if (!isLeading()) return err(createNotLeaderFailure(Step.Report))
       return ok({ isBlocked: await quarantine.reportCrash(report) })
     },
+    reportLimits ({ limits }) {
+      if (!isLeading()) return err(createNotLeaderFailure(Step.Report))
+      for (const named of limits) permits.record(named)
+      notifyFleetChanged()
+      return ok(undefined)
+    },
+    acquirePermit (request) {
+      if (!isLeading()) return err(createNotLeaderFailure(Step.Report))
+      const { revision } = permits
+      const response = permits.acquire(request)
+      if (permits.revision !== revision) updateAvailable.notify()
+      return ok(response)
+    },
     acquireTrial ({ traits }) {
       return isLeading() ? ok(quarantine.acquireTrial(traits)) : err(createNotLeaderFailure(Step.Report))
     },
--- a/src/process/fleet/fleetMessages.ts
+++ b/src/process/fleet/fleetMessages.ts
@@ -39,6 +39,8 @@
   readonly isSettled: boolean
   /** Revision of the quarantine; undefined if the host has none. */
   readonly quarantineRevision?: number | undefined
+  /** Revision of the request limits; undefined if the host has none. */
+  readonly limitsRevision?: number | undefined
 }
 
 /** A trait of requests that are refused. */
@@ -101,10 +103,44 @@
   readonly hosts?: readonly FleetHost[] | undefined
   /** Present when newer than the revision in the poll, and when the leadership differs. */
   readonly quarantine?: QuarantineUpdate | undefined
+  /** Present when newer than the revision in the poll, and when the leadership differs. */
+  readonly requestLimits?: RequestLimitUpdate | undefined
   /** Internal addresses of the control hosts, the closest to the polling host first. */
   readonly controlHosts: readonly string[]
 }
 
+/** The request limit of a backend server. */
+export interface NamedLimit {
+  readonly server: string
+  /** Requests per second that the server takes from all hosts together; undefined for no limit. */
+  readonly perSecond: number | undefined
+}
+
+/** Limits that a host has read in responses. */
+export interface LimitReport {
+  readonly limits: readonly NamedLimit[]
+}
+
+/** All limits that the leader knows. */
+export interface RequestLimitUpdate {
+  readonly revision: number
+  readonly limits: readonly NamedLimit[]
+  /** Number of hosts that send requests. */
+  readonly hosts: number
+}
+
+/** Asks whether a request may be sent to a backend server with a limit. */
+export interface PermitRequest extends NamedLimit {
+  readonly perSecond: number
+}
+
+/** The response to such a request. */
+export interface PermitResponse {
+  readonly isGranted: boolean
+  /** Time after which a further request may be granted, in milliseconds. */
+  readonly retryMs: number
+}
+
 /** Live requests in flight by backend server. */
 export type LiveCounts = Readonly<Record<string, number>>
 
--- a/src/process/fleet/fleetView.ts
+++ b/src/process/fleet/fleetView.ts
@@ -29,7 +29,7 @@
   readonly controlHosts: readonly string[]
   /** Requests to refuse because backend servers crash under them. */
   readonly quarantine: QuarantineView
-  /** Limits that backend servers name in their responses to this host. */
+  /** Limits that backend servers name in their responses. */
   readonly requestLimits: RequestLimits
   /** Notified after each update from the leader. */
   readonly changed: Condition
@@ -115,7 +115,7 @@
   const failureRates = new Map<string, number>()
   let reportedSuspects: ReadonlySet<string> = new Set()
   const quarantine = createQuarantineView(clock)
-  const requestLimits = createRequestLimits(logger)
+  const requestLimits = createRequestLimits(clock, logger)
   const changed = createCondition(clock)
   const loadChanged = createCondition(clock)
   let tables: GatewayTables | undefined
@@ -157,7 +157,7 @@
     changed,
     loadChanged,
     live,
-    createWatchRequest: host => ({ host, leadership, tablesVersion: tables?.version ?? 0, serversRevision, hostsRevision, isSettled, quarantineRevision: quarantine.revision }),
+    createWatchRequest: host => ({ host, leadership, tablesVersion: tables?.version ?? 0, serversRevision, hostsRevision, isSettled, quarantineRevision: quarantine.revision, limitsRevision: requestLimits.revision }),
     applyUpdate (update) {
       lastContactAt = clock.now()
       if (update.tables !== undefined && update.tables.version > (tables?.version ?? 0)) {
@@ -166,6 +166,7 @@
         logger.write(LogEvents.configurationActivated, { value: tables.version, detail: update.leadership })
       }
       applyServers(update)
+      if (update.requestLimits !== undefined) requestLimits.applyUpdate(update.requestLimits, update.leadership !== leadership)
       if (leadership !== update.leadership) logger.write(LogEvents.leaderFound, { detail: update.leadership, value: update.serversRevision })
       leadership = update.leadership
       serversRevision = update.serversRevision
--- a/src/process/fleet/itemExecutor.ts
+++ b/src/process/fleet/itemExecutor.ts
@@ -97,7 +97,7 @@
   const changed = createCondition(clock)
 
   async function perform (run: ExecutorRun, closeSignal: AbortSignal): Promise<void> {
-    const { assignment: { item, host, target }, controller, progress } = run
+    const { assignment: { item, host, target }, controller, progress, startedAt } = run
     if (view.requestLimits.find(target.id) !== undefined) metrics.count(Counter.LimitedRequests, 'item')
     const outcome: RunOutcome = isLeaving(target.id)
       ? { end: RunEnd.NotRun }
@@ -108,7 +108,7 @@
         client,
         progress,
         idleTimeoutMs: eventIdleTimeoutMs,
-        recordRequestLimit: perSecond => view.requestLimits.record(target.id, perSecond),
+        recordRequestLimit: perSecond => view.requestLimits.record(target.id, perSecond, startedAt),
         signal: AbortSignal.any([closeSignal, controller.signal])
       })
     const { end, failure } = outcome
--- a/src/request/batchPlan.ts
+++ b/src/request/batchPlan.ts
@@ -13,6 +13,8 @@
   readonly items: readonly string[]
   /** Whether new items may be started on the server. */
   readonly canStartItems: boolean
+  /** Maximum number of items to start, whatever the number of free slots. */
+  readonly maxStarts: number
 }
 
 /**
@@ -20,8 +22,8 @@
  * @param server - the server
  * @returns whether it has a free slot and accepts new items
  */
-export function hasFreeSlot ({ slots, live, items, canStartItems }: PlannedServer): boolean {
-  return canStartItems && slots > live + items.length
+export function hasFreeSlot ({ slots, live, items, canStartItems, maxStarts }: PlannedServer): boolean {
+  return canStartItems && maxStarts > 0 && slots > live + items.length
 }
 
 /** Items to start and to interrupt. */
@@ -68,7 +70,8 @@
     const freeSlots = server.slots - server.live - server.items.length
     const excessItems = Math.min(-freeSlots, server.items.length)
     if (excessItems > 0) interruptions.push(...server.items.slice(server.items.length - excessItems))
-    if (freeSlots > 0 && server.canStartItems) freeSlotsByServer.set(server.id, freeSlots)
+    const maxStarts = Math.min(freeSlots, server.maxStarts)
+    if (maxStarts > 0 && server.canStartItems) freeSlotsByServer.set(server.id, maxStarts)
   }
   const starts: Array<{ server: string, item: string }> = []
   for (const item of waiting) {
--- a/src/request/forwardedAttempt.ts
+++ b/src/request/forwardedAttempt.ts
@@ -35,7 +35,7 @@
 export interface ForwardingServices extends Omit<ProcessServices, 'lifecycle'> {
   readonly view: FleetView
   readonly client: BackendServerClient
-  readonly control: Pick<FleetClient, 'reportCrash' | 'acquireTrial'>
+  readonly control: Pick<FleetClient, 'reportCrash' | 'acquireTrial' | 'acquirePermit'>
   readonly availabilityZone: string
   /** Returns the region of an availability zone; undefined when the settings do not name it. */
   readonly getRegion: (availabilityZone: string) => string | undefined
@@ -129,6 +129,7 @@
   })
   const idleTimeout = createIdleTimeout(canRunAgain(progress) ? Math.max(minIdleTimeoutMs, route.objectiveMs * firstEventTimeoutFactor) : Infinity, abortAttempt)
   try {
+    const sentAt = clock.now()
     const sent = await client.send({ address: server.address, id: server.id }, {
       id: request.id,
       host: request.host,
@@ -142,7 +143,7 @@
     }, abort.signal)
     if (sent.isErr()) return handleSendFailure(progress, server, sent.error, services)
     view.clearSuspect(server.id)
-    view.requestLimits.record(server.id, sent.value.requestLimit)
+    view.requestLimits.record(server.id, sent.value.requestLimit, sentAt)
     return await relayResponse(progress, sent.value, idleTimeout, services)
   } catch (error) {
     reportFailedAttempt(progress, server, toFailure(error, { step: Step.ReadResponse, peer: server.address }), services)
--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -10,6 +10,7 @@
 import { type CallerResponse, type CallerRequest, GatewayRefusal } from './callerExchange.ts'
 import { ForwardedAttemptEnd, type ForwardingServices, isBodyReplayable, type ForwardingProgress, runForwardedAttempt, minServerErrorStatus } from './forwardedAttempt.ts'
 import { reportCrash } from './crashReport.ts'
+import { acquirePermit } from './requestPermit.ts'
 import { createRequestTraits, listTraits } from './requestTraits.ts'
 import { chooseServer, type ServerCandidate } from './serverChoice.ts'
 
@@ -149,7 +150,11 @@
   while (!request.disconnectSignal.aborted) {
     const candidates = listCandidates(progress.service, services)
     const server = chooseServer(candidates, avoided, () => random.next())
-    if (server !== undefined) return server
+    if (server !== undefined) {
+      if (await acquirePermit(server.id, services)) return server
+      // The limit of the server is used up; it is no candidate for a while.
+      continue
+    }
     // Every server with a free slot has refused the request once; another round may find one that has capacity again.
     avoided.clear()
     if (clock.now() + recheckIntervalMs > waitDeadlineAt) return undefined
@@ -162,6 +167,7 @@
   const { view } = services
   const candidates: ServerCandidate[] = []
   for (const server of view.listReadyServers(service)) {
+    if (view.requestLimits.isExcluded(server.id)) continue
     const remoteLoad = view.getRemoteLoad(server.id)
     const live = remoteLoad.live + (view.live.get(server.id) ?? 0)
     // Batch items yield to live requests, so only live requests count towards the limit.
@@ -170,6 +176,7 @@
       server,
       load: live + remoteLoad.batch,
       isSuspect: view.isSuspect(server.id),
+      isLimited: view.requestLimits.find(server.id) !== undefined,
       failureRate: view.getFailureRate(server.id),
       isSameZone: server.availabilityZone === services.availabilityZone,
       isSameRegion: services.getRegion(server.availabilityZone) === services.region
--- a/src/request/serverChoice.ts
+++ b/src/request/serverChoice.ts
@@ -10,6 +10,12 @@
 /** Score added to a server in another region, in requests of load; a new connection there costs two more round trips of 40 ms. */
 const regionPenalty = 2
 
+/**
+ * Score added to a server with a request limit, in requests of load. While other servers have free slots, its budget is left to
+ * bursts and to items, which do the most work for a request.
+ */
+const limitPenalty = 6
+
 /** Score added to a server with recent connection failures, in requests of load; such a server is a last resort. */
 const suspectPenalty = 100
 
@@ -26,6 +32,8 @@
   readonly load: number
   /** Whether this host or another one suspects the server after a recent connection failure or time-out. */
   readonly isSuspect: boolean
+  /** Whether the server names a request limit. */
+  readonly isLimited: boolean
   /** Moving average of failed runs on the server, from 0 to 1. */
   readonly failureRate: number
   readonly isSameZone: boolean
@@ -52,8 +60,8 @@
   return best
 }
 
-function computeScore ({ load, isSuspect, failureRate, isSameZone, isSameRegion }: ServerCandidate): number {
+function computeScore ({ load, isSuspect, isLimited, failureRate, isSameZone, isSameRegion }: ServerCandidate): number {
   const distancePenalty = isSameZone ? 0 : isSameRegion ? zonePenalty : regionPenalty
   const failurePenalty = failureRate > failureTolerance ? failureRate * maxFailurePenalty : 0
-  return load + distancePenalty + failurePenalty + (isSuspect ? suspectPenalty : 0)
+  return load + distancePenalty + failurePenalty + (isLimited ? limitPenalty : 0) + (isSuspect ? suspectPenalty : 0)
 }
--- a/test/fleetRegistry.test.ts
+++ b/test/fleetRegistry.test.ts
@@ -121,7 +121,7 @@
 
   // Guards against requests to a distant, loaded, suspected or failing server while a better one is ready.
   it('chooses the least loaded server, the nearest among equals, and a suspect only as the last resort', () => {
-    const near = { server: recordOf('near'), load: 4, isSuspect: false, failureRate: 0, isSameZone: true, isSameRegion: true }
+    const near = { server: recordOf('near'), load: 4, isSuspect: false, isLimited: false, failureRate: 0, isSameZone: true, isSameRegion: true }
     const far = { ...near, server: recordOf('far'), isSameZone: false, isSameRegion: false }
     const choose = (...candidates: ReadonlyArray<typeof near>) => chooseServer(candidates, new Set(), () => 0.5)?.id
     expect(choose(near, far)).to.equal('near')
@@ -146,7 +146,7 @@
 })
 
 describe('batch plan', () => {
-  const server = { id: 'x', slots: 4, live: 0, items: [] as string[], canStartItems: true }
+  const server = { id: 'x', slots: 4, live: 0, items: [] as string[], canStartItems: true, maxStarts: Infinity }
 
   // Guards against batch items that take the slots of live requests, or accumulate on one server.
   it('fills the slots that live work leaves, starting with the server that has the most free slots', () => {
--- a/test/requestQuarantine.test.ts
+++ b/test/requestQuarantine.test.ts
@@ -193,8 +193,9 @@
       const servers = new ScriptedServers([{ does: 'fail', sent: true }, { does: 'answer', pieces: ['id: 0\ndata: a\n\n'] }])
       if (stopped) for (const id of ['i-1', 'i-2', 'i-3']) servers.stopped.add(id)
       const reports: ServerCrashReport[] = []
-      const control = { reportCrash: async (report: ServerCrashReport) => { reports.push(report); return ok({ isBlocked: true }) }, acquireTrial: async () => ok(true) }
-      await runForwardedRequest(requestOf({ sharedPromptParts: parts }).request, new RecordedResponse(), { ...forwardingServicesOf(servers, [routeOf()]), control })
+      const services = forwardingServicesOf(servers, [routeOf()])
+      const control = { ...services.control, reportCrash: async (report: ServerCrashReport) => { reports.push(report); return ok({ isBlocked: true }) } }
+      await runForwardedRequest(requestOf({ sharedPromptParts: parts }).request, new RecordedResponse(), { ...services, control })
       expect(servers.arrivals).to.have.length(sends)
       expect(reports.map(({ traits }) => traits.slice(0, 2))).to.deep.equal(stopped ? [[first, dead]] : [])
     })
--- a/test/support/fakeFleet.ts
+++ b/test/support/fakeFleet.ts
@@ -187,6 +187,6 @@
   const logger = createSilentLogger()
   const view = createFleetView(clock, logger, () => [])
   view.applyUpdate(fleetUpdateOf({ tables: tablesOf(1, routes), ...update }))
-  const control = { reportCrash: async () => ok({ isBlocked: false }), acquireTrial: async () => ok(true) }
+  const control = { reportCrash: async () => ok({ isBlocked: false }), acquireTrial: async () => ok(true), acquirePermit: async () => ok({ isGranted: true, retryMs: 0 }) }
   return { view, client, control, availabilityZone: 'z1', region: 'r1', getRegion: () => 'r1', clock, random: createSystemRandom(), logger, metrics: createMetrics() }
 }
--- a/test/support/fleetProcesses.ts
+++ b/test/support/fleetProcesses.ts
@@ -28,6 +28,10 @@
   events: number
   /** Prompt part under which the server crashes when it begins to answer. */
   crashingPart: string | undefined
+  /** Requests per second that it names as its limit; undefined for none. */
+  requestLimit: number | undefined
+  /** Monotonic times at which requests arrived, in milliseconds. */
+  readonly arrivals: number[]
   readonly crashes: number
   /** Whether it is running. */
   readonly isUp: boolean
@@ -55,12 +59,14 @@
  */
 export async function startStreamServer (id: string): Promise<StreamServer> {
   const ran: string[] = []
+  const arrivals: number[] = []
   let crashes = 0
   let restart: NodeJS.Timeout | undefined
   const server: Server = createServer((incoming, response) => {
     incoming.resume()
     incoming.once('end', () => {
       ran.push(String(incoming.headers['x-request-id']))
+      arrivals.push(performance.now())
       if (hasCrashingPart(String(incoming.headers['x-prefix-hash'] ?? ''))) return crash()
       streamEvents(response, Number(incoming.headers['last-event-id'] ?? -1) + 1)
     })
@@ -79,7 +85,8 @@
   }
 
   function streamEvents (response: ServerResponse, firstEventId: number): void {
-    response.writeHead(200, { 'content-type': 'text/event-stream', 'x-server-stamp': `stamp-${id}` })
+    const { requestLimit } = streamServer
+    response.writeHead(200, { 'content-type': 'text/event-stream', 'x-server-stamp': `stamp-${id}`, ...(requestLimit === undefined ? {} : { 'server-limit': String(requestLimit) }) })
     let next = firstEventId
     const timer = setInterval(() => {
       if (next < streamServer.events) response.write(`id: ${next}\ndata: e${next}\n\n`)
@@ -99,6 +106,8 @@
     ran,
     events: 5,
     crashingPart: undefined,
+    requestLimit: undefined,
+    arrivals,
     get crashes () { return crashes },
     get isUp () { return server.listening },
     close () {
