Send no request to a third server after two crashes without a verdict

Cause: a failed report of a crash was taken for permission. Change: without the leader's verdict a request is sent again after its first crash only. The new test printed "to have a length of 2 but got 3" before.

--- a/src/request/crashReport.ts
+++ b/src/request/crashReport.ts
@@ -8,6 +8,9 @@
 import { ForwardedAttemptEnd, type ForwardingProgress, type ForwardingServices } from './forwardedAttempt.ts'
 import { listTraits } from './requestTraits.ts'
 
+/** Crashes under one request after which it is sent again although the leader is unreachable. */
+const maxUnjudgedCrashes = 1
+
 /**
  * Reports a crash under the last attempt of a request, if there was one. A request that had output is not reported: a server
  * that crashes under a request does so before the first output.
@@ -25,7 +28,9 @@
   if (!await hasCrashed({ address: server.address, id: server.id }, progress.failureReason, client)) return
   view.markSuspect(server.id, FailureReason.Refused)
   const verdict = await control.reportCrash({ server: server.id, startedAt: server.startedAt, traits })
-  if (verdict.isOk() && verdict.value.isBlocked) progress.isBlocked = true
+  progress.crashes++
+  // Without a verdict, one crash may have had another cause; a second one under the same request most likely had not.
+  progress.isBlocked = verdict.isOk() ? verdict.value.isBlocked : progress.crashes > maxUnjudgedCrashes
 }
 
 /**
--- a/src/request/forwardedAttempt.ts
+++ b/src/request/forwardedAttempt.ts
@@ -88,6 +88,8 @@
   hasOutput: boolean
   /** Why the latest attempt failed; undefined before the first failure. */
   failureReason: FailureReason | undefined
+  /** Number of backend servers that crashed under the request. */
+  crashes: number
   /** Whether the request must not be sent again, since backend servers crash under requests like it. */
   isBlocked: boolean
   /** Whether the leader has permitted the request although it has a trait on trial. */
--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -61,6 +61,7 @@
     avoided: new Set(),
     hasOutput: false,
     failureReason: undefined,
+    crashes: 0,
     isBlocked: false,
     hasTrial: false,
     firstByteAt: undefined,
--- a/test/requestQuarantine.test.ts
+++ b/test/requestQuarantine.test.ts
@@ -1,8 +1,9 @@
 import { expect } from 'chai'
-import { ok } from 'neverthrow'
+import { err, ok } from 'neverthrow'
 import type { ServerCrashReport } from '../src/process/fleet/fleetMessages.ts'
 import { attributeCrashes, type ServerCrash } from '../src/process/fleet/crashAttribution.ts'
 import { createTraitQuarantine, type TraitQuarantine } from '../src/process/fleet/traitQuarantine.ts'
+import { createFailure, FailureReason, Step } from '../src/process/program/failure.ts'
 import { createLifecycle, type Lifecycle } from '../src/process/program/lifecycle.ts'
 import { createSilentLogger } from '../src/process/program/logger.ts'
 import type { Command } from '../src/process/state/commands.ts'
@@ -200,4 +201,16 @@
       expect(reports.map(({ traits }) => traits.slice(0, 2))).to.deep.equal(stopped ? [[first, dead]] : [])
     })
   }
+
+  // Failure (soak, seed 4): while there was no leader, a request crashed as many servers as its route allows attempts.
+  it('is not sent to a third server after two crashes when the leader is unreachable', async () => {
+    const servers = new ScriptedServers(Array.from({ length: 3 }, () => ({ does: 'fail', sent: true })))
+    for (const id of ['i-1', 'i-2', 'i-3']) servers.stopped.add(id)
+    const services = forwardingServicesOf(servers, [routeOf({ attempts: 3 })])
+    const control = { ...services.control, reportCrash: async () => err(createFailure(FailureReason.Timeout, { step: Step.Report }, 'no leader')) }
+    const answer = new RecordedResponse()
+    await runForwardedRequest(requestOf({ sharedPromptParts: parts }).request, answer, { ...services, control })
+    expect(servers.arrivals).to.have.length(2)
+    expect(answer.refusal).to.equal(GatewayRefusal.Failed)
+  })
 })
