Release a trait when outputs between its crashes are reported late

Change: outputs that arrive late take back the crashes before them, and a trait with fewer than three crashes left is released. The report of a crash names the latest outputs with the traits of the request, so that the leader mostly has them before it blames.

--- a/src/process/fleet/fleetMessages.ts
+++ b/src/process/fleet/fleetMessages.ts
@@ -68,6 +68,8 @@
   readonly startedAt: number
   /** Traits of the request: the shared parts of its prompt in order, then its content. */
   readonly traits: readonly Trait[]
+  /** The latest outputs with these traits that the gateway has seen. */
+  readonly outputs?: readonly TraitOutput[] | undefined
 }
 
 /** The response to the report of a crash. */
--- a/src/process/fleet/quarantineView.ts
+++ b/src/process/fleet/quarantineView.ts
@@ -44,6 +44,12 @@
   recordOutput (traits: RequestTraits): void
   /** Lists the latest outputs with suspect traits that were not reported yet. */
   listOutputs (): TraitOutput[]
+  /**
+   * Finds the latest outputs with some traits, whether they were reported or not.
+   * @param traits - the traits
+   * @returns the outputs that are remembered
+   */
+  findOutputs (traits: readonly Trait[]): TraitOutput[]
   /**
    * Marks outputs as reported.
    * @param outputs - the outputs
@@ -77,6 +83,16 @@
     return until === undefined ? undefined : Math.max(0, until - clock.now())
   }
 
+  function findOutputs (traits: readonly Trait[]): TraitOutput[] {
+    const now = clock.now()
+    const outputs: TraitOutput[] = []
+    for (const trait of traits) {
+      const at = outputAt.get(trait)
+      if (at !== undefined) outputs.push({ trait, ageMs: Math.round(now - at) })
+    }
+    return outputs
+  }
+
   return {
     get revision () { return revision },
     applyUpdate (update) {
@@ -116,16 +132,8 @@
         outputAt.delete(trait)
       }
     },
-    listOutputs () {
-      const now = clock.now()
-      const outputs: TraitOutput[] = []
-      for (const trait of suspects) {
-        const at = outputAt.get(trait)
-        if (at === undefined || at <= (reportedAt.get(trait) ?? -Infinity)) continue
-        outputs.push({ trait, ageMs: Math.round(now - at) })
-      }
-      return outputs
-    },
+    listOutputs: () => findOutputs(suspects.filter(trait => (outputAt.get(trait) ?? -Infinity) > (reportedAt.get(trait) ?? -Infinity))),
+    findOutputs,
     confirmOutputs (outputs) {
       // An output between the list and its confirmation is reported with the next one.
       for (const { trait } of outputs) reportedAt.set(trait, outputAt.get(trait) ?? clock.now())
--- a/src/process/fleet/traitQuarantine.ts
+++ b/src/process/fleet/traitQuarantine.ts
@@ -13,7 +13,7 @@
 import type { Logger } from '../program/logger.ts'
 import { CommandKind } from '../state/commands.ts'
 import type { QuarantinedTrait, QuarantinedTraits } from '../state/quarantinedTraits.ts'
-import { attributeCrashes, type BlamedTrait, type ServerCrash } from './crashAttribution.ts'
+import { attributeCrashes, blameLimit, type BlamedTrait, type ServerCrash } from './crashAttribution.ts'
 import type { BlockedTrait, QuarantineUpdate, ServerCrashReport, TraitOutput } from './fleetMessages.ts'
 
 /** Time from the first report of a crash to its attribution, in milliseconds: reports of other regions arrive a round trip later. */
@@ -191,6 +191,43 @@
     return false
   }
 
+  // Removes a trait from the crashes before an output; returns whether it is to be released. The output may have been reported
+  // after the trait was blamed.
+  function clear (trait: Trait, outputAt: number): boolean {
+    let cleared = 0
+    for (const crash of crashes.values()) {
+      if (crash.at >= outputAt || !crash.traits.delete(trait)) continue
+      if (crash.attributedTo === trait) cleared++
+    }
+    const record = getKnown().get(trait)
+    if (record === undefined) return false
+    const count = (counts.get(trait) ?? record.crashes) - cleared
+    counts.set(trait, count)
+    return count < blameLimit || outputAt > getLastCrashAt(trait)
+  }
+
+  function release (trait: Trait): void {
+    counts.delete(trait)
+    for (const crash of crashes.values()) {
+      if (crash.attributedTo === trait) crash.attributedTo = undefined
+    }
+    logger.write(LogEvents.traitReleased, { detail: trait, reason: 'output' })
+  }
+
+  function recordOutputs (outputs: readonly TraitOutput[]): void {
+    const recorded = outputs.filter(({ trait }) => isRecorded(trait))
+    if (recorded.length === 0) return
+    const removed: Trait[] = []
+    for (const { trait, ageMs } of recorded) {
+      if (clear(trait, clock.now() - ageMs)) removed.push(trait)
+    }
+    for (const trait of removed) release(trait)
+    lifecycle.run(async () => {
+      if (removed.length > 0) await replica.propose({ kind: CommandKind.UpdateQuarantine, changed: [], removed })
+      await attribute()
+    })
+  }
+
   function isRecorded (trait: Trait): boolean {
     if (getKnown().has(trait)) return true
     for (const crash of crashes.values()) {
@@ -226,6 +263,7 @@
     },
     handleApplied: notifyChanged,
     async reportCrash (report) {
+      recordOutputs(report.outputs ?? [])
       const crash = getOrCreateCrash(report)
       if (crash.traits.size === 0) logger.write(LogEvents.backendServerCrashed, { peer: report.server, detail: report.traits.join(' ') })
       for (const [position, trait] of report.traits.entries()) crash.traits.set(trait, isPartTrait(trait) ? position : contentPosition)
@@ -233,26 +271,7 @@
       else if (isImplicated(report.traits, crash)) await crash.attributed.wait(maxReportWaitMs)
       return isBlocked(report.traits)
     },
-    recordOutputs (outputs) {
-      const recorded = outputs.filter(({ trait }) => isRecorded(trait))
-      if (recorded.length === 0) return
-      const removed: Trait[] = []
-      for (const { trait, ageMs } of recorded) {
-        const at = clock.now() - ageMs
-        if (getKnown().has(trait) && at > getLastCrashAt(trait)) removed.push(trait)
-        for (const crash of crashes.values()) {
-          if (crash.at < at) crash.traits.delete(trait)
-        }
-      }
-      for (const trait of removed) {
-        counts.delete(trait)
-        logger.write(LogEvents.traitReleased, { detail: trait, reason: 'output' })
-      }
-      lifecycle.run(async () => {
-        if (removed.length > 0) await replica.propose({ kind: CommandKind.UpdateQuarantine, changed: [], removed })
-        await attribute()
-      })
-    },
+    recordOutputs,
     isBlocked,
     acquireTrial (traits) {
       if (isBlocked(traits)) return false
--- a/src/request/crashReport.ts
+++ b/src/request/crashReport.ts
@@ -27,7 +27,7 @@
   if (traits.length === 0) return
   if (!await hasCrashed({ address: server.address, id: server.id }, progress.failureReason, client)) return
   view.markSuspect(server.id, FailureReason.Refused)
-  const verdict = await control.reportCrash({ server: server.id, startedAt: server.startedAt, traits })
+  const verdict = await control.reportCrash({ server: server.id, startedAt: server.startedAt, traits, outputs: view.quarantine.findOutputs(traits) })
   progress.crashes++
   // Without a verdict, one crash may have had another cause; a second one under the same request most likely had not.
   progress.isBlocked = verdict.isOk() ? verdict.value.isBlocked : progress.crashes > maxUnjudgedCrashes
--- a/test/requestQuarantine.test.ts
+++ b/test/requestQuarantine.test.ts
@@ -96,6 +96,31 @@
     expect(await crash(first)).to.equal(true)
   })
 
+  // Failure (soak): a part that every request shares was at three crashes, two of them under another part, and the reports of its
+  // outputs in between arrived after it had been blocked. It stayed blocked for a minute.
+  it('releases a part when outputs between its crashes are reported late', async () => {
+    await crash(first, dead)
+    await clock.advance(300)
+    await crash(first, other)
+    await clock.advance(300)
+    expect(await crash(first, dead)).to.equal(true)
+    expect(quarantine.isBlocked([first])).to.equal(true)
+    quarantine.recordOutputs([{ trait: first, ageMs: 400 }])
+    await clock.advance(10)
+    expect(quarantine.isBlocked([first])).to.equal(false)
+    expect(await crash(first, dead)).to.equal(true)
+    expect([quarantine.isBlocked([first]), quarantine.isBlocked([dead])]).to.deep.equal([false, true])
+  })
+
+  // Guards against blaming a part before the outputs that its gateway has seen are known to the leader.
+  it('does not blame a part whose latest output is named in the report of the crash', async () => {
+    for (let count = 0; count < 4; count++) {
+      const reported = quarantine.reportCrash({ server: 'i-1', startedAt: ++starts, traits: [first], outputs: [{ trait: first, ageMs: 10 }] })
+      await clock.advance(200)
+      expect(await reported).to.equal(false)
+    }
+  })
+
   async function waitForTrial (durationMs: number): Promise<void> {
     await clock.advance(durationMs, 100)
     quarantine.sweep()
