Take items of jobs as no evidence for the quarantine again

In a burst of unrelated crashes many items without output share a part, and the outputs of the others are reported up to 1.5 s later, so sound items could be held back for a minute. Change: crashes under items are not reported. Their first output still clears their parts, and they wait for a part that live requests have shown to crash servers.

--- a/src/process/fleet/batchRunner.ts
+++ b/src/process/fleet/batchRunner.ts
@@ -242,7 +242,6 @@
         delayStartAfterInterruption(entry, entry.interruptions, clock.now())
         break
       case RunEnd.Interrupted:
-        if (report.hasCrashed === true) reportCrash(entry, run.server)
         if (run.isInterrupted) break
         entry.interruptions++
         delayStartAfterInterruption(entry, entry.interruptions, clock.now())
@@ -256,12 +255,6 @@
     return listPartTraits(inputs.listSharedPromptParts(item))
   }
 
-  function reportCrash (entry: OpenItem, server: string): void {
-    const traits = listTraitsOf(entry)
-    const startedAt = fleet.findServer(server)?.startedAt ?? 0
-    lifecycle.run(async () => { await fleet.quarantine.reportCrash({ server, startedAt, traits }) })
-  }
-
   // Reports the first output of each run, which clears the parts of the item.
   function recordOutputs (reports: RunReports): void {
     for (const report of reports.reports) {
--- a/src/process/fleet/itemExecutor.ts
+++ b/src/process/fleet/itemExecutor.ts
@@ -4,7 +4,6 @@
  * @module
  */
 import type { BackendServerClient } from '../../connection/backendServerClient.ts'
-import { hasCrashed } from '../../request/crashReport.ts'
 import { type ItemProgress, RunEnd, type RunOutcome, runSubmittedItem } from '../../request/submittedItemRun.ts'
 import { type Condition, createCondition } from '../program/condition.ts'
 import { countCharacters } from '../program/chunk.ts'
@@ -82,7 +81,6 @@
   reportedAt: number
   /** Set when the run has ended. */
   outcome: RunOutcome | undefined
-  hasCrashed: boolean
   endedAt: number
 }
 
@@ -99,7 +97,7 @@
   async function perform (run: ExecutorRun, closeSignal: AbortSignal): Promise<void> {
     const { assignment: { item, host, target }, controller, progress, startedAt } = run
     if (view.requestLimits.find(target.id) !== undefined) metrics.count(Counter.LimitedRequests, 'item')
-    const outcome: RunOutcome = isLeaving(target.id)
+    run.outcome = isLeaving(target.id)
       ? { end: RunEnd.NotRun }
       : await runSubmittedItem({
         item,
@@ -111,11 +109,8 @@
         recordRequestLimit: perSecond => view.requestLimits.record(target.id, perSecond, startedAt),
         signal: AbortSignal.any([closeSignal, controller.signal])
       })
-    const { end, failure } = outcome
-    // Before the end is set, since a run with an end is reported.
-    if (end === RunEnd.Interrupted && run.savedEvents + progress.data.length === 0) run.hasCrashed = await hasCrashed(target, failure?.reason, client)
-    run.outcome = outcome
     run.endedAt = clock.now()
+    const { end, failure } = run.outcome
     metrics.count(Counter.Items, end)
     if (failure !== undefined && !controller.signal.aborted) {
       logger.write(LogEvents.attemptFailed, { requestId: item.id, failure, inputs: { server: target.id, events: run.savedEvents + progress.data.length } })
@@ -134,7 +129,7 @@
     return progress.data.length >= minReportedEvents && now - reportedAt >= progressIntervalMs
   }
 
-  function createReport ({ assignment: { run, job, item }, progress, savedEvents, outcome, hasCrashed: isCrash, startedAt, endedAt }: ExecutorRun): RunReport {
+  function createReport ({ assignment: { run, job, item }, progress, savedEvents, outcome, startedAt, endedAt }: ExecutorRun): RunReport {
     return {
       run,
       job,
@@ -144,7 +139,6 @@
       lastEvent: progress.lastEvent ?? -1,
       end: outcome?.end,
       isUnreachable: outcome?.isUnreachable === true,
-      hasCrashed: isCrash,
       durationMs: Math.round((outcome === undefined ? clock.now() : endedAt) - startedAt)
     }
   }
@@ -166,7 +160,6 @@
         startedAt: now,
         reportedAt: now,
         outcome: undefined,
-        hasCrashed: false,
         endedAt: now
       }
       runs.set(assignment.run, run)
--- a/src/process/fleet/runMessages.ts
+++ b/src/process/fleet/runMessages.ts
@@ -68,8 +68,6 @@
   readonly end: RunEnd | undefined
   /** Whether the run failed before anything was sent. */
   readonly isUnreachable: boolean
-  /** Whether the backend server crashed before the item had any output. */
-  readonly hasCrashed?: boolean | undefined
   /** Duration of the run so far, in milliseconds. */
   readonly durationMs: number
 }
--- a/src/request/crashReport.ts
+++ b/src/request/crashReport.ts
@@ -33,14 +33,7 @@
   progress.isBlocked = verdict.isOk() ? verdict.value.isBlocked : progress.crashes > maxUnjudgedCrashes
 }
 
-/**
- * Checks whether a backend server crashed when a connection to it broke.
- * @param target - the server
- * @param reason - why the attempt failed
- * @param client - client of the backend servers
- * @returns false if it goes on, or if the attempt failed for another reason
- */
-export async function hasCrashed (target: BackendServerTarget, reason: FailureReason | undefined, client: BackendServerClient): Promise<boolean> {
+async function hasCrashed (target: BackendServerTarget, reason: FailureReason | undefined, client: BackendServerClient): Promise<boolean> {
   if (reason !== FailureReason.Reset && reason !== FailureReason.Incomplete) return false
   // One connection may also break while the server goes on; after a crash no process listens at its address.
   return await client.hasStopped(target)
