Accept no report of an executor before it has described its runs

Cause: a report that reaches a new leader before the executor has described its runs was accepted without effect; the description, already on its way, was then adopted, so the leader waited for the end of a run that the executor had forgotten. Change: such a report is refused, and the executor repeats it. The new test printed "expected false to equal true" before.

--- a/src/process/fleet/batchRunner.ts
+++ b/src/process/fleet/batchRunner.ts
@@ -315,7 +315,8 @@
       return await waitForTerm() ? await assignments.poll(poll) : err(createNotReadyFailure())
     },
     async report (reports) {
-      if (!await waitForTerm()) return err(createNotReadyFailure())
+      // A report that is accepted before its run is adopted would be lost, and the run would never end.
+      if (!await waitForTerm() || !assignments.isDescribed(reports.holder)) return err(createNotReadyFailure())
       recordOutputs(reports)
       const services = { items, replica, getAttempts: (entry: OpenItem) => findRoute(entry)?.attempts ?? 1, handleEnd, release: assignments.release }
       return await recordRunReports(reports, services)
--- a/src/process/fleet/executorSessions.ts
+++ b/src/process/fleet/executorSessions.ts
@@ -88,6 +88,12 @@
    * @returns the run, or undefined
    */
   find (holder: string, run: RunId): AssignedRun | undefined
+  /**
+   * Checks whether an executor has described its runs in this session.
+   * @param holder - identifies the executor's process start
+   * @returns false if it has not, or has no session
+   */
+  hasDescribed (holder: string): boolean
   /**
    * Compares the runs that an executor lists with those that it is to have.
    * @param poll - the poll
@@ -175,6 +181,7 @@
     release (holder, run) {
       sessions.get(holder)?.runs.delete(run)
     },
+    hasDescribed: holder => sessions.get(holder)?.hasDescribedRuns === true,
     find: (holder, run) => sessions.get(holder)?.runs.get(run),
     compare (poll) {
       const assigned = sessions.get(poll.holder)?.runs
--- a/src/process/fleet/runAssignments.ts
+++ b/src/process/fleet/runAssignments.ts
@@ -58,6 +58,12 @@
   release (entry: OpenItem): void
   /** Removes the runs of executors that have not polled in time. */
   removeLost (): void
+  /**
+   * Checks whether an executor has described its runs to this leader.
+   * @param holder - identifies the executor's process start
+   * @returns false if a report of the executor may concern a run that this leader does not know yet
+   */
+  isDescribed (holder: string): boolean
   /**
    * Answers a long poll of an executor as soon as its runs are to change, or when the long-poll time is over.
    * @param poll - the poll
@@ -166,6 +172,7 @@
     removeLost () {
       for (const session of executors.expire(clock.now())) releaseAll(session, 'no poll in time')
     },
+    isDescribed: holder => executors.hasDescribed(holder),
     async poll (poll) {
       const initialLeadership = leadership
       const { session, replaced } = executors.renew(poll, clock.now())
--- a/test/batchRunner.test.ts
+++ b/test/batchRunner.test.ts
@@ -16,6 +16,7 @@
 import { createMetrics } from '../src/process/program/metrics.ts'
 import { createSystemRandom } from '../src/process/program/random.ts'
 import type { Replica } from '../src/process/log/replica.ts'
+import { RunEnd } from '../src/request/submittedItemRun.ts'
 import { RouteKind } from '../src/version/gatewayTables.ts'
 import { recordOf, routeOf, type Script, ScriptedServers, tablesOf } from './support/fakeFleet.ts'
 
@@ -286,6 +287,17 @@
     expect(recordedResults[0]?.output).to.equal('a\nb')
   })
 
+  // Failure (soak, seed 11): a run ended while its executor described its runs to a new leader. The report arrived first and was
+  // accepted without effect; then the run was adopted, and the item waited for its end for ever.
+  it('accepts no report of an executor before it has described its runs', async () => {
+    startRunner([{ does: 'answer', pieces: [firstEvent], then: 'hang' }], 1)
+    submit('j', ['a'])
+    await waitUntil(() => servers.arrivals.length === 1)
+    const end = { run: 'a/1/1', job: 'j', item: 'a', from: 0, data: [], lastEvent: -1, end: RunEnd.Interrupted, isUnreachable: false, durationMs: 1 }
+    expect((await runner.report({ holder: 'e-2-1', reports: [end] })).isErr()).to.equal(true)
+    expect((await runner.report({ holder: 'e-1-1', reports: [end] })).isOk()).to.equal(true)
+  })
+
   // Failure: every item of a lost executor started over.
   it('saves the progress of an item, and resumes from it on another executor when the first is lost', async () => {
     const events = Array.from({ length: 12 }, (_, id) => `id: ${id}\ndata: d${id}\n\n`)
