--- a/src/process/fleet/crashAttribution.ts
+++ b/src/process/fleet/crashAttribution.ts
@@ -36,7 +36,7 @@
 }
 
 /**
- * Attributes crashes to traits. A prompt part that was blamed before explains every crash at which it was in flight. Of the
+ * Attributes crashes to traits. `suspects` are the prompt parts that may still be blamed. A prompt part that was blamed before explains every crash at which it was in flight. Of the
  * others, the trait with the most crashes is blamed first and explains its crashes, since the other traits of its requests are
  * at the same crashes. Among equals it is the one at the latest position: earlier parts are shared by more requests.
  * @param crashes - the crashes
--- a/src/process/fleet/quarantineView.ts
+++ b/src/process/fleet/quarantineView.ts
@@ -6,7 +6,7 @@
 import type { Clock } from '../program/clock.ts'
 import type { QuarantineUpdate, TraitOutput } from './fleetMessages.ts'
 
-/** Maximum number of prompt parts whose latest output is remembered; the oldest go first. */
+/** Maximum number of prompt parts whose latest output is remembered; the oldest are removed first. */
 const maxRememberedOutputs = 4_096
 
 /** A gateway's view of the quarantine. */
--- a/src/process/fleet/requestPermits.ts
+++ b/src/process/fleet/requestPermits.ts
@@ -59,7 +59,7 @@
   tokens: number
   /** Monotonic time at which `tokens` was computed, in milliseconds. */
   at: number
-  /** Requests that were denied since the last one that was granted; each is told to wait for its turn. */
+  /** Requests that were denied since the last one that was granted; each gets a later time at which to ask again. */
   waiting: number
 }
 
--- a/src/process/fleet/traitQuarantine.ts
+++ b/src/process/fleet/traitQuarantine.ts
@@ -25,7 +25,7 @@
 /** How long a crash is kept, in milliseconds. */
 const crashRetentionMs = 600_000
 
-/** Maximum number of crashes that are kept; the oldest go first. */
+/** Maximum number of crashes that are kept; the oldest are removed first. */
 const maxCrashes = 200
 
 /**
--- a/src/process/state/quarantinedTraits.ts
+++ b/src/process/state/quarantinedTraits.ts
@@ -6,7 +6,7 @@
 import type { Trait } from '../../request/requestTraits.ts'
 import { type CommandOf, done, type Outcome } from './commands.ts'
 
-/** Maximum number of traits that are kept; the oldest go first. */
+/** Maximum number of traits that are kept; the oldest are removed first. */
 const maxTraits = 1_000
 
 /** A trait that was blamed for crashes. */
--- a/src/request/crashReport.ts
+++ b/src/request/crashReport.ts
@@ -35,6 +35,6 @@
 
 async function hasCrashed (target: BackendServerTarget, reason: FailureReason | undefined, client: BackendServerClient): Promise<boolean> {
   if (reason !== FailureReason.Reset && reason !== FailureReason.Incomplete) return false
-  // One connection may also break while the server goes on; after a crash no process listens at its address.
+  // A single connection may also break while the server keeps running; after a crash no process listens at its address.
   return await client.hasStopped(target)
 }
--- a/src/request/forwardedAttempt.ts
+++ b/src/request/forwardedAttempt.ts
@@ -231,7 +231,7 @@
   for await (const chunk of received.body) {
     const eventChunks: Buffer[] = []
     for (const event of splitter.push(chunk)) {
-      // The stream goes on with the next id; anything before it is no part of the stream that the caller has begun to receive.
+      // A resumed stream continues with the next id. Anything before it does not belong to the stream that the caller receives.
       if (isAwaitingResumption && event.id === undefined) return ForwardedAttemptEnd.Broken
       isAwaitingResumption = false
       if (event.id === undefined) progress.hasResumePoint = false
