Match a route without comparing the path with each prefix of its host

Cause: matchRoute compared the path with every prefix of the host name. A plan of batch items matches the route of each waiting item, up to 100 times a second, so with 1,300 routes it cost 1,300 comparisons for each item and plan at the leader. Change: prefixes of a host name are in a map; one look-up for each distinct prefix length, the longest first.

--- a/src/version/gatewayTables.ts
+++ b/src/version/gatewayTables.ts
@@ -105,8 +105,15 @@
   return problems
 }
 
-/** Routes by host in lower case, the longest path prefix first. */
-export type RouteIndex = ReadonlyMap<string, readonly GatewayRoute[]>
+/** Routes of one host name. */
+interface HostRoutes {
+  readonly byPathPrefix: Map<string, GatewayRoute>
+  /** Lengths of the path prefixes, the longest first. */
+  readonly prefixLengths: readonly number[]
+}
+
+/** Routes by host in lower case. */
+export type RouteIndex = ReadonlyMap<string, HostRoutes>
 
 /**
  * Indexes the routes for matching.
@@ -114,27 +121,35 @@
  * @returns the index
  */
 export function createRouteIndex (tables: GatewayTables): RouteIndex {
-  const index = new Map<string, GatewayRoute[]>()
+  const prefixesByHost = new Map<string, Map<string, GatewayRoute>>()
   for (const route of tables.routes) {
     const host = route.host.toLowerCase()
-    const routes = index.get(host) ?? []
-    routes.push(route)
-    index.set(host, routes)
+    const byPathPrefix = prefixesByHost.get(host) ?? new Map<string, GatewayRoute>()
+    byPathPrefix.set(route.pathPrefix, route)
+    prefixesByHost.set(host, byPathPrefix)
+  }
+  const index = new Map<string, HostRoutes>()
+  for (const [host, byPathPrefix] of prefixesByHost) {
+    const lengths = new Set([...byPathPrefix.keys()].map(prefix => prefix.length))
+    index.set(host, { byPathPrefix, prefixLengths: [...lengths].sort((left, right) => right - left) })
   }
-  for (const routes of index.values()) routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length)
   return index
 }
 
 /**
- * Finds the route of a request.
+ * Finds the route of a request. The cost grows with the number of different prefix lengths, not with the number of routes.
  * @param index - the routes
  * @param host - the host name of the request, without a port
  * @param path - the path, with or without a query
  * @returns the route with the longest matching path prefix, or undefined when none matches
  */
 export function matchRoute (index: RouteIndex, host: string, path: string): GatewayRoute | undefined {
-  for (const route of index.get(host.toLowerCase()) ?? []) {
-    if (path.startsWith(route.pathPrefix)) return route
+  const routes = index.get(host.toLowerCase())
+  if (routes === undefined) return undefined
+  for (const length of routes.prefixLengths) {
+    if (length > path.length) continue
+    const route = routes.byPathPrefix.get(path.slice(0, length))
+    if (route !== undefined) return route
   }
   return undefined
 }
--- a/test/fleetRegistry.test.ts
+++ b/test/fleetRegistry.test.ts
@@ -100,6 +100,28 @@
     expect(matchRoute(index, 'b.example', '/p/1')).to.equal(undefined)
   })
 
+  // Guards against a comparison with each route of a host: a plan of batch items matches every waiting item, on tables with over
+  // a thousand routes.
+  it('matches a path with a number of comparisons that does not depend on the number of routes', () => {
+    const routes = Array.from({ length: 1_300 }, (_, number) => routeOf({ name: `r-${number}`, pathPrefix: `/${String(number).padStart(4, '0')}/` }))
+    const index = createRouteIndex(tablesOf(1, [...routes, routeOf({ name: 'all', pathPrefix: '/' })]))
+    let comparisons = 0
+    class CountedPath extends String {
+      override slice (...range: [number, number]): string {
+        comparisons++
+        return super.slice(...range)
+      }
+
+      override startsWith (prefix: string): boolean {
+        comparisons++
+        return super.startsWith(prefix)
+      }
+    }
+    const match = (path: string): string | undefined => matchRoute(index, 'a.example', new CountedPath(path) as string)?.name
+    expect([match('/0000/x'), match('/1299/x'), match('/1300/x'), match('/x')]).to.deep.equal(['r-0', 'r-1299', 'all', 'all'])
+    expect(comparisons).to.be.at.most(8)
+  })
+
   // Guards against tables that name unknown services, route one path twice, or leave a route without target or timeout.
   it('reports each kind of invalid table', () => {
     const invalid = [
