Fetch tables apart from the polls, encoded once for each version and control host

Cause: the leader put the tables into the response to the long poll of each host, and encoded them again for each. With 1,336 routes and 81 hosts this blocked its event loop; it lost its majority, and hosts repeated the same polls. Change: a poll names the version in force only. A task of the gateway fetches the tables on a connection of their own from the closest control host, which encodes a version once; without contact to the leader it asks the other control hosts. A gateway that knows of a newer version answers 503 instead of 404 for a path without a route, and serves no requests after 2 s. Executors and control hosts do not use the tables and no longer receive them. Hosts of the earlier program still get them in the poll.

--- a/src/connection/controlClient.ts
+++ b/src/connection/controlClient.ts
@@ -10,7 +10,7 @@
 import { Counter, type Metrics } from '../process/program/metrics.ts'
 import { type QueryResponse, type Query, QueryKind } from '../process/state/queries.ts'
 import type { Heartbeat } from '../process/fleet/backendServerRegistry.ts'
-import { fleetLongPollMs, type FleetUpdate, type FleetWatchRequest, type LimitReport, type LoadReport, type LoadTotals, type PermitRequest, type PermitResponse, type ServerCrashReport, type ServerCrashVerdict, type TrialRequest } from '../process/fleet/fleetMessages.ts'
+import { fleetLongPollMs, type FleetUpdate, type FleetWatchRequest, type LimitReport, type LoadReport, type LoadTotals, type PermitRequest, type PermitResponse, type ServerCrashReport, type ServerCrashVerdict, type TablesRequest, type TablesResponse, type TrialRequest } from '../process/fleet/fleetMessages.ts'
 import type { RunPoll, RunReports, RunUpdate } from '../process/fleet/runMessages.ts'
 import type { Random } from '../process/program/random.ts'
 import type { WatchResponse, WatchRequest } from '../process/state/watchMessages.ts'
@@ -32,6 +32,12 @@
 /** Timeout for one query to a control host that need not be the leader, in milliseconds, in addition to the time of a long poll. */
 const nearestReadTimeoutMs = 700
 
+/** Timeout for the first attempt to fetch tables, in milliseconds; doubles with each further attempt, since large tables may take longer on a slow connection. */
+const initialTablesTimeoutMs = 700
+
+/** Longest timeout for an attempt to fetch tables, in milliseconds. */
+const maxTablesTimeoutMs = 5_600
+
 /** Backoff for a control host that did not respond or refused the connection, in milliseconds; when all have failed, each is tried again. */
 const failedHostBackoffMs = 2_000
 
@@ -94,6 +100,12 @@
    * @returns the update, or a failure
    */
   watchFleet (request: FleetWatchRequest): Promise<Result<FleetUpdate, Failure>>
+  /**
+   * Fetches the tables in force from the first control host that responds, the closest first, until one has the required version.
+   * @param request - the version of this host and the required one
+   * @returns the tables if they are newer than those of this host, or the failure of the last attempt
+   */
+  fetchTables (request: TablesRequest): Promise<Result<TablesResponse, Failure>>
   /**
    * Reports the load of this host once; it is not retried.
    * @param report - the load
@@ -250,6 +262,11 @@
     return err(failure ?? createFailure(FailureReason.Timeout, { step: Step.Read }, 'no time left for the call'))
   }
 
+  function callTables (address: string, request: TablesRequest, timeoutMs: number): PromiseLike<Result<TablesResponse, Failure>> {
+    return clients.callReply<TablesResponse>(address, TrafficClass.Tables, Step.FetchTables, timeoutMs, (client, abort) =>
+      client.fleet.tables.mutate(request, { signal: abort }))
+  }
+
   return {
     execute: (command, timeoutMs = 10_000) => retry(timeoutMs, Step.Execute, address =>
       clients.callReply<Outcome>(address, selectTrafficClass(command), Step.Execute, gatewayCommands.has(command.kind) ? Math.min(timeoutMs, gatewayAttemptTimeoutMs) : timeoutMs, (client, abort) =>
@@ -262,6 +279,21 @@
       client.control.watch.mutate(request, { signal: abort }))),
     watchFleet: request => callOnce(address => clients.callReply<FleetUpdate>(address, TrafficClass.Control, Step.Watch, fleetLongPollMs + fleetResponseTimeoutMs, (client, abort) =>
       client.fleet.watch.mutate(request, { signal: abort }))),
+    async fetchTables (request) {
+      let timeoutMs = initialTablesTimeoutMs
+      let failure: Failure | undefined
+      const hosts = listHosts()
+      const responsive = hosts.filter(address => !hasFailedRecently(address))
+      for (const address of responsive.length > 0 ? responsive : hosts) {
+        if (signal.aborted) break
+        const result = await callTables(address, request, timeoutMs)
+        if (result.isOk()) return result
+        failure = result.error
+        metrics.count(Counter.ControlCalls, failure.reason)
+        timeoutMs = Math.min(2 * timeoutMs, maxTablesTimeoutMs)
+      }
+      return err(failure ?? createFailure(FailureReason.Timeout, { step: Step.FetchTables }, 'no control host is known'))
+    },
     reportLoad: async report => await clients.callReply<LoadTotals>(leader, TrafficClass.Live, Step.Report, fleetResponseTimeoutMs, (client, abort) =>
       client.fleet.report.mutate(report, { signal: abort })),
     reportCrash: async report => await clients.callReply<ServerCrashVerdict>(leader, TrafficClass.Live, Step.Report, crashReportTimeoutMs, (client, abort) =>
--- a/src/connection/internalClient.ts
+++ b/src/connection/internalClient.ts
@@ -14,7 +14,7 @@
 import type { InternalRouter } from './internalRouter.ts'
 
 /** Traffic classes, which never share a connection. */
-export const TrafficClass = { Heartbeat: 'heartbeat', Live: 'live', Control: 'control', Batch: 'batch' } as const
+export const TrafficClass = { Heartbeat: 'heartbeat', Live: 'live', Control: 'control', Tables: 'tables', Batch: 'batch' } as const
 export type TrafficClass = typeof TrafficClass[keyof typeof TrafficClass]
 
 /** Key of the call context that is true when the large parts of the input are compressed already. */
--- a/src/connection/internalRouter.ts
+++ b/src/connection/internalRouter.ts
@@ -9,7 +9,8 @@
 import type { ControlHost } from '../process/state/controlHost.ts'
 import type { FleetLeader } from '../process/fleet/fleetLeader.ts'
 import type { BatchRunner } from '../process/fleet/batchRunner.ts'
-import type { FleetWatchRequest, LimitReport, LoadReport, PermitRequest, ServerCrashReport, TrialRequest } from '../process/fleet/fleetMessages.ts'
+import type { FleetWatchRequest, LimitReport, LoadReport, PermitRequest, ServerCrashReport, TablesRequest, TrialRequest } from '../process/fleet/fleetMessages.ts'
+import type { TablesSource } from '../process/fleet/tablesSource.ts'
 import type { RunPoll, RunReports } from '../process/fleet/runMessages.ts'
 import type { Heartbeat } from '../process/fleet/backendServerRegistry.ts'
 import { createFailure, FailureReason, Step } from '../process/program/failure.ts'
@@ -31,6 +32,7 @@
   shareReceiver: ShareReceiver | undefined
   dispatchReceiver: DispatchReceiver | undefined
   fleetLeader?: FleetLeader | undefined
+  tablesSource?: TablesSource | undefined
   batchRunner?: BatchRunner | undefined
 }
 
@@ -94,6 +96,8 @@
     fleet: router({
       watch: procedure.input(objectSchema<FleetWatchRequest>()).mutation(async ({ input }) =>
         services.fleetLeader === undefined ? createMissingRoleReply(Step.Watch) : toReply(await services.fleetLeader.watch(input))),
+      tables: procedure.input(objectSchema<TablesRequest>()).mutation(async ({ input }) =>
+        services.tablesSource === undefined ? createMissingRoleReply(Step.FetchTables) : toReply(await services.tablesSource.fetch(input))),
       report: procedure.input(objectSchema<LoadReport>()).mutation(({ input }) =>
         services.fleetLeader === undefined ? createMissingRoleReply(Step.Report) : toReply(services.fleetLeader.report(input))),
       reportCrash: procedure.input(objectSchema<ServerCrashReport>()).mutation(async ({ input }) =>
--- a/src/process/fleet/controlDaemon.ts
+++ b/src/process/fleet/controlDaemon.ts
@@ -24,6 +24,7 @@
 import { createFleetLeader, type FleetLeader } from './fleetLeader.ts'
 import { type FleetHost, FleetRole } from './fleetMessages.ts'
 import type { FleetView } from './fleetView.ts'
+import { createTablesSource, type TablesSource } from './tablesSource.ts'
 import { listControlHosts, type FleetSettings } from './fleetSettings.ts'
 import { millisecondsPerSecond } from '../program/units.ts'
 
@@ -61,8 +62,8 @@
   const opened = await openReplica(base, address, components)
   if (opened.isErr()) return err(opened.error)
   const controlHost = opened.value
-  const { fleetLeader, batchRunner } = createLeaderComponents(base, controlHost, components)
-  const services: InternalServices = { controlHost, shareReceiver: undefined, dispatchReceiver: undefined, fleetLeader, batchRunner }
+  const { fleetLeader, batchRunner, tablesSource } = createLeaderComponents(base, controlHost, components)
+  const services: InternalServices = { controlHost, shareReceiver: undefined, dispatchReceiver: undefined, fleetLeader, batchRunner, tablesSource }
   const listening = await serveInternalCalls(address, createInternalRouter(services), lifecycle)
   if (listening.isErr()) return err(listening.error)
   const served = await serveExternalApis(base)
@@ -76,10 +77,11 @@
   }))
 }
 
-/** Components that are active only while this host leads. They are created after the replica, which notifies them. */
+/** Components that are created after the replica, which notifies them. */
 interface LeaderComponents {
   fleetLeader?: FleetLeader
   batchRunner?: BatchRunner
+  tablesSource?: TablesSource
 }
 
 // A damaged log is treated as a lost disk: the host joins again under a new identity.
@@ -103,7 +105,10 @@
     storage: createFileStorage({ folder: settings.dataFolder ?? '', host: settings.host, logger, metrics }),
     transport: createTrpcTransport(clients),
     applied (command) {
-      if (command.kind === CommandKind.Publish) components.fleetLeader?.publish()
+      if (command.kind === CommandKind.Publish) {
+        components.tablesSource?.handleApplied()
+        components.fleetLeader?.publish()
+      }
       if (command.kind === CommandKind.UpdateQuarantine) components.fleetLeader?.quarantine.handleApplied()
       components.batchRunner?.applied.notify()
     }
@@ -123,6 +128,8 @@
     get settleMs () { return settings.heartbeatMs * settleHeartbeatIntervals }
   })
   components.fleetLeader = fleetLeader
+  const tablesSource = createTablesSource({ ...base, state })
+  components.tablesSource = tablesSource
   const batchRunner = createBatchRunner({
     ...base,
     fleet: fleetLeader,
@@ -134,7 +141,7 @@
     get keepMs () { return settings.statusKeepSeconds * jobRetentionFactor * millisecondsPerSecond }
   })
   components.batchRunner = batchRunner
-  return { fleetLeader, batchRunner }
+  return { fleetLeader, batchRunner, tablesSource }
 }
 
 async function serveExternalApis (base: FleetHostBase): Promise<Result<unknown, Failure>> {
--- a/src/process/fleet/fleetLeader.ts
+++ b/src/process/fleet/fleetLeader.ts
@@ -207,10 +207,14 @@
     return replica.state.commitIndex < replica.state.termStartIndex ? undefined : state.publication?.tables
   }
 
+  function getConfirmedVersion (): number {
+    return getConfirmedTables()?.version ?? 0
+  }
+
   function hasUpdate (request: FleetWatchRequest): boolean {
     if (request.leadership !== getLeadership()) return true
     if (isComplete() && !request.isSettled) return true
-    if ((getConfirmedTables()?.version ?? 0) > request.tablesVersion) return true
+    if (getConfirmedVersion() > Math.max(request.tablesVersion, request.knownTablesVersion ?? 0)) return true
     if (registry.revision > request.serversRevision) return true
     if (shouldSendQuarantine(request) || shouldSendLimits(request)) return true
     return shouldSendHosts(request)
@@ -236,10 +240,11 @@
   }
 
   function createUpdate (request: FleetWatchRequest): FleetUpdate {
-    const tables = getConfirmedTables()
+    const version = getConfirmedVersion()
     return {
       leadership: getLeadership(),
-      tables: (tables?.version ?? 0) > request.tablesVersion ? tables : undefined,
+      tablesVersion: version,
+      tables: request.fetchesTables !== true && version > request.tablesVersion ? getConfirmedTables() : undefined,
       serversRevision: registry.revision,
       servers: registry.listChangesSince(request.leadership === getLeadership() ? request.serversRevision : 0),
       isComplete: isComplete(),
--- a/src/process/fleet/fleetMessages.ts
+++ b/src/process/fleet/fleetMessages.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import type { GatewayTables } from '../../version/gatewayTables.ts'
+import type { EncodedTables } from '../../connection/tablesCodec.ts'
 import type { Trait } from '../../request/requestTraits.ts'
 import type { BackendServerRecord } from './backendServerRegistry.ts'
 
@@ -33,6 +34,10 @@
   /** The leadership (leader and term) that the revisions below refer to. */
   readonly leadership: string
   readonly tablesVersion: number
+  /** Whether the host fetches newer tables itself; hosts of an earlier version of the program receive them in the update. */
+  readonly fetchesTables?: boolean | undefined
+  /** Highest version of the tables that the host knows to be in force, whether or not it has it. */
+  readonly knownTablesVersion?: number | undefined
   readonly serversRevision: number
   readonly hostsRevision: number
   /** Whether the host has received an update of this leadership with `isComplete` set. */
@@ -93,7 +98,9 @@
 /** The response to a long poll. */
 export interface FleetUpdate {
   readonly leadership: string
-  /** Present when newer than the version in the poll. */
+  /** Version of the tables in force; 0 as long as the leader does not know it. */
+  readonly tablesVersion?: number | undefined
+  /** Present when newer than the version in the poll, for a host that does not fetch tables itself. */
   readonly tables?: GatewayTables | undefined
   readonly serversRevision: number
   /** Backend servers changed since the revision in the poll; all of them when the leadership differs. */
@@ -146,6 +153,22 @@
 /** Live requests in flight by backend server. */
 export type LiveCounts = Readonly<Record<string, number>>
 
+/** Request for the tables in force. */
+export interface TablesRequest {
+  /** Version that the host has; 0 for none. */
+  readonly knownVersion: number
+  /** Lowest version that the response may have. */
+  readonly requiredVersion: number
+}
+
+/** The response to a request for tables. */
+export interface TablesResponse {
+  /** Version in force, as far as the control host has applied the log. */
+  readonly version: number
+  /** Present when newer than the version that the host has. */
+  readonly encoded?: EncodedTables | undefined
+}
+
 /** Load report of a gateway. */
 export interface LoadReport {
   readonly holder: string
--- a/src/process/fleet/fleetView.ts
+++ b/src/process/fleet/fleetView.ts
@@ -16,6 +16,12 @@
 /** Time for which a backend server is avoided after a failed connection, in milliseconds. A crash lasts a few seconds, and other hosts report when the server is reachable again. */
 const suspectRetentionMs = 2_000
 
+/**
+ * Time for which a host may serve by tables that it knows to be outdated, in milliseconds. Shorter than the time within which
+ * operators expect a published version to be in force everywhere, 2.5 s at the least.
+ */
+export const maxTablesOutdatedMs = 2_000
+
 /** Weight of the latest run in the moving average of failed runs; about the last ten runs contribute. */
 const failureSmoothingFactor = 0.1
 
@@ -23,6 +29,12 @@
 export interface FleetView {
   readonly tables: GatewayTables | undefined
   readonly routes: RouteIndex
+  /** Version of the tables in force, as far as this host knows; 0 before the first. */
+  readonly tablesVersionInForce: number
+  /** Time for which this host has known that its tables are outdated, in milliseconds; undefined while they are up to date. */
+  readonly tablesOutdatedMs: number | undefined
+  /** Whether requests may be served by the tables: there are some, and they have not been outdated for too long. */
+  readonly canServe: boolean
   /** Hosts of the fleet; only control hosts receive them. */
   readonly hosts: readonly FleetHost[]
   /** Internal addresses of the control hosts, the closest first, and the configured seeds. */
@@ -48,6 +60,16 @@
    * @param update - the response
    */
   applyUpdate (update: FleetUpdate): void
+  /**
+   * Applies fetched tables, unless they are older than those that the host has.
+   * @param tables - the tables
+   */
+  applyTables (tables: GatewayTables): void
+  /**
+   * Records a version that is in force, whether or not the host has it.
+   * @param version - the version
+   */
+  recordTablesVersion (version: number): void
   /**
    * Applies the response to a load report.
    * @param totals - load of all hosts together
@@ -119,6 +141,9 @@
   const changed = createCondition(clock)
   const loadChanged = createCondition(clock)
   let tables: GatewayTables | undefined
+  let tablesVersionInForce = 0
+  // Monotonic time since which a newer version is known, in milliseconds.
+  let outdatedSince: number | undefined
   let routes: RouteIndex = new Map()
   let hosts: readonly FleetHost[] = []
   let reportedControlHosts: readonly string[] = []
@@ -128,6 +153,25 @@
   let hostsRevision = -1
   let isSettled = false
 
+  function recordTablesVersion (version: number): void {
+    if (version <= tablesVersionInForce) return
+    tablesVersionInForce = version
+    if (version > (tables?.version ?? 0)) outdatedSince ??= clock.now()
+  }
+
+  function applyTables (newTables: GatewayTables): void {
+    if (newTables.version <= (tables?.version ?? 0)) return
+    tables = newTables
+    routes = createRouteIndex(newTables)
+    recordTablesVersion(newTables.version)
+    const delayMs = outdatedSince === undefined ? 0 : clock.now() - outdatedSince
+    // The time counts from the first newer version, also when the host has received one that is outdated again.
+    if (newTables.version >= tablesVersionInForce) outdatedSince = undefined
+    logger.write(LogEvents.configurationActivated, { value: newTables.version, inputs: { delayMs: Math.round(delayMs), inForce: tablesVersionInForce } })
+    changed.notify()
+    loadChanged.notify()
+  }
+
   function applyServers (update: FleetUpdate): void {
     const isSameLeadership = update.leadership === leadership
     if (!isSameLeadership) listedServers.clear()
@@ -149,6 +193,9 @@
   return {
     get tables () { return tables },
     get routes () { return routes },
+    get tablesVersionInForce () { return tablesVersionInForce },
+    get tablesOutdatedMs () { return outdatedSince === undefined ? undefined : clock.now() - outdatedSince },
+    get canServe () { return tables !== undefined && (outdatedSince === undefined || clock.now() - outdatedSince <= maxTablesOutdatedMs) },
     get hosts () { return hosts },
     get controlHosts () { return [...new Set([...reportedControlHosts, ...seeds()])] },
     get lastContactAt () { return lastContactAt },
@@ -157,14 +204,11 @@
     changed,
     loadChanged,
     live,
-    createWatchRequest: host => ({ host, leadership, tablesVersion: tables?.version ?? 0, serversRevision, hostsRevision, isSettled, quarantineRevision: quarantine.revision, limitsRevision: requestLimits.revision }),
+    createWatchRequest: host => ({ host, leadership, tablesVersion: tables?.version ?? 0, fetchesTables: true, knownTablesVersion: tablesVersionInForce, serversRevision, hostsRevision, isSettled, quarantineRevision: quarantine.revision, limitsRevision: requestLimits.revision }),
     applyUpdate (update) {
       lastContactAt = clock.now()
-      if (update.tables !== undefined && update.tables.version > (tables?.version ?? 0)) {
-        tables = update.tables
-        routes = createRouteIndex(update.tables)
-        logger.write(LogEvents.configurationActivated, { value: tables.version, detail: update.leadership })
-      }
+      recordTablesVersion(update.tablesVersion ?? 0)
+      if (update.tables !== undefined) applyTables(update.tables)
       applyServers(update)
       if (update.requestLimits !== undefined) requestLimits.applyUpdate(update.requestLimits, update.leadership !== leadership)
       if (leadership !== update.leadership) logger.write(LogEvents.leaderFound, { detail: update.leadership, value: update.serversRevision })
@@ -178,6 +222,8 @@
       if (update.controlHosts.length > 0) reportedControlHosts = update.controlHosts
       changed.notify()
     },
+    applyTables,
+    recordTablesVersion,
     applyLoads (totals, reported) {
       remoteLoads.clear()
       for (const [id, load] of Object.entries(totals.loads)) {
--- a/src/process/fleet/gatewayDaemon.ts
+++ b/src/process/fleet/gatewayDaemon.ts
@@ -5,6 +5,7 @@
 import type { Server } from 'node:http'
 import { err, ok, type Result } from 'neverthrow'
 import { runLoadReports } from '../../connection/fleetWatch.ts'
+import { runTablesFetch } from '../../connection/tablesFetch.ts'
 import { createBackendServerHttp } from '../../../platform/backendServerHttp.ts'
 import { createCallerServer } from '../../../platform/callerHttp.ts'
 import { createReadinessApi } from '../../../platform/controlHttp.ts'
@@ -66,10 +67,11 @@
   await serveMetrics(base)
   lifecycle.run(async signal => {
     while (!signal.aborted) {
-      readiness.isReady = view.tables !== undefined && !state.isDraining
+      readiness.isReady = view.canServe && !state.isDraining
       await view.changed.wait(readinessCheckIntervalMs, signal)
     }
   })
+  lifecycle.run(signal => runTablesFetch({ view, client: base.control, describe: base.describe, clock, random, logger, metrics }, signal))
   lifecycle.run(signal => runLoadReports({ view, client: base.control, describe: base.describe, clock, random, logger }, signal))
   return ok(createFleetDaemon(base, () => drain(base, server, state)))
 }
--- a/src/process/program/failure.ts
+++ b/src/process/program/failure.ts
@@ -39,6 +39,7 @@
   Propose: 'propose',
   ConfirmRead: 'confirm read',
   Watch: 'watch',
+  FetchTables: 'fetch tables',
   Execute: 'execute',
   Read: 'read',
   Share: 'share',
--- a/src/process/program/logEvents.ts
+++ b/src/process/program/logEvents.ts
@@ -52,6 +52,8 @@
   configurationStale: { number: 301, level: Level.Error, text: 'no confirmed configuration; refusing new requests', action: 'Check that a majority of control hosts runs and is reachable.' },
   configurationConfirmed: { number: 302, level: Level.Info, text: 'configuration confirmed again', action: noAction },
   configurationBehind: { number: 303, level: Level.Error, text: 'control has an older configuration than this host; refusing new requests', action: 'Check whether the control hosts lost their data; restart this host to adopt their version.' },
+  tablesEncoded: { number: 304, level: Level.Info, text: 'tables encoded for the hosts that fetch them', action: noAction },
+  tablesDelayed: { number: 305, level: Level.Warn, text: 'host has known of newer tables for a while and has not received them', action: 'Check the network to the control hosts, and their load.' },
   backendServerAnnounced: { number: 400, level: Level.Info, text: 'backend server announced itself', action: noAction },
   backendServerLeaving: { number: 401, level: Level.Info, text: 'backend server is leaving', action: noAction },
   backendServerExpired: { number: 402, level: Level.Warn, text: 'announcement of a backend server expired', action: 'Check the backend server.' },
--- a/src/process/program/metrics.ts
+++ b/src/process/program/metrics.ts
@@ -21,6 +21,8 @@
   ControlCalls: 'jaychute_control_calls_total',
   Syncs: 'jaychute_log_syncs_total',
   LogEntries: 'jaychute_log_entries_total',
+  TablesEncoded: 'jaychute_tables_encoded_total',
+  TablesFetches: 'jaychute_tables_fetches_total',
   LeadershipEnds: 'jaychute_leadership_ends_total',
   ReplicationFailures: 'jaychute_replication_failures_total'
 } as const
@@ -34,6 +36,7 @@
   Commit: 'jaychute_commit_microseconds',
   Yield: 'jaychute_yield_microseconds',
   Replication: 'jaychute_replication_microseconds',
+  TablesDelay: 'jaychute_tables_delay_microseconds',
   EventLoopDelay: 'jaychute_event_loop_delay_microseconds'
 } as const
 export type Latency = typeof Latency[keyof typeof Latency]
--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -4,6 +4,7 @@
  */
 import { BodyProblem } from '../connection/opaqueRequest.ts'
 import type { BackendServerRecord } from '../process/fleet/backendServerRegistry.ts'
+import type { FleetView } from '../process/fleet/fleetView.ts'
 import { LogEvents } from '../process/program/logEvents.ts'
 import { Counter } from '../process/program/metrics.ts'
 import { chooseTarget, matchRoute, RouteKind } from '../version/gatewayTables.ts'
@@ -41,9 +42,9 @@
  */
 export async function runForwardedRequest (request: CallerRequest, response: CallerResponse, services: ForwardingServices): Promise<void> {
   const { view, random } = services
-  if (view.tables === undefined) return sendRefusal(services, request, response, GatewayRefusal.NotReady, undefined)
+  if (!view.canServe) return sendRefusal(services, request, response, GatewayRefusal.NotReady, undefined)
   const route = matchRoute(view.routes, request.host, request.path)
-  if (route === undefined || route.kind === RouteKind.Batch) return sendRefusal(services, request, response, GatewayRefusal.NoRoute, undefined)
+  if (route === undefined || route.kind === RouteKind.Batch) return sendRefusal(services, request, response, refuseUnknownRoute(view), undefined)
   const progress: ForwardingProgress = {
     request,
     answer: response,
@@ -73,6 +74,15 @@
   while (await makeAttempt(progress, services)) services.metrics.count(Counter.Retries, route.kind)
 }
 
+/**
+ * Chooses the refusal of a request for which there is no route.
+ * @param view - the host's view of the fleet
+ * @returns `NotReady` while newer tables are known, which may have the route; otherwise `NoRoute`
+ */
+export function refuseUnknownRoute (view: FleetView): GatewayRefusal {
+  return view.tablesOutdatedMs === undefined ? GatewayRefusal.NoRoute : GatewayRefusal.NotReady
+}
+
 // Returns whether another attempt is to be made.
 async function makeAttempt (progress: ForwardingProgress, services: ForwardingServices): Promise<boolean> {
   if (isQuarantined(progress, services)) return giveUp(progress, services, GatewayRefusal.Quarantined)
--- a/src/request/gatewayJobs.ts
+++ b/src/request/gatewayJobs.ts
@@ -14,6 +14,7 @@
 import type { SubmittedItem } from '../process/jobs/submission.ts'
 import { matchRoute, RouteKind } from '../version/gatewayTables.ts'
 import { GatewayRefusal } from './callerExchange.ts'
+import { refuseUnknownRoute } from './forwardedRequest.ts'
 
 /** Timeout of a submission or of the end of a job, in milliseconds; the caller retries it after that. */
 const commandTimeoutMs = 3_000
@@ -44,9 +45,9 @@
 export async function submitJob (job: JobSubmission, services: GatewayJobServices): Promise<Result<void, GatewayRefusal>> {
   const { view, control, clock } = services
   const startedAt = clock.now()
-  if (view.tables === undefined) return refuseJob(job, GatewayRefusal.NotReady, services)
+  if (view.tables === undefined || !view.canServe) return refuseJob(job, GatewayRefusal.NotReady, services)
   const route = matchRoute(view.routes, job.host, job.path)
-  if (route === undefined || route.kind !== RouteKind.Batch) return refuseJob(job, GatewayRefusal.NoRoute, services)
+  if (route === undefined || route.kind !== RouteKind.Batch) return refuseJob(job, refuseUnknownRoute(view), services)
   const { id, host, items } = job
   const submission = { id, host, items, route: route.name, pathPrefix: route.pathPrefix, acceptedAt: 0, giveUpAt: 0 }
   const outcome = await control.execute({
