Acknowledge a publication once every gateway serves by it

Cause: the acknowledgement followed the commit in the log and said nothing about the gateways. A new leader waits for the time of a session first, since it knows no gateway yet. Result: three new tests.

--- a/src/connection/controlClient.ts
+++ b/src/connection/controlClient.ts
@@ -106,6 +106,13 @@
    * @returns the tables if they are newer than those of this host, or the failure of the last attempt
    */
   fetchTables (request: TablesRequest): Promise<Result<TablesResponse, Failure>>
+  /**
+   * Asks the leader whether every gateway serves by a version of the tables or a later one.
+   * @param version - the version
+   * @param timeoutMs - timeout including all attempts, in milliseconds
+   * @returns nothing once every gateway does, or the failure of the last attempt
+   */
+  confirmTables (version: number, timeoutMs: number): Promise<Result<void, Failure>>
   /**
    * Reports the load of this host once; it is not retried.
    * @param report - the load
@@ -294,6 +301,9 @@
       }
       return err(failure ?? createFailure(FailureReason.Timeout, { step: Step.FetchTables }, 'no control host is known'))
     },
+    confirmTables: (version, timeoutMs) => retry(timeoutMs, Step.Publish, address =>
+      clients.callReply<void>(address, TrafficClass.Control, Step.Publish, timeoutMs, (client, abort) =>
+        client.fleet.confirmTables.mutate({ version }, { signal: abort }))),
     reportLoad: async report => await clients.callReply<LoadTotals>(leader, TrafficClass.Live, Step.Report, fleetResponseTimeoutMs, (client, abort) =>
       client.fleet.report.mutate(report, { signal: abort })),
     reportCrash: async report => await clients.callReply<ServerCrashVerdict>(leader, TrafficClass.Live, Step.Report, crashReportTimeoutMs, (client, abort) =>
--- a/src/process/fleet/controlDaemon.ts
+++ b/src/process/fleet/controlDaemon.ts
@@ -14,6 +14,7 @@
 import { type Failure, FailureReason } from '../program/failure.ts'
 import { createFileStorage } from '../log/fileStorage.ts'
 import { LogEvents } from '../program/logEvents.ts'
+import { Counter } from '../program/metrics.ts'
 import { QueryKind } from '../state/queries.ts'
 import { serveApi } from '../program/servers.ts'
 import { moveAside } from '../log/moveAside.ts'
@@ -152,11 +153,24 @@
   return await serveApi(settings.directoryAddress, createDirectoryApi(service), lifecycle)
 }
 
-function createControlService ({ control, view, logger }: FleetHostBase): ControlService {
+function createControlService ({ control, view, clock, logger, metrics }: FleetHostBase): ControlService {
+  // The tables are in force once committed; the operator is told so once every gateway serves by them.
+  async function confirmTables (version: number, timeoutMs: number): Promise<PublicationResult> {
+    const confirmed = await control.confirmTables(version, timeoutMs)
+    metrics.count(Counter.TablesConfirmations, confirmed.isOk() ? 'confirmed' : confirmed.error.reason)
+    if (confirmed.isErr()) {
+      logger.write(LogEvents.publicationUnconfirmed, { value: version, failure: confirmed.error })
+      return PublicationResult.Unknown
+    }
+    logger.write(LogEvents.publicationAccepted, { value: version })
+    return PublicationResult.Accepted
+  }
+
   return {
     addressKeepMs,
     async publish (publication) {
       const { version } = publication.tables
+      const deadline = clock.now() + publishTimeoutMs
       const outcome = await control.execute({ kind: CommandKind.Publish, publication }, publishTimeoutMs)
       if (outcome.isErr()) {
         logger.write(LogEvents.publicationRefused, { value: version, failure: outcome.error })
@@ -166,8 +180,7 @@
         logger.write(LogEvents.publicationRefused, { value: version, reason: outcome.value.text })
         return PublicationResult.Conflict
       }
-      logger.write(LogEvents.publicationAccepted, { value: version })
-      return PublicationResult.Accepted
+      return await confirmTables(version, deadline - clock.now())
     },
     logRefusedPublication (problems) {
       logger.write(LogEvents.publicationRefused, { reason: problems.map(problem => `${problem.place}: ${problem.text}`).slice(0, 3).join('; ') })
--- a/src/process/fleet/fleetLeader.ts
+++ b/src/process/fleet/fleetLeader.ts
@@ -17,6 +17,7 @@
   type FleetHost, fleetLongPollMs, type FleetUpdate, FleetRole, type FleetWatchRequest, type LimitReport, type LoadReport, type LoadTotals, type PermitRequest, type PermitResponse,
   type RequestLimitUpdate, type ServerCrashReport, type ServerCrashVerdict, type ServerLoad, type TrialRequest
 } from './fleetMessages.ts'
+import { maxTablesOutdatedMs } from './fleetView.ts'
 import { createHostSessions, sessionTimeoutMs } from './hostSessions.ts'
 import { createRequestPermits, type RequestPermits } from './requestPermits.ts'
 import { createTraitQuarantine, type TraitQuarantine } from './traitQuarantine.ts'
@@ -33,6 +34,12 @@
 /** Time limit for the hosts to confirm that a server leaves, in milliseconds; the server retries after one second. */
 const leaveConfirmationTimeoutMs = 600
 
+/** Time limit for one request to confirm that the gateways have new tables, in milliseconds; the operator repeats the publication after one second. */
+const tablesConfirmationTimeoutMs = 600
+
+/** Time after which a gateway without the tables counts as confirmed, in milliseconds: by then it refuses requests by itself. */
+const tablesConfirmationLimitMs = maxTablesOutdatedMs
+
 /** Delay before a pending poll is answered, in milliseconds, so that changes close together go out in one update. */
 const updateDelayMs = 10
 
@@ -102,6 +109,12 @@
    * @returns whether it may, or a `NotLeader` failure
    */
   acquireTrial (request: TrialRequest): Result<boolean, Failure>
+  /**
+   * Waits until every gateway serves by a version of the tables or a later one.
+   * @param version - a version that is in force
+   * @returns nothing once every gateway with a session does, or refuses requests since it does not; or a `NotLeader` or `Unconfirmed` failure
+   */
+  confirmTables (version: number): Promise<Result<void, Failure>>
   /**
    * Processes a heartbeat. For a leaving server it resolves only once every host that may send it requests has confirmed.
    * @param heartbeat - the heartbeat
@@ -155,6 +168,9 @@
   let term = -1
   // Monotonic time at which the current leadership began, in milliseconds.
   let leaderSince = 0
+  let appliedVersion = 0
+  // Monotonic time at which this leader applied the latest version of the tables, in milliseconds.
+  let appliedAt = 0
 
   function isLeading (): boolean {
     if (replica.state.role !== ReplicaRole.Leader) return false
@@ -171,6 +187,8 @@
     for (const record of inputs.knownServers()) registry.seed(record, leaderSince)
     quarantine.beginTerm()
     permits.clear()
+    appliedVersion = state.publication?.tables.version ?? 0
+    appliedAt = leaderSince
   }
 
   function createNotLeaderFailure (step: Step): Failure {
@@ -211,6 +229,33 @@
     return getConfirmedTables()?.version ?? 0
   }
 
+  function handleAppliedTables (): void {
+    const version = state.publication?.tables.version ?? 0
+    if (version > appliedVersion) {
+      appliedVersion = version
+      appliedAt = clock.now()
+    }
+    updateAvailable.notify()
+  }
+
+  // A new leader does not know the gateways before they have had the time of a session to contact it.
+  async function confirmTables (version: number): Promise<Result<void, Failure>> {
+    const initialLeadership = getLeadership()
+    const deadline = clock.now() + tablesConfirmationTimeoutMs
+    while (isLeading() && getLeadership() === initialLeadership && !lifecycle.signal.aborted) {
+      const now = clock.now()
+      const host = sessions.findWithOlderTables(version)
+      if (host === undefined && now - leaderSince >= sessionTimeoutMs) return ok(undefined)
+      if (now - appliedAt >= tablesConfirmationLimitMs) {
+        logger.write(LogEvents.tablesUnconfirmed, { peer: host?.name ?? '', value: version, inputs: { waitedMs: Math.round(now - appliedAt) } })
+        return ok(undefined)
+      }
+      if (now >= deadline) return err(createFailure(FailureReason.Unconfirmed, { step: Step.Publish, peer: host?.name }, `version ${version} is not confirmed by every gateway`))
+      await sessionChanged.wait(deadline - now, lifecycle.signal)
+    }
+    return err(createNotLeaderFailure(Step.Publish))
+  }
+
   function hasUpdate (request: FleetWatchRequest): boolean {
     if (request.leadership !== getLeadership()) return true
     if (isComplete() && !request.isSettled) return true
@@ -341,7 +386,7 @@
     batch,
     isLeading,
     getLeadership,
-    publish: () => updateAvailable.notify(),
+    publish: handleAppliedTables,
     async watch (request) {
       if (!isLeading()) return err(createNotLeaderFailure(Step.Watch))
       renewSession(request)
@@ -354,6 +399,7 @@
     report (report) {
       if (!isLeading()) return err(createNotLeaderFailure(Step.Report))
       if (sessions.report(report)) changed.notify()
+      sessionChanged.notify()
       quarantine.recordOutputs(report.outputs ?? [])
       const intervalMs = Math.max(minReportIntervalMs, sessions.size * millisecondsPerSecond / maxReportsPerSecond)
       return ok({ loads: listLoads(), suspects: [...sessions.getLoadSums().suspects], intervalMs })
@@ -378,6 +424,9 @@
     acquireTrial ({ traits }) {
       return isLeading() ? ok(quarantine.acquireTrial(traits)) : err(createNotLeaderFailure(Step.Report))
     },
+    async confirmTables (version) {
+      return isLeading() ? await confirmTables(version) : err(createNotLeaderFailure(Step.Publish))
+    },
     async receiveHeartbeat (heartbeat) {
       if (!isLeading()) return err(createNotLeaderFailure(Step.Heartbeat))
       const previousPhase = registry.find(heartbeat.id)?.phase
--- a/src/process/fleet/fleetMessages.ts
+++ b/src/process/fleet/fleetMessages.ts
@@ -172,6 +172,8 @@
 /** Load report of a gateway. */
 export interface LoadReport {
   readonly holder: string
+  /** Version of the tables by which the host serves. */
+  readonly tablesVersion?: number | undefined
   readonly live: LiveCounts
   /** Backend servers to which a connection failed recently. */
   readonly suspects: readonly string[]
--- a/src/process/fleet/hostSessions.ts
+++ b/src/process/fleet/hostSessions.ts
@@ -2,7 +2,7 @@
  * Sessions of the fleet's hosts with the leader, and the load and suspect servers that the hosts report.
  * @module
  */
-import { type FleetHost, fleetLongPollMs, type FleetWatchRequest, type LiveCounts, type LoadReport } from './fleetMessages.ts'
+import { type FleetHost, fleetLongPollMs, FleetRole, type FleetWatchRequest, type LiveCounts, type LoadReport } from './fleetMessages.ts'
 
 /** Time without contact after which a session expires, in milliseconds: two long polls of full length and a lost one. */
 export const sessionTimeoutMs = 3 * fleetLongPollMs
@@ -61,6 +61,12 @@
    * @returns such a host, or undefined when all have confirmed
    */
   findUnconfirmed (revision: number): FleetHost | undefined
+  /**
+   * Finds a gateway that serves by older tables.
+   * @param version - the version of the tables
+   * @returns such a gateway, or undefined when all have the version or a later one
+   */
+  findWithOlderTables (version: number): FleetHost | undefined
   /** Removes all sessions. */
   clear (): void
 }
@@ -73,6 +79,8 @@
   suspects: readonly string[]
   /** Registry revision that the host has applied; -1 if it has none of this leader. */
   confirmedRevision: number
+  /** Version of the tables by which the host serves. */
+  tablesVersion: number
 }
 
 /**
@@ -105,25 +113,26 @@
   return {
     get size () { return sessions.size },
     get revision () { return revision },
-    renew ({ host }, confirmedRevision, now) {
+    renew ({ host, tablesVersion }, confirmedRevision, now) {
       const known = sessions.get(host.holder)
       if (known === undefined) {
         removePreviousSession(host)
         cachedSums = undefined
       }
       if (known?.host.ready !== host.ready) revision++
-      sessions.set(host.holder, { host, lastContactAt: now, live: known?.live ?? {}, suspects: known?.suspects ?? [], confirmedRevision })
+      sessions.set(host.holder, { host, lastContactAt: now, live: known?.live ?? {}, suspects: known?.suspects ?? [], confirmedRevision, tablesVersion: Math.max(tablesVersion, known?.tablesVersion ?? 0) })
       return known === undefined
     },
     touch (holder, now) {
       const session = sessions.get(holder)
       if (session !== undefined) session.lastContactAt = now
     },
-    report ({ holder, live, suspects }) {
+    report ({ holder, live, suspects, tablesVersion }) {
       const session = sessions.get(holder)
       if (session === undefined) return false
       session.live = live
       session.suspects = suspects
+      session.tablesVersion = Math.max(session.tablesVersion, tablesVersion ?? 0)
       cachedSums = undefined
       return true
     },
@@ -149,6 +158,12 @@
       }
       return undefined
     },
+    findWithOlderTables (version) {
+      for (const { host, tablesVersion } of sessions.values()) {
+        if (host.role === FleetRole.Gateway && tablesVersion < version) return host
+      }
+      return undefined
+    },
     clear () {
       sessions.clear()
       cachedSums = undefined
--- a/src/process/program/failure.ts
+++ b/src/process/program/failure.ts
@@ -10,6 +10,8 @@
   Refused: 'connection refused',
   Reset: 'connection reset',
   Aborted: 'aborted',
+  /** Hosts that have to confirm a change have not done so in time. */
+  Unconfirmed: 'unconfirmed',
   NotLeader: 'not leader',
   NoQuorum: 'no quorum',
   Unknown: 'unknown outcome',
--- a/src/process/program/metrics.ts
+++ b/src/process/program/metrics.ts
@@ -23,6 +23,7 @@
   LogEntries: 'jaychute_log_entries_total',
   TablesEncoded: 'jaychute_tables_encoded_total',
   TablesFetches: 'jaychute_tables_fetches_total',
+  TablesConfirmations: 'jaychute_tables_confirmations_total',
   LeadershipEnds: 'jaychute_leadership_ends_total',
   ReplicationFailures: 'jaychute_replication_failures_total'
 } as const
--- a/src/process/state/controlHost.ts
+++ b/src/process/state/controlHost.ts
@@ -7,6 +7,7 @@
 import type { Clock } from '../program/clock.ts'
 import { type Command, CommandKind, type Holder, type Outcome, OutcomeKind } from './commands.ts'
 import { type Condition, createCondition } from '../program/condition.ts'
+import { findOutcomeWithoutChange } from './publications.ts'
 import { answerQuery, applyCommand, type ControlState, createControlState } from './controlState.ts'
 import { createFailure, type Failure, FailureReason, Step } from '../program/failure.ts'
 import { type Query, QueryKind, type QueryResponse } from './queries.ts'
@@ -126,6 +127,11 @@
       const emptyOutcome = await idleClaims.waitForItems(command, () => replica.state.role === ReplicaRole.Leader, lifecycle.signal)
       if (emptyOutcome !== undefined) return ok(emptyOutcome)
     }
+    if (command.kind === CommandKind.Publish) {
+      // An operator repeats a publication until it is acknowledged; a large document must not be appended each time.
+      const unchanged = findOutcomeWithoutChange(state, command)
+      if (unchanged !== undefined) return (await replica.confirmRead()).map(() => unchanged)
+    }
     const outcome = await replica.propose(addTimestamp(command, clock))
     if (outcome.isErr() || command.kind !== CommandKind.CancelJob) return outcome
     const confirmation = await waitUntilJobStopped(command.job, replica.state.appliedIndex)
--- a/src/process/state/publications.ts
+++ b/src/process/state/publications.ts
@@ -18,15 +18,21 @@
  * @returns applied with the active version, or a conflict
  */
 export function publish (state: Publications, command: CommandOf<'publish'>): Outcome {
-  const { publication } = command
-  const current = state.publication
+  const unchanged = findOutcomeWithoutChange(state, command)
+  if (unchanged !== undefined) return unchanged
+  state.publication = command.publication
+  return { kind: OutcomeKind.Applied, version: command.publication.tables.version }
+}
+
+/**
+ * Finds the outcome of a publication that changes nothing. Versions only rise, so it remains the outcome.
+ * @param state - the newest publication
+ * @param command - the command
+ * @returns the outcome, or undefined if the publication would become active
+ */
+export function findOutcomeWithoutChange ({ publication: current }: Publications, { publication }: CommandOf<'publish'>): Outcome | undefined {
   const { version } = publication.tables
-  if (current !== undefined && version <= current.tables.version) {
-    if (version === current.tables.version && publication.digest !== current.digest) {
-      return { kind: OutcomeKind.Conflict, text: `version ${version} is in force with other content`, version }
-    }
-    return { kind: OutcomeKind.Applied, version: current.tables.version }
-  }
-  state.publication = publication
-  return { kind: OutcomeKind.Applied, version }
+  if (current === undefined || version > current.tables.version) return undefined
+  if (version < current.tables.version || publication.digest === current.digest) return { kind: OutcomeKind.Applied, version: current.tables.version }
+  return { kind: OutcomeKind.Conflict, text: `version ${version} is in force with other content`, version }
 }
--- a/test/tablesDistribution.test.ts
+++ b/test/tablesDistribution.test.ts
@@ -12,6 +12,7 @@
 import { createFleetLeader, type FleetLeader } from '../src/process/fleet/fleetLeader.ts'
 import type { FleetHost, FleetRole, FleetWatchRequest, TablesRequest, TablesResponse } from '../src/process/fleet/fleetMessages.ts'
 import { createFleetView, maxTablesOutdatedMs } from '../src/process/fleet/fleetView.ts'
+import { sessionTimeoutMs } from '../src/process/fleet/hostSessions.ts'
 import { createTablesSource } from '../src/process/fleet/tablesSource.ts'
 import { createLifecycle, type Lifecycle } from '../src/process/program/lifecycle.ts'
 import { createSilentLogger } from '../src/process/program/logger.ts'
@@ -149,7 +150,7 @@
   })
 })
 
-describe('polls for new tables', () => {
+describe('confirmation of tables by the gateways', () => {
   let lifecycle: Lifecycle
   let clock: FakeClock
   let fleet: FleetLeader
@@ -174,6 +175,18 @@
     return { host, leadership, tablesVersion, fetchesTables: true, knownTablesVersion, serversRevision: 0, hostsRevision: 0, isSettled: true, quarantineRevision: Infinity, limitsRevision: Infinity }
   }
 
+  function poll (name: string, role: FleetRole, tablesVersion: number): void {
+    fleet.watch(pollOf(name, role, tablesVersion)).catch(() => {})
+  }
+
+  async function startPolls (): Promise<void> {
+    for (let elapsedMs = 0; elapsedMs < sessionTimeoutMs; elapsedMs += 500) {
+      poll('g-1', 'gateway', 4)
+      poll('g-2', 'gateway', 4)
+      await clock.advance(500)
+    }
+  }
+
   function publishVersion (version: number): void {
     publish(state, tablesOf(version, manyRoutes))
     fleet.publish()
@@ -197,4 +210,42 @@
     await clock.advance(300)
     expect(isAnswered).to.equal(false)
   })
+
+  // Failure (CONFIG on rothar-ops-grown): a version was acknowledged once it was committed, and gateways served by an older one.
+  it('is given once every gateway serves by the version, and not for hosts that do not use tables', async () => {
+    await startPolls()
+    poll('s-1', 'executor', 0)
+    publishVersion(8)
+    let confirmed: Result<void, Failure> | undefined
+    fleet.confirmTables(8).then(result => { confirmed = result }, () => {})
+    fleet.report({ holder: 'g-1', tablesVersion: 8, live: {}, suspects: [] })
+    await clock.advance(100)
+    expect(confirmed).to.equal(undefined)
+    fleet.report({ holder: 'g-2', tablesVersion: 9, live: {}, suspects: [] })
+    await clock.advance(100)
+    expect(confirmed?.isOk()).to.equal(true)
+  })
+
+  // Guards against an acknowledgement while a gateway that polls has not received the version, and against one that is never given.
+  it('is refused while a gateway has older tables, until that gateway refuses requests by itself', async () => {
+    await startPolls()
+    publishVersion(8)
+    fleet.report({ holder: 'g-1', tablesVersion: 8, live: {}, suspects: [] })
+    const early = fleet.confirmTables(8)
+    for (let elapsedMs = 0; elapsedMs < maxTablesOutdatedMs; elapsedMs += 500) {
+      poll('g-2', 'gateway', 4)
+      await clock.advance(500)
+    }
+    expect((await early)._unsafeUnwrapErr().reason).to.equal(FailureReason.Unconfirmed)
+    expect((await fleet.confirmTables(8)).isOk()).to.equal(true)
+  })
+
+  // Guards against a new leader that knows no gateway yet and confirms for all of them.
+  it('is refused by a new leader until every gateway has had time to contact it', async () => {
+    const early = fleet.confirmTables(4)
+    await clock.advance(1_000)
+    expect((await early)._unsafeUnwrapErr().reason).to.equal(FailureReason.Unconfirmed)
+    await clock.advance(sessionTimeoutMs - 1_000)
+    expect((await fleet.confirmTables(4)).isOk()).to.equal(true)
+  })
 })
