Stay with a leader that refuses to confirm a change

Cause: a leader answered 'timeout' when hosts had not confirmed a leaving server in time. Its caller, a control host, took that for a leader that does not respond, marked it as failed for 2 s and sent heartbeats, publications and its own poll to followers, each of which named that leader again. Change: such an answer has its own reason, 'unconfirmed', and does not change the leader to which calls go. Result: the new test failed before with calls to leader and follower; the existing test of the refusal now checks the reason too.

--- a/src/connection/controlClient.ts
+++ b/src/connection/controlClient.ts
@@ -209,7 +209,8 @@
   function handleCallFailure (address: string, failure: Failure): void {
     metrics.count(Counter.ControlCalls, failure.reason)
     if (failure.reason === FailureReason.Timeout || failure.reason === FailureReason.Refused) failedAt.set(address, clock.now())
-    if (address !== leader) return
+    // The leader responded; other hosts have not confirmed a change yet.
+    if (address !== leader || failure.reason === FailureReason.Unconfirmed) return
     if (failure.alternative !== undefined && failure.alternative !== leader && !hasFailedRecently(failure.alternative)) {
       leader = failure.alternative
       return
--- a/src/process/fleet/fleetLeader.ts
+++ b/src/process/fleet/fleetLeader.ts
@@ -119,13 +119,13 @@
    * Processes a heartbeat. For a leaving server it resolves only once every host that may send it requests has confirmed.
    * @param heartbeat - the heartbeat
    * @returns whether the heartbeat was newer than the registered one (always true once a leave is confirmed), or a
-   *   `NotLeader` or `Timeout` failure
+   *   `NotLeader` or `Unconfirmed` failure
    */
   receiveHeartbeat (heartbeat: Heartbeat): Promise<Result<boolean, Failure>>
   /**
    * Marks a backend server as leaving. Resolves only once every host that may send it requests has confirmed.
    * @param id - id of the backend server
-   * @returns true, or a `NotLeader` or `Timeout` failure
+   * @returns true, or a `NotLeader` or `Unconfirmed` failure
    */
   withdraw (id: string): Promise<Result<boolean, Failure>>
   /** Lists the backend servers that accept new requests. */
@@ -336,7 +336,7 @@
     while (isLeading() && getLeadership() === initialLeadership) {
       const host = sessions.findUnconfirmed(revision)
       if (host === undefined) return ok(true)
-      if (clock.now() >= deadline) return err(createFailure(FailureReason.Timeout, { step: Step.Heartbeat, peer: host.name }, `host ${host.name} has not confirmed registry revision ${revision} in time`))
+      if (clock.now() >= deadline) return err(createFailure(FailureReason.Unconfirmed, { step: Step.Heartbeat, peer: host.name }, `host ${host.name} has not confirmed registry revision ${revision} in time`))
       await sessionChanged.wait(deadline - clock.now(), lifecycle.signal)
     }
     return err(createNotLeaderFailure(Step.Heartbeat))
--- a/test/controlClient.test.ts
+++ b/test/controlClient.test.ts
@@ -23,13 +23,15 @@
   const calls: string[] = []
 
   /** Creates a client of control hosts: one responds, followers name the leader that they know, and the others time out. */
-  function createClient (hosts: readonly string[], respondingHost: string, followers: Readonly<Record<string, string | undefined>>, readTarget: ReadTarget = ReadTarget.Leader) {
+  function createClient (hosts: readonly string[], respondingHost: string, followers: Readonly<Record<string, string | undefined>>, readTarget: ReadTarget = ReadTarget.Leader, refusals: Readonly<Record<string, FailureReason>> = {}) {
     calls.length = 0
     const clients = {
       callReply (address: string) {
         calls.push(address)
         if (address === respondingHost) return okAsync({})
         const step = Step.Watch
+        const refusal = refusals[address]
+        if (refusal !== undefined) return errAsync(createFailure(refusal, { step, peer: address }, 'refused'))
         if (address in followers) return errAsync(createFailure(FailureReason.NotLeader, { step, alternative: followers[address] }, 'follower'))
         return errAsync(createFailure(FailureReason.Timeout, { step, peer: address }, 'no response'))
       }
@@ -65,6 +67,14 @@
     expect(calls).to.deep.equal(['silent', 'next', 'next'])
   })
 
+  // Failure: a leader that refused to confirm a leaving server was taken for unreachable, and heartbeats went to followers for two
+  // seconds, each of which named that leader.
+  it('stay with a leader that refuses to confirm a change', async () => {
+    const client = createClient(['leader', 'follower'], 'none', { follower: 'leader' }, ReadTarget.Leader, { leader: FailureReason.Unconfirmed })
+    expect((await client.withdraw('i-1', 500)).isErr()).to.equal(true)
+    expect(new Set(calls)).to.deep.equal(new Set(['leader']))
+  })
+
   // Guards against calls that give up before their time limit because every host has failed once.
   it('try every host again when all have failed', async () => {
     const client = createClient(['a', 'b'], 'none', {})
--- a/test/fleetLeader.test.ts
+++ b/test/fleetLeader.test.ts
@@ -5,6 +5,7 @@
 import { type BackendServerRecord, type Heartbeat, ServerPhase } from '../src/process/fleet/backendServerRegistry.ts'
 import { createFleetLeader, type FleetLeader } from '../src/process/fleet/fleetLeader.ts'
 import type { FleetHost, FleetUpdate, FleetRole, FleetWatchRequest } from '../src/process/fleet/fleetMessages.ts'
+import { FailureReason } from '../src/process/program/failure.ts'
 import { createLifecycle, type Lifecycle } from '../src/process/program/lifecycle.ts'
 import { createSilentLogger } from '../src/process/program/logger.ts'
 import { type Replica, ReplicaRole } from '../src/process/log/replica.ts'
@@ -72,7 +73,8 @@
       expect((await fleet.receiveHeartbeat(leavingHeartbeat)).isOk()).to.equal(true)
       await fleet.watch(firstPoll(hostOf('h-1', role)))
       const otherHeartbeat = { ...leavingHeartbeat, id: 'i-2', address: '10.0.0.2:80' }
-      expect((await fleet.receiveHeartbeat(otherHeartbeat)).isErr()).to.equal(true)
+      // As a timeout of the call, the refusal made a control host treat its leader as unreachable for two seconds.
+      expect((await fleet.receiveHeartbeat(otherHeartbeat))._unsafeUnwrapErr().reason).to.equal(FailureReason.Unconfirmed)
     })
   }
 
