Report the cost of responses to other hosts and of polls without answer

Cause: neither logs nor metrics tell whether new tables reach a gateway late because the leader encodes them once for each host, because the poll times out and is repeated, or because the host asks control hosts that do not lead. Event 423 names only the first failed poll of a series.

Change: counters of responses, bytes and encoding time by procedure, and of encoded tables; event 108 contains their growth. Counter of polls by result and histogram of the gaps between answers; event 428 ends a series that event 423 began, with the failed polls by reason; event 300 has the time without contact before the activation.

--- a/bench/announcements.ts
+++ b/bench/announcements.ts
@@ -16,6 +16,7 @@
 import { createSystemClock } from '../src/process/program/clock.ts'
 import { createLifecycle } from '../src/process/program/lifecycle.ts'
 import { createSilentLogger } from '../src/process/program/logger.ts'
+import { createMetrics } from '../src/process/program/metrics.ts'
 import { serveInternalCalls } from '../src/connection/callServer.ts'
 import { createSharedUpdates, type SharedUpdates } from '../src/process/routing/sharedUpdates.ts'
 
@@ -73,7 +74,7 @@
         }
       }
     })
-    const server = await serveInternalCalls(address, router, lifecycle)
+    const server = await serveInternalCalls(address, router, lifecycle, createMetrics())
     if (server.isErr()) throw server.error
     trackSockets(server.value, sockets)
     updatesByHost.push(updates)
--- a/src/connection/callServer.ts
+++ b/src/connection/callServer.ts
@@ -8,6 +8,7 @@
 import { parseAddress } from '../process/program/address.ts'
 import { type Failure, Step, toFailure } from '../process/program/failure.ts'
 import type { Lifecycle } from '../process/program/lifecycle.ts'
+import { Counter, type Metrics, microsecondsPerMillisecond } from '../process/program/metrics.ts'
 import type { ResponseMessage, CallMessage } from './callConnection.ts'
 import { compressionThresholdBytes, encodeMessage, readMessages, writeFrame } from './frames.ts'
 import type { createInternalRouter } from './internalRouter.ts'
@@ -22,14 +23,15 @@
  * @param address - IP address and port
  * @param router - the procedures
  * @param lifecycle - closes the server
+ * @param metrics - counts the responses
  * @returns the listening server, or a failure
  */
-export function serveInternalCalls (address: string, router: Router, lifecycle: Lifecycle): ResultAsync<Server, Failure> {
+export function serveInternalCalls (address: string, router: Router, lifecycle: Lifecycle, metrics: Metrics): ResultAsync<Server, Failure> {
   const { ip, port } = parseAddress(address)
   const sockets = new Set<Socket>()
   const server = createServer({ noDelay: true, keepAlive: true, keepAliveInitialDelay: keepAliveDelayMs }, socket => {
     sockets.add(socket)
-    serveConnection(socket, router)
+    serveConnection(socket, router, metrics)
     socket.once('close', () => sockets.delete(socket))
   })
   lifecycle.addCleanup(() => new Promise<void>(resolve => {
@@ -43,7 +45,7 @@
   return ResultAsync.fromPromise(listening, error => toFailure(error, { step: Step.Listen, peer: address }))
 }
 
-function serveConnection (socket: Socket, router: Router): void {
+function serveConnection (socket: Socket, router: Router, metrics: Metrics): void {
   const closed = new AbortController()
   // The peer notices that the connection has closed and retries its calls, so the error isn't reported here.
   socket.on('error', () => {})
@@ -51,7 +53,7 @@
   readMessages(socket, message => {
     const [number, procedure, input] = message as CallMessage
     runProcedure(router, procedure, input, closed.signal)
-      .then(async ([value, error]) => await sendResponse(socket, [number, value, error]))
+      .then(async ([value, error]) => await sendResponse(socket, procedure, [number, value, error], metrics))
       .catch((error: Error) => socket.destroy(error))
   })
 }
@@ -65,7 +67,13 @@
   }
 }
 
-async function sendResponse (socket: Socket, message: ResponseMessage): Promise<void> {
-  const frame = encodeMessage(message, compressionThresholdBytes)
-  writeFrame(socket, frame instanceof Promise ? await frame : frame)
+async function sendResponse (socket: Socket, procedure: string, message: ResponseMessage, metrics: Metrics): Promise<void> {
+  const startedAt = performance.now()
+  const encoded = encodeMessage(message, compressionThresholdBytes)
+  // The time in the event loop; large messages are compressed in the thread pool after it.
+  metrics.count(Counter.ResponseEncoding, procedure, (performance.now() - startedAt) * microsecondsPerMillisecond)
+  const frame = encoded instanceof Promise ? await encoded : encoded
+  metrics.count(Counter.Responses, procedure)
+  metrics.count(Counter.ResponseBytes, procedure, frame.length)
+  writeFrame(socket, frame)
 }
--- a/src/connection/fleetWatch.ts
+++ b/src/connection/fleetWatch.ts
@@ -5,6 +5,7 @@
 import type { FleetHost } from '../process/fleet/fleetMessages.ts'
 import type { FleetView } from '../process/fleet/fleetView.ts'
 import { LogEvents } from '../process/program/logEvents.ts'
+import { Counter, Latency } from '../process/program/metrics.ts'
 import type { ProcessServices } from '../process/program/processServices.ts'
 import type { FleetClient } from './controlClient.ts'
 
@@ -21,7 +22,7 @@
 const busyReportFactor = 2.5
 
 /** Dependencies of the tasks. */
-export interface FleetTaskInputs extends Pick<ProcessServices, 'clock' | 'random' | 'logger'> {
+export interface FleetTaskInputs extends Pick<ProcessServices, 'clock' | 'random' | 'logger' | 'metrics'> {
   readonly view: FleetView
   readonly client: FleetClient
   /** Describes the current state of this host. */
@@ -35,18 +36,25 @@
  * @returns a promise that resolves when the task has ended
  */
 export async function runFleetWatch (inputs: FleetTaskInputs, signal: AbortSignal): Promise<void> {
-  const { view, client, clock, random, logger } = inputs
-  let isLeaderReachable = true
+  const { view, client, clock, random, logger, metrics } = inputs
+  // Failed polls since the last answered one, by reason.
+  const failedPolls = new Map<string, number>()
   while (!signal.aborted) {
     const update = await client.watchFleet(view.createWatchRequest(inputs.describe()))
     if (signal.aborted) return
     if (update.isOk()) {
-      isLeaderReachable = true
+      const silentMs = clock.now() - view.lastContactAt
+      metrics.count(Counter.FleetPolls, 'answered')
+      if (silentMs < Infinity) metrics.record(Latency.FleetPollGap, silentMs)
+      if (failedPolls.size > 0) logger.write(LogEvents.leaderReached, { value: Math.round(silentMs), inputs: Object.fromEntries(failedPolls) })
+      failedPolls.clear()
       view.applyUpdate(update.value)
       continue
     }
-    if (isLeaderReachable) logger.write(LogEvents.leaderUnreachable, { failure: update.error, value: Math.round(clock.now() - view.lastContactAt) })
-    isLeaderReachable = false
+    const { reason } = update.error
+    metrics.count(Counter.FleetPolls, reason)
+    if (failedPolls.size === 0) logger.write(LogEvents.leaderUnreachable, { failure: update.error, value: Math.round(clock.now() - view.lastContactAt) })
+    failedPolls.set(reason, (failedPolls.get(reason) ?? 0) + 1)
     await clock.sleep(random.next() * maxRetryDelayMs, signal)
   }
 }
--- a/src/process/entry/daemon.ts
+++ b/src/process/entry/daemon.ts
@@ -82,7 +82,7 @@
     if (created.isErr()) return err(created.error)
     services.controlHost = created.value
   }
-  const listening = await serveInternalCalls(settings.internalAddress, createInternalRouter(services), lifecycle)
+  const listening = await serveInternalCalls(settings.internalAddress, createInternalRouter(services), lifecycle, metrics)
   if (listening.isErr()) return err(listening.error)
 
   let entryHost: RunningEntryHost | undefined
--- a/src/process/fleet/controlDaemon.ts
+++ b/src/process/fleet/controlDaemon.ts
@@ -63,7 +63,7 @@
   const controlHost = opened.value
   const { fleetLeader, batchRunner } = createLeaderComponents(base, controlHost, components)
   const services: InternalServices = { controlHost, shareReceiver: undefined, dispatchReceiver: undefined, fleetLeader, batchRunner }
-  const listening = await serveInternalCalls(address, createInternalRouter(services), lifecycle)
+  const listening = await serveInternalCalls(address, createInternalRouter(services), lifecycle, base.metrics)
   if (listening.isErr()) return err(listening.error)
   const served = await serveExternalApis(base)
   if (served.isErr()) return err(served.error)
--- a/src/process/fleet/fleetDaemon.ts
+++ b/src/process/fleet/fleetDaemon.ts
@@ -82,7 +82,7 @@
     callerAddress: settings.callerAddress,
     ready: readiness.isReady
   })
-  const taskInputs: FleetTaskInputs = { view, client: control, describe, clock, random, logger }
+  const taskInputs: FleetTaskInputs = { view, client: control, describe, clock, random, logger, metrics }
   lifecycle.run(signal => runFleetWatch(taskInputs, signal))
   lifecycle.run(signal => runLimitReports(taskInputs, signal))
   lifecycle.run(signal => runProcessMonitor({ clock, logger, metrics }, signal))
--- a/src/process/fleet/fleetLeader.ts
+++ b/src/process/fleet/fleetLeader.ts
@@ -8,6 +8,7 @@
 import type { ControlState } from '../state/controlState.ts'
 import { createFailure, type Failure, FailureReason, Step } from '../program/failure.ts'
 import { LogEvents } from '../program/logEvents.ts'
+import { Counter } from '../program/metrics.ts'
 import type { ProcessServices } from '../program/processServices.ts'
 import { type Replica, ReplicaRole } from '../log/replica.ts'
 import { millisecondsPerSecond } from '../program/units.ts'
@@ -37,7 +38,7 @@
 const updateDelayMs = 10
 
 /** Dependencies and settings of the fleet leader. */
-export interface FleetLeaderInputs extends Pick<ProcessServices, 'clock' | 'logger' | 'lifecycle'> {
+export interface FleetLeaderInputs extends Pick<ProcessServices, 'clock' | 'logger' | 'lifecycle' | 'metrics'> {
   readonly replica: Replica
   readonly state: ControlState
   /** Time without a heartbeat after which a backend server is removed, in milliseconds. */
@@ -236,10 +237,12 @@
   }
 
   function createUpdate (request: FleetWatchRequest): FleetUpdate {
-    const tables = getConfirmedTables()
+    const confirmedTables = getConfirmedTables()
+    const tables = (confirmedTables?.version ?? 0) > request.tablesVersion ? confirmedTables : undefined
+    if (tables !== undefined) inputs.metrics.count(Counter.TablesEncoded, 'fleet.watch')
     return {
       leadership: getLeadership(),
-      tables: (tables?.version ?? 0) > request.tablesVersion ? tables : undefined,
+      tables,
       serversRevision: registry.revision,
       servers: registry.listChangesSince(request.leadership === getLeadership() ? request.serversRevision : 0),
       isComplete: isComplete(),
--- a/src/process/fleet/fleetView.ts
+++ b/src/process/fleet/fleetView.ts
@@ -159,11 +159,12 @@
     live,
     createWatchRequest: host => ({ host, leadership, tablesVersion: tables?.version ?? 0, serversRevision, hostsRevision, isSettled, quarantineRevision: quarantine.revision, limitsRevision: requestLimits.revision }),
     applyUpdate (update) {
+      const silentMs = clock.now() - lastContactAt
       lastContactAt = clock.now()
       if (update.tables !== undefined && update.tables.version > (tables?.version ?? 0)) {
         tables = update.tables
         routes = createRouteIndex(update.tables)
-        logger.write(LogEvents.configurationActivated, { value: tables.version, detail: update.leadership })
+        logger.write(LogEvents.configurationActivated, { value: tables.version, detail: update.leadership, inputs: { silentMs: Math.round(silentMs), routes: tables.routes.length } })
       }
       applyServers(update)
       if (update.requestLimits !== undefined) requestLimits.applyUpdate(update.requestLimits, update.leadership !== leadership)
--- a/src/process/fleet/gatewayDaemon.ts
+++ b/src/process/fleet/gatewayDaemon.ts
@@ -70,7 +70,7 @@
       await view.changed.wait(readinessCheckIntervalMs, signal)
     }
   })
-  lifecycle.run(signal => runLoadReports({ view, client: base.control, describe: base.describe, clock, random, logger }, signal))
+  lifecycle.run(signal => runLoadReports({ view, client: base.control, describe: base.describe, clock, random, logger, metrics }, signal))
   return ok(createFleetDaemon(base, () => drain(base, server, state)))
 }
 
--- a/src/process/program/logEvents.ts
+++ b/src/process/program/logEvents.ts
@@ -60,6 +60,7 @@
   hostLost: { number: 421, level: Level.Warn, text: 'session of a host ended', action: 'Check the host if it does not rejoin the fleet.' },
   leaderFound: { number: 422, level: Level.Info, text: 'leader of the control hosts found', action: noAction },
   leaderUnreachable: { number: 423, level: Level.Warn, text: 'leader of the control hosts unreachable; continuing with the last known state', action: 'Check that a majority of control hosts runs and is reachable.' },
+  leaderReached: { number: 428, level: Level.Info, text: 'leader of the control hosts reached again', action: 'Compare the time without contact with the failed polls by reason: timeouts point to the leader or the network, many other failures to control hosts that do not lead.' },
   serverSuspected: { number: 424, level: Level.Warn, text: 'backend server suspected after a failed connection; avoided temporarily', action: 'Check the backend server if it repeats.' },
   heartbeatIgnored: { number: 425, level: Level.Debug, text: 'late or invalid heartbeat ignored', action: noAction },
   requestLimitChanged: { number: 426, level: Level.Info, text: 'backend server named another request limit', action: 'Check the backend server: it takes fewer requests than it has slots for.' },
--- a/src/process/program/metrics.ts
+++ b/src/process/program/metrics.ts
@@ -19,6 +19,11 @@
   Bytes: 'jaychute_bytes_total',
   DispatchUpdates: 'jaychute_dispatch_news_total',
   ControlCalls: 'jaychute_control_calls_total',
+  FleetPolls: 'jaychute_fleet_polls_total',
+  TablesEncoded: 'jaychute_tables_encoded_total',
+  Responses: 'jaychute_responses_total',
+  ResponseBytes: 'jaychute_response_bytes_total',
+  ResponseEncoding: 'jaychute_response_encoding_microseconds_total',
   Syncs: 'jaychute_log_syncs_total',
   LogEntries: 'jaychute_log_entries_total',
   LeadershipEnds: 'jaychute_leadership_ends_total',
@@ -34,11 +39,13 @@
   Commit: 'jaychute_commit_microseconds',
   Yield: 'jaychute_yield_microseconds',
   Replication: 'jaychute_replication_microseconds',
-  EventLoopDelay: 'jaychute_event_loop_delay_microseconds'
+  EventLoopDelay: 'jaychute_event_loop_delay_microseconds',
+  FleetPollGap: 'jaychute_fleet_poll_gap_microseconds'
 } as const
 export type Latency = typeof Latency[keyof typeof Latency]
 
-const microsecondsPerMillisecond = 1000
+/** Number of microseconds in a millisecond. */
+export const microsecondsPerMillisecond = 1000
 const microsecondsPerSecond = 1_000_000
 const percentiles = [50, 95, 99, 99.9] as const
 
@@ -58,6 +65,12 @@
    * @returns the current value; 0 if it was never incremented
    */
   read (counter: Counter, label: string): number
+  /**
+   * Adds up a counter.
+   * @param counter - the counter
+   * @returns the sum of its values over all labels
+   */
+  sum (counter: Counter): number
   /**
    * Records a latency.
    * @param latency - the histogram
@@ -101,6 +114,11 @@
       values.set(label, (values.get(label) ?? 0) + amount)
     },
     read: (counter, label) => counters.get(counter)?.get(label) ?? 0,
+    sum (counter) {
+      let sum = 0
+      for (const value of counters.get(counter)?.values() ?? []) sum += value
+      return sum
+    },
     record (latency, durationMs) {
       getHistogram(latency).recordValue(Math.max(0, Math.round(durationMs * microsecondsPerMillisecond)))
     },
--- a/src/process/program/processMonitor.ts
+++ b/src/process/program/processMonitor.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import { LogEvents } from './logEvents.ts'
-import { Latency } from './metrics.ts'
+import { Counter, Latency, type Metrics, microsecondsPerMillisecond } from './metrics.ts'
 import type { ProcessServices } from './processServices.ts'
 
 /** Interval between two measurements, in milliseconds. */
@@ -16,7 +16,6 @@
 const resourceReportIntervalMs = 5_000
 
 const bytesPerMebibyte = 1024 * 1024
-const microsecondsPerMillisecond = 1_000
 
 /**
  * Monitors the process until the signal aborts.
@@ -28,6 +27,7 @@
   let reportedAt = clock.now()
   let longestDelayMs = 0
   let cpuAtReport = process.cpuUsage()
+  let work = readWork(metrics)
   while (!signal.aborted) {
     const dueAt = clock.now() + measurementIntervalMs
     await clock.sleep(measurementIntervalMs, signal)
@@ -40,10 +40,41 @@
     if (now - reportedAt < resourceReportIntervalMs) continue
     const { user, system } = process.cpuUsage(cpuAtReport)
     const cpuMs = Math.round((user + system) / microsecondsPerMillisecond)
-    logger.write(LogEvents.resourcesUsed, { value: Math.round(now - reportedAt), inputs: { cpuMs, longestDelayMs: Math.round(longestDelayMs), ...describeMemory() } })
+    logger.write(LogEvents.resourcesUsed, { value: Math.round(now - reportedAt), inputs: { cpuMs, longestDelayMs: Math.round(longestDelayMs), ...describeMemory(), ...describeWork(metrics, work) } })
     reportedAt = now
     longestDelayMs = 0
     cpuAtReport = process.cpuUsage()
+    work = readWork(metrics)
+  }
+}
+
+/** Work for other hosts since the start of the process. */
+interface Work {
+  readonly responses: number
+  readonly responseBytes: number
+  readonly encodingMs: number
+  readonly tablesEncoded: number
+}
+
+function readWork (metrics: Metrics): Work {
+  return {
+    responses: metrics.sum(Counter.Responses),
+    responseBytes: metrics.sum(Counter.ResponseBytes),
+    encodingMs: metrics.sum(Counter.ResponseEncoding) / microsecondsPerMillisecond,
+    tablesEncoded: metrics.sum(Counter.TablesEncoded)
+  }
+}
+
+// Empty for a process that has sent no response to another host since the last report.
+function describeWork (metrics: Metrics, last: Work): Record<string, number> {
+  const work = readWork(metrics)
+  const responses = work.responses - last.responses
+  if (responses === 0) return {}
+  return {
+    responses,
+    responseBytes: work.responseBytes - last.responseBytes,
+    encodingMs: Math.round(work.encodingMs - last.encodingMs),
+    tablesEncoded: work.tablesEncoded - last.tablesEncoded
   }
 }
 
--- a/test/fleetLeader.test.ts
+++ b/test/fleetLeader.test.ts
@@ -7,6 +7,7 @@
 import type { FleetHost, FleetUpdate, FleetRole, FleetWatchRequest } from '../src/process/fleet/fleetMessages.ts'
 import { createLifecycle, type Lifecycle } from '../src/process/program/lifecycle.ts'
 import { createSilentLogger } from '../src/process/program/logger.ts'
+import { createMetrics } from '../src/process/program/metrics.ts'
 import { type Replica, ReplicaRole } from '../src/process/log/replica.ts'
 import { recordOf, tablesOf } from './support/fakeFleet.ts'
 
@@ -33,7 +34,7 @@
     const clock = createSystemClock()
     const replicaState = { identity: 'a', address: '10.0.0.9:1', leaderAddress: undefined, members: [], changed: createCondition(clock), get role () { return leadership.role }, get term () { return leadership.term }, get commitIndex () { return leadership.commitIndex }, get termStartIndex () { return leadership.termStartIndex } }
     const replica = { state: replicaState } as unknown as Replica
-    fleet = createFleetLeader({ replica, state, clock, logger: createSilentLogger(), lifecycle, knownServers: () => knownServers, getRegion: () => undefined, heartbeatTimeoutMs: 5_000, settleMs: 0 })
+    fleet = createFleetLeader({ replica, state, clock, logger: createSilentLogger(), metrics: createMetrics(), lifecycle, knownServers: () => knownServers, getRegion: () => undefined, heartbeatTimeoutMs: 5_000, settleMs: 0 })
   }
 
   function firstPoll (host: FleetHost): FleetWatchRequest {
--- a/test/support/entryHosts.ts
+++ b/test/support/entryHosts.ts
@@ -110,7 +110,7 @@
       })
       services.shareReceiver = host.shareReceiver
       services.dispatchReceiver = host.dispatchReceiver
-      for (const listenResult of [await serveInternalCalls(internalAddress, createInternalRouter(services), lifecycle), await serveApi(callerAddress, host.api, lifecycle)]) {
+      for (const listenResult of [await serveInternalCalls(internalAddress, createInternalRouter(services), lifecycle, createMetrics()), await serveApi(callerAddress, host.api, lifecycle)]) {
         if (listenResult.isErr()) throw listenResult.error
       }
       const entry: StartedEntryHost = {
