Add failing tests of tables that are sent to many gateways

Cause: the leader encodes the tables for each poll that lacks them, so a version costs the number of hosts times the number of routes; and an operator's acknowledgement follows the commit alone, whatever the gateways have.

Change: two tests over three control hosts and six gateways. One reads jaychute_tables_encoded_total at the control hosts. The other stops a gateway (SIGSTOP), publishes, and compares the order of two log lines: the end of the gateway's session (421) and the acknowledgement (310). Neither asserts a time.

--- a/test/support/fleetProcesses.ts
+++ b/test/support/fleetProcesses.ts
@@ -8,6 +8,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { request } from 'undici'
+import type { Counter } from '../../src/process/program/metrics.ts'
 import { eventually, type Program, reserveAddresses, startProgram } from '../../scripts/processes.ts'
 
 const startTimeoutMs = 20_000
@@ -41,12 +42,16 @@
 /** A fleet of processes. */
 export interface Fleet {
   readonly controlPrograms: ReadonlyMap<string, Program>
+  /** The gateways' processes, in the order of `gateways`. */
+  readonly gatewayPrograms: readonly Program[]
   readonly gateways: readonly string[]
   readonly servers: readonly StreamServer[]
   startControlHost (name: string): Promise<void>
   /** Calls the control hosts in turn until one responds without a server error; status 0 when none responds. */
   callControl (method: 'GET' | 'PUT' | 'DELETE', path: string, body?: unknown): Promise<{ readonly status: number, readonly text: string }>
   publish (version: number): Promise<number>
+  /** Adds up a counter over all labels and all control hosts. */
+  readControlCounter (counter: Counter): Promise<number>
   /** Sends a request of a caller to a gateway. */
   call (method: 'GET' | 'POST' | 'DELETE', path: string, headers?: Readonly<Record<string, string>>, body?: string, gateway?: number): Promise<{ readonly status: number, readonly text: string }>
   close (): Promise<void>
@@ -120,15 +125,16 @@
 }
 
 /**
- * Starts three control hosts, two gateways and backend servers, and waits until the control hosts respond to reads.
+ * Starts three control hosts, gateways and backend servers, and waits until the control hosts respond to reads.
  * @param serverCount - number of backend servers
+ * @param gatewayCount - number of gateways
  * @returns the fleet, without tables
  */
-export async function startFleet (serverCount = 2): Promise<Fleet> {
+export async function startFleet (serverCount = 2, gatewayCount = 2): Promise<Fleet> {
   const folder = await mkdtemp(join(tmpdir(), 'jaychute-fleet-'))
   // Control hosts share their ports and differ in their loopback addresses.
-  const ports = (await reserveAddresses(3)).map(address => Number(address.split(':')[1]))
-  const [controlPort = 0, operatorPort = 0, directoryPort = 0] = ports
+  const ports = (await reserveAddresses(4)).map(address => Number(address.split(':')[1]))
+  const [controlPort = 0, operatorPort = 0, directoryPort = 0, metricsPort = 0] = ports
   const controlIps = ['127.0.0.1', '127.0.0.2', '127.0.0.3']
   const seeds = controlIps.map(ip => `${ip}:${operatorPort}`)
   const controlPrograms = new Map<string, Program>()
@@ -145,11 +151,12 @@
 
   const fleet: Fleet = {
     controlPrograms,
-    gateways: (await reserveAddresses(2)),
+    gatewayPrograms,
+    gateways: (await reserveAddresses(gatewayCount)),
     servers,
     async startControlHost (ip) {
       controlPrograms.set(ip, await startHost({
-        role: 'control', host: `control-${ip}`, address: ip, form: isFirstStart, controlAddress: `${ip}:${operatorPort}`, directoryAddress: `${ip}:${directoryPort}`, dataFolder: join(folder, ip)
+        role: 'control', host: `control-${ip}`, address: ip, form: isFirstStart, controlAddress: `${ip}:${operatorPort}`, directoryAddress: `${ip}:${directoryPort}`, metricsAddress: `${ip}:${metricsPort}`, dataFolder: join(folder, ip)
       }))
     },
     async callControl (method, path, body) {
@@ -178,6 +185,16 @@
       })
       return response.status
     },
+    async readControlCounter (counter) {
+      let sum = 0
+      for (const ip of controlIps) {
+        const response = await request(`http://${ip}:${metricsPort}/metrics`)
+        for (const line of (await response.body.text()).split('\n')) {
+          if (line.startsWith(`${counter}{`)) sum += Number(line.split(' ').at(-1))
+        }
+      }
+      return sum
+    },
     async call (method, path, headers = {}, body, gateway = 0) {
       const response = await request(`http://${fleet.gateways[gateway] ?? ''}${path}`, { method, body: body ?? null, headers: { host: 'a.example', ...headers } })
       return { status: response.statusCode, text: await response.body.text() }
