--- a/src/process/fleet/fleetLeader.ts
+++ b/src/process/fleet/fleetLeader.ts
@@ -8,6 +8,7 @@
 import type { ControlState } from '../state/controlState.ts'
 import { createFailure, type Failure, FailureReason, Step } from '../program/failure.ts'
 import { LogEvents } from '../program/logEvents.ts'
+import { Counter } from '../program/metrics.ts'
 import type { ProcessServices } from '../program/processServices.ts'
 import { type Replica, ReplicaRole } from '../log/replica.ts'
 import { millisecondsPerSecond } from '../program/units.ts'
@@ -37,14 +38,17 @@
 /** Time limit for one request to confirm that the gateways have new tables, in milliseconds; the operator repeats the publication after one second. */
 const tablesConfirmationTimeoutMs = 600
 
-/** Time after which a gateway without the tables counts as confirmed, in milliseconds: by then it refuses requests by itself. */
-const tablesConfirmationLimitMs = maxTablesOutdatedMs
+/**
+ * Time after which a gateway without the tables counts as confirmed, in milliseconds: it was told of the version within the time
+ * of a session, and now refuses requests by itself.
+ */
+const tablesConfirmationLimitMs = sessionTimeoutMs + maxTablesOutdatedMs
 
 /** Delay before a pending poll is answered, in milliseconds, so that changes close together go out in one update. */
 const updateDelayMs = 10
 
 /** Dependencies and settings of the fleet leader. */
-export interface FleetLeaderInputs extends Pick<ProcessServices, 'clock' | 'logger' | 'lifecycle'> {
+export interface FleetLeaderInputs extends Pick<ProcessServices, 'clock' | 'logger' | 'lifecycle' | 'metrics'> {
   readonly replica: Replica
   readonly state: ControlState
   /** Time without a heartbeat after which a backend server is removed, in milliseconds. */
@@ -286,10 +290,12 @@
 
   function createUpdate (request: FleetWatchRequest): FleetUpdate {
     const version = getConfirmedVersion()
+    const tables = request.fetchesTables !== true && version > request.tablesVersion ? getConfirmedTables() : undefined
+    if (tables !== undefined) inputs.metrics.count(Counter.TablesEncoded, 'fleet.watch')
     return {
       leadership: getLeadership(),
       tablesVersion: version,
-      tables: request.fetchesTables !== true && version > request.tablesVersion ? getConfirmedTables() : undefined,
+      tables,
       serversRevision: registry.revision,
       servers: registry.listChangesSince(request.leadership === getLeadership() ? request.serversRevision : 0),
       isComplete: isComplete(),
