Return to a leader that every other control host names

Callers saw an old version and failed calls for seconds after one slow response of the leader.

Cause: after a timeout a host avoided the leader for 2 s, although each follower named it; meanwhile it asked followers only. Change: a failed leader is used again once every other control host that responds has named it since its failure.

--- a/src/connection/controlClient.ts
+++ b/src/connection/controlClient.ts
@@ -202,16 +202,18 @@
   const listHosts = typeof controlHosts === 'function' ? controlHosts : () => controlHosts
   let leader = listHosts()[0] ?? ''
   const failedAt = new Map<string, number>()
+  // Hosts that named a failed leader after its failure, by that leader.
+  const namedBy = new Map<string, Set<string>>()
 
   // Counts the failure, starts the backoff of a host that did not respond or refused the connection, and selects another host
   // as the leader if the call went to the current one. Calls run concurrently: the first failure at an address switches the
   // leader for all of them; failures of the other calls at the same address must not skip the next host.
   function handleCallFailure (address: string, failure: Failure): void {
     metrics.count(Counter.ControlCalls, failure.reason)
-    if (failure.reason === FailureReason.Timeout || failure.reason === FailureReason.Refused) failedAt.set(address, clock.now())
+    if (failure.reason === FailureReason.Timeout || failure.reason === FailureReason.Refused) recordUnresponsive(address)
     // The leader responded; other hosts have not confirmed a change yet.
     if (address !== leader || failure.reason === FailureReason.Unconfirmed) return
-    if (failure.alternative !== undefined && failure.alternative !== leader && !hasFailedRecently(failure.alternative)) {
+    if (failure.alternative !== undefined && failure.alternative !== leader && isUsableLeader(failure.alternative, address)) {
       leader = failure.alternative
       return
     }
@@ -224,6 +226,22 @@
     }
   }
 
+  function recordUnresponsive (address: string): void {
+    failedAt.set(address, clock.now())
+    namedBy.delete(address)
+  }
+
+  // A leader that was slow once still leads if every other control host names it; one that has failed is named by a few at the most.
+  function isUsableLeader (address: string, namingHost: string): boolean {
+    if (!hasFailedRecently(address)) return true
+    const names = namedBy.get(address) ?? new Set<string>()
+    namedBy.set(address, names)
+    names.add(namingHost)
+    if (!listHosts().every(host => host === address || names.has(host) || hasFailedRecently(host))) return false
+    failedAt.delete(address)
+    return true
+  }
+
   function hasFailedRecently (address: string): boolean {
     return clock.now() - (failedAt.get(address) ?? -Infinity) < failedHostBackoffMs
   }
