Count the age of outdated tables from the oldest missing version

Cause: the time for which a gateway serves by outdated tables counted from the first newer version until it had the latest one. With versions published faster than they are fetched it never had the latest, and refused requests although it received each in time. Change: it counts from the oldest version that the host does not have.

--- a/src/process/fleet/fleetView.ts
+++ b/src/process/fleet/fleetView.ts
@@ -142,8 +142,8 @@
   const loadChanged = createCondition(clock)
   let tables: GatewayTables | undefined
   let tablesVersionInForce = 0
-  // Monotonic time since which a newer version is known, in milliseconds.
-  let outdatedSince: number | undefined
+  // Newer versions that this host does not have, in order, with the monotonic time at which it learned of each, in milliseconds.
+  let missingVersions: ReadonlyArray<{ readonly version: number, readonly knownSince: number }> = []
   let routes: RouteIndex = new Map()
   let hosts: readonly FleetHost[] = []
   let reportedControlHosts: readonly string[] = []
@@ -156,7 +156,13 @@
   function recordTablesVersion (version: number): void {
     if (version <= tablesVersionInForce) return
     tablesVersionInForce = version
-    if (version > (tables?.version ?? 0)) outdatedSince ??= clock.now()
+    if (version > (tables?.version ?? 0)) missingVersions = [...missingVersions, { version, knownSince: clock.now() }]
+  }
+
+  // The time counts from the oldest missing version: with several in quick succession, the latest is always missing.
+  function getOutdatedMs (): number | undefined {
+    const oldest = missingVersions[0]
+    return oldest === undefined ? undefined : clock.now() - oldest.knownSince
   }
 
   function applyTables (newTables: GatewayTables): void {
@@ -164,9 +170,8 @@
     tables = newTables
     routes = createRouteIndex(newTables)
     recordTablesVersion(newTables.version)
-    const delayMs = outdatedSince === undefined ? 0 : clock.now() - outdatedSince
-    // The time counts from the first newer version, also when the host has received one that is outdated again.
-    if (newTables.version >= tablesVersionInForce) outdatedSince = undefined
+    const delayMs = getOutdatedMs() ?? 0
+    missingVersions = missingVersions.filter(({ version }) => version > newTables.version)
     logger.write(LogEvents.configurationActivated, { value: newTables.version, inputs: { delayMs: Math.round(delayMs), inForce: tablesVersionInForce } })
     changed.notify()
     loadChanged.notify()
@@ -194,8 +199,8 @@
     get tables () { return tables },
     get routes () { return routes },
     get tablesVersionInForce () { return tablesVersionInForce },
-    get tablesOutdatedMs () { return outdatedSince === undefined ? undefined : clock.now() - outdatedSince },
-    get canServe () { return tables !== undefined && (outdatedSince === undefined || clock.now() - outdatedSince <= maxTablesOutdatedMs) },
+    get tablesOutdatedMs () { return getOutdatedMs() },
+    get canServe () { return tables !== undefined && (getOutdatedMs() ?? 0) <= maxTablesOutdatedMs },
     get hosts () { return hosts },
     get controlHosts () { return [...new Set([...reportedControlHosts, ...seeds()])] },
     get lastContactAt () { return lastContactAt },
--- a/test/tablesDistribution.test.ts
+++ b/test/tablesDistribution.test.ts
@@ -131,6 +131,20 @@
     expect(removed.refusal).to.equal(GatewayRefusal.NoRoute)
   })
 
+  // Guards against refusals while an operator publishes versions faster than a host can fetch the latest.
+  it('serves requests while it receives each of many versions in time, though never the latest', () => {
+    const clock = new FakeClock()
+    const view = createFleetView(clock, createSilentLogger(), () => [])
+    view.applyTables(tablesOf(1, []))
+    for (let version = 2; version <= 20; version++) {
+      view.applyUpdate(fleetUpdateOf({ tablesVersion: version }))
+      clock.jump(maxTablesOutdatedMs / 2)
+      view.applyTables(tablesOf(version - 1, []))
+      expect(view.canServe).to.equal(true)
+      expect(view.tablesOutdatedMs).to.equal(maxTablesOutdatedMs / 2)
+    }
+  })
+
   // Guards against requests served by an old version for as long as the fetch of the new one fails.
   it('serves no requests once it has known of the newer version for too long', () => {
     const clock = new FakeClock()
