Refuse requests at a draining gateway that may not end within the grace

What callers saw: requests that reached a stopping gateway late in the grace were passed on to a backend server, and their connections were cut without an answer when the process ended, among them requests that may not be repeated. Cause: the gateway accepted every request until it stopped listening, 3.4 s after SIGTERM, and whatever came later on kept connections, and ended 0.6 s before SIGKILL without regard to how long the requests were allowed to take. Change: a draining gateway passes a request on only if its time limit (the caller's deadline or the timeout of the route, whichever is earlier) lies before the end of the grace less 0.6 s; this is also checked after a wait for a slot and before a further attempt, unless the response has started. Others get 503 `draining` with Retry-After 0 and Connection: close. Calls for jobs are refused in the same way, and long polls shortened. Responses that had no head yet at SIGTERM close their connections too, since the tracker of open requests of the entry host is used now. The time until which requests are accepted is derived from graceSeconds. This works since an accepted request ends at its time limit at the latest, and the gateway waits for open requests until 0.3 s before SIGKILL.

--- a/src/connection/openRequests.ts
+++ b/src/connection/openRequests.ts
@@ -10,6 +10,8 @@
 
 /** The requests in flight on one or more HTTP servers. */
 export interface OpenRequests {
+  /** Number of requests in flight. */
+  readonly count: number
   /**
    * Tracks the requests of a server from now on.
    * @param server - the server
@@ -37,6 +39,7 @@
   const servers = new Set<Server>()
   let isClosing = false
   return {
+    get count () { return open.size },
     watch (server) {
       servers.add(server)
       // Must run before the other listeners, since they may write the headers at once.
--- a/src/request/callerExchange.ts
+++ b/src/request/callerExchange.ts
@@ -19,6 +19,8 @@
   Overloaded: 'overloaded',
   /** Backend servers crash under requests with a trait of this one; it has not run and can be retried when the quarantine ends. */
   Quarantined: 'quarantined',
+  /** The gateway is shutting down and may end before the request would; the request has not run and another gateway can run it. */
+  Draining: 'draining',
   /** The limit of waiting tokens of the route is reached; the job has not been accepted. */
   QuotaExceeded: 'quota exceeded',
   /** The deadline passed; the request may have run. */
@@ -28,6 +30,9 @@
 } as const
 export type GatewayRefusal = typeof GatewayRefusal[keyof typeof GatewayRefusal]
 
+/** Retry delay suggested to a caller that a draining gateway refuses, in milliseconds: other gateways can run the request at once. */
+export const drainingRetryAfterMs = 0
+
 /** Request of a caller. */
 export interface CallerRequest extends OpaqueRequest {
   /** Ids of the parts at the start of the prompt that other requests may have too, in order; empty when they are unknown. */
--- a/src/request/callerService.ts
+++ b/src/request/callerService.ts
@@ -13,8 +13,6 @@
 export interface CallerService {
   /** Active limits; undefined before the first tables are received. */
   limits (): CallerLimits | undefined
-  /** Whether connections are to be closed after their current response. */
-  isDraining (): boolean
   /**
    * Checks whether a request submits a job.
    * @param host - the host name of the request, without a port
--- a/src/request/forwardedAttempt.ts
+++ b/src/request/forwardedAttempt.ts
@@ -7,6 +7,7 @@
 import { createFailure, type Failure, FailureReason, Step, toFailure } from '../process/program/failure.ts'
 import type { BackendServerRecord } from '../process/fleet/backendServerRegistry.ts'
 import type { FleetView } from '../process/fleet/fleetView.ts'
+import type { GatewayDrain } from '../process/fleet/gatewayDrain.ts'
 import { LogEvents } from '../process/program/logEvents.ts'
 import { Counter, Latency } from '../process/program/metrics.ts'
 import type { ProcessServices } from '../process/program/processServices.ts'
@@ -34,6 +35,7 @@
 /** Dependencies and settings of forwarded requests. */
 export interface ForwardingServices extends Omit<ProcessServices, 'lifecycle'> {
   readonly view: FleetView
+  readonly drain: Pick<GatewayDrain, 'lastEndAt'>
   readonly client: BackendServerClient
   readonly control: Pick<FleetClient, 'reportCrash' | 'acquireTrial' | 'acquirePermit'>
   readonly availabilityZone: string
--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -7,7 +7,7 @@
 import { LogEvents } from '../process/program/logEvents.ts'
 import { Counter } from '../process/program/metrics.ts'
 import { chooseTarget, matchRoute, RouteKind } from '../version/gatewayTables.ts'
-import { type CallerResponse, type CallerRequest, GatewayRefusal } from './callerExchange.ts'
+import { type CallerResponse, type CallerRequest, drainingRetryAfterMs, GatewayRefusal } from './callerExchange.ts'
 import { ForwardedAttemptEnd, type ForwardingServices, isBodyReplayable, type ForwardingProgress, runForwardedAttempt, minServerErrorStatus } from './forwardedAttempt.ts'
 import { reportCrash } from './crashReport.ts'
 import { acquirePermit } from './requestPermit.ts'
@@ -27,7 +27,7 @@
 const recheckIntervalMs = 20
 
 /** Refusals that promise that the request has not run; they must not be reported after a run. */
-const notRunRefusals: ReadonlySet<GatewayRefusal> = new Set([GatewayRefusal.Overloaded, GatewayRefusal.Quarantined])
+const notRunRefusals: ReadonlySet<GatewayRefusal> = new Set([GatewayRefusal.Overloaded, GatewayRefusal.Quarantined, GatewayRefusal.Draining])
 
 /** Maximum number of attempts that the backend servers did not run. */
 const maxNotRunAttempts = 6
@@ -75,10 +75,12 @@
 
 // Returns whether another attempt is to be made.
 async function makeAttempt (progress: ForwardingProgress, services: ForwardingServices): Promise<boolean> {
-  if (isQuarantined(progress, services)) return giveUp(progress, services, GatewayRefusal.Quarantined)
+  const refusalBefore = findRefusal(progress, services)
+  if (refusalBefore !== undefined) return giveUp(progress, services, refusalBefore)
   const server = await findServer(progress, services)
   if (progress.request.disconnectSignal.aborted) return abortAfterDisconnect(progress, services)
-  if (isQuarantined(progress, services)) return giveUp(progress, services, GatewayRefusal.Quarantined)
+  const refusalAfter = findRefusal(progress, services)
+  if (refusalAfter !== undefined) return giveUp(progress, services, refusalAfter)
   if (server === undefined) return giveUp(progress, services, GatewayRefusal.Overloaded)
   if (!await acquireTrial(progress, services)) return giveUp(progress, services, GatewayRefusal.Quarantined)
   progress.server = server
@@ -88,8 +90,12 @@
   return concludeAttempt(progress, server, end, services)
 }
 
-function isQuarantined ({ isBlocked, traits }: ForwardingProgress, { view }: ForwardingServices): boolean {
-  return isBlocked || view.quarantine.getBlockedMs(traits) !== undefined
+// Returns why no attempt may be made now, whichever server is free.
+function findRefusal ({ isBlocked, traits, isResponseStarted, deadlineAt }: ForwardingProgress, { view, drain }: ForwardingServices): GatewayRefusal | undefined {
+  if (isBlocked || view.quarantine.getBlockedMs(traits) !== undefined) return GatewayRefusal.Quarantined
+  // A response that has started is continued: its end may still arrive in time, and refusing it would cut it for certain.
+  if (!isResponseStarted && deadlineAt > drain.lastEndAt) return GatewayRefusal.Draining
+  return undefined
 }
 
 // Returns whether the request may be sent: if one of its traits is on trial, only one request at a time may.
@@ -217,7 +223,7 @@
 function sendRefusal (services: ForwardingServices, request: CallerRequest, response: CallerResponse, refusal: GatewayRefusal, progress: ForwardingProgress | undefined): void {
   const jitteredRetryAfterMs = retryAfterBaseMs + services.random.next() * retryAfterBaseMs
   const blockedMs = progress === undefined ? undefined : services.view.quarantine.getBlockedMs(progress.traits)
-  response.refuse(refusal, Math.max(jitteredRetryAfterMs, blockedMs ?? 0))
+  response.refuse(refusal, refusal === GatewayRefusal.Draining ? drainingRetryAfterMs : Math.max(jitteredRetryAfterMs, blockedMs ?? 0))
   services.metrics.count(Counter.Refusals, refusal)
   const described = progress === undefined ? { requestId: request.id, inputs: { version: services.view.tables?.version ?? 0 } } : describeProgress(progress, services)
   services.logger.write(LogEvents.requestRefused, { ...described, reason: refusal })
--- a/src/request/gatewayJobs.ts
+++ b/src/request/gatewayJobs.ts
@@ -6,6 +6,7 @@
 import type { ControlClient } from '../connection/controlClient.ts'
 import { CommandKind, OutcomeKind } from '../process/state/commands.ts'
 import type { FleetView } from '../process/fleet/fleetView.ts'
+import type { GatewayDrain } from '../process/fleet/gatewayDrain.ts'
 import { LogEvents } from '../process/program/logEvents.ts'
 import { Counter } from '../process/program/metrics.ts'
 import type { ProcessServices } from '../process/program/processServices.ts'
@@ -24,7 +25,8 @@
 /** Dependencies of jobs at the gateway. */
 export interface GatewayJobServices extends Pick<ProcessServices, 'clock' | 'logger' | 'metrics'> {
   readonly view: FleetView
-  readonly control: ControlClient
+  readonly drain: Pick<GatewayDrain, 'lastEndAt'>
+  readonly control: Pick<ControlClient, 'execute' | 'read'>
 }
 
 /** Job as submitted by its caller. */
@@ -47,6 +49,7 @@
   if (view.tables === undefined) return refuseJob(job, GatewayRefusal.NotReady, services)
   const route = matchRoute(view.routes, job.host, job.path)
   if (route === undefined || route.kind !== RouteKind.Batch) return refuseJob(job, GatewayRefusal.NoRoute, services)
+  if (getTimeLeftMs(services) < commandTimeoutMs) return refuseJob(job, GatewayRefusal.Draining, services)
   const { id, host, items } = job
   const submission = { id, host, items, route: route.name, pathPrefix: route.pathPrefix, acceptedAt: 0, giveUpAt: 0 }
   const outcome = await control.execute({
@@ -77,7 +80,11 @@
  * @returns a page of results, undefined when the job does not exist, or a refusal
  */
 export async function readJobResults (job: string, after: number, waitMs: number, services: GatewayJobServices): Promise<Result<ResultPage | undefined, GatewayRefusal>> {
-  const response = await services.control.read({ kind: QueryKind.SubmissionResults, job, after, waitMs }, readTimeoutMs + waitMs)
+  const timeLeftMs = getTimeLeftMs(services)
+  if (timeLeftMs < readTimeoutMs) return refuseRead(job, '', services, GatewayRefusal.Draining)
+  // A draining gateway shortens the long poll, so that it answers before it ends.
+  const pollMs = Math.min(waitMs, Math.floor(timeLeftMs - readTimeoutMs))
+  const response = await services.control.read({ kind: QueryKind.SubmissionResults, job, after, waitMs: pollMs }, readTimeoutMs + pollMs)
   if (response.isErr() || response.value.kind !== QueryKind.SubmissionResults) return refuseRead(job, response.isErr() ? response.error.reason : '', services)
   return ok(response.value.page)
 }
@@ -90,15 +97,16 @@
  * @returns the body, undefined when there is none, or a refusal
  */
 export async function readItemBody (job: string, item: string, services: GatewayJobServices): Promise<Result<Uint8Array | undefined, GatewayRefusal>> {
+  if (getTimeLeftMs(services) < readTimeoutMs) return refuseRead(job, '', services, GatewayRefusal.Draining)
   const response = await services.control.read({ kind: QueryKind.SubmittedBody, job, item }, readTimeoutMs)
   if (response.isErr() || response.value.kind !== QueryKind.SubmittedBody) return refuseRead(job, response.isErr() ? response.error.reason : '', services)
   return ok(response.value.body)
 }
 
-function refuseRead<Value> (job: string, detail: string, services: GatewayJobServices): Result<Value, GatewayRefusal> {
-  services.metrics.count(Counter.Refusals, GatewayRefusal.NotReady)
-  services.logger.write(LogEvents.requestRefused, { requestId: job, reason: GatewayRefusal.NotReady, detail, inputs: { knowledgeAgeMs: Math.round(services.clock.now() - services.view.lastContactAt) } })
-  return err(GatewayRefusal.NotReady)
+function refuseRead<Value> (job: string, detail: string, services: GatewayJobServices, refusal: GatewayRefusal = GatewayRefusal.NotReady): Result<Value, GatewayRefusal> {
+  services.metrics.count(Counter.Refusals, refusal)
+  services.logger.write(LogEvents.requestRefused, { requestId: job, reason: refusal, detail, inputs: { knowledgeAgeMs: Math.round(services.clock.now() - services.view.lastContactAt) } })
+  return err(refusal)
 }
 
 /**
@@ -108,8 +116,14 @@
  * @returns whether the job existed, or a refusal when it may not have ended
  */
 export async function endJob (job: string, services: GatewayJobServices): Promise<Result<boolean, GatewayRefusal>> {
+  if (getTimeLeftMs(services) < commandTimeoutMs) return refuseRead(job, '', services, GatewayRefusal.Draining)
   const outcome = await services.control.execute({ kind: CommandKind.EndSubmission, job }, commandTimeoutMs)
   if (outcome.isErr()) return err(GatewayRefusal.Failed)
   services.logger.write(LogEvents.submissionEnded, { requestId: job, reason: outcome.value.kind })
   return ok(outcome.value.kind !== OutcomeKind.NotFound)
 }
+
+// Returns the time within which a call must end, in milliseconds; Infinity unless the gateway is draining.
+function getTimeLeftMs ({ drain, clock }: GatewayJobServices): number {
+  return drain.lastEndAt - clock.now()
+}
--- a/test/platformHttp.test.ts
+++ b/test/platformHttp.test.ts
@@ -62,7 +62,6 @@
   const callerLimits: CallerLimits = { headerBytes: 16_384, bodyBytes: 1_000_000, headerMs: 3_000, idleMs: 15_000, ...limits }
   const service: CallerService = {
     limits: () => callerLimits,
-    isDraining: () => false,
     isJob: (host, path) => matchRoute(services.view.routes, host, path)?.kind === RouteKind.Batch,
     now: () => performance.now(),
     forward: (callerRequest, callerResponse) => runForwardedRequest(callerRequest, callerResponse, services),
--- a/test/support/fakeFleet.ts
+++ b/test/support/fakeFleet.ts
@@ -12,6 +12,7 @@
 import { type BackendServerRecord, ServerPhase } from '../../src/process/fleet/backendServerRegistry.ts'
 import type { FleetUpdate } from '../../src/process/fleet/fleetMessages.ts'
 import { createFleetView, type FleetView } from '../../src/process/fleet/fleetView.ts'
+import { createGatewayDrain } from '../../src/process/fleet/gatewayDrain.ts'
 import { createSilentLogger } from '../../src/process/program/logger.ts'
 import { createMetrics } from '../../src/process/program/metrics.ts'
 import { createSystemRandom } from '../../src/process/program/random.ts'
@@ -188,5 +189,5 @@
   const view = createFleetView(clock, logger, () => [])
   view.applyUpdate(fleetUpdateOf({ tables: tablesOf(1, routes), ...update }))
   const control = { reportCrash: async () => ok({ isBlocked: false }), acquireTrial: async () => ok(true), acquirePermit: async () => ok({ isGranted: true, retryMs: 0 }) }
-  return { view, client, control, availabilityZone: 'z1', region: 'r1', getRegion: () => 'r1', clock, random: createSystemRandom(), logger, metrics: createMetrics() }
+  return { view, drain: createGatewayDrain(), client, control, availabilityZone: 'z1', region: 'r1', getRegion: () => 'r1', clock, random: createSystemRandom(), logger, metrics: createMetrics() }
 }
--- a/test/support/fleetProcesses.ts
+++ b/test/support/fleetProcesses.ts
@@ -12,7 +12,8 @@
 
 const startTimeoutMs = 20_000
 const heartbeatMs = 300
-const eventIntervalMs = 20
+/** Interval between two events of a response, in milliseconds. */
+export const eventIntervalMs = 20
 
 /** Time for which a crashed backend server is down, in milliseconds. */
 const downMs = 500
@@ -24,7 +25,7 @@
   readonly address: string
   /** Ids of the requests that it ran, in order. */
   readonly ran: string[]
-  /** Number of events in a response. */
+  /** Number of events in a response, unless the header `x-events` of the request gives another one. */
   events: number
   /** Prompt part under which the server crashes when it begins to answer. */
   crashingPart: string | undefined
@@ -41,6 +42,7 @@
 /** A fleet of processes. */
 export interface Fleet {
   readonly controlPrograms: ReadonlyMap<string, Program>
+  readonly gatewayPrograms: readonly Program[]
   readonly gateways: readonly string[]
   readonly servers: readonly StreamServer[]
   startControlHost (name: string): Promise<void>
@@ -68,7 +70,7 @@
       ran.push(String(incoming.headers['x-request-id']))
       arrivals.push(performance.now())
       if (hasCrashingPart(String(incoming.headers['x-prefix-hash'] ?? ''))) return crash()
-      streamEvents(response, Number(incoming.headers['last-event-id'] ?? -1) + 1)
+      streamEvents(response, Number(incoming.headers['last-event-id'] ?? -1) + 1, Number(incoming.headers['x-events'] ?? NaN))
     })
   })
 
@@ -84,14 +86,15 @@
     restart = setTimeout(() => server.listen(port, '127.0.0.1'), downMs)
   }
 
-  function streamEvents (response: ServerResponse, firstEventId: number): void {
+  function streamEvents (response: ServerResponse, firstEventId: number, requestedEvents: number): void {
     const { requestLimit } = streamServer
     response.writeHead(200, { 'content-type': 'text/event-stream', 'x-server-stamp': `stamp-${id}`, ...(requestLimit === undefined ? {} : { 'server-limit': String(requestLimit) }) })
     let next = firstEventId
     const timer = setInterval(() => {
-      if (next < streamServer.events) response.write(`id: ${next}\ndata: e${next}\n\n`)
+      const events = Number.isNaN(requestedEvents) ? streamServer.events : requestedEvents
+      if (next < events) response.write(`id: ${next}\ndata: e${next}\n\n`)
       next++
-      if (next < streamServer.events) return
+      if (next < events) return
       clearInterval(timer)
       response.end()
     }, eventIntervalMs)
@@ -122,9 +125,10 @@
 /**
  * Starts three control hosts, two gateways and backend servers, and waits until the control hosts respond to reads.
  * @param serverCount - number of backend servers
+ * @param gatewaySettings - further settings of the gateways
  * @returns the fleet, without tables
  */
-export async function startFleet (serverCount = 2): Promise<Fleet> {
+export async function startFleet (serverCount = 2, gatewaySettings: Readonly<Record<string, unknown>> = {}): Promise<Fleet> {
   const folder = await mkdtemp(join(tmpdir(), 'jaychute-fleet-'))
   // Control hosts share their ports and differ in their loopback addresses.
   const ports = (await reserveAddresses(3)).map(address => Number(address.split(':')[1]))
@@ -145,6 +149,7 @@
 
   const fleet: Fleet = {
     controlPrograms,
+    gatewayPrograms,
     gateways: (await reserveAddresses(2)),
     servers,
     async startControlHost (ip) {
@@ -171,6 +176,7 @@
         version,
         routes: [
           { ...route, name: 'live', path_prefix: '/live/', kind: 'streaming', resumable: true, gap_target_ms: 250 },
+          { ...route, name: 'once', path_prefix: '/once/', kind: 'streaming', resumable: false, gap_target_ms: 250, max_attempts: 1 },
           { ...route, name: 'batch', path_prefix: '/batch/', kind: 'batch', max_queued: 1_000, run_target_ms: 10_000, max_wait_s: 60 }
         ],
         services: [{ name: 's', engine: { slots: 2 } }],
@@ -202,7 +208,7 @@
 
   for (const ip of controlIps) await fleet.startControlHost(ip)
   isFirstStart = false
-  for (const [index, address] of fleet.gateways.entries()) gatewayPrograms.push(await startHost({ role: 'gateway', host: `gateway-${index}`, callerAddress: address }))
+  for (const [index, address] of fleet.gateways.entries()) gatewayPrograms.push(await startHost({ role: 'gateway', host: `gateway-${index}`, callerAddress: address, ...gatewaySettings }))
   await eventually('a control host that responds to reads', startTimeoutMs, async () => {
     const response = await fleet.callControl('GET', '/v1/config')
     return response.text.includes('no configuration') ? true : undefined
