Answer requests on kept connections until a draining gateway ends

What callers saw: when a gateway stopped listening during its planned stop, it closed every kept connection at once, and later each one within 50 ms of its last response, while it still ran; a request that was on the way on such a connection got no answer. Cause: http.Server.close() and closeIdleConnections() close connections without regard to what their callers are sending. Change: only the listening socket is closed; requests on kept connections are served or refused with Connection: close until no request has been open for 200 ms, or the grace is almost over, and a request that arrives after that is refused, not passed on. This works since each answer closes its connection, so that the connections run out by answers. A request that crosses the very end of the process can still find its connection closed; it has not been passed on then.

--- a/src/process/fleet/gatewayDrain.ts
+++ b/src/process/fleet/gatewayDrain.ts
@@ -2,6 +2,7 @@
  * The planned stop of a gateway: which requests are still accepted, and when the process may end.
  * @module
  */
+import { Server as ConnectionServer } from 'node:net'
 import type { Server } from 'node:http'
 import type { OpenRequests } from '../../connection/openRequests.ts'
 import { addressKeepMs } from '../../request/gatewayChoice.ts'
@@ -22,6 +23,12 @@
 /** Interval at which a draining gateway checks for open requests, in milliseconds. */
 const drainCheckIntervalMs = 50
 
+/**
+ * Time without an open request after which the process may end, in milliseconds. A caller that sends its next request on the
+ * connection of the response that it has just received still gets an answer.
+ */
+const quietMs = 200
+
 /** Tells requests whether they can end before the process does. */
 export interface GatewayDrain {
   /** Whether the stop has begun. */
@@ -74,7 +81,7 @@
 
 /**
  * Stops a gateway. Callers with a cached directory response still connect for a while, so it listens until those responses
- * have expired.
+ * have expired. Kept connections stay open until the end, since their next request may be on the way.
  * @param inputs - dependencies
  * @returns a promise that resolves when no response is owed, or the grace is almost over
  */
@@ -84,11 +91,12 @@
   drain.begin(startedAt + graceMs)
   openRequests.closeAfterResponses()
   await Promise.all([announce(), clock.sleep(Math.min(directoryUpdateMs + addressKeepMs * addressCacheFactor, graceMs - exitMarginMs))])
-  server.close()
-  server.closeIdleConnections()
-  while (openRequests.count > 0 && clock.now() < endAt) {
+  // The method of the HTTP server would also close idle connections.
+  ConnectionServer.prototype.close.call(server)
+  let quietSince = clock.now()
+  while (clock.now() - quietSince < quietMs && clock.now() < endAt) {
     await clock.sleep(drainCheckIntervalMs)
-    server.closeIdleConnections()
+    if (openRequests.count > 0) quietSince = clock.now()
   }
   drain.finish()
 }
--- a/test/gatewayDrain.test.ts
+++ b/test/gatewayDrain.test.ts
@@ -189,9 +189,12 @@
   after(() => fleet.close())
 
   // Failure: a gateway passed on requests that arrived late in the grace, and cut their connections without an answer when it
-  // ended.
-  it('answers every request that arrives until it stops listening, and passes on none that it can\'t finish', async () => {
-    const longResponse = send(false, longResponseMs)
+  // ended. It closed kept connections as soon as they were idle, also while their next request was on the way.
+  it('answers every request that arrives until the process is gone, and passes on none that it can\'t finish', async () => {
+    const idleAgent = new Agent({ keepAlive: true, maxSockets: 1 })
+    const busyAgent = new Agent({ keepAlive: true, maxSockets: 1 })
+    expect((await send(idleAgent, 100)).status).to.equal(200)
+    const longResponse = send(busyAgent, longResponseMs)
     await new Promise(resolve => setTimeout(resolve, callerIntervalMs))
 
     const stoppedAt = performance.now()
@@ -205,14 +208,17 @@
       observed.then(({ error }) => { if (error === 'ECONNREFUSED') isListening = false }, () => {})
       await new Promise(resolve => setTimeout(resolve, callerIntervalMs))
     }
+    const idleConnectionResponse = await send(idleAgent, responseMs, callerHeaders)
     const longObserved = await longResponse
+    const busyConnectionResponse = await send(busyAgent, responseMs, callerHeaders)
     const observed = (await Promise.all(pending)).filter(({ error }) => error !== 'ECONNREFUSED')
     expect(await exitCode).to.equal(0)
 
-    const described = observed
+    const described = [...observed, idleConnectionResponse, busyConnectionResponse]
       .map(one => `${one.id} ${one.status ?? one.error}${one.isComplete ? '' : ' cut'}${hasRun(one) ? ' ran' : ''}`)
     expect(described.filter(text => text.includes('cut')), described.join(', ')).to.deep.equal([])
     expect(longObserved).to.include({ status: 200, isComplete: true })
+    for (const refused of [idleConnectionResponse, busyConnectionResponse]) expect(refused).to.include({ status: 503, isClosing: true })
     expect(observed.map(({ status }) => status)).to.include.members([200, 503])
     for (const one of observed) {
       expect([one.id, hasRun(one), one.isClosing]).to.deep.equal([one.id, one.status === 200, true])
