Append a publication once while it is repeated before its commit

Cause: a repeated publication was recognised by the applied state only. An operator repeats it after a second, just when the commit is slow, and each repetition appended the large document again (found by the review: 3 calls before the commit, 3 entries). Change: the leader keeps the undecided proposal of a version and digest, and repetitions wait for it.

--- a/src/process/state/controlHost.ts
+++ b/src/process/state/controlHost.ts
@@ -5,7 +5,7 @@
  */
 import { err, ok, type Result, type ResultAsync } from 'neverthrow'
 import type { Clock } from '../program/clock.ts'
-import { type Command, CommandKind, type Holder, type Outcome, OutcomeKind } from './commands.ts'
+import { type Command, CommandKind, type CommandOf, type Holder, type Outcome, OutcomeKind } from './commands.ts'
 import { type Condition, createCondition } from '../program/condition.ts'
 import { findOutcomeWithoutChange } from './publications.ts'
 import { answerQuery, applyCommand, type ControlState, createControlState } from './controlState.ts'
@@ -114,6 +114,8 @@
   // Separate from `stateChanged`: every poll notifies this, and waking all held polls for each poll would take
   // quadratic time in the number of hosts.
   const pollReceived = createCondition()
+  // Proposals that are not decided yet, by version and digest.
+  const pendingPublications = new Map<string, ResultAsync<Outcome, Failure>>()
 
   async function execute (command: Command): Promise<Result<Outcome, Failure>> {
     if (replica.state.role !== ReplicaRole.Leader) return err(createNotLeaderFailure(replica, Step.Execute))
@@ -131,6 +133,7 @@
       // An operator repeats a publication until it is acknowledged; a large document must not be appended each time.
       const unchanged = findOutcomeWithoutChange(state, command)
       if (unchanged !== undefined) return (await replica.confirmRead()).map(() => unchanged)
+      return await proposePublication(command)
     }
     const outcome = await replica.propose(addTimestamp(command, clock))
     if (outcome.isErr() || command.kind !== CommandKind.CancelJob) return outcome
@@ -138,6 +141,18 @@
     return confirmation.andThen(() => outcome)
   }
 
+  async function proposePublication (command: CommandOf<'publish'>): Promise<Result<Outcome, Failure>> {
+    const { tables: { version }, digest } = command.publication
+    const key = `${version} ${digest}`
+    const pending = pendingPublications.get(key)
+    if (pending !== undefined) return await pending
+    const proposed = replica.propose(command)
+    pendingPublications.set(key, proposed)
+    const outcome = await proposed
+    pendingPublications.delete(key)
+    return outcome
+  }
+
   // A new leader has no record of the polls to its predecessor, so every holder counts as alive for one full session timeout.
   function isHolderAlive (holder: Holder): boolean {
     if (sessions.find(holder) !== undefined) return true
