Confirm a version by what each gateway has and knows, within the time of the caller

The call had a shorter timeout than the leader took to answer, which closed the connection of polls and heartbeats and marked the leader as failed, and was repeated with its full time. A new leader acknowledged leaving servers for hosts that it did not know yet. After a silent leader, hosts returned to it as long as its followers named it, up to their election timeout. A fetch of tables forgot which control hosts had not responded. A gateway without tables took them from a control host that had just started. Change: a session keeps since when its host has known of each version that it lacks; a gateway counts as confirmed once it has the version, or has known of it for so long that it refuses requests. The caller sends the time that it waits. Both acknowledgements wait for the time of a session after an election. Names of a failed leader count once an election timeout has passed since the failed call. A fetch records unresponsive hosts, and its timeout grows from one fetch to the next. Publications have a connection of their own. Without tables a gateway waits for the version that a leader names. The test of a leaving server runs on a leader older than a session, and a new one covers a younger leader.

--- a/src/connection/controlClient.ts
+++ b/src/connection/controlClient.ts
@@ -10,11 +10,12 @@
 import { Counter, type Metrics } from '../process/program/metrics.ts'
 import { type QueryResponse, type Query, QueryKind } from '../process/state/queries.ts'
 import type { Heartbeat } from '../process/fleet/backendServerRegistry.ts'
-import { fleetLongPollMs, type FleetUpdate, type FleetWatchRequest, type LimitReport, type LoadReport, type LoadTotals, type PermitRequest, type PermitResponse, type ServerCrashReport, type ServerCrashVerdict, type TablesRequest, type TablesResponse, type TrialRequest } from '../process/fleet/fleetMessages.ts'
+import { fleetLongPollMs, type FleetUpdate, leaveConfirmationTimeoutMs, type FleetWatchRequest, type LimitReport, type LoadReport, type LoadTotals, type PermitRequest, type PermitResponse, type ServerCrashReport, type ServerCrashVerdict, type TablesRequest, type TablesResponse, type TrialRequest } from '../process/fleet/fleetMessages.ts'
 import type { RunPoll, RunReports, RunUpdate } from '../process/fleet/runMessages.ts'
 import type { Random } from '../process/program/random.ts'
 import type { WatchResponse, WatchRequest } from '../process/state/watchMessages.ts'
 import { longPollMs } from '../process/state/watchMessages.ts'
+import { maxElectionTimeoutMs } from '../process/log/election.ts'
 import { type InternalClients, TrafficClass } from './internalClient.ts'
 
 /** Timeout for one call to one control host, in milliseconds, in addition to the time of a long poll. */
@@ -32,10 +33,10 @@
 /** Timeout for one query to a control host that need not be the leader, in milliseconds, in addition to the time of a long poll. */
 const nearestReadTimeoutMs = 700
 
-/** Timeout for the first attempt to fetch tables, in milliseconds; doubles with each further attempt, since large tables may take longer on a slow connection. */
+/** Timeout for fetching tables from one control host, in milliseconds; doubles after a fetch that failed at every host, since large tables may take longer on a slow connection. */
 const initialTablesTimeoutMs = 700
 
-/** Longest timeout for an attempt to fetch tables, in milliseconds. */
+/** Longest timeout for fetching tables from one control host, in milliseconds. */
 const maxTablesTimeoutMs = 5_600
 
 /** Backoff for a control host that did not respond or refused the connection, in milliseconds; when all have failed, each is tried again. */
@@ -56,6 +57,8 @@
 const gatewayAttemptTimeoutMs = 800
 
 function selectTrafficClass (command: Command): TrafficClass {
+  // A document of many routes must not delay heartbeats and polls.
+  if (command.kind === CommandKind.Publish) return TrafficClass.Tables
   return batchCommands.has(command.kind) ? TrafficClass.Batch : TrafficClass.Control
 }
 
@@ -109,7 +112,7 @@
   /**
    * Asks the leader whether every gateway serves by a version of the tables or a later one.
    * @param version - the version
-   * @param timeoutMs - timeout including all attempts, in milliseconds
+   * @param timeoutMs - how long to wait for the gateways, in milliseconds
    * @returns nothing once every gateway does, or the failure of the last attempt
    */
   confirmTables (version: number, timeoutMs: number): Promise<Result<void, Failure>>
@@ -201,19 +204,23 @@
   const { controlHosts, clients, clock, random, metrics, signal } = inputs
   const listHosts = typeof controlHosts === 'function' ? controlHosts : () => controlHosts
   let leader = listHosts()[0] ?? ''
+  let tablesTimeoutMs = initialTablesTimeoutMs
   const failedAt = new Map<string, number>()
-  // Hosts that named a failed leader after its failure, by that leader.
+  // Monotonic time at which the call that failed last was sent, in milliseconds, by host.
+  const failedCallSentAt = new Map<string, number>()
+  // Hosts that named a failed leader although it can't have been silent since then, by that leader.
   const namedBy = new Map<string, Set<string>>()
 
   // Counts the failure, starts the backoff of a host that did not respond or refused the connection, and selects another host
   // as the leader if the call went to the current one. Calls run concurrently: the first failure at an address switches the
   // leader for all of them; failures of the other calls at the same address must not skip the next host.
-  function handleCallFailure (address: string, failure: Failure): void {
+  function handleCallFailure (address: string, failure: Failure, sentAt: number): void {
     metrics.count(Counter.ControlCalls, failure.reason)
-    if (failure.reason === FailureReason.Timeout || failure.reason === FailureReason.Refused) recordUnresponsive(address)
+    if (isUnresponsive(failure)) recordUnresponsive(address, sentAt)
     // The leader responded; other hosts have not confirmed a change yet.
     if (address !== leader || failure.reason === FailureReason.Unconfirmed) return
-    if (failure.alternative !== undefined && failure.alternative !== leader && isUsableLeader(failure.alternative, address)) {
+    if (failure.alternative !== undefined) recordNamedLeader(failure.alternative, address)
+    if (failure.alternative !== undefined && failure.alternative !== leader && !hasFailedRecently(failure.alternative)) {
       leader = failure.alternative
       return
     }
@@ -226,20 +233,24 @@
     }
   }
 
-  function recordUnresponsive (address: string): void {
+  function isUnresponsive ({ reason }: Failure): boolean {
+    return reason === FailureReason.Timeout || reason === FailureReason.Refused
+  }
+
+  function recordUnresponsive (address: string, sentAt: number): void {
     failedAt.set(address, clock.now())
+    failedCallSentAt.set(address, sentAt)
     namedBy.delete(address)
   }
 
-  // A leader that was slow once still leads if every other control host names it; one that has failed is named by a few at the most.
-  function isUsableLeader (address: string, namingHost: string): boolean {
-    if (!hasFailedRecently(address)) return true
+  // A leader that was slow once is used again when every other control host names it. Followers name a silent leader until their
+  // election timeout, so only later names count.
+  function recordNamedLeader (address: string, namingHost: string): void {
+    if (!hasFailedRecently(address) || clock.now() - (failedCallSentAt.get(address) ?? 0) < maxElectionTimeoutMs) return
     const names = namedBy.get(address) ?? new Set<string>()
     namedBy.set(address, names)
     names.add(namingHost)
-    if (!listHosts().every(host => host === address || names.has(host) || hasFailedRecently(host))) return false
-    failedAt.delete(address)
-    return true
+    if (listHosts().every(host => host === address || names.has(host) || hasFailedRecently(host))) failedAt.delete(address)
   }
 
   function hasFailedRecently (address: string): boolean {
@@ -248,8 +259,9 @@
 
   async function callOnce<Value> (call: (address: string) => PromiseLike<Result<Value, Failure>>): Promise<Result<Value, Failure>> {
     const address = leader
+    const sentAt = clock.now()
     const result = await call(address)
-    if (result.isErr()) handleCallFailure(address, result.error)
+    if (result.isErr()) handleCallFailure(address, result.error, sentAt)
     return result
   }
 
@@ -277,10 +289,11 @@
       const hosts = listHosts()
       const responsive = hosts.filter(address => !hasFailedRecently(address))
       for (const address of responsive.length > 0 ? responsive : hosts) {
+        const sentAt = clock.now()
         const result = await callRead(address, query, nearestReadTimeoutMs)
         if (result.isOk()) return result
         failure = result.error
-        handleCallFailure(address, failure)
+        handleCallFailure(address, failure, sentAt)
         if (clock.now() >= deadline || signal.aborted) return err(failure)
       }
       await clock.sleep(random.next() * maxRetryDelayMs, signal)
@@ -306,23 +319,35 @@
     watchFleet: request => callOnce(address => clients.callReply<FleetUpdate>(address, TrafficClass.Control, Step.Watch, fleetLongPollMs + fleetResponseTimeoutMs, (client, abort) =>
       client.fleet.watch.mutate(request, { signal: abort }))),
     async fetchTables (request) {
-      let timeoutMs = initialTablesTimeoutMs
       let failure: Failure | undefined
       const hosts = listHosts()
       const responsive = hosts.filter(address => !hasFailedRecently(address))
       for (const address of responsive.length > 0 ? responsive : hosts) {
         if (signal.aborted) break
-        const result = await callTables(address, request, timeoutMs)
-        if (result.isOk()) return result
+        const sentAt = clock.now()
+        const result = await callTables(address, request, tablesTimeoutMs)
+        if (result.isOk()) {
+          tablesTimeoutMs = initialTablesTimeoutMs
+          return result
+        }
         failure = result.error
         metrics.count(Counter.ControlCalls, failure.reason)
-        timeoutMs = Math.min(2 * timeoutMs, maxTablesTimeoutMs)
+        if (isUnresponsive(failure)) recordUnresponsive(address, sentAt)
       }
+      tablesTimeoutMs = Math.min(2 * tablesTimeoutMs, maxTablesTimeoutMs)
       return err(failure ?? createFailure(FailureReason.Timeout, { step: Step.FetchTables }, 'no control host is known'))
     },
-    confirmTables: (version, timeoutMs) => retry(timeoutMs, Step.Publish, address =>
-      clients.callReply<void>(address, TrafficClass.Control, Step.Publish, timeoutMs, (client, abort) =>
-        client.fleet.confirmTables.mutate({ version }, { signal: abort }))),
+    async confirmTables (version, timeoutMs) {
+      const deadline = clock.now() + timeoutMs
+      while (true) {
+        // The leader responds within the time to wait, so that the call does not time out at a leader that responds.
+        const waitMs = Math.max(0, deadline - clock.now())
+        const result = await callOnce(address => clients.callReply<void>(address, TrafficClass.Control, Step.Publish, waitMs + fleetResponseTimeoutMs, (client, abort) =>
+          client.fleet.confirmTables.mutate({ version, waitMs }, { signal: abort })))
+        if (result.isOk() || result.error.reason !== FailureReason.NotLeader || clock.now() >= deadline) return result
+        await clock.sleep(random.next() * maxRetryDelayMs, signal)
+      }
+    },
     reportLoad: async report => await clients.callReply<LoadTotals>(leader, TrafficClass.Live, Step.Report, fleetResponseTimeoutMs, (client, abort) =>
       client.fleet.report.mutate(report, { signal: abort })),
     reportCrash: async report => await clients.callReply<ServerCrashVerdict>(leader, TrafficClass.Live, Step.Report, crashReportTimeoutMs, (client, abort) =>
@@ -338,10 +363,10 @@
     reportRuns: reports => callOnce(address => clients.callReply<void>(address, TrafficClass.Batch, Step.Report, callTimeoutMs, (client, abort) =>
       client.fleet.reportRuns.mutate(reports, { signal: abort }))),
     forwardHeartbeat: (heartbeat, timeoutMs) => retry(timeoutMs, Step.Heartbeat, address =>
-      clients.callReply<boolean>(address, TrafficClass.Control, Step.Heartbeat, fleetResponseTimeoutMs, (client, abort) =>
+      clients.callReply<boolean>(address, TrafficClass.Control, Step.Heartbeat, heartbeat.leaving ? leaveConfirmationTimeoutMs + fleetResponseTimeoutMs : fleetResponseTimeoutMs, (client, abort) =>
         client.fleet.heartbeat.mutate(heartbeat, { signal: abort }))),
     withdraw: (id, timeoutMs) => retry(timeoutMs, Step.Heartbeat, address =>
-      clients.callReply<boolean>(address, TrafficClass.Control, Step.Heartbeat, fleetResponseTimeoutMs, (client, abort) =>
+      clients.callReply<boolean>(address, TrafficClass.Control, Step.Heartbeat, leaveConfirmationTimeoutMs + fleetResponseTimeoutMs, (client, abort) =>
         client.fleet.withdraw.mutate({ id }, { signal: abort })))
   }
 }
--- a/src/connection/internalRouter.ts
+++ b/src/connection/internalRouter.ts
@@ -98,8 +98,8 @@
         services.fleetLeader === undefined ? createMissingRoleReply(Step.Watch) : toReply(await services.fleetLeader.watch(input))),
       tables: procedure.input(objectSchema<TablesRequest>()).mutation(async ({ input }) =>
         services.tablesSource === undefined ? createMissingRoleReply(Step.FetchTables) : toReply(await services.tablesSource.fetch(input))),
-      confirmTables: procedure.input(objectSchema<{ readonly version: number }>()).mutation(async ({ input }) =>
-        services.fleetLeader === undefined ? createMissingRoleReply(Step.Publish) : toReply(await services.fleetLeader.confirmTables(input.version))),
+      confirmTables: procedure.input(objectSchema<{ readonly version: number, readonly waitMs: number }>()).mutation(async ({ input }) =>
+        services.fleetLeader === undefined ? createMissingRoleReply(Step.Publish) : toReply(await services.fleetLeader.confirmTables(input.version, input.waitMs))),
       report: procedure.input(objectSchema<LoadReport>()).mutation(({ input }) =>
         services.fleetLeader === undefined ? createMissingRoleReply(Step.Report) : toReply(services.fleetLeader.report(input))),
       reportCrash: procedure.input(objectSchema<ServerCrashReport>()).mutation(async ({ input }) =>
--- a/src/connection/tablesFetch.ts
+++ b/src/connection/tablesFetch.ts
@@ -8,7 +8,7 @@
 import { maxTablesOutdatedMs } from '../process/fleet/fleetView.ts'
 import type { TablesResponse } from '../process/fleet/fleetMessages.ts'
 import { LogEvents } from '../process/program/logEvents.ts'
-import { Latency, type Metrics } from '../process/program/metrics.ts'
+import { Latency } from '../process/program/metrics.ts'
 import type { FleetTaskInputs } from './fleetWatch.ts'
 import { decodeTables } from './tablesCodec.ts'
 
@@ -18,11 +18,6 @@
 /** Time without contact to the leader after which a gateway asks other control hosts for the version in force, in milliseconds; also the interval between two such requests. */
 const independentFetchIntervalMs = 1_000
 
-/** Dependencies of the task. */
-export interface TablesFetchInputs extends FleetTaskInputs {
-  readonly metrics: Metrics
-}
-
 /**
  * Fetches tables whenever a newer version is known to be in force, until the signal aborts. Without contact to the leader, it
  * asks the other control hosts at intervals.
@@ -30,13 +25,15 @@
  * @param signal - ends the task
  * @returns a promise that resolves when the task has ended
  */
-export async function runTablesFetch (inputs: TablesFetchInputs, signal: AbortSignal): Promise<void> {
+export async function runTablesFetch (inputs: FleetTaskInputs, signal: AbortSignal): Promise<void> {
   const { view, client, clock, random } = inputs
   let lastFetchAt = -Infinity
   while (!signal.aborted) {
-    const isLeaderSilent = clock.now() - view.lastContactAt > independentFetchIntervalMs && clock.now() - lastFetchAt > independentFetchIntervalMs
-    if (view.tablesOutdatedMs === undefined && !isLeaderSilent) {
-      await view.changed.wait(independentFetchIntervalMs, signal)
+    // A gateway without tables waits for the version that the leader names: a control host that has just started may have old ones.
+    const idleSince = view.tables === undefined ? clock.now() : Math.max(view.lastContactAt, lastFetchAt)
+    const waitMs = idleSince + independentFetchIntervalMs - clock.now()
+    if (view.tablesOutdatedMs === undefined && waitMs > 0) {
+      await view.changed.wait(waitMs, signal)
       continue
     }
     lastFetchAt = clock.now()
@@ -49,7 +46,7 @@
   }
 }
 
-async function applyResponse ({ view, metrics }: TablesFetchInputs, { version, encoded }: TablesResponse): Promise<boolean> {
+async function applyResponse ({ view, metrics }: FleetTaskInputs, { version, encoded }: TablesResponse): Promise<boolean> {
   view.recordTablesVersion(version)
   if (encoded === undefined) return true
   const decoded = await ResultAsync.fromPromise(decodeTables(encoded), error => toFailure(error, { step: Step.FetchTables }))
@@ -59,7 +56,7 @@
   return true
 }
 
-function logDelay ({ view, logger }: TablesFetchInputs, reason: string): void {
+function logDelay ({ view, logger }: FleetTaskInputs, reason: string): void {
   const outdatedMs = view.tablesOutdatedMs ?? 0
   if (outdatedMs < maxTablesOutdatedMs) return
   logger.write(LogEvents.tablesDelayed, { value: view.tablesVersionInForce, reason, inputs: { version: view.tables?.version ?? 0, outdatedMs: Math.round(outdatedMs) } })
--- a/src/process/fleet/fleetLeader.ts
+++ b/src/process/fleet/fleetLeader.ts
@@ -15,10 +15,9 @@
 import type { GatewayTables } from '../../version/gatewayTables.ts'
 import { createBackendServerRegistry, type BackendServerRecord, type Heartbeat, ServerPhase } from './backendServerRegistry.ts'
 import {
-  type FleetHost, fleetLongPollMs, type FleetUpdate, FleetRole, type FleetWatchRequest, type LimitReport, type LoadReport, type LoadTotals, type PermitRequest, type PermitResponse,
+  type FleetHost, fleetLongPollMs, leaveConfirmationTimeoutMs, type FleetUpdate, FleetRole, type FleetWatchRequest, type LimitReport, type LoadReport, type LoadTotals, type PermitRequest, type PermitResponse,
   type RequestLimitUpdate, type ServerCrashReport, type ServerCrashVerdict, type ServerLoad, type TrialRequest
 } from './fleetMessages.ts'
-import { maxTablesOutdatedMs } from './fleetView.ts'
 import { createHostSessions, sessionTimeoutMs } from './hostSessions.ts'
 import { createRequestPermits, type RequestPermits } from './requestPermits.ts'
 import { createTraitQuarantine, type TraitQuarantine } from './traitQuarantine.ts'
@@ -32,18 +31,6 @@
 /** Load reports per second that the leader accepts from all hosts together; with more hosts, each reports less often. */
 const maxReportsPerSecond = 400
 
-/** Time limit for the hosts to confirm that a server leaves, in milliseconds; the server retries after one second. */
-const leaveConfirmationTimeoutMs = 600
-
-/** Time limit for one request to confirm that the gateways have new tables, in milliseconds; the operator repeats the publication after one second. */
-const tablesConfirmationTimeoutMs = 600
-
-/**
- * Time after which a gateway without the tables counts as confirmed, in milliseconds: it was told of the version within the time
- * of a session, and now refuses requests by itself.
- */
-const tablesConfirmationLimitMs = sessionTimeoutMs + maxTablesOutdatedMs
-
 /** Delay before a pending poll is answered, in milliseconds, so that changes close together go out in one update. */
 const updateDelayMs = 10
 
@@ -116,9 +103,10 @@
   /**
    * Waits until every gateway serves by a version of the tables or a later one.
    * @param version - a version that is in force
+   * @param waitMs - how long to wait, in milliseconds
    * @returns nothing once every gateway with a session does, or refuses requests since it does not; or a `NotLeader` or `Unconfirmed` failure
    */
-  confirmTables (version: number): Promise<Result<void, Failure>>
+  confirmTables (version: number, waitMs: number): Promise<Result<void, Failure>>
   /**
    * Processes a heartbeat. For a leaving server it resolves only once every host that may send it requests has confirmed.
    * @param heartbeat - the heartbeat
@@ -172,9 +160,6 @@
   let term = -1
   // Monotonic time at which the current leadership began, in milliseconds.
   let leaderSince = 0
-  let appliedVersion = 0
-  // Monotonic time at which this leader applied the latest version of the tables, in milliseconds.
-  let appliedAt = 0
 
   function isLeading (): boolean {
     if (replica.state.role !== ReplicaRole.Leader) return false
@@ -191,8 +176,6 @@
     for (const record of inputs.knownServers()) registry.seed(record, leaderSince)
     quarantine.beginTerm()
     permits.clear()
-    appliedVersion = state.publication?.tables.version ?? 0
-    appliedAt = leaderSince
   }
 
   function createNotLeaderFailure (step: Step): Failure {
@@ -233,29 +216,20 @@
     return getConfirmedTables()?.version ?? 0
   }
 
-  function handleAppliedTables (): void {
-    const version = state.publication?.tables.version ?? 0
-    if (version > appliedVersion) {
-      appliedVersion = version
-      appliedAt = clock.now()
-    }
-    updateAvailable.notify()
+  // A new leader does not know every host before each has had the time of a session to contact it.
+  function hasAllSessions (): boolean {
+    return clock.now() - leaderSince >= sessionTimeoutMs
   }
 
-  // A new leader does not know the gateways before they have had the time of a session to contact it.
-  async function confirmTables (version: number): Promise<Result<void, Failure>> {
+  async function confirmTables (version: number, waitMs: number): Promise<Result<void, Failure>> {
     const initialLeadership = getLeadership()
-    const deadline = clock.now() + tablesConfirmationTimeoutMs
+    const deadline = clock.now() + waitMs
     while (isLeading() && getLeadership() === initialLeadership && !lifecycle.signal.aborted) {
       const now = clock.now()
-      const host = sessions.findWithOlderTables(version)
-      if (host === undefined && now - leaderSince >= sessionTimeoutMs) return ok(undefined)
-      if (now - appliedAt >= tablesConfirmationLimitMs) {
-        logger.write(LogEvents.tablesUnconfirmed, { peer: host?.name ?? '', value: version, inputs: { waitedMs: Math.round(now - appliedAt) } })
-        return ok(undefined)
-      }
+      const host = sessions.findServingOlderTables(version, now)
+      if (host === undefined && hasAllSessions() && getConfirmedVersion() >= version) return ok(undefined)
       if (now >= deadline) return err(createFailure(FailureReason.Unconfirmed, { step: Step.Publish, peer: host?.name }, `version ${version} is not confirmed by every gateway`))
-      await sessionChanged.wait(deadline - now, lifecycle.signal)
+      await sessionChanged.wait(Math.min(deadline - now, sweepIntervalMs), lifecycle.signal)
     }
     return err(createNotLeaderFailure(Step.Publish))
   }
@@ -341,9 +315,9 @@
     const deadline = clock.now() + leaveConfirmationTimeoutMs
     while (isLeading() && getLeadership() === initialLeadership) {
       const host = sessions.findUnconfirmed(revision)
-      if (host === undefined) return ok(true)
-      if (clock.now() >= deadline) return err(createFailure(FailureReason.Unconfirmed, { step: Step.Heartbeat, peer: host.name }, `host ${host.name} has not confirmed registry revision ${revision} in time`))
-      await sessionChanged.wait(deadline - clock.now(), lifecycle.signal)
+      if (host === undefined && hasAllSessions()) return ok(true)
+      if (clock.now() >= deadline) return err(createFailure(FailureReason.Unconfirmed, { step: Step.Heartbeat, peer: host?.name }, `registry revision ${revision} is not confirmed by every host`))
+      await sessionChanged.wait(Math.min(deadline - clock.now(), sweepIntervalMs), lifecycle.signal)
     }
     return err(createNotLeaderFailure(Step.Heartbeat))
   }
@@ -392,7 +366,7 @@
     batch,
     isLeading,
     getLeadership,
-    publish: handleAppliedTables,
+    publish: () => updateAvailable.notify(),
     async watch (request) {
       if (!isLeading()) return err(createNotLeaderFailure(Step.Watch))
       renewSession(request)
@@ -430,8 +404,8 @@
     acquireTrial ({ traits }) {
       return isLeading() ? ok(quarantine.acquireTrial(traits)) : err(createNotLeaderFailure(Step.Report))
     },
-    async confirmTables (version) {
-      return isLeading() ? await confirmTables(version) : err(createNotLeaderFailure(Step.Publish))
+    async confirmTables (version, waitMs) {
+      return isLeading() ? await confirmTables(version, waitMs) : err(createNotLeaderFailure(Step.Publish))
     },
     async receiveHeartbeat (heartbeat) {
       if (!isLeading()) return err(createNotLeaderFailure(Step.Heartbeat))
--- a/src/process/fleet/fleetMessages.ts
+++ b/src/process/fleet/fleetMessages.ts
@@ -10,6 +10,9 @@
 /** Longest time for which the leader delays the response to a long poll while it has no update, in milliseconds. */
 export const fleetLongPollMs = 500
 
+/** Time limit for the hosts to confirm that a server leaves, in milliseconds; the server retries after one second. */
+export const leaveConfirmationTimeoutMs = 600
+
 /** Role of a host in the fleet. */
 export const FleetRole = { Gateway: 'gateway', Control: 'control', Executor: 'executor' } as const
 export type FleetRole = typeof FleetRole[keyof typeof FleetRole]
--- a/src/process/fleet/hostSessions.ts
+++ b/src/process/fleet/hostSessions.ts
@@ -2,6 +2,7 @@
  * Sessions of the fleet's hosts with the leader, and the load and suspect servers that the hosts report.
  * @module
  */
+import { maxTablesOutdatedMs } from './fleetView.ts'
 import { type FleetHost, fleetLongPollMs, FleetRole, type FleetWatchRequest, type LiveCounts, type LoadReport } from './fleetMessages.ts'
 
 /** Time without contact after which a session expires, in milliseconds: two long polls of full length and a lost one. */
@@ -62,11 +63,12 @@
    */
   findUnconfirmed (revision: number): FleetHost | undefined
   /**
-   * Finds a gateway that serves by older tables.
+   * Finds a gateway that may serve by older tables.
    * @param version - the version of the tables
-   * @returns such a gateway, or undefined when all have the version or a later one
+   * @param now - monotonic time in milliseconds
+   * @returns such a gateway, or undefined when each has the version or a later one, or has known of one for so long that it refuses requests
    */
-  findWithOlderTables (version: number): FleetHost | undefined
+  findServingOlderTables (version: number, now: number): FleetHost | undefined
   /** Removes all sessions. */
   clear (): void
 }
@@ -81,6 +83,8 @@
   confirmedRevision: number
   /** Version of the tables by which the host serves. */
   tablesVersion: number
+  /** Versions that the host was known to know of, in order, with the monotonic time of the first such poll, in milliseconds. */
+  knownVersions: ReadonlyArray<{ readonly version: number, readonly since: number }>
 }
 
 /**
@@ -113,14 +117,22 @@
   return {
     get size () { return sessions.size },
     get revision () { return revision },
-    renew ({ host, tablesVersion }, confirmedRevision, now) {
+    renew ({ host, tablesVersion, knownTablesVersion }, confirmedRevision, now) {
       const known = sessions.get(host.holder)
       if (known === undefined) {
         removePreviousSession(host)
         cachedSums = undefined
       }
       if (known?.host.ready !== host.ready) revision++
-      sessions.set(host.holder, { host, lastContactAt: now, live: known?.live ?? {}, suspects: known?.suspects ?? [], confirmedRevision, tablesVersion: Math.max(tablesVersion, known?.tablesVersion ?? 0) })
+      sessions.set(host.holder, {
+        host,
+        lastContactAt: now,
+        live: known?.live ?? {},
+        suspects: known?.suspects ?? [],
+        confirmedRevision,
+        tablesVersion: Math.max(tablesVersion, known?.tablesVersion ?? 0),
+        knownVersions: addKnownVersion(known?.knownVersions ?? [], tablesVersion, knownTablesVersion ?? 0, now)
+      })
       return known === undefined
     },
     touch (holder, now) {
@@ -158,9 +170,11 @@
       }
       return undefined
     },
-    findWithOlderTables (version) {
-      for (const { host, tablesVersion } of sessions.values()) {
-        if (host.role === FleetRole.Gateway && tablesVersion < version) return host
+    findServingOlderTables (version, now) {
+      for (const { host, tablesVersion, knownVersions } of sessions.values()) {
+        if (host.role !== FleetRole.Gateway || tablesVersion >= version) continue
+        const known = knownVersions.find(entry => entry.version >= version)
+        if (known === undefined || now - known.since <= maxTablesOutdatedMs) return host
       }
       return undefined
     },
@@ -171,3 +185,9 @@
     }
   }
 }
+
+function addKnownVersion (known: Session['knownVersions'], tablesVersion: number, knownVersion: number, now: number): Session['knownVersions'] {
+  const missing = known.filter(({ version }) => version > tablesVersion)
+  const latest = missing.at(-1)?.version ?? tablesVersion
+  return knownVersion > latest ? [...missing, { version: knownVersion, since: now }] : missing
+}
--- a/test/controlClient.test.ts
+++ b/test/controlClient.test.ts
@@ -2,12 +2,14 @@
 import { errAsync, okAsync } from 'neverthrow'
 import { createControlClient, ReadTarget } from '../src/connection/controlClient.ts'
 import type { InternalClients } from '../src/connection/internalClient.ts'
-import { createSystemClock } from '../src/process/program/clock.ts'
+import { type Clock, createSystemClock } from '../src/process/program/clock.ts'
 import { createFailure, FailureReason, Step } from '../src/process/program/failure.ts'
 import type { FleetWatchRequest } from '../src/process/fleet/fleetMessages.ts'
+import { maxElectionTimeoutMs } from '../src/process/log/election.ts'
 import { createMetrics } from '../src/process/program/metrics.ts'
 import { createSystemRandom } from '../src/process/program/random.ts'
 import { QueryKind } from '../src/process/state/queries.ts'
+import { FakeClock } from './support/fakeClock.ts'
 
 const timeoutMs = 3_000
 const watchRequest: FleetWatchRequest = {
@@ -23,7 +25,7 @@
   const calls: string[] = []
 
   /** Creates a client of control hosts: one responds, followers name the leader that they know, and the others time out. */
-  function createClient (hosts: readonly string[], respondingHost: string, followers: Readonly<Record<string, string | undefined>>, readTarget: ReadTarget = ReadTarget.Leader, refusals: Readonly<Record<string, FailureReason>> = {}) {
+  function createClient (hosts: readonly string[], respondingHost: string, followers: Readonly<Record<string, string | undefined>>, readTarget: ReadTarget = ReadTarget.Leader, refusals: Readonly<Record<string, FailureReason>> = {}, clock: Clock = createSystemClock()) {
     calls.length = 0
     const clients = {
       callReply (address: string) {
@@ -36,7 +38,7 @@
         return errAsync(createFailure(FailureReason.Timeout, { step, peer: address }, 'no response'))
       }
     } as unknown as InternalClients
-    return createControlClient({ controlHosts: hosts, readTarget, clients, clock: createSystemClock(), random: createSystemRandom(), metrics: createMetrics(), signal: new AbortController().signal })
+    return createControlClient({ controlHosts: hosts, readTarget, clients, clock, random: createSystemRandom(), metrics: createMetrics(), signal: new AbortController().signal })
   }
 
   // Failure (CONFIG on rothar, deploy/days/core-replaced-twice): each of several calls that failed at the old leader moved on
@@ -60,11 +62,23 @@
   // Failure (rothar-ops-grown): gateways whose poll had timed out at a slow leader asked only followers for two seconds, though each named it.
   it('return to a leader after one timeout when every other control host names it', async () => {
     const hosts = ['leader', 'b', 'c']
-    const client = createClient(hosts, 'none', { b: 'leader', c: 'leader' })
+    const clock = new FakeClock()
+    const client = createClient(hosts, 'none', { b: 'leader', c: 'leader' }, ReadTarget.Leader, {}, clock)
     expect((await client.watchFleet(watchRequest)).isErr()).to.equal(true)
+    clock.jump(maxElectionTimeoutMs)
+    for (let poll = 0; poll < hosts.length; poll++) await client.watchFleet(watchRequest)
+    expect(calls).to.deep.equal(['leader', 'b', 'c', 'leader'])
+  })
+
+  // Guards against calls that wait at a leader that has failed: its followers name it until their election timeout.
+  it('do not return to a silent leader that its followers may name only because they have not missed it yet', async () => {
+    const hosts = ['leader', 'b', 'c']
+    const clock = new FakeClock()
+    const client = createClient(hosts, 'none', { b: 'leader', c: 'leader' }, ReadTarget.Leader, {}, clock)
+    expect((await client.watchFleet(watchRequest)).isErr()).to.equal(true)
+    clock.jump(maxElectionTimeoutMs - 1)
     for (let poll = 0; poll < 2 * hosts.length; poll++) await client.watchFleet(watchRequest)
-    expect(calls[0]).to.equal('leader')
-    expect(calls.slice(1)).to.include('leader')
+    expect(calls.slice(1)).to.not.include('leader')
   })
 
   // Guards against reads that pass through the leader, and against a read that ends with the failure of the closest host.
--- a/test/fleetLeader.test.ts
+++ b/test/fleetLeader.test.ts
@@ -1,11 +1,12 @@
 import { expect } from 'chai'
-import { createSystemClock } from '../src/process/program/clock.ts'
+import { Clock, createSystemClock } from '../src/process/program/clock.ts'
 import { createCondition } from '../src/process/program/condition.ts'
 import { createControlState } from '../src/process/state/controlState.ts'
 import { type BackendServerRecord, type Heartbeat, ServerPhase } from '../src/process/fleet/backendServerRegistry.ts'
 import { createFleetLeader, type FleetLeader } from '../src/process/fleet/fleetLeader.ts'
 import type { FleetHost, FleetUpdate, FleetRole, FleetWatchRequest } from '../src/process/fleet/fleetMessages.ts'
 import { FailureReason } from '../src/process/program/failure.ts'
+import { sessionTimeoutMs } from '../src/process/fleet/hostSessions.ts'
 import { createLifecycle, type Lifecycle } from '../src/process/program/lifecycle.ts'
 import { createSilentLogger } from '../src/process/program/logger.ts'
 import { createMetrics } from '../src/process/program/metrics.ts'
@@ -18,6 +19,24 @@
   return { name, holder: name, role, availabilityZone: 'z1', region: 'r1', callerAddress: `${name}:1`, ready: true }
 }
 
+/** The system clock, shifted so that the time before the shift seems longer ago. */
+class ShiftedClock extends Clock {
+  shiftMs = 0
+  private readonly system = createSystemClock()
+
+  override now (): number {
+    return this.system.now() + this.shiftMs
+  }
+
+  override wallTime (): number {
+    return this.system.wallTime()
+  }
+
+  override sleep (durationMs: number, signal?: AbortSignal): Promise<void> {
+    return this.system.sleep(durationMs, signal)
+  }
+}
+
 describe('fleet leader', () => {
   let lifecycle: Lifecycle
   let fleet: FleetLeader
@@ -27,15 +46,17 @@
   beforeEach(() => startLeader([]))
   afterEach(() => lifecycle.close())
 
-  function startLeader (knownServers: readonly BackendServerRecord[]): void {
+  function startLeader (knownServers: readonly BackendServerRecord[], startedMsAgo = sessionTimeoutMs): void {
     lifecycle = createLifecycle()
     leadership.role = ReplicaRole.Leader
     leadership.term = 1
     leadership.commitIndex = 5
-    const clock = createSystemClock()
+    const clock = new ShiftedClock()
     const replicaState = { identity: 'a', address: '10.0.0.9:1', leaderAddress: undefined, members: [], changed: createCondition(clock), get role () { return leadership.role }, get term () { return leadership.term }, get commitIndex () { return leadership.commitIndex }, get termStartIndex () { return leadership.termStartIndex } }
     const replica = { state: replicaState } as unknown as Replica
     fleet = createFleetLeader({ replica, state, clock, logger: createSilentLogger(), metrics: createMetrics(), lifecycle, knownServers: () => knownServers, getRegion: () => undefined, heartbeatTimeoutMs: 5_000, settleMs: 0 })
+    fleet.isLeading()
+    clock.shiftMs = startedMsAgo
   }
 
   function firstPoll (host: FleetHost): FleetWatchRequest {
@@ -79,6 +100,13 @@
     })
   }
 
+  // Guards against a new leader that knows no host yet and acknowledges a leaving server for all of them.
+  it('does not acknowledge a leaving server before every host has had time to contact it', async () => {
+    await lifecycle.close()
+    startLeader([], 0)
+    expect((await fleet.receiveHeartbeat(leavingHeartbeat))._unsafeUnwrapErr().reason).to.equal(FailureReason.Unconfirmed)
+  })
+
   // Failure: a new leader without the record of a leaving server accepted a late heartbeat from before, and made it ready.
   it('begins a term with the server records that it held as a follower', async () => {
     await lifecycle.close()
--- a/test/tablesDistribution.test.ts
+++ b/test/tablesDistribution.test.ts
@@ -20,11 +20,17 @@
 import { createSystemRandom } from '../src/process/program/random.ts'
 import { type Replica, ReplicaRole } from '../src/process/log/replica.ts'
 import { type ControlState, createControlState } from '../src/process/state/controlState.ts'
+import { CommandKind, OutcomeKind } from '../src/process/state/commands.ts'
 import { GatewayRefusal } from '../src/request/callerExchange.ts'
 import { runForwardedRequest } from '../src/request/forwardedRequest.ts'
 import type { GatewayTables } from '../src/version/gatewayTables.ts'
 import { FakeClock, runPendingTasks } from './support/fakeClock.ts'
 import { fleetUpdateOf, forwardingServicesOf, RecordedResponse, requestOf, routeOf, ScriptedServers, tablesOf } from './support/fakeFleet.ts'
+import { MemoryStorage } from './support/memoryStorage.ts'
+import { startTestControl } from './support/testControl.ts'
+
+/** How long a confirmation waits, in milliseconds. */
+const waitMs = 600
 
 const manyRoutes = Array.from({ length: 1_300 }, (_, number) => routeOf({ name: `r-${number}`, pathPrefix: `/${number}/` }))
 
@@ -72,15 +78,14 @@
     expect((await later)._unsafeUnwrap().version).to.equal(8)
   })
 
-  // The task asks once at its start, without contact to a leader; that request finds no tables.
   async function startFetch (fetch: (request: TablesRequest) => Result<TablesResponse, Failure>) {
     const requests: TablesRequest[] = []
     const view = createFleetView(clock, logger, () => [])
-    const client = { fetchTables: async (request: TablesRequest) => requests.push(request) === 1 ? ok({ version: 0 }) : fetch(request) } as unknown as FleetClient
+    const client = { fetchTables: async (request: TablesRequest) => { requests.push(request); return fetch(request) } } as unknown as FleetClient
     const inputs = { view, client, clock, random: createSystemRandom(), logger, metrics: createMetrics(), describe: () => ({}) as FleetHost }
     lifecycle.run(signal => runTablesFetch(inputs, signal))
     await runPendingTasks()
-    expect(requests).to.deep.equal([{ knownVersion: 0, requiredVersion: 0 }])
+    expect(requests).to.deep.equal([])
     return { view, requests }
   }
 
@@ -95,10 +100,17 @@
     view.applyUpdate(fleetUpdateOf({ tablesVersion: 8 }))
     await clock.advance(500)
     expect(view.tables?.version).to.equal(8)
-    expect(requests.slice(1)).to.deep.equal(Array.from({ length: 3 }, () => ({ knownVersion: 0, requiredVersion: 8 })))
+    expect(requests).to.deep.equal(Array.from({ length: 3 }, () => ({ knownVersion: 0, requiredVersion: 8 })))
     expect(view.tablesOutdatedMs).to.equal(undefined)
   })
 
+  // Guards against a gateway that becomes ready with the tables of a control host that has just started and lacks the latest.
+  it('are not fetched before the first contact with a leader', async () => {
+    const { requests } = await startFetch(() => ok({ version: 0 }))
+    await clock.advance(5_000)
+    expect(requests).to.deep.equal([])
+  })
+
   // Guards against a gateway that is cut off from the leader alone, and serves by an older version as long as that lasts.
   it('are fetched from another control host while the leader does not answer polls', async () => {
     const state = createControlState()
@@ -108,7 +120,7 @@
     const { view, requests } = await startFetch(({ knownVersion }) => ok(knownVersion < 9 ? response : { version: 9 }))
     view.applyUpdate(fleetUpdateOf({ tables: tablesOf(8, []), tablesVersion: 8 }))
     await clock.advance(900)
-    expect(requests.length).to.equal(1)
+    expect(requests).to.deep.equal([])
     await clock.advance(1_500)
     expect(view.tables?.version).to.equal(9)
   })
@@ -189,8 +201,8 @@
     return { host, leadership, tablesVersion, fetchesTables: true, knownTablesVersion, serversRevision: 0, hostsRevision: 0, isSettled: true, quarantineRevision: Infinity, limitsRevision: Infinity }
   }
 
-  function poll (name: string, role: FleetRole, tablesVersion: number): void {
-    fleet.watch(pollOf(name, role, tablesVersion)).catch(() => {})
+  function poll (name: string, role: FleetRole, tablesVersion: number, knownTablesVersion = tablesVersion): void {
+    fleet.watch(pollOf(name, role, tablesVersion, knownTablesVersion)).catch(() => {})
   }
 
   async function startPolls (): Promise<void> {
@@ -231,7 +243,7 @@
     poll('s-1', 'executor', 0)
     publishVersion(8)
     let confirmed: Result<void, Failure> | undefined
-    fleet.confirmTables(8).then(result => { confirmed = result }, () => {})
+    fleet.confirmTables(8, waitMs).then(result => { confirmed = result }, () => {})
     fleet.report({ holder: 'g-1', tablesVersion: 8, live: {}, suspects: [] })
     await clock.advance(100)
     expect(confirmed).to.equal(undefined)
@@ -240,26 +252,58 @@
     expect(confirmed?.isOk()).to.equal(true)
   })
 
-  // Guards against an acknowledgement while a gateway that polls has not received the version, and against one that is never given.
+  // Guards against an acknowledgement while a gateway that polls may serve by an older version, and against one that is never
+  // given because a gateway can't get the version: it refuses requests by itself a while after it has learned of it.
   it('is refused while a gateway has older tables, until that gateway refuses requests by itself', async () => {
     await startPolls()
     publishVersion(8)
     fleet.report({ holder: 'g-1', tablesVersion: 8, live: {}, suspects: [] })
-    const early = fleet.confirmTables(8)
-    for (let elapsedMs = 0; elapsedMs < sessionTimeoutMs + maxTablesOutdatedMs; elapsedMs += 500) {
-      poll('g-2', 'gateway', 4)
-      await clock.advance(500)
+    async function pollFor (durationMs: number, knownVersion: number): Promise<void> {
+      for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 500) {
+        poll('g-1', 'gateway', 8)
+        poll('g-2', 'gateway', 4, knownVersion)
+        await clock.advance(500)
+      }
     }
-    expect((await early)._unsafeUnwrapErr().reason).to.equal(FailureReason.Unconfirmed)
-    expect((await fleet.confirmTables(8)).isOk()).to.equal(true)
+    await pollFor(3 * maxTablesOutdatedMs, 4)
+    expect((await fleet.confirmTables(8, 0))._unsafeUnwrapErr().reason).to.equal(FailureReason.Unconfirmed)
+    await pollFor(maxTablesOutdatedMs, 8)
+    expect((await fleet.confirmTables(8, 0))._unsafeUnwrapErr().reason).to.equal(FailureReason.Unconfirmed)
+    await pollFor(500, 9)
+    expect((await fleet.confirmTables(8, 0)).isOk()).to.equal(true)
+    publishVersion(9)
+    expect((await fleet.confirmTables(9, 0))._unsafeUnwrapErr().reason).to.equal(FailureReason.Unconfirmed)
   })
 
-  // Guards against a new leader that knows no gateway yet and confirms for all of them.
-  it('is refused by a new leader until every gateway has had time to contact it', async () => {
-    const early = fleet.confirmTables(4)
-    await clock.advance(1_000)
+  // Guards against a new leader that knows no gateway yet and confirms for all of them, and one that does not have the version.
+  it('is refused by a new leader until every gateway has had time to contact it, and for a version that it does not have', async () => {
+    const early = fleet.confirmTables(4, waitMs)
+    await clock.advance(waitMs)
     expect((await early)._unsafeUnwrapErr().reason).to.equal(FailureReason.Unconfirmed)
-    await clock.advance(sessionTimeoutMs - 1_000)
-    expect((await fleet.confirmTables(4)).isOk()).to.equal(true)
+    await clock.advance(sessionTimeoutMs)
+    expect((await fleet.confirmTables(4, 0)).isOk()).to.equal(true)
+    expect((await fleet.confirmTables(8, 0))._unsafeUnwrapErr().reason).to.equal(FailureReason.Unconfirmed)
+  })
+})
+
+describe('a publication that is repeated', () => {
+  // Failure: an operator repeats a publication that takes long, and each time the large document was appended to the log again.
+  it('is appended to the log once, before and after its commit', async () => {
+    const lifecycle = createLifecycle()
+    const clock = new FakeClock()
+    const control = await startTestControl(clock, new MemoryStorage('disk'), lifecycle)
+    const command = { kind: CommandKind.Publish, publication: { tables: tablesOf(8, manyRoutes), document: 'document', digest: 'digest' } } as const
+    await clock.advance(500)
+    const { appliedIndex } = control.replica.state
+    const outcomes = [control.execute(command), control.execute(command), control.execute(command)]
+    await clock.advance(200)
+    for (const outcome of await Promise.all(outcomes)) expect(outcome._unsafeUnwrap()).to.deep.equal({ kind: OutcomeKind.Applied, version: 8 })
+    const repeated = control.execute(command)
+    await clock.advance(200)
+    expect((await repeated).isOk()).to.equal(true)
+    expect(control.replica.state.appliedIndex).to.equal(appliedIndex + 1)
+    const closed = lifecycle.close()
+    await clock.advance(2_000)
+    await closed
   })
 })
