Send nothing new to a server whose response says that it leaves

A backend server that leaves sets the header Server-Leaving to 1 in all its responses. Nothing read it, so a host went on sending requests there until the leader listed the server as leaving, which never happens while the host has no contact with the leader or the server reports nothing.

The header of a response marks this start of the server in the view of the host. The mark precedes whatever the leader lists, and ends with a later start. It is checked once more right before a live request is sent, since the server may begin to leave while the request waits for a permit or a trial; an executor checks it before each run. A run names the start of its server, which may be new to the executor. Requests in progress are finished. The header is passed on as before.

runSubmittedItem hands its caller the whole response, so two tests name the callback anew; they check what they did before.

--- a/src/connection/backendServerClient.ts
+++ b/src/connection/backendServerClient.ts
@@ -30,6 +30,8 @@
     readonly status: number
     /** Requests per second that the server takes from all hosts together; undefined if it names no limit. */
     readonly requestLimit: number | undefined
+    /** Whether the server says that it leaves: it finishes its current requests and is to get no new ones. */
+    readonly isLeaving: boolean
     /** Headers to forward to the caller, as alternating names and values. */
     readonly headers: readonly string[]
     /**
@@ -45,6 +47,7 @@
     readonly kind: typeof BackendResponseKind.NotRun
     readonly status: number
     readonly requestLimit: number | undefined
+    readonly isLeaving: boolean
   }
 
 /** A failure before the head of a response was received. */
--- a/src/process/fleet/fleetView.ts
+++ b/src/process/fleet/fleetView.ts
@@ -10,6 +10,7 @@
 import { createRouteIndex, type GatewayTables, type RouteIndex } from '../../version/gatewayTables.ts'
 import { type BackendServerRecord, isNewer, ServerPhase } from './backendServerRegistry.ts'
 import { createQuarantineView, type QuarantineView } from './quarantineView.ts'
+import { createLeavingServers, type LeavingServers } from './leavingServers.ts'
 import { createRequestLimits, type RequestLimits } from './requestLimits.ts'
 import type { FleetHost, FleetUpdate, FleetWatchRequest, LoadTotals, ServerLoad } from './fleetMessages.ts'
 
@@ -31,6 +32,8 @@
   readonly quarantine: QuarantineView
   /** Limits that backend servers name in their responses. */
   readonly requestLimits: RequestLimits
+  /** Servers that have said in a response that they leave. */
+  readonly leavingServers: LeavingServers
   /** Notified after each update from the leader. */
   readonly changed: Condition
   /** Notified when the load or the suspects of this host changed and should be reported. */
@@ -56,6 +59,14 @@
   applyLoads (totals: LoadTotals, reported: ReadonlyMap<string, number>): void
   /** Lists the backend servers of a service that accept new requests. */
   listReadyServers (service: string): BackendServerRecord[]
+  /**
+   * Checks whether a server accepts new requests.
+   * @param server - record of the server, which may have changed since
+   * @returns false if it leaves or was removed, or if a later start of it is known
+   */
+  isReady (server: BackendServerRecord): boolean
+  /** Checks whether the leader lists a server of a service as ready that has said in a response that it leaves. */
+  hasWithheldServer (service: string): boolean
   /** Lists all backend servers, whatever their phase. */
   listServers (): BackendServerRecord[]
   /** Finds a backend server, whatever its phase. */
@@ -116,6 +127,7 @@
   let reportedSuspects: ReadonlySet<string> = new Set()
   const quarantine = createQuarantineView(clock)
   const requestLimits = createRequestLimits(clock, logger)
+  const leavingServers = createLeavingServers(logger)
   const changed = createCondition(clock)
   const loadChanged = createCondition(clock)
   let tables: GatewayTables | undefined
@@ -154,6 +166,7 @@
     get lastContactAt () { return lastContactAt },
     quarantine,
     requestLimits,
+    leavingServers,
     changed,
     loadChanged,
     live,
@@ -188,10 +201,20 @@
     listReadyServers (service) {
       const ready: BackendServerRecord[] = []
       for (const record of servers.values()) {
-        if (record.phase === ServerPhase.Ready && record.service === service) ready.push(record)
+        if (record.service === service && record.phase === ServerPhase.Ready && !leavingServers.has(record)) ready.push(record)
       }
       return ready
     },
+    isReady ({ id, startedAt }) {
+      const record = servers.get(id)
+      return record?.startedAt === startedAt && record.phase === ServerPhase.Ready && !leavingServers.has(record)
+    },
+    hasWithheldServer (service) {
+      for (const record of servers.values()) {
+        if (record.service === service && record.phase === ServerPhase.Ready && leavingServers.has(record)) return true
+      }
+      return false
+    },
     listServers: () => [...servers.values()],
     findServer: id => servers.get(id),
     getRemoteLoad: id => remoteLoads.get(id) ?? noLoad,
--- a/src/process/fleet/itemExecutor.ts
+++ b/src/process/fleet/itemExecutor.ts
@@ -12,6 +12,7 @@
 import type { ProcessServices } from '../program/processServices.ts'
 import { ServerPhase } from './backendServerRegistry.ts'
 import type { FleetView } from './fleetView.ts'
+import type { ServerStart } from './leavingServers.ts'
 import type { RunAssignment, RunId, RunReference, RunReport } from './runMessages.ts'
 
 /**
@@ -95,9 +96,11 @@
   const changed = createCondition(clock)
 
   async function perform (run: ExecutorRun, closeSignal: AbortSignal): Promise<void> {
-    const { assignment: { item, host, target }, controller, progress, startedAt } = run
+    const { assignment, controller, progress, startedAt } = run
+    const { item, host, target } = assignment
     if (view.requestLimits.find(target.id) !== undefined) metrics.count(Counter.LimitedRequests, 'item')
-    run.outcome = isLeaving(target.id)
+    const server = { id: target.id, startedAt: assignment.startedAt }
+    run.outcome = isLeaving(server)
       ? { end: RunEnd.NotRun }
       : await runSubmittedItem({
         item,
@@ -106,7 +109,10 @@
         client,
         progress,
         idleTimeoutMs: eventIdleTimeoutMs,
-        recordRequestLimit: perSecond => view.requestLimits.record(target.id, perSecond, startedAt),
+        recordResponse ({ requestLimit, isLeaving }) {
+          view.requestLimits.record(target.id, requestLimit, startedAt)
+          view.leavingServers.record(server, isLeaving)
+        },
         signal: AbortSignal.any([closeSignal, controller.signal])
       })
     run.endedAt = clock.now()
@@ -119,8 +125,12 @@
   }
 
   // The leader may have planned the run before it learned that the server leaves. A server that this host does not know yet is new.
-  function isLeaving (server: string): boolean {
-    const record = view.findServer(server)
+  function isLeaving (server: ServerStart): boolean {
+    if (view.leavingServers.has(server)) {
+      metrics.count(Counter.WithheldRequests, 'item')
+      return true
+    }
+    const record = view.findServer(server.id)
     return record !== undefined && record.phase !== ServerPhase.Ready
   }
 
--- a/src/process/fleet/runAssignments.ts
+++ b/src/process/fleet/runAssignments.ts
@@ -152,7 +152,7 @@
       entry.run = { id: run, server: server.id, executor: executor.holder, hasOutput: countSavedEvents(entry) > 0, isInterrupted: false }
       const lastEvent = progress.get(item.id)?.lastEvent
       const assignment = {
-        run, job: submission.id, item, host: submission.host, target: { address: server.address, id: server.id }, savedEvents: countSavedEvents(entry), lastEvent
+        run, job: submission.id, item, host: submission.host, target: { address: server.address, id: server.id }, startedAt: server.startedAt, savedEvents: countSavedEvents(entry), lastEvent
       }
       executors.assign(executor.holder, { run, key, assignment, isStopped: false, isSent: false })
       adjustBatchCount(server.id, 1)
--- a/src/process/fleet/runMessages.ts
+++ b/src/process/fleet/runMessages.ts
@@ -25,6 +25,8 @@
   /** Host of the route, which the request names. */
   readonly host: string
   readonly target: BackendServerTarget
+  /** Time of day at which the backend server started, in milliseconds; 0 if it does not report one. */
+  readonly startedAt: number
   /** Number of events of the item that are saved; the run resumes after them. */
   readonly savedEvents: number
   /** Id of the last saved event. */
--- a/src/process/program/metrics.ts
+++ b/src/process/program/metrics.ts
@@ -9,6 +9,7 @@
   Requests: 'jaychute_requests_total',
   Refusals: 'jaychute_refusals_total',
   LimitedRequests: 'jaychute_limited_requests_total',
+  WithheldRequests: 'jaychute_withheld_requests_total',
   Retries: 'jaychute_retries_total',
   RetriesDenied: 'jaychute_retries_denied_total',
   Attempts: 'jaychute_attempts_total',
--- a/src/request/forwardedAttempt.ts
+++ b/src/request/forwardedAttempt.ts
@@ -146,6 +146,7 @@
     if (sent.isErr()) return handleSendFailure(progress, server, sent.error, services)
     view.clearSuspect(server.id)
     view.requestLimits.record(server.id, sent.value.requestLimit, sentAt)
+    view.leavingServers.record(server, sent.value.isLeaving)
     return await relayResponse(progress, sent.value, idleTimeout, services)
   } catch (error) {
     reportFailedAttempt(progress, server, toFailure(error, { step: Step.ReadResponse, peer: server.address }), services)
--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -81,6 +81,8 @@
   if (isQuarantined(progress, services)) return giveUp(progress, services, GatewayRefusal.Quarantined)
   if (server === undefined) return giveUp(progress, services, GatewayRefusal.Overloaded)
   if (!await acquireTrial(progress, services)) return giveUp(progress, services, GatewayRefusal.Quarantined)
+  // It may have begun to leave while the leader was asked for a permit or a trial.
+  if (!services.view.isReady(server)) return await makeAttempt(progress, services)
   progress.server = server
   const end = await runCountedAttempt(progress, server, services)
   recordRun(progress, server, end, services)
@@ -148,6 +150,7 @@
   // A request that has already run or begun to respond waits for a free slot until its deadline; a new one is refused early.
   const hasBegun = progress.runs > 0 || progress.isResponseStarted
   const waitDeadlineAt = hasBegun ? progress.deadlineAt : Math.min(progress.deadlineAt, request.receivedAt + route.objectiveMs * earlyRefusalShare)
+  if (view.hasWithheldServer(progress.service)) services.metrics.count(Counter.WithheldRequests, 'live')
   while (!request.disconnectSignal.aborted) {
     const candidates = listCandidates(progress.service, services)
     const server = chooseServer(candidates, avoided, () => random.next())
--- a/src/request/submittedItemRun.ts
+++ b/src/request/submittedItemRun.ts
@@ -2,7 +2,7 @@
  * One run of an item of a submitted job on a backend server.
  * @module
  */
-import { BackendResponseKind, type BackendServerClient, type BackendServerTarget } from '../connection/backendServerClient.ts'
+import { type BackendResponse, BackendResponseKind, type BackendServerClient, type BackendServerTarget } from '../connection/backendServerClient.ts'
 import { createFailure, type Failure, FailureReason, Step, toFailure } from '../process/program/failure.ts'
 import type { SubmittedItem } from '../process/jobs/submission.ts'
 import { createEventSplitter } from './eventStream.ts'
@@ -40,8 +40,8 @@
   readonly progress: ItemProgress
   /** Longest time without an event of the output, in milliseconds. */
   readonly idleTimeoutMs: number
-  /** Called with the request limit that the response names; undefined for none. */
-  readonly recordRequestLimit: (perSecond: number | undefined) => void
+  /** Called with the response once its head has arrived, for what it says of the server. */
+  readonly recordResponse: (response: BackendResponse) => void
   /** Aborts to interrupt the run. */
   readonly signal: AbortSignal
 }
@@ -77,7 +77,7 @@
     }, abort.signal)
     if (sent.isErr()) return { end: sent.error.sent ? RunEnd.Interrupted : RunEnd.NotRun, failure: sent.error.failure, isUnreachable: !sent.error.sent }
     const response = sent.value
-    run.recordRequestLimit(response.requestLimit)
+    run.recordResponse(response)
     if (response.kind === BackendResponseKind.NotRun) return { end: RunEnd.NotRun }
     if (response.status === impossibleStatus) return { end: RunEnd.Impossible }
     if (response.status !== successStatus) return { end: RunEnd.Failed }
--- a/test/endlessAnswers.test.ts
+++ b/test/endlessAnswers.test.ts
@@ -108,7 +108,7 @@
       target: { address: server.address, id: 'i-1' },
       client: createBackendServerHttp(),
       progress,
-      recordRequestLimit: () => {},
+      recordResponse: () => {},
       idleTimeoutMs,
       signal: new AbortController().signal
     }).then(outcome => outcome.end))
--- a/test/faultyAnswers.test.ts
+++ b/test/faultyAnswers.test.ts
@@ -69,7 +69,7 @@
       client: createBackendServerHttp(),
       progress: { data: [], lastEvent: undefined },
       idleTimeoutMs: 500,
-      recordRequestLimit: () => {},
+      recordResponse: () => {},
       signal: new AbortController().signal
     })
     return outcome.end
--- a/test/fleetRegistry.test.ts
+++ b/test/fleetRegistry.test.ts
@@ -2,6 +2,7 @@
 import { createBackendServerRegistry, type Heartbeat, ServerPhase } from '../src/process/fleet/backendServerRegistry.ts'
 import { createSystemClock } from '../src/process/program/clock.ts'
 import { createFleetView } from '../src/process/fleet/fleetView.ts'
+import { createLeavingServers, maxLeavingServers } from '../src/process/fleet/leavingServers.ts'
 import { createSilentLogger } from '../src/process/program/logger.ts'
 import { planBatch, orderByUrgency } from '../src/request/batchPlan.ts'
 import { createEventSplitter } from '../src/request/eventStream.ts'
@@ -60,6 +61,17 @@
   })
 })
 
+describe('leaving servers of a host', () => {
+  // Guards against memory that grows with each server that ever left, and against forgetting one that may still run.
+  it('are remembered until many others have left after them', () => {
+    const leavingServers = createLeavingServers(createSilentLogger())
+    for (let count = 0; count <= maxLeavingServers; count++) leavingServers.record({ id: `i-${count}`, startedAt: 1 }, true)
+    expect(leavingServers.has({ id: 'i-0', startedAt: 1 })).to.equal(false)
+    expect(leavingServers.has({ id: 'i-1', startedAt: 1 })).to.equal(true)
+    expect(leavingServers.has({ id: 'i-1', startedAt: 2 })).to.equal(false)
+  })
+})
+
 describe('fleet view of a host', () => {
   const createView = () => createFleetView(createSystemClock(), createSilentLogger(), () => [])
 
--- a/test/support/fakeFleet.ts
+++ b/test/support/fakeFleet.ts
@@ -21,8 +21,8 @@
 
 /** How a scripted server handles one request. */
 export type Script =
-  | { readonly does: 'answer', readonly pieces: readonly string[], readonly status?: number, readonly type?: string, readonly then?: 'end' | 'break' | 'hang', readonly unframed?: boolean, readonly endMs?: number }
-  | { readonly does: 'refuse' }
+  | { readonly does: 'answer', readonly pieces: readonly string[], readonly status?: number, readonly type?: string, readonly then?: 'end' | 'break' | 'hang', readonly unframed?: boolean, readonly headMs?: number, readonly endMs?: number, readonly leaving?: boolean }
+  | { readonly does: 'refuse', readonly leaving?: boolean }
   | { readonly does: 'fail', readonly sent: boolean }
   | { readonly does: 'hang' }
 
@@ -54,14 +54,15 @@
     const script = this.scripts.shift() ?? { does: 'refuse' }
     const connectionReset = createFailure(FailureReason.Reset, { step: Step.FirstByte, peer: target.address }, 'connection reset')
     switch (script.does) {
-      case 'refuse': return ok({ kind: BackendResponseKind.NotRun, status: 503, requestLimit: undefined })
+      case 'refuse': return ok({ kind: BackendResponseKind.NotRun, status: 503, requestLimit: undefined, isLeaving: script.leaving === true })
       case 'fail': return err({ sent: script.sent, failure: connectionReset })
       case 'hang':
         await waitForAbort(signal)
         return err({ sent: true, failure: connectionReset })
       case 'answer': {
+        if (script.headMs !== undefined) await new Promise(resolve => setTimeout(resolve, script.headMs))
         const headers = ['content-type', script.type ?? 'text/event-stream', 'x-server-stamp', target.id]
-        return ok({ kind: BackendResponseKind.Response, status: script.status ?? 200, requestLimit: undefined, isFramed: script.unframed !== true, headers, body: streamChunks(script, signal, connectionReset) })
+        return ok({ kind: BackendResponseKind.Response, status: script.status ?? 200, requestLimit: undefined, isLeaving: script.leaving === true, isFramed: script.unframed !== true, headers, body: streamChunks(script, signal, connectionReset) })
       }
     }
   }
--- a/test/support/fleetProcesses.ts
+++ b/test/support/fleetProcesses.ts
@@ -30,6 +30,8 @@
   crashingPart: string | undefined
   /** Requests per second that it names as its limit; undefined for none. */
   requestLimit: number | undefined
+  /** Whether its responses say that it leaves; its heartbeats report it as ready all the same. */
+  isLeaving: boolean
   /** Monotonic times at which requests arrived, in milliseconds. */
   readonly arrivals: number[]
   readonly crashes: number
@@ -85,8 +87,8 @@
   }
 
   function streamEvents (response: ServerResponse, firstEventId: number): void {
-    const { requestLimit } = streamServer
-    response.writeHead(200, { 'content-type': 'text/event-stream', 'x-server-stamp': `stamp-${id}`, ...(requestLimit === undefined ? {} : { 'server-limit': String(requestLimit) }) })
+    const { requestLimit, isLeaving } = streamServer
+    response.writeHead(200, { 'content-type': 'text/event-stream', 'x-server-stamp': `stamp-${id}`, ...(requestLimit === undefined ? {} : { 'server-limit': String(requestLimit) }), ...(isLeaving ? { 'Server-Leaving': '1' } : {}) })
     let next = firstEventId
     const timer = setInterval(() => {
       if (next < streamServer.events) response.write(`id: ${next}\ndata: e${next}\n\n`)
@@ -107,6 +109,7 @@
     events: 5,
     crashingPart: undefined,
     requestLimit: undefined,
+    isLeaving: false,
     arrivals,
     get crashes () { return crashes },
     get isUp () { return server.listening },
