Report servers that say that they leave to the leader

Some servers never report that they leave, and others do so late. Other hosts and the plan of items went on using such a server until each of them had a response of it. A host now reports the server with the limits that it reads in responses. The leader withdraws this start of the server, so that late heartbeats do not make it ready again. A host reports it once more when a leader lists it as ready.

--- a/src/connection/controlClient.ts
+++ b/src/connection/controlClient.ts
@@ -113,8 +113,8 @@
    */
   acquireTrial (trial: TrialRequest): Promise<Result<boolean, Failure>>
   /**
-   * Reports limits that this host has read in responses once; it is not retried.
-   * @param report - the limits
+   * Reports limits and leaving servers that this host has read in responses once; it is not retried.
+   * @param report - the limits and the servers
    * @returns nothing, or a failure
    */
   reportLimits (report: LimitReport): Promise<Result<void, Failure>>
--- a/src/connection/fleetWatch.ts
+++ b/src/connection/fleetWatch.ts
@@ -4,6 +4,7 @@
  */
 import type { FleetHost } from '../process/fleet/fleetMessages.ts'
 import type { FleetView } from '../process/fleet/fleetView.ts'
+import { waitForEither } from '../process/program/condition.ts'
 import { LogEvents } from '../process/program/logEvents.ts'
 import type { ProcessServices } from '../process/program/processServices.ts'
 import type { FleetClient } from './controlClient.ts'
@@ -78,20 +79,23 @@
 }
 
 /**
- * Reports the request limits that backend servers name to this host, until the signal aborts.
+ * Reports the request limits that backend servers name to this host, and which of them say that they leave, until the signal aborts.
  * @param inputs - dependencies of the task
  * @param signal - ends the task
  * @returns a promise that resolves when the task has ended
  */
-export async function runLimitReports ({ view: { requestLimits }, client, clock, random }: FleetTaskInputs, signal: AbortSignal): Promise<void> {
+export async function runLimitReports ({ view: { requestLimits, leavingServers }, client, clock, random }: FleetTaskInputs, signal: AbortSignal): Promise<void> {
   while (!signal.aborted) {
     const limits = requestLimits.listUnreported()
-    if (limits.length === 0) {
-      await requestLimits.changed.wait(idleReportIntervalMs, signal)
+    const leaving = leavingServers.listUnreported()
+    if (limits.length === 0 && leaving.length === 0) {
+      await waitForEither(requestLimits.changed, leavingServers.changed, idleReportIntervalMs, signal)
       continue
     }
-    const reported = await client.reportLimits({ limits })
-    if (reported.isOk()) requestLimits.confirm(limits)
-    else await clock.sleep(random.next() * maxRetryDelayMs, signal)
+    const reported = await client.reportLimits({ limits, leaving })
+    if (reported.isOk()) {
+      requestLimits.confirm(limits)
+      leavingServers.confirm(leaving)
+    } else await clock.sleep(random.next() * maxRetryDelayMs, signal)
   }
 }
--- a/src/process/fleet/fleetLeader.ts
+++ b/src/process/fleet/fleetLeader.ts
@@ -17,6 +17,7 @@
   type FleetHost, fleetLongPollMs, type FleetUpdate, FleetRole, type FleetWatchRequest, type LimitReport, type LoadReport, type LoadTotals, type PermitRequest, type PermitResponse,
   type RequestLimitUpdate, type ServerCrashReport, type ServerCrashVerdict, type ServerLoad, type TrialRequest
 } from './fleetMessages.ts'
+import type { ServerStart } from './leavingServers.ts'
 import { createHostSessions, sessionTimeoutMs } from './hostSessions.ts'
 import { createRequestPermits, type RequestPermits } from './requestPermits.ts'
 import { createTraitQuarantine, type TraitQuarantine } from './traitQuarantine.ts'
@@ -85,8 +86,8 @@
    */
   reportCrash (report: ServerCrashReport): Promise<Result<ServerCrashVerdict, Failure>>
   /**
-   * Records limits that a host has read.
-   * @param report - the limits
+   * Records limits that a host has read, and marks the servers that say in their responses that they leave as leaving.
+   * @param report - the limits and the servers
    * @returns nothing, or a `NotLeader` failure
    */
   reportLimits (report: LimitReport): Result<void, Failure>
@@ -300,6 +301,16 @@
     notifyFleetChanged()
   }
 
+  // A server may say so in its responses before it reports it in a heartbeat, or without ever doing so.
+  function withdrawLeaving (leaving: readonly ServerStart[]): void {
+    for (const { id, startedAt } of leaving) {
+      const record = registry.find(id)
+      if (record?.phase !== ServerPhase.Ready || record.startedAt !== startedAt) continue
+      registry.withdraw(id, clock.now())
+      handlePhaseChange(id, record.phase)
+    }
+  }
+
   function removeExpired (): void {
     const now = clock.now()
     for (const { host, silentMs } of sessions.expire(now)) {
@@ -357,9 +368,10 @@
       if (!isLeading()) return err(createNotLeaderFailure(Step.Report))
       return ok({ isBlocked: await quarantine.reportCrash(report) })
     },
-    reportLimits ({ limits }) {
+    reportLimits ({ limits, leaving }) {
       if (!isLeading()) return err(createNotLeaderFailure(Step.Report))
       for (const named of limits) permits.record(named)
+      withdrawLeaving(leaving ?? [])
       notifyFleetChanged()
       return ok(undefined)
     },
--- a/src/process/fleet/fleetMessages.ts
+++ b/src/process/fleet/fleetMessages.ts
@@ -5,6 +5,7 @@
 import type { GatewayTables } from '../../version/gatewayTables.ts'
 import type { Trait } from '../../request/requestTraits.ts'
 import type { BackendServerRecord } from './backendServerRegistry.ts'
+import type { ServerStart } from './leavingServers.ts'
 
 /** Longest time for which the leader delays the response to a long poll while it has no update, in milliseconds. */
 export const fleetLongPollMs = 500
@@ -118,9 +119,11 @@
   readonly perSecond: number | undefined
 }
 
-/** Limits that a host has read in responses. */
+/** What a host has read about backend servers in responses. */
 export interface LimitReport {
   readonly limits: readonly NamedLimit[]
+  /** Servers that say that they leave. */
+  readonly leaving?: readonly ServerStart[] | undefined
 }
 
 /** All limits that the leader knows. */
--- a/src/process/fleet/fleetView.ts
+++ b/src/process/fleet/fleetView.ts
@@ -127,7 +127,7 @@
   let reportedSuspects: ReadonlySet<string> = new Set()
   const quarantine = createQuarantineView(clock)
   const requestLimits = createRequestLimits(clock, logger)
-  const leavingServers = createLeavingServers(logger)
+  const leavingServers = createLeavingServers(clock, logger)
   const changed = createCondition(clock)
   const loadChanged = createCondition(clock)
   let tables: GatewayTables | undefined
@@ -145,6 +145,7 @@
     if (!isSameLeadership) listedServers.clear()
     for (const record of update.servers) {
       listedServers.add(record.id)
+      leavingServers.applyRecord(record)
       const known = servers.get(record.id)
       // A new leader may lack updates that its predecessor received, for example that a server is leaving.
       const isStale = known !== undefined && known.phase !== ServerPhase.Ready && record.phase === ServerPhase.Ready && !isNewer(record, known)
--- a/src/process/fleet/leavingServers.ts
+++ b/src/process/fleet/leavingServers.ts
@@ -3,8 +3,11 @@
  * the leader or a heartbeat says, until a later start of them is known.
  * @module
  */
+import type { Clock } from '../program/clock.ts'
+import { type Condition, createCondition } from '../program/condition.ts'
 import { LogEvents } from '../program/logEvents.ts'
 import type { Logger } from '../program/logger.ts'
+import { type BackendServerRecord, ServerPhase } from './backendServerRegistry.ts'
 
 /**
  * Maximum number of servers that are remembered; the oldest are removed first. The fleet to design for has 4,200 servers, so a
@@ -22,6 +25,8 @@
 
 /** Leaving servers, as far as this host knows from responses. */
 export interface LeavingServers {
+  /** Notified when there are servers to report to the leader. */
+  readonly changed: Condition
   /**
    * Records a response.
    * @param start - the server that responded
@@ -33,16 +38,31 @@
    * @param start - the server
    */
   has (start: ServerStart): boolean
+  /**
+   * Compares a record that the leader lists. If the leader lists a leaving server as ready, it is reported once more.
+   * @param record - the record
+   */
+  applyRecord (record: BackendServerRecord): void
+  /** Lists the servers that the leader does not know to be leaving. */
+  listUnreported (): ServerStart[]
+  /**
+   * Marks servers as reported.
+   * @param reported - the servers
+   */
+  confirm (reported: readonly ServerStart[]): void
 }
 
 /**
  * Creates an empty set of leaving servers.
+ * @param clock - source of time
  * @param logger - receives log events
  * @returns the set
  */
-export function createLeavingServers (logger: Logger): LeavingServers {
+export function createLeavingServers (clock: Clock, logger: Logger): LeavingServers {
   // Start times by id, the oldest response first.
   const startTimes = new Map<string, number>()
+  const unreported = new Map<string, ServerStart>()
+  const changed = createCondition(clock)
 
   function has ({ id, startedAt }: ServerStart): boolean {
     const leftAt = startTimes.get(id)
@@ -53,10 +73,17 @@
     for (const id of startTimes.keys()) {
       if (startTimes.size <= maxLeavingServers) return
       startTimes.delete(id)
+      unreported.delete(id)
     }
   }
 
+  function scheduleReport ({ id, startedAt }: ServerStart): void {
+    unreported.set(id, { id, startedAt })
+    changed.notify()
+  }
+
   return {
+    changed,
     has,
     record (start, isLeaving) {
       if (!isLeaving || has(start)) return
@@ -64,6 +91,16 @@
       startTimes.set(start.id, start.startedAt)
       removeOldest()
       logger.write(LogEvents.leavingInResponse, { detail: start.id, inputs: { startedAt: start.startedAt } })
+      scheduleReport(start)
+    },
+    applyRecord (record) {
+      if (record.phase === ServerPhase.Ready && has(record)) scheduleReport(record)
+    },
+    listUnreported: () => [...unreported.values()],
+    confirm (reported) {
+      for (const start of reported) {
+        if (unreported.get(start.id) === start) unreported.delete(start.id)
+      }
     }
   }
 }
--- a/test/fleetLeader.test.ts
+++ b/test/fleetLeader.test.ts
@@ -85,6 +85,20 @@
     expect(fleet.listReadyServers()).to.deep.equal([])
   })
 
+  // Guards against requests of other hosts to a server that says in its responses that it leaves, and never reports it (DRAIN).
+  it('lists a server as leaving when a host has read so in a response, until a later start of it', async () => {
+    const heartbeat = { ...leavingHeartbeat, leaving: false }
+    await fleet.receiveHeartbeat(heartbeat)
+    fleet.reportLimits({ limits: [], leaving: [{ id: 'i-1', startedAt: 0 }, { id: 'unknown', startedAt: 1 }] })
+    expect(fleet.listReadyServers()).to.have.length(1)
+    fleet.reportLimits({ limits: [], leaving: [{ id: 'i-1', startedAt: 1 }] })
+    expect(fleet.findServer('i-1')?.phase).to.equal(ServerPhase.Leaving)
+    expect((await fleet.receiveHeartbeat({ ...heartbeat, sequence: 50 }))._unsafeUnwrap()).to.equal(false)
+    expect(fleet.listReadyServers()).to.deep.equal([])
+    await fleet.receiveHeartbeat({ ...heartbeat, startedAt: 2, sequence: 1 })
+    expect(fleet.listReadyServers()).to.have.length(1)
+  })
+
   // Guards against hosts that act on the state of a control host that is not the leader any more.
   it('refuses polls, heartbeats and reports while it does not lead', async () => {
     leadership.role = ReplicaRole.Follower
--- a/test/fleetRegistry.test.ts
+++ b/test/fleetRegistry.test.ts
@@ -64,7 +64,7 @@
 describe('leaving servers of a host', () => {
   // Guards against memory that grows with each server that ever left, and against forgetting one that may still run.
   it('are remembered until many others have left after them', () => {
-    const leavingServers = createLeavingServers(createSilentLogger())
+    const leavingServers = createLeavingServers(createSystemClock(), createSilentLogger())
     for (let count = 0; count <= maxLeavingServers; count++) leavingServers.record({ id: `i-${count}`, startedAt: 1 }, true)
     expect(leavingServers.has({ id: 'i-0', startedAt: 1 })).to.equal(false)
     expect(leavingServers.has({ id: 'i-1', startedAt: 1 })).to.equal(true)
--- a/test/leavingServerProcesses.test.ts
+++ b/test/leavingServerProcesses.test.ts
@@ -4,6 +4,9 @@
 
 const timeoutMs = 15_000
 
+/** Time in which every host learns from the leader that a server leaves, in milliseconds. */
+const reportMs = 1_000
+
 /** Requests that show that a server gets none: with three equal servers, each gets a third of them. */
 const manyRequests = 40
 
@@ -44,6 +47,21 @@
     expect(server.arrivals).to.have.length(length)
   })
 
+  // Guards against requests of hosts that have had no response of a leaving server, when it never reports that it leaves.
+  it('gets no further request and no item of any host once the leader knows', async () => {
+    const server = fleet.servers[0] as StreamServer
+    await new Promise(resolve => setTimeout(resolve, reportMs))
+    const { length } = server.arrivals
+    const items = Array.from({ length: 12 }, (_, index) => ({ id: `x-${index}`, path: '/batch/x', headers: {}, body: '', tokens: 50 }))
+    expect((await fleet.call('POST', '/batch/j', { 'x-request-id': 'job' }, JSON.stringify({ items }))).status).to.equal(202)
+    await sendMany(1)
+    await eventually('all results', timeoutMs, async () => {
+      const page = JSON.parse((await fleet.call('GET', '/v1/lots/job?after=0')).text) as { readonly results: readonly unknown[] }
+      return page.results.length === items.length ? true : undefined
+    })
+    expect(server.arrivals).to.have.length(length)
+  })
+
   // Guards against requests to a leaving server from a machine that is out of touch: the rule holds there too.
   it('gets none either while no control host runs', async () => {
     const server = fleet.servers[1] as StreamServer
--- a/test/leavingServers.test.ts
+++ b/test/leavingServers.test.ts
@@ -2,15 +2,18 @@
 import { once } from 'node:events'
 import { createServer, type OutgoingHttpHeaders } from 'node:http'
 import type { AddressInfo } from 'node:net'
-import { ok, type Result } from 'neverthrow'
+import { err, ok, type Result } from 'neverthrow'
 import { createBackendServerHttp } from '../platform/backendServerHttp.ts'
 import { type BackendResponse, BackendResponseKind, type ExchangeFailure } from '../src/connection/backendServerClient.ts'
+import type { FleetClient } from '../src/connection/controlClient.ts'
+import { runLimitReports } from '../src/connection/fleetWatch.ts'
 import { type BackendServerRecord, ServerPhase } from '../src/process/fleet/backendServerRegistry.ts'
-import type { FleetUpdate } from '../src/process/fleet/fleetMessages.ts'
+import type { FleetHost, FleetUpdate, LimitReport } from '../src/process/fleet/fleetMessages.ts'
 import { createFleetView, type FleetView } from '../src/process/fleet/fleetView.ts'
 import { createItemExecutor, type ItemExecutor } from '../src/process/fleet/itemExecutor.ts'
 import type { RunAssignment, RunReport } from '../src/process/fleet/runMessages.ts'
 import { createSystemClock } from '../src/process/program/clock.ts'
+import { createFailure, FailureReason, Step } from '../src/process/program/failure.ts'
 import { createLifecycle, type Lifecycle } from '../src/process/program/lifecycle.ts'
 import { createSilentLogger } from '../src/process/program/logger.ts'
 import { Counter, createMetrics, type Metrics } from '../src/process/program/metrics.ts'
@@ -211,6 +214,34 @@
   })
 })
 
+describe('reports of leaving servers', () => {
+  // Guards against a leader that never learns that a server leaves, and against a new one that has forgotten it.
+  it('are repeated until the leader has accepted them, and whenever it lists the server as ready', async () => {
+    const { view, clock, random, logger } = forwardingServicesOf(new ScriptedServers([]), [])
+    const reports: LimitReport[] = []
+    const client = {
+      async reportLimits (report: LimitReport) {
+        reports.push(report)
+        return reports.length === 1 ? err(createFailure(FailureReason.Timeout, { step: Step.Report }, 'no response')) : ok(undefined)
+      }
+    } as unknown as FleetClient
+    const controller = new AbortController()
+    const task = runLimitReports({ view, client, describe: () => ({} as unknown as FleetHost), clock, random, logger }, controller.signal)
+    async function waitForReports (count: number): Promise<void> {
+      await eventually(`${count} reports`, waitTimeoutMs, async () => reports.length === count ? true : undefined)
+    }
+    view.leavingServers.record({ id: 'i-1', startedAt: 1 }, true)
+    await waitForReports(2)
+    view.applyUpdate(fleetUpdateOf({ serversRevision: 2, servers: [recordOf('i-1', { phase: ServerPhase.Leaving }), recordOf('i-2')] }))
+    view.applyUpdate(fleetUpdateOf({ serversRevision: 3, servers: [recordOf('i-1', { startedAt: 2 })] }))
+    view.applyUpdate(fleetUpdateOf({ leadership: 'b/2', servers: [recordOf('i-1')] }))
+    await waitForReports(3)
+    controller.abort()
+    await task
+    expect(reports.map(({ leaving }) => leaving)).to.deep.equal(Array.from({ length: 3 }, () => [{ id: 'i-1', startedAt: 1 }]))
+  })
+})
+
 describe('run of an item while a server leaves', () => {
   let lifecycle: Lifecycle
   let servers: ScriptedServers
