--- /dev/null
+++ b/src/process/fleet/leavingServers.ts
@@ -0,0 +1,106 @@
+/**
+ * The backend servers that have said in a response to this host that they leave. They get no new requests of this host, whatever
+ * the leader or a heartbeat says, until a later start of them is known.
+ * @module
+ */
+import type { Clock } from '../program/clock.ts'
+import { type Condition, createCondition } from '../program/condition.ts'
+import { LogEvents } from '../program/logEvents.ts'
+import type { Logger } from '../program/logger.ts'
+import { type BackendServerRecord, ServerPhase } from './backendServerRegistry.ts'
+
+/**
+ * Maximum number of servers that are remembered; the oldest are removed first. The fleet to design for has 4,200 servers, so a
+ * server is removed only after the whole fleet was replaced twice, long after the server has ended.
+ */
+export const maxLeavingServers = 10_000
+
+/** One start of a backend server. */
+export interface ServerStart {
+  /** Id of the server. */
+  readonly id: string
+  /** Time of day at which it started, in milliseconds; 0 if it does not report one. */
+  readonly startedAt: number
+}
+
+/** Leaving servers, as far as this host knows from responses. */
+export interface LeavingServers {
+  /** Notified when there are servers to report to the leader. */
+  readonly changed: Condition
+  /**
+   * Records a response.
+   * @param start - the server that responded
+   * @param isLeaving - whether it says that it leaves
+   */
+  record (start: ServerStart, isLeaving: boolean): void
+  /**
+   * Checks whether a server has said that it leaves. A later start of it has not.
+   * @param start - the server
+   */
+  has (start: ServerStart): boolean
+  /**
+   * Compares a record that the leader lists. If the leader lists a leaving server as ready, it is reported once more.
+   * @param record - the record
+   */
+  applyRecord (record: BackendServerRecord): void
+  /** Lists the servers that the leader does not know to be leaving. */
+  listUnreported (): ServerStart[]
+  /**
+   * Marks servers as reported.
+   * @param reported - the servers
+   */
+  confirm (reported: readonly ServerStart[]): void
+}
+
+/**
+ * Creates an empty set of leaving servers.
+ * @param clock - source of time
+ * @param logger - receives log events
+ * @returns the set
+ */
+export function createLeavingServers (clock: Clock, logger: Logger): LeavingServers {
+  // Start times by id, the oldest response first.
+  const startTimes = new Map<string, number>()
+  const unreported = new Map<string, ServerStart>()
+  const changed = createCondition(clock)
+
+  function has ({ id, startedAt }: ServerStart): boolean {
+    const leftAt = startTimes.get(id)
+    return leftAt !== undefined && startedAt <= leftAt
+  }
+
+  function removeOldest (): void {
+    for (const id of startTimes.keys()) {
+      if (startTimes.size <= maxLeavingServers) return
+      startTimes.delete(id)
+      unreported.delete(id)
+    }
+  }
+
+  function scheduleReport ({ id, startedAt }: ServerStart): void {
+    unreported.set(id, { id, startedAt })
+    changed.notify()
+  }
+
+  return {
+    changed,
+    has,
+    record (start, isLeaving) {
+      if (!isLeaving || has(start)) return
+      startTimes.delete(start.id)
+      startTimes.set(start.id, start.startedAt)
+      removeOldest()
+      logger.write(LogEvents.leavingInResponse, { detail: start.id, inputs: { startedAt: start.startedAt } })
+      scheduleReport(start)
+    },
+    applyRecord (record) {
+      if (record.phase === ServerPhase.Ready && has(record)) scheduleReport(record)
+    },
+    listUnreported: () => [...unreported.values()],
+    confirm (reported) {
+      for (const start of reported) {
+        if (unreported.get(start.id) === start) unreported.delete(start.id)
+      }
+    }
+  }
+}
