--- /dev/null
+++ b/test/foreignWriters.test.ts
@@ -0,0 +1,42 @@
+import { expect } from 'chai'
+import { eventually } from '../scripts/processes.ts'
+import { type Fleet, startFleet } from './support/fleetProcesses.ts'
+
+const timeoutMs = 15_000
+
+interface ForeignItem {
+  readonly headers: unknown
+}
+
+function jobBodyOf ({ headers }: ForeignItem): string {
+  return JSON.stringify({ items: [{ id: 'x', path: '/batch/x', headers, body: '', tokens: 50 }] })
+}
+
+describe('fleet of processes with other writers', () => {
+  let fleet: Fleet
+  before(async () => {
+    fleet = await startFleet()
+    expect(await fleet.publish(1)).to.equal(200)
+    await eventually('a complete stream', timeoutMs, async () => (await fleet.call('POST', '/live/1', { 'x-request-id': 'first' })).status === 200 ? true : undefined)
+  })
+  after(() => fleet.close())
+
+  function listEndedHosts (): string[] {
+    return [...fleet.controlPrograms.values()].filter(({ child }) => child.exitCode !== null).map(({ name, errors }) => `${name}: ${errors().split('\n').find(line => line.includes('"event":103')) ?? ''}`)
+  }
+
+  // Failure: an item with prompt parts that were no text ended every leader that planned it, one after the other, as long as
+  // requests that crash backend servers were known.
+  it('keeps its leader when a job holds an item whose headers are not text', async () => {
+    for (const server of fleet.servers) server.crashingPart = 'dead'
+    await fleet.call('POST', '/live/1', { 'x-request-id': 'crashing', 'x-prefix-hash': 'dead:5,own:3' })
+    for (const server of fleet.servers) server.crashingPart = undefined
+    expect(fleet.servers.some(server => server.crashes > 0)).to.equal(true)
+    const refused = await fleet.call('POST', '/batch/j', { 'x-request-id': 'foreign' }, jobBodyOf({ headers: { 'X-Prefix-Hash': 5 } }))
+    expect((await fleet.call('POST', '/batch/j', { 'x-request-id': 'valid' }, jobBodyOf({ headers: { 'X-Model': 'm' } }))).status).to.equal(202)
+    await eventually('the result of the valid job', timeoutMs, async () => (await fleet.call('GET', '/v1/lots/valid')).text.includes('completed') ? true : undefined).catch(() => {})
+    expect(listEndedHosts()).to.deep.equal([])
+    expect(refused.status).to.equal(400)
+    expect((await fleet.call('GET', '/v1/lots/valid')).text).to.include('completed')
+  })
+})
--- a/test/platformHttp.test.ts
+++ b/test/platformHttp.test.ts
@@ -364,6 +364,37 @@
     })
   })
 
+  /** Submits a job with one item, and returns the status of the response. */
+  async function submitItem (gateway: Gateway, item: string): Promise<number> {
+    const response = await request(`${gateway.url}/batch/j`, { method: 'POST', headers: { host: 'a.example', 'x-request-id': 'j' }, body: `{"items":[${item}]}` })
+    await response.body.dump()
+    return response.statusCode
+  }
+
+  function nestedObject (depth: number): string {
+    return `${'{"a":'.repeat(depth)}"x"${'}'.repeat(depth)}`
+  }
+
+  // Failure: such headers were accepted into the log. Deeply nested ones could not be encoded, and the leader ended at prompt
+  // parts that were no text.
+  for (const [name, headers] of [
+    ['a number', '{"X-Prefix-Hash":5}'], ['no object', '"x"'], ['an array', '[["X-Model","m"]]'], ['nested', nestedObject(2_000)], ['deeply nested', nestedObject(50_000)]
+  ] as const) {
+    it(`refuses a job with an item whose headers are not text: ${name}`, async () => {
+      const { gateway } = await start(() => {})
+      const status = await submitItem(gateway, `{"id":"x","path":"/batch/1","headers":${headers},"body":"","tokens":1}`)
+      expect(status).to.equal(400)
+      expect(gateway.jobs).to.deep.equal([])
+    })
+  }
+
+  // Guards against a job that is refused because of a field that it may omit.
+  it('accepts a job with an item without headers', async () => {
+    const { gateway } = await start(() => {})
+    for (const headers of ['', '"headers":null,', '"headers":{},']) expect(await submitItem(gateway, `{"id":"x",${headers}"path":"/batch/1","body":"","tokens":1}`)).to.equal(202)
+    expect(gateway.jobs.map(job => job.items[0]?.headers)).to.deep.equal([{}, {}, {}])
+  })
+
   // Guards against a 404 for a job that exists, read while control could not be reached.
   it('serves the results, bodies and end of a job, and responds 503 instead of 404 when it can\'t tell whether a job exists', async () => {
     const { gateway } = await start(() => {})
