--- a/test/platformHttp.test.ts
+++ b/test/platformHttp.test.ts
@@ -388,6 +388,25 @@
     })
   }
 
+  // Failure: an item that no request can carry was accepted. Each start of it counted as an unreachable server, which then got no
+  // items for a second.
+  for (const [field, value] of [
+    ['id', 'a\nb'], ['id', '\u2028'], ['path', ''], ['path', 'batch/1'], ['path', '/batch/a b'], ['path', '/batch/\u2028'], ['headers', { 'X-Model': 'a\r\nb' }], ['headers', { 'X Model': 'm' }], ['headers', { '': 'm' }]
+  ] as const) {
+    it(`refuses a job with an item that can't be sent: ${field} ${JSON.stringify(value)}`, async () => {
+      const { gateway } = await start(() => {})
+      expect(await submitItem(gateway, JSON.stringify({ id: 'x', path: '/batch/1', headers: {}, body: '', tokens: 1, [field]: value }))).to.equal(400)
+    })
+  }
+
+  // Failure: an item with a negative number of tokens lifted the limit of waiting tokens for all other jobs of its route.
+  for (const tokens of ['-1', '-1e308', '1e308', '1e999', '0.5', '"1"']) {
+    it(`refuses a job with an item of ${tokens} tokens`, async () => {
+      const { gateway } = await start(() => {})
+      expect(await submitItem(gateway, `{"id":"x","path":"/batch/1","body":"","tokens":${tokens}}`)).to.equal(400)
+    })
+  }
+
   // Guards against a job that is refused because of a field that it may omit.
   it('accepts a job with an item without headers', async () => {
     const { gateway } = await start(() => {})
