Refuse a configuration that is nested too deeply with 400

An operator saw status 500 for a document with a deeply nested value in a field that is not read, and its client sent the document again and again. JSON.parse has no limit of depth, but the digest of the document is taken from JSON.stringify, which is recursive and was called outside of the block that turns exceptions into problems.

Before the change, the new test printed "RangeError: Maximum call stack size exceeded at JSON.stringify, at decodeConfiguration". The other three new cases passed before: nesting in a field that is read, a version beyond the whole numbers of a double, and an infinite weight.

--- a/test/platformConfiguration.test.ts
+++ b/test/platformConfiguration.test.ts
@@ -27,7 +27,13 @@
     ['has no positive weight', JSON.stringify({ ...valid, routes: [{ ...route, split: [{ service: 's', weight: 0 }] }] })],
     ['has a timeout of 0', JSON.stringify({ ...valid, routes: [{ ...route, timeout_ms: 0 }] })],
     ['has no version', JSON.stringify({ ...valid, version: undefined })],
-    ['is not an object', '[]']
+    ['is not an object', '[]'],
+    // Failure: the digest of such a document could not be computed; the exception was answered with 500, on which an operator's
+    // client sends the document again.
+    ['is deeply nested in a field that is not read', JSON.stringify(valid).replace('"routes"', `"extra":${'['.repeat(50_000)}${']'.repeat(50_000)},"routes"`)],
+    ['is deeply nested in a field that is read', JSON.stringify(valid).replace('"streaming"', `${'['.repeat(50_000)}${']'.repeat(50_000)}`)],
+    ['has a version beyond the whole numbers of a double', JSON.stringify(valid).replace('"version":7', '"version":9007199254740993')],
+    ['has an infinite weight', JSON.stringify(valid).replace('"weight":9', '"weight":1e999')]
   ]
   // Guards against malformed or contradictory tables taking effect.
   for (const [name, document] of invalid) {
