Ignore heartbeats that no backend server can have sent

Callers were refused although servers were ready: one heartbeat of another writer with the id of a server, and with a sequence number of 1e300, a start in the far future or a service without a route, replaced the record of the server. Its own heartbeats then looked older, so that it was removed after six of them, and no host used it while the false record was kept, a minute and more.

Before the change, each of the three new tests of processes, run by itself, printed status 503 instead of 200 for a request 3 s after the false heartbeat.

A control host now checks a heartbeat before it forwards it: the start is not in the future, except for a difference of clocks, the sequence number is a whole number below one heartbeat per millisecond since the start, slots and names have bounds, the id can be sent in a header, and a service that the tables do not name cannot take over the id or the address of a server. Other heartbeats are ignored like those that can't be decoded, and logged with the reason. A false heartbeat within these bounds, with a plausible later start, still replaces the record of a server; it can't be told from a restart.

--- a/src/process/fleet/controlDaemon.ts
+++ b/src/process/fleet/controlDaemon.ts
@@ -24,6 +24,7 @@
 import { createFleetLeader, type FleetLeader } from './fleetLeader.ts'
 import { type FleetHost, FleetRole } from './fleetMessages.ts'
 import type { FleetView } from './fleetView.ts'
+import { findHeartbeatProblem } from './heartbeatValidation.ts'
 import { listControlHosts, type FleetSettings } from './fleetSettings.ts'
 import { millisecondsPerSecond } from '../program/units.ts'
 
@@ -145,7 +146,7 @@
   return await serveApi(settings.directoryAddress, createDirectoryApi(service), lifecycle)
 }
 
-function createControlService ({ control, view, logger }: FleetHostBase): ControlService {
+function createControlService ({ control, view, logger, clock }: FleetHostBase): ControlService {
   return {
     addressKeepMs,
     async publish (publication) {
@@ -169,7 +170,12 @@
       const response = await control.read({ kind: QueryKind.Publication }, publishTimeoutMs)
       return response.map(value => value.kind === QueryKind.Publication ? value.document : undefined)
     },
-    receiveHeartbeat: heartbeat => control.forwardHeartbeat(heartbeat, heartbeatForwardTimeoutMs),
+    async receiveHeartbeat (heartbeat) {
+      const problem = findHeartbeatProblem(heartbeat, { wallTime: clock.wallTime(), services: view.tables?.services, servers: view.listServers() })
+      if (problem === undefined) return await control.forwardHeartbeat(heartbeat, heartbeatForwardTimeoutMs)
+      logger.write(LogEvents.heartbeatIgnored, { peer: heartbeat.id, reason: problem })
+      return ok(false)
+    },
     logIgnoredHeartbeat (id) {
       logger.write(LogEvents.heartbeatIgnored, { peer: id })
     },
--- a/src/process/fleet/controlService.ts
+++ b/src/process/fleet/controlService.ts
@@ -36,7 +36,7 @@
    */
   publication (): Promise<Result<string | undefined, Failure>>
   /**
-   * Forwards a heartbeat to the leader.
+   * Forwards a heartbeat to the leader, unless it can't be one of a backend server.
    * @param heartbeat - the heartbeat
    * @returns whether it was newer than the registered one, or the failure of the call
    */
--- a/test/fleetRegistry.test.ts
+++ b/test/fleetRegistry.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import { createBackendServerRegistry, type Heartbeat, ServerPhase } from '../src/process/fleet/backendServerRegistry.ts'
 import { createSystemClock } from '../src/process/program/clock.ts'
+import { findHeartbeatProblem, type HeartbeatContext } from '../src/process/fleet/heartbeatValidation.ts'
 import { createFleetView } from '../src/process/fleet/fleetView.ts'
 import { createSilentLogger } from '../src/process/program/logger.ts'
 import { planBatch, orderByUrgency } from '../src/request/batchPlan.ts'
@@ -60,6 +61,47 @@
   })
 })
 
+describe('heartbeat validation', () => {
+  const wallTime = 1_800_000_000_000
+  const context: HeartbeatContext = { wallTime, services: [{ name: 's', slots: 8 }], servers: [recordOf('i-1', { address: '10.0.0.1:80' })] }
+  const minuteMs = 60_000
+
+  // Guards against the rejection of servers that don't report their start, have run for long, or have a clock that is slightly ahead.
+  it('accepts heartbeats of servers', () => {
+    const accepted: Array<Partial<Heartbeat>> = [
+      {}, { startedAt: 0, sequence: 0 }, { startedAt: wallTime - 1_000 * minuteMs, sequence: 5_000_000 }, { startedAt: wallTime + minuteMs, sequence: 1 }, { slots: 0 }, { slots: 4_096 },
+      { id: 'i-2', service: 'new', address: '10.0.0.2:80' }
+    ]
+    for (const fields of accepted) expect(findHeartbeatProblem(heartbeatOf(fields), context), JSON.stringify(fields)).to.equal(undefined)
+    expect(findHeartbeatProblem(heartbeatOf({ service: 'new' }), { ...context, services: undefined })).to.equal(undefined)
+  })
+
+  // Failure: such a heartbeat with the id of a server was taken as its latest one, so that the true ones after it looked old.
+  it('rejects numbers that no server reports', () => {
+    const rejected: Array<Partial<Heartbeat>> = [
+      { sequence: 1e308 }, { sequence: Infinity }, { sequence: NaN }, { sequence: 1.5 }, { sequence: -1 }, { sequence: 2 ** 53 }, { sequence: 9_000_000_000_000 },
+      { startedAt: wallTime - minuteMs, sequence: 100 * minuteMs }, { startedAt: wallTime + 100 * minuteMs }, { startedAt: 9e15 }, { startedAt: -1 }, { slots: 1e9 }, { slots: 2 ** 53 - 1 }
+    ]
+    for (const fields of rejected) expect(findHeartbeatProblem(heartbeatOf(fields), context), JSON.stringify(fields)).to.be.a('string')
+  })
+
+  // Guards against ids that no request to the server can carry, and names that fill the memory of every host.
+  it('rejects ids that can\'t be sent in a header, and names that are too long', () => {
+    for (const id of ['', ' ', 'a\nb', '\u0000', '\ud83d\ude00', 'x'.repeat(5_000)]) expect(findHeartbeatProblem(heartbeatOf({ id }), context), JSON.stringify(id)).to.be.a('string')
+    for (const fields of [{ service: 's'.repeat(5_000) }, { availabilityZone: 'z'.repeat(5_000) }]) expect(findHeartbeatProblem(heartbeatOf(fields), context)).to.be.a('string')
+  })
+
+  // Failure: a heartbeat of a service without a route replaced the record of a server with the same id or address.
+  it('rejects a heartbeat of an unknown service that has the id or the address of a server', () => {
+    const sameId = heartbeatOf({ service: 'nobody', address: '10.0.0.2:80', sequence: 50 })
+    const sameAddress = heartbeatOf({ id: 'i-2', service: 'nobody', startedAt: 500 })
+    for (const heartbeat of [sameId, sameAddress]) {
+      expect(findHeartbeatProblem(heartbeat, context)).to.be.a('string')
+      expect(findHeartbeatProblem(heartbeat, { ...context, servers: [recordOf('i-1', { address: '10.0.0.1:80', phase: ServerPhase.Gone })] })).to.equal(undefined)
+    }
+  })
+})
+
 describe('fleet view of a host', () => {
   const createView = () => createFleetView(createSystemClock(), createSilentLogger(), () => [])
 
--- a/test/foreignWriters.test.ts
+++ b/test/foreignWriters.test.ts
@@ -25,6 +25,28 @@
     return [...fleet.controlPrograms.values()].filter(({ child }) => child.exitCode !== null).map(({ name, errors }) => `${name}: ${errors().split('\n').find(line => line.includes('"event":103')) ?? ''}`)
   }
 
+  async function waitForBeats (): Promise<void> {
+    // More than the time without an accepted heartbeat after which a server is removed.
+    await new Promise(resolve => setTimeout(resolve, 3_000))
+  }
+
+  // Failure: one heartbeat of another writer with the id of a server made all later heartbeats of the server look old; the server
+  // was removed, although it sent heartbeats, and requests found no server.
+  for (const [name, fields] of [
+    ['an enormous sequence number', { seq: 1e300 }],
+    ['a start in the far future', { seq: 1, born: 9_000_000_000_000 }],
+    ['a service without a route', { service: 'nobody', seq: 100_000 }]
+  ] as const) {
+    it(`keeps its servers after heartbeats of another writer with ${name}`, async () => {
+      for (const server of fleet.servers) {
+        const heartbeat = { service: 's', addr: server.address, zone: 'z1', version: 'v1', slots: 2, state: 'ready', born: 1 + server.crashes, ...fields }
+        expect((await fleet.callControl('PUT', `/v1/instances/${server.id}`, heartbeat)).status).to.equal(200)
+      }
+      await waitForBeats()
+      expect((await fleet.call('POST', '/live/1', { 'x-request-id': 'after' })).status).to.equal(200)
+    })
+  }
+
   // Failure: an item with prompt parts that were no text ended every leader that planned it, one after the other, as long as
   // requests that crash backend servers were known.
   it('keeps its leader when a job holds an item whose headers are not text', async () => {
