Ignore heartbeats that contradict the record of the same start

Callers were refused although servers were ready: a heartbeat with the id of a server, its start, a higher sequence number and another address replaced the record. Requests went to the false address, and the heartbeats of the server looked old.

Before the change, the new test of processes printed status 503 instead of 200, also with the validation of heartbeats in place, and the new test of the registry printed true instead of false for such a heartbeat.

A server keeps its address and service until it restarts, which its start shows. The registry therefore ignores a heartbeat with the same start and another address or service, unless the server is gone.

--- a/src/process/fleet/backendServerRegistry.ts
+++ b/src/process/fleet/backendServerRegistry.ts
@@ -46,7 +46,7 @@
    * Applies a heartbeat.
    * @param heartbeat - the heartbeat
    * @param now - monotonic time in milliseconds
-   * @returns whether it was newer than the registered one
+   * @returns whether it was newer than the registered one, and was applied
    */
   receive (heartbeat: Heartbeat, now: number): boolean
   /**
@@ -107,7 +107,7 @@
     get revision () { return revision },
     receive (heartbeat, now) {
       const known = entries.get(heartbeat.id)
-      if (known !== undefined && !isNewer(heartbeat, known.record)) return false
+      if (known !== undefined && (!isNewer(heartbeat, known.record) || contradicts(heartbeat, known.record))) return false
       for (const { record } of entries.values()) {
         if (record.id === heartbeat.id || record.address !== heartbeat.address || record.phase === ServerPhase.Gone) continue
         // An address belongs to the server that started last; a late heartbeat of its predecessor is ignored.
@@ -163,6 +163,12 @@
   return heartbeat.sequence > known.sequence
 }
 
+// A server keeps its service and its address until it restarts, so another writer sent a heartbeat with the same start and others.
+function contradicts (heartbeat: Heartbeat, known: BackendServerRecord): boolean {
+  if (known.phase === ServerPhase.Gone || heartbeat.startedAt !== known.startedAt) return false
+  return heartbeat.service !== known.service || heartbeat.address !== known.address
+}
+
 function hasSameContent (left: Heartbeat, right: Heartbeat): boolean {
   return left.service === right.service && left.address === right.address && left.slots === right.slots &&
     left.startedAt === right.startedAt && left.availabilityZone === right.availabilityZone
--- a/test/fleetRegistry.test.ts
+++ b/test/fleetRegistry.test.ts
@@ -48,6 +48,20 @@
     expect(registry.find('i-1')?.phase).to.equal(ServerPhase.Ready)
   })
 
+  // Failure: a heartbeat of another writer with the id of a server and another address or service replaced the record of the server,
+  // whose own heartbeats then looked old.
+  it('ignores a heartbeat with another address or service until the server restarts or is gone', () => {
+    const registry = createBackendServerRegistry(() => heartbeatTimeoutMs)
+    registry.receive(heartbeatOf(), 0)
+    expect(registry.receive(heartbeatOf({ sequence: 9_000, address: '10.0.0.2:80' }), 1)).to.equal(false)
+    expect(registry.receive(heartbeatOf({ sequence: 9_000, service: 'other' }), 1)).to.equal(false)
+    expect(registry.find('i-1')).to.include({ address: '10.0.0.1:80', service: 's', sequence: 1 })
+    expect(registry.receive(heartbeatOf({ sequence: 2, slots: 9 }), 2)).to.equal(true)
+    expect(registry.receive(heartbeatOf({ startedAt: 300, address: '10.0.0.2:80', service: 'other' }), 3)).to.equal(true)
+    registry.expire(2_000)
+    expect(registry.receive(heartbeatOf({ startedAt: 300, sequence: 2, address: '10.0.0.3:80' }), 2_001)).to.equal(true)
+  })
+
   // Guards against an update to every host for each heartbeat.
   it('lists changed records only, and none for a heartbeat that changes nothing', () => {
     const registry = createBackendServerRegistry(() => heartbeatTimeoutMs)
--- a/test/foreignWriters.test.ts
+++ b/test/foreignWriters.test.ts
@@ -35,7 +35,8 @@
   for (const [name, fields] of [
     ['an enormous sequence number', { seq: 1e300 }],
     ['a start in the far future', { seq: 1, born: 9_000_000_000_000 }],
-    ['a service without a route', { service: 'nobody', seq: 100_000 }]
+    ['a service without a route', { service: 'nobody', seq: 100_000 }],
+    ['another address and a later number', { addr: '127.0.0.9:9', seq: 100_000 }]
   ] as const) {
     it(`keeps its servers after heartbeats of another writer with ${name}`, async () => {
       for (const server of fleet.servers) {
