Accept an address in one spelling only

A heartbeat whose port was written as 8e1, 080, 0x50 or with spaces was accepted, since the port was converted with Number. A server could be registered twice, as its address is compared as text: the older of two servers at one address was then not removed.

Before the change, eleven new tests printed a heartbeat instead of undefined. The tests of ports out of range, host names, numbers out of range and deeply nested fields passed before: these heartbeats were rejected already.

An address is now valid only if it is equal to the text that its IP address and port are written as. An IPv6 address is in brackets, as the documentation of the parser says.

--- a/src/process/program/address.ts
+++ b/src/process/program/address.ts
@@ -21,11 +21,13 @@
 }
 
 /**
- * Checks whether a text is a valid address.
+ * Checks whether a text is a valid address in its only accepted spelling, so that equal texts are equal addresses.
  * @param text - the text to check
  * @returns whether it is an IP address and a port from 1 to 65535
  */
 export function isAddress (text: string): boolean {
   const { ip, port } = parseAddress(text)
-  return isIP(ip) !== 0 && Number.isInteger(port) && port > 0 && port <= 65_535
+  const version = isIP(ip)
+  if (version === 0 || !Number.isInteger(port) || port <= 0 || port > 65_535) return false
+  return text === (version === 6 ? `[${ip}]:${port}` : `${ip}:${port}`)
 }
