Limit timers to the range of Node.js

Callers were answered with 504, 502 or 408 within milliseconds under a configuration with enormous times: a timer for more than 2^31 - 1 ms fires after 1 ms. This applied to the timeout, the objective and the pause of a route, and to the idle time of callers.

The durations that come from a configuration, and those of the clock, are now limited to the longest time of a timer, about 25 days, which no request reaches.

--- a/src/process/program/clock.ts
+++ b/src/process/program/clock.ts
@@ -2,6 +2,7 @@
  * Time as an explicit dependency, so that tests can control it.
  * @module
  */
+import { maxTimerMs } from './units.ts'
 
 /** Source of time. */
 export abstract class Clock {
@@ -52,7 +53,7 @@
 
   // Avoids the AbortController of the base class: an abort creates an exception with a stack trace, which dominates the cost of a short wait.
   override schedule (durationMs: number, callback: () => void): () => void {
-    const timer = setTimeout(callback, durationMs)
+    const timer = setTimeout(callback, Math.min(maxTimerMs, durationMs))
     return () => clearTimeout(timer)
   }
 
@@ -64,7 +65,7 @@
         signal?.removeEventListener('abort', end)
         resolve()
       }
-      const timer = setTimeout(end, durationMs)
+      const timer = setTimeout(end, Math.min(maxTimerMs, durationMs))
       signal?.addEventListener('abort', end, { once: true })
     })
   }
--- a/src/request/forwardedAttempt.ts
+++ b/src/request/forwardedAttempt.ts
@@ -10,6 +10,7 @@
 import { LogEvents } from '../process/program/logEvents.ts'
 import { Counter, Latency } from '../process/program/metrics.ts'
 import type { ProcessServices } from '../process/program/processServices.ts'
+import { maxTimerMs } from '../process/program/units.ts'
 import type { GatewayRoute } from '../version/gatewayTables.ts'
 import type { CallerResponse, CallerRequest } from './callerExchange.ts'
 import { createEventSplitter, isEventStream, removeContentLength } from './eventStream.ts'
@@ -125,7 +126,7 @@
   const deadlineTimer = setTimeout(() => {
     progress.isTimedOut = true
     abort.abort()
-  }, Math.max(0, timeLeftMs))
+  }, Math.min(maxTimerMs, Math.max(0, timeLeftMs)))
   const unregister = view.quarantine.registerAttempt(progress.traits, () => {
     if (!progress.hasOutput) abort.abort()
   })
--- a/src/request/idleTimeout.ts
+++ b/src/request/idleTimeout.ts
@@ -2,6 +2,7 @@
  * Idle timeout of an attempt on a backend server.
  * @module
  */
+import { maxTimerMs } from '../process/program/units.ts'
 
 /** Aborts an attempt when nothing arrives within the timeout. */
 export interface IdleTimeout {
@@ -22,7 +23,7 @@
  */
 export function createIdleTimeout (initialTimeoutMs: number, onTimeout: () => void): IdleTimeout {
   if (initialTimeoutMs === Infinity) return { restart () {}, stop () {} }
-  let timer = setTimeout(onTimeout, initialTimeoutMs)
+  let timer = setTimeout(onTimeout, Math.min(maxTimerMs, initialTimeoutMs))
   let currentTimeoutMs = initialTimeoutMs
   return {
     restart (timeoutMs) {
@@ -32,7 +33,7 @@
       }
       clearTimeout(timer)
       currentTimeoutMs = timeoutMs
-      timer = setTimeout(onTimeout, timeoutMs)
+      timer = setTimeout(onTimeout, Math.min(maxTimerMs, timeoutMs))
     },
     stop () {
       clearTimeout(timer)
--- a/test/platformHttp.test.ts
+++ b/test/platformHttp.test.ts
@@ -292,6 +292,25 @@
     expect(server.sockets).to.have.length(0)
   })
 
+  // Failure: a timer for such a time fires after 1 ms, so that each request of the route timed out.
+  for (const [name, route, limits] of [
+    ['timeout', { timeoutMs: 1e300 }, {}], ['objective', { kind: RouteKind.Safe, attempts: 2, objectiveMs: 1e300 }, {}], ['pause', { attempts: 2, pauseMs: 1e300 }, {}], ['idle time of callers', {}, { idleMs: 1e300 }]
+  ] as const) {
+    it(`completes a response under an enormous ${name}`, async () => {
+      const { server, gateway } = await start(() => {}, route, limits)
+      const { caller, text } = sendHead(gateway, 'Content-Length: 8')
+      caller.write('half')
+      setTimeout(() => caller.write('full'), 50)
+      await eventually('the request', 2_000, () => server.sockets[0])
+      server.sockets[0]?.write('HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 30\r\n\r\nid: 0\ndata: a\n\n')
+      await new Promise(resolve => setTimeout(resolve, 100))
+      server.sockets[0]?.write('id: 1\ndata: b\n\n')
+      await eventually('the response', 2_000, () => text().includes('data: b\n\n') && text().endsWith('0\r\n\r\n') ? true : undefined)
+      expect(text()).to.match(/^HTTP\/1\.1 200 /)
+      caller.destroy()
+    })
+  }
+
   // Guards against a server that waits for the rest of a body for ever.
   it('responds 502 and closes the connection to the server when a long body stalls', async () => {
     const { server, gateway } = await start(() => {}, {}, { idleMs: 100 })
