--- a/test/platformHttp.test.ts
+++ b/test/platformHttp.test.ts
@@ -14,7 +14,7 @@
 import type { JobSubmission } from '../src/request/gatewayJobs.ts'
 import { type CallerLimits, type GatewayRoute, matchRoute, RouteKind } from '../src/version/gatewayTables.ts'
 import { eventually } from '../scripts/processes.ts'
-import { forwardingServicesOf, recordOf, routeOf } from './support/fakeFleet.ts'
+import { forwardingServicesOf, recordOf, requestOf, routeOf } from './support/fakeFleet.ts'
 
 /** A TCP server that records the bytes of each request; the test writes the bytes of the response. */
 interface RawServer {
@@ -168,6 +168,16 @@
     expect(text.endsWith('\r\n\r\nhalf')).to.equal(true)
   })
 
+  // Failure: an empty value was read as a limit of 0, and an endless one as an infinite rate, whose budget was no number.
+  for (const [text, limit] of [['2.5', 2.5], ['0', 0], ['', undefined], ['1e999', undefined], ['-1', undefined], ['0x10', undefined], ['x', undefined], ['9'.repeat(400), undefined]] as const) {
+    it(`reads a request limit of "${text.slice(0, 20)}" as ${limit === undefined ? 'none' : limit}`, async () => {
+      const { server } = await start(socket => socket.end(`${responseHead}Server-Limit: ${text}\r\nContent-Length: 2\r\n\r\nok`))
+      const { request: sent } = requestOf()
+      const response = await createBackendServerHttp().send({ address: server.address, id: 'i-1' }, { ...sent, resumeAfter: undefined, timeLeftMs: undefined }, new AbortController().signal)
+      expect(response._unsafeUnwrap().requestLimit).to.equal(limit)
+    })
+  }
+
   // Guards against a request that has not run being reported as failed, so that its caller can't safely send it again.
   it('retries a request that the server reports as not run, and sends a retry-after when no attempt succeeds', async () => {
     const { server, gateway } = await start(socket => socket.end('HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'))
