--- a/src/process/fleet/controlDaemon.ts
+++ b/src/process/fleet/controlDaemon.ts
@@ -11,6 +11,7 @@
 import { addressKeepMs, chooseGateways } from '../../request/gatewayChoice.ts'
 import { CommandKind, OutcomeKind } from '../state/commands.ts'
 import { type ControlHost, createControlHost } from '../state/controlHost.ts'
+import type { ControlState } from '../state/controlState.ts'
 import { type Failure, FailureReason } from '../program/failure.ts'
 import { createFileStorage } from '../log/fileStorage.ts'
 import { LogEvents } from '../program/logEvents.ts'
@@ -26,6 +27,7 @@
 import { type FleetHost, FleetRole } from './fleetMessages.ts'
 import type { FleetView } from './fleetView.ts'
 import { createTablesSource, type TablesSource } from './tablesSource.ts'
+import { findHeartbeatProblem } from './heartbeatValidation.ts'
 import { listControlHosts, type FleetSettings } from './fleetSettings.ts'
 import { millisecondsPerSecond } from '../program/units.ts'
 
@@ -67,7 +69,7 @@
   const services: InternalServices = { controlHost, shareReceiver: undefined, dispatchReceiver: undefined, fleetLeader, batchRunner, tablesSource }
   const listening = await serveInternalCalls(address, createInternalRouter(services), lifecycle, base.metrics)
   if (listening.isErr()) return err(listening.error)
-  const served = await serveExternalApis(base)
+  const served = await serveExternalApis(base, controlHost.state)
   if (served.isErr()) return err(served.error)
   await serveMetrics(base)
   // A fleet without executors, or one that has lost all of them, still runs items.
@@ -145,15 +147,15 @@
   return { fleetLeader, batchRunner, tablesSource }
 }
 
-async function serveExternalApis (base: FleetHostBase): Promise<Result<unknown, Failure>> {
+async function serveExternalApis (base: FleetHostBase, state: ControlState): Promise<Result<unknown, Failure>> {
   const { settings, lifecycle } = base
-  const service = createControlService(base)
+  const service = createControlService(base, state)
   const served = await serveApi(settings.controlAddress ?? '', createControlApi(service), lifecycle)
   if (served.isErr() || settings.directoryAddress === undefined) return served
   return await serveApi(settings.directoryAddress, createDirectoryApi(service), lifecycle)
 }
 
-function createControlService ({ control, view, clock, logger, metrics }: FleetHostBase): ControlService {
+function createControlService ({ control, view, clock, logger, metrics }: FleetHostBase, state: ControlState): ControlService {
   // The tables are in force once committed; the operator is told so once every gateway serves by them.
   async function confirmTables (version: number, timeoutMs: number): Promise<PublicationResult> {
     const confirmed = await control.confirmTables(version, timeoutMs)
@@ -189,7 +191,12 @@
       const response = await control.read({ kind: QueryKind.Publication }, publishTimeoutMs)
       return response.map(value => value.kind === QueryKind.Publication ? value.document : undefined)
     },
-    receiveHeartbeat: heartbeat => control.forwardHeartbeat(heartbeat, heartbeatForwardTimeoutMs),
+    async receiveHeartbeat (heartbeat) {
+      const problem = findHeartbeatProblem(heartbeat, { wallTime: clock.wallTime(), services: state.publication?.tables.services, servers: view.listServers() })
+      if (problem === undefined) return await control.forwardHeartbeat(heartbeat, heartbeatForwardTimeoutMs)
+      logger.write(LogEvents.heartbeatIgnored, { peer: heartbeat.id, reason: problem })
+      return ok(false)
+    },
     logIgnoredHeartbeat (id) {
       logger.write(LogEvents.heartbeatIgnored, { peer: id })
     },
--- a/test/platformHttp.test.ts
+++ b/test/platformHttp.test.ts
@@ -14,7 +14,7 @@
 import type { JobSubmission } from '../src/request/gatewayJobs.ts'
 import { type CallerLimits, type GatewayRoute, matchRoute, RouteKind } from '../src/version/gatewayTables.ts'
 import { eventually } from '../scripts/processes.ts'
-import { forwardingServicesOf, recordOf, routeOf } from './support/fakeFleet.ts'
+import { forwardingServicesOf, recordOf, requestOf, routeOf } from './support/fakeFleet.ts'
 
 /** A TCP server that records the bytes of each request; the test writes the bytes of the response. */
 interface RawServer {
@@ -167,6 +167,16 @@
     expect(text.endsWith('\r\n\r\nhalf')).to.equal(true)
   })
 
+  // Failure: an empty value was read as a limit of 0, and an endless one as an infinite rate, whose budget was no number.
+  for (const [text, limit] of [['2.5', 2.5], ['0', 0], ['', undefined], ['1e999', undefined], ['-1', undefined], ['0x10', undefined], ['x', undefined], ['9'.repeat(400), undefined]] as const) {
+    it(`reads a request limit of "${text.slice(0, 20)}" as ${limit === undefined ? 'none' : limit}`, async () => {
+      const { server } = await start(socket => socket.end(`${responseHead}Server-Limit: ${text}\r\nContent-Length: 2\r\n\r\nok`))
+      const { request: sent } = requestOf()
+      const response = await createBackendServerHttp().send({ address: server.address, id: 'i-1' }, { ...sent, resumeAfter: undefined, timeLeftMs: undefined }, new AbortController().signal)
+      expect(response._unsafeUnwrap().requestLimit).to.equal(limit)
+    })
+  }
+
   // Guards against a request that has not run being reported as failed, so that its caller can't safely send it again.
   it('retries a request that the server reports as not run, and sends a retry-after when no attempt succeeds', async () => {
     const { server, gateway } = await start(socket => socket.end('HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'))
@@ -291,6 +301,25 @@
     expect(server.sockets).to.have.length(0)
   })
 
+  // Failure: a timer for such a time fires after 1 ms, so that each request of the route timed out.
+  for (const [name, route, limits] of [
+    ['timeout', { timeoutMs: 1e300 }, {}], ['objective', { kind: RouteKind.Safe, attempts: 2, objectiveMs: 1e300 }, {}], ['pause', { attempts: 2, pauseMs: 1e300 }, {}], ['idle time of callers', {}, { idleMs: 1e300 }]
+  ] as const) {
+    it(`completes a response under an enormous ${name}`, async () => {
+      const { server, gateway } = await start(() => {}, route, limits)
+      const { caller, text } = sendHead(gateway, 'Content-Length: 8')
+      caller.write('half')
+      setTimeout(() => caller.write('full'), 50)
+      await eventually('the request', 2_000, () => server.sockets[0])
+      server.sockets[0]?.write('HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 30\r\n\r\nid: 0\ndata: a\n\n')
+      await new Promise(resolve => setTimeout(resolve, 100))
+      server.sockets[0]?.write('id: 1\ndata: b\n\n')
+      await eventually('the response', 2_000, () => text().includes('data: b\n\n') && text().endsWith('0\r\n\r\n') ? true : undefined)
+      expect(text()).to.match(/^HTTP\/1\.1 200 /)
+      caller.destroy()
+    })
+  }
+
   // Guards against a server that waits for the rest of a body for ever.
   it('responds 502 and closes the connection to the server when a long body stalls', async () => {
     const { server, gateway } = await start(() => {}, {}, { idleMs: 100 })
@@ -363,6 +392,56 @@
     })
   })
 
+  /** Submits a job with one item, and returns the status of the response. */
+  async function submitItem (gateway: Gateway, item: string): Promise<number> {
+    const response = await request(`${gateway.url}/batch/j`, { method: 'POST', headers: { host: 'a.example', 'x-request-id': 'j' }, body: `{"items":[${item}]}` })
+    await response.body.dump()
+    return response.statusCode
+  }
+
+  function nestedObject (depth: number): string {
+    return `${'{"a":'.repeat(depth)}"x"${'}'.repeat(depth)}`
+  }
+
+  // Failure: such headers were accepted into the log. Deeply nested ones could not be encoded, and the leader ended at prompt
+  // parts that were no text.
+  for (const [name, headers] of [
+    ['a number', '{"X-Prefix-Hash":5}'], ['no object', '"x"'], ['an array', '[["X-Model","m"]]'], ['nested', nestedObject(2_000)], ['deeply nested', nestedObject(50_000)]
+  ] as const) {
+    it(`refuses a job with an item whose headers are not text: ${name}`, async () => {
+      const { gateway } = await start(() => {})
+      const status = await submitItem(gateway, `{"id":"x","path":"/batch/1","headers":${headers},"body":"","tokens":1}`)
+      expect(status).to.equal(400)
+      expect(gateway.jobs).to.deep.equal([])
+    })
+  }
+
+  // Failure: an item that no request can carry was accepted. Each start of it counted as an unreachable server, which then got no
+  // items for a second.
+  for (const [field, value] of [
+    ['id', 'a\nb'], ['id', '\u2028'], ['path', ''], ['path', 'batch/1'], ['path', '/batch/a b'], ['path', '/batch/\u2028'], ['headers', { 'X-Model': 'a\r\nb' }], ['headers', { 'X Model': 'm' }], ['headers', { '': 'm' }]
+  ] as const) {
+    it(`refuses a job with an item that can't be sent: ${field} ${JSON.stringify(value)}`, async () => {
+      const { gateway } = await start(() => {})
+      expect(await submitItem(gateway, JSON.stringify({ id: 'x', path: '/batch/1', headers: {}, body: '', tokens: 1, [field]: value }))).to.equal(400)
+    })
+  }
+
+  // Failure: an item with a negative number of tokens lifted the limit of waiting tokens for all other jobs of its route.
+  for (const tokens of ['-1', '-1e308', '1e308', '1e999', '0.5', '"1"']) {
+    it(`refuses a job with an item of ${tokens} tokens`, async () => {
+      const { gateway } = await start(() => {})
+      expect(await submitItem(gateway, `{"id":"x","path":"/batch/1","body":"","tokens":${tokens}}`)).to.equal(400)
+    })
+  }
+
+  // Guards against a job that is refused because of a field that it may omit.
+  it('accepts a job with an item without headers', async () => {
+    const { gateway } = await start(() => {})
+    for (const headers of ['', '"headers":null,', '"headers":{},']) expect(await submitItem(gateway, `{"id":"x",${headers}"path":"/batch/1","body":"","tokens":1}`)).to.equal(202)
+    expect(gateway.jobs.map(job => job.items[0]?.headers)).to.deep.equal([{}, {}, {}])
+  })
+
   // Guards against a 404 for a job that exists, read while control could not be reached.
   it('serves the results, bodies and end of a job, and responds 503 instead of 404 when it can\'t tell whether a job exists', async () => {
     const { gateway } = await start(() => {})
