Limit the wait of a read of results at the gateway

A caller that sent x-wait-ms of 1e10 got no answer: the timer of the call to a control host overflowed and fired after 1 ms. The gateway then closed its connection to the control host, under the calls of other callers, avoided the host for a while, and repeated the read until the wait of the caller was over.

Before the change, the first of the three new tests of processes printed "no answer" after 5 s; the other two were answered after 2.9 and 2.7 s, now within milliseconds.

A control host waits at most for the time of a long poll, so the gateway asks for no longer wait.

--- a/src/request/gatewayJobs.ts
+++ b/src/request/gatewayJobs.ts
@@ -10,6 +10,7 @@
 import { Counter } from '../process/program/metrics.ts'
 import type { ProcessServices } from '../process/program/processServices.ts'
 import { QueryKind } from '../process/state/queries.ts'
+import { longPollMs } from '../process/state/watchMessages.ts'
 import type { ResultPage } from '../process/jobs/submissions.ts'
 import type { SubmittedItem } from '../process/jobs/submission.ts'
 import { matchRoute, RouteKind } from '../version/gatewayTables.ts'
@@ -77,7 +78,9 @@
  * @returns a page of results, undefined when the job does not exist, or a refusal
  */
 export async function readJobResults (job: string, after: number, waitMs: number, services: GatewayJobServices): Promise<Result<ResultPage | undefined, GatewayRefusal>> {
-  const response = await services.control.read({ kind: QueryKind.SubmissionResults, job, after, waitMs }, readTimeoutMs + waitMs)
+  // Control hosts wait no longer than this, and a timer for a very long time would fire at once.
+  const boundedWaitMs = Math.min(waitMs, longPollMs)
+  const response = await services.control.read({ kind: QueryKind.SubmissionResults, job, after, waitMs: boundedWaitMs }, readTimeoutMs + boundedWaitMs)
   if (response.isErr() || response.value.kind !== QueryKind.SubmissionResults) return refuseRead(job, response.isErr() ? response.error.reason : '', services)
   return ok(response.value.page)
 }
--- a/test/foreignWriters.test.ts
+++ b/test/foreignWriters.test.ts
@@ -48,6 +48,16 @@
     })
   }
 
+  // Failure: the timer of a read overflowed and ended it after 1 ms; the read was repeated without end, and each time the connection
+  // to a control host was closed under the reads of other callers.
+  for (const wait of ['1e10', '1e300', '1e999']) {
+    it(`answers a read of results that may wait for ${wait} ms`, async () => {
+      const answer = fleet.call('GET', '/v1/lots/unknown', { 'x-wait-ms': wait })
+      const status = await Promise.race([answer.then(response => response.status), new Promise(resolve => setTimeout(resolve, 5_000, 'no answer'))])
+      expect(status).to.equal(404)
+    })
+  }
+
   // Failure: an item with prompt parts that were no text ended every leader that planned it, one after the other, as long as
   // requests that crash backend servers were known.
   it('keeps its leader when a job holds an item whose headers are not text', async () => {
