--- a/src/request/gatewayJobs.ts
+++ b/src/request/gatewayJobs.ts
@@ -11,6 +11,7 @@
 import { Counter } from '../process/program/metrics.ts'
 import type { ProcessServices } from '../process/program/processServices.ts'
 import { QueryKind } from '../process/state/queries.ts'
+import { longPollMs } from '../process/state/watchMessages.ts'
 import type { ResultPage } from '../process/jobs/submissions.ts'
 import type { SubmittedItem } from '../process/jobs/submission.ts'
 import { matchRoute, RouteKind } from '../version/gatewayTables.ts'
@@ -83,8 +84,9 @@
 export async function readJobResults (job: string, after: number, waitMs: number, services: GatewayJobServices): Promise<Result<ResultPage | undefined, GatewayRefusal>> {
   const timeLeftMs = getTimeLeftMs(services)
   if (timeLeftMs < readTimeoutMs) return refuseRead(job, '', services, GatewayRefusal.Draining)
-  // A draining gateway shortens the long poll, so that it answers before it ends.
-  const pollMs = Math.min(waitMs, Math.floor(timeLeftMs - readTimeoutMs))
+  // Control hosts wait no longer than their long poll, a timer for a very long time would fire at once, and a draining gateway
+  // shortens the long poll, so that it answers before it ends.
+  const pollMs = Math.min(waitMs, longPollMs, Math.floor(timeLeftMs - readTimeoutMs))
   const response = await services.control.read({ kind: QueryKind.SubmissionResults, job, after, waitMs: pollMs }, readTimeoutMs + pollMs)
   if (response.isErr() || response.value.kind !== QueryKind.SubmissionResults) return refuseRead(job, response.isErr() ? response.error.reason : '', services)
   return ok(response.value.page)
