Take over a server that a settled leader lists as ready again

Cause: a host kept a record of a removed server against each later one with a lower sequence number, also of the same leader, which knows the server's state. Change: records are compared only while a leader may lack updates: after a change of the leadership, until it is complete. Result: the new test failed before, expected [] to equal ['i-1']; the test of an older record of a new leader is unchanged.

--- a/src/process/fleet/fleetView.ts
+++ b/src/process/fleet/fleetView.ts
@@ -196,8 +196,9 @@
       listedServers.add(record.id)
       leavingServers.applyRecord(record)
       const known = servers.get(record.id)
-      // A new leader may lack updates that its predecessor received, for example that a server is leaving.
-      const isStale = known !== undefined && known.phase !== ServerPhase.Ready && record.phase === ServerPhase.Ready && !isNewer(record, known)
+      // A new leader may lack updates that its predecessor received, for example that a server is leaving, until every server has contacted it.
+      const mayLackUpdates = !isSameLeadership || !isSettled
+      const isStale = mayLackUpdates && known !== undefined && known.phase !== ServerPhase.Ready && record.phase === ServerPhase.Ready && !isNewer(record, known)
       if (!isStale) servers.set(record.id, record)
     }
     if (!update.isComplete || (isSameLeadership && isSettled)) return
--- a/test/fleetRegistry.test.ts
+++ b/test/fleetRegistry.test.ts
@@ -141,6 +141,15 @@
     expect(fleet.listReadyServers('s').map(record => record.id)).to.deep.equal(['i-2'])
   })
 
+  // Failure: after a server had been removed with a high sequence number, the same leader listed it as ready again, and the host
+  // ignored that until the next leader.
+  it('takes over a server that a leader which knows all servers lists as ready again', () => {
+    const view = createView()
+    view.applyUpdate(fleetUpdateOf({ servers: [recordOf('i-1', { phase: ServerPhase.Gone, sequence: 50_000 })] }))
+    view.applyUpdate(fleetUpdateOf({ serversRevision: 2, servers: [recordOf('i-1', { sequence: 10, revision: 2 })] }))
+    expect(view.listReadyServers('s').map(server => server.id)).to.deep.equal(['i-1'])
+  })
+
   // Failure: a new leader that had only an older heartbeat of a leaving server made it ready again.
   it('keeps a server leaving when a new leader sends an older record of it', () => {
     const fleet = createView()
