Check in the soak that gateways serve by acknowledged versions

Cause: no check of the soak asked by which version a gateway serves once a change is acknowledged. Change: each version adds a route of its own; 2.5 s after its acknowledgement every gateway that has not been disturbed for 4 s must have it.

--- a/test/soak/soakClients.ts
+++ b/test/soak/soakClients.ts
@@ -13,6 +13,12 @@
 const jobIntervalMs = 400
 const versionIntervalMs = 700
 const readIntervalMs = 150
+
+/** Time after an acknowledgement from which every gateway must serve by the version, in milliseconds. */
+const versionInForceMs = 2_500
+
+/** Time after a disturbance of a gateway from which that counts for it, in milliseconds. */
+const contactMs = 4_000
 const itemsPerJob = 4
 const submitAttempts = 12
 
@@ -153,13 +159,33 @@
  * @returns a promise that resolves when the task has ended
  */
 export async function runPublisher (context: SoakContext, state: OperatorState): Promise<void> {
+  const checks: Array<Promise<void>> = []
   while (!context.signal.aborted) {
     const isRace = context.random.below(4) === 0
     const versions = isRace ? [state.sentVersion + 1, state.sentVersion + 3] : [state.sentVersion + 1 + context.random.below(3)]
     state.sentVersion = Math.max(...versions)
     await Promise.all(versions.map(version => publish(context, state, version)))
+    const { acknowledgedVersion } = state
+    checks.push(pause(versionInForceMs).then(async () => await checkVersionInForce(context, acknowledgedVersion)))
     await pause(versionIntervalMs)
   }
+  await Promise.all(checks)
+}
+
+// Each version adds a route of its own and keeps those of all versions before it.
+async function checkVersionInForce (context: SoakContext, version: number): Promise<void> {
+  const { fleet: { hosts, gateways }, violations } = context
+  for (const [index, gateway] of gateways.entries()) {
+    const host = hosts.find(({ name }) => name === `gateway-${index}`)
+    const sentAt = performance.now()
+    const answer = await call(`http://${gateway}${versionPathOf(version)}x`, { id: `version-${version}-${index}` })
+    const isDisturbed = host === undefined || !host.isRunning || host.isFrozen || sentAt - host.disturbedAt < contactMs
+    if (answer.status === 404 && !isDisturbed) violations.push(`${host.name} refuses a route of version ${version} ${versionInForceMs} ms after its acknowledgement`)
+  }
+}
+
+function versionPathOf (version: number): string {
+  return `/version-${version}/`
 }
 
 /**
@@ -218,6 +244,7 @@
     version,
     routes: [
       { ...route, name: 'live', path_prefix: '/live/', kind: 'streaming', resumable: true, gap_target_ms: 250 },
+      ...Array.from({ length: version }, (_, index) => ({ ...route, name: `version-${index + 1}`, path_prefix: versionPathOf(index + 1), kind: 'streaming' })),
       { ...route, name: 'batch', path_prefix: '/batch/', kind: 'batch', max_queued: 1_000_000, run_target_ms: 10_000, max_wait_s: 600 }
     ],
     services: [{ name: 's', engine: { slots: 4 } }],
--- a/test/soak/soakFleet.ts
+++ b/test/soak/soakFleet.ts
@@ -17,6 +17,8 @@
   readonly role: FleetRole
   readonly isRunning: boolean
   readonly isFrozen: boolean
+  /** Monotonic time of the last start, end, freeze or thaw, in milliseconds. */
+  readonly disturbedAt: number
   start (): Promise<void>
   /** Sends a signal that ends the process, and waits until it has exited. */
   end (signal: NodeJS.Signals): Promise<void>
@@ -53,6 +55,7 @@
   function createHost (role: FleetRole, name: string, settings: Readonly<Record<string, unknown>>): SoakHost {
     let program: Program | undefined
     let isFrozen = false
+    let disturbedAt = -Infinity
     let earlierOutput = ''
     let isFirstStart = true
     return {
@@ -60,24 +63,29 @@
       role,
       get isRunning () { return program !== undefined },
       get isFrozen () { return isFrozen },
+      get disturbedAt () { return disturbedAt },
       async start () {
         const file = join(folder, `${name}.json`)
         await writeFile(file, JSON.stringify({ ...commonSettings, ...settings, role, host: name, form: isFirstStart }))
         isFirstStart = false
+        disturbedAt = performance.now()
         program = startProgram(name, 'src/daemons/jaychuteHost.js', ['--settings-file', file])
       },
       async end (signal) {
         const ended = program
         if (ended === undefined) return
         if (isFrozen) this.thaw()
+        disturbedAt = performance.now()
         await ended.end(signal)
         earlierOutput += ended.errors()
         program = undefined
       },
       freeze () {
+        disturbedAt = performance.now()
         isFrozen = program?.child.kill('SIGSTOP') === true
       },
       thaw () {
+        disturbedAt = performance.now()
         program?.child.kill('SIGCONT')
         isFrozen = false
       },
