--- a/src/process/fleet/controlDaemon.ts
+++ b/src/process/fleet/controlDaemon.ts
@@ -156,7 +156,7 @@
 }
 
 function createControlService ({ control, view, clock, logger, metrics }: FleetHostBase, state: ControlState): ControlService {
-  // The tables are in force once committed; the operator is told so once every gateway serves by them.
+  // The tables are in force once committed; the acknowledgement waits until every gateway serves by them.
   async function confirmTables (version: number, timeoutMs: number): Promise<PublicationResult> {
     const confirmed = await control.confirmTables(version, timeoutMs)
     metrics.count(Counter.TablesConfirmations, confirmed.isOk() ? 'confirmed' : confirmed.error.reason)
--- a/src/process/fleet/fleetLeader.ts
+++ b/src/process/fleet/fleetLeader.ts
@@ -19,6 +19,7 @@
   type RequestLimitUpdate, type ServerCrashReport, type ServerCrashVerdict, type ServerLoad, type TrialRequest
 } from './fleetMessages.ts'
 import type { ServerStart } from './leavingServers.ts'
+import { createHostConfirmations } from './hostConfirmations.ts'
 import { createHostSessions, sessionTimeoutMs } from './hostSessions.ts'
 import { createRequestPermits, type RequestPermits } from './requestPermits.ts'
 import { createTraitQuarantine, type TraitQuarantine } from './traitQuarantine.ts'
@@ -154,13 +155,15 @@
   const registry = createBackendServerRegistry(() => inputs.heartbeatTimeoutMs)
   const changed = createCondition(clock)
   const updateAvailable = createCondition(clock)
-  const sessionChanged = createCondition(clock)
   const batch = new Map<string, number>()
   const quarantine = createTraitQuarantine({ replica, state, clock, logger, lifecycle, changed: () => updateAvailable.notify() })
   const permits = createRequestPermits(clock)
   let term = -1
   // Monotonic time at which the current leadership began, in milliseconds.
   let leaderSince = 0
+  const confirmations = createHostConfirmations({
+    clock, lifecycle, findLeadership: () => isLeading() ? getLeadership() : undefined, getLeaderSince: () => leaderSince, createNotLeaderFailure
+  })
 
   function isLeading (): boolean {
     if (replica.state.role !== ReplicaRole.Leader) return false
@@ -205,7 +208,7 @@
     const isNew = sessions.renew(request, confirmedRevision, clock.now())
     if (isNew) logger.write(LogEvents.hostJoined, { peer: host.name, detail: host.role })
     if (sessions.revision !== revision) notifyFleetChanged()
-    sessionChanged.notify()
+    confirmations.notify()
   }
 
   // Until this leader has committed an entry of its own, it may lack entries that were acknowledged under its predecessors.
@@ -217,24 +220,6 @@
     return getConfirmedTables()?.version ?? 0
   }
 
-  // A new leader does not know every host before each has had the time of a session to contact it.
-  function hasAllSessions (): boolean {
-    return clock.now() - leaderSince >= sessionTimeoutMs
-  }
-
-  async function confirmTables (version: number, waitMs: number): Promise<Result<void, Failure>> {
-    const initialLeadership = getLeadership()
-    const deadline = clock.now() + waitMs
-    while (isLeading() && getLeadership() === initialLeadership && !lifecycle.signal.aborted) {
-      const now = clock.now()
-      const host = sessions.findServingOlderTables(version, now)
-      if (host === undefined && hasAllSessions() && getConfirmedVersion() >= version) return ok(undefined)
-      if (now >= deadline) return err(createFailure(FailureReason.Unconfirmed, { step: Step.Publish, peer: host?.name }, `version ${version} is not confirmed by every gateway`))
-      await sessionChanged.wait(Math.min(deadline - now, sweepIntervalMs), lifecycle.signal)
-    }
-    return err(createNotLeaderFailure(Step.Publish))
-  }
-
   function hasUpdate (request: FleetWatchRequest): boolean {
     if (request.leadership !== getLeadership()) return true
     if (isComplete() && !request.isSettled) return true
@@ -312,15 +297,14 @@
   // send the server a request after its call has succeeded.
   async function waitForLeaveConfirmation (id: string): Promise<Result<boolean, Failure>> {
     const revision = registry.find(id)?.revision ?? 0
-    const initialLeadership = getLeadership()
-    const deadline = clock.now() + leaveConfirmationTimeoutMs
-    while (isLeading() && getLeadership() === initialLeadership) {
-      const host = sessions.findUnconfirmed(revision)
-      if (host === undefined && hasAllSessions()) return ok(true)
-      if (clock.now() >= deadline) return err(createFailure(FailureReason.Unconfirmed, { step: Step.Heartbeat, peer: host?.name }, `registry revision ${revision} is not confirmed by every host`))
-      await sessionChanged.wait(Math.min(deadline - clock.now(), sweepIntervalMs), lifecycle.signal)
-    }
-    return err(createNotLeaderFailure(Step.Heartbeat))
+    const confirmed = await confirmations.wait({
+      step: Step.Heartbeat,
+      text: `registry revision ${revision}`,
+      timeoutMs: leaveConfirmationTimeoutMs,
+      isKnown: () => true,
+      findUnconfirmed: () => sessions.findUnconfirmed(revision)
+    })
+    return confirmed.map(() => true)
   }
 
   function handlePhaseChange (id: string, previousPhase: ServerPhase | undefined): void {
@@ -345,7 +329,7 @@
     const now = clock.now()
     for (const { host, silentMs } of sessions.expire(now)) {
       logger.write(LogEvents.hostLost, { peer: host.name, value: Math.round(silentMs) })
-      sessionChanged.notify()
+      confirmations.notify()
       updateAvailable.notify()
     }
     for (const record of registry.expire(now)) {
@@ -390,7 +374,7 @@
     report (report) {
       if (!isLeading()) return err(createNotLeaderFailure(Step.Report))
       if (sessions.report(report)) changed.notify()
-      sessionChanged.notify()
+      confirmations.notify()
       quarantine.recordOutputs(report.outputs ?? [])
       const intervalMs = Math.max(minReportIntervalMs, sessions.size * millisecondsPerSecond / maxReportsPerSecond)
       return ok({ loads: listLoads(), suspects: [...sessions.getLoadSums().suspects], intervalMs })
@@ -416,9 +400,13 @@
     acquireTrial ({ traits }) {
       return isLeading() ? ok(quarantine.acquireTrial(traits)) : err(createNotLeaderFailure(Step.Report))
     },
-    async confirmTables (version, waitMs) {
-      return isLeading() ? await confirmTables(version, waitMs) : err(createNotLeaderFailure(Step.Publish))
-    },
+    confirmTables: (version, waitMs) => confirmations.wait({
+      step: Step.Publish,
+      text: `version ${version}`,
+      timeoutMs: waitMs,
+      isKnown: () => getConfirmedVersion() >= version,
+      findUnconfirmed: () => sessions.findServingOlderTables(version, clock.now())
+    }),
     async receiveHeartbeat (heartbeat) {
       if (!isLeading()) return err(createNotLeaderFailure(Step.Heartbeat))
       const previousPhase = registry.find(heartbeat.id)?.phase
