Update the sums of load reports by the difference of each report

Cause: each load report discarded the sums over all hosts, and the response to it computed them again: hosts times servers for each report, up to 400 times a second at the leader. Change: the sums are kept, and each report, restart and lost session changes them by its difference.

--- a/src/process/fleet/fleetLeader.ts
+++ b/src/process/fleet/fleetLeader.ts
@@ -377,7 +377,7 @@
       confirmations.notify()
       quarantine.recordOutputs(report.outputs ?? [])
       const intervalMs = Math.max(minReportIntervalMs, sessions.size * millisecondsPerSecond / maxReportsPerSecond)
-      return ok({ loads: listLoads(), suspects: [...sessions.getLoadSums().suspects], intervalMs })
+      return ok({ loads: listLoads(), suspects: [...sessions.getLoadSums().suspects.keys()], intervalMs })
     },
     async reportCrash (report) {
       if (!isLeading()) return err(createNotLeaderFailure(Step.Report))
--- a/src/process/fleet/hostSessions.ts
+++ b/src/process/fleet/hostSessions.ts
@@ -11,7 +11,8 @@
 /** Live requests by server and suspect servers, over all hosts. */
 export interface LoadSums {
   readonly live: ReadonlyMap<string, number>
-  readonly suspects: ReadonlySet<string>
+  /** Number of hosts that suspect a server, by its id. */
+  readonly suspects: ReadonlyMap<string, number>
 }
 
 /** A session that expired. */
@@ -94,24 +95,25 @@
 export function createHostSessions (): HostSessions {
   const sessions = new Map<string, Session>()
   let revision = 0
-  // Cached until a report or a session changes, because the batch planner queries the sums for each server.
-  let cachedSums: LoadSums | undefined
+  // Changed by the difference of each report: with many hosts, adding up all of them for each report takes too much time.
+  const liveSums = new Map<string, number>()
+  const suspectCounts = new Map<string, number>()
 
   // A restarted process has a new holder, so the session of the previous process is removed.
   function removePreviousSession (host: FleetHost): void {
     for (const [holder, session] of sessions) {
-      if (session.host.name === host.name && session.host.role === host.role) sessions.delete(holder)
+      if (session.host.name === host.name && session.host.role === host.role) remove(holder, session)
     }
   }
 
-  function computeLoadSums (): LoadSums {
-    const live = new Map<string, number>()
-    const suspects = new Set<string>()
-    for (const session of sessions.values()) {
-      for (const [id, count] of Object.entries(session.live)) live.set(id, (live.get(id) ?? 0) + count)
-      for (const id of session.suspects) suspects.add(id)
-    }
-    return { live, suspects }
+  function addLoad ({ live, suspects }: Pick<Session, 'live' | 'suspects'>, sign: 1 | -1): void {
+    for (const [id, count] of Object.entries(live)) addCount(liveSums, id, sign * count)
+    for (const id of suspects) addCount(suspectCounts, id, sign)
+  }
+
+  function remove (holder: string, session: Session): void {
+    addLoad(session, -1)
+    sessions.delete(holder)
   }
 
   return {
@@ -119,10 +121,7 @@
     get revision () { return revision },
     renew ({ host, tablesVersion, knownTablesVersion }, confirmedRevision, now) {
       const known = sessions.get(host.holder)
-      if (known === undefined) {
-        removePreviousSession(host)
-        cachedSums = undefined
-      }
+      if (known === undefined) removePreviousSession(host)
       if (known?.host.ready !== host.ready) revision++
       sessions.set(host.holder, {
         host,
@@ -142,28 +141,26 @@
     report ({ holder, live, suspects, tablesVersion }) {
       const session = sessions.get(holder)
       if (session === undefined) return false
+      addLoad(session, -1)
       session.live = live
       session.suspects = suspects
+      addLoad(session, 1)
       session.tablesVersion = Math.max(session.tablesVersion, tablesVersion ?? 0)
-      cachedSums = undefined
       return true
     },
     expire (now) {
       const expired: ExpiredSession[] = []
-      for (const [holder, { host, lastContactAt }] of sessions) {
+      for (const [holder, session] of sessions) {
+        const { host, lastContactAt } = session
         if (now - lastContactAt <= sessionTimeoutMs) continue
-        sessions.delete(holder)
-        cachedSums = undefined
+        remove(holder, session)
         revision++
         expired.push({ host, silentMs: now - lastContactAt })
       }
       return expired
     },
     list: () => [...sessions.values()].map(session => session.host),
-    getLoadSums () {
-      cachedSums ??= computeLoadSums()
-      return cachedSums
-    },
+    getLoadSums: () => ({ live: liveSums, suspects: suspectCounts }),
     findUnconfirmed (requiredRevision) {
       for (const { host, confirmedRevision } of sessions.values()) {
         if (confirmedRevision < requiredRevision) return host
@@ -180,7 +177,8 @@
     },
     clear () {
       sessions.clear()
-      cachedSums = undefined
+      liveSums.clear()
+      suspectCounts.clear()
       revision++
     }
   }
@@ -191,3 +189,9 @@
   const latest = missing.at(-1)?.version ?? tablesVersion
   return knownVersion > latest ? [...missing, { version: knownVersion, since: now }] : missing
 }
+
+function addCount (counts: Map<string, number>, id: string, difference: number): void {
+  const count = (counts.get(id) ?? 0) + difference
+  if (count > 0) counts.set(id, count)
+  else counts.delete(id)
+}
--- a/test/fleetLeader.test.ts
+++ b/test/fleetLeader.test.ts
@@ -4,10 +4,11 @@
 import { createControlState } from '../src/process/state/controlState.ts'
 import { type BackendServerRecord, type Heartbeat, ServerPhase } from '../src/process/fleet/backendServerRegistry.ts'
 import { createFleetLeader, type FleetLeader } from '../src/process/fleet/fleetLeader.ts'
-import type { FleetHost, FleetUpdate, FleetRole, FleetWatchRequest } from '../src/process/fleet/fleetMessages.ts'
+import type { FleetHost, FleetUpdate, FleetRole, FleetWatchRequest, LoadReport } from '../src/process/fleet/fleetMessages.ts'
 import { FailureReason } from '../src/process/program/failure.ts'
-import { sessionTimeoutMs } from '../src/process/fleet/hostSessions.ts'
+import { createHostSessions, sessionTimeoutMs } from '../src/process/fleet/hostSessions.ts'
 import { createLifecycle, type Lifecycle } from '../src/process/program/lifecycle.ts'
+import { createSeededRandom } from '../src/process/program/random.ts'
 import { createSilentLogger } from '../src/process/program/logger.ts'
 import { createMetrics } from '../src/process/program/metrics.ts'
 import { type Replica, ReplicaRole } from '../src/process/log/replica.ts'
@@ -150,6 +151,32 @@
     expect(fleet.getLoad('i-1').live).to.equal(3)
   })
 
+  // Guards against sums that drift from the reports when hosts report again, restart or are lost.
+  it('keeps the sums of all reports equal to their total', () => {
+    const seed = 3
+    const random = createSeededRandom(seed)
+    const sessions = createHostSessions()
+    const latest = new Map<string, LoadReport>()
+    for (let now = 0; now < 400; now++) {
+      const name = `g-${random.below(8)}`
+      const holder = `${name}/${random.below(2)}`
+      if (random.below(5) === 0) for (const { host } of sessions.expire(now * 20)) latest.delete(host.holder)
+      if (sessions.renew({ ...firstPoll(hostOf(name)), host: { ...hostOf(name), holder } }, 0, now * 20)) {
+        for (const known of [...latest.keys()]) if (known.startsWith(`${name}/`)) latest.delete(known)
+      }
+      const report = { holder, live: { [`i-${random.below(4)}`]: random.below(3), 'i-9': random.below(3) }, suspects: random.below(3) === 0 ? ['i-1'] : [] }
+      sessions.report(report)
+      latest.set(holder, report)
+      const expected = new Map<string, number>()
+      for (const { live } of latest.values()) {
+        for (const [id, count] of Object.entries(live)) if (count > 0) expected.set(id, (expected.get(id) ?? 0) + count)
+      }
+      const { live, suspects } = sessions.getLoadSums()
+      expect(Object.fromEntries(live), `seed ${seed}, step ${now}`).to.deep.equal(Object.fromEntries(expected))
+      expect(suspects.has('i-1'), `seed ${seed}, step ${now}`).to.equal([...latest.values()].some(one => one.suspects.length > 0))
+    }
+  })
+
   // Failure (CONFIG on habimana-rounds-grown trouble-1, small): after a loss of power a gateway got version 33 from a new leader
   // that had not applied the log of its predecessors yet, and refused a route of version 57 for 8 s.
   it('sends no tables before it has applied the log of its predecessors', async () => {
