Name the violations of the soak in the failure of its test

Cause: the message of a failed run listed the faults only, and the reporter shortens the violations to 'Array(1)'. Change: the violations come first in the message; the check is unchanged.

--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -10,7 +10,8 @@
   // runs with other seeds are started by hand (scripts/soak.ts).
   it(`keeps its promises under faults from seed ${seed}`, async () => {
     const report = await runSoak(seed, durationMs)
-    expect(report.violations, report.faults.map(({ at, text }) => `${at} ms: ${text}`).join('\n')).to.deep.equal([])
+    const faults = report.faults.map(({ at, text }) => `${at} ms: ${text}`)
+    expect(report.violations, [...report.violations, ...faults].join('\n')).to.deep.equal([])
     expect(report.jobs).to.be.above(10)
     expect(report.statuses.get(200) ?? 0).to.be.above(100)
   }).timeout(timeoutMs)
