--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -1,89 +1,79 @@
 /**
- * Kills the leading control host while executors report failed runs of items, and checks that no item is listed as errored
- * before `max_attempts` answers of 500.
+ * Kills a gateway while it passes on a stream that its worker sends without a length and without chunks, and checks that no
+ * client gets the beginning of the stream as a complete answer.
  * @module
  */
+import { randomBytes } from 'node:crypto'
 import { fileURLToPath } from 'node:url'
 import { createRecord, sleep, startFleet } from '../support/fleet.mjs'
-import { createItems, publish, readResults, startWorkers, streamEvents, submitJob } from '../support/platform.mjs'
+import { publish, routeHost, send, startWorkers, streamEvents } from '../support/platform.mjs'
 
-/** Whether the leader is killed. */
+/** Whether the gateway is killed. */
 const hasTrouble = process.env.TROUBLE !== '0'
 
-/** `max_attempts` of the route. */
-const maxAttempts = 3
+/** Rounds, each with one kill. */
+const rounds = 6
 
-/** Rounds: each has one job that can never be done among twenty, and one kill. */
-const rounds = 7
-
-/** Time between the starts of two rounds, in milliseconds; longer than `catchup_s` after the killed process is back. */
-const roundMs = 11_000
-
-/** Time until a killed process is started again, in milliseconds. */
+/** Time until the killed process is started again, and between two rounds, in milliseconds. */
 const restartMs = 1_000
+const roundMs = 4_000
+
+/** Events of an answer, time between two of them in milliseconds, and events after which the gateway is killed. */
+const events = 34
+const eventIntervalMs = 30
+const eventsBeforeKill = 10
 
-const itemsPerJob = 24
-const soundJobs = 19
-const soundEvents = 10
-const eventIntervalMs = 5
+/** Streams that a round has under way. */
+const streams = 4
 
 const record = createRecord(fileURLToPath(new URL('.', import.meta.url)))
-const failedRuns = new Map()
-let onFailure = () => {}
 
+// The end of the connection ends the answer, which carries neither a length nor chunks.
 function handle (run) {
-  const { id, path, response, worker, body } = run
-  if (body.toString() !== 'undoable') return streamEvents(run, soundEvents, eventIntervalMs)
-  setTimeout(() => {
-    if (response.destroyed) return
-    failedRuns.set(id, (failedRuns.get(id) ?? 0) + 1)
-    record.add('500 answered', { item: id, path, worker: worker.id, count: failedRuns.get(id) })
-    response.writeHead(500, { 'content-length': 0 })
-    response.end()
-    onFailure()
-  }, 100 + Math.random() * 200)
+  run.response.useChunkedEncodingByDefault = false
+  run.response.removeHeader('keep-alive')
+  run.response.setHeader('connection', 'close')
+  run.response.once('close', () => record.add('run ended', { id: run.id, worker: run.worker.id }))
+  streamEvents(run, events, eventIntervalMs)
 }
 
-async function killLeader (fleet) {
-  const leader = fleet.findLeader()
-  if (leader === undefined) return record.add('no leader to kill')
-  leader.child.kill('SIGKILL')
-  record.add('leader killed', { host: leader.name })
-  leader.isLeader = false
-  await sleep(restartMs)
-  leader.start()
+function countEvents (text) {
+  return text.split('\n').filter(line => line.startsWith('data: ')).length
 }
 
-async function runRound (round, fleet) {
-  const { gatewayAddresses } = fleet
-  const undoable = `undoable-${round}`
-  const killAt = 1 + Math.floor(Math.random() * (itemsPerJob - 2))
-  let failures = 0
-  onFailure = () => {
-    failures++
-    if (hasTrouble && failures === killAt) setTimeout(() => { killLeader(fleet).catch(() => {}) }, Math.random() * 8)
-  }
-  await submitJob({ id: undoable, items: createItems(undoable, itemsPerJob, 'undoable'), gatewayAddresses, record })
-  for (let job = 0; job < soundJobs; job++) {
-    const id = `sound-${round}-${job}`
-    await submitJob({ id, items: createItems(id, itemsPerJob, 'sound'), gatewayAddresses, record })
-  }
+async function kill (gateway) {
+  record.add('gateway killed', { host: gateway.name })
+  await gateway.end('SIGKILL')
+  await sleep(restartMs)
+  gateway.start()
 }
 
-// Returns the number of items that are listed as errored too early.
-async function countBroken (fleet, listed) {
-  let broken = 0
-  for (let round = 0; round < rounds; round++) {
-    const page = await readResults({ id: `undoable-${round}`, gatewayAddresses: fleet.gatewayAddresses })
-    for (const { id, state } of page?.results ?? []) {
-      if (listed.has(id)) continue
-      listed.set(id, state)
-      const count = failedRuns.get(id) ?? 0
-      record.add('result listed', { item: id, state, answersOf500: count })
-      if (state !== 'errored' || count < maxAttempts) broken++
-    }
-  }
-  return broken
+// Returns the number of answers that end early and look complete.
+async function runRound (address, gateway) {
+  let received = ''
+  let isKilled = !hasTrouble
+  const answers = Array.from({ length: streams }, async (_, stream) => {
+    const id = randomBytes(8).toString('hex')
+    const answer = await send({
+      address,
+      method: 'POST',
+      path: '/visit-confirm/school-12',
+      headers: { host: routeHost, 'x-request-id': id, 'x-deadline-ms': '5000', 'x-model': 'm', 'x-token-usage': '450,40', 'content-length': 6 },
+      body: 'prompt',
+      timeoutMs: 6_000,
+      onData (chunk) {
+        if (stream === 0) received += chunk.toString()
+        if (isKilled || countEvents(received) < eventsBeforeKill) return
+        isKilled = true
+        kill(gateway).catch(() => {})
+      }
+    })
+    const { status, headers, text, isComplete } = answer
+    const count = countEvents(text)
+    record.add('request answered', { id, status, isComplete, events: count, length: headers['content-length'], encoding: headers['transfer-encoding'] })
+    return status === 200 && isComplete && count < events
+  })
+  return (await Promise.all(answers)).filter(Boolean).length
 }
 
 const fleet = await startFleet(record)
@@ -93,18 +83,15 @@
   workers = await startWorkers({ count: 6, controlAddresses: fleet.controlAddresses, record, handle })
   if (await publish(fleet.controlAddresses, record)) {
     await sleep(3_000)
-    const listed = new Map()
     let broken = 0
-    for (let round = 0; round < rounds && broken === 0; round++) {
+    for (let round = 0; round < rounds; round++) {
       const nextAt = performance.now() + roundMs
-      await runRound(round, fleet)
-      while (performance.now() < nextAt && broken === 0) {
-        await sleep(300)
-        broken += await countBroken(fleet, listed)
-      }
+      const index = round % fleet.gateways.length
+      broken += await runRound(fleet.gatewayAddresses[index], fleet.gateways[index])
+      await sleep(nextAt - performance.now())
     }
-    record.add('ended', { listed: listed.size, broken })
-    code = broken > 0 ? 1 : listed.size > 0 ? 0 : 2
+    record.add('ended', { broken })
+    code = broken > 0 ? 1 : 0
   }
 } catch (error) {
   record.add('could not run', { error: String(error) })
--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -1,59 +1,115 @@
 /**
- * Sends a request with a long body that crashes each worker which begins to run it, again and again, and counts the copies that
- * reach workers after the third crash.
+ * Kills the leading control host while executors report failed runs of items, and checks that no item is listed as errored
+ * before `max_attempts` answers of 500.
  * @module
  */
 import { fileURLToPath } from 'node:url'
 import { createRecord, sleep, startFleet } from '../support/fleet.mjs'
-import { createCrashes, publish, sendLive, sendSoundRequests, startWorkers } from '../support/platform.mjs'
+import { createItems, publish, readResults, startWorkers, streamEvents, submitJob } from '../support/platform.mjs'
 
-/** Whether the request crashes workers. */
+/** Whether the leader is killed. */
 const hasTrouble = process.env.TROUBLE !== '0'
 
-/** Length of the body, in bytes; below `max_body_bytes`, 4,194,304. A short body shows that the same request is held back then. */
-const bodyBytes = Number(process.env.BODY_BYTES ?? 270_000)
+/** `max_attempts` of the route. */
+const maxAttempts = 3
 
-/** `contact_ms` of the sheet. */
-const contactMs = 4_000
+/** Rounds: each has one job that can never be done among twenty, and one kill. */
+const rounds = 7
 
-/** Retries that may reach workers later than `contactMs` after the third crash. */
-const allowedRetries = 3
+/** Time between the starts of two rounds, in milliseconds; longer than `catchup_s` after the killed process is back. */
+const roundMs = 11_000
 
-/** Time between two copies of the request, in milliseconds. */
-const intervalMs = 1_500
+/** Time until a killed process is started again, in milliseconds. */
+const restartMs = 1_000
 
-const durationMs = 45_000
-const marker = 'this body crashes the worker'
-const path = '/soil-note/compound-7'
+const itemsPerJob = 24
+const soundJobs = 19
+const soundEvents = 10
+const eventIntervalMs = 5
 
 const record = createRecord(fileURLToPath(new URL('.', import.meta.url)))
-const crashes = createCrashes({ marker, record, isCrashing: hasTrouble })
+const failedRuns = new Map()
+let onFailure = () => {}
+
+function handle (run) {
+  const { id, path, response, worker, body } = run
+  if (body.toString() !== 'undoable') return streamEvents(run, soundEvents, eventIntervalMs)
+  setTimeout(() => {
+    if (response.destroyed) return
+    failedRuns.set(id, (failedRuns.get(id) ?? 0) + 1)
+    record.add('500 answered', { item: id, path, worker: worker.id, count: failedRuns.get(id) })
+    response.writeHead(500, { 'content-length': 0 })
+    response.end()
+    onFailure()
+  }, 100 + Math.random() * 200)
+}
+
+async function killLeader (fleet) {
+  const leader = fleet.findLeader()
+  if (leader === undefined) return record.add('no leader to kill')
+  leader.child.kill('SIGKILL')
+  record.add('leader killed', { host: leader.name })
+  leader.isLeader = false
+  await sleep(restartMs)
+  leader.start()
+}
+
+async function runRound (round, fleet) {
+  const { gatewayAddresses } = fleet
+  const undoable = `undoable-${round}`
+  const killAt = 1 + Math.floor(Math.random() * (itemsPerJob - 2))
+  let failures = 0
+  onFailure = () => {
+    failures++
+    if (hasTrouble && failures === killAt) setTimeout(() => { killLeader(fleet).catch(() => {}) }, Math.random() * 8)
+  }
+  await submitJob({ id: undoable, items: createItems(undoable, itemsPerJob, 'undoable'), gatewayAddresses, record })
+  for (let job = 0; job < soundJobs; job++) {
+    const id = `sound-${round}-${job}`
+    await submitJob({ id, items: createItems(id, itemsPerJob, 'sound'), gatewayAddresses, record })
+  }
+}
+
+// Returns the number of items that are listed as errored too early.
+async function countBroken (fleet, listed) {
+  let broken = 0
+  for (let round = 0; round < rounds; round++) {
+    const page = await readResults({ id: `undoable-${round}`, gatewayAddresses: fleet.gatewayAddresses })
+    for (const { id, state } of page?.results ?? []) {
+      if (listed.has(id)) continue
+      listed.set(id, state)
+      const count = failedRuns.get(id) ?? 0
+      record.add('result listed', { item: id, state, answersOf500: count })
+      if (state !== 'errored' || count < maxAttempts) broken++
+    }
+  }
+  return broken
+}
+
 const fleet = await startFleet(record)
-const sound = { isEnded: false, statuses: new Map() }
 let workers = []
 let code = 2
 try {
-  workers = await startWorkers({ count: 6, controlAddresses: fleet.controlAddresses, record, handle: crashes.handle })
+  workers = await startWorkers({ count: 6, controlAddresses: fleet.controlAddresses, record, handle })
   if (await publish(fleet.controlAddresses, record)) {
-    await sleep(contactMs)
-    const addresses = fleet.gatewayAddresses
-    sendSoundRequests(addresses, sound).catch(() => {})
-    const body = marker.padEnd(bodyBytes, '.')
-    const endAt = performance.now() + durationMs
-    for (let copy = 0; performance.now() < endAt; copy++) {
-      const { id, status, isComplete } = await sendLive({ address: addresses[copy % addresses.length], body, ownPart: 'e4402b7d:250', path })
-      record.add('request answered', { id, status, isComplete })
-      await sleep(intervalMs)
+    await sleep(3_000)
+    const listed = new Map()
+    let broken = 0
+    for (let round = 0; round < rounds && broken === 0; round++) {
+      const nextAt = performance.now() + roundMs
+      await runRound(round, fleet)
+      while (performance.now() < nextAt && broken === 0) {
+        await sleep(300)
+        broken += await countBroken(fleet, listed)
+      }
     }
-    const late = crashes.countArrivalsAfter((crashes.times[2] ?? Infinity) + contactMs)
-    record.add('ended', { reached: crashes.arrivals.length, crashes: crashes.times.length, reachedLate: late, soundAnswers: Object.fromEntries(sound.statuses) })
-    code = late > allowedRetries ? 1 : crashes.arrivals.length > 0 ? 0 : 2
+    record.add('ended', { listed: listed.size, broken })
+    code = broken > 0 ? 1 : listed.size > 0 ? 0 : 2
   }
 } catch (error) {
   record.add('could not run', { error: String(error) })
 } finally {
-  sound.isEnded = true
-  for (const worker of workers) if (worker.isUp) worker.stop()
+  for (const worker of workers) worker.stop()
   await fleet.close()
   record.save()
 }
--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -1,15 +1,18 @@
 /**
- * Sends a request that crashes each worker which begins to run it, again and again, and kills the leading control host between
- * its crashes. Counts the copies that reach workers after the third crash.
+ * Sends a request with a long body that crashes each worker which begins to run it, again and again, and counts the copies that
+ * reach workers after the third crash.
  * @module
  */
 import { fileURLToPath } from 'node:url'
 import { createRecord, sleep, startFleet } from '../support/fleet.mjs'
 import { createCrashes, publish, sendLive, sendSoundRequests, startWorkers } from '../support/platform.mjs'
 
-/** Whether the leader is killed. */
+/** Whether the request crashes workers. */
 const hasTrouble = process.env.TROUBLE !== '0'
 
+/** Length of the body, in bytes; below `max_body_bytes`, 4,194,304. A short body shows that the same request is held back then. */
+const bodyBytes = Number(process.env.BODY_BYTES ?? 270_000)
+
 /** `contact_ms` of the sheet. */
 const contactMs = 4_000
 
@@ -17,31 +20,14 @@
 const allowedRetries = 3
 
 /** Time between two copies of the request, in milliseconds. */
-const intervalMs = 5_000
-
-/** Crashes after which the leader is killed, and the time from the crash to the kill, in milliseconds. */
-const crashesBeforeKill = 2
-const killDelayMs = 2_000
-
-/** Time until the killed process is started again, in milliseconds. */
-const restartMs = 1_000
+const intervalMs = 1_500
 
-const durationMs = 72_000
+const durationMs = 45_000
 const marker = 'this body crashes the worker'
-const path = '/visit-confirm/school-12'
+const path = '/soil-note/compound-7'
 
 const record = createRecord(fileURLToPath(new URL('.', import.meta.url)))
-const crashes = createCrashes({ marker, record, isCrashing: true })
-
-async function killLeader (fleet) {
-  const leader = fleet.findLeader()
-  if (leader === undefined) return record.add('no leader to kill')
-  record.add('leader killed', { host: leader.name })
-  await leader.end('SIGKILL')
-  await sleep(restartMs)
-  leader.start()
-}
-
+const crashes = createCrashes({ marker, record, isCrashing: hasTrouble })
 const fleet = await startFleet(record)
 const sound = { isEnded: false, statuses: new Map() }
 let workers = []
@@ -52,22 +38,16 @@
     await sleep(contactMs)
     const addresses = fleet.gatewayAddresses
     sendSoundRequests(addresses, sound).catch(() => {})
+    const body = marker.padEnd(bodyBytes, '.')
     const endAt = performance.now() + durationMs
-    let isKilled = !hasTrouble
     for (let copy = 0; performance.now() < endAt; copy++) {
-      const { id, status, isComplete } = await sendLive({ address: addresses[copy % addresses.length], body: marker, ownPart: 'e4402b7d:250', path })
+      const { id, status, isComplete } = await sendLive({ address: addresses[copy % addresses.length], body, ownPart: 'e4402b7d:250', path })
       record.add('request answered', { id, status, isComplete })
-      const nextAt = performance.now() + intervalMs
-      if (!isKilled && crashes.times.length >= crashesBeforeKill) {
-        isKilled = true
-        await sleep(killDelayMs)
-        await killLeader(fleet)
-      }
-      await sleep(nextAt - performance.now())
+      await sleep(intervalMs)
     }
     const late = crashes.countArrivalsAfter((crashes.times[2] ?? Infinity) + contactMs)
     record.add('ended', { reached: crashes.arrivals.length, crashes: crashes.times.length, reachedLate: late, soundAnswers: Object.fromEntries(sound.statuses) })
-    code = late > allowedRetries ? 1 : crashes.times.length > 2 ? 0 : 2
+    code = late > allowedRetries ? 1 : crashes.arrivals.length > 0 ? 0 : 2
   }
 } catch (error) {
   record.add('could not run', { error: String(error) })
