--- a/review/support/fleet.mjs
+++ b/review/support/fleet.mjs
@@ -52,6 +52,9 @@
 /** Number of the log event with which a control host names the members of its group. */
 const membersChangedEvent = 206
 
+/** Exit code of a case that could not run. */
+const couldNotRun = 2
+
 const firstPort = 12_000
 const lastPort = 30_000
 
@@ -256,6 +259,11 @@
       setTimeout(restart, 5_000).unref()
     }
   }
+  // Also when the case is stopped from outside.
+  process.once('exit', () => {
+    for (const { child } of processes) child?.kill('SIGKILL')
+  })
+  for (const signal of ['SIGTERM', 'SIGINT']) process.once(signal, () => process.exit(couldNotRun))
   const ofRole = role => processes.filter(started => started.role === role)
   return {
     processes,
