--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -13,7 +13,7 @@
 /** Time for which a host that loses its disk is down, in milliseconds; the sheet names 3 s. */
 const downMs = 1_000
 
-/** Time from the return of a host to the next loss, in milliseconds; longer than `catchup_s`, 4.5 s. */
+/** Time from the return of a host to the next loss, in milliseconds; longer than `catchup_s`, 4.6 s. */
 const catchUpMs = 7_000
 
 /** `recover_s` of the sheet, in milliseconds. */
@@ -25,7 +25,7 @@
 /** Rounds of two losses of one host, until the second one comes as the host is about to be a full member again. */
 const rounds = 4
 
-const job = 'round-sheets-of-today'
+const job = 'briefings-of-today'
 const items = 10
 const events = 20
 const eventIntervalMs = 5
--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -57,7 +57,7 @@
     const answer = await send({
       address,
       method: 'POST',
-      path: '/visit-confirm/school-12',
+      path: '/permit-confirm/school-12',
       headers: { host: routeHost, 'x-request-id': id, 'x-deadline-ms': '5000', 'x-model': 'm', 'x-token-usage': '450,40', 'content-length': 6 },
       body: 'prompt',
       timeoutMs: 6_000,
--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -24,7 +24,7 @@
 
 const durationMs = 45_000
 const marker = 'this body crashes the worker'
-const path = '/soil-note/compound-7'
+const path = '/site-check/school-7'
 
 const record = createRecord(fileURLToPath(new URL('.', import.meta.url)))
 const crashes = createCrashes({ marker, record, isCrashing: hasTrouble })
--- a/review/support/fleet.mjs
+++ b/review/support/fleet.mjs
@@ -12,13 +12,13 @@
 
 const root = fileURLToPath(new URL('../..', import.meta.url))
 
-/** Bounds of the deployment sheet of Habimana Rounds. */
+/** Bounds of the deployment sheet of Rothar Rack Install Scheduling. */
 const bounds = {
   seed_lag_s: 3,
   reuse_after_s: 2,
   contact_ms: 4000,
   ack_ms: 5000,
-  catchup_s: 4.5,
+  catchup_s: 4.6,
   drain_ms: 2500,
   grace_s: 8,
   loss_slack_ms: 200,
@@ -37,7 +37,7 @@
 }
 
 /** Regions by zone, as on the sheet. */
-export const regions = { 'kigali-gasabo': 'kigali', 'kigali-kicukiro': 'kigali', 'musanze-muhoza': 'musanze' }
+export const regions = { 'dublin-north': 'leinster', 'cork-city': 'munster', kildare: 'leinster' }
 
 /** Zones of the deployment. */
 export const zones = Object.keys(regions)
--- a/review/support/platform.mjs
+++ b/review/support/platform.mjs
@@ -11,7 +11,7 @@
 export const routeHost = 'nony24.example'
 
 /** Name of the service. */
-export const serviceName = 'rounds-assistant'
+export const serviceName = 'rack-assist'
 
 /** Slots of a worker, and requests that it queues beyond them. */
 const slots = 8
@@ -87,11 +87,11 @@
   const configuration = {
     version: 7,
     routes: [
-      { ...live, name: 'soil-note', path_prefix: '/soil-note/', max_attempts: 2, resumable: true },
-      { ...live, name: 'visit-confirm', path_prefix: '/visit-confirm/', max_attempts: 1, resumable: false },
-      { name: 'round-sheet', host: routeHost, path_prefix: '/round-sheet/', kind: 'batch', timeout_ms: 15000, slo_ms: 400, priority: 2, service: serviceName, max_attempts: 3, max_queued: 950000, run_target_ms: 18000, max_wait_s: 60 }
+      { ...live, name: 'site-check', path_prefix: '/site-check/', max_attempts: 2, resumable: true },
+      { ...live, name: 'permit-confirm', path_prefix: '/permit-confirm/', max_attempts: 1, resumable: false },
+      { name: 'crew-briefing', host: routeHost, path_prefix: '/crew-briefing/', kind: 'batch', timeout_ms: 15000, slo_ms: 400, priority: 2, service: serviceName, max_attempts: 3, max_queued: 1000000, run_target_ms: 18000, max_wait_s: 60 }
     ],
-    services: [{ name: serviceName, health_path: '/healthz', max_conns: 380, protocol: 'h1', tls: false, engine: { slots, kv_capacity: 72000, max_queued: queueLimit, models: [{ name: 'm' }] } }],
+    services: [{ name: serviceName, health_path: '/healthz', max_conns: 390, protocol: 'h1', tls: false, engine: { slots, kv_capacity: 72000, max_queued: queueLimit, models: [{ name: 'm' }] } }],
     limits: { header_bytes: 16384, max_body_bytes: 4194304, header_timeout_ms: 3000, idle_timeout_ms: 15000 }
   }
   const deadline = performance.now() + 30_000
@@ -228,7 +228,7 @@
  */
 export function createItems (job, count, body) {
   return Array.from({ length: count }, (_, index) => ({
-    id: `${job}-${index}`, path: `/round-sheet/${job}/${index}`, headers: { 'X-Model': 'm', 'X-Token-Usage': '250,60' }, body: Buffer.from(body).toString('base64'), tokens: 310
+    id: `${job}-${index}`, path: `/crew-briefing/${job}/${index}`, headers: { 'X-Model': 'm', 'X-Token-Usage': '250,60' }, body: Buffer.from(body).toString('base64'), tokens: 310
   }))
 }
 
@@ -241,7 +241,7 @@
   const body = JSON.stringify({ items })
   for (let attempt = 0; attempt < 20; attempt++) {
     const address = gatewayAddresses[Math.floor(Math.random() * gatewayAddresses.length)]
-    const { status } = await send({ address, method: 'POST', path: `/round-sheet/${id}`, headers: { host: routeHost, 'x-request-id': id, 'content-type': 'application/json', 'content-length': Buffer.byteLength(body), 'x-deadline-ms': '4000' }, body, timeoutMs: 4_000 })
+    const { status } = await send({ address, method: 'POST', path: `/crew-briefing/${id}`, headers: { host: routeHost, 'x-request-id': id, 'content-type': 'application/json', 'content-length': Buffer.byteLength(body), 'x-deadline-ms': '4000' }, body, timeoutMs: 4_000 })
     record.add('job sent', { id, items: items.length, status })
     if (status === 202) return true
     await sleep(300)
@@ -336,7 +336,7 @@
   while (!traffic.isEnded) {
     const part = randomBytes(4).toString('hex')
     const address = addresses[Math.floor(Math.random() * addresses.length)]
-    sendLive({ address, path: `/soil-note/${part}`, body: 'a sound prompt', ownPart: `${part}:250` }).then(({ status }) => {
+    sendLive({ address, path: `/site-check/${part}`, body: 'a sound prompt', ownPart: `${part}:250` }).then(({ status }) => {
       traffic.statuses.set(status, (traffic.statuses.get(status) ?? 0) + 1)
     })
     await sleep(100)
