Metrics: responses by procedure, responses in vain, interrupted calls and time spent on plans

Change: counters for responses whose connection was closed before they were ready, for calls that end because another call on their connection timed out, and for plans of batch items with their duration.

The test fails without the change: the log line has no such fields.

--- a/src/connection/callConnection.ts
+++ b/src/connection/callConnection.ts
@@ -26,6 +26,8 @@
    * @returns the value; rejects with the error of the procedure or of the connection
    */
   call (procedure: string, input: unknown, isCompressed: boolean): Promise<unknown>
+  /** Number of calls that wait for a response. */
+  readonly pendingCalls: number
   /** Closes the connection and rejects pending calls; later calls are rejected too. */
   destroy (): void
 }
@@ -92,6 +94,7 @@
   }
 
   return {
+    get pendingCalls () { return pending.size },
     async call (procedure, input, isCompressed) {
       if (isDestroyed()) throw new CallError('ECONNRESET', `the connection to ${address} is closed`)
       const number = ++lastNumber
--- a/src/connection/callServer.ts
+++ b/src/connection/callServer.ts
@@ -75,5 +75,7 @@
   const frame = encoded instanceof Promise ? await encoded : encoded
   metrics.count(Counter.Responses, procedure)
   metrics.count(Counter.ResponseBytes, procedure, frame.length)
+  // The caller has given up the call and may have repeated it, so the work for this response was in vain.
+  if (socket.destroyed) metrics.count(Counter.UnsentResponses, procedure)
   writeFrame(socket, frame)
 }
--- a/src/connection/internalClient.ts
+++ b/src/connection/internalClient.ts
@@ -8,6 +8,7 @@
 import { err, ok, ResultAsync } from 'neverthrow'
 import { createFailure, type Failure, FailureReason, type Step, toFailure } from '../process/program/failure.ts'
 import type { Lifecycle } from '../process/program/lifecycle.ts'
+import { Counter, type Metrics } from '../process/program/metrics.ts'
 import { type CallConnection, createCallConnection } from './callConnection.ts'
 import { compressionThresholdBytes } from './frames.ts'
 import { fromReply, type Reply } from './reply.ts'
@@ -64,9 +65,10 @@
  * Creates the clients.
  * @param lifecycle - closes the connections
  * @param thresholdBytes - minimum length of a message that is compressed, in bytes; Infinity for never
+ * @param metrics - counts the calls that end because another call on their connection has timed out
  * @returns the clients
  */
-export function createInternalClients (lifecycle: Lifecycle, thresholdBytes = compressionThresholdBytes): InternalClients {
+export function createInternalClients (lifecycle: Lifecycle, thresholdBytes = compressionThresholdBytes, metrics?: Metrics): InternalClients {
   const channels = new Map<string, Channel>()
 
   function getOrCreateChannel (address: string, trafficClass: TrafficClass): Channel {
@@ -84,6 +86,8 @@
     const channel = channels.get(name)
     if (channel === undefined) return
     channels.delete(name)
+    // The call that has timed out is pending too.
+    metrics?.count(Counter.InterruptedCalls, trafficClass, channel.connection.pendingCalls - 1)
     channel.connection.destroy()
   }
 
--- a/src/process/entry/daemon.ts
+++ b/src/process/entry/daemon.ts
@@ -6,6 +6,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import { createControlClient } from '../../connection/controlClient.ts'
 import { serveInternalCalls } from '../../connection/callServer.ts'
+import { compressionThresholdBytes } from '../../connection/frames.ts'
 import { createInternalClients } from '../../connection/internalClient.ts'
 import { createInternalRouter, type InternalServices } from '../../connection/internalRouter.ts'
 import { createOpenRequests } from '../../connection/openRequests.ts'
@@ -59,7 +60,7 @@
   initializeCounters(metrics)
   const clock = createSystemClock()
   const random = createSystemRandom()
-  const clients = createInternalClients(lifecycle)
+  const clients = createInternalClients(lifecycle, compressionThresholdBytes, metrics)
   const control = createControlClient({ controlHosts: settings.controlHosts, clients, clock, random, metrics, signal: lifecycle.signal })
   const openRequests = createOpenRequests()
   const services: InternalServices = { controlHost: undefined, shareReceiver: undefined, dispatchReceiver: undefined }
--- a/src/process/fleet/batchRunner.ts
+++ b/src/process/fleet/batchRunner.ts
@@ -15,7 +15,7 @@
 import { createFailure, type Failure, FailureReason, Step } from '../program/failure.ts'
 import { LogEvents } from '../program/logEvents.ts'
 import { runContained } from '../program/unexpectedErrors.ts'
-import { Counter } from '../program/metrics.ts'
+import { Counter, microsecondsPerMillisecond } from '../program/metrics.ts'
 import type { ProcessServices } from '../program/processServices.ts'
 import type { Replica } from '../log/replica.ts'
 import type { SubmittedItem } from '../jobs/submission.ts'
@@ -151,6 +151,13 @@
     return route?.kind === RouteKind.Batch ? route : undefined
   }
 
+  function measurePlan (): void {
+    const startedAt = performance.now()
+    plan()
+    metrics.count(Counter.BatchPlans, 'gateway')
+    metrics.count(Counter.BatchPlanning, 'gateway', (performance.now() - startedAt) * microsecondsPerMillisecond)
+  }
+
   function plan (): void {
     const running = groupBy(items.running(), entry => entry.run?.server ?? '')
     const serversByService = groupBy(fleet.listReadyServers(), server => server.service)
@@ -321,7 +328,7 @@
     while (!signal.aborted) {
       // The next wait begins before the planning, so that a change during the planning is not missed.
       const next = waitForEither(applied, fleet.changed, maxPlanIntervalMs, signal)
-      if (prepareTerm()) plan()
+      if (prepareTerm()) measurePlan()
       await clock.sleep(Math.max(minPlanIntervalMs, fleet.reportIntervalMs / maxPlansPerReportInterval), signal)
       await next
     }
--- a/src/process/fleet/fleetDaemon.ts
+++ b/src/process/fleet/fleetDaemon.ts
@@ -6,6 +6,7 @@
 import { Hono } from 'hono'
 import { createControlClient, type ControlClient, type FleetClient, ReadTarget } from '../../connection/controlClient.ts'
 import { type FleetTaskInputs, runCrashReports, runFleetWatch, runLimitReports } from '../../connection/fleetWatch.ts'
+import { compressionThresholdBytes } from '../../connection/frames.ts'
 import { createInternalClients, type InternalClients } from '../../connection/internalClient.ts'
 import { createSystemClock } from '../program/clock.ts'
 import type { RunningDaemon } from '../program/daemonRun.ts'
@@ -69,7 +70,7 @@
   const metrics = createMetrics()
   const clock = createSystemClock()
   const random = createSystemRandom()
-  const clients = createInternalClients(lifecycle)
+  const clients = createInternalClients(lifecycle, compressionThresholdBytes, metrics)
   const view = createFleetView(clock, logger, () => listControlHosts(settings))
   const control = createControlClient({ controlHosts: () => view.controlHosts, readTarget: ReadTarget.Nearest, clients, clock, random, metrics, signal: lifecycle.signal })
   const readiness = { isReady: false }
--- a/src/process/program/metrics.ts
+++ b/src/process/program/metrics.ts
@@ -26,6 +26,10 @@
   Responses: 'jaychute_responses_total',
   ResponseBytes: 'jaychute_response_bytes_total',
   ResponseEncoding: 'jaychute_response_encoding_microseconds_total',
+  UnsentResponses: 'jaychute_unsent_responses_total',
+  InterruptedCalls: 'jaychute_interrupted_calls_total',
+  BatchPlans: 'jaychute_batch_plans_total',
+  BatchPlanning: 'jaychute_batch_planning_microseconds_total',
   UnexpectedErrors: 'jaychute_unexpected_errors_total',
   Syncs: 'jaychute_log_syncs_total',
   DiskFull: 'jaychute_disk_full_total',
@@ -78,6 +82,12 @@
    * @returns the sum of its values over all labels
    */
   sum (counter: Counter): number
+  /**
+   * Lists the values of a counter.
+   * @param counter - the counter
+   * @returns a copy of its values, by label
+   */
+  list (counter: Counter): ReadonlyMap<string, number>
   /**
    * Records a latency.
    * @param latency - the histogram
@@ -126,6 +136,7 @@
       for (const value of counters.get(counter)?.values() ?? []) sum += value
       return sum
     },
+    list: counter => new Map(counters.get(counter)),
     record (latency, durationMs) {
       getHistogram(latency).recordValue(Math.max(0, Math.round(durationMs * microsecondsPerMillisecond)))
     },
--- a/src/process/program/processMonitor.ts
+++ b/src/process/program/processMonitor.ts
@@ -48,34 +48,38 @@
   }
 }
 
-/** Work for other hosts since the start of the process. */
-interface Work {
-  readonly responses: number
-  readonly responseBytes: number
-  readonly encodingMs: number
-  readonly tablesEncoded: number
-}
+/** Counters whose values are reported for each label, and the word that precedes the label in the report. */
+const reportedLabels = [
+  ['responses', Counter.Responses], ['unsent', Counter.UnsentResponses], ['interrupted', Counter.InterruptedCalls],
+  ['failed calls', Counter.ControlCalls], ['failed replication', Counter.ReplicationFailures], ['entries', Counter.LogEntries]
+] as const
+
+/** Work since the start of the process, by name. */
+type Work = ReadonlyMap<string, number>
 
 function readWork (metrics: Metrics): Work {
-  return {
-    responses: metrics.sum(Counter.Responses),
-    responseBytes: metrics.sum(Counter.ResponseBytes),
-    encodingMs: metrics.sum(Counter.ResponseEncoding) / microsecondsPerMillisecond,
-    tablesEncoded: metrics.sum(Counter.TablesEncoded)
+  const work = new Map<string, number>([
+    ['responses', metrics.sum(Counter.Responses)],
+    ['responseBytes', metrics.sum(Counter.ResponseBytes)],
+    ['encodingMs', metrics.sum(Counter.ResponseEncoding) / microsecondsPerMillisecond],
+    ['tablesEncoded', metrics.sum(Counter.TablesEncoded)],
+    ['plans', metrics.sum(Counter.BatchPlans)],
+    ['planningMs', metrics.sum(Counter.BatchPlanning) / microsecondsPerMillisecond]
+  ])
+  for (const [word, counter] of reportedLabels) {
+    for (const [label, value] of metrics.list(counter)) work.set(`${word} ${label}`, value)
   }
+  return work
 }
 
-// Empty for a process that has sent no response to another host since the last report.
+// Names only the kinds of work that were done since the last report.
 function describeWork (metrics: Metrics, last: Work): Record<string, number> {
-  const work = readWork(metrics)
-  const responses = work.responses - last.responses
-  if (responses === 0) return {}
-  return {
-    responses,
-    responseBytes: work.responseBytes - last.responseBytes,
-    encodingMs: Math.round(work.encodingMs - last.encodingMs),
-    tablesEncoded: work.tablesEncoded - last.tablesEncoded
+  const done: Record<string, number> = {}
+  for (const [name, value] of readWork(metrics)) {
+    const amount = Math.round(value - (last.get(name) ?? 0))
+    if (amount > 0) done[name] = amount
   }
+  return done
 }
 
 function describeMemory (): Record<string, number> {
--- a/test/processMonitor.test.ts
+++ b/test/processMonitor.test.ts
@@ -39,6 +39,25 @@
     await monitor
   })
 
+  // Guards against an overloaded host whose log cannot tell which calls it serves and whether anyone still waits for the responses.
+  it('names the kinds of work that were done since the last report', async () => {
+    const controller = new AbortController()
+    const metrics = createMetrics()
+    metrics.count(Counter.Responses, 'control.read', 3)
+    const monitor = runProcessMonitor({ clock, logger, metrics }, controller.signal)
+    metrics.count(Counter.Responses, 'control.execute', 5)
+    metrics.count(Counter.UnsentResponses, 'control.execute', 4)
+    metrics.count(Counter.InterruptedCalls, 'batch', 2)
+    metrics.count(Counter.BatchPlans, 'gateway', 7)
+    await clock.advance(5_200)
+    const inputs = written.find(line => line.event === LogEvents.resourcesUsed)?.fields.inputs ?? {}
+    expect(inputs).to.include({ responses: 5, 'responses control.execute': 5, 'unsent control.execute': 4, 'interrupted batch': 2, plans: 7 })
+    expect(inputs).not.to.have.property('responses control.read')
+    controller.abort()
+    await runPendingTasks()
+    await monitor
+  })
+
   // Guards against a loss of leadership whose logs cannot tell a large request from a silent peer.
   it('reports requests to a replica that take long or fail, at most one for each interval', async () => {
     const metrics = createMetrics()
