Jobs: append a submission to the log once, however often it is repeated

Cause: callers and gateways repeat a submission that takes long. The leader appended each repetition to the log with all items of the job, some 150 KB, compressed and sent it to five followers, and recognised it only when it was applied. So the repetitions made all submissions late, which were then repeated. Class: work is repeated before its first execution is known to have failed, at the price of the first.

Change: the leader answers a repetition of an applied submission or end of a job after a confirmed read, and lets one of a command that is not decided yet wait for the first.

--- a/src/process/jobs/submissions.ts
+++ b/src/process/jobs/submissions.ts
@@ -5,7 +5,7 @@
  */
 import { countCharacters } from '../program/chunk.ts'
 import type { SavedProgress, SubmissionHeader, SubmittedItem } from './submission.ts'
-import { type CommandOf, done, Ending, type FinishedItem, notFound, type Outcome, OutcomeKind } from '../state/commands.ts'
+import { CommandKind, type CommandOf, done, Ending, type FinishedItem, notFound, type Outcome, OutcomeKind } from '../state/commands.ts'
 
 /** Result of an item. */
 export interface ItemResult {
@@ -49,6 +49,18 @@
   return { jobs: new Map(), waitingTokens: new Map(), outputCharacters: 0 }
 }
 
+/**
+ * Finds the outcome of a command that repeats an applied one.
+ * @param state - the jobs
+ * @param command - the submission or the end of a job
+ * @returns the outcome, or undefined if the command may change the state
+ */
+export function findOutcomeOfRepetition (state: Submissions, command: CommandOf<'submit'> | CommandOf<'end submission'>): Outcome | undefined {
+  if (command.kind === CommandKind.EndSubmission) return state.jobs.get(command.job)?.ended === true ? done : undefined
+  const { id } = command.submission
+  return state.jobs.has(id) ? { kind: OutcomeKind.Job, job: id } : undefined
+}
+
 /**
  * Accepts a job. A retry is accepted without effect.
  * @param state - the jobs
@@ -56,8 +68,9 @@
  * @returns the job, or a limit if its tokens exceed the token limit of the route
  */
 export function submit (state: Submissions, command: CommandOf<'submit'>): Outcome {
+  const repeated = findOutcomeOfRepetition(state, command)
+  if (repeated !== undefined) return repeated
   const { submission, tokenLimit, time, giveUpMs } = command
-  if (state.jobs.has(submission.id)) return { kind: OutcomeKind.Job, job: submission.id }
   let tokens = 0
   for (const item of submission.items) tokens += item.tokens
   const key = createRouteKey(submission)
@@ -179,9 +192,10 @@
  * @returns done, or not found
  */
 export function endSubmission (state: Submissions, command: CommandOf<'end submission'>): Outcome {
+  const repeated = findOutcomeOfRepetition(state, command)
+  if (repeated !== undefined) return repeated
   const record = state.jobs.get(command.job)
   if (record === undefined) return notFound
-  if (record.ended) return done
   record.ended = true
   for (const id of record.progress.keys()) state.outputCharacters -= countProgressCharacters(record, id)
   record.progress.clear()
--- a/src/process/state/controlHost.ts
+++ b/src/process/state/controlHost.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { err, ok, type Result, type ResultAsync } from 'neverthrow'
+import { assertNever } from '../program/assert.ts'
 import type { Clock } from '../program/clock.ts'
 import { type Command, CommandKind, type CommandOf, type Holder, type Outcome, OutcomeKind } from './commands.ts'
 import { type Condition, createCondition } from '../program/condition.ts'
@@ -11,7 +12,7 @@
 import { answerQuery, applyCommand, type ControlState, createControlState } from './controlState.ts'
 import { createFailure, type Failure, FailureReason, Step } from '../program/failure.ts'
 import { type Query, QueryKind, type QueryResponse } from './queries.ts'
-import { isSubmissionClosed } from '../jobs/submissions.ts'
+import { findOutcomeOfRepetition, isSubmissionClosed } from '../jobs/submissions.ts'
 import { createIdleUploads } from '../jobs/idleUploads.ts'
 import { createIdleClaims, type IdleClaims } from '../jobs/idleClaims.ts'
 import { createReplica, type Replica, type ReplicaInputs, ReplicaRole } from '../log/replica.ts'
@@ -44,6 +45,9 @@
   readonly applied?: (command: Command) => void
 }
 
+/** A command of a gateway or an operator that has the same outcome when it is repeated. */
+type RepeatableCommand = CommandOf<'publish'> | CommandOf<'submit'> | CommandOf<'end submission'>
+
 /** Conditions that are notified when commands are applied. */
 interface StateConditions {
   /** Notified when a response to a poll may have changed: configuration, cancelled jobs, entry hosts or leadership. */
@@ -114,8 +118,8 @@
   // Separate from `stateChanged`: every poll notifies this, and waking all held polls for each poll would take
   // quadratic time in the number of hosts.
   const pollReceived = createCondition()
-  // Proposals that are not decided yet, by version and digest.
-  const pendingPublications = new Map<string, ResultAsync<Outcome, Failure>>()
+  // Proposals that are not decided yet, by what identifies their repetitions.
+  const pendingProposals = new Map<string, ResultAsync<Outcome, Failure>>()
 
   async function execute (command: Command): Promise<Result<Outcome, Failure>> {
     if (replica.state.role !== ReplicaRole.Leader) return err(createNotLeaderFailure(replica, Step.Execute))
@@ -129,11 +133,11 @@
       const emptyOutcome = await idleClaims.waitForItems(command, () => replica.state.role === ReplicaRole.Leader, lifecycle.signal)
       if (emptyOutcome !== undefined) return ok(emptyOutcome)
     }
-    if (command.kind === CommandKind.Publish) {
-      // An operator repeats a publication until it is acknowledged; a large document must not be appended each time.
-      const unchanged = findOutcomeWithoutChange(state, command)
-      if (unchanged !== undefined) return (await replica.confirmRead()).map(() => unchanged)
-      return await proposePublication(command)
+    if (isRepeatable(command)) {
+      // Callers repeat what takes long. A repetition must not add an entry: the entries of submissions and publications are large.
+      const repeated = findOutcomeWithoutEntry(state, command)
+      if (repeated !== undefined) return (await replica.confirmRead()).map(() => repeated)
+      return await proposeOnce(command)
     }
     const outcome = await replica.propose(addTimestamp(command, clock))
     if (outcome.isErr() || command.kind !== CommandKind.CancelJob) return outcome
@@ -141,15 +145,14 @@
     return confirmation.andThen(() => outcome)
   }
 
-  async function proposePublication (command: CommandOf<'publish'>): Promise<Result<Outcome, Failure>> {
-    const { tables: { version }, digest } = command.publication
-    const key = `${version} ${digest}`
-    const pending = pendingPublications.get(key)
+  async function proposeOnce (command: RepeatableCommand): Promise<Result<Outcome, Failure>> {
+    const key = identifyRepetitions(command)
+    const pending = pendingProposals.get(key)
     if (pending !== undefined) return await pending
-    const proposed = replica.propose(command)
-    pendingPublications.set(key, proposed)
+    const proposed = replica.propose(addTimestamp(command, clock))
+    pendingProposals.set(key, proposed)
     const outcome = await proposed
-    pendingPublications.delete(key)
+    pendingProposals.delete(key)
     return outcome
   }
 
@@ -293,6 +296,23 @@
   return createFailure(FailureReason.NotLeader, { step, peer: address, alternative: leaderAddress }, 'this control host is not the leader')
 }
 
+function isRepeatable (command: Command): command is RepeatableCommand {
+  return command.kind === CommandKind.Publish || command.kind === CommandKind.Submit || command.kind === CommandKind.EndSubmission
+}
+
+function findOutcomeWithoutEntry (state: ControlState, command: RepeatableCommand): Outcome | undefined {
+  return command.kind === CommandKind.Publish ? findOutcomeWithoutChange(state, command) : findOutcomeOfRepetition(state.submissions, command)
+}
+
+function identifyRepetitions (command: RepeatableCommand): string {
+  switch (command.kind) {
+    case CommandKind.Publish: return `${command.kind} ${command.publication.tables.version} ${command.publication.digest}`
+    case CommandKind.Submit: return `${command.kind} ${command.submission.id}`
+    case CommandKind.EndSubmission: return `${command.kind} ${command.job}`
+    default: return assertNever(command)
+  }
+}
+
 function addTimestamp (command: Command, clock: Clock): Command {
   return 'time' in command ? { ...command, time: clock.wallTime() } : command
 }
