Calls between hosts: a late call is no failure of its connection or host

Callers saw: reads of jobs refused with 503 while the system was overloaded, three of four of them after 'connection reset' although no connection was disturbed; live requests refused by gateways without tables; jobs refused after 'not leader' though the leader had not changed.

Cause: a call that timed out closed the connection that it shared with all calls of its traffic class, so each of them failed and was repeated at another control host. It also put its host into a backoff of 2 s for calls of all kinds, so that a slow submission sent the polls of a gateway to control hosts that do not lead until its session of 1.5 s had ended. Class: slowness is taken for failure, and the reaction adds load.

Change: a call that times out ends alone. When nothing has arrived on its connection since it was sent, later calls use a new connection and the old one closes with its last call. A host that has responded to any call in the last 600 ms is late, not unresponsive: it is not avoided, and a command of a gateway waits for it up to the time limit of the command instead of being sent again after 800 ms. A host that has gone silent is noticed as before.

Evidence: three tests of lateCalls failed before (eight of eight other calls reset; two connections instead of one; polls to another host and a second submission) and pass now. The test of the submission expects the reason 'late' where it had expected 'timeout', which now says that the host is silent. The counter of interrupted calls is replaced by one of replaced connections, as no call is interrupted any more.

--- a/src/connection/callConnection.ts
+++ b/src/connection/callConnection.ts
@@ -23,11 +23,17 @@
    * @param procedure - path of the procedure
    * @param input - input of the procedure
    * @param isCompressed - whether the large parts of the input are compressed already
-   * @returns the value; rejects with the error of the procedure or of the connection
+   * @param signal - gives up the call; the other calls on the connection go on
+   * @returns the value; rejects with the error of the procedure or of the connection, or when the signal aborts
    */
-  call (procedure: string, input: unknown, isCompressed: boolean): Promise<unknown>
-  /** Number of calls that wait for a response. */
-  readonly pendingCalls: number
+  call (procedure: string, input: unknown, isCompressed: boolean, signal: AbortSignal | undefined): Promise<unknown>
+  /** Monotonic time at which the last bytes arrived, in milliseconds; -Infinity before the first. */
+  readonly lastReceivedAt: number
+  /**
+   * Closes the connection once no call waits for a response. There must be no later calls.
+   * @param closed - called when it is closed
+   */
+  retire (closed: () => void): void
   /** Closes the connection and rejects pending calls; later calls are rejected too. */
   destroy (): void
 }
@@ -57,6 +63,8 @@
   let lastNumber = 0
   let socket: Socket | undefined
   let destroyed = false
+  let lastReceivedAt = -Infinity
+  let handleRetired: (() => void) | undefined
 
   // A function, since the compiler would assume that the variable is still false after an await.
   function isDestroyed (): boolean {
@@ -76,17 +84,37 @@
       socket = undefined
       rejectAll(failure ?? new CallError('ECONNRESET', `the connection to ${address} ended`))
     })
+    opened.on('data', () => { lastReceivedAt = performance.now() })
     readMessages(opened, message => {
       const [number, value, error] = message as ResponseMessage
-      const call = pending.get(number)
-      if (call === undefined) return
-      pending.delete(number)
-      if (error === undefined) call.resolve(value)
-      else call.reject(new Error(error))
+      const call = take(number)
+      if (error === undefined) call?.resolve(value)
+      else call?.reject(new Error(error))
     })
     return opened
   }
 
+  function take (number: number): PendingCall | undefined {
+    const call = pending.get(number)
+    pending.delete(number)
+    closeIfRetired()
+    return call
+  }
+
+  function closeIfRetired (): void {
+    if (handleRetired === undefined || pending.size > 0) return
+    destroy()
+    handleRetired()
+  }
+
+  function destroy (): void {
+    destroyed = true
+    const openSocket = socket
+    socket = undefined
+    openSocket?.destroy()
+    rejectAll(new CallError('ECONNRESET', `the connection to ${address} was closed`))
+  }
+
   function rejectAll (error: Error): void {
     const calls = [...pending.values()]
     pending.clear()
@@ -94,27 +122,28 @@
   }
 
   return {
-    get pendingCalls () { return pending.size },
-    async call (procedure, input, isCompressed) {
+    get lastReceivedAt () { return lastReceivedAt },
+    async call (procedure, input, isCompressed, signal) {
       if (isDestroyed()) throw new CallError('ECONNRESET', `the connection to ${address} is closed`)
       const number = ++lastNumber
       const message: CallMessage = [number, procedure, input]
       const encoded = encodeMessage(message, isCompressed ? Infinity : thresholdBytes)
       const frame = encoded instanceof Promise ? await encoded : encoded
-      // The connection may have been destroyed while the message was compressed.
+      // The connection may have been destroyed, or the call given up, while the message was compressed.
       if (isDestroyed()) throw new CallError('ECONNRESET', `the connection to ${address} is closed`)
+      if (signal?.aborted === true) throw new CallError('ABORT_ERR', 'the call was given up')
       return await new Promise((resolve, reject) => {
+        const giveUp = (): void => take(number)?.reject(new CallError('ABORT_ERR', 'the call was given up'))
+        signal?.addEventListener('abort', giveUp, { once: true })
         pending.set(number, { resolve, reject })
         socket ??= open()
         writeFrame(socket, frame)
       })
     },
-    destroy () {
-      destroyed = true
-      const openSocket = socket
-      socket = undefined
-      openSocket?.destroy()
-      rejectAll(new CallError('ECONNRESET', `the connection to ${address} was closed`))
-    }
+    retire (closed) {
+      handleRetired = closed
+      closeIfRetired()
+    },
+    destroy
   }
 }
--- a/src/connection/controlClient.ts
+++ b/src/connection/controlClient.ts
@@ -53,7 +53,10 @@
 /** Commands of the gateway, which are retried on another control host when one does not respond soon. */
 const gatewayCommands: ReadonlySet<CommandKind> = new Set([CommandKind.Publish, CommandKind.Submit, CommandKind.EndSubmission])
 
-/** Timeout for one attempt of a gateway command, in milliseconds: several round trips between regions. */
+/**
+ * Timeout for one attempt of a gateway command at a host that does not respond to other calls either, in milliseconds: several round trips
+ * between regions. A leader that responds is busy with the command already.
+ */
 const gatewayAttemptTimeoutMs = 800
 
 function selectTrafficClass (command: Command): TrafficClass {
@@ -217,8 +220,8 @@
   function handleCallFailure (address: string, failure: Failure, sentAt: number): void {
     metrics.count(Counter.ControlCalls, failure.reason)
     if (isUnresponsive(failure)) recordUnresponsive(address, sentAt)
-    // The leader responded; other hosts have not confirmed a change yet.
-    if (address !== leader || failure.reason === FailureReason.Unconfirmed) return
+    // The leader responded: other hosts have not confirmed a change yet, or it is late with this call only.
+    if (address !== leader || failure.reason === FailureReason.Unconfirmed || failure.reason === FailureReason.Late) return
     if (failure.alternative !== undefined) recordNamedLeader(failure.alternative, address)
     if (failure.alternative !== undefined && failure.alternative !== leader && !hasFailedRecently(failure.alternative)) {
       leader = failure.alternative
@@ -265,11 +268,11 @@
     return result
   }
 
-  async function retry<Value> (timeoutMs: number, step: Step, call: (address: string) => PromiseLike<Result<Value, Failure>>): Promise<Result<Value, Failure>> {
+  async function retry<Value> (timeoutMs: number, step: Step, call: (address: string, remainingMs: number) => PromiseLike<Result<Value, Failure>>): Promise<Result<Value, Failure>> {
     const deadline = clock.now() + timeoutMs
     let failure: Failure | undefined
     while (clock.now() < deadline && !signal.aborted) {
-      const result = await callOnce(call)
+      const result = await callOnce(address => call(address, deadline - clock.now()))
       if (result.isOk()) return result
       failure = result.error
       await clock.sleep(random.next() * maxRetryDelayMs, signal)
@@ -307,9 +310,9 @@
   }
 
   return {
-    execute: (command, timeoutMs = 10_000) => retry(timeoutMs, Step.Execute, address =>
-      clients.callReply<Outcome>(address, selectTrafficClass(command), Step.Execute, gatewayCommands.has(command.kind) ? Math.min(timeoutMs, gatewayAttemptTimeoutMs) : timeoutMs, (client, abort) =>
-        client.control.execute.mutate(command, { signal: abort }))),
+    execute: (command, timeoutMs = 10_000) => retry(timeoutMs, Step.Execute, (address, remainingMs) =>
+      clients.callReply<Outcome>(address, selectTrafficClass(command), Step.Execute, gatewayCommands.has(command.kind) ? Math.min(remainingMs, gatewayAttemptTimeoutMs) : timeoutMs, (client, abort) =>
+        client.control.execute.mutate(command, { signal: abort }), gatewayCommands.has(command.kind) ? remainingMs : timeoutMs)),
     async read (query, timeoutMs = 5_000) {
       if (inputs.readTarget === ReadTarget.Nearest) return await readNearest(query, timeoutMs)
       return await retry(timeoutMs, Step.Read, address => callRead(address, query, callTimeoutMs))
--- a/src/connection/internalClient.ts
+++ b/src/connection/internalClient.ts
@@ -1,6 +1,7 @@
 /**
  * The tRPC client for calls to other hosts. Each pair of peer and traffic class has a connection of its own, and every call
- * has a timeout, so that an unresponsive connection is closed and replaced.
+ * has a timeout, so that an unresponsive connection is replaced. A late call gives up nothing but itself: the other calls on its
+ * connection wait for their own timeouts, and a host that responds to them does not count as unresponsive.
  * @module
  */
 import { createTRPCClient, TRPCClientError, type TRPCLink } from '@trpc/client'
@@ -24,6 +25,12 @@
 /** Context of a call whose input must not be compressed again. */
 export const compressedInputContext: Readonly<Record<string, boolean>> = { [compressedInputKey]: true }
 
+/**
+ * Time after a response for which a host counts as responsive, in milliseconds. A host that has no news for another one still responds to
+ * its long poll after 500 ms.
+ */
+const responsiveMs = 600
+
 type Client = ReturnType<typeof createTRPCClient<InternalRouter>>
 
 /** Clients for calls to other hosts. */
@@ -35,11 +42,12 @@
    * @param step - the step named in failures
    * @param timeoutMs - timeout for the call, in milliseconds
    * @param call - calls the procedure
-   * @returns the value, or a failure
+   * @param maxTimeoutMs - timeout while the host responds to other calls, in milliseconds; `timeoutMs` by default
+   * @returns the value, or a failure; its reason is `Late` if the host responds to other calls
    */
   call<Value> (
     address: string, trafficClass: TrafficClass, step: Step, timeoutMs: number,
-    call: (client: Client, signal: AbortSignal) => Promise<Value>
+    call: (client: Client, signal: AbortSignal) => Promise<Value>, maxTimeoutMs?: number
   ): ResultAsync<Value, Failure>
   /**
    * Calls a procedure that returns a reply.
@@ -48,11 +56,12 @@
    * @param step - the step named in failures
    * @param timeoutMs - timeout for the call, in milliseconds
    * @param call - calls the procedure
+   * @param maxTimeoutMs - timeout while the host responds to other calls, in milliseconds; `timeoutMs` by default
    * @returns the value of the reply, or the failure of the reply or of the call
    */
   callReply<Value> (
     address: string, trafficClass: TrafficClass, step: Step, timeoutMs: number,
-    call: (client: Client, signal: AbortSignal) => Promise<Reply<Value>>
+    call: (client: Client, signal: AbortSignal) => Promise<Reply<Value>>, maxTimeoutMs?: number
   ): ResultAsync<Value, Failure>
 }
 
@@ -65,11 +74,13 @@
  * Creates the clients.
  * @param lifecycle - closes the connections
  * @param thresholdBytes - minimum length of a message that is compressed, in bytes; Infinity for never
- * @param metrics - counts the calls that end because another call on their connection has timed out
+ * @param metrics - counts the connections that are replaced
  * @returns the clients
  */
 export function createInternalClients (lifecycle: Lifecycle, thresholdBytes = compressionThresholdBytes, metrics?: Metrics): InternalClients {
   const channels = new Map<string, Channel>()
+  // Replaced connections on which calls still wait.
+  const retired = new Set<CallConnection>()
 
   function getOrCreateChannel (address: string, trafficClass: TrafficClass): Channel {
     const name = `${trafficClass} ${address}`
@@ -80,38 +91,58 @@
     return created
   }
 
-  // After a timeout the connection may be unresponsive, so it is closed; the next call opens a new one.
-  function closeChannel (address: string, trafficClass: TrafficClass): void {
+  // The connection may have gone silent, so the next call opens a new one.
+  function replaceConnection (address: string, trafficClass: TrafficClass, connection: CallConnection): void {
     const name = `${trafficClass} ${address}`
-    const channel = channels.get(name)
-    if (channel === undefined) return
+    if (channels.get(name)?.connection !== connection) return
     channels.delete(name)
-    // The call that has timed out is pending too.
-    metrics?.count(Counter.InterruptedCalls, trafficClass, channel.connection.pendingCalls - 1)
-    channel.connection.destroy()
+    metrics?.count(Counter.ReplacedConnections, trafficClass)
+    retired.add(connection)
+    connection.retire(() => retired.delete(connection))
+  }
+
+  function isResponsive (address: string): boolean {
+    const since = performance.now() - responsiveMs
+    for (const trafficClass of Object.values(TrafficClass)) {
+      if ((channels.get(`${trafficClass} ${address}`)?.connection.lastReceivedAt ?? -Infinity) >= since) return true
+    }
+    return false
   }
 
   // Shutdown waits for tasks that are waiting for a response, so the connections are closed before that.
   lifecycle.signal.addEventListener('abort', () => {
-    for (const channel of channels.values()) channel.connection.destroy()
+    for (const { connection } of channels.values()) connection.destroy()
+    for (const connection of retired) connection.destroy()
   }, { once: true })
 
   const clients: InternalClients = {
-    call (address, trafficClass, step, timeoutMs, call) {
-      const { client } = getOrCreateChannel(address, trafficClass)
+    call (address, trafficClass, step, timeoutMs, call, maxTimeoutMs = timeoutMs) {
+      const { client, connection } = getOrCreateChannel(address, trafficClass)
       const origin = { step, peer: address }
-      let isTimedOut = false
-      const timer = setTimeout(() => {
-        isTimedOut = true
-        closeChannel(address, trafficClass)
-      }, timeoutMs)
-      return ResultAsync.fromPromise(call(client, lifecycle.signal).finally(() => clearTimeout(timer)), error => {
-        if (!isTimedOut) return toFailure(error, origin)
-        return createFailure(FailureReason.Timeout, origin, `no answer within ${timeoutMs} ms`, error)
+      const startedAt = performance.now()
+      const cancellation = new AbortController()
+      let timedOut: FailureReason | undefined
+      let timer: NodeJS.Timeout
+
+      function handleTimeout (): void {
+        const remainingMs = startedAt + maxTimeoutMs - performance.now()
+        if (remainingMs > 0 && isResponsive(address)) {
+          timer = setTimeout(handleTimeout, Math.min(remainingMs, responsiveMs))
+          return
+        }
+        timedOut = isResponsive(address) ? FailureReason.Late : FailureReason.Timeout
+        if (connection.lastReceivedAt < startedAt) replaceConnection(address, trafficClass, connection)
+        cancellation.abort(timedOut)
+      }
+
+      timer = setTimeout(handleTimeout, timeoutMs)
+      return ResultAsync.fromPromise(call(client, cancellation.signal).finally(() => clearTimeout(timer)), error => {
+        if (timedOut === undefined) return toFailure(error, origin)
+        return createFailure(timedOut, origin, `no answer within ${Math.round(performance.now() - startedAt)} ms`, error)
       })
     },
-    callReply (address, trafficClass, step, timeoutMs, call) {
-      return clients.call(address, trafficClass, step, timeoutMs, call).andThen(reply => {
+    callReply (address, trafficClass, step, timeoutMs, call, maxTimeoutMs) {
+      return clients.call(address, trafficClass, step, timeoutMs, call, maxTimeoutMs).andThen(reply => {
         if (reply === undefined) return err(createFailure(FailureReason.Invalid, { step, peer: address }, 'empty answer'))
         return fromReply(reply)
       }).andThen(value => ok(value))
@@ -127,7 +158,7 @@
 
 function createLink (connection: CallConnection): TRPCLink<InternalRouter> {
   return () => ({ op }) => observable(observer => {
-    connection.call(op.path, op.input, op.context[compressedInputKey] === true).then(data => {
+    connection.call(op.path, op.input, op.context[compressedInputKey] === true, op.signal ?? undefined).then(data => {
       observer.next({ result: { type: 'data', data } })
       observer.complete()
     }, (error: Error) => observer.error(TRPCClientError.from(error)))
--- a/src/process/program/failure.ts
+++ b/src/process/program/failure.ts
@@ -7,6 +7,8 @@
 /** Why an operation failed. */
 export const FailureReason = {
   Timeout: 'timeout',
+  /** The host has not responded to a call in time, but responds to others. */
+  Late: 'late',
   Refused: 'connection refused',
   Reset: 'connection reset',
   Aborted: 'aborted',
--- a/test/lateCalls.test.ts
+++ b/test/lateCalls.test.ts
@@ -11,6 +11,7 @@
 import { createLifecycle, type Lifecycle } from '../src/process/program/lifecycle.ts'
 import { createMetrics } from '../src/process/program/metrics.ts'
 import { createSeededRandom } from '../src/process/program/random.ts'
+import { eventually } from '../scripts/processes.ts'
 import { CommandKind } from '../src/process/state/commands.ts'
 import { QueryKind } from '../src/process/state/queries.ts'
 
@@ -29,6 +30,8 @@
   /** Calls received, in order. */
   readonly calls: readonly CallMessage[]
   readonly connections: number
+  /** Number of connections that are open. */
+  readonly openConnections: number
   /** Procedures that are answered at once. */
   readonly prompt: Set<string>
   /** Responds to all calls received and not answered yet, but the first ones. */
@@ -48,6 +51,7 @@
   const server: Server = createServer({ noDelay: true }, socket => {
     connections++
     sockets.add(socket)
+    socket.once('close', () => sockets.delete(socket))
     socket.on('error', () => {})
     readMessages(socket, message => {
       const call = message as CallMessage
@@ -65,6 +69,7 @@
     calls,
     prompt,
     get connections () { return connections },
+    get openConnections () { return sockets.size },
     respond (skipped = 0) {
       for (const send of unanswered.splice(skipped)) send()
     },
@@ -119,6 +124,7 @@
     const next = callPeer(host, longTimeoutMs)
     await host.receive(2)
     expect(host.connections).to.equal(2)
+    await eventually('the silent connection is closed', longTimeoutMs, () => host.openConnections === 1 ? true : undefined)
     host.respond(1)
     expect((await next).isOk()).to.equal(true)
   })
@@ -154,7 +160,7 @@
       expect((await client.watchFleet({} as never)).isOk()).to.equal(true)
       await new Promise(resolve => setTimeout(resolve, 20))
     }
-    expect((await submission)._unsafeUnwrapErr().reason).to.equal(FailureReason.Timeout)
+    expect((await submission)._unsafeUnwrapErr().reason).to.equal(FailureReason.Late)
     await client.watchFleet({} as never)
     expect(follower.calls.map(([, procedure]) => procedure)).to.deep.equal([])
     expect(leader.calls.filter(([, procedure]) => procedure === 'control.execute')).to.have.lengthOf(1)
--- a/test/processMonitor.test.ts
+++ b/test/processMonitor.test.ts
@@ -47,11 +47,11 @@
     const monitor = runProcessMonitor({ clock, logger, metrics }, controller.signal)
     metrics.count(Counter.Responses, 'control.execute', 5)
     metrics.count(Counter.UnsentResponses, 'control.execute', 4)
-    metrics.count(Counter.InterruptedCalls, 'batch', 2)
+    metrics.count(Counter.ReplacedConnections, 'batch', 2)
     metrics.count(Counter.BatchPlans, 'gateway', 7)
     await clock.advance(5_200)
     const inputs = written.find(line => line.event === LogEvents.resourcesUsed)?.fields.inputs ?? {}
-    expect(inputs).to.include({ responses: 5, 'responses control.execute': 5, 'unsent control.execute': 4, 'interrupted batch': 2, plans: 7 })
+    expect(inputs).to.include({ responses: 5, 'responses control.execute': 5, 'unsent control.execute': 4, 'replaced connections batch': 2, plans: 7 })
     expect(inputs).not.to.have.property('responses control.read')
     controller.abort()
     await runPendingTasks()
