Replication: encode a large entry once for all followers

Cause: entries of more than 32 KB are compressed in the thread pool, and the encoding was kept only after that. The tasks of all followers ask for a new entry at the same time, so each of them encoded and compressed it. Class: work that grows with the number of hosts where one result serves all of them.

Change: a task that asks for an entry whose encoding is under way waits for it.

The test failed before (two buffers).

--- a/src/connection/entryCodec.ts
+++ b/src/connection/entryCodec.ts
@@ -45,6 +45,8 @@
  */
 export function createEntryEncoder (): EntryEncoder {
   const encodedEntries = new Map<Entry, EncodedEntry>()
+  // Large entries are compressed in the thread pool; the tasks of all followers ask for a new entry meanwhile.
+  const encodings = new Map<Entry, Promise<EncodedEntry>>()
   let keptBytes = 0
 
   function keep (entry: Entry, encoded: EncodedEntry): void {
@@ -58,14 +60,22 @@
     }
   }
 
+  async function encodeOnce (entry: Entry): Promise<EncodedEntry> {
+    const encoding = encodings.get(entry) ?? encodeEntry(entry)
+    encodings.set(entry, encoding)
+    try {
+      const encoded = await encoding
+      keep(entry, encoded)
+      return encoded
+    } finally {
+      encodings.delete(entry)
+    }
+  }
+
   return {
     async encode (entries) {
       const encoded: EncodedEntry[] = []
-      for (const entry of entries) {
-        const known = encodedEntries.get(entry) ?? await encodeEntry(entry)
-        keep(entry, known)
-        encoded.push(known)
-      }
+      for (const entry of entries) encoded.push(encodedEntries.get(entry) ?? await encodeOnce(entry))
       return encoded
     },
     findSize: entry => encodedEntries.get(entry)?.bytes.length
--- a/test/logReplication.test.ts
+++ b/test/logReplication.test.ts
@@ -132,4 +132,14 @@
     expect(entriesFrom({ base: emptyPoint, entries }, 1, 10, 256 * 1024)).to.have.lengthOf(1)
     expect(entriesFrom({ base: emptyPoint, entries }, 1, 10, 256 * 1024, countBytes)).to.have.lengthOf(4)
   })
+
+  // Guards against a leader that encodes and compresses each job for each of its followers, since their tasks ask for a new entry at
+  // the same time.
+  it('encodes a large entry once for all followers that ask for it at the same time', async () => {
+    const encoder = createEntryEncoder()
+    const entry = createSubmission(1)
+    const [first, second] = await Promise.all([encoder.encode([entry]), encoder.encode([entry])])
+    expect(first[0]?.bytes).to.be.instanceOf(Uint8Array)
+    expect(second[0]?.bytes).to.equal(first[0]?.bytes)
+  })
 })
