Batch plans: bound the share of time that plans take

Cause: each plan looks up the route of every open item, twice for those that wait, and orders them; plans follow each other at a fixed interval, whatever they cost. Class: periodic work in proportion to the backlog, which is the largest when there is the least time.

Change: the route of a job is looked up once for each version of the tables, and the time of day is read once for each plan. The next plan waits four times as long as the last one took, so that plans take a fifth of the time at the most.

The loop of the test now ends by the clock of the test, which plans that take time advance too; nothing changes for plans that take none.

--- a/src/process/fleet/batchRunner.ts
+++ b/src/process/fleet/batchRunner.ts
@@ -19,7 +19,7 @@
 import type { ProcessServices } from '../program/processServices.ts'
 import type { Replica } from '../log/replica.ts'
 import type { SubmittedItem } from '../jobs/submission.ts'
-import { isSubmissionClosed } from '../jobs/submissions.ts'
+import { isSubmissionClosed, type SubmissionRecord } from '../jobs/submissions.ts'
 import { assertNever } from '../program/assert.ts'
 import type { BackendServerRecord } from './backendServerRegistry.ts'
 import type { FleetLeader } from './fleetLeader.ts'
@@ -43,6 +43,12 @@
  */
 const maxPlansPerReportInterval = 8
 
+/**
+ * Multiple of the duration of a plan that passes before the next one. A plan takes time in proportion to the open items, of which there are the
+ * most when the leader has the least time.
+ */
+const planPauseFactor = 4
+
 /**
  * Size of all results and saved progress from which no item is started, in characters. Two snapshots and the log have to fit on the disk of a
  * control host, which has 64 MB on the first sites, and the state into its heap of 96 MB.
@@ -107,6 +113,8 @@
   let term = -1
   let routes: RouteIndex = new Map()
   let routesVersion = -1
+  // The batch route of each job by the active tables, since a plan asks for it for every open item.
+  let routesByJob = new WeakMap<SubmissionRecord, { readonly route: GatewayRoute | undefined }>()
   let synchronizedIndex = -1
   let isOutputFull = false
 
@@ -144,18 +152,26 @@
     if (tables === undefined || tables.version === routesVersion) return
     routes = createRouteIndex(tables)
     routesVersion = tables.version
+    routesByJob = new WeakMap()
   }
 
   function findRoute ({ record }: OpenItem): GatewayRoute | undefined {
-    const route = matchRoute(routes, record.submission.host, record.submission.pathPrefix)
-    return route?.kind === RouteKind.Batch ? route : undefined
+    const known = routesByJob.get(record)
+    if (known !== undefined) return known.route
+    const matching = matchRoute(routes, record.submission.host, record.submission.pathPrefix)
+    const route = matching?.kind === RouteKind.Batch ? matching : undefined
+    routesByJob.set(record, { route })
+    return route
   }
 
-  function measurePlan (): void {
-    const startedAt = performance.now()
+  // Returns the duration of the plan, in milliseconds.
+  function measurePlan (): number {
+    const startedAt = clock.now()
     plan()
+    const durationMs = clock.now() - startedAt
     metrics.count(Counter.BatchPlans, 'gateway')
-    metrics.count(Counter.BatchPlanning, 'gateway', (performance.now() - startedAt) * microsecondsPerMillisecond)
+    metrics.count(Counter.BatchPlanning, 'gateway', durationMs * microsecondsPerMillisecond)
+    return durationMs
   }
 
   function plan (): void {
@@ -190,7 +206,7 @@
   // Returns the keys of the items that may be started, by service, the most urgent first.
   function groupStartableByService (): Map<string, string[]> {
     const startableByService = new Map<string, string[]>()
-    for (const { key } of orderByUrgency(items.startable(clock.now()).map(getUrgency))) {
+    for (const { key } of orderByUrgency(describeUrgency(items.startable(clock.now())))) {
       const entry = items.find(key)
       if (entry === undefined) continue
       const route = findRoute(entry)
@@ -216,7 +232,7 @@
 
   function describeServer ({ id, slots }: BackendServerRecord, live: number, running: readonly OpenItem[]): PlannedServer {
     // The order counts only when items have to be interrupted.
-    const ordered = live + running.length > slots ? orderByUrgency(running.map(getUrgency)) : running
+    const ordered = live + running.length > slots ? orderByUrgency(describeUrgency(running)) : running
     return {
       id,
       slots,
@@ -227,13 +243,13 @@
     }
   }
 
-  function getUrgency (entry: OpenItem): ItemUrgency {
-    const dueMs = findRoute(entry)?.dueMs ?? 0
-    return {
+  function describeUrgency (entries: readonly OpenItem[]): ItemUrgency[] {
+    const now = clock.wallTime()
+    return entries.map(entry => ({
       key: entry.key,
-      dueInMs: entry.record.submission.acceptedAt + dueMs - clock.wallTime(),
+      dueInMs: entry.record.submission.acceptedAt + (findRoute(entry)?.dueMs ?? 0) - now,
       remainingMs: durationEstimator.estimateRemainingMs(countSavedEvents(entry))
-    }
+    }))
   }
 
   function interrupt (entry: OpenItem | undefined): void {
@@ -328,8 +344,8 @@
     while (!signal.aborted) {
       // The next wait begins before the planning, so that a change during the planning is not missed.
       const next = waitForEither(applied, fleet.changed, maxPlanIntervalMs, signal)
-      if (prepareTerm()) measurePlan()
-      await clock.sleep(Math.max(minPlanIntervalMs, fleet.reportIntervalMs / maxPlansPerReportInterval), signal)
+      const durationMs = prepareTerm() ? measurePlan() : 0
+      await clock.sleep(Math.max(minPlanIntervalMs, fleet.reportIntervalMs / maxPlansPerReportInterval, durationMs * planPauseFactor), signal)
       await next
     }
   })
--- a/test/batchPlanRate.test.ts
+++ b/test/batchPlanRate.test.ts
@@ -13,8 +13,8 @@
 const durationMs = 1_000
 const notificationIntervalMs = 5
 
-/** Counts the plans of a second in which a load report arrives every few milliseconds. */
-async function countPlans (reportIntervalMs: number): Promise<number> {
+/** Counts the plans of a second in which a load report arrives every few milliseconds, and each plan takes some time. */
+async function countPlans (reportIntervalMs: number, planMs = 0): Promise<number> {
   const clock = new FakeClock()
   const lifecycle = createLifecycle()
   const changed = createCondition(clock)
@@ -27,6 +27,7 @@
     getLeadership: () => 'a/1',
     listReadyServers () {
       plans++
+      clock.jump(planMs)
       return []
     }
   } as unknown as FleetLeader
@@ -36,7 +37,8 @@
   })
   await clock.advance(200)
   plans = 0
-  for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += notificationIntervalMs) {
+  const end = clock.now() + durationMs
+  while (clock.now() < end) {
     changed.notify()
     await clock.advance(notificationIntervalMs, notificationIntervalMs)
   }
@@ -54,4 +56,9 @@
     expect(await countPlans(500)).to.be.within(5, durationMs / (500 / 8) + 1)
     expect(await countPlans(40)).to.be.within(40, durationMs / 10 + 1)
   })
+
+  // Guards against a leader with thousands of open items that spends most of its time on plans, so that it has none for anything else.
+  it('leaves four fifths of the time to other work when each plan takes long', async () => {
+    expect(await countPlans(40, 20)).to.be.within(5, durationMs / (5 * 20) + 1)
+  })
 })
