Membership: promote learners on slow connections

Callers saw (in the reproduction): after two disks were lost and, long after, two others with the power of all hosts, no control host ever led again; everything that had been accepted was lost.

Cause: a learner was promoted only when a round of catching up took less than an election timeout of 700 ms. So a host whose disk was lost stayed a learner, and of four voters two more lost disks leave no majority. Besides, a learner that had caught up once counted as caught up however far it fell behind. Class: a condition on speed where one on the state is meant; under load the repair never ends.

Change: a learner is promoted when its log is at most 2.8 s behind, two of the longest requests, it still responds, and its current request has not taken longer than an election timeout.

Evidence: two tests of logLostDisks failed before: 'a confirmed read; 4 voters of 6 members after 30000 ms; the returned hosts are 7 and 7 entries behind' and 'the learner lacks 203 committed entries'; they pass now.

--- a/src/connection/replicaPeer.ts
+++ b/src/connection/replicaPeer.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import type { Clock } from '../process/program/clock.ts'
-import { minElectionTimeoutMs, heartbeatMs } from '../process/log/election.ts'
+import { heartbeatMs } from '../process/log/election.ts'
+import { maxLearnerLagMs } from '../process/log/membership.ts'
 import { entriesFrom, lastIndexOf, termAt } from '../process/log/replicaLog.ts'
 import type { AppendRequest, Transport } from '../process/log/replicaMessages.ts'
 import { type Progress, ReplicaRole, type ReplicaState, type SentRequest } from '../process/log/replicaState.ts'
@@ -121,11 +122,9 @@
   progress.matchIndex = Math.max(progress.matchIndex, index)
   progress.nextIndex = progress.matchIndex + 1
   if (progress.matchIndex >= progress.catchUpTargetIndex) {
-    // A replica is caught up when it received the entries that were new at the start of a round within the minimum election
-    // timeout.
     const now = clock.now()
-    progress.isCaughtUp = now - progress.catchUpStartedAt < minElectionTimeoutMs
-    if (progress.isCaughtUp) progress.isRestoring = false
+    progress.caughtUpAt = progress.catchUpStartedAt
+    if (now - progress.caughtUpAt < maxLearnerLagMs) progress.isRestoring = false
     progress.catchUpTargetIndex = lastIndexOf(state)
     progress.catchUpStartedAt = now
   }
--- a/src/process/log/membership.ts
+++ b/src/process/log/membership.ts
@@ -2,12 +2,19 @@
  * Decision functions of membership changes. Each change adds, removes or promotes one member.
  * @module
  */
-import { votersOf } from './election.ts'
+import { maxElectionTimeoutMs, votersOf } from './election.ts'
 import { type Member, Standing } from './storage.ts'
 
 /** Maximum number of members, including learners. */
 export const maxMembers = 7
 
+/**
+ * Longest time by which the log of a learner that is promoted may be behind, in milliseconds: two requests of which each takes as long as the
+ * longest election timeout. A voter that is further behind would delay commits when others are lost; a learner that is never promoted
+ * leaves the group without a majority.
+ */
+export const maxLearnerLagMs = 2 * maxElectionTimeoutMs
+
 /** Kinds of change. */
 export const ChangeKind = {
   /** Removes an identity whose host has returned with another one. */
--- a/src/process/log/membershipTask.ts
+++ b/src/process/log/membershipTask.ts
@@ -3,10 +3,10 @@
  * @module
  */
 import { err, ok, type Result } from 'neverthrow'
-import { minElectionTimeoutMs } from './election.ts'
+import { maxElectionTimeoutMs, minElectionTimeoutMs } from './election.ts'
 import { type Failure, Step } from '../program/failure.ts'
 import { LogEvents } from '../program/logEvents.ts'
-import { ChangeKind, changeMembers, decideChange, maxMembers, type MembershipChange } from './membership.ts'
+import { ChangeKind, changeMembers, decideChange, maxLearnerLagMs, maxMembers, type MembershipChange } from './membership.ts'
 import { appendEntry, checkLeadership } from './replicaLeadership.ts'
 import { membersIndexOf } from './replicaLog.ts'
 import type { JoinRequest, JoinResponse } from './replicaMessages.ts'
@@ -114,7 +114,11 @@
   for (const member of state.members) {
     const progress = state.progress.get(member.identity)
     if (member.standing !== Standing.Learner || progress === undefined) continue
-    if (progress.isCaughtUp && clock.now() - progress.acknowledgedAt < minElectionTimeoutMs) ready.add(member.identity)
+    const now = clock.now()
+    if (now - progress.acknowledgedAt >= minElectionTimeoutMs || now - progress.caughtUpAt >= maxLearnerLagMs) continue
+    // It responds to heartbeats, but a request with entries has not arrived.
+    if (progress.transfer !== undefined && now - progress.transfer.sentAt >= maxElectionTimeoutMs) continue
+    ready.add(member.identity)
   }
   return ready
 }
--- a/src/process/log/replicaLeadership.ts
+++ b/src/process/log/replicaLeadership.ts
@@ -221,7 +221,7 @@
     confirmedReadRound: 0,
     catchUpTargetIndex: lastIndex,
     catchUpStartedAt: inputs.clock.now(),
-    isCaughtUp: false
+    caughtUpAt: -Infinity
   }
   peers.set(member.identity, controller)
   state.progress.set(member.identity, progress)
--- a/src/process/log/replicaState.ts
+++ b/src/process/log/replicaState.ts
@@ -43,8 +43,8 @@
   catchUpTargetIndex: number
   /** Monotonic time at which the current catch-up round began, in milliseconds. */
   catchUpStartedAt: number
-  /** Whether the last completed catch-up round took less than the shortest election timeout. */
-  isCaughtUp: boolean
+  /** Monotonic time before which all entries are known to have arrived, in milliseconds: the start of the last completed catch-up round; -Infinity before the first. */
+  caughtUpAt: number
 }
 
 /** The state of a replica. It is owned by the replica; the peer tasks read it and report changes to the replica. */
