Membership: promote a ready learner before other changes

Cause: requests to join were handled first, so that a second identity was removed before the vacant vote of the first was given to a host that was ready. Each change needs a commit, which takes seconds on an overloaded leader.

Change: while voters are missing, a learner that is ready is promoted first.

Evidence: the new test failed before with the kind 'remove' instead of 'promote'.

--- a/src/process/log/membership.ts
+++ b/src/process/log/membership.ts
@@ -58,6 +58,10 @@
  */
 export function decideChange (view: MembershipView): MembershipChange | undefined {
   const { members, self } = view
+  const learner = members.find(member => member.standing === Standing.Learner && view.ready.has(member.identity))
+  const isVoterMissing = votersOf(members).length < view.voters
+  // Before further identities are removed, so that the loss of several disks leaves as many voters as possible.
+  if (isVoterMissing && learner !== undefined) return { kind: ChangeKind.Promote, member: learner }
   for (const host of view.joiningHosts) {
     const known = members.find(member => member.address === host.address)
     if (known?.identity === host.identity) continue
@@ -69,8 +73,7 @@
     const { identity, address, availabilityZone } = host
     return { kind: ChangeKind.Add, member: { identity, address, availabilityZone, standing: Standing.Learner } }
   }
-  const learner = members.find(member => member.standing === Standing.Learner && view.ready.has(member.identity))
-  if (votersOf(members).length < view.voters) return learner === undefined ? undefined : { kind: ChangeKind.Promote, member: learner }
+  if (isVoterMissing) return undefined
   const unresponsive = members.find(member => view.silent.has(member.identity) && member.identity !== self)
   if (unresponsive === undefined) return undefined
   // An unresponsive voter is removed only if a learner is ready to replace it; an unresponsive learner only if the
--- a/test/logMembership.test.ts
+++ b/test/logMembership.test.ts
@@ -150,6 +150,16 @@
     expect(leader.replica.state.members.map(member => member.identity)).to.include(existing.replica.state.identity)
   })
 
+  // Guards against three voters after two lost disks, of which the loss of two more leaves no majority, while another host is ready to vote.
+  it('promotes a learner that is ready before it removes or adds further identities', () => {
+    const members = ['a', 'b', 'c', 'd'].map(identity => ({ identity, address: `${identity}:1`, availabilityZone: 'z', standing: Standing.Voter }))
+    const learner = { identity: 'f', address: 'f:1', availabilityZone: 'z', standing: Standing.Learner }
+    const joiningHosts = [{ identity: 'new', address: 'b:1', availabilityZone: 'z' }, { identity: 'other', address: 'e:1', availabilityZone: 'z' }]
+    const view = { self: 'a', members: [...members, learner], joiningHosts, ready: new Set(['f']), silent: new Set<string>(), voters: 5 }
+    expect(decideChange(view)).to.deep.equal({ kind: ChangeKind.Promote, member: learner })
+    expect(decideChange({ ...view, ready: new Set() })?.kind).to.equal(ChangeKind.RemoveReplaced)
+  })
+
   // Guards against a leader that changes the membership no more, since it waits for a promoted member that has lost its disk.
   it('replaces a host that loses its disk again right before its promotion', async () => {
     log = await startTestLog({ addresses, seed: 18 })
