Control client: let reads reach the third control host

Callers saw: reads of accepted jobs refused with 503 for as long as two control hosts next to a gateway do not respond, each time their backoff of 2 s is over, although the others hold the data.

Cause: a read has 1,200 ms, each attempt took up to 700 ms, and a repeated attempt began another long poll. So there was time for two hosts, and two may be lost at once.

Change: an attempt takes half of the time that is left, 300 ms at the least, and only the first one waits for further results.

It passes now within the time of the read.

--- a/src/connection/controlClient.ts
+++ b/src/connection/controlClient.ts
@@ -30,8 +30,11 @@
 /** Timeout for asking whether a request may be sent, in milliseconds. */
 const permissionTimeoutMs = 200
 
-/** Timeout for one query to a control host that need not be the leader, in milliseconds, in addition to the time of a long poll. */
-const nearestReadTimeoutMs = 700
+/** Longest time for one attempt of a query at a control host that need not be the leader, in milliseconds, in addition to the time of a long poll. */
+const maxReadAttemptMs = 700
+
+/** Shortest time for such an attempt, in milliseconds: several round trips between regions. */
+const minReadAttemptMs = 300
 
 /** Timeout for fetching tables from one control host, in milliseconds; doubles after a fetch that failed at every host, since large tables may take longer on a slow connection. */
 const initialTablesTimeoutMs = 700
@@ -74,6 +77,10 @@
   return query.kind === QueryKind.SubmissionResults ? query.waitMs : 0
 }
 
+function limitLongPoll (query: Query, maxWaitMs: number): Query {
+  return query.kind === QueryKind.SubmissionResults ? { ...query, waitMs: Math.max(0, Math.min(query.waitMs, maxWaitMs)) } : query
+}
+
 /** Sends commands, queries and long polls to the leader. */
 export interface ControlClient {
   /**
@@ -285,15 +292,21 @@
       client.control.read.mutate(query, { signal: abort }))
   }
 
+  // Each attempt takes half of the time that is left, so that as many control hosts as may be lost at once can fail to respond before another one
+  // is asked. Only the first attempt waits for further results.
   async function readNearest (query: Query, timeoutMs: number): Promise<Result<QueryResponse, Failure>> {
     const deadline = clock.now() + timeoutMs
+    const responseMs = timeoutMs - getLongPollMs(query)
     let failure: Failure | undefined
     while (clock.now() < deadline && !signal.aborted) {
       const hosts = listHosts()
       const responsive = hosts.filter(address => !hasFailedRecently(address))
       for (const address of responsive.length > 0 ? responsive : hosts) {
         const sentAt = clock.now()
-        const result = await callRead(address, query, nearestReadTimeoutMs)
+        const attempt = limitLongPoll(query, deadline - sentAt - responseMs)
+        const remainingMs = deadline - sentAt - getLongPollMs(attempt)
+        const attemptMs = Math.max(minReadAttemptMs, Math.min(maxReadAttemptMs, remainingMs / 2))
+        const result = await callRead(address, attempt, Math.min(attemptMs, remainingMs))
         if (result.isOk()) return result
         failure = result.error
         handleCallFailure(address, failure, sentAt)
--- a/test/controlClient.test.ts
+++ b/test/controlClient.test.ts
@@ -106,4 +106,26 @@
     expect(new Set(calls)).to.deep.equal(new Set(['a', 'b']))
     expect(calls.length).to.be.above(2)
   })
+
+  /** Creates a client of four control hosts of which only the third responds, and counts the time that attempts take. */
+  function createSilentNeighbours (clock: FakeClock): ReturnType<typeof createControlClient> {
+    const clients = {
+      callReply (address: string, _trafficClass: string, step: Step, callTimeoutMs: number) {
+        if (address === 'far') return okAsync({ kind: QueryKind.SubmissionResults })
+        clock.jump(callTimeoutMs)
+        return errAsync(createFailure(FailureReason.Timeout, { step, peer: address }, 'no response'))
+      }
+    } as unknown as InternalClients
+    return createControlClient({ controlHosts: ['near', 'next', 'far', 'last'], readTarget: ReadTarget.Nearest, clients, clock, random: createSystemRandom(), metrics: createMetrics(), signal: new AbortController().signal })
+  }
+
+  // Guards against reads of accepted jobs that fail while two control hosts next to a gateway are lost, as many as may be lost at once.
+  it('read from the third-closest control host within the time of a read when two do not respond', async () => {
+    for (const waitMs of [0, 1_000]) {
+      const clock = new FakeClock()
+      const read = await createSilentNeighbours(clock).read({ kind: QueryKind.SubmissionResults, job: 'j-1', after: 0, waitMs }, 1_200 + waitMs)
+      expect(read.isOk(), `ended after ${clock.now()} ms`).to.equal(true)
+      expect(clock.now()).to.be.at.most(1_200 + waitMs)
+    }
+  })
 })
