Log: bound the size of the jobs that wait for a majority

Cause: a leader accepted up to 8,192 pending commands whatever their size, and a proposal that timed out left the count although its entry stays in memory. Followers on slow connections confirm less than a burst of jobs brings, the callers give up after 800 ms and send the same job again, and each attempt is another entry.

Change: commands that bring new jobs are rejected while the entries of pending proposals have 4 MiB. A proposal is pending until its entry is applied or the leadership ends, also when its caller has given up. Commands that finish items or change the configuration keep the limit by count alone.

The test on the code before: "expected to be below 4494304".

--- a/src/process/log/replicaCommit.ts
+++ b/src/process/log/replicaCommit.ts
@@ -66,9 +66,8 @@
       return
     case PayloadKind.Command: {
       const outcome = core.inputs.apply(payload.command, entry.index)
-      const proposal = core.proposals.get(entry.index)
+      const proposal = core.proposals.take(entry.index)
       if (proposal === undefined) return
-      core.proposals.delete(entry.index)
       proposal.settle(proposal.term === entry.term ? ok(outcome) : err(createLeadershipLostFailure(core.state)))
       return
     }
--- a/src/process/log/replicaLeadership.ts
+++ b/src/process/log/replicaLeadership.ts
@@ -109,9 +109,7 @@
   for (const controller of peers.values()) controller.abort()
   peers.clear()
   pendingJoins.clear()
-  const pending = [...proposals.values()]
-  proposals.clear()
-  for (const proposal of pending) proposal.settle(err(createLeadershipLostFailure(state)))
+  for (const proposal of proposals.takeAll()) proposal.settle(err(createLeadershipLostFailure(state)))
   state.acknowledged.notify()
   state.changed.notify()
 }
--- a/src/process/log/replicaProposals.ts
+++ b/src/process/log/replicaProposals.ts
@@ -3,20 +3,30 @@
  * @module
  */
 import { err, ok, type Result } from 'neverthrow'
-import type { Command, Outcome } from '../state/commands.ts'
+import { type Command, CommandKind, type Outcome } from '../state/commands.ts'
 import { createFailure, type Failure, FailureReason, Step } from '../program/failure.ts'
 import { Latency } from '../program/metrics.ts'
 import { isReadRoundConfirmed } from './replicaCommit.ts'
 import { appendEntry, checkLeadership } from './replicaLeadership.ts'
+import { countEntryBytes } from './replicaLog.ts'
 import { createDiskFullFailure, createNotLeaderFailure, type ReplicaCore, ReplicaRole } from './replicaState.ts'
 import { PayloadKind } from './storage.ts'
 
 /** Time within which a proposal must be committed and applied, in milliseconds. */
 const proposalTimeoutMs = 5_000
 
-/** Maximum number of pending proposals; further ones are rejected before they are appended. */
+/** Maximum number of pending proposals, including those whose callers have given up; further ones are rejected before they are appended. */
 export const maxPendingProposals = 8_192
 
+/**
+ * Maximum size of the pending proposals with which a command that brings new jobs is accepted, in bytes. A slow connection between
+ * regions carries no more within the time in which a proposal must be committed.
+ */
+export const maxPendingJobBytes = 4 * 1024 * 1024
+
+/** Commands whose size is that of the bodies of new jobs. */
+const jobCommands: ReadonlySet<CommandKind> = new Set([CommandKind.Submit, CommandKind.AppendItems])
+
 /** Time within which the leadership must be confirmed for a read, in milliseconds. */
 const confirmReadTimeoutMs = 1_000
 
@@ -31,8 +41,8 @@
   const { clock, metrics } = inputs
   if (!inputs.storage.hasSpace) return err(createDiskFullFailure(state, Step.Propose))
   if (!checkLeadership(core)) return err(createNotLeaderFailure(state, Step.Propose))
-  if (proposals.size >= maxPendingProposals) {
-    return err(createFailure(FailureReason.Rejected, { step: Step.Propose, peer: state.address }, `${maxPendingProposals} commands are waiting already`))
+  if (proposals.size >= maxPendingProposals || (jobCommands.has(command.kind) && proposals.bytes >= maxPendingJobBytes)) {
+    return err(createFailure(FailureReason.Rejected, { step: Step.Propose, peer: state.address }, `${proposals.size} commands of ${proposals.bytes} bytes are waiting already`))
   }
   const startedAt = clock.now()
   const entry = appendEntry(core, { kind: PayloadKind.Command, command })
@@ -42,16 +52,18 @@
       timer.abort()
       resolve(result)
     }
-    proposals.set(entry.index, {
+    proposals.add(entry.index, {
       term: entry.term,
+      bytes: countEntryBytes(entry),
       settle (result) {
+        if (timer.signal.aborted) return
         metrics.record(Latency.Commit, clock.now() - startedAt)
         settle(result)
       }
     })
+    // The proposal stays pending, since its entry stays in memory until it is committed.
     clock.sleep(proposalTimeoutMs, timer.signal).then(() => {
       if (timer.signal.aborted) return
-      proposals.delete(entry.index)
       settle(err(createFailure(FailureReason.Unknown, { step: Step.Propose, peer: state.address }, `the command was not committed within ${proposalTimeoutMs} ms`)))
     }, () => {})
   })
--- a/src/process/log/replicaState.ts
+++ b/src/process/log/replicaState.ts
@@ -2,11 +2,11 @@
  * The state of a replica, and the core that the modules of the replica share.
  * @module
  */
-import type { Result } from 'neverthrow'
 import type { Command, Outcome } from '../state/commands.ts'
 import { type Condition, createCondition } from '../program/condition.ts'
 import { createFailure, type Failure, FailureReason, type Step } from '../program/failure.ts'
 import type { ProcessServices } from '../program/processServices.ts'
+import { createPendingProposals, type PendingProposals } from './pendingProposals.ts'
 import type { Transport } from './replicaMessages.ts'
 import type { StateChunk } from '../state/stateSnapshot.ts'
 import { emptyPoint, type Entry, type Member, type SavedLog, type SnapshotPoint, type Storage } from './storage.ts'
@@ -127,12 +127,6 @@
   readonly importChunks: (stateChunks: Iterable<StateChunk>) => void
 }
 
-/** A proposed command that is not applied yet. */
-export interface Proposal {
-  readonly term: number
-  readonly settle: (result: Result<Outcome, Failure>) => void
-}
-
 /** A join request that the leader has not fulfilled yet. */
 export interface PendingJoin {
   readonly identity: string
@@ -146,8 +140,7 @@
 export interface ReplicaCore {
   readonly inputs: ReplicaInputs
   readonly state: ReplicaState
-  /** Pending proposals, by index of the entry. */
-  readonly proposals: Map<number, Proposal>
+  readonly proposals: PendingProposals
   /** Controllers that end the peer tasks, by identity of the other replica. */
   readonly peers: Map<string, AbortController>
   /** Pending join requests, by address of the host. */
@@ -198,7 +191,7 @@
     acknowledged: createCondition(clock),
     changed: createCondition(clock)
   }
-  return { inputs, state, proposals: new Map(), peers: new Map(), pendingJoins: new Map(), membershipPending: createCondition(clock), lastSync: Promise.resolve(true), hasStorageFailed: false }
+  return { inputs, state, proposals: createPendingProposals(), peers: new Map(), pendingJoins: new Map(), membershipPending: createCondition(clock), lastSync: Promise.resolve(true), hasStorageFailed: false }
 }
 
 /**
--- a/test/logSafety.test.ts
+++ b/test/logSafety.test.ts
@@ -4,12 +4,14 @@
 import { canChangeMembers } from '../src/process/log/membershipTask.ts'
 import { advanceCommit } from '../src/process/log/replicaCommit.ts'
 import { appendEntry } from '../src/process/log/replicaLeadership.ts'
-import { lastIndexOf, lastTermOf, membersIndexOf, termAt } from '../src/process/log/replicaLog.ts'
+import { countEntryBytes, lastIndexOf, lastTermOf, membersIndexOf, termAt } from '../src/process/log/replicaLog.ts'
 import type { AppendRequest, VoteRequest } from '../src/process/log/replicaMessages.ts'
-import { maxPendingProposals } from '../src/process/log/replicaProposals.ts'
+import { maxPendingJobBytes, maxPendingProposals } from '../src/process/log/replicaProposals.ts'
 import { createCore, type ReplicaInputs } from '../src/process/log/replicaState.ts'
 import { type Entry, PayloadKind, Standing } from '../src/process/log/storage.ts'
 import { maxElectionTimeoutMs, minElectionTimeoutMs } from '../src/process/log/election.ts'
+import type { Submission } from '../src/process/jobs/submission.ts'
+import { type Command, CommandKind } from '../src/process/state/commands.ts'
 import { createSeededRandom } from '../src/process/program/random.ts'
 import { FakeClock, runPendingTasks } from './support/fakeClock.ts'
 import { commandNamed, startTestLog, type TestHost, type TestLog } from './support/testLog.ts'
@@ -20,6 +22,11 @@
   return { index, term, payload: { kind: PayloadKind.Command, command: commandNamed(name) } }
 }
 
+function createSubmission (id: string, bytes: number): Submission {
+  const item = { id: `item of ${id}`, path: '/batch/', headers: {}, body: Buffer.alloc(bytes), tokens: 1 }
+  return { id, host: 'a.example', route: 'batch', pathPrefix: '/batch/', acceptedAt: 0, giveUpAt: 0, items: [item] }
+}
+
 function createAppendRequest (host: TestHost, term: number, entries: readonly Entry[], previousIndex = lastIndexOf(host.replica.state)): AppendRequest {
   const { state } = host.replica
   return {
@@ -265,6 +272,37 @@
     expect(lastIndexOf(leader.replica.state)).to.equal(lastIndexBefore)
   })
 
+  // Followers on slow connections confirm less than a burst of jobs brings. The entries that wait stay in memory after their callers
+  // have given up, and the bodies of a few hundred jobs are more than a control host may use.
+  it('bounds the size of the entries that wait for a majority, also after their proposals have timed out', async () => {
+    const { leader } = await startWithFollower(33)
+    const { state } = leader.replica
+    const itemBytes = 150_000
+    const createSubmit = (number: number): Command => ({ kind: CommandKind.Submit, submission: createSubmission(`job-${number}`, itemBytes), tokenLimit: 0, giveUpMs: 0, time: 0 })
+    const sumWaiting = (): number => state.entries.filter(entry => entry.index > state.commitIndex).reduce((sum, entry) => sum + countEntryBytes(entry), 0)
+    for (const host of log.hosts) host.storage.hold()
+    const outcomes: Array<Failure | undefined> = []
+    for (let round = 0; round < 3; round++) {
+      for (let number = 0; number < 100; number++) {
+        leader.replica.propose(createSubmit(round * 100 + number)).match(() => { outcomes.push(undefined) }, failure => { outcomes.push(failure) })
+      }
+      expect(sumWaiting()).to.be.below(maxPendingJobBytes + 2 * itemBytes)
+      // Longer than the timeout of a proposal. The leader keeps its majority, since heartbeats need no sync.
+      await log.clock.advance(6_000)
+      expect(state.role).to.equal(ReplicaRole.Leader)
+    }
+    expect(outcomes).to.have.length(300)
+    expect(outcomes.every(failure => failure?.reason === FailureReason.Rejected || failure?.reason === FailureReason.Unknown)).to.equal(true)
+    // Other commands, such as those that finish items or change the configuration, are still taken.
+    leader.replica.propose(commandNamed('small')).match(() => { outcomes.push(undefined) }, failure => { outcomes.push(failure) })
+    for (const host of log.hosts) host.storage.release()
+    await log.waitUntil('the small command', 2_000, () => outcomes.length === 301)
+    expect(outcomes[300]).to.equal(undefined)
+    leader.replica.propose(createSubmit(300)).match(() => { outcomes.push(undefined) }, failure => { outcomes.push(failure) })
+    await log.waitUntil('another job', 2_000, () => outcomes.length === 302)
+    expect(outcomes[301]).to.equal(undefined)
+  })
+
   // After a failed sync the kernel may drop the unwritten pages, so a later successful sync proves nothing.
   it('stops the replica on a failed sync, and writes nothing afterwards', async () => {
     const { leader } = await startWithFollower(31)
