Calls between hosts: encode no response while the peer does not read

Cause: the server of calls encoded each response as soon as its procedure had ended and wrote it whatever the connection still held. A host that is frozen or behind a slow connection has many reads of results outstanding, of 256 Ki characters each, and their encoded responses stay in the memory of the control host until the connection closes.

Change: the responses of a connection are encoded one after the other, and none while 1 MiB is not sent. The values that wait are parts of the state, which take no memory of their own.

The compression of large responses of one connection no longer overlaps; its effect on latency was not measured.

--- a/src/connection/callServer.ts
+++ b/src/connection/callServer.ts
@@ -2,6 +2,7 @@
  * The server side of connections between hosts: runs the procedures of the router, one task for each connection.
  * @module
  */
+import { once } from 'node:events'
 import { createServer, type Server, type Socket } from 'node:net'
 import { callTRPCProcedure } from '@trpc/server'
 import { ResultAsync } from 'neverthrow'
@@ -16,6 +17,9 @@
 /** Idle time of a connection before the first TCP keep-alive probe, in milliseconds. */
 const keepAliveDelayMs = 2_000
 
+/** Size of the responses on one connection that the peer has not read, in bytes, from which no further response is encoded. */
+export const maxUnsentBytes = 1024 * 1024
+
 type Router = ReturnType<typeof createInternalRouter>
 
 /**
@@ -50,10 +54,19 @@
   // The peer notices that the connection has closed and retries its calls, so the error isn't reported here.
   socket.on('error', () => {})
   socket.once('close', () => closed.abort())
+  // A value that waits here is mostly a part of the state, and takes no memory of its own before it is encoded.
+  let lastSent: Promise<void> = Promise.resolve()
+  async function sendInTurn (procedure: string, message: ResponseMessage): Promise<void> {
+    if (socket.writableLength >= maxUnsentBytes) await once(socket, 'drain', { signal: closed.signal })
+    await sendResponse(socket, procedure, message, metrics)
+  }
   readMessages(socket, message => {
     const [number, procedure, input] = message as CallMessage
     runProcedure(router, procedure, input, closed.signal)
-      .then(async ([value, error]) => await sendResponse(socket, procedure, [number, value, error], metrics))
+      .then(async ([value, error]) => {
+        lastSent = lastSent.then(async () => await sendInTurn(procedure, [number, value, error]))
+        await lastSent
+      })
       .catch((error: Error) => socket.destroy(error))
   })
 }
--- /dev/null
+++ b/test/callServer.test.ts
@@ -0,0 +1,71 @@
+import { expect } from 'chai'
+import { once } from 'node:events'
+import { connect, type AddressInfo, type Socket } from 'node:net'
+import { ok } from 'neverthrow'
+import { maxUnsentBytes, serveInternalCalls } from '../src/connection/callServer.ts'
+import type { CallMessage, ResponseMessage } from '../src/connection/callConnection.ts'
+import { encodeMessage, readMessages } from '../src/connection/frames.ts'
+import { createInternalRouter, type InternalServices } from '../src/connection/internalRouter.ts'
+import { createLifecycle, type Lifecycle } from '../src/process/program/lifecycle.ts'
+import { Counter, createMetrics } from '../src/process/program/metrics.ts'
+import { createSeededRandom } from '../src/process/program/random.ts'
+import { QueryKind } from '../src/process/state/queries.ts'
+
+const seed = 38
+const calls = 200
+const outputCharacters = 200 * 1024
+const characters = 'abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789+/'
+
+function createOutput (): string {
+  const random = createSeededRandom(seed)
+  return Array.from({ length: outputCharacters }, () => characters[random.below(characters.length)]).join('')
+}
+
+describe('server of calls between hosts', () => {
+  let lifecycle: Lifecycle
+  beforeEach(() => { lifecycle = createLifecycle() })
+  afterEach(async () => await lifecycle.close())
+
+  // A host that is frozen, or behind a slow connection, has many reads outstanding. Their responses would fill the memory of a control host.
+  it('encodes no further response while a peer does not read the previous ones, and then sends them all', async () => {
+    const page = { total: 1, next: 1, results: [{ item: 'i', ending: 'done', output: createOutput() }] }
+    let reads = 0
+    let reportAllRead = (): void => {}
+    const allRead = new Promise<void>(resolve => { reportAllRead = resolve })
+    const controlHost = {
+      async read () {
+        if (++reads === calls) reportAllRead()
+        return ok({ kind: QueryKind.SubmissionResults, page })
+      }
+    }
+    const services = { controlHost, shareReceiver: undefined, dispatchReceiver: undefined } as unknown as InternalServices
+    const metrics = createMetrics()
+    const accepted: Socket[] = []
+    let mostUnsentBytes = 0
+    let largestFrameBytes = 0
+    const count: typeof metrics.count = (counter, label, amount) => {
+      metrics.count(counter, label, amount)
+      if (counter !== Counter.ResponseBytes) return
+      largestFrameBytes = Math.max(largestFrameBytes, amount ?? 0)
+      mostUnsentBytes = Math.max(mostUnsentBytes, (accepted[0]?.writableLength ?? 0) + (amount ?? 0))
+    }
+    const server = (await serveInternalCalls('127.0.0.1:0', createInternalRouter(services), lifecycle, { ...metrics, count }))._unsafeUnwrap()
+    server.on('connection', socket => accepted.push(socket))
+    const socket = connect((server.address() as AddressInfo).port, '127.0.0.1')
+    await once(socket, 'connect')
+    for (let number = 1; number <= calls; number++) {
+      const message: CallMessage = [number, 'control.read', { kind: QueryKind.SubmissionResults, job: 'j', after: 0, waitMs: 0 }]
+      socket.write(await encodeMessage(message, Infinity))
+    }
+    await allRead
+    const answered = new Set<number>()
+    await new Promise<void>(resolve => readMessages(socket, message => {
+      const [number, , error] = message as ResponseMessage
+      expect(error).to.equal(undefined)
+      answered.add(number)
+      if (answered.size === calls) resolve()
+    }))
+    socket.destroy()
+    expect(mostUnsentBytes, `seed ${seed}`).to.be.below(maxUnsentBytes + largestFrameBytes)
+  })
+})
