Control client: end a call that the leader rejects, and stay with the leader

Cause: a command that the leader rejects, since too much waits already, was sent again to the next control host and from there back to the leader until its time limit, 29 calls in 3 s in the test; and all other calls of the host left the leader with it. The same happened to a report of an executor that meets the end of an item.

Change: a rejection ends the call, and does not change the leader.

Evidence: the new test failed before ('leader', 'other', 'leader' and 27 more calls, of two) and passes now.

--- a/src/connection/controlClient.ts
+++ b/src/connection/controlClient.ts
@@ -227,8 +227,7 @@
   function handleCallFailure (address: string, failure: Failure, sentAt: number): void {
     metrics.count(Counter.ControlCalls, failure.reason)
     if (isUnresponsive(failure)) recordUnresponsive(address, sentAt)
-    // The leader responded: other hosts have not confirmed a change yet, or it is late with this call only.
-    if (address !== leader || failure.reason === FailureReason.Unconfirmed || failure.reason === FailureReason.Late) return
+    if (address !== leader || isResponseOfLeader(failure)) return
     if (failure.alternative !== undefined) recordNamedLeader(failure.alternative, address)
     if (failure.alternative !== undefined && failure.alternative !== leader && !hasFailedRecently(failure.alternative)) {
       leader = failure.alternative
@@ -247,6 +246,11 @@
     return reason === FailureReason.Timeout || reason === FailureReason.Refused
   }
 
+  // The leader responds: other hosts have not confirmed a change yet, it is late with one call, or it rejects a command.
+  function isResponseOfLeader ({ reason, alternative }: Failure): boolean {
+    return reason === FailureReason.Unconfirmed || reason === FailureReason.Late || (reason === FailureReason.Rejected && alternative === undefined)
+  }
+
   function recordUnresponsive (address: string, sentAt: number): void {
     failedAt.set(address, clock.now())
     failedCallSentAt.set(address, sentAt)
@@ -282,6 +286,8 @@
       const result = await callOnce(address => call(address, deadline - clock.now()))
       if (result.isOk()) return result
       failure = result.error
+      // The limit that rejects it lies at the leader; sent again at once, it would add to the load of which the limit is a sign.
+      if (failure.reason === FailureReason.Rejected && failure.alternative === undefined) return result
       await clock.sleep(random.next() * maxRetryDelayMs, signal)
     }
     return err(failure ?? createFailure(FailureReason.Timeout, { step }, 'no time left for the call'))
--- a/test/controlClient.test.ts
+++ b/test/controlClient.test.ts
@@ -8,6 +8,7 @@
 import { maxElectionTimeoutMs } from '../src/process/log/election.ts'
 import { createMetrics } from '../src/process/program/metrics.ts'
 import { createSystemRandom } from '../src/process/program/random.ts'
+import { CommandKind } from '../src/process/state/commands.ts'
 import { QueryKind } from '../src/process/state/queries.ts'
 import { FakeClock } from './support/fakeClock.ts'
 
@@ -107,6 +108,15 @@
     expect(calls.length).to.be.above(2)
   })
 
+  // Guards against submissions that a full leader rejects and gateways send again and again, and against polls that leave that leader.
+  it('end at once when the leader rejects them, and stay with it', async () => {
+    const client = createClient(['leader', 'other'], '', {}, ReadTarget.Leader, { leader: FailureReason.Rejected })
+    const outcome = await client.execute({ kind: CommandKind.EndSubmission, job: 'j' }, timeoutMs)
+    expect(outcome._unsafeUnwrapErr().reason).to.equal(FailureReason.Rejected)
+    await client.watchFleet(watchRequest)
+    expect(calls).to.deep.equal(['leader', 'leader'])
+  })
+
   /** Creates a client of four control hosts of which only the third responds, and counts the time that attempts take. */
   function createSilentNeighbours (clock: FakeClock): ReturnType<typeof createControlClient> {
     const clients = {
