Control client: report no limit while an earlier attempt may still be executed

Cause: a submission whose attempt has no response is sent again, and the limit that the second attempt meets was reported, although the first may still be on its way to a leader. Class: an answer about one attempt is taken for one about the command.

Change: the outcome is unknown (502) in that case.

--- a/src/connection/controlClient.ts
+++ b/src/connection/controlClient.ts
@@ -5,7 +5,7 @@
  */
 import { err, type Result } from 'neverthrow'
 import type { Clock } from '../process/program/clock.ts'
-import { type Command, CommandKind, type Outcome } from '../process/state/commands.ts'
+import { type Command, CommandKind, type Outcome, OutcomeKind } from '../process/state/commands.ts'
 import { createFailure, type Failure, FailureReason, Step } from '../process/program/failure.ts'
 import { Counter, type Metrics } from '../process/program/metrics.ts'
 import { type QueryResponse, type Query, QueryKind } from '../process/state/queries.ts'
@@ -15,7 +15,7 @@
 import type { Random } from '../process/program/random.ts'
 import type { WatchResponse, WatchRequest } from '../process/state/watchMessages.ts'
 import { longPollMs } from '../process/state/watchMessages.ts'
-import { maxElectionTimeoutMs } from '../process/log/election.ts'
+import { createControlHostBackoffs } from './controlHostBackoffs.ts'
 import { type InternalClients, TrafficClass } from './internalClient.ts'
 
 /** Timeout for one call to one control host, in milliseconds, in addition to the time of a long poll. */
@@ -42,9 +42,6 @@
 /** Longest timeout for fetching tables from one control host, in milliseconds. */
 const maxTablesTimeoutMs = 5_600
 
-/** Backoff for a control host that did not respond or refused the connection, in milliseconds; when all have failed, each is tried again. */
-const failedHostBackoffMs = 2_000
-
 /** Maximum delay between two attempts, in milliseconds; the delay is random. */
 const maxRetryDelayMs = 200
 
@@ -62,6 +59,9 @@
  */
 const gatewayAttemptTimeoutMs = 800
 
+/** Reasons by which an attempt is known not to be executed, now or later. */
+const unexecutedReasons: ReadonlySet<FailureReason> = new Set([FailureReason.NotLeader, FailureReason.Refused, FailureReason.Rejected, FailureReason.NotFound])
+
 function selectTrafficClass (command: Command): TrafficClass {
   // A document of many routes must not delay heartbeats and polls.
   if (command.kind === CommandKind.Publish) return TrafficClass.Tables
@@ -215,21 +215,17 @@
   const listHosts = typeof controlHosts === 'function' ? controlHosts : () => controlHosts
   let leader = listHosts()[0] ?? ''
   let tablesTimeoutMs = initialTablesTimeoutMs
-  const failedAt = new Map<string, number>()
-  // Monotonic time at which the call that failed last was sent, in milliseconds, by host.
-  const failedCallSentAt = new Map<string, number>()
-  // Hosts that named a failed leader although it can't have been silent since then, by that leader.
-  const namedBy = new Map<string, Set<string>>()
+  const backoffs = createControlHostBackoffs(clock)
 
   // Counts the failure, starts the backoff of a host that did not respond or refused the connection, and selects another host
   // as the leader if the call went to the current one. Calls run concurrently: the first failure at an address switches the
   // leader for all of them; failures of the other calls at the same address must not skip the next host.
   function handleCallFailure (address: string, failure: Failure, sentAt: number): void {
     metrics.count(Counter.ControlCalls, failure.reason)
-    if (isUnresponsive(failure)) recordUnresponsive(address, sentAt)
+    if (isUnresponsive(failure)) backoffs.start(address, sentAt)
     if (address !== leader || isResponseOfLeader(failure)) return
-    if (failure.alternative !== undefined) recordNamedLeader(failure.alternative, address)
-    if (failure.alternative !== undefined && failure.alternative !== leader && !hasFailedRecently(failure.alternative)) {
+    if (failure.alternative !== undefined) backoffs.recordNamedLeader(failure.alternative, address, listHosts())
+    if (failure.alternative !== undefined && failure.alternative !== leader && !backoffs.has(failure.alternative)) {
       leader = failure.alternative
       return
     }
@@ -238,7 +234,7 @@
     for (let step = 1; step <= hosts.length; step++) {
       const next = hosts[(position + step) % hosts.length] ?? leader
       leader = next
-      if (!hasFailedRecently(next)) return
+      if (!backoffs.has(next)) return
     }
   }
 
@@ -251,26 +247,6 @@
     return reason === FailureReason.Unconfirmed || reason === FailureReason.Late || (reason === FailureReason.Rejected && alternative === undefined)
   }
 
-  function recordUnresponsive (address: string, sentAt: number): void {
-    failedAt.set(address, clock.now())
-    failedCallSentAt.set(address, sentAt)
-    namedBy.delete(address)
-  }
-
-  // A leader that was slow once is used again when every other control host names it. Followers name a silent leader until their
-  // election timeout, so only later names count.
-  function recordNamedLeader (address: string, namingHost: string): void {
-    if (!hasFailedRecently(address) || clock.now() - (failedCallSentAt.get(address) ?? 0) < maxElectionTimeoutMs) return
-    const names = namedBy.get(address) ?? new Set<string>()
-    namedBy.set(address, names)
-    names.add(namingHost)
-    if (listHosts().every(host => host === address || names.has(host) || hasFailedRecently(host))) failedAt.delete(address)
-  }
-
-  function hasFailedRecently (address: string): boolean {
-    return clock.now() - (failedAt.get(address) ?? -Infinity) < failedHostBackoffMs
-  }
-
   async function callOnce<Value> (call: (address: string) => PromiseLike<Result<Value, Failure>>): Promise<Result<Value, Failure>> {
     const address = leader
     const sentAt = clock.now()
@@ -306,7 +282,7 @@
     let failure: Failure | undefined
     while (clock.now() < deadline && !signal.aborted) {
       const hosts = listHosts()
-      const responsive = hosts.filter(address => !hasFailedRecently(address))
+      const responsive = hosts.filter(address => !backoffs.has(address))
       for (const address of responsive.length > 0 ? responsive : hosts) {
         const sentAt = clock.now()
         const attempt = limitLongPoll(query, deadline - sentAt - responseMs)
@@ -329,9 +305,22 @@
   }
 
   return {
-    execute: (command, timeoutMs = 10_000) => retry(timeoutMs, Step.Execute, (address, remainingMs) =>
-      clients.callReply<Outcome>(address, selectTrafficClass(command), Step.Execute, gatewayCommands.has(command.kind) ? Math.min(remainingMs, gatewayAttemptTimeoutMs) : timeoutMs, (client, abort) =>
-        client.control.execute.mutate(command, { signal: abort }), gatewayCommands.has(command.kind) ? remainingMs : timeoutMs)),
+    async execute (command, timeoutMs = 10_000) {
+      const trafficClass = selectTrafficClass(command)
+      const isGatewayCommand = gatewayCommands.has(command.kind)
+      // Whether an earlier attempt may still be executed.
+      let isUndecided = false
+      const outcome = await retry(timeoutMs, Step.Execute, async (address, remainingMs) => {
+        const attemptMs = isGatewayCommand ? Math.min(remainingMs, gatewayAttemptTimeoutMs) : timeoutMs
+        const maxAttemptMs = isGatewayCommand ? remainingMs : timeoutMs
+        const result = await clients.callReply<Outcome>(address, trafficClass, Step.Execute, attemptMs, (client, abort) =>
+          client.control.execute.mutate(command, { signal: abort }), maxAttemptMs)
+        if (result.isErr() && !unexecutedReasons.has(result.error.reason)) isUndecided = true
+        return result
+      })
+      if (!isUndecided || outcome.isErr() || outcome.value.kind !== OutcomeKind.Limit) return outcome
+      return err(createFailure(FailureReason.Unknown, { step: Step.Execute }, `an earlier attempt may still be executed: ${outcome.value.text}`))
+    },
     async read (query, timeoutMs = 5_000) {
       if (inputs.readTarget === ReadTarget.Nearest) return await readNearest(query, timeoutMs)
       return await retry(timeoutMs, Step.Read, address => callRead(address, query, callTimeoutMs))
@@ -343,7 +332,7 @@
     async fetchTables (request) {
       let failure: Failure | undefined
       const hosts = listHosts()
-      const responsive = hosts.filter(address => !hasFailedRecently(address))
+      const responsive = hosts.filter(address => !backoffs.has(address))
       for (const address of responsive.length > 0 ? responsive : hosts) {
         if (signal.aborted) break
         const sentAt = clock.now()
@@ -354,7 +343,7 @@
         }
         failure = result.error
         metrics.count(Counter.ControlCalls, failure.reason)
-        if (isUnresponsive(failure)) recordUnresponsive(address, sentAt)
+        if (isUnresponsive(failure)) backoffs.start(address, sentAt)
       }
       tablesTimeoutMs = Math.min(2 * tablesTimeoutMs, maxTablesTimeoutMs)
       return err(failure ?? createFailure(FailureReason.Timeout, { step: Step.FetchTables }, 'no control host is known'))
--- a/test/controlClient.test.ts
+++ b/test/controlClient.test.ts
@@ -8,7 +8,7 @@
 import { maxElectionTimeoutMs } from '../src/process/log/election.ts'
 import { createMetrics } from '../src/process/program/metrics.ts'
 import { createSystemRandom } from '../src/process/program/random.ts'
-import { CommandKind } from '../src/process/state/commands.ts'
+import { CommandKind, OutcomeKind } from '../src/process/state/commands.ts'
 import { QueryKind } from '../src/process/state/queries.ts'
 import { FakeClock } from './support/fakeClock.ts'
 
@@ -117,6 +117,23 @@
     expect(calls).to.deep.equal(['leader', 'leader'])
   })
 
+  // Guards against a job that is refused for a limit, which promises that it never runs, while an attempt without a response may still be executed.
+  it('report an unknown outcome when an attempt without a response precedes one that meets a limit', async () => {
+    for (const [reason, isDecided] of [[FailureReason.Timeout, false], [FailureReason.NotLeader, true]] as const) {
+      let attempts = 0
+      const clients = {
+        callReply (address: string, _trafficClass: string, step: Step) {
+          if (++attempts > 1) return okAsync({ kind: OutcomeKind.Limit, text: 'full' })
+          return errAsync(createFailure(reason, { step, peer: address }, 'failed'))
+        }
+      } as unknown as InternalClients
+      const client = createControlClient({ controlHosts: ['a', 'b'], clients, clock: createSystemClock(), random: createSystemRandom(), metrics: createMetrics(), signal: new AbortController().signal })
+      const submission = { id: 'j-1', host: 'h', route: 'r', pathPrefix: '/', acceptedAt: 0, giveUpAt: 0, items: [] }
+      const outcome = await client.execute({ kind: CommandKind.Submit, submission, tokenLimit: 1, giveUpMs: 0, time: 0 }, 2_000)
+      expect(outcome.isOk(), reason).to.equal(isDecided)
+    }
+  })
+
   /** Creates a client of four control hosts of which only the third responds, and counts the time that attempts take. */
   function createSilentNeighbours (clock: FakeClock): ReturnType<typeof createControlClient> {
     const clients = {
