--- a/scripts/powerLoss.ts
+++ b/scripts/powerLoss.ts
@@ -19,6 +19,7 @@
   for (let current = seed; current < seed + Number(second); current++) {
     const report = await loseDisks({ ...shape, profileFolder: undefined, controlShare: undefined }, serverCount, current, text => console.error(text))
     if (report.violations.length > 0) failed++
+    if (report.readableMs === undefined) console.log(`seed ${current}: readable ${report.readableWithoutLoadMs ?? '-'} ms after the end of all submissions`)
     console.log(`seed ${current}: ${report.jobs} jobs, disks of ${report.lostDisks.join(' and ')} lost; readable at all gateways after ${report.readableMs ?? '-'} ms, configuration after ${report.configurationMs ?? '-'} ms; ${report.violations.length} violations`)
     for (const violation of report.violations.slice(0, 20)) console.log(`  ${violation}`)
   }
--- a/test/powerLoss/powerLoss.ts
+++ b/test/powerLoss/powerLoss.ts
@@ -58,6 +58,8 @@
   readonly lostDisks: readonly number[]
   /** Time from the restart until all jobs were readable at all gateways, in milliseconds; undefined if that was not seen. */
   readonly readableMs: number | undefined
+  /** For jobs that were not: time from the end of all submissions until all jobs were readable, in milliseconds; undefined if that was not seen either. */
+  readonly readableWithoutLoadMs: number | undefined
   /** Time from the restart until the configuration was read at all control hosts. */
   readonly configurationMs: number | undefined
   readonly violations: readonly string[]
@@ -195,7 +197,10 @@
     await fleet.startAll()
     const restartedAt = performance.now()
     const [readable, configuration] = await Promise.all([readEverywhere(run, jobs, restartedAt), readConfigurations(fleet, restartedAt)])
-    return { seed, jobs: jobs.length, lostDisks, readableMs: readable, configurationMs: configuration, violations: [...callers.violations, ...fleet.ends] }
+    // Jobs that are readable once nobody submits any more were not lost.
+    callers.abandonJobs()
+    const readableWithoutLoadMs = readable === undefined ? await readEverywhere(run, jobs, performance.now()) : undefined
+    return { seed, jobs: jobs.length, lostDisks, readableMs: readable, readableWithoutLoadMs, configurationMs: configuration, violations: [...callers.violations, ...fleet.ends] }
   } finally {
     await endRun(run)
   }
