Calls between hosts: notice silent and clogged connections in time

Callers would have seen: a submission on a connection that has gone silent waits for 3 s and fails, although a new connection works; calls that wait for as long as it takes to send those that were given up.

A command waited up to its time limit while its host responded on any connection, and a connection on which anything arrived stayed in use, whatever was still to be sent on it. Besides, a replaced connection that closed by itself was never released, and a call whose message was still being compressed ended with it.

Change: only responses on its own connection let a command wait longer; on a silent one it is sent once more on a new connection, and waits for the rest of its time there. A connection with unsent calls is replaced when a call on it times out. Calls count as pending from their start.

--- a/src/connection/callConnection.ts
+++ b/src/connection/callConnection.ts
@@ -29,6 +29,8 @@
   call (procedure: string, input: unknown, isCompressed: boolean, signal: AbortSignal | undefined): Promise<unknown>
   /** Monotonic time at which the last bytes arrived, in milliseconds; -Infinity before the first. */
   readonly lastReceivedAt: number
+  /** Whether calls have not been sent completely. */
+  readonly hasUnsentCalls: boolean
   /**
    * Closes the connection once no call waits for a response. There must be no later calls.
    * @param closed - called when it is closed
@@ -66,11 +68,6 @@
   let lastReceivedAt = -Infinity
   let handleRetired: (() => void) | undefined
 
-  // A function, since the compiler would assume that the variable is still false after an await.
-  function isDestroyed (): boolean {
-    return destroyed
-  }
-
   function open (): Socket {
     const { ip, port } = parseAddress(address)
     const opened = connect({ host: ip, port, noDelay: true })
@@ -83,6 +80,7 @@
       if (socket !== opened) return
       socket = undefined
       rejectAll(failure ?? new CallError('ECONNRESET', `the connection to ${address} ended`))
+      closeIfRetired()
     })
     opened.on('data', () => { lastReceivedAt = performance.now() })
     readMessages(opened, message => {
@@ -94,6 +92,13 @@
     return opened
   }
 
+  // The call may have ended while its message was compressed.
+  function send (number: number, frame: Buffer): void {
+    if (!pending.has(number)) return
+    socket ??= open()
+    writeFrame(socket, frame)
+  }
+
   function take (number: number): PendingCall | undefined {
     const call = pending.get(number)
     pending.delete(number)
@@ -102,9 +107,11 @@
   }
 
   function closeIfRetired (): void {
-    if (handleRetired === undefined || pending.size > 0) return
+    const closed = handleRetired
+    if (closed === undefined || pending.size > 0) return
+    handleRetired = undefined
     destroy()
-    handleRetired()
+    closed()
   }
 
   function destroy (): void {
@@ -123,23 +130,19 @@
 
   return {
     get lastReceivedAt () { return lastReceivedAt },
-    async call (procedure, input, isCompressed, signal) {
-      if (isDestroyed()) throw new CallError('ECONNRESET', `the connection to ${address} is closed`)
+    get hasUnsentCalls () { return (socket?.writableLength ?? 0) > 0 },
+    call: (procedure, input, isCompressed, signal) => new Promise((resolve, reject) => {
+      const giveUp = (): void => take(number)?.reject(new CallError('ABORT_ERR', 'the call was given up'))
+      if (destroyed) return reject(new CallError('ECONNRESET', `the connection to ${address} is closed`))
       const number = ++lastNumber
       const message: CallMessage = [number, procedure, input]
       const encoded = encodeMessage(message, isCompressed ? Infinity : thresholdBytes)
-      const frame = encoded instanceof Promise ? await encoded : encoded
-      // The connection may have been destroyed, or the call given up, while the message was compressed.
-      if (isDestroyed()) throw new CallError('ECONNRESET', `the connection to ${address} is closed`)
-      if (signal?.aborted === true) throw new CallError('ABORT_ERR', 'the call was given up')
-      return await new Promise((resolve, reject) => {
-        const giveUp = (): void => take(number)?.reject(new CallError('ABORT_ERR', 'the call was given up'))
-        signal?.addEventListener('abort', giveUp, { once: true })
-        pending.set(number, { resolve, reject })
-        socket ??= open()
-        writeFrame(socket, frame)
-      })
-    },
+      pending.set(number, { resolve, reject })
+      if (signal?.aborted === true) return giveUp()
+      signal?.addEventListener('abort', giveUp, { once: true })
+      if (encoded instanceof Promise) encoded.then(frame => send(number, frame), (error: Error) => take(number)?.reject(error))
+      else send(number, encoded)
+    }),
     retire (closed) {
       handleRetired = closed
       closeIfRetired()
--- a/src/connection/controlClient.ts
+++ b/src/connection/controlClient.ts
@@ -34,7 +34,10 @@
 const maxReadAttemptMs = 700
 
 /** Shortest time for such an attempt, in milliseconds: several round trips between regions. */
-const minReadAttemptMs = 300
+const minReadAttemptMs = 250
+
+/** Number of further control hosts for which an attempt leaves time: as many as may be lost at once. */
+const furtherReadAttempts = 2
 
 /** Timeout for fetching tables from one control host, in milliseconds; doubles after a fetch that failed at every host, since large tables may take longer on a slow connection. */
 const initialTablesTimeoutMs = 700
@@ -54,8 +57,8 @@
 const gatewayCommands: ReadonlySet<CommandKind> = new Set([CommandKind.Publish, CommandKind.Submit, CommandKind.EndSubmission])
 
 /**
- * Timeout for one attempt of a gateway command at a host that does not respond to other calls either, in milliseconds: several round trips
- * between regions. A leader that responds is busy with the command already.
+ * Timeout for the first attempt of a gateway command whose connection is silent, in milliseconds: several round trips between regions. It is sent
+ * once more on a new connection; a leader that responds to other calls is busy with the command after that.
  */
 const gatewayAttemptTimeoutMs = 800
 
@@ -274,8 +277,7 @@
       client.control.read.mutate(query, { signal: abort }))
   }
 
-  // Each attempt takes half of the time that is left, so that as many control hosts as may be lost at once can fail to respond before another one
-  // is asked. Only the first attempt waits for further results.
+  // Only the first attempt waits for further results.
   async function readNearest (query: Query, timeoutMs: number): Promise<Result<QueryResponse, Failure>> {
     const deadline = clock.now() + timeoutMs
     const responseMs = timeoutMs - getLongPollMs(query)
@@ -287,7 +289,7 @@
         const sentAt = clock.now()
         const attempt = limitLongPoll(query, deadline - sentAt - responseMs)
         const remainingMs = deadline - sentAt - getLongPollMs(attempt)
-        const attemptMs = Math.max(minReadAttemptMs, Math.min(maxReadAttemptMs, remainingMs / 2))
+        const attemptMs = Math.max(minReadAttemptMs, Math.min(maxReadAttemptMs, remainingMs - furtherReadAttempts * minReadAttemptMs))
         const result = await callRead(address, attempt, Math.min(attemptMs, remainingMs))
         if (result.isOk()) return result
         failure = result.error
@@ -308,14 +310,16 @@
     async execute (command, timeoutMs = 10_000) {
       const trafficClass = selectTrafficClass(command)
       const isGatewayCommand = gatewayCommands.has(command.kind)
-      // Whether an earlier attempt may still be executed.
+      // Whether an earlier attempt may still be executed, and whether one was late.
       let isUndecided = false
+      let wasLate = false
       const outcome = await retry(timeoutMs, Step.Execute, async (address, remainingMs) => {
-        const attemptMs = isGatewayCommand ? Math.min(remainingMs, gatewayAttemptTimeoutMs) : timeoutMs
+        const attemptMs = !isGatewayCommand ? timeoutMs : wasLate ? remainingMs : Math.min(remainingMs, gatewayAttemptTimeoutMs)
         const maxAttemptMs = isGatewayCommand ? remainingMs : timeoutMs
         const result = await clients.callReply<Outcome>(address, trafficClass, Step.Execute, attemptMs, (client, abort) =>
           client.control.execute.mutate(command, { signal: abort }), maxAttemptMs)
         if (result.isErr() && !unexecutedReasons.has(result.error.reason)) isUndecided = true
+        if (result.isErr() && result.error.reason === FailureReason.Late) wasLate = true
         return result
       })
       if (!isUndecided || outcome.isErr() || outcome.value.kind !== OutcomeKind.Limit) return outcome
--- a/src/connection/internalClient.ts
+++ b/src/connection/internalClient.ts
@@ -42,7 +42,7 @@
    * @param step - the step named in failures
    * @param timeoutMs - timeout for the call, in milliseconds
    * @param call - calls the procedure
-   * @param maxTimeoutMs - timeout while the host responds to other calls, in milliseconds; `timeoutMs` by default
+   * @param maxTimeoutMs - timeout while the host responds to other calls on the same connection, in milliseconds; `timeoutMs` by default
    * @returns the value, or a failure; its reason is `Late` if the host responds to other calls
    */
   call<Value> (
@@ -56,7 +56,7 @@
    * @param step - the step named in failures
    * @param timeoutMs - timeout for the call, in milliseconds
    * @param call - calls the procedure
-   * @param maxTimeoutMs - timeout while the host responds to other calls, in milliseconds; `timeoutMs` by default
+   * @param maxTimeoutMs - timeout while the host responds to other calls on the same connection, in milliseconds; `timeoutMs` by default
    * @returns the value of the reply, or the failure of the reply or of the call
    */
   callReply<Value> (
@@ -91,7 +91,7 @@
     return created
   }
 
-  // The connection may have gone silent, so the next call opens a new one.
+  // The connection may have gone silent, or is still sending calls that nobody waits for; so the next call opens a new one.
   function replaceConnection (address: string, trafficClass: TrafficClass, connection: CallConnection): void {
     const name = `${trafficClass} ${address}`
     if (channels.get(name)?.connection !== connection) return
@@ -126,12 +126,13 @@
 
       function handleTimeout (): void {
         const remainingMs = startedAt + maxTimeoutMs - performance.now()
-        if (remainingMs > 0 && isResponsive(address)) {
+        const isSilent = connection.lastReceivedAt < startedAt
+        if (remainingMs > 0 && !isSilent && isResponsive(address)) {
           timer = setTimeout(handleTimeout, Math.min(remainingMs, responsiveMs))
           return
         }
         timedOut = isResponsive(address) ? FailureReason.Late : FailureReason.Timeout
-        if (connection.lastReceivedAt < startedAt) replaceConnection(address, trafficClass, connection)
+        if (isSilent || connection.hasUnsentCalls) replaceConnection(address, trafficClass, connection)
         cancellation.abort(timedOut)
       }
 
