Batch plans: bound the pause after a plan

Callers would have seen: no item starts and none yields to live requests for four times as long as the leader was suspended.

Change: the pause is at most the longest interval between two plans, 200 ms.

Evidence: the new test failed before, no plan in a second of at least 40, and passes now.

--- a/src/process/fleet/batchRunner.ts
+++ b/src/process/fleet/batchRunner.ts
@@ -345,7 +345,7 @@
       // The next wait begins before the planning, so that a change during the planning is not missed.
       const next = waitForEither(applied, fleet.changed, maxPlanIntervalMs, signal)
       const durationMs = prepareTerm() ? measurePlan() : 0
-      await clock.sleep(Math.max(minPlanIntervalMs, fleet.reportIntervalMs / maxPlansPerReportInterval, durationMs * planPauseFactor), signal)
+      await clock.sleep(Math.max(minPlanIntervalMs, fleet.reportIntervalMs / maxPlansPerReportInterval, Math.min(maxPlanIntervalMs, durationMs * planPauseFactor)), signal)
       await next
     }
   })
--- a/test/batchPlanRate.test.ts
+++ b/test/batchPlanRate.test.ts
@@ -13,12 +13,13 @@
 const durationMs = 1_000
 const notificationIntervalMs = 5
 
-/** Counts the plans of a second in which a load report arrives every few milliseconds, and each plan takes some time. */
-async function countPlans (reportIntervalMs: number, planMs = 0): Promise<number> {
+/** Counts the plans of a second in which a load report arrives every few milliseconds, and each plan takes some time, the one before them longer. */
+async function countPlans (reportIntervalMs: number, planMs = 0, stallMs = 0): Promise<number> {
   const clock = new FakeClock()
   const lifecycle = createLifecycle()
   const changed = createCondition(clock)
   let plans = 0
+  const stall = { remainingMs: 0 }
   const fleet = {
     changed,
     batch: new Map(),
@@ -27,7 +28,8 @@
     getLeadership: () => 'a/1',
     listReadyServers () {
       plans++
-      clock.jump(planMs)
+      clock.jump(planMs + stall.remainingMs)
+      stall.remainingMs = 0
       return []
     }
   } as unknown as FleetLeader
@@ -36,6 +38,8 @@
     fleet, replica, state: createControlState(), listSharedPromptParts: () => [], knownExecutors: () => [], getRegion: () => 'r1', clock, random: createSystemRandom(), logger: createSilentLogger(), metrics: createMetrics(), lifecycle, keepMs: 60_000
   })
   await clock.advance(200)
+  stall.remainingMs = stallMs
+  while (stall.remainingMs > 0) await clock.advance(notificationIntervalMs, notificationIntervalMs)
   plans = 0
   const end = clock.now() + durationMs
   while (clock.now() < end) {
@@ -61,4 +65,9 @@
   it('leaves four fifths of the time to other work when each plan takes long', async () => {
     expect(await countPlans(40, 20)).to.be.within(5, durationMs / (5 * 20) + 1)
   })
+
+  // Guards against a leader that was frozen during a plan and makes no other one for several times as long.
+  it('returns to its usual value after a plan during which the process was suspended', async () => {
+    expect(await countPlans(40, 0, 7_000)).to.be.at.least(40)
+  })
 })
