Calls between hosts: stop receiving a response that has been given up

Callers would have seen: newer tables reach a gateway behind a slow connection later.

Change: a connection that has received a response in part is replaced when a call on it times out, and closes with its last call.

Evidence: the new test failed before (the second call found the first response in its way) and passes now.

--- a/src/connection/callConnection.ts
+++ b/src/connection/callConnection.ts
@@ -29,8 +29,8 @@
   call (procedure: string, input: unknown, isCompressed: boolean, signal: AbortSignal | undefined): Promise<unknown>
   /** Monotonic time at which the last bytes arrived, in milliseconds; -Infinity before the first. */
   readonly lastReceivedAt: number
-  /** Whether calls have not been sent completely. */
-  readonly hasUnsentCalls: boolean
+  /** Whether a call has not been sent completely, or a response has arrived in part. */
+  readonly isTransferring: boolean
   /**
    * Closes the connection once no call waits for a response. There must be no later calls.
    * @param closed - called when it is closed
@@ -67,6 +67,7 @@
   let destroyed = false
   let lastReceivedAt = -Infinity
   let handleRetired: (() => void) | undefined
+  let isReceiving = (): boolean => false
 
   function open (): Socket {
     const { ip, port } = parseAddress(address)
@@ -83,7 +84,7 @@
       closeIfRetired()
     })
     opened.on('data', () => { lastReceivedAt = performance.now() })
-    readMessages(opened, message => {
+    isReceiving = readMessages(opened, message => {
       const [number, value, error] = message as ResponseMessage
       const call = take(number)
       if (error === undefined) call?.resolve(value)
@@ -130,7 +131,7 @@
 
   return {
     get lastReceivedAt () { return lastReceivedAt },
-    get hasUnsentCalls () { return (socket?.writableLength ?? 0) > 0 },
+    get isTransferring () { return (socket?.writableLength ?? 0) > 0 || isReceiving() },
     call: (procedure, input, isCompressed, signal) => new Promise((resolve, reject) => {
       const giveUp = (): void => take(number)?.reject(new CallError('ABORT_ERR', 'the call was given up'))
       if (destroyed) return reject(new CallError('ECONNRESET', `the connection to ${address} is closed`))
--- a/src/connection/frames.ts
+++ b/src/connection/frames.ts
@@ -90,8 +90,9 @@
  * Reads messages from a connection until it closes. A frame that is too long or malformed closes the connection.
  * @param socket - the connection
  * @param receive - called with each message
+ * @returns a function that tells whether a part of a message has arrived
  */
-export function readMessages (socket: Socket, receive: (message: unknown) => void): void {
+export function readMessages (socket: Socket, receive: (message: unknown) => void): () => boolean {
   let chunks: Buffer[] = []
   let bufferedBytes = 0
   // Bytes that complete the next frame, as far as its header is known; chunks are joined only then.
@@ -120,6 +121,7 @@
     chunks = bytes.length === 0 ? [] : [bytes]
     bufferedBytes = bytes.length
   })
+  return () => bufferedBytes > 0
 }
 
 function deliverMessage (socket: Socket, body: Buffer, encoding: number, receive: (message: unknown) => void): void {
--- a/src/connection/internalClient.ts
+++ b/src/connection/internalClient.ts
@@ -91,7 +91,7 @@
     return created
   }
 
-  // The connection may have gone silent, or is still sending calls that nobody waits for; so the next call opens a new one.
+  // The connection may have gone silent, or carries what nobody waits for any more; so the next call opens a new one.
   function replaceConnection (address: string, trafficClass: TrafficClass, connection: CallConnection): void {
     const name = `${trafficClass} ${address}`
     if (channels.get(name)?.connection !== connection) return
@@ -132,7 +132,7 @@
           return
         }
         timedOut = isResponsive(address) ? FailureReason.Late : FailureReason.Timeout
-        if (isSilent || connection.hasUnsentCalls) replaceConnection(address, trafficClass, connection)
+        if (isSilent || connection.isTransferring) replaceConnection(address, trafficClass, connection)
         cancellation.abort(timedOut)
       }
 
--- a/test/lateCalls.test.ts
+++ b/test/lateCalls.test.ts
@@ -215,4 +215,24 @@
     expect((await callWith({}, longTimeoutMs)).isOk()).to.equal(true)
     expect(host.connections).to.equal(2)
   })
+
+  // Guards against large tables that are sent to the end although their host has given them up, and delay those that it asks for next.
+  it('does not go on receiving a response that is too large for its time', async () => {
+    const received: Socket[] = []
+    const server = createServer(socket => {
+      received.push(socket)
+      readMessages(socket, message => {
+        const frame = encodeMessage([(message as CallMessage)[0], { kind: ReplyKind.Value, value: {} }, undefined], Infinity) as Buffer
+        // The first response stops in its middle.
+        socket.write(received.length === 1 ? frame.subarray(0, frame.length - 1) : frame)
+      })
+    })
+    server.listen(0, '127.0.0.1')
+    await once(server, 'listening')
+    const host = { address: `127.0.0.1:${(server.address() as AddressInfo).port}` } as unknown as TestPeer
+    expect((await callPeer(host, shortTimeoutMs)).isErr()).to.equal(true)
+    expect((await callPeer(host, longTimeoutMs)).isOk()).to.equal(true)
+    await eventually('the first connection is closed', longTimeoutMs, () => received[0]?.destroyed === true ? true : undefined)
+    server.close()
+  })
 })
