Batch runner: append a repeated report of an executor once

Change: the reports of an executor are recorded in turn, and events that are saved already are not appended again.

--- a/src/process/fleet/batchRunner.ts
+++ b/src/process/fleet/batchRunner.ts
@@ -28,7 +28,7 @@
 import { countSavedEvents, createItemKey, createOpenItems, delayStartAfterInterruption, delayStartAfterFailure, type OpenItem } from './openItems.ts'
 import { createRunAssignments } from './runAssignments.ts'
 import type { RunPoll, RunReports, RunUpdate } from './runMessages.ts'
-import { type CurrentReport, recordRunReports } from './runReports.ts'
+import { createReportQueue, type CurrentReport, recordRunReports, type RunReportServices } from './runReports.ts'
 import { createServerBackoffs } from './serverBackoffs.ts'
 
 /** Longest interval between two plans, in milliseconds. */
@@ -110,6 +110,8 @@
   const durationEstimator = createItemDurationEstimator()
   const endRecorder = createItemEndRecorder({ replica, clock, logger, lifecycle, isLeading: () => fleet.isLeading() })
   const backoffs = createServerBackoffs(clock)
+  const queueReport = createReportQueue()
+  const reportServices: RunReportServices = { items, replica, getAttempts: entry => findRoute(entry)?.attempts ?? 1, handleEnd, release: assignments.release }
   let term = -1
   let routes: RouteIndex = new Map()
   let routesVersion = -1
@@ -368,13 +370,12 @@
     async poll (poll) {
       return await waitForTerm() ? await assignments.poll(poll) : err(createNotReadyFailure())
     },
-    async report (reports) {
+    report: async reports => await queueReport(reports.holder, async () => {
       // A report that is accepted before its run is adopted would be lost, and the run would never end.
       if (!await waitForTerm() || !assignments.isDescribed(reports.holder)) return err(createNotReadyFailure())
       recordOutputs(reports)
-      const services = { items, replica, getAttempts: (entry: OpenItem) => findRoute(entry)?.attempts ?? 1, handleEnd, release: assignments.release }
-      return await recordRunReports(reports, services)
-    }
+      return await recordRunReports(reports, reportServices)
+    })
   }
 }
 
--- a/src/process/fleet/runReports.ts
+++ b/src/process/fleet/runReports.ts
@@ -38,6 +38,28 @@
   readonly release: (entry: OpenItem) => void
 }
 
+/** Runs the recording of a report after that of the previous report of the same executor. */
+export type ReportQueue = (holder: string, record: () => Promise<Result<void, Failure>>) => Promise<Result<void, Failure>>
+
+/**
+ * Creates a queue of reports. An executor whose call has timed out sends the report again while the first one is still being recorded; in its
+ * turn the repetition finds what is recorded already, and adds no further entry to the log.
+ * @returns the queue
+ */
+export function createReportQueue (): ReportQueue {
+  const last = new Map<string, Promise<unknown>>()
+  return async (holder, record) => {
+    const previous = last.get(holder)
+    const recorded = previous === undefined ? record() : previous.then(record, record)
+    last.set(holder, recorded)
+    try {
+      return await recorded
+    } finally {
+      if (last.get(holder) === recorded) last.delete(holder)
+    }
+  }
+}
+
 /**
  * Records reports. Reports on runs that the leader does not know are ignored.
  * @param reports - the reports of an executor
@@ -92,10 +114,13 @@
   const pieces: ProgressChunk[] = []
   const results: FinishedItem[] = []
   const failedItems: FailedItem[] = []
-  for (const { report: { run, job, item, from, data, lastEvent, end, isExcessive }, cause, failures } of current) {
+  for (const { entry, report: { run, job, item, from, data, lastEvent, end, isExcessive }, cause, failures } of current) {
     // Under another name, since a chunk of the same run never removes events.
+    const savedRun = entry.record.progress.get(item)
+    // A report that is sent again may have been recorded meanwhile.
+    const isSaved = savedRun?.run === run && from + data.length <= savedRun.data.length
     if (isExcessive === true) pieces.push({ run: `${run} discarded`, job, item, from, data, lastEvent })
-    else if (data.length > 0) pieces.push({ run, job, item, from, data, lastEvent })
+    else if (data.length > 0 && !isSaved) pieces.push({ run, job, item, from, data, lastEvent })
     if (cause === ItemEndCause.Done) results.push({ job, item, ending: Ending.Done, output: '', savedEvents: from + data.length })
     else if (cause !== undefined) results.push({ job, item, ending: Ending.Failed, output: '' })
     else if (end === RunEnd.Failed) failedItems.push({ job, item, count: failures, run })
--- a/test/batchRunner.test.ts
+++ b/test/batchRunner.test.ts
@@ -316,6 +316,20 @@
     expect((await runner.report({ holder: 'e-1-1', reports: [end] })).isOk()).to.equal(true)
   })
 
+  // Guards against an overloaded leader that appends the events of a run to the log again for each repetition of a slow report.
+  it('appends a report to the log once when it is repeated while the first one is being recorded', async () => {
+    startRunner([{ does: 'answer', pieces: [firstEvent], then: 'hang' }], 1)
+    submit('j', ['a'])
+    await waitUntil(() => servers.arrivals.length === 1)
+    const entriesBefore = replicaState.appliedIndex
+    const report = { run: 'a/1/1', job: 'j', item: 'a', from: 0, data: ['x', 'y'], lastEvent: 1, end: undefined, isUnreachable: false, durationMs: 1 }
+    const more = { ...report, data: ['x', 'y', 'z'], lastEvent: 2 }
+    const results = await Promise.all([report, report, more, more].map(async repeated => await runner.report({ holder: 'e-1-1', reports: [repeated] })))
+    expect(results.map(result => result.isOk())).to.deep.equal([true, true, true, true])
+    expect(state.submissions.jobs.get('j')?.progress.get('a')?.data).to.deep.equal(['x', 'y', 'z'])
+    expect(replicaState.appliedIndex - entriesBefore).to.equal(2)
+  })
+
   // Guards against output of a faulty server that stays in the result of an item, because it was saved before it was too much.
   it('discards the saved progress of a run that had more output than the item can have', async () => {
     startRunner([{ does: 'answer', pieces: [firstEvent], then: 'hang' }, { does: 'answer', pieces: [firstEvent, secondEvent] }], 1)
