Jobs: answer 503 when the leader takes no further job

Callers would have seen: 502 for a job of which the leader knows that it never runs, and, on an entry host, an upload that ends with its first rejection.

The rejection was reported like a lost response; and any rejection ended any command and kept the leader, also those of a follower or of a command that other code repeats.

Change: only a rejection of a proposal counts as the leader's, and it ends commands of gateways only. A job is answered 503 with Retry-After then, unless an earlier attempt may still be executed.

Evidence: the test of the rejected command uses a proposal now, and checks the same calls; the test of undecided attempts covers a limit.

--- a/src/connection/controlClient.ts
+++ b/src/connection/controlClient.ts
@@ -65,6 +65,11 @@
 /** Reasons by which an attempt is known not to be executed, now or later. */
 const unexecutedReasons: ReadonlySet<FailureReason> = new Set([FailureReason.NotLeader, FailureReason.Refused, FailureReason.Rejected, FailureReason.NotFound])
 
+// The leader accepts no further command, since too many wait already.
+function isRejectedByLeader ({ reason, step }: Failure): boolean {
+  return reason === FailureReason.Rejected && step === Step.Propose
+}
+
 function selectTrafficClass (command: Command): TrafficClass {
   // A document of many routes must not delay heartbeats and polls.
   if (command.kind === CommandKind.Publish) return TrafficClass.Tables
@@ -226,7 +231,7 @@
   function handleCallFailure (address: string, failure: Failure, sentAt: number): void {
     metrics.count(Counter.ControlCalls, failure.reason)
     if (isUnresponsive(failure)) backoffs.start(address, sentAt)
-    if (address !== leader || isResponseOfLeader(failure)) return
+    if (address !== leader || isLeaderKept(failure)) return
     if (failure.alternative !== undefined) backoffs.recordNamedLeader(failure.alternative, address, listHosts())
     if (failure.alternative !== undefined && failure.alternative !== leader && !backoffs.has(failure.alternative)) {
       leader = failure.alternative
@@ -245,9 +250,9 @@
     return reason === FailureReason.Timeout || reason === FailureReason.Refused
   }
 
-  // The leader responds: other hosts have not confirmed a change yet, it is late with one call, or it rejects a command.
-  function isResponseOfLeader ({ reason, alternative }: Failure): boolean {
-    return reason === FailureReason.Unconfirmed || reason === FailureReason.Late || (reason === FailureReason.Rejected && alternative === undefined)
+  // The leader responds: other hosts have not confirmed a change yet, or it takes no further command now. Or it is late with one call only.
+  function isLeaderKept (failure: Failure): boolean {
+    return failure.reason === FailureReason.Unconfirmed || failure.reason === FailureReason.Late || isRejectedByLeader(failure)
   }
 
   async function callOnce<Value> (call: (address: string) => PromiseLike<Result<Value, Failure>>): Promise<Result<Value, Failure>> {
@@ -258,15 +263,14 @@
     return result
   }
 
-  async function retry<Value> (timeoutMs: number, step: Step, call: (address: string, remainingMs: number) => PromiseLike<Result<Value, Failure>>): Promise<Result<Value, Failure>> {
+  async function retry<Value> (timeoutMs: number, step: Step, call: (address: string, remainingMs: number) => PromiseLike<Result<Value, Failure>>, isFinal = (_failure: Failure): boolean => false): Promise<Result<Value, Failure>> {
     const deadline = clock.now() + timeoutMs
     let failure: Failure | undefined
     while (clock.now() < deadline && !signal.aborted) {
       const result = await callOnce(address => call(address, deadline - clock.now()))
       if (result.isOk()) return result
       failure = result.error
-      // The limit that rejects it lies at the leader; sent again at once, it would add to the load of which the limit is a sign.
-      if (failure.reason === FailureReason.Rejected && failure.alternative === undefined) return result
+      if (isFinal(failure)) return result
       await clock.sleep(random.next() * maxRetryDelayMs, signal)
     }
     return err(failure ?? createFailure(FailureReason.Timeout, { step }, 'no time left for the call'))
@@ -308,22 +312,23 @@
 
   return {
     async execute (command, timeoutMs = 10_000) {
-      const trafficClass = selectTrafficClass(command)
       const isGatewayCommand = gatewayCommands.has(command.kind)
       // Whether an earlier attempt may still be executed, and whether one was late.
       let isUndecided = false
       let wasLate = false
       const outcome = await retry(timeoutMs, Step.Execute, async (address, remainingMs) => {
-        const attemptMs = !isGatewayCommand ? timeoutMs : wasLate ? remainingMs : Math.min(remainingMs, gatewayAttemptTimeoutMs)
         const maxAttemptMs = isGatewayCommand ? remainingMs : timeoutMs
-        const result = await clients.callReply<Outcome>(address, trafficClass, Step.Execute, attemptMs, (client, abort) =>
+        const attemptMs = isGatewayCommand && !wasLate ? Math.min(remainingMs, gatewayAttemptTimeoutMs) : maxAttemptMs
+        const result = await clients.callReply<Outcome>(address, selectTrafficClass(command), Step.Execute, attemptMs, (client, abort) =>
           client.control.execute.mutate(command, { signal: abort }), maxAttemptMs)
         if (result.isErr() && !unexecutedReasons.has(result.error.reason)) isUndecided = true
         if (result.isErr() && result.error.reason === FailureReason.Late) wasLate = true
         return result
-      })
-      if (!isUndecided || outcome.isErr() || outcome.value.kind !== OutcomeKind.Limit) return outcome
-      return err(createFailure(FailureReason.Unknown, { step: Step.Execute }, `an earlier attempt may still be executed: ${outcome.value.text}`))
+        // Sent again at once, it would add to the load that the rejection is a sign of.
+      }, failure => isGatewayCommand && isRejectedByLeader(failure))
+      const isRefused = outcome.isErr() ? isRejectedByLeader(outcome.error) : outcome.value.kind === OutcomeKind.Limit
+      if (!isUndecided || !isRefused) return outcome
+      return err(createFailure(FailureReason.Unknown, { step: Step.Execute }, 'the command was refused, but an earlier attempt may still be executed'))
     },
     async read (query, timeoutMs = 5_000) {
       if (inputs.readTarget === ReadTarget.Nearest) return await readNearest(query, timeoutMs)
--- a/src/request/gatewayJobs.ts
+++ b/src/request/gatewayJobs.ts
@@ -5,6 +5,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import type { ControlClient } from '../connection/controlClient.ts'
 import { CommandKind, OutcomeKind } from '../process/state/commands.ts'
+import { FailureReason } from '../process/program/failure.ts'
 import type { FleetView } from '../process/fleet/fleetView.ts'
 import type { GatewayDrain } from '../process/fleet/gatewayDrain.ts'
 import { LogEvents } from '../process/program/logEvents.ts'
@@ -57,7 +58,8 @@
   const outcome = await control.execute({
     kind: CommandKind.Submit, submission, tokenLimit: route.waitingTokens, giveUpMs: route.giveUpMs, time: 0
   }, commandTimeoutMs)
-  // A call that failed may have been executed, so the response must not say that the job has not run.
+  if (outcome.isErr() && outcome.error.reason === FailureReason.Rejected) return refuseJob(job, GatewayRefusal.Overloaded, services, outcome.error.reason)
+  // Any other call that failed may have been executed, so the response must not say that the job has not run.
   if (outcome.isErr()) return refuseJob(job, GatewayRefusal.Failed, services, outcome.error.reason)
   if (outcome.value.kind === OutcomeKind.Limit) return refuseJob(job, GatewayRefusal.QuotaExceeded, services, outcome.value.text)
   services.metrics.count(Counter.Requests, 'job accepted')
--- a/test/controlClient.test.ts
+++ b/test/controlClient.test.ts
@@ -110,11 +110,18 @@
 
   // Guards against submissions that a full leader rejects and gateways send again and again, and against polls that leave that leader.
   it('end at once when the leader rejects them, and stay with it', async () => {
-    const client = createClient(['leader', 'other'], '', {}, ReadTarget.Leader, { leader: FailureReason.Rejected })
+    const called: string[] = []
+    const clients = {
+      callReply (address: string, _trafficClass: string, step: Step) {
+        called.push(address)
+        return step === Step.Execute ? errAsync(createFailure(FailureReason.Rejected, { step: Step.Propose, peer: address }, 'too much waits')) : okAsync({})
+      }
+    } as unknown as InternalClients
+    const client = createControlClient({ controlHosts: ['leader', 'other'], clients, clock: createSystemClock(), random: createSystemRandom(), metrics: createMetrics(), signal: new AbortController().signal })
     const outcome = await client.execute({ kind: CommandKind.EndSubmission, job: 'j' }, timeoutMs)
     expect(outcome._unsafeUnwrapErr().reason).to.equal(FailureReason.Rejected)
     await client.watchFleet(watchRequest)
-    expect(calls).to.deep.equal(['leader', 'leader'])
+    expect(called).to.deep.equal(['leader', 'leader'])
   })
 
   // Guards against a job that is refused for a limit, which promises that it never runs, while an attempt without a response may still be executed.
