Jobs: answer a repeated submission without a read round

Change: the outcome of an applied submission or end of a job is returned at once. A publication is confirmed as before, since a later one may be in force.

--- a/src/process/state/controlHost.ts
+++ b/src/process/state/controlHost.ts
@@ -119,7 +119,7 @@
   // quadratic time in the number of hosts.
   const pollReceived = createCondition()
   // Proposals that are not decided yet, by what identifies their repetitions.
-  const pendingProposals = new Map<string, ResultAsync<Outcome, Failure>>()
+  const undecidedCommands = new Map<string, ResultAsync<Outcome, Failure>>()
 
   async function execute (command: Command): Promise<Result<Outcome, Failure>> {
     if (replica.state.role !== ReplicaRole.Leader) return err(createNotLeaderFailure(replica, Step.Execute))
@@ -136,7 +136,8 @@
     if (isRepeatable(command)) {
       // Callers repeat what takes long. A repetition must not add an entry: the entries of submissions and publications are large.
       const repeated = findOutcomeWithoutEntry(state, command)
-      if (repeated !== undefined) return (await replica.confirmRead()).map(() => repeated)
+      // What has been applied to a job stays true. The tables in force may have changed under a later leader.
+      if (repeated !== undefined) return command.kind === CommandKind.Publish ? (await replica.confirmRead()).map(() => repeated) : ok(repeated)
       return await proposeOnce(command)
     }
     const outcome = await replica.propose(addTimestamp(command, clock))
@@ -147,12 +148,12 @@
 
   async function proposeOnce (command: RepeatableCommand): Promise<Result<Outcome, Failure>> {
     const key = identifyRepetitions(command)
-    const pending = pendingProposals.get(key)
+    const pending = undecidedCommands.get(key)
     if (pending !== undefined) return await pending
     const proposed = replica.propose(addTimestamp(command, clock))
-    pendingProposals.set(key, proposed)
+    undecidedCommands.set(key, proposed)
     const outcome = await proposed
-    pendingProposals.delete(key)
+    undecidedCommands.delete(key)
     return outcome
   }
 
