--- a/test/logMembership.test.ts
+++ b/test/logMembership.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai'
+import { minElectionTimeoutMs } from '../src/process/log/election.ts'
 import { LogEvents } from '../src/process/program/logEvents.ts'
 import { ChangeKind, decideChange, maxMembers } from '../src/process/log/membership.ts'
 import { Standing } from '../src/process/log/storage.ts'
@@ -169,7 +170,7 @@
     await log.crash(lost)
     await log.restart(lost, true)
     const { identity } = lost.replica.state
-    await log.waitUntil('a learner that has caught up', 20_000, () => (leader.replica.state.progress.get(identity)?.caughtUpAt ?? -Infinity) > -Infinity)
+    await log.waitUntil('a learner that has caught up', 20_000, () => log.clock.now() - (leader.replica.state.progress.get(identity)?.caughtUpAt ?? -Infinity) < minElectionTimeoutMs)
     await log.crash(lost)
     await log.waitUntil('the promotion of the lost identity', 1_000, () => standingOf(leader, lost.address) === Standing.Voter)
     await log.restart(lost, true)
