--- a/src/connection/callConnection.ts
+++ b/src/connection/callConnection.ts
@@ -32,7 +32,7 @@
   /** Whether a call has not been sent completely, or a response has arrived in part. */
   readonly isTransferring: boolean
   /**
-   * Closes the connection once no call waits for a response. There must be no later calls.
+   * Closes the connection once no call waits for a response. Later calls fail after that.
    * @param closed - called when it is closed
    */
   retire (closed: () => void): void
@@ -58,9 +58,10 @@
  * Creates a connection to a host; the first call opens it.
  * @param address - IP address and port
  * @param thresholdBytes - minimum length of a message that is compressed, in bytes
+ * @param handleUnused - called for each response to a call that was given up
  * @returns the connection
  */
-export function createCallConnection (address: string, thresholdBytes: number): CallConnection {
+export function createCallConnection (address: string, thresholdBytes: number, handleUnused: () => void): CallConnection {
   const pending = new Map<number, PendingCall>()
   let lastNumber = 0
   let socket: Socket | undefined
@@ -87,8 +88,9 @@
     isReceiving = readMessages(opened, message => {
       const [number, value, error] = message as ResponseMessage
       const call = take(number)
-      if (error === undefined) call?.resolve(value)
-      else call?.reject(new Error(error))
+      if (call === undefined) handleUnused()
+      else if (error === undefined) call.resolve(value)
+      else call.reject(new Error(error))
     })
     return opened
   }
--- a/src/connection/internalClient.ts
+++ b/src/connection/internalClient.ts
@@ -74,7 +74,7 @@
  * Creates the clients.
  * @param lifecycle - closes the connections
  * @param thresholdBytes - minimum length of a message that is compressed, in bytes; Infinity for never
- * @param metrics - counts the connections that are replaced
+ * @param metrics - counts the connections that are replaced and the responses to calls that were given up
  * @returns the clients
  */
 export function createInternalClients (lifecycle: Lifecycle, thresholdBytes = compressionThresholdBytes, metrics?: Metrics): InternalClients {
@@ -86,7 +86,7 @@
     const name = `${trafficClass} ${address}`
     const existing = channels.get(name)
     if (existing !== undefined) return existing
-    const created = createChannel(address, thresholdBytes)
+    const created = createChannel(createCallConnection(address, thresholdBytes, () => metrics?.count(Counter.UnusedResponses, trafficClass)))
     channels.set(name, created)
     return created
   }
@@ -121,7 +121,7 @@
       const origin = { step, peer: address }
       const startedAt = performance.now()
       const cancellation = new AbortController()
-      let timedOut: FailureReason | undefined
+      let timeoutReason: FailureReason | undefined
       let timer: NodeJS.Timeout
 
       function handleTimeout (): void {
@@ -131,15 +131,15 @@
           timer = setTimeout(handleTimeout, Math.min(remainingMs, responsiveMs))
           return
         }
-        timedOut = isResponsive(address) ? FailureReason.Late : FailureReason.Timeout
+        timeoutReason = isResponsive(address) ? FailureReason.Late : FailureReason.Timeout
         if (isSilent || connection.isTransferring) replaceConnection(address, trafficClass, connection)
-        cancellation.abort(timedOut)
+        cancellation.abort(timeoutReason)
       }
 
       timer = setTimeout(handleTimeout, timeoutMs)
       return ResultAsync.fromPromise(call(client, cancellation.signal).finally(() => clearTimeout(timer)), error => {
-        if (timedOut === undefined) return toFailure(error, origin)
-        return createFailure(timedOut, origin, `no answer within ${Math.round(performance.now() - startedAt)} ms`, error)
+        if (timeoutReason === undefined) return toFailure(error, origin)
+        return createFailure(timeoutReason, origin, `no answer within ${Math.round(performance.now() - startedAt)} ms`, error)
       })
     },
     callReply (address, trafficClass, step, timeoutMs, call, maxTimeoutMs) {
@@ -152,8 +152,7 @@
   return clients
 }
 
-function createChannel (address: string, thresholdBytes: number): Channel {
-  const connection = createCallConnection(address, thresholdBytes)
+function createChannel (connection: CallConnection): Channel {
   return { connection, client: createTRPCClient<InternalRouter>({ links: [createLink(connection)] }) }
 }
 
--- a/src/process/program/metrics.ts
+++ b/src/process/program/metrics.ts
@@ -27,6 +27,7 @@
   ResponseBytes: 'jaychute_response_bytes_total',
   ResponseEncoding: 'jaychute_response_encoding_microseconds_total',
   UnsentResponses: 'jaychute_unsent_responses_total',
+  UnusedResponses: 'jaychute_unused_responses_total',
   ReplacedConnections: 'jaychute_replaced_connections_total',
   BatchPlans: 'jaychute_batch_plans_total',
   BatchPlanning: 'jaychute_batch_planning_microseconds_total',
--- a/src/process/program/processMonitor.ts
+++ b/src/process/program/processMonitor.ts
@@ -50,7 +50,7 @@
 
 /** Counters whose values are reported for each label, and the word that precedes the label in the report. */
 const reportedLabels = [
-  ['responses', Counter.Responses], ['unsent', Counter.UnsentResponses], ['replaced connections', Counter.ReplacedConnections],
+  ['responses', Counter.Responses], ['unsent', Counter.UnsentResponses], ['unused', Counter.UnusedResponses], ['replaced connections', Counter.ReplacedConnections],
   ['failed calls', Counter.ControlCalls], ['failed replication', Counter.ReplicationFailures], ['entries', Counter.LogEntries]
 ] as const
 
