Control client and internal client: move a comment, plain words

Cause: a comment stood behind the statement that it explains; one said 'news'.

Change: words only, and a name for the condition that ends a call.

--- a/src/connection/controlClient.ts
+++ b/src/connection/controlClient.ts
@@ -313,6 +313,8 @@
   return {
     async execute (command, timeoutMs = 10_000) {
       const isGatewayCommand = gatewayCommands.has(command.kind)
+      // Sent again at once, a rejected command would add to the load of which the rejection is a sign.
+      const isFinal = (failure: Failure): boolean => isGatewayCommand && isRejectedByLeader(failure)
       // Whether an earlier attempt may still be executed, and whether one was late.
       let isUndecided = false
       let wasLate = false
@@ -324,8 +326,7 @@
         if (result.isErr() && !unexecutedReasons.has(result.error.reason)) isUndecided = true
         if (result.isErr() && result.error.reason === FailureReason.Late) wasLate = true
         return result
-        // Sent again at once, it would add to the load that the rejection is a sign of.
-      }, failure => isGatewayCommand && isRejectedByLeader(failure))
+      }, isFinal)
       const isRefused = outcome.isErr() ? isRejectedByLeader(outcome.error) : outcome.value.kind === OutcomeKind.Limit
       if (!isUndecided || !isRefused) return outcome
       return err(createFailure(FailureReason.Unknown, { step: Step.Execute }, 'the command was refused, but an earlier attempt may still be executed'))
--- a/src/connection/internalClient.ts
+++ b/src/connection/internalClient.ts
@@ -26,7 +26,7 @@
 export const compressedInputContext: Readonly<Record<string, boolean>> = { [compressedInputKey]: true }
 
 /**
- * Time after a response for which a host counts as responsive, in milliseconds. A host that has no news for another one still responds to
+ * Time after a response for which a host counts as responsive, in milliseconds. A host without an update for another one still responds to
  * its long poll after 500 ms.
  */
 const responsiveMs = 600
