Fleet leader: do not take its own suspension for the silence of hosts

Callers would have seen: after a leader has stood still for 1.5 s, all sessions and all runs of items end, and every item starts again.

Cause: a timer that is due after a standstill runs before the sockets are read, so the checks for lost hosts and executors counted the time of the standstill as silence, while the polls waited. Class: slowness is taken for failure, here of the process itself.

Change: the checks count up to the time at which they were due.

--- a/src/process/fleet/batchRunner.ts
+++ b/src/process/fleet/batchRunner.ts
@@ -353,8 +353,10 @@
   })
   runContained(inputs, async signal => {
     while (!signal.aborted) {
+      // As for the sessions of hosts: polls that arrived while this process was suspended are not read yet.
+      const dueAt = clock.now() + executorSweepIntervalMs
       await clock.sleep(executorSweepIntervalMs, signal)
-      if (!signal.aborted && prepareTerm()) assignments.removeLost()
+      if (!signal.aborted && prepareTerm()) assignments.removeLost(dueAt)
     }
   })
   runContained(inputs, async signal => {
--- a/src/process/fleet/fleetLeader.ts
+++ b/src/process/fleet/fleetLeader.ts
@@ -269,8 +269,7 @@
     }
   }
 
-  function removeExpired (): void {
-    const now = clock.now()
+  function removeExpired (now: number): void {
     for (const { host, silentMs } of sessions.expire(now)) {
       logger.write(LogEvents.hostLost, { peer: host.name, value: Math.round(silentMs) })
       confirmations.notify()
@@ -284,9 +283,11 @@
 
   runContained(inputs, async signal => {
     while (!signal.aborted) {
+      // When this process was suspended, the polls and heartbeats that arrived meanwhile are read after the timers.
+      const dueAt = clock.now() + sweepIntervalMs
       await clock.sleep(sweepIntervalMs, signal)
       if (!isLeading()) continue
-      removeExpired()
+      removeExpired(dueAt)
       quarantine.sweep()
       permits.retain(id => registry.find(id)?.phase !== ServerPhase.Gone && registry.find(id) !== undefined)
     }
--- a/src/process/fleet/runAssignments.ts
+++ b/src/process/fleet/runAssignments.ts
@@ -57,8 +57,11 @@
    * @param entry - the item
    */
   release (entry: OpenItem): void
-  /** Removes the runs of executors that have not polled in time. */
-  removeLost (): void
+  /**
+   * Removes the runs of executors that have not polled in time.
+   * @param now - monotonic time in milliseconds
+   */
+  removeLost (now: number): void
   /**
    * Checks whether an executor has described its runs to this leader.
    * @param holder - identifies the executor's process start
@@ -179,8 +182,8 @@
       changed.notify()
     },
     release,
-    removeLost () {
-      for (const session of executors.expire(clock.now())) releaseAll(session, 'no poll in time')
+    removeLost (now) {
+      for (const session of executors.expire(now)) releaseAll(session, 'no poll in time')
     },
     isDescribed: holder => executors.hasDescribed(holder),
     async poll (poll) {
--- a/test/runAssignments.test.ts
+++ b/test/runAssignments.test.ts
@@ -128,7 +128,7 @@
     assignments.start(first, recordOf('i-1'))
     const run = first.run?.id ?? ''
     await clock.advance(3 * longPollMs + longPollMs + 100)
-    assignments.removeLost()
+    assignments.removeLost(clock.now())
     expect(first.run).to.equal(undefined)
     const returned = await poll(pollOf('e', { runs: [run], references: [] }))
     expect(returned.stops).to.deep.equal([run])
