Calls between hosts: read what has arrived before a call times out

Callers would have seen: a gateway that stood still for a second leaves a healthy leader and control hosts for 2 s.

Cause: timers run before sockets are read, so after a standstill of the own process every call in flight timed out although its response had arrived.

Change: a timeout is decided after the sockets have been read once more.

--- a/src/connection/internalClient.ts
+++ b/src/connection/internalClient.ts
@@ -122,22 +122,30 @@
       const startedAt = performance.now()
       const cancellation = new AbortController()
       let timeoutReason: FailureReason | undefined
+      let isSettled = false
       let timer: NodeJS.Timeout
 
+      // When this process was suspended, a response that arrived meanwhile is read after the timers.
+      function schedule (delayMs: number): void {
+        timer = setTimeout(() => setImmediate(handleTimeout), delayMs)
+      }
+
       function handleTimeout (): void {
+        if (isSettled) return
         const remainingMs = startedAt + maxTimeoutMs - performance.now()
         const isSilent = connection.lastReceivedAt < startedAt
-        if (remainingMs > 0 && !isSilent && isResponsive(address)) {
-          timer = setTimeout(handleTimeout, Math.min(remainingMs, responsiveMs))
-          return
-        }
+        if (remainingMs > 0 && !isSilent && isResponsive(address)) return schedule(Math.min(remainingMs, responsiveMs))
         timeoutReason = isResponsive(address) ? FailureReason.Late : FailureReason.Timeout
         if (isSilent || connection.isTransferring) replaceConnection(address, trafficClass, connection)
         cancellation.abort(timeoutReason)
       }
 
-      timer = setTimeout(handleTimeout, timeoutMs)
-      return ResultAsync.fromPromise(call(client, cancellation.signal).finally(() => clearTimeout(timer)), error => {
+      schedule(timeoutMs)
+      const settled = call(client, cancellation.signal).finally(() => {
+        isSettled = true
+        clearTimeout(timer)
+      })
+      return ResultAsync.fromPromise(settled, error => {
         if (timeoutReason === undefined) return toFailure(error, origin)
         return createFailure(timeoutReason, origin, `no answer within ${Math.round(performance.now() - startedAt)} ms`, error)
       })
--- a/test/lateCalls.test.ts
+++ b/test/lateCalls.test.ts
@@ -235,4 +235,18 @@
     await eventually('the first connection is closed', longTimeoutMs, () => received[0]?.destroyed === true ? true : undefined)
     server.close()
   })
+
+  // Guards against a host that takes its own suspension for the silence of all hosts that it has called.
+  it('is none when the response arrived while this process was suspended', async () => {
+    const [host] = peers as [TestPeer]
+    host.prompt.add('control.read')
+    const called = callPeer(host, shortTimeoutMs)
+    await host.receive(1)
+    await new Promise<void>(resolve => setImmediate(() => {
+      const end = performance.now() + 4 * shortTimeoutMs
+      while (performance.now() < end);
+      resolve()
+    }))
+    expect((await called).isOk()).to.equal(true)
+  })
 })
