Calls between hosts: check a silent connection before a command is sent again

A command whose connection was silent for 800 ms was sent again on a new one. The connections of gateways to the leader carry little else than submissions, so a commit of over 800 ms doubled the uploads of 150 KB over the link between the regions, which delayed the commits.

Change: a small call on the same connection decides whether it works.

Evidence: the new test failed before (two submissions instead of one); the tests of the silent connection pass as before.

--- a/src/connection/controlClient.ts
+++ b/src/connection/controlClient.ts
@@ -57,8 +57,8 @@
 const gatewayCommands: ReadonlySet<CommandKind> = new Set([CommandKind.Publish, CommandKind.Submit, CommandKind.EndSubmission])
 
 /**
- * Timeout for the first attempt of a gateway command whose connection is silent, in milliseconds: several round trips between regions. It is sent
- * once more on a new connection; a leader that responds to other calls is busy with the command after that.
+ * Timeout for the first attempt of a gateway command at a host that is silent, in milliseconds: several round trips between regions. A leader that
+ * responds to other calls is busy with the command; only if the connection itself does not work, the command is sent once more on a new one.
  */
 const gatewayAttemptTimeoutMs = 800
 
--- a/src/connection/internalClient.ts
+++ b/src/connection/internalClient.ts
@@ -25,6 +25,9 @@
 /** Context of a call whose input must not be compressed again. */
 export const compressedInputContext: Readonly<Record<string, boolean>> = { [compressedInputKey]: true }
 
+/** Procedure that every host answers at once, by which a silent connection is checked. */
+const probeProcedure = 'replica.identify'
+
 /**
  * Time after a response for which a host counts as responsive, in milliseconds. A host without an update for another one still responds to
  * its long poll after 500 ms.
@@ -42,7 +45,7 @@
    * @param step - the step named in failures
    * @param timeoutMs - timeout for the call, in milliseconds
    * @param call - calls the procedure
-   * @param maxTimeoutMs - timeout while the host responds to other calls on the same connection, in milliseconds; `timeoutMs` by default
+   * @param maxTimeoutMs - timeout while the host responds to other calls and the connection works, in milliseconds; `timeoutMs` by default
    * @returns the value, or a failure; its reason is `Late` if the host responds to other calls
    */
   call<Value> (
@@ -56,7 +59,7 @@
    * @param step - the step named in failures
    * @param timeoutMs - timeout for the call, in milliseconds
    * @param call - calls the procedure
-   * @param maxTimeoutMs - timeout while the host responds to other calls on the same connection, in milliseconds; `timeoutMs` by default
+   * @param maxTimeoutMs - timeout while the host responds to other calls and the connection works, in milliseconds; `timeoutMs` by default
    * @returns the value of the reply, or the failure of the reply or of the call
    */
   callReply<Value> (
@@ -123,8 +126,15 @@
       const cancellation = new AbortController()
       let timeoutReason: FailureReason | undefined
       let isSettled = false
+      let isProbed = false
       let timer: NodeJS.Timeout
 
+      // Any response shows that the connection works. A command that is sent again on another one costs far more than this call.
+      function probe (): void {
+        isProbed = true
+        connection.call(probeProcedure, undefined, true, cancellation.signal).catch(() => {})
+      }
+
       // When this process was suspended, a response that arrived meanwhile is read after the timers.
       function schedule (delayMs: number): void {
         timer = setTimeout(() => setImmediate(handleTimeout), delayMs)
@@ -134,7 +144,10 @@
         if (isSettled) return
         const remainingMs = startedAt + maxTimeoutMs - performance.now()
         const isSilent = connection.lastReceivedAt < startedAt
-        if (remainingMs > 0 && !isSilent && isResponsive(address)) return schedule(Math.min(remainingMs, responsiveMs))
+        if (remainingMs > 0 && isResponsive(address) && (!isSilent || !isProbed)) {
+          if (isSilent) probe()
+          return schedule(Math.min(remainingMs, responsiveMs))
+        }
         timeoutReason = isResponsive(address) ? FailureReason.Late : FailureReason.Timeout
         if (isSilent || connection.isTransferring) replaceConnection(address, trafficClass, connection)
         cancellation.abort(timeoutReason)
--- a/test/lateCalls.test.ts
+++ b/test/lateCalls.test.ts
@@ -249,4 +249,21 @@
     }))
     expect((await called).isOk()).to.equal(true)
   })
+
+  // Guards against a job that is sent again with all its items while its leader is busy with it: on a narrow link, that delays everything else.
+  it('is not sent a second time when its connection works', async () => {
+    const [leader] = peers as [TestPeer]
+    for (const procedure of ['fleet.watch', 'replica.identify']) leader.prompt.add(procedure)
+    const client = createControlClient({
+      controlHosts: [leader.address], readTarget: ReadTarget.Nearest, clients, clock: createSystemClock(), random: createSeededRandom(1), metrics: createMetrics(), signal: lifecycle.signal
+    })
+    const ended = new AbortController()
+    const submission = client.execute({ kind: CommandKind.Submit, submission: { id: 'j' } } as never, 2_500).finally(() => ended.abort())
+    while (!ended.signal.aborted) {
+      await client.watchFleet({} as never)
+      await new Promise(resolve => setTimeout(resolve, 20))
+    }
+    expect((await submission)._unsafeUnwrapErr().reason).to.equal(FailureReason.Late)
+    expect(leader.calls.filter(([, procedure]) => procedure === 'control.execute')).to.have.lengthOf(1)
+  })
 })
