Calls between hosts: keep the connection of a late call to a busy host

Cause: a late call replaced its connection at once when nothing had arrived on it.

Change: while the host responds to other calls, a connection is replaced only when a second call finds it silent, or a check on it is not answered. When the host responds to nothing, it is replaced at once, as before.

The new test failed before and passes now.

--- a/src/connection/internalClient.ts
+++ b/src/connection/internalClient.ts
@@ -84,6 +84,8 @@
   const channels = new Map<string, Channel>()
   // Replaced connections on which calls still wait.
   const retired = new Set<CallConnection>()
+  // Monotonic time at which a call to a responsive host timed out on a connection on which nothing had arrived, in milliseconds.
+  const silentSince = new WeakMap<CallConnection, number>()
 
   function getOrCreateChannel (address: string, trafficClass: TrafficClass): Channel {
     const name = `${trafficClass} ${address}`
@@ -104,6 +106,12 @@
     connection.retire(() => retired.delete(connection))
   }
 
+  // A busy host takes longer for the first call on a new connection than for one on a connection that it has accepted, so a single late call does
+  // not replace the connection.
+  function wasSilentBefore (connection: CallConnection): boolean {
+    return connection.lastReceivedAt < (silentSince.get(connection) ?? -Infinity)
+  }
+
   function isResponsive (address: string): boolean {
     const since = performance.now() - responsiveMs
     for (const trafficClass of Object.values(TrafficClass)) {
@@ -149,7 +157,9 @@
           return schedule(Math.min(remainingMs, responsiveMs))
         }
         timeoutReason = isResponsive(address) ? FailureReason.Late : FailureReason.Timeout
-        if (isSilent || connection.isTransferring) replaceConnection(address, trafficClass, connection)
+        const isBroken = isSilent && (timeoutReason === FailureReason.Timeout || isProbed || wasSilentBefore(connection))
+        if (isBroken || connection.isTransferring) replaceConnection(address, trafficClass, connection)
+        else if (isSilent) silentSince.set(connection, performance.now())
         cancellation.abort(timeoutReason)
       }
 
--- a/test/lateCalls.test.ts
+++ b/test/lateCalls.test.ts
@@ -266,4 +266,26 @@
     expect((await submission)._unsafeUnwrapErr().reason).to.equal(FailureReason.Late)
     expect(leader.calls.filter(([, procedure]) => procedure === 'control.execute')).to.have.lengthOf(1)
   })
+
+  // Guards against a new connection for each late call to a busy host, which takes longest to answer the first call on a connection.
+  it('leaves its connection in use when the host responds on another one, unless the next call finds it silent too', async () => {
+    const [host] = peers as [TestPeer]
+    host.prompt.add('fleet.watch')
+    const callPolled = async () => {
+      const called = callPeer(host, 4 * shortTimeoutMs)
+      const polled = await clients.callReply(host.address, TrafficClass.Control, Step.Watch, longTimeoutMs, (client, signal) => client.fleet.watch.mutate({} as never, { signal }) as never)
+      expect(polled.isOk()).to.equal(true)
+      return await called
+    }
+    // One connection for the polls, one for the calls.
+    for (const connections of [2, 2]) {
+      expect((await callPolled())._unsafeUnwrapErr().reason).to.equal(FailureReason.Late)
+      expect(host.connections).to.equal(connections)
+    }
+    const next = callPeer(host, longTimeoutMs)
+    await host.receive(5)
+    expect(host.connections).to.equal(3)
+    host.respond(2)
+    expect((await next).isOk()).to.equal(true)
+  })
 })
