Replication: share the read rounds of a leader

Cause: each read at the leader began a round of its own, and each response of a follower wakes all pending reads to be checked again. With 100 reads a second the checks take the leader's processor time, which makes reads late; late reads are repeated by callers and by gateways at other control hosts.

Change: all reads that begin in one turn of the event loop are confirmed by one round.

--- a/src/process/log/replica.ts
+++ b/src/process/log/replica.ts
@@ -17,7 +17,7 @@
 import type {
   AppendRequest, AppendResponse, HeartbeatRequest, HeartbeatResponse, Identification, JoinRequest, JoinResponse, SnapshotRequest, SnapshotResponse, VoteRequest, VoteResponse
 } from './replicaMessages.ts'
-import { confirmRead, propose } from './replicaProposals.ts'
+import { createSharedReads, propose } from './replicaProposals.ts'
 import { createCore, type ReplicaCore, type ReplicaInputs, ReplicaRole, type ReplicaState } from './replicaState.ts'
 import { handleSnapshot } from './snapshotInstall.ts'
 import { type Entry, type Member, PayloadKind, RecordKind } from './storage.ts'
@@ -110,6 +110,7 @@
   const { inputs, state } = core
   const { lifecycle, storage } = inputs
   const followerReads = createFollowerReads(core)
+  const confirmRead = createSharedReads(core)
   lifecycle.addCleanup(() => storage.close())
   lifecycle.addCleanup(() => stepDown(core, LeadershipEnd.Closed))
   lifecycle.run(signal => runElections(core, signal))
@@ -118,8 +119,8 @@
   return {
     state,
     propose: command => new ResultAsync(propose(core, command)),
-    confirmRead: () => new ResultAsync(confirmRead(core)),
-    confirmLocalRead: () => new ResultAsync(state.role === ReplicaRole.Leader ? confirmRead(core) : followerReads.confirm()),
+    confirmRead: () => new ResultAsync(confirmRead()),
+    confirmLocalRead: () => new ResultAsync(state.role === ReplicaRole.Leader ? confirmRead() : followerReads.confirm()),
     handleVote: request => handleVote(core, request),
     handleAppend: request => handleAppend(core, request),
     handleHeartbeat: request => handleHeartbeat(core, request),
--- a/src/process/log/replicaProposals.ts
+++ b/src/process/log/replicaProposals.ts
@@ -2,6 +2,7 @@
  * Proposals of commands and confirmed reads, both on the leader.
  * @module
  */
+import { setImmediate } from 'node:timers/promises'
 import { err, ok, type Result } from 'neverthrow'
 import { type Command, CommandKind, type Outcome } from '../state/commands.ts'
 import { createFailure, type Failure, FailureReason, Step } from '../program/failure.ts'
@@ -69,6 +70,28 @@
   })
 }
 
+/**
+ * Shares read rounds: all reads that begin in one turn of the event loop are confirmed by the same round. Each pending round is checked
+ * again whenever a follower responds, so a round for each read would take the leader the time in which it confirms them.
+ * @param core - the replica
+ * @returns a function that confirms a read like `confirmRead`
+ */
+export function createSharedReads (core: ReplicaCore): () => Promise<Result<number, Failure>> {
+  let upcoming: Promise<Result<number, Failure>> | undefined
+
+  async function startRound (): Promise<Result<number, Failure>> {
+    await setImmediate()
+    // A read that begins from now on needs a later round.
+    upcoming = undefined
+    return await confirmRead(core)
+  }
+
+  return async () => {
+    upcoming ??= startRound()
+    return await upcoming
+  }
+}
+
 /**
  * Confirms that this replica is the leader and has applied every entry that was committed before the call. A read round is
  * confirmed by responses to requests that were sent after the round began, and thus does not depend on clocks.
