Calls between hosts: do not check a connection because a timer ran early

Cause: a timer may run up to a millisecond early, so a call without further time was taken for one that may wait, and checked its connection.

Change: less than a millisecond counts as no time. The test also rules out a check.

--- a/src/connection/internalClient.ts
+++ b/src/connection/internalClient.ts
@@ -152,7 +152,8 @@
         if (isSettled) return
         const remainingMs = startedAt + maxTimeoutMs - performance.now()
         const isSilent = connection.lastReceivedAt < startedAt
-        if (remainingMs > 0 && isResponsive(address) && (!isSilent || !isProbed)) {
+        // A timer may run up to a millisecond early.
+        if (remainingMs >= 1 && isResponsive(address) && (!isSilent || !isProbed)) {
           if (isSilent) probe()
           return schedule(Math.min(remainingMs, responsiveMs))
         }
--- a/test/lateCalls.test.ts
+++ b/test/lateCalls.test.ts
@@ -284,6 +284,7 @@
     }
     const next = callPeer(host, longTimeoutMs)
     await host.receive(5)
+    expect(host.calls.map(([, procedure]) => procedure)).not.to.include('replica.identify')
     expect(host.connections).to.equal(3)
     host.respond(2)
     expect((await next).isOk()).to.equal(true)
