--- a/src/connection/callConnection.ts
+++ b/src/connection/callConnection.ts
@@ -23,7 +23,7 @@
    * @param procedure - path of the procedure
    * @param input - input of the procedure
    * @param isCompressed - whether the large parts of the input are compressed already
-   * @param signal - gives up the call; the other calls on the connection go on
+   * @param signal - gives up the call; the other calls on the connection continue
    * @returns the value; rejects with the error of the procedure or of the connection, or when the signal aborts
    */
   call (procedure: string, input: unknown, isCompressed: boolean, signal: AbortSignal | undefined): Promise<unknown>
