Log: what open batch items wait for, and ends that add no result

Cause: the log names the start, the interruption and the recorded end of an item. It does not tell whether an item that is neither run nor ended waits for a run that no executor lists, for a delay, or for a free slot, and it reports an end as recorded that was dropped because its saved events differ. Change: event 630 counts the open items by state every 5 s and names the two that were accepted first, with their run and its executor; event 631 takes the place of 625 for an end that adds no result. The leader records which runs an executor lists; nothing depends on it yet. Result: test/openItemStates, test/batchRunner and test/logEvents pass.

--- a/src/process/fleet/batchRunner.ts
+++ b/src/process/fleet/batchRunner.ts
@@ -14,6 +14,7 @@
 import type { ControlState } from '../state/controlState.ts'
 import { createFailure, type Failure, FailureReason, Step } from '../program/failure.ts'
 import { LogEvents } from '../program/logEvents.ts'
+import { groupBy } from '../program/groupBy.ts'
 import { runContained } from '../program/unexpectedErrors.ts'
 import { Counter, microsecondsPerMillisecond } from '../program/metrics.ts'
 import type { ProcessServices } from '../program/processServices.ts'
@@ -26,6 +27,7 @@
 import { createItemEndRecorder, ItemEndCause, logItemEnd } from './itemEndRecorder.ts'
 import { createItemDurationEstimator } from './itemDurationEstimator.ts'
 import { countSavedEvents, createItemKey, createOpenItems, delayStartAfterInterruption, delayStartAfterFailure, type OpenItem } from './openItems.ts'
+import { logOpenItems } from './openItemStates.ts'
 import { createRunAssignments } from './runAssignments.ts'
 import type { RunPoll, RunReports, RunUpdate } from './runMessages.ts'
 import { createReportQueue, type CurrentReport, recordRunReports, type RunReportServices } from './runReports.ts'
@@ -58,6 +60,9 @@
 /** Interval between scans for items to give up and jobs to purge, in milliseconds. */
 const sweepIntervalMs = 1_000
 
+/** Interval between two summaries of the open items in the log, in milliseconds. */
+const summaryIntervalMs = 5_000
+
 /** Interval between checks for lost executors, in milliseconds. */
 const executorSweepIntervalMs = 250
 
@@ -277,7 +282,9 @@
     metrics.count(Counter.Items, end)
     entry.runTimeMs += durationMs
     assignments.release(entry)
-    if (cause !== undefined) logItemEnd(logger, report, cause, replica.state.commitIndex)
+    const isDropped = cause === ItemEndCause.Done && entry.record.open.has(report.item)
+    if (isDropped) logger.write(LogEvents.itemEndDropped, { requestId: report.item, inputs: { job: report.job, run: run.id, savedEvents: countSavedEvents(entry), reportedEvents: report.from + report.data.length } })
+    else if (cause !== undefined) logItemEnd(logger, report, cause, replica.state.commitIndex)
     switch (end) {
       case RunEnd.Complete:
         durationEstimator.addSample(report.from + report.data.length, entry.runTimeMs)
@@ -359,6 +366,12 @@
       if (!signal.aborted && prepareTerm()) assignments.removeLost(dueAt)
     }
   })
+  runContained(inputs, async signal => {
+    while (!signal.aborted) {
+      await clock.sleep(summaryIntervalMs, signal)
+      if (!signal.aborted && prepareTerm()) logOpenItems(logger, items.list(), { now: clock.now(), isListed: assignments.isListed, isBlocked: entry => fleet.quarantine.isBlocked(listTraitsOf(entry)) })
+    }
+  })
   runContained(inputs, async signal => {
     while (!signal.aborted) {
       await clock.sleep(sweepIntervalMs, signal)
@@ -384,14 +397,3 @@
 function createNotReadyFailure (): Failure {
   return createFailure(FailureReason.NotLeader, { step: Step.Dispatch }, 'this control host does not lead, or has not applied the log of its predecessors yet')
 }
-
-function groupBy<Value> (values: readonly Value[], getKey: (value: Value) => string): Map<string, Value[]> {
-  const groups = new Map<string, Value[]>()
-  for (const value of values) {
-    const key = getKey(value)
-    const group = groups.get(key) ?? []
-    group.push(value)
-    groups.set(key, group)
-  }
-  return groups
-}
--- a/src/process/fleet/executorSessions.ts
+++ b/src/process/fleet/executorSessions.ts
@@ -22,6 +22,8 @@
   isStopped: boolean
   /** Whether the assignment was sent to the executor. */
   isSent: boolean
+  /** Whether the latest poll of the executor listed the run; undefined before the first that did. */
+  isListed?: boolean
 }
 
 /** An executor that polls. */
@@ -135,10 +137,17 @@
     return undefined
   }
 
+  function recordListed (session: Session, listed: ReadonlySet<RunId>): void {
+    for (const assigned of session.runs.values()) {
+      if (assigned.isListed !== undefined || listed.has(assigned.run)) assigned.isListed = listed.has(assigned.run)
+    }
+  }
+
   return {
-    renew ({ holder, name, availabilityZone, isFallback, isDraining }, now) {
+    renew ({ holder, name, availabilityZone, isFallback, isDraining, runs, ending }, now) {
       const known = sessions.get(holder)
       if (known !== undefined) {
+        recordListed(known, new Set([...runs, ...ending]))
         known.lastContactAt = now
         known.isDraining = isDraining
         return { session: known, replaced: undefined }
--- a/src/process/fleet/openItems.ts
+++ b/src/process/fleet/openItems.ts
@@ -68,6 +68,8 @@
    * @returns the items without a run whose start is not delayed and whose end is not being recorded
    */
   startable (now: number): OpenItem[]
+  /** Lists all items, those of the job that was accepted first at the start. */
+  list (): OpenItem[]
   /** Lists the items with a run that has not been interrupted. */
   running (): OpenItem[]
   /**
@@ -111,6 +113,7 @@
       return removed
     },
     startable: now => [...open.values()].filter(entry => entry.run === undefined && !entry.isEnding && entry.startAfter <= now),
+    list: () => [...open.values()],
     running: () => [...open.values()].filter(entry => entry.run?.isInterrupted === false),
     pastGiveUpTime: wallTime => [...open.values()].filter(entry => !entry.isEnding && wallTime >= entry.record.submission.giveUpAt),
     clear () {
--- a/src/process/fleet/runAssignments.ts
+++ b/src/process/fleet/runAssignments.ts
@@ -68,6 +68,12 @@
    * @returns false if a report of the executor may concern a run that this leader does not know yet
    */
   isDescribed (holder: string): boolean
+  /**
+   * Checks whether the executor of an item's run listed the run in its latest poll.
+   * @param entry - the item
+   * @returns whether it did; undefined if no poll has listed the run so far, or the executor has no session
+   */
+  isListed (entry: OpenItem): boolean | undefined
   /**
    * Answers a long poll of an executor as soon as its runs are to change, or when the long-poll time is over.
    * @param poll - the poll
@@ -119,7 +125,7 @@
       const entry = items.find(key)
       if (entry === undefined || entry.run !== undefined) continue
       entry.run = { id: reference.run, server: reference.server, executor: holder, hasOutput: countSavedEvents(entry) > 0, isInterrupted: false }
-      executors.assign(holder, { run: reference.run, key, assignment: undefined, isStopped: false, isSent: true })
+      executors.assign(holder, { run: reference.run, key, assignment: undefined, isStopped: false, isSent: true, isListed: true })
       adjustBatchCount(reference.server, 1)
     }
   }
@@ -185,6 +191,7 @@
     removeLost (now) {
       for (const session of executors.expire(now)) releaseAll(session, 'no poll in time')
     },
+    isListed: ({ run }) => run === undefined ? undefined : executors.find(run.executor, run.id)?.isListed,
     isDescribed: holder => executors.hasDescribed(holder),
     async poll (poll) {
       const initialLeadership = leadership
--- a/src/process/program/logEvents.ts
+++ b/src/process/program/logEvents.ts
@@ -98,6 +98,8 @@
   runsStopped: { number: 627, level: Level.Warn, text: 'runs of batch items stopped: no contact with a leader', action: 'Check the network to the control hosts.' },
   outputFull: { number: 628, level: Level.Error, text: 'results and saved progress of jobs have reached their maximum size; no batch item is started', action: 'Check the backend servers for outputs that are too long. Items start again when closed jobs are purged.' },
   outputSpaceFound: { number: 629, level: Level.Info, text: 'results and saved progress of jobs are below their maximum size again', action: noAction },
+  openItems: { number: 630, level: Level.Info, text: 'batch items without a result, by what they wait for', action: 'No action needed while the items named as the oldest change.' },
+  itemEndDropped: { number: 631, level: Level.Warn, text: 'end of a batch item added no result, because its saved progress differs; the item runs again', action: 'Report the event if it repeats for an item.' },
   publicationAccepted: { number: 310, level: Level.Info, text: 'published tables accepted', action: noAction },
   publicationUnconfirmed: { number: 312, level: Level.Info, text: 'published tables committed, but not confirmed by every gateway yet', action: 'No action needed: the operator publishes the same tables again, and event 310 follows. Check the named gateway if it repeats.' },
   publicationRefused: { number: 311, level: Level.Warn, text: 'published tables refused', action: 'Read the reason; publish corrected tables.' },
