--- a/test/runAssignments.test.ts
+++ b/test/runAssignments.test.ts
@@ -157,6 +157,18 @@
     expect(assignments.canStart()).to.equal(true)
   })
 
+  // Failure (LOST): an executor described a run to this leader while its predecessor accepted the end of the run. The leader adopted the
+  // run, its executor never listed it again, and the item was neither run again nor ended.
+  it('releases an adopted run that its executor no longer lists', async () => {
+    const [kept, dropped] = submit('a', 'b') as [OpenItem, OpenItem]
+    const references = [{ run: 'b/7/3', job: 'j', item: 'a', server: 'i-1' }, { run: 'b/7/4', job: 'j', item: 'b', server: 'i-1' }]
+    await poll(pollOf('e', { runs: ['b/7/3'], ending: ['b/7/4'], references }))
+    expect([kept.run?.id, dropped.run?.id]).to.deep.equal(['b/7/3', 'b/7/4'])
+    await poll(pollOf('e', { runs: ['b/7/3'] }))
+    expect([kept.run?.id, dropped.run?.id]).to.deep.equal(['b/7/3', undefined])
+    expect(batch.get('i-1')).to.equal(1)
+  })
+
   // A leader that was deposed must not stop the runs of its successor.
   it('answers no poll after the loss of the leadership', async () => {
     let failed: boolean | undefined
