Test: jobs are accepted whose results cannot be kept

Jobs are accepted without regard to the size of the results that are kept for 180 s; from 20 MiB on the leader starts no item, so the items of accepted jobs are neither run nor ended.

--- /dev/null
+++ b/test/outputSpace.test.ts
@@ -0,0 +1,89 @@
+import { expect } from 'chai'
+import { maxOutputCharacters } from '../src/process/fleet/batchRunner.ts'
+import type { ControlHost } from '../src/process/state/controlHost.ts'
+import { createLifecycle, type Lifecycle } from '../src/process/program/lifecycle.ts'
+import { type Command, CommandKind, Ending, type Outcome, OutcomeKind } from '../src/process/state/commands.ts'
+import type { Failure } from '../src/process/program/failure.ts'
+import type { Result } from 'neverthrow'
+import { FakeClock } from './support/fakeClock.ts'
+import { MemoryStorage } from './support/memoryStorage.ts'
+import { startTestControl } from './support/testControl.ts'
+
+const itemsPerJob = 100
+
+/** Output of an item that cannot be compressed to less than half of its size. */
+function outputOf (characters: number, seed: number): string {
+  let state = seed
+  let text = ''
+  while (text.length < characters) {
+    state = (state * 1_103_515_245 + 12_345) % 2_147_483_648
+    text += state.toString(36)
+  }
+  return text.slice(0, characters)
+}
+
+function submitOf (id: string): Command {
+  const items = Array.from({ length: itemsPerJob }, (_, index) => ({ id: `${id}-${index}`, path: '/p/1', headers: {}, body: Buffer.alloc(100), tokens: 100 }))
+  return { kind: CommandKind.Submit, submission: { id, host: 'a.example', route: 'r', pathPrefix: '/p/', acceptedAt: 0, giveUpAt: 0, items }, tokenLimit: 0, giveUpMs: 60_000, time: 0 }
+}
+
+function finishOf (id: string): Command {
+  const results = Array.from({ length: itemsPerJob }, (_, index) => ({ job: id, item: `${id}-${index}`, ending: Ending.Done, output: outputOf(40_000, index) }))
+  return { kind: CommandKind.FinishItems, results }
+}
+
+describe('space for results', () => {
+  let lifecycle: Lifecycle
+  let clock: FakeClock
+  let storage: MemoryStorage
+  let control: ControlHost
+
+  beforeEach(async () => {
+    lifecycle = createLifecycle()
+    clock = new FakeClock()
+    storage = new MemoryStorage('disk')
+    control = await startTestControl(clock, storage, lifecycle)
+    await clock.advance(500)
+  })
+
+  afterEach(async () => {
+    storage.release()
+    const closed = lifecycle.close()
+    await clock.advance(2_000)
+    await closed
+  })
+
+  async function execute (command: Command): Promise<Result<Outcome, Failure>> {
+    const outcome = control.execute(command)
+    await clock.advance(200)
+    return await outcome
+  }
+
+  // Failure (LOST): jobs were accepted without regard to the size of the results that are kept. Once these had their maximum size, no item was
+  // started any more, and the items of accepted jobs were neither run nor ended.
+  it('is left for the results of every accepted item, and a job without space for its results is rejected', async () => {
+    let accepted = 0
+    for (; accepted < 40; accepted++) {
+      const outcome = await execute(submitOf(`j-${accepted}`))
+      if (outcome.isErr()) {
+        expect(outcome.error.reason).to.equal('rejected')
+        break
+      }
+      await execute(finishOf(`j-${accepted}`))
+    }
+    expect(accepted).to.be.within(4, 39)
+    expect(control.state.submissions.outputCharacters).to.be.below(maxOutputCharacters)
+    // The job that was accepted last is open; its results fit, too.
+    const last = await execute(finishOf(`j-${accepted - 1}`))
+    expect(last.isOk()).to.equal(true)
+    expect(control.state.submissions.outputCharacters).to.be.below(maxOutputCharacters)
+  })
+
+  // Guards against a caller that repeats a submission whose response it has lost, and is told that the job was not accepted.
+  it('is not asked for again by a job that was accepted', async () => {
+    expect((await execute(submitOf('j')))._unsafeUnwrap().kind).to.equal(OutcomeKind.Job)
+    control.state.submissions.outputCharacters = maxOutputCharacters
+    expect((await execute(submitOf('other'))).isErr()).to.equal(true)
+    expect((await execute(submitOf('j')))._unsafeUnwrap().kind).to.equal(OutcomeKind.Job)
+  })
+})
