Jobs: accept a job only with space for its results

Cause: results and saved progress have a maximum size, from which the leader starts no item. Jobs were accepted all the same, and results are kept for 180 s, so the items of accepted jobs waited for the purge of others. Class: a limit is enforced after the promise that depends on it. Change: the leader rejects a job before it is proposed unless its results, at the average size so far, fit beside those of all accepted items. A repetition of an accepted or an undecided job is not rejected. Why it works: what is accepted fits, so that accepted items never meet the maximum, unless outputs grow; a tenth of it is kept for that.

--- a/src/process/fleet/batchRunner.ts
+++ b/src/process/fleet/batchRunner.ts
@@ -20,6 +20,7 @@
 import type { ProcessServices } from '../program/processServices.ts'
 import type { Replica } from '../log/replica.ts'
 import type { SubmittedItem } from '../jobs/submission.ts'
+import { maxOutputCharacters } from '../jobs/outputSpace.ts'
 import { isSubmissionClosed, type SubmissionRecord } from '../jobs/submissions.ts'
 import { assertNever } from '../program/assert.ts'
 import type { BackendServerRecord } from './backendServerRegistry.ts'
@@ -51,12 +52,6 @@
  */
 const planPauseFactor = 4
 
-/**
- * Size of all results and saved progress from which no item is started, in characters. Two snapshots and the log have to fit on the disk of a
- * control host, which has 64 MB on the first sites, and the state into its heap of 96 MB.
- */
-export const maxOutputCharacters = 20 * 1024 * 1024
-
 /** Interval between scans for items to give up and jobs to purge, in milliseconds. */
 const sweepIntervalMs = 1_000
 
--- a/src/process/state/controlHost.ts
+++ b/src/process/state/controlHost.ts
@@ -12,6 +12,7 @@
 import { answerQuery, applyCommand, type ControlState, createControlState } from './controlState.ts'
 import { createFailure, type Failure, FailureReason, Step } from '../program/failure.ts'
 import { type Query, QueryKind, type QueryResponse } from './queries.ts'
+import { hasOutputSpace } from '../jobs/outputSpace.ts'
 import { findOutcomeOfRepetition, isSubmissionClosed } from '../jobs/submissions.ts'
 import { createIdleUploads } from '../jobs/idleUploads.ts'
 import { createIdleClaims, type IdleClaims } from '../jobs/idleClaims.ts'
@@ -150,6 +151,8 @@
     const key = identifyRepetitions(command)
     const pending = undecidedCommands.get(key)
     if (pending !== undefined) return await pending
+    // An accepted item must be run and its result kept, so a job is accepted only with space for its results.
+    if (command.kind === CommandKind.Submit && !hasOutputSpace(state.submissions, command.submission.items.length)) return err(createNoOutputSpaceFailure(replica))
     const proposed = replica.propose(addTimestamp(command, clock))
     undecidedCommands.set(key, proposed)
     const outcome = await proposed
@@ -297,6 +300,10 @@
   return createFailure(FailureReason.NotLeader, { step, peer: address, alternative: leaderAddress }, 'this control host is not the leader')
 }
 
+function createNoOutputSpaceFailure (replica: Replica): Failure {
+  return createFailure(FailureReason.Rejected, { step: Step.Propose, peer: replica.state.address }, 'there is no space for the results of the job')
+}
+
 function isRepeatable (command: Command): command is RepeatableCommand {
   return command.kind === CommandKind.Publish || command.kind === CommandKind.Submit || command.kind === CommandKind.EndSubmission
 }
--- a/test/outputSpace.test.ts
+++ b/test/outputSpace.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { maxOutputCharacters } from '../src/process/fleet/batchRunner.ts'
+import { hasOutputSpace, maxOutputCharacters } from '../src/process/jobs/outputSpace.ts'
 import type { ControlHost } from '../src/process/state/controlHost.ts'
 import { createLifecycle, type Lifecycle } from '../src/process/program/lifecycle.ts'
 import { type Command, CommandKind, Ending, type Outcome, OutcomeKind } from '../src/process/state/commands.ts'
@@ -86,4 +86,14 @@
     expect((await execute(submitOf('other'))).isErr()).to.equal(true)
     expect((await execute(submitOf('j')))._unsafeUnwrap().kind).to.equal(OutcomeKind.Job)
   })
+
+  it('is expected to be used by open items as by the results so far', async () => {
+    const { submissions } = control.state
+    await execute(submitOf('j'))
+    const fitting = Math.floor(maxOutputCharacters * 0.9 / (10 * 1024)) - itemsPerJob
+    expect(hasOutputSpace(submissions, fitting)).to.equal(true)
+    expect(hasOutputSpace(submissions, fitting + 1)).to.equal(false)
+    await execute(finishOf('j'))
+    expect(hasOutputSpace(submissions, fitting)).to.equal(false)
+  })
 })
