--- a/src/process/fleet/batchRunner.ts
+++ b/src/process/fleet/batchRunner.ts
@@ -20,7 +20,7 @@
 import type { ProcessServices } from '../program/processServices.ts'
 import type { Replica } from '../log/replica.ts'
 import type { SubmittedItem } from '../jobs/submission.ts'
-import { maxOutputCharacters } from '../jobs/outputSpace.ts'
+import { maxOutputBytes } from '../jobs/outputSpace.ts'
 import { isSubmissionClosed, type SubmissionRecord } from '../jobs/submissions.ts'
 import { assertNever } from '../program/assert.ts'
 import type { BackendServerRecord } from './backendServerRegistry.ts'
@@ -199,10 +199,10 @@
 
   // Items that wait are started again once the results of closed jobs have been purged.
   function checkOutputSize (): void {
-    const { outputCharacters } = state.submissions
-    if (isOutputFull === (outputCharacters >= maxOutputCharacters)) return
+    const { outputBytes } = state.submissions
+    if (isOutputFull === (outputBytes >= maxOutputBytes)) return
     isOutputFull = !isOutputFull
-    logger.write(isOutputFull ? LogEvents.outputFull : LogEvents.outputSpaceFound, { value: outputCharacters })
+    logger.write(isOutputFull ? LogEvents.outputFull : LogEvents.outputSpaceFound, { value: outputBytes })
   }
 
   // Returns the keys of the items that may be started, by service, the most urgent first.
--- a/src/process/jobs/outputSpace.ts
+++ b/src/process/jobs/outputSpace.ts
@@ -5,10 +5,10 @@
 import type { Submissions } from './submissions.ts'
 
 /**
- * Size of all results and saved progress from which no item is started, in characters. Two snapshots and the log have to fit on the disk of a
+ * Size of all results and saved progress from which no item is started, in bytes. Two snapshots and the log have to fit on the disk of a
  * control host, which has 64 MB on the first sites, and the state into its heap of 96 MB.
  */
-export const maxOutputCharacters = 20 * 1024 * 1024
+export const maxOutputBytes = 20 * 1024 * 1024
 
 /**
  * Share of that size up to which jobs are accepted, with what the open items are expected to add. The rest is for items whose results are
@@ -19,8 +19,8 @@
 /** Results from which their average size is taken for that of results to come. */
 const minAveragedResults = 20
 
-/** Expected size of a result before there are so many, in characters; items of the first sites have some 10,000. */
-const initialResultCharacters = 10 * 1024
+/** Expected size of a result before there are so many, in bytes; those of the first sites have some 6,400. */
+const initialResultBytes = 8 * 1024
 
 /**
  * Checks whether the results of a new job can be kept beside those of the jobs that were accepted before.
@@ -35,6 +35,6 @@
     openItems += record.open.size
     results += record.results.length
   }
-  const resultCharacters = results < minAveragedResults ? initialResultCharacters : submissions.outputCharacters / results
-  return submissions.outputCharacters + openItems * resultCharacters <= maxOutputCharacters * acceptedShare
+  const resultBytes = results < minAveragedResults ? initialResultBytes : submissions.outputBytes / results
+  return submissions.outputBytes + openItems * resultBytes <= maxOutputBytes * acceptedShare
 }
--- a/src/process/jobs/submissions.ts
+++ b/src/process/jobs/submissions.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { countCharacters } from '../program/chunk.ts'
+import { readOutput, type StoredOutput, storeOutput } from './storedOutput.ts'
 import type { SavedProgress, SubmissionHeader, SubmittedItem } from './submission.ts'
 import { CommandKind, type CommandOf, done, Ending, type FinishedItem, notFound, type Outcome, OutcomeKind } from '../state/commands.ts'
 
@@ -14,13 +15,18 @@
   readonly output: string
 }
 
+/** Result of an item as it is kept. */
+export interface StoredResult extends Omit<ItemResult, 'output'> {
+  readonly output: StoredOutput
+}
+
 /** A submitted job with its results. */
 export interface SubmissionRecord {
   readonly submission: SubmissionHeader
   /** Number of items of the job. */
   readonly total: number
   /** Results in the order in which they were recorded; the index of a result never changes. */
-  readonly results: ItemResult[]
+  readonly results: StoredResult[]
   /** Items without a result, by id; empty when the job has ended. The bodies of all other items are dropped. */
   readonly open: Map<string, SubmittedItem>
   /** Saved progress of open items, by id. */
@@ -37,8 +43,8 @@
   readonly jobs: Map<string, SubmissionRecord>
   /** Number of waiting tokens by host and path prefix of the route. */
   readonly waitingTokens: Map<string, number>
-  /** Size of all results and saved progress, in characters. */
-  outputCharacters: number
+  /** Size of all results and saved progress as they are kept: bytes of compressed results, characters of the rest. */
+  outputBytes: number
 }
 
 /**
@@ -46,7 +52,7 @@
  * @returns the state
  */
 export function createSubmissions (): Submissions {
-  return { jobs: new Map(), waitingTokens: new Map(), outputCharacters: 0 }
+  return { jobs: new Map(), waitingTokens: new Map(), outputBytes: 0 }
 }
 
 /**
@@ -94,7 +100,7 @@
   const open = new Map<string, SubmittedItem>()
   const record: SubmissionRecord = { ...saved, open }
   state.jobs.set(saved.submission.id, record)
-  state.outputCharacters += countOutputCharacters(record)
+  state.outputBytes += countOutputBytes(record)
   if (saved.ended) return
   for (const item of items) open.set(item.id, item)
   for (const result of saved.results) open.delete(result.item)
@@ -113,9 +119,10 @@
     const record = state.jobs.get(job)
     const item = record?.open.get(id)
     if (record === undefined || item === undefined) continue
-    const output = determineOutput(record, result)
-    if (output === undefined) continue
-    state.outputCharacters += output.length - countProgressCharacters(record, id)
+    const text = determineOutput(record, result)
+    if (text === undefined) continue
+    const output = storeOutput(text)
+    state.outputBytes += output.length - countProgressCharacters(record, id)
     record.open.delete(id)
     record.progress.delete(id)
     record.failures.delete(id)
@@ -148,7 +155,7 @@
     const savedData = saved?.data ?? []
     if (from > savedData.length) continue
     if (run === saved?.run && from + data.length <= savedData.length) continue
-    state.outputCharacters += countCharacters(data) - countCharacters(savedData.slice(from))
+    state.outputBytes += countCharacters(data) - countCharacters(savedData.slice(from))
     record.progress.set(item, { data: [...savedData.slice(0, from), ...data], lastEvent, ...(run === undefined ? {} : { run }) })
   }
   return done
@@ -197,7 +204,7 @@
   const record = state.jobs.get(command.job)
   if (record === undefined) return notFound
   record.ended = true
-  for (const id of record.progress.keys()) state.outputCharacters -= countProgressCharacters(record, id)
+  for (const id of record.progress.keys()) state.outputBytes -= countProgressCharacters(record, id)
   record.progress.clear()
   record.failures.clear()
   record.failedRuns.clear()
@@ -216,7 +223,7 @@
   for (const id of command.jobs) {
     const record = state.jobs.get(id)
     if (record === undefined || !isSubmissionClosed(record)) continue
-    state.outputCharacters -= countOutputCharacters(record)
+    state.outputBytes -= countOutputBytes(record)
     state.jobs.delete(id)
   }
   return done
@@ -252,19 +259,20 @@
 export function readResults (record: SubmissionRecord, after: number): ResultPage {
   const results: ItemResult[] = []
   let characters = 0
-  for (const result of record.results.slice(after)) {
-    characters += result.output.length
+  for (const { output: stored, ...result } of record.results.slice(after)) {
+    const output = readOutput(stored)
+    characters += output.length
     if (results.length > 0 && characters > pageLimitCharacters) break
-    results.push(result)
+    results.push({ ...result, output })
   }
   return { total: record.total, next: after + results.length, results }
 }
 
-function countOutputCharacters (record: SubmissionRecord): number {
-  let characters = 0
-  for (const { output } of record.results) characters += output.length
-  for (const id of record.progress.keys()) characters += countProgressCharacters(record, id)
-  return characters
+function countOutputBytes (record: SubmissionRecord): number {
+  let bytes = 0
+  for (const { output } of record.results) bytes += output.length
+  for (const id of record.progress.keys()) bytes += countProgressCharacters(record, id)
+  return bytes
 }
 
 function countProgressCharacters ({ progress }: SubmissionRecord, item: string): number {
--- a/src/process/state/stateSnapshot.ts
+++ b/src/process/state/stateSnapshot.ts
@@ -15,7 +15,7 @@
 import { type Operation, retainOperation } from './operations.ts'
 import type { QuarantinedTrait, RecordedServerCrash } from './quarantinedTraits.ts'
 import type { Publication } from '../../version/gatewayTables.ts'
-import { type ItemResult, restoreSubmission, type SubmissionRecord } from '../jobs/submissions.ts'
+import { restoreSubmission, type StoredResult, type SubmissionRecord } from '../jobs/submissions.ts'
 import type { SavedProgress, SubmissionHeader, SubmittedItem } from '../jobs/submission.ts'
 import { createWaitingItems } from '../jobs/waitingItems.ts'
 
@@ -72,7 +72,7 @@
   | { readonly kind: typeof ChunkKind.Publication, readonly publication: Publication }
   | { readonly kind: typeof ChunkKind.Submission, readonly submission: SubmissionHeader, readonly ended: boolean, readonly total?: number }
   | { readonly kind: typeof ChunkKind.SubmittedItems, readonly records: readonly SubmittedItem[] }
-  | { readonly kind: typeof ChunkKind.ItemResults, readonly records: readonly ItemResult[] }
+  | { readonly kind: typeof ChunkKind.ItemResults, readonly records: readonly StoredResult[] }
   | { readonly kind: typeof ChunkKind.ItemProgress, readonly records: ReadonlyArray<readonly [string, SavedProgress]> }
   | { readonly kind: typeof ChunkKind.ItemFailures, readonly records: readonly FailureRecord[] }
   | { readonly kind: typeof ChunkKind.QuarantinedTraits, readonly records: readonly QuarantinedTrait[], readonly crashes?: readonly RecordedServerCrash[] }
@@ -166,7 +166,7 @@
   /** Number of items of the job; undefined in a snapshot of a version that exported all of them. */
   readonly total: number | undefined
   readonly items: SubmittedItem[]
-  readonly results: ItemResult[]
+  readonly results: StoredResult[]
   readonly progress: Map<string, SavedProgress>
   readonly failures: Map<string, number>
   readonly failedRuns: Map<string, readonly string[]>
--- a/test/batchRunner.test.ts
+++ b/test/batchRunner.test.ts
@@ -11,7 +11,8 @@
 import type { FleetLeader } from '../src/process/fleet/fleetLeader.ts'
 import { createFleetView } from '../src/process/fleet/fleetView.ts'
 import { createItemExecutor } from '../src/process/fleet/itemExecutor.ts'
-import { maxOutputCharacters } from '../src/process/jobs/outputSpace.ts'
+import { maxOutputBytes } from '../src/process/jobs/outputSpace.ts'
+import { readOutput } from '../src/process/jobs/storedOutput.ts'
 import { createLifecycle, type Lifecycle } from '../src/process/program/lifecycle.ts'
 import { createSilentLogger } from '../src/process/program/logger.ts'
 import { createMetrics } from '../src/process/program/metrics.ts'
@@ -96,7 +97,7 @@
         const outcome = apply(command)
         if (command.kind === CommandKind.FinishItems) {
           for (const { job, item, ending } of command.results) {
-            const output = state.submissions.jobs.get(job)?.results.find(result => result.item === item)?.output ?? 'not recorded'
+            const output = readOutput(state.submissions.jobs.get(job)?.results.find(result => result.item === item)?.output ?? 'not recorded')
             recordedResults.push({ job, item, ending, output })
           }
         }
@@ -340,7 +341,7 @@
     expect((await runner.report({ holder: 'e-1-1', reports: [{ ...report, data: ['x', 'y'], lastEvent: 1, end: undefined }] })).isOk()).to.equal(true)
     expect(state.submissions.jobs.get('j')?.progress.get('a')?.data).to.deep.equal(['x', 'y'])
     await runner.report({ holder: 'e-1-1', reports: [{ ...report, data: [], lastEvent: -1, end: RunEnd.Interrupted, isExcessive: true }] })
-    expect(state.submissions.outputCharacters).to.equal(0)
+    expect(state.submissions.outputBytes).to.equal(0)
     await waitUntil(() => recordedResults.length === 1)
     expect(servers.arrivals[1]?.request.resumeAfter).to.equal(undefined)
     expect(recordedResults[0]?.output).to.equal('a\nb')
@@ -349,11 +350,11 @@
   // Guards against control hosts that run out of memory or disk space with the results of many jobs.
   it('starts no item while results and saved progress have their maximum size', async () => {
     startRunner([{ does: 'answer', pieces: [firstEvent] }], 1)
-    state.submissions.outputCharacters = maxOutputCharacters
+    state.submissions.outputBytes = maxOutputBytes
     submit('j', ['a'])
     await new Promise(resolve => setTimeout(resolve, 400))
     expect(servers.arrivals).to.have.length(0)
-    state.submissions.outputCharacters = 0
+    state.submissions.outputBytes = 0
     changed.notify()
     await waitUntil(() => recordedResults.length === 1)
   })
--- a/test/gatewayState.test.ts
+++ b/test/gatewayState.test.ts
@@ -5,6 +5,7 @@
 import { encodeRecord } from '../src/process/log/recordCodec.ts'
 import { exportState, importState } from '../src/process/state/stateSnapshot.ts'
 import type { SubmittedItem } from '../src/process/jobs/submission.ts'
+import { readResults } from '../src/process/jobs/submissions.ts'
 import { tablesOf } from './support/fakeFleet.ts'
 
 function itemOf (id: string, tokens = 100): SubmittedItem {
@@ -169,6 +170,30 @@
     expect(failures?.size).to.equal(0)
   })
 
+  // Guards against outputs that come back with other characters, and against a control host that needs the space of two outputs for one.
+  it('keeps results in less space than their characters take, and returns them unchanged, also from a snapshot', () => {
+    const state = createControlState()
+    applyCommand(state, submitOf('j', [itemOf('a'), itemOf('b')]))
+    const words = Array.from({ length: 150 }, (_, index) => `${index}.${(index * 7_919).toString(16)}.wörd-€-😀-${(index * 104_729 % 65_521).toString(36)}`).join('\n')
+    applyCommand(state, finishOf('j', 'a', words))
+    applyCommand(state, finishOf('j', 'b', 'short'))
+    expect(state.submissions.outputBytes).to.be.below(words.length * 0.7)
+    for (const { submissions } of [state, importState([...exportState(state)])]) {
+      const record = submissions.jobs.get('j')
+      expect(record === undefined ? [] : readResults(record, 0).results.map(({ output }) => output)).to.deep.equal([words, 'short'])
+    }
+  })
+
+  // Guards against a control host that cannot read the snapshot of an earlier version of this program, which has texts as outputs.
+  it('reads results that were kept as texts', () => {
+    const state = createControlState()
+    applyCommand(state, submitOf('j', [itemOf('a')]))
+    applyCommand(state, finishOf('j', 'a', 'x'.repeat(1_000)))
+    const chunks = [...exportState(state)].map(part => 'records' in part && (part as { kind?: string }).kind === 'item results' ? { ...part, records: [{ item: 'a', ending: Ending.Done, output: 'x'.repeat(1_000) }] } : part)
+    const record = importState(chunks).submissions.jobs.get('j')
+    expect(record === undefined ? [] : readResults(record, 0).results).to.deep.equal([{ item: 'a', ending: Ending.Done, output: 'x'.repeat(1_000) }])
+  })
+
   // Guards against a size that drifts from the state, so that no item is started, or too many are.
   it('counts the characters of results and saved progress', () => {
     const state = createControlState()
@@ -177,8 +202,8 @@
     const save = (item: string, from: number, data: string[], run: string): unknown =>
       applyCommand(state, { kind: CommandKind.SaveProgress, pieces: [{ job: 'j', item, from, data, lastEvent: from + data.length - 1, run }] })
     const expectSize = (size: number): void => {
-      expect(state.submissions.outputCharacters).to.equal(size)
-      expect(importState([...exportState(state)]).submissions.outputCharacters).to.equal(size)
+      expect(state.submissions.outputBytes).to.equal(size)
+      expect(importState([...exportState(state)]).submissions.outputBytes).to.equal(size)
     }
     save('a', 0, ['xx', 'yy'], 'r/1')
     save('a', 1, ['z'], 'r/2')
--- a/test/outputSpace.test.ts
+++ b/test/outputSpace.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { hasOutputSpace, maxOutputCharacters } from '../src/process/jobs/outputSpace.ts'
+import { hasOutputSpace, maxOutputBytes } from '../src/process/jobs/outputSpace.ts'
 import type { ControlHost } from '../src/process/state/controlHost.ts'
 import { createLifecycle, type Lifecycle } from '../src/process/program/lifecycle.ts'
 import { type Command, CommandKind, Ending, type Outcome, OutcomeKind } from '../src/process/state/commands.ts'
@@ -72,17 +72,17 @@
       await execute(finishOf(`j-${accepted}`))
     }
     expect(accepted).to.be.within(4, 39)
-    expect(control.state.submissions.outputCharacters).to.be.below(maxOutputCharacters)
+    expect(control.state.submissions.outputBytes).to.be.below(maxOutputBytes)
     // The job that was accepted last is open; its results fit, too.
     const last = await execute(finishOf(`j-${accepted - 1}`))
     expect(last.isOk()).to.equal(true)
-    expect(control.state.submissions.outputCharacters).to.be.below(maxOutputCharacters)
+    expect(control.state.submissions.outputBytes).to.be.below(maxOutputBytes)
   })
 
   // Guards against a caller that repeats a submission whose response it has lost, and is told that the job was not accepted.
   it('is not asked for again by a job that was accepted', async () => {
     expect((await execute(submitOf('j')))._unsafeUnwrap().kind).to.equal(OutcomeKind.Job)
-    control.state.submissions.outputCharacters = maxOutputCharacters
+    control.state.submissions.outputBytes = maxOutputBytes
     expect((await execute(submitOf('other'))).isErr()).to.equal(true)
     expect((await execute(submitOf('j')))._unsafeUnwrap().kind).to.equal(OutcomeKind.Job)
   })
@@ -90,7 +90,7 @@
   it('is expected to be used by open items as by the results so far', async () => {
     const { submissions } = control.state
     await execute(submitOf('j'))
-    const fitting = Math.floor(maxOutputCharacters * 0.9 / (10 * 1024)) - itemsPerJob
+    const fitting = Math.floor(maxOutputBytes * 0.9 / (8 * 1024)) - itemsPerJob
     expect(hasOutputSpace(submissions, fitting)).to.equal(true)
     expect(hasOutputSpace(submissions, fitting + 1)).to.equal(false)
     await execute(finishOf('j'))
