Runs: release a run that its executor no longer lists

Seen by callers: an item could wait for the end of its run for ever (LOST). Cause: an executor whose report a former leader accepted drops the run; if it had described the run to the new leader before, that leader adopts it. Adopted runs are not sent again, and nothing but the loss of the executor removes them. Change: a run that a poll has listed and a later one does not is released; a run that was never listed is sent again, as before. Why it works: an executor lists each run until its report is accepted, so the next poll tells that the run is over, whoever accepted the report.

--- a/src/process/fleet/executorSessions.ts
+++ b/src/process/fleet/executorSessions.ts
@@ -103,11 +103,12 @@
    */
   compare (poll: RunPoll): RunChanges
   /**
-   * Lists the runs that are stopped and that the executor does not have, since it never received them.
+   * Lists the runs that the executor does not have: those that it has listed before, so that a report on their end was accepted, and those that are
+   * stopped, which it never received.
    * @param poll - the poll
    * @returns the runs
    */
-  listUnknownStopped (poll: RunPoll): AssignedRun[]
+  listDropped (poll: RunPoll): AssignedRun[]
   /** Lists the names of the executors whose runs are known. */
   listDescribed (): Set<string>
   /** Removes all sessions. */
@@ -204,9 +205,9 @@
       }
       return changes
     },
-    listUnknownStopped (poll) {
+    listDropped (poll) {
       const present = new Set([...poll.runs, ...poll.ending])
-      return [...sessions.get(poll.holder)?.runs.values() ?? []].filter(({ run, isStopped }) => isStopped && !present.has(run))
+      return [...sessions.get(poll.holder)?.runs.values() ?? []].filter(({ run, isStopped, isListed }) => (isStopped || isListed !== undefined) && !present.has(run))
     },
     listDescribed: () => new Set([...sessions.values()].filter(session => session.hasDescribedRuns).map(session => session.name)),
     clear: () => sessions.clear()
--- a/src/process/fleet/runAssignments.ts
+++ b/src/process/fleet/runAssignments.ts
@@ -203,7 +203,7 @@
         session.hasDescribedRuns = true
         fleet.changed.notify()
       }
-      for (const { key, run } of executors.listUnknownStopped(poll)) releaseKey(key, run)
+      for (const { key, run } of executors.listDropped(poll)) releaseKey(key, run)
       await waitForChanges(poll)
       if (!fleet.isLeading() || leadership !== initialLeadership) return err(createNotLeaderFailure())
       executors.touch(poll.holder, clock.now())
