Runs: end a run that was adopted again while its report was recorded

Seen by callers: as 'release a run that its executor no longer lists'; shown by a test, not seen in a play. Cause: the recording of a report takes long at a busy log. If the session of the executor ends meanwhile and its next poll has the run adopted again, the end of the run was compared by object with the adopted run, and had no effect although the report was accepted. Change: the runs are compared by their id, and the current one ends.

--- a/src/process/fleet/runReports.ts
+++ b/src/process/fleet/runReports.ts
@@ -80,7 +80,9 @@
     if (outcome.isErr()) return err(outcome.error)
   }
   for (const ended of current) {
-    if (ended.report.end !== undefined && ended.entry.run === ended.run) services.handleEnd(ended)
+    // It may have been released and adopted again meanwhile.
+    const { run } = ended.entry
+    if (ended.report.end !== undefined && run?.id === ended.run.id) services.handleEnd({ ...ended, run })
   }
   return ok(undefined)
 }
