Plan of items: back off a server that refuses items or breaks them off at once

Cause: an item goes to the server with the most free slots. One that refuses every item, or breaks the connection before the first event, always has the most, and only failed runs and failed connections paused it. Change: such a run pauses its server like a failed one, once for all that end so at a time, doubling to 4 s until a run succeeds. The longest delay of an item is 2 s, so that it reaches another server. Result: test/batchRunner 'sends an item elsewhere ...' printed 'expected [ 'i-1', 'i-1' ] to deeply equal [ 'i-1', 'i-22' ]' for a refusal and for a broken connection, and passes; batchRunner and loadPlacement pass.

--- a/src/process/fleet/batchRunner.ts
+++ b/src/process/fleet/batchRunner.ts
@@ -294,11 +294,13 @@
       case RunEnd.NotRun:
         entry.interruptions++
         if (isUnreachable) backoffs.recordUnreachable(run.server)
+        else backoffs.recordRefusal(run.server)
         delayStartAfterInterruption(entry, entry.interruptions, clock.now())
         break
       case RunEnd.Interrupted:
         if (report.isExcessive === true) backoffs.recordFailure(run.server)
         if (run.isInterrupted) break
+        if (report.data.length === 0) backoffs.recordRefusal(run.server)
         entry.interruptions++
         delayStartAfterInterruption(entry, entry.interruptions, clock.now())
         break
--- a/src/process/fleet/serverBackoffs.ts
+++ b/src/process/fleet/serverBackoffs.ts
@@ -14,8 +14,8 @@
 const interruptionBackoffMs = 300
 
 /**
- * Backoff of a server after a failed run, in milliseconds; doubles with each further failure until a run succeeds (see
- * commit 3723dc4).
+ * Backoff of a server after a failed or refused run, in milliseconds; doubles with each further one until a run succeeds (see
+ * commit 3723dc4). It has to exceed the longest delay of a refused item, or the item returns to the same server.
  */
 const initialFailureBackoffMs = 500
 
@@ -30,6 +30,11 @@
   recordInterruption (id: string): void
   /** Records a failed run. */
   recordFailure (id: string): void
+  /**
+   * Records a run that the server refused, or that broke off before its first event. The backoff grows like that after failures, once for all runs
+   * that end so while it lasts: a full server refuses several at once.
+   */
+  recordRefusal (id: string): void
   /** Records a run with complete output; resets the growth of the failure backoff. */
   recordSuccess (id: string): void
   /** Checks whether a server is to receive no batch items yet. */
@@ -66,18 +71,27 @@
     backoff.until = Math.max(backoff.until, clock.now() + durationMs)
   }
 
+  function isBackingOff (id: string): boolean {
+    return (backoffs.get(id)?.until ?? -Infinity) > clock.now()
+  }
+
+  function recordFailure (id: string): void {
+    const backoff = getOrCreateBackoff(id)
+    extendBackoff(id, Math.min(maxFailureBackoffMs, initialFailureBackoffMs * 2 ** backoff.failures))
+    backoff.failures++
+  }
+
   return {
     recordUnreachable: id => extendBackoff(id, unreachableBackoffMs),
     recordInterruption: id => extendBackoff(id, interruptionBackoffMs),
-    recordFailure (id) {
-      const backoff = getOrCreateBackoff(id)
-      extendBackoff(id, Math.min(maxFailureBackoffMs, initialFailureBackoffMs * 2 ** backoff.failures))
-      backoff.failures++
+    recordFailure,
+    recordRefusal (id) {
+      if (!isBackingOff(id)) recordFailure(id)
     },
     recordSuccess (id) {
       getOrCreateBackoff(id).failures = 0
     },
-    isBackingOff: id => (backoffs.get(id)?.until ?? -Infinity) > clock.now(),
+    isBackingOff,
     clear: () => backoffs.clear()
   }
 }
--- a/test/batchRunner.test.ts
+++ b/test/batchRunner.test.ts
@@ -32,6 +32,8 @@
   let runner: BatchRunner
   let servers: ScriptedServers
   let server: BackendServerRecord
+  /** Further servers, with a longer id than `server`. */
+  let otherServers: BackendServerRecord[]
   let recordedResults: FinishedItem[]
   let proposalFailuresLeft: number
   /** Number of recorded failures whose outcome is lost with the leadership. */
@@ -69,6 +71,7 @@
     servers = new ScriptedServers(scripts)
     executors.length = 0
     server = recordOf('i-1', { slots })
+    otherServers = []
     recordedResults = []
     proposalFailuresLeft = 0
     lostOutcomesLeft = 0
@@ -79,8 +82,8 @@
       batch: new Map<string, number>(),
       isLeading: () => true,
       getLeadership: () => `a/${replicaState.term}`,
-      listReadyServers: () => server.phase === 'ready' ? [server] : [],
-      findServer: () => server,
+      listReadyServers: () => [server, ...otherServers].filter(({ phase }) => phase === 'ready'),
+      findServer: (id: string) => otherServers.find(other => other.id === id) ?? server,
       reportIntervalMs: 40,
       getLoad: () => ({ live, batch: 0 }),
       isSuspect: () => false,
@@ -262,6 +265,18 @@
     expect(recordedResults.map(result => result.ending)).to.deep.equal([Ending.Done, Ending.Done])
   })
 
+  // Failure (LOST): a server that refuses every item, or breaks its connection before the first event, always has the most free slots, so the last waiting
+  // items were sent to it again and again, though other servers had free slots.
+  for (const script of [{ does: 'refuse' }, { does: 'fail', sent: true }] as const) {
+    it(`sends an item elsewhere when the server with the most free slots does not run it: ${script.does}`, async () => {
+      startRunner([script, { does: 'answer', pieces: [firstEvent] }], 4)
+      otherServers = [recordOf('i-22', { slots: 2 })]
+      submit('j', ['a'])
+      await waitUntil(() => servers.arrivals.length === 2)
+      expect(servers.arrivals.map(arrival => arrival.server)).to.deep.equal(['i-1', 'i-22'])
+    })
+  }
+
   // Failure: under intermittent live requests an item was started and interrupted every 50 ms, each time processing its
   // whole prompt for hardly any event.
   it('pauses a server for items after one was interrupted there for live work', async () => {
