Test of answers without end: count what a gateway holds, not what it delivers

Cause: the figure was the bytes that the server could send, but the events are complete and are delivered to the caller as they come. So the figure was the speed of the machine times the time of the request, which no target limits.

Change: live requests are checked for the bytes that the client of the gateway has read and the caller has not got, by the sockets of the client, at most 640 KiB in place of 24 MiB. The bound covers the failure with a body too, which had none. Two new cases have a slow caller.

--- a/test/endlessAnswers.test.ts
+++ b/test/endlessAnswers.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai'
+import { channel } from 'node:diagnostics_channel'
 import { once } from 'node:events'
 import { createServer, type AddressInfo, type Socket } from 'node:net'
 import { createBackendServerHttp } from '../platform/backendServerHttp.ts'
@@ -13,13 +14,26 @@
 import { createLifecycle } from '../src/process/program/lifecycle.ts'
 import { createMetrics } from '../src/process/program/metrics.ts'
 import { runForwardedRequest } from '../src/request/forwardedRequest.ts'
+import { CallerResponse } from '../src/request/callerExchange.ts'
+import { maxEventBytes } from '../src/request/eventStream.ts'
 import { type ItemProgress, RunEnd, runSubmittedItem, type SubmittedItemRun } from '../src/request/submittedItemRun.ts'
-import { forwardingServicesOf, recordOf, RecordedResponse, requestOf, routeOf } from './support/fakeFleet.ts'
+import { forwardingServicesOf, recordOf, requestOf, routeOf } from './support/fakeFleet.ts'
 
 const idleTimeoutMs = 300
 const routeTimeoutMs = 1_500
 const itemTokens = 50
 const maxReadBytes = 24 * 1024 * 1024
+
+/**
+ * Bytes of a live response that a gateway may have read and not delivered: twice the documented 64 KiB for the caller and 256 KiB for
+ * one event, since the part in delivery, the latest read and the framing of chunks are counted too. The bytes that are delivered
+ * within the time of a request depend on the speed of the machine, so they have no limit.
+ */
+const maxHeldBytes = 2 * (64 * 1024 + maxEventBytes)
+
+/** Time that a slow caller takes for each part of a response, in milliseconds. */
+const slowWriteMs = 30
+
 /** Largest time in which an answer without end is given up, in milliseconds; several times each timeout of a route or an item. */
 const endTimeoutMs = 6_000
 
@@ -43,7 +57,13 @@
   'a failure with a body without end': ['HTTP/1.1 500 Failed\r\nX-Request-Id: q-1\r\n\r\n', 'a'.repeat(1_000)]
 }
 
-/** Answers of which nothing is kept: skipped by the parser, or passed on to the caller as they come. */
+/** Answers of which nothing is delivered or held by a live request: skipped by the parser, or the rest of a refusal. */
+const skippedAnswers: ReadonlySet<string> = new Set(['empty lines without end', 'interim answers without end', 'a refusal without end'])
+
+/** Answers that are delivered to the caller of a live request as they come. */
+const deliveredAnswers: ReadonlySet<string> = new Set(['events without data', 'a failure with a body without end'])
+
+/** Answers of which the run of an item keeps nothing. */
 const unkeptAnswers: ReadonlySet<string> = new Set(['empty lines without end', 'interim answers without end', 'a failure with a body without end', 'a refusal without end'])
 
 interface EndlessServer {
@@ -94,6 +114,51 @@
   return Promise.race([promise, timedOut])
 }
 
+/** A caller that counts what it receives, since a recorded text would reach the maximum length of a string. */
+class CountedResponse extends CallerResponse {
+  deliveredBytes = 0
+  isComplete = false
+  private readonly writeMs: number
+
+  constructor (writeMs: number) {
+    super()
+    this.writeMs = writeMs
+  }
+
+  override refuse (): void {}
+
+  override start (): void {}
+
+  override async write (piece: Buffer): Promise<void> {
+    if (this.writeMs > 0) await new Promise(resolve => setTimeout(resolve, this.writeMs))
+    this.deliveredBytes += piece.length
+  }
+
+  override end (): void {
+    this.isComplete = true
+  }
+
+  override abort (): void {}
+}
+
+/** Counts what the clients of this process have read from a server. */
+interface ReadCount {
+  /** Bytes read so far; bytes in buffers of the operating system are not among them. */
+  readonly bytes: number
+  close (): void
+}
+
+function startReadCount (): ReadCount {
+  const sockets: Socket[] = []
+  const created = channel('net.client.socket')
+  const add = (message: unknown): void => { sockets.push((message as { readonly socket: Socket }).socket) }
+  created.subscribe(add)
+  return {
+    get bytes () { return sockets.reduce((sum, { bytesRead }) => sum + bytesRead, 0) },
+    close () { created.unsubscribe(add) }
+  }
+}
+
 async function expectClosed (server: EndlessServer, isKept = true): Promise<void> {
   for (const socket of server.sockets) {
     if (!socket.closed) await withTimeout(new Promise(resolve => socket.once('close', resolve)))
@@ -127,6 +192,25 @@
     return withTimeout(runSubmittedItem(itemRunOf(progress, itemTokens)).then(outcome => outcome.end))
   }
 
+  async function expectLiveRequestEnds (name: string, writeMs: number): Promise<void> {
+    const route = routeOf({ timeoutMs: routeTimeoutMs, attempts: 1 })
+    const response = new CountedResponse(writeMs)
+    const read = startReadCount()
+    let heldBytes = 0
+    const watch = setInterval(() => { heldBytes = Math.max(heldBytes, read.bytes - response.deliveredBytes) }, 5)
+    try {
+      await withTimeout(runForwardedRequest(requestOf().request, response, forwardingServicesOf(createBackendServerHttp(createMetrics()), [route], { servers: [recordOf('i-1', { address: server.address })] })))
+      heldBytes = Math.max(heldBytes, read.bytes - response.deliveredBytes)
+    } finally {
+      clearInterval(watch)
+      read.close()
+    }
+    expect(response.isComplete).to.equal(false)
+    expect(read.bytes).to.be.above(0)
+    expect(response.deliveredBytes > 0).to.equal(deliveredAnswers.has(name))
+    if (!skippedAnswers.has(name)) expect(heldBytes).to.be.at.most(maxHeldBytes)
+  }
+
   for (const [name, [start, repeated]] of Object.entries(answers)) {
     it(`end the run of an item: ${name}`, async () => {
       server = await startEndlessServer(start, () => repeated)
@@ -136,11 +220,18 @@
 
     it(`end a live request by its deadline: ${name}`, async () => {
       server = await startEndlessServer(start, () => repeated)
-      const route = routeOf({ timeoutMs: routeTimeoutMs, attempts: 1 })
-      const response = new RecordedResponse()
-      await withTimeout(runForwardedRequest(requestOf().request, response, forwardingServicesOf(createBackendServerHttp(createMetrics()), [route], { servers: [recordOf('i-1', { address: server.address })] })))
-      expect(response.isComplete).to.equal(false)
-      await expectClosed(server, !unkeptAnswers.has(name))
+      await expectLiveRequestEnds(name, 0)
+      await expectClosed(server, !skippedAnswers.has(name) && !deliveredAnswers.has(name))
+    })
+  }
+
+  // Guards against a gateway that reads faster than the caller does and holds the rest.
+  for (const name of deliveredAnswers) {
+    const [start, repeated] = answers[name] ?? ['', '']
+    it(`end a live request of a slow caller by its deadline: ${name}`, async () => {
+      server = await startEndlessServer(start, () => repeated)
+      await expectLiveRequestEnds(name, slowWriteMs)
+      await expectClosed(server)
     })
   }
 
