Jobs: reserve space for results by one account of what was promised

Cause, found by the review of: saved progress was counted as results, and raised the expected size of all open items; submissions in flight were not counted; a new leader decided on a state that it had not applied yet; failed items counted as results without output, so that too many jobs could be accepted; and at the maximum no item was started, so that interrupted items kept the space of their progress, and none ended.

--- a/src/process/fleet/batchRunner.ts
+++ b/src/process/fleet/batchRunner.ts
@@ -20,7 +20,7 @@
 import type { ProcessServices } from '../program/processServices.ts'
 import type { Replica } from '../log/replica.ts'
 import type { SubmittedItem } from '../jobs/submission.ts'
-import { maxOutputBytes } from '../jobs/outputSpace.ts'
+import { countOutputBytes, maxOutputBytes } from '../jobs/outputSpace.ts'
 import { isSubmissionClosed, type SubmissionRecord } from '../jobs/submissions.ts'
 import { assertNever } from '../program/assert.ts'
 import type { BackendServerRecord } from './backendServerRegistry.ts'
@@ -183,7 +183,7 @@
     for (const [service, servers] of serversByService) plannedByService.set(service, describeServers(servers, running))
     // Ordering the waiting items is the larger part of a plan, and mostly there is no free slot.
     checkOutputSize()
-    const canStart = !isOutputFull && assignments.canStart() && [...plannedByService.values()].some(servers => servers.some(hasFreeSlot))
+    const canStart = assignments.canStart() && [...plannedByService.values()].some(servers => servers.some(hasFreeSlot))
     const startableByService = canStart ? groupStartableByService() : new Map<string, string[]>()
     for (const [service, servers] of plannedByService) {
       const { starts, interruptions } = planBatch(servers, startableByService.get(service) ?? [])
@@ -197,9 +197,10 @@
     }
   }
 
-  // Items that wait are started again once the results of closed jobs have been purged.
+  // At the maximum, the items with saved progress are completed, which takes less space than their progress; the others wait for them, or for
+  // the purge of closed jobs.
   function checkOutputSize (): void {
-    const { outputBytes } = state.submissions
+    const outputBytes = countOutputBytes(state.submissions)
     if (isOutputFull === (outputBytes >= maxOutputBytes)) return
     isOutputFull = !isOutputFull
     logger.write(isOutputFull ? LogEvents.outputFull : LogEvents.outputSpaceFound, { value: outputBytes })
@@ -210,7 +211,7 @@
     const startableByService = new Map<string, string[]>()
     for (const { key } of orderByUrgency(describeUrgency(items.startable(clock.now())))) {
       const entry = items.find(key)
-      if (entry === undefined) continue
+      if (entry === undefined || (isOutputFull && countSavedEvents(entry) === 0)) continue
       const route = findRoute(entry)
       if (route === undefined) {
         // The active configuration no longer has a batch route for the item.
--- a/src/process/jobs/outputSpace.ts
+++ b/src/process/jobs/outputSpace.ts
@@ -2,11 +2,12 @@
  * Space for the results of jobs on the control hosts: which jobs may be accepted, so that the results of all accepted items can be kept.
  * @module
  */
+import { Ending } from '../state/commands.ts'
 import type { Submissions } from './submissions.ts'
 
 /**
- * Size of all results and saved progress from which no item is started, in bytes. Two snapshots and the log have to fit on the disk of a
- * control host, which has 64 MB on the first sites, and the state into its heap of 96 MB.
+ * Size of all results and saved progress from which only items with saved progress are started, in bytes. Two snapshots and the log have to fit
+ * on the disk of a control host, which has 64 MB on the first sites, and the state into its heap of 96 MB.
  */
 export const maxOutputBytes = 20 * 1024 * 1024
 
@@ -16,25 +17,37 @@
  */
 const acceptedShare = 0.9
 
-/** Results from which their average size is taken for that of results to come. */
-const minAveragedResults = 20
+/**
+ * Lowest expected size of a result, in bytes; outputs of the first sites have some 6,400 when they are compressed. Short outputs end first,
+ * and items that fail have none, so the results so far may be smaller than those to come.
+ */
+const minResultBytes = 6 * 1024
 
-/** Expected size of a result before there are so many, in bytes; those of the first sites have some 6,400. */
-const initialResultBytes = 8 * 1024
+/**
+ * Returns the size of all results and saved progress.
+ * @param submissions - the accepted jobs
+ * @returns the size, in bytes
+ */
+export function countOutputBytes ({ resultBytes, progressCharacters }: Submissions): number {
+  return resultBytes + progressCharacters
+}
 
 /**
- * Checks whether the results of a new job can be kept beside those of the jobs that were accepted before.
+ * Checks whether the results of new jobs can be kept beside those of the jobs that were accepted before. An open item counts by its
+ * expected result, which takes the place of its saved progress.
  * @param submissions - the accepted jobs
- * @param newItems - number of items of the new job
+ * @param newItems - number of items of the new job, and of those that are being accepted
  * @returns whether the job may be accepted
  */
 export function hasOutputSpace (submissions: Submissions, newItems: number): boolean {
   let openItems = newItems
-  let results = 0
+  let completed = 0
   for (const record of submissions.jobs.values()) {
     openItems += record.open.size
-    results += record.results.length
+    for (const { ending } of record.results) {
+      if (ending === Ending.Done) completed++
+    }
   }
-  const resultBytes = results < minAveragedResults ? initialResultBytes : submissions.outputBytes / results
-  return submissions.outputBytes + openItems * resultBytes <= maxOutputBytes * acceptedShare
+  const expectedBytes = completed === 0 ? minResultBytes : Math.max(minResultBytes, submissions.resultBytes / completed)
+  return submissions.resultBytes + openItems * expectedBytes <= maxOutputBytes * acceptedShare
 }
--- a/src/process/jobs/submissions.ts
+++ b/src/process/jobs/submissions.ts
@@ -43,8 +43,10 @@
   readonly jobs: Map<string, SubmissionRecord>
   /** Number of waiting tokens by host and path prefix of the route. */
   readonly waitingTokens: Map<string, number>
-  /** Size of all results and saved progress as they are kept: bytes of compressed results, characters of the rest. */
-  outputBytes: number
+  /** Size of all results as they are kept: bytes of compressed ones, characters of the others. */
+  resultBytes: number
+  /** Size of all saved progress, in characters. */
+  progressCharacters: number
 }
 
 /**
@@ -52,7 +54,7 @@
  * @returns the state
  */
 export function createSubmissions (): Submissions {
-  return { jobs: new Map(), waitingTokens: new Map(), outputBytes: 0 }
+  return { jobs: new Map(), waitingTokens: new Map(), resultBytes: 0, progressCharacters: 0 }
 }
 
 /**
@@ -100,7 +102,8 @@
   const open = new Map<string, SubmittedItem>()
   const record: SubmissionRecord = { ...saved, open }
   state.jobs.set(saved.submission.id, record)
-  state.outputBytes += countOutputBytes(record)
+  state.resultBytes += countResultBytes(record)
+  for (const id of record.progress.keys()) state.progressCharacters += countProgressCharacters(record, id)
   if (saved.ended) return
   for (const item of items) open.set(item.id, item)
   for (const result of saved.results) open.delete(result.item)
@@ -122,7 +125,8 @@
     const text = determineOutput(record, result)
     if (text === undefined) continue
     const output = storeOutput(text)
-    state.outputBytes += output.length - countProgressCharacters(record, id)
+    state.resultBytes += output.length
+    state.progressCharacters -= countProgressCharacters(record, id)
     record.open.delete(id)
     record.progress.delete(id)
     record.failures.delete(id)
@@ -155,7 +159,7 @@
     const savedData = saved?.data ?? []
     if (from > savedData.length) continue
     if (run === saved?.run && from + data.length <= savedData.length) continue
-    state.outputBytes += countCharacters(data) - countCharacters(savedData.slice(from))
+    state.progressCharacters += countCharacters(data) - countCharacters(savedData.slice(from))
     record.progress.set(item, { data: [...savedData.slice(0, from), ...data], lastEvent, ...(run === undefined ? {} : { run }) })
   }
   return done
@@ -204,7 +208,7 @@
   const record = state.jobs.get(command.job)
   if (record === undefined) return notFound
   record.ended = true
-  for (const id of record.progress.keys()) state.outputBytes -= countProgressCharacters(record, id)
+  for (const id of record.progress.keys()) state.progressCharacters -= countProgressCharacters(record, id)
   record.progress.clear()
   record.failures.clear()
   record.failedRuns.clear()
@@ -223,7 +227,8 @@
   for (const id of command.jobs) {
     const record = state.jobs.get(id)
     if (record === undefined || !isSubmissionClosed(record)) continue
-    state.outputBytes -= countOutputBytes(record)
+    state.resultBytes -= countResultBytes(record)
+    for (const id of record.progress.keys()) state.progressCharacters -= countProgressCharacters(record, id)
     state.jobs.delete(id)
   }
   return done
@@ -268,10 +273,9 @@
   return { total: record.total, next: after + results.length, results }
 }
 
-function countOutputBytes (record: SubmissionRecord): number {
+function countResultBytes ({ results }: SubmissionRecord): number {
   let bytes = 0
-  for (const { output } of record.results) bytes += output.length
-  for (const id of record.progress.keys()) bytes += countProgressCharacters(record, id)
+  for (const { output } of results) bytes += output.length
   return bytes
 }
 
--- a/src/process/program/logEvents.ts
+++ b/src/process/program/logEvents.ts
@@ -96,7 +96,7 @@
   itemEndRecorded: { number: 625, level: Level.Info, text: 'end of a batch item recorded', action: noAction },
   runReportFailed: { number: 626, level: Level.Warn, text: 'reporting runs of batch items to the leader failed; retrying', action: 'Check the control hosts if it repeats.' },
   runsStopped: { number: 627, level: Level.Warn, text: 'runs of batch items stopped: no contact with a leader', action: 'Check the network to the control hosts.' },
-  outputFull: { number: 628, level: Level.Error, text: 'results and saved progress of jobs have reached their maximum size; no batch item is started', action: 'Check the backend servers for outputs that are too long. Items start again when closed jobs are purged.' },
+  outputFull: { number: 628, level: Level.Error, text: 'results and saved progress of jobs have reached their maximum size; only batch items with saved progress are started', action: 'Check the backend servers for outputs that are too long. The others start when these have ended, or when closed jobs are purged.' },
   outputSpaceFound: { number: 629, level: Level.Info, text: 'results and saved progress of jobs are below their maximum size again', action: noAction },
   openItems: { number: 630, level: Level.Info, text: 'batch items without a result, by what they wait for', action: 'No action needed while the items named as the oldest change.' },
   itemEndDropped: { number: 631, level: Level.Warn, text: 'end of a batch item added no result, because its saved progress differs; the item runs again', action: 'Report the event if it repeats for an item.' },
--- a/src/process/state/controlHost.ts
+++ b/src/process/state/controlHost.ts
@@ -46,6 +46,9 @@
   readonly applied?: (command: Command) => void
 }
 
+/** Longest time for which a submission waits until a new leader has applied the entries of earlier terms, in milliseconds. */
+const termStartTimeoutMs = 500
+
 /** A command of a gateway or an operator that has the same outcome when it is repeated. */
 type RepeatableCommand = CommandOf<'publish'> | CommandOf<'submit'> | CommandOf<'end submission'>
 
@@ -121,6 +124,8 @@
   const pollReceived = createCondition()
   // Proposals that are not decided yet, by what identifies their repetitions.
   const undecidedCommands = new Map<string, ResultAsync<Outcome, Failure>>()
+  // Items of the submissions among them.
+  let undecidedItems = 0
 
   async function execute (command: Command): Promise<Result<Outcome, Failure>> {
     if (replica.state.role !== ReplicaRole.Leader) return err(createNotLeaderFailure(replica, Step.Execute))
@@ -135,6 +140,8 @@
       if (emptyOutcome !== undefined) return ok(emptyOutcome)
     }
     if (isRepeatable(command)) {
+      // Before, the job may be accepted already, and others whose results need space.
+      if (command.kind === CommandKind.Submit && !await waitForTermStart()) return err(createNotLeaderFailure(replica, Step.Execute))
       // Callers repeat what takes long. A repetition must not add an entry: the entries of submissions and publications are large.
       const repeated = findOutcomeWithoutEntry(state, command)
       // What has been applied to a job stays true. The tables in force may have changed under a later leader.
@@ -152,14 +159,28 @@
     const pending = undecidedCommands.get(key)
     if (pending !== undefined) return await pending
     // An accepted item must be run and its result kept, so a job is accepted only with space for its results.
-    if (command.kind === CommandKind.Submit && !hasOutputSpace(state.submissions, command.submission.items.length)) return err(createNoOutputSpaceFailure(replica))
+    const newItems = command.kind === CommandKind.Submit ? command.submission.items.length : 0
+    if (newItems > 0 && !hasOutputSpace(state.submissions, undecidedItems + newItems)) return err(createNoOutputSpaceFailure(replica))
+    undecidedItems += newItems
     const proposed = replica.propose(addTimestamp(command, clock))
     undecidedCommands.set(key, proposed)
     const outcome = await proposed
     undecidedCommands.delete(key)
+    undecidedItems -= newItems
     return outcome
   }
 
+  // Returns whether this replica leads and has applied all entries of earlier terms.
+  async function waitForTermStart (): Promise<boolean> {
+    const deadline = clock.now() + termStartTimeoutMs
+    while (replica.state.role === ReplicaRole.Leader && replica.state.appliedIndex < replica.state.termStartIndex) {
+      const remainingMs = deadline - clock.now()
+      if (remainingMs <= 0 || lifecycle.signal.aborted) return false
+      await replica.state.changed.wait(remainingMs, lifecycle.signal)
+    }
+    return replica.state.role === ReplicaRole.Leader
+  }
+
   // A new leader has no record of the polls to its predecessor, so every holder counts as alive for one full session timeout.
   function isHolderAlive (holder: Holder): boolean {
     if (sessions.find(holder) !== undefined) return true
--- a/test/batchRunner.test.ts
+++ b/test/batchRunner.test.ts
@@ -11,7 +11,7 @@
 import type { FleetLeader } from '../src/process/fleet/fleetLeader.ts'
 import { createFleetView } from '../src/process/fleet/fleetView.ts'
 import { createItemExecutor } from '../src/process/fleet/itemExecutor.ts'
-import { maxOutputBytes } from '../src/process/jobs/outputSpace.ts'
+import { countOutputBytes, maxOutputBytes } from '../src/process/jobs/outputSpace.ts'
 import { readOutput } from '../src/process/jobs/storedOutput.ts'
 import { createLifecycle, type Lifecycle } from '../src/process/program/lifecycle.ts'
 import { createSilentLogger } from '../src/process/program/logger.ts'
@@ -356,7 +356,7 @@
     expect((await runner.report({ holder: 'e-1-1', reports: [{ ...report, data: ['x', 'y'], lastEvent: 1, end: undefined }] })).isOk()).to.equal(true)
     expect(state.submissions.jobs.get('j')?.progress.get('a')?.data).to.deep.equal(['x', 'y'])
     await runner.report({ holder: 'e-1-1', reports: [{ ...report, data: [], lastEvent: -1, end: RunEnd.Interrupted, isExcessive: true }] })
-    expect(state.submissions.outputBytes).to.equal(0)
+    expect(countOutputBytes(state.submissions)).to.equal(0)
     await waitUntil(() => recordedResults.length === 1)
     expect(servers.arrivals[1]?.request.resumeAfter).to.equal(undefined)
     expect(recordedResults[0]?.output).to.equal('a\nb')
@@ -365,15 +365,26 @@
   // Guards against control hosts that run out of memory or disk space with the results of many jobs.
   it('starts no item while results and saved progress have their maximum size', async () => {
     startRunner([{ does: 'answer', pieces: [firstEvent] }], 1)
-    state.submissions.outputBytes = maxOutputBytes
+    state.submissions.resultBytes = maxOutputBytes
     submit('j', ['a'])
     await new Promise(resolve => setTimeout(resolve, 400))
     expect(servers.arrivals).to.have.length(0)
-    state.submissions.outputBytes = 0
+    state.submissions.resultBytes = 0
     changed.notify()
     await waitUntil(() => recordedResults.length === 1)
   })
 
+  // Failure (LOST): at the maximum no item was started at all, so that interrupted items kept the space of their progress, and none ended.
+  it('completes the items with saved progress while results and saved progress have their maximum size', async () => {
+    startRunner([{ does: 'answer', pieces: [secondEvent] }], 1)
+    submit('j', ['new', 'a'])
+    apply({ kind: CommandKind.SaveProgress, pieces: [{ job: 'j', item: 'a', from: 0, data: ['a'], lastEvent: 0, run: 'r' }] })
+    state.submissions.resultBytes = maxOutputBytes
+    await waitUntil(() => recordedResults.length === 1)
+    expect(recordedResults).to.deep.equal([{ job: 'j', item: 'a', ending: Ending.Done, output: 'a\nb' }])
+    expect(servers.arrivals).to.have.length(1)
+  })
+
   // Failure: every item of a lost executor started over.
   it('saves the progress of an item, and resumes from it on another executor when the first is lost', async () => {
     const events = Array.from({ length: 12 }, (_, id) => `id: ${id}\ndata: d${id}\n\n`)
--- a/test/gatewayState.test.ts
+++ b/test/gatewayState.test.ts
@@ -4,6 +4,7 @@
 import { QueryKind } from '../src/process/state/queries.ts'
 import { encodeRecord } from '../src/process/log/recordCodec.ts'
 import { exportState, importState } from '../src/process/state/stateSnapshot.ts'
+import { countOutputBytes } from '../src/process/jobs/outputSpace.ts'
 import type { SubmittedItem } from '../src/process/jobs/submission.ts'
 import { readResults } from '../src/process/jobs/submissions.ts'
 import { tablesOf } from './support/fakeFleet.ts'
@@ -177,7 +178,7 @@
     const words = Array.from({ length: 150 }, (_, index) => `${index}.${(index * 7_919).toString(16)}.wörd-€-😀-${(index * 104_729 % 65_521).toString(36)}`).join('\n')
     applyCommand(state, finishOf('j', 'a', words))
     applyCommand(state, finishOf('j', 'b', 'short'))
-    expect(state.submissions.outputBytes).to.be.below(words.length * 0.7)
+    expect(countOutputBytes(state.submissions)).to.be.below(words.length * 0.7)
     for (const { submissions } of [state, importState([...exportState(state)])]) {
       const record = submissions.jobs.get('j')
       expect(record === undefined ? [] : readResults(record, 0).results.map(({ output }) => output)).to.deep.equal([words, 'short'])
@@ -202,8 +203,8 @@
     const save = (item: string, from: number, data: string[], run: string): unknown =>
       applyCommand(state, { kind: CommandKind.SaveProgress, pieces: [{ job: 'j', item, from, data, lastEvent: from + data.length - 1, run }] })
     const expectSize = (size: number): void => {
-      expect(state.submissions.outputBytes).to.equal(size)
-      expect(importState([...exportState(state)]).submissions.outputBytes).to.equal(size)
+      expect(countOutputBytes(state.submissions)).to.equal(size)
+      expect(countOutputBytes(importState([...exportState(state)]).submissions)).to.equal(size)
     }
     save('a', 0, ['xx', 'yy'], 'r/1')
     save('a', 1, ['z'], 'r/2')
