Plan of items: do not pause a sound server for a refusal

Change: the pause follows from the second run in succession without any output on, and output of any run ends the succession. A server that never runs an item is left at the third or fourth attempt.

--- a/src/process/fleet/batchRunner.ts
+++ b/src/process/fleet/batchRunner.ts
@@ -301,7 +301,7 @@
       case RunEnd.Interrupted:
         if (report.isExcessive === true) backoffs.recordFailure(run.server)
         if (run.isInterrupted) break
-        if (report.data.length === 0) backoffs.recordRefusal(run.server)
+        if (run.hasDelivered === false) backoffs.recordRefusal(run.server)
         entry.interruptions++
         delayStartAfterInterruption(entry, entry.interruptions, clock.now())
         break
@@ -320,7 +320,10 @@
   function recordOutputs (reports: RunReports): void {
     for (const report of reports.reports) {
       const entry = items.find(createItemKey(report))
-      if (entry?.run?.id !== report.run || entry.run.hasOutput || report.data.length === 0) continue
+      if (entry?.run?.id !== report.run || report.data.length === 0) continue
+      entry.run.hasDelivered = true
+      backoffs.recordOutput(entry.run.server)
+      if (entry.run.hasOutput) continue
       entry.run.hasOutput = true
       fleet.quarantine.recordOutputs(listTraitsOf(entry).map(trait => ({ trait, ageMs: 0 })))
     }
--- a/src/process/fleet/openItems.ts
+++ b/src/process/fleet/openItems.ts
@@ -27,6 +27,8 @@
   readonly executor: string
   /** Whether output of the item was reported, in this run or an earlier one. */
   hasOutput: boolean
+  /** Whether output of this run was reported; undefined for an adopted run, of which a former leader may have had a report. */
+  hasDelivered?: boolean
   /** Whether the run was interrupted and has not been reported as ended yet. */
   isInterrupted: boolean
 }
--- a/src/process/fleet/runAssignments.ts
+++ b/src/process/fleet/runAssignments.ts
@@ -159,7 +159,7 @@
       if (executor === undefined) return
       const { key, record: { submission, progress }, item } = entry
       const run = `${leadership}/${++lastRun}`
-      entry.run = { id: run, server: server.id, executor: executor.holder, hasOutput: countSavedEvents(entry) > 0, isInterrupted: false }
+      entry.run = { id: run, server: server.id, executor: executor.holder, hasOutput: countSavedEvents(entry) > 0, hasDelivered: false, isInterrupted: false }
       // The progress of an excessive run may have been discarded up to its first event.
       const lastEvent = countSavedEvents(entry) === 0 ? undefined : progress.get(item.id)?.lastEvent
       const assignment = {
--- a/src/process/fleet/serverBackoffs.ts
+++ b/src/process/fleet/serverBackoffs.ts
@@ -14,12 +14,15 @@
 const interruptionBackoffMs = 300
 
 /**
- * Backoff of a server after a failed or refused run, in milliseconds; doubles with each further one until a run succeeds (see
- * commit 3723dc4). It has to exceed the longest delay of a refused item, or the item returns to the same server.
+ * Backoff of a server after a failed run, in milliseconds; doubles with each further failure until a run succeeds (see
+ * commit 3723dc4).
  */
 const initialFailureBackoffMs = 500
 
-/** Longest backoff after failed runs, in milliseconds; server failures in the sites' recorded days last 3.6 to 6.6 s. */
+/** Backoff of a server after the second refused run in succession, in milliseconds; doubles with each further one, so that it soon exceeds the delay of the item. */
+const initialRefusalBackoffMs = 400
+
+/** Longest backoff after failed and refused runs, in milliseconds; above the longest delay of a refused item, so that it reaches another server. Server failures in the sites' recorded days last 3.6 to 6.6 s. */
 const maxFailureBackoffMs = 4_000
 
 /** Backoffs by server; `id` is the id of the backend server. */
@@ -30,11 +33,10 @@
   recordInterruption (id: string): void
   /** Records a failed run. */
   recordFailure (id: string): void
-  /**
-   * Records a run that the server refused, or that broke off before its first event. The backoff grows like that after failures, once for all runs
-   * that end so while it lasts: a full server refuses several at once.
-   */
+  /** Records a run that the server refused, or that broke off before its first event; a backoff follows from the second one in succession on. */
   recordRefusal (id: string): void
+  /** Records a run with output, which ends the succession of refusals. */
+  recordOutput (id: string): void
   /** Records a run with complete output; resets the growth of the failure backoff. */
   recordSuccess (id: string): void
   /** Checks whether a server is to receive no batch items yet. */
@@ -48,6 +50,8 @@
   until: number
   /** Failed runs since the last successful one. */
   failures: number
+  /** Runs without output since the last one with output, those during a backoff excepted. */
+  refusals: number
 }
 
 /**
@@ -61,7 +65,7 @@
   function getOrCreateBackoff (id: string): Backoff {
     const existing = backoffs.get(id)
     if (existing !== undefined) return existing
-    const created: Backoff = { until: -Infinity, failures: 0 }
+    const created: Backoff = { until: -Infinity, failures: 0, refusals: 0 }
     backoffs.set(id, created)
     return created
   }
@@ -86,7 +90,14 @@
     recordInterruption: id => extendBackoff(id, interruptionBackoffMs),
     recordFailure,
     recordRefusal (id) {
-      if (!isBackingOff(id)) recordFailure(id)
+      // A full server refuses several runs at once; these count as one.
+      if (isBackingOff(id)) return
+      const backoff = getOrCreateBackoff(id)
+      if (backoff.refusals > 0) extendBackoff(id, Math.min(maxFailureBackoffMs, initialRefusalBackoffMs * 2 ** (backoff.refusals - 1)))
+      backoff.refusals++
+    },
+    recordOutput (id) {
+      getOrCreateBackoff(id).refusals = 0
     },
     recordSuccess (id) {
       getOrCreateBackoff(id).failures = 0
