Registry: keep the software version of backend servers

A heartbeat that a control host of an earlier version forwards lacks it; the version of the same start of the server is kept. A heartbeat of the same start with another version is one of another writer. Result: test/platformHeartbeat expects the field, and rejects one of another type.

--- a/src/process/fleet/backendServerRegistry.ts
+++ b/src/process/fleet/backendServerRegistry.ts
@@ -13,6 +13,11 @@
   readonly service: string
   readonly address: string
   readonly availabilityZone: string
+  /**
+   * Version of the server's software; undefined if the server or a host of an earlier version of this program has not named it. What two versions
+   * write does not fit together, so a stream continues only at a server of the version that began it.
+   */
+  readonly softwareVersion?: string | undefined
   /** Number of requests that the backend server runs concurrently. */
   readonly slots: number
   readonly leaving: boolean
@@ -114,7 +119,7 @@
         if (record.startedAt > heartbeat.startedAt) return false
         upsert(record, ServerPhase.Gone, now)
       }
-      upsert(heartbeat, heartbeat.leaving ? ServerPhase.Leaving : ServerPhase.Ready, now)
+      upsert(keepSoftwareVersion(heartbeat, known?.record), heartbeat.leaving ? ServerPhase.Leaving : ServerPhase.Ready, now)
       return true
     },
     seed: (record, now) => upsert(record, record.phase, now),
@@ -163,13 +168,20 @@
   return heartbeat.sequence > known.sequence
 }
 
-// A server keeps its service and its address until it restarts, so another writer sent a heartbeat with the same start and others.
+// A server keeps its service, its address and its software until it restarts, so another writer sent a heartbeat with the same start and others.
 function contradicts (heartbeat: Heartbeat, known: BackendServerRecord): boolean {
   if (known.phase === ServerPhase.Gone || heartbeat.startedAt !== known.startedAt) return false
-  return heartbeat.service !== known.service || heartbeat.address !== known.address
+  const hasOtherSoftware = heartbeat.softwareVersion !== undefined && known.softwareVersion !== undefined && heartbeat.softwareVersion !== known.softwareVersion
+  return heartbeat.service !== known.service || heartbeat.address !== known.address || (heartbeat.startedAt > 0 && hasOtherSoftware)
+}
+
+// A control host of an earlier version of this program forwards heartbeats without the software version.
+function keepSoftwareVersion (heartbeat: Heartbeat, known: BackendServerRecord | undefined): Heartbeat {
+  if (heartbeat.softwareVersion !== undefined || heartbeat.startedAt === 0 || known?.startedAt !== heartbeat.startedAt) return heartbeat
+  return { ...heartbeat, softwareVersion: known.softwareVersion }
 }
 
 function hasSameContent (left: Heartbeat, right: Heartbeat): boolean {
   return left.service === right.service && left.address === right.address && left.slots === right.slots &&
-    left.startedAt === right.startedAt && left.availabilityZone === right.availabilityZone
+    left.startedAt === right.startedAt && left.availabilityZone === right.availabilityZone && left.softwareVersion === right.softwareVersion
 }
--- a/src/process/fleet/heartbeatValidation.ts
+++ b/src/process/fleet/heartbeatValidation.ts
@@ -6,7 +6,7 @@
 import type { Service } from '../../version/gatewayTables.ts'
 import { type BackendServerRecord, type Heartbeat, ServerPhase } from './backendServerRegistry.ts'
 
-/** Maximum length of the id, the service and the availability zone, in characters. */
+/** Maximum length of the id, the service, the availability zone and the software version, in characters. */
 const maxNameLength = 256
 
 /** Maximum number of requests that one backend server runs concurrently. */
@@ -35,9 +35,9 @@
  * @returns why it can't be one of a backend server, or undefined when it can
  */
 export function findHeartbeatProblem (heartbeat: Heartbeat, context: HeartbeatContext): string | undefined {
-  const { id, service, availabilityZone, slots, startedAt } = heartbeat
+  const { id, service, availabilityZone, softwareVersion = '', slots, startedAt } = heartbeat
   if (id.length > maxNameLength || !headerSafeName.test(id)) return 'the id can\'t be sent in a header'
-  if (service.length > maxNameLength || availabilityZone.length > maxNameLength) return 'a name is too long'
+  if (service.length > maxNameLength || availabilityZone.length > maxNameLength || softwareVersion.length > maxNameLength) return 'a name is too long'
   if (slots > maxSlots) return 'too many slots'
   if (startedAt < 0 || startedAt > context.wallTime + maxClockDifferenceMs) return 'started in the future, or before the epoch'
   if (!isCount(heartbeat, context.wallTime)) return 'the sequence number is no count of heartbeats'
--- a/test/platformHeartbeat.test.ts
+++ b/test/platformHeartbeat.test.ts
@@ -7,12 +7,12 @@
   // Guards against fields of the wire format that are read as the wrong field of a heartbeat.
   it('are decoded', () => {
     expect(decodeHeartbeat('i-1', body)).to.deep.equal({
-      id: 'i-1', service: 's', address: '10.0.0.1:80', availabilityZone: 'z1', slots: 8, leaving: true, startedAt: 1_700_000_000_000, sequence: 4
+      id: 'i-1', service: 's', address: '10.0.0.1:80', availabilityZone: 'z1', softwareVersion: 'v1', slots: 8, leaving: true, startedAt: 1_700_000_000_000, sequence: 4
     })
   })
 
   // Failure: an entry that was not written by a backend server was accepted as a server to send requests to.
-  for (const [field, value] of [['addr', undefined], ['addr', 'nowhere'], ['state', 'sleeping'], ['seq', '4'], ['service', 7], ['born', 'today'], ['slots', null]] as const) {
+  for (const [field, value] of [['addr', undefined], ['addr', 'nowhere'], ['state', 'sleeping'], ['seq', '4'], ['service', 7], ['born', 'today'], ['slots', null], ['version', 2], ['version', '']] as const) {
     it(`are rejected with ${field} = ${String(value)}`, () => expect(decodeHeartbeat('i-1', { ...body, [field]: value })).to.equal(undefined))
   }
 
--- a/test/support/fakeFleet.ts
+++ b/test/support/fakeFleet.ts
@@ -149,7 +149,7 @@
 /** Builds the record of a ready backend server of service `s`. */
 export function recordOf (id: string, overrides: Partial<BackendServerRecord> = {}): BackendServerRecord {
   return {
-    id, service: 's', address: `10.0.0.1:${id.length}`, availabilityZone: 'z1', slots: 8, leaving: false, startedAt: 1, sequence: 1, phase: ServerPhase.Ready, revision: 1, ...overrides
+    id, service: 's', address: `10.0.0.1:${id.length}`, availabilityZone: 'z1', softwareVersion: 'v1', slots: 8, leaving: false, startedAt: 1, sequence: 1, phase: ServerPhase.Ready, revision: 1, ...overrides
   }
 }
 
