State: keep the software version of saved progress

Change: a piece of progress may name the version of its run. The progress names it only if all of its events are of that version: if the piece begins at the first event, or the events before it have the same version. Which pieces are accepted is unchanged, so hosts of an earlier build, which ignore the field, keep the same events.

--- a/src/process/jobs/submission.ts
+++ b/src/process/jobs/submission.ts
@@ -46,6 +46,8 @@
   readonly lastEvent: number
   /** Run that produced the last events; undefined in a log of a version that did not record it. */
   readonly run?: string | undefined
+  /** Version of the software that produced all events; undefined if it is not known, as in a log of a version that did not record it. */
+  readonly softwareVersion?: string | undefined
 }
 
 /** Progress of an item since the last save. */
--- a/src/process/jobs/submissions.ts
+++ b/src/process/jobs/submissions.ts
@@ -135,13 +135,14 @@
 
 /**
  * Saves progress of items. A chunk that overlaps progress of the same run adds only its new events. The first chunk of
- * another run replaces the events after the one from which that run resumed. A chunk that would leave a gap adds nothing.
+ * another run replaces the events after the one from which that run resumed. A chunk that would leave a gap adds nothing. Which
+ * chunks are accepted does not depend on the software version, which hosts of earlier versions do not know.
  * @param state - the jobs
  * @param command - the command
  * @returns done
  */
 export function saveProgress (state: Submissions, command: CommandOf<'save progress'>): Outcome {
-  for (const { job, item, from, data, lastEvent, run } of command.pieces) {
+  for (const { job, item, from, data, lastEvent, run, softwareVersion } of command.pieces) {
     const record = state.jobs.get(job)
     if (record === undefined || record.ended || !record.open.has(item)) continue
     const saved = record.progress.get(item)
@@ -149,7 +150,13 @@
     if (from > savedData.length) continue
     if (run === saved?.run && from + data.length <= savedData.length) continue
     state.outputCharacters += countCharacters(data) - countCharacters(savedData.slice(from))
-    record.progress.set(item, { data: [...savedData.slice(0, from), ...data], lastEvent, ...(run === undefined ? {} : { run }) })
+    const isOfOneVersion = softwareVersion !== undefined && (from === 0 || saved?.softwareVersion === softwareVersion)
+    record.progress.set(item, {
+      data: [...savedData.slice(0, from), ...data],
+      lastEvent,
+      ...(run === undefined ? {} : { run }),
+      ...(isOfOneVersion ? { softwareVersion } : {})
+    })
   }
   return done
 }
--- a/test/gatewayState.test.ts
+++ b/test/gatewayState.test.ts
@@ -210,6 +210,25 @@
     expect(state.submissions.jobs.get('j')?.failedRuns.size).to.equal(0)
   })
 
+  // Guards against events of two software versions that are resumed as events of one.
+  it('names the software version of saved events only if all of them are of it', () => {
+    const state = createControlState()
+    applyCommand(state, submitOf('j', [itemOf('a')]))
+    const save = (from: number, data: string[], run: string, softwareVersion: string | undefined): Array<string | number | undefined> => {
+      applyCommand(state, { kind: CommandKind.SaveProgress, pieces: [{ job: 'j', item: 'a', from, data, lastEvent: from + data.length - 1, run, softwareVersion }] })
+      const saved = state.submissions.jobs.get('j')?.progress.get('a')
+      return [saved?.softwareVersion, saved?.data.join('')]
+    }
+    expect(save(0, ['a', 'b'], 'r/1', 'v1')).to.deep.equal(['v1', 'ab'])
+    expect(save(2, ['c'], 'r/1', 'v1'), 'the same run').to.deep.equal(['v1', 'abc'])
+    expect(save(2, ['d', 'e'], 'r/2', 'v1'), 'another run of the version').to.deep.equal(['v1', 'abde'])
+    expect(save(4, ['f'], 'r/3', 'v2'), 'another version').to.deep.equal([undefined, 'abdef'])
+    expect(save(5, ['g'], 'r/3', 'v2'), 'more of the other version').to.deep.equal([undefined, 'abdefg'])
+    expect(save(0, ['h'], 'r/4', 'v2'), 'a run from the beginning').to.deep.equal(['v2', 'h'])
+    expect(save(1, ['i'], 'r/4', undefined), 'a leader that names none').to.deep.equal([undefined, 'hi'])
+    expect(save(2, ['j'], 'r/5', 'v2'), 'after events of an unknown version').to.deep.equal([undefined, 'hij'])
+  })
+
   // Guards against progress with repeated or missing events, and against progress that outlives its item.
   it('appends only new events to the progress of an item, and drops it when the item or the job ends', () => {
     const state = createControlState()
--- a/test/stateSnapshot.test.ts
+++ b/test/stateSnapshot.test.ts
@@ -48,6 +48,19 @@
     expect(restored.jobs.jobs.get('one')?.done, 'a completion under an old grant').to.equal(state.jobs.jobs.get('one')?.done)
   })
 
+  // An item begins anew after a restart of a control host if the snapshot loses the software version of its saved events.
+  it('keeps the software version of saved progress, and its absence', () => {
+    const state = createControlState()
+    const items = ['known', 'unknown'].map(id => ({ id, path: '/', headers: {}, body: Buffer.from('body'), tokens: 1 }))
+    applyCommand(state, { kind: CommandKind.Submit, submission: { id: 'j', host: 'h', route: 'r', pathPrefix: '/', acceptedAt: 0, giveUpAt: 0, items }, tokenLimit: 0, giveUpMs: 0, time: 0 })
+    const piece = { job: 'j', from: 0, data: ['x'], lastEvent: 0, run: 'r/1' }
+    applyCommand(state, { kind: CommandKind.SaveProgress, pieces: [{ ...piece, item: 'known', softwareVersion: 'v1' }, { ...piece, item: 'unknown' }] })
+    expect([...restore(state).submissions.jobs.get('j')?.progress ?? []]).to.deep.equal([
+      ['known', { data: ['x'], lastEvent: 0, run: 'r/1', softwareVersion: 'v1' }],
+      ['unknown', { data: ['x'], lastEvent: 0, run: 'r/1' }]
+    ])
+  })
+
   // A part has to fit into one record of the log and one message between hosts.
   it('limits the size of each part', () => {
     const state = createControlState()
