Batch plan: place items at the software version of their saved events

Change: the plan takes the version of each item that may resume. Such an item goes to a server of the version; while those are full or get no items for a while, it is left out if it may wait; if none is ready, or it may not wait, it goes to any. Free slots are kept by version, so an item that waits costs one look-up. Without versions the plan is as before.

--- a/src/request/placement/batchPlan.ts
+++ b/src/request/placement/batchPlan.ts
@@ -15,6 +15,8 @@
   readonly canStartItems: boolean
   /** Maximum number of items to start, whatever the number of free slots. */
   readonly maxStarts: number
+  /** Version of the server's software; undefined if it is not known. */
+  readonly softwareVersion?: string | undefined
 }
 
 /**
@@ -57,30 +59,60 @@
   })
 }
 
+/** Software version at which an item may resume from its saved progress. */
+export interface Resumption {
+  readonly softwareVersion: string
+  /** Whether the item may wait for a slot of that version; otherwise it begins anew on any server. */
+  readonly canWait: boolean
+}
+
 /**
- * Assigns waiting items to free slots, and interrupts the least urgent items of servers whose slots are exceeded.
+ * Assigns waiting items to free slots, and interrupts the least urgent items of servers whose slots are exceeded. An item that may resume is
+ * started on a server of its software version. While such servers exist and none has a free slot, it is not started if it may wait.
  * @param servers - the backend servers
  * @param waiting - keys of the waiting items, the most urgent first
+ * @param resumptions - items that may resume, by key
  * @returns the plan
  */
-export function planBatch (servers: readonly PlannedServer[], waiting: Iterable<string>): BatchPlan {
+export function planBatch (servers: readonly PlannedServer[], waiting: Iterable<string>, resumptions: ReadonlyMap<string, Resumption> = new Map()): BatchPlan {
   const interruptions: string[] = []
   const freeSlotsByServer = new Map<string, number>()
+  // Servers without a free slot are not listed, so that an item that waits for one costs no search.
+  const freeSlotsByVersion = new Map<string, Map<string, number>>()
+  const versions = new Map<string, string>()
   for (const server of servers) {
+    const { id, softwareVersion } = server
     const freeSlots = server.slots - server.live - server.items.length
     const excessItems = Math.min(-freeSlots, server.items.length)
     if (excessItems > 0) interruptions.push(...server.items.slice(server.items.length - excessItems))
-    const maxStarts = Math.min(freeSlots, server.maxStarts)
-    if (maxStarts > 0 && server.canStartItems) freeSlotsByServer.set(server.id, maxStarts)
+    if (softwareVersion !== undefined) {
+      versions.set(id, softwareVersion)
+      if (!freeSlotsByVersion.has(softwareVersion)) freeSlotsByVersion.set(softwareVersion, new Map())
+    }
+    if (hasFreeSlot(server)) setFreeSlots(id, Math.min(freeSlots, server.maxStarts))
+  }
+
+  function setFreeSlots (id: string, count: number): void {
+    const ofVersion = freeSlotsByVersion.get(versions.get(id) ?? '')
+    for (const freeSlots of [freeSlotsByServer, ofVersion]) {
+      if (count > 0) freeSlots?.set(id, count)
+      else freeSlots?.delete(id)
+    }
   }
+
+  function chooseServer (resumption: Resumption | undefined): string | undefined {
+    const ofVersion = resumption === undefined ? undefined : freeSlotsByVersion.get(resumption.softwareVersion)
+    if (resumption === undefined || ofVersion === undefined) return findServerWithMostFreeSlots(freeSlotsByServer)
+    return findServerWithMostFreeSlots(ofVersion) ?? (resumption.canWait ? undefined : findServerWithMostFreeSlots(freeSlotsByServer))
+  }
+
   const starts: Array<{ server: string, item: string }> = []
   for (const item of waiting) {
-    const server = findServerWithMostFreeSlots(freeSlotsByServer)
-    if (server === undefined) break
+    if (freeSlotsByServer.size === 0) break
+    const server = chooseServer(resumptions.get(item))
+    if (server === undefined) continue
     starts.push({ server, item })
-    const remainingSlots = (freeSlotsByServer.get(server) ?? 0) - 1
-    if (remainingSlots > 0) freeSlotsByServer.set(server, remainingSlots)
-    else freeSlotsByServer.delete(server)
+    setFreeSlots(server, (freeSlotsByServer.get(server) ?? 0) - 1)
   }
   return { starts, interruptions }
 }
