Runs of items: resume only at the software version of the saved events

Change: a run resumes only if the saved events and its server name the same version. Otherwise it begins anew: its first report replaces the saved events. The leader proposes progress under the version that it knew of the server at the start of the run; executors name it, and the number of events before their next report, to the next leader, which adopts a run only if its next events continue the saved ones. A run that begins anew may be lost while its first report is not applied yet, so the saved events can be replaced after another run has resumed from them. The leader keeps the runs since the last one that began anew for each item, and resumes only after their events. A whole output without events replaces saved events too, since its result did not count otherwise. The batch routes of jobs move to batchRoutes.ts.

--- a/src/process/fleet/batchRunner.ts
+++ b/src/process/fleet/batchRunner.ts
@@ -4,11 +4,11 @@
  * @module
  */
 import { err, type Result } from 'neverthrow'
-import { hasFreeSlot, type ItemUrgency, orderByUrgency, planBatch, type PlannedServer } from '../../request/placement/batchPlan.ts'
+import { hasFreeSlot, type ItemUrgency, orderByUrgency, planBatch, type PlannedServer, type Resumption } from '../../request/placement/batchPlan.ts'
 import { planLive } from '../../request/placement/plannedLive.ts'
 import { listPartTraits, type Trait } from '../../request/requestTraits.ts'
 import { RunEnd } from '../../request/submittedItemRun.ts'
-import { chooseTarget, createRouteIndex, type GatewayRoute, matchRoute, type RouteIndex, RouteKind } from '../../version/gatewayTables.ts'
+import { chooseTarget } from '../../version/gatewayTables.ts'
 import { CommandKind, Ending } from '../state/commands.ts'
 import { type Condition, createCondition, waitForEither } from '../program/condition.ts'
 import type { ControlState } from '../state/controlState.ts'
@@ -19,12 +19,14 @@
 import type { ProcessServices } from '../program/processServices.ts'
 import type { Replica } from '../log/replica.ts'
 import type { SubmittedItem } from '../jobs/submission.ts'
-import { isSubmissionClosed, type SubmissionRecord } from '../jobs/submissions.ts'
+import { isSubmissionClosed } from '../jobs/submissions.ts'
 import { assertNever } from '../program/assert.ts'
+import { createBatchRoutes } from './batchRoutes.ts'
 import type { BackendServerRecord } from './backendServerRegistry.ts'
 import type { FleetLeader } from './fleetLeader.ts'
 import { createItemEndRecorder, ItemEndCause, logItemEnd } from './itemEndRecorder.ts'
 import { createItemDurationEstimator } from './itemDurationEstimator.ts'
+import { determineResumption } from './itemResumption.ts'
 import { countSavedEvents, createItemKey, createOpenItems, delayStartAfterInterruption, delayStartAfterFailure, type OpenItem } from './openItems.ts'
 import { createRunAssignments } from './runAssignments.ts'
 import type { RunPoll, RunReports, RunUpdate } from './runMessages.ts'
@@ -79,6 +81,14 @@
   readonly keepMs: number
 }
 
+/** Items of a service that may be started. */
+interface StartableItems {
+  /** Their keys, the most urgent first. */
+  readonly keys: string[]
+  /** Those that may resume from their saved events, by key. */
+  readonly resumptions: Map<string, Resumption>
+}
+
 /** The batch runner. */
 export interface BatchRunner {
   /** To be notified after a command has been applied to the replicated state. */
@@ -111,12 +121,9 @@
   const endRecorder = createItemEndRecorder({ replica, clock, logger, lifecycle, isLeading: () => fleet.isLeading() })
   const backoffs = createServerBackoffs(clock)
   const queueReport = createReportQueue()
-  const reportServices: RunReportServices = { items, replica, getAttempts: entry => findRoute(entry)?.attempts ?? 1, handleEnd, release: assignments.release }
+  const routes = createBatchRoutes(state)
+  const reportServices: RunReportServices = { items, replica, getAttempts: ({ record }) => routes.find(record)?.attempts ?? 1, handleEnd, release: assignments.release }
   let term = -1
-  let routes: RouteIndex = new Map()
-  let routesVersion = -1
-  // The batch route of each job by the active tables, since a plan asks for it for every open item.
-  let routesByJob = new WeakMap<SubmissionRecord, { readonly route: GatewayRoute | undefined }>()
   let synchronizedIndex = -1
   let isOutputFull = false
 
@@ -132,7 +139,7 @@
     }
     if (synchronizedIndex === replica.state.appliedIndex) return true
     synchronizedIndex = replica.state.appliedIndex
-    updateRoutes()
+    routes.update()
     for (const entry of items.synchronize(state.submissions)) {
       // The report that ended an item releases its run itself.
       if (!entry.isEnding) assignments.release(entry)
@@ -149,23 +156,6 @@
     return true
   }
 
-  function updateRoutes (): void {
-    const tables = state.publication?.tables
-    if (tables === undefined || tables.version === routesVersion) return
-    routes = createRouteIndex(tables)
-    routesVersion = tables.version
-    routesByJob = new WeakMap()
-  }
-
-  function findRoute ({ record }: OpenItem): GatewayRoute | undefined {
-    const known = routesByJob.get(record)
-    if (known !== undefined) return known.route
-    const matching = matchRoute(routes, record.submission.host, record.submission.pathPrefix)
-    const route = matching?.kind === RouteKind.Batch ? matching : undefined
-    routesByJob.set(record, { route })
-    return route
-  }
-
   // Returns the duration of the plan, in milliseconds.
   function measurePlan (): number {
     const startedAt = clock.now()
@@ -184,9 +174,10 @@
     // Ordering the waiting items is the larger part of a plan, and mostly there is no free slot.
     checkOutputSize()
     const canStart = !isOutputFull && assignments.canStart() && [...plannedByService.values()].some(servers => servers.some(hasFreeSlot))
-    const startableByService = canStart ? groupStartableByService() : new Map<string, string[]>()
+    const startableByService = canStart ? groupStartableByService() : new Map<string, StartableItems>()
     for (const [service, servers] of plannedByService) {
-      const { starts, interruptions } = planBatch(servers, startableByService.get(service) ?? [])
+      const startable = startableByService.get(service)
+      const { starts, interruptions } = planBatch(servers, startable?.keys ?? [], startable?.resumptions)
       for (const key of interruptions) interrupt(items.find(key))
       for (const { server, item } of starts) start(item, server)
     }
@@ -205,24 +196,27 @@
     logger.write(isOutputFull ? LogEvents.outputFull : LogEvents.outputSpaceFound, { value: outputCharacters })
   }
 
-  // Returns the keys of the items that may be started, by service, the most urgent first.
-  function groupStartableByService (): Map<string, string[]> {
-    const startableByService = new Map<string, string[]>()
-    for (const { key } of orderByUrgency(describeUrgency(items.startable(clock.now())))) {
+  // Returns the items that may be started, by service.
+  function groupStartableByService (): Map<string, StartableItems> {
+    const startableByService = new Map<string, StartableItems>()
+    const now = clock.now()
+    for (const { key } of orderByUrgency(describeUrgency(items.startable(now)))) {
       const entry = items.find(key)
       if (entry === undefined) continue
-      const route = findRoute(entry)
+      const route = routes.find(entry.record)
       if (route === undefined) {
         // The active configuration no longer has a batch route for the item.
-        if (routesVersion > 0) finish(entry, ItemEndCause.NoRoute)
+        if (routes.hasTables) finish(entry, ItemEndCause.NoRoute)
         continue
       }
       // It stays open until the quarantine ends, or until it is given up.
       if (fleet.quarantine.isBlocked(listTraitsOf(entry))) continue
       const service = chooseTarget(route, random.next())
-      const keys = startableByService.get(service) ?? []
-      keys.push(key)
-      startableByService.set(service, keys)
+      const startable: StartableItems = startableByService.get(service) ?? { keys: [], resumptions: new Map() }
+      startable.keys.push(key)
+      const resumption = determineResumption(entry, now)
+      if (resumption !== undefined) startable.resumptions.set(key, resumption)
+      startableByService.set(service, startable)
     }
     return startableByService
   }
@@ -232,7 +226,7 @@
     return servers.map((server, position) => describeServer(server, plannedLive[position] ?? 0, running.get(server.id) ?? []))
   }
 
-  function describeServer ({ id, slots }: BackendServerRecord, live: number, running: readonly OpenItem[]): PlannedServer {
+  function describeServer ({ id, slots, softwareVersion }: BackendServerRecord, live: number, running: readonly OpenItem[]): PlannedServer {
     // The order counts only when items have to be interrupted.
     const ordered = live + running.length > slots ? orderByUrgency(describeUrgency(running)) : running
     return {
@@ -241,7 +235,8 @@
       live,
       items: ordered.map(item => item.key),
       canStartItems: !backoffs.isBackingOff(id) && !fleet.isSuspect(id),
-      maxStarts: fleet.permits.countItemPermits(id)
+      maxStarts: fleet.permits.countItemPermits(id),
+      softwareVersion
     }
   }
 
@@ -249,7 +244,7 @@
     const now = clock.wallTime()
     return entries.map(entry => ({
       key: entry.key,
-      dueInMs: entry.record.submission.acceptedAt + (findRoute(entry)?.dueMs ?? 0) - now,
+      dueInMs: entry.record.submission.acceptedAt + (routes.find(entry.record)?.dueMs ?? 0) - now,
       remainingMs: durationEstimator.estimateRemainingMs(countSavedEvents(entry))
     }))
   }
--- a/src/process/fleet/itemExecutor.ts
+++ b/src/process/fleet/itemExecutor.ts
@@ -212,7 +212,9 @@
     },
     listRunning: () => [...runs.values()].filter(isRunning).map(run => run.assignment.run),
     listEnding: () => [...runs.values()].filter(run => !isRunning(run)).map(run => run.assignment.run),
-    describe: () => [...runs.values()].map(({ assignment: { run, job, item, target } }) => ({ run, job, item: item.id, server: target.id })),
+    describe: () => [...runs.values()].map(({ assignment: { run, job, item, target, softwareVersion }, savedEvents }) => ({
+      run, job, item: item.id, server: target.id, softwareVersion, from: savedEvents
+    })),
     createReports () {
       const now = clock.now()
       const reports: RunReport[] = []
--- a/src/process/fleet/openItems.ts
+++ b/src/process/fleet/openItems.ts
@@ -25,7 +25,9 @@
   readonly server: string
   /** Identifies the process start of the executor. */
   readonly executor: string
-  /** Whether output of the item was reported, in this run or an earlier one. */
+  /** Version of the server's software when the run was started; undefined if it is not known. */
+  readonly softwareVersion: string | undefined
+  /** Whether output of the item was reported, in this run or an earlier one that it continues. */
   hasOutput: boolean
   /** Whether the run was interrupted and has not been reported as ended yet. */
   isInterrupted: boolean
@@ -43,6 +45,10 @@
   runTimeMs: number
   /** Monotonic time before which the item is not started again, in milliseconds. */
   startAfter: number
+  /** Monotonic time from which the item waits for a server at which it can resume, in milliseconds; undefined if it does not. */
+  waitingSince: number | undefined
+  /** Runs since the last one that began the item anew, including this one; undefined if none has under this leader. */
+  currentRuns: Set<RunId> | undefined
   run: ActiveRun | undefined
   /** Whether the end of the item is being recorded. */
   isEnding: boolean
@@ -91,7 +97,7 @@
 
   function add (record: SubmissionRecord, item: SubmittedItem): void {
     const key = createItemKey({ job: record.submission.id, item: item.id })
-    open.set(key, { key, record, item, interruptions: 0, runTimeMs: 0, startAfter: 0, run: undefined, isEnding: false })
+    open.set(key, { key, record, item, interruptions: 0, runTimeMs: 0, startAfter: 0, waitingSince: undefined, currentRuns: undefined, run: undefined, isEnding: false })
   }
 
   return {
@@ -132,7 +138,7 @@
 /**
  * Counts the saved events of an item.
  * @param entry - the item
- * @returns the number of events that a run resumes after
+ * @returns the number of events that are saved
  */
 export function countSavedEvents ({ record, item }: OpenItem): number {
   return record.progress.get(item.id)?.data.length ?? 0
--- a/src/process/fleet/runAssignments.ts
+++ b/src/process/fleet/runAssignments.ts
@@ -7,11 +7,13 @@
 import { createFailure, type Failure, FailureReason, Step } from '../program/failure.ts'
 import { countCharacters } from '../program/chunk.ts'
 import { LogEvents } from '../program/logEvents.ts'
+import { Counter } from '../program/metrics.ts'
 import type { ProcessServices } from '../program/processServices.ts'
 import type { BackendServerRecord } from './backendServerRegistry.ts'
 import { createExecutorSessions, type ExecutorSession, executorTimeoutMs } from './executorSessions.ts'
 import type { FleetLeader } from './fleetLeader.ts'
 import { fleetLongPollMs } from './fleetMessages.ts'
+import { canAdopt, findRestartCause, recordRun } from './itemResumption.ts'
 import { countSavedEvents, createItemKey, type OpenItem, type OpenItems } from './openItems.ts'
 import type { RunId, RunPoll, RunReference, RunUpdate } from './runMessages.ts'
 
@@ -19,7 +21,7 @@
 const updateDelayMs = 5
 
 /** Dependencies of the assignments. */
-export interface RunAssignmentsInputs extends Pick<ProcessServices, 'clock' | 'logger' | 'lifecycle'> {
+export interface RunAssignmentsInputs extends Pick<ProcessServices, 'clock' | 'logger' | 'metrics' | 'lifecycle'> {
   readonly fleet: FleetLeader
   readonly items: OpenItems
   /** Names of the executors that this host knows of; a new leader waits for their polls. */
@@ -82,7 +84,7 @@
  * @returns the assignments
  */
 export function createRunAssignments (inputs: RunAssignmentsInputs): RunAssignments {
-  const { fleet, items, clock, logger, lifecycle, getRegion } = inputs
+  const { fleet, items, clock, logger, metrics, lifecycle, getRegion } = inputs
   const executors = createExecutorSessions()
   const changed: Condition = createCondition(clock)
   let leadership = ''
@@ -112,13 +114,15 @@
     for (const { key, run } of runs.values()) releaseKey(key, run)
   }
 
-  // A run of an item that has another run, or that is no longer open, is not adopted and thereby stopped.
+  // A run that is not adopted is stopped: its item has another run or is no longer open, or the run does not continue the saved events.
   function adopt ({ holder }: ExecutorSession, references: readonly RunReference[]): void {
     for (const reference of references) {
       const key = createItemKey(reference)
       const entry = items.find(key)
-      if (entry === undefined || entry.run !== undefined) continue
-      entry.run = { id: reference.run, server: reference.server, executor: holder, hasOutput: countSavedEvents(entry) > 0, isInterrupted: false }
+      if (entry === undefined || entry.run !== undefined || !canAdopt(entry, reference)) continue
+      const { run, server, softwareVersion } = reference
+      entry.run = { id: run, server, executor: holder, softwareVersion, hasOutput: countSavedEvents(entry) > 0, isInterrupted: false }
+      recordRun(entry, run, reference.from === 0)
       executors.assign(holder, { run: reference.run, key, assignment: undefined, isStopped: false, isSent: true })
       adjustBatchCount(reference.server, 1)
     }
@@ -153,9 +157,17 @@
       if (executor === undefined) return
       const { key, record: { submission, progress }, item } = entry
       const run = `${leadership}/${++lastRun}`
-      entry.run = { id: run, server: server.id, executor: executor.holder, hasOutput: countSavedEvents(entry) > 0, isInterrupted: false }
+      const { softwareVersion } = server
+      const restartCause = findRestartCause(entry, server)
+      const savedEvents = restartCause === undefined ? countSavedEvents(entry) : 0
+      entry.run = { id: run, server: server.id, executor: executor.holder, softwareVersion, hasOutput: savedEvents > 0, isInterrupted: false }
+      if (restartCause !== undefined) {
+        entry.runTimeMs = 0
+        metrics.count(Counter.RestartedItems, restartCause)
+      }
+      recordRun(entry, run, savedEvents === 0)
       // The progress of an excessive run may have been discarded up to its first event.
-      const lastEvent = countSavedEvents(entry) === 0 ? undefined : progress.get(item.id)?.lastEvent
+      const lastEvent = savedEvents === 0 ? undefined : progress.get(item.id)?.lastEvent
       const assignment = {
         run,
         job: submission.id,
@@ -163,13 +175,18 @@
         host: submission.host,
         target: { address: server.address, id: server.id },
         startedAt: server.startedAt,
-        savedEvents: countSavedEvents(entry),
-        savedCharacters: countCharacters(progress.get(item.id)?.data ?? []),
+        softwareVersion,
+        savedEvents,
+        savedCharacters: savedEvents === 0 ? 0 : countCharacters(progress.get(item.id)?.data ?? []),
         lastEvent
       }
       executors.assign(executor.holder, { run, key, assignment, isStopped: false, isSent: false })
       adjustBatchCount(server.id, 1)
-      logger.write(LogEvents.itemStarted, { requestId: item.id, inputs: { job: submission.id, server: server.id, revision: server.revision, executor: executor.name, from: lastEvent ?? -1 } })
+      logger.write(LogEvents.itemStarted, {
+        requestId: item.id,
+        ...(restartCause === undefined ? {} : { reason: restartCause }),
+        inputs: { job: submission.id, server: server.id, softwareVersion: softwareVersion ?? 'unknown', revision: server.revision, executor: executor.name, from: lastEvent ?? -1 }
+      })
       changed.notify()
     },
     interrupt (entry) {
--- a/src/process/fleet/runMessages.ts
+++ b/src/process/fleet/runMessages.ts
@@ -10,11 +10,25 @@
 /** Identifies a run of an item; unique over all leaders. */
 export type RunId = string
 
+/**
+ * Names a run in the saved progress whose events were discarded. The name differs from that of the run, since a chunk of the same run never
+ * removes events.
+ * @param run - the run
+ * @returns the name
+ */
+export function nameDiscardedRun (run: RunId): string {
+  return `${run} discarded`
+}
+
 /** A run that an executor performs, as described to a leader that did not assign it. */
 export interface RunReference extends ItemReference {
   readonly run: RunId
   /** Id of the backend server. */
   readonly server: string
+  /** Version of the server's software, as in the assignment; undefined from an executor or a leader of a version that did not name it. */
+  readonly softwareVersion?: string | undefined
+  /** Number of events of the item that precede the next report of the run; undefined from an executor of a version that did not name it. */
+  readonly from?: number | undefined
 }
 
 /** A run that an executor is to perform. */
@@ -27,7 +41,9 @@
   readonly target: BackendServerTarget
   /** Time of day at which the backend server started, in milliseconds; 0 if it does not report one. */
   readonly startedAt: number
-  /** Number of events of the item that are saved; the run resumes after them. */
+  /** Version of the server's software; undefined if it is not known, or from a leader of a version that did not name it. */
+  readonly softwareVersion?: string | undefined
+  /** Number of saved events of the item after which the run resumes; 0 if the run begins anew. */
   readonly savedEvents: number
   /** Size of the data of these events, in characters; undefined from a leader of a version that did not name it. */
   readonly savedCharacters?: number | undefined
--- a/src/process/fleet/runReports.ts
+++ b/src/process/fleet/runReports.ts
@@ -13,7 +13,7 @@
 import { type Command, CommandKind, Ending, type FailedItem, type FinishedItem } from '../state/commands.ts'
 import { ItemEndCause } from './itemEndRecorder.ts'
 import { type ActiveRun, createItemKey, type OpenItem, type OpenItems } from './openItems.ts'
-import type { RunReport, RunReports } from './runMessages.ts'
+import { nameDiscardedRun, type RunReport, type RunReports } from './runMessages.ts'
 
 /** A report on the current run of an open item. */
 export interface CurrentReport {
@@ -114,13 +114,15 @@
   const pieces: ProgressChunk[] = []
   const results: FinishedItem[] = []
   const failedItems: FailedItem[] = []
-  for (const { entry, report: { run, job, item, from, data, lastEvent, end, isExcessive }, cause, failures } of current) {
-    // Under another name, since a chunk of the same run never removes events.
+  for (const { entry, run: { softwareVersion }, report: { run, job, item, from, data, lastEvent, end, isExcessive }, cause, failures } of current) {
     const savedRun = entry.record.progress.get(item)
     // A report that is sent again may have been recorded meanwhile.
     const isSaved = savedRun?.run === run && from + data.length <= savedRun.data.length
-    if (isExcessive === true) pieces.push({ run: `${run} discarded`, job, item, from, data, lastEvent })
-    else if (data.length > 0 && !isSaved) pieces.push({ run, job, item, from, data, lastEvent })
+    // The result refers to the saved events, so a whole output without events replaces those of earlier runs, too.
+    const isEmptyOutput = cause === ItemEndCause.Done && from + data.length === 0
+    const piece: ProgressChunk = { run, job, item, from, data, lastEvent, ...(softwareVersion === undefined ? {} : { softwareVersion }) }
+    if (isExcessive === true) pieces.push({ ...piece, run: nameDiscardedRun(run) })
+    else if ((data.length > 0 || isEmptyOutput) && !isSaved) pieces.push(piece)
     if (cause === ItemEndCause.Done) results.push({ job, item, ending: Ending.Done, output: '', savedEvents: from + data.length })
     else if (cause !== undefined) results.push({ job, item, ending: Ending.Failed, output: '' })
     else if (end === RunEnd.Failed) failedItems.push({ job, item, count: failures, run })
--- a/src/process/program/metrics.ts
+++ b/src/process/program/metrics.ts
@@ -18,6 +18,7 @@
   ServerConnections: 'jaychute_server_connections_total',
   Items: 'jaychute_items_total',
   Yields: 'jaychute_batch_yields_total',
+  RestartedItems: 'jaychute_restarted_items_total',
   Bytes: 'jaychute_bytes_total',
   DispatchUpdates: 'jaychute_dispatch_news_total',
   ControlCalls: 'jaychute_control_calls_total',
--- a/test/runAssignments.test.ts
+++ b/test/runAssignments.test.ts
@@ -3,11 +3,13 @@
 import { applyCommand, createControlState, type ControlState } from '../src/process/state/controlState.ts'
 import { CommandKind } from '../src/process/state/commands.ts'
 import type { FleetLeader } from '../src/process/fleet/fleetLeader.ts'
+import { determineResumption } from '../src/process/fleet/itemResumption.ts'
 import { createOpenItems, type OpenItem, type OpenItems } from '../src/process/fleet/openItems.ts'
 import { createRunAssignments, type RunAssignments } from '../src/process/fleet/runAssignments.ts'
-import type { RunPoll, RunUpdate } from '../src/process/fleet/runMessages.ts'
+import type { RunAssignment, RunPoll, RunReference, RunUpdate } from '../src/process/fleet/runMessages.ts'
 import { createLifecycle, type Lifecycle } from '../src/process/program/lifecycle.ts'
 import { createSilentLogger } from '../src/process/program/logger.ts'
+import { Counter, createMetrics, type Metrics } from '../src/process/program/metrics.ts'
 import { FakeClock, runPendingTasks } from './support/fakeClock.ts'
 import { recordOf } from './support/fakeFleet.ts'
 
@@ -22,6 +24,7 @@
   let assignments: RunAssignments
   let batch: Map<string, number>
   let knownExecutors: string[]
+  let metrics: Metrics
   const leadership = { isLeading: true }
 
   beforeEach(() => {
@@ -31,10 +34,11 @@
     items = createOpenItems()
     batch = new Map()
     knownExecutors = []
+    metrics = createMetrics()
     leadership.isLeading = true
     const fleet = { changed: createCondition(clock), batch, isLeading: () => leadership.isLeading } as unknown as FleetLeader
     assignments = createRunAssignments({
-      fleet, items, clock, logger: createSilentLogger(), lifecycle, knownExecutors: () => knownExecutors, getRegion: zone => regions[zone]
+      fleet, items, clock, logger: createSilentLogger(), metrics, lifecycle, knownExecutors: () => knownExecutors, getRegion: zone => regions[zone]
     })
     assignments.beginTerm('a/1')
   })
@@ -167,4 +171,124 @@
     leadership.isLeading = false
     expect((await assignments.poll(pollOf('e', { leadership: 'a/2' }))).isErr()).to.equal(true)
   })
+
+  describe('with several software versions', () => {
+    function save (run: string, from: number, count: number, softwareVersion?: string): void {
+      const data = Array.from({ length: count }, (_, index) => `${run} ${from + index}`)
+      applyCommand(state, { kind: CommandKind.SaveProgress, pieces: [{ job: 'j', item: 'a', from, data, lastEvent: from + count - 1, run, softwareVersion }] })
+    }
+
+    /** Starts a run on a server of the version, and returns what the executor receives. */
+    async function start (entry: OpenItem, softwareVersion: string | undefined): Promise<RunAssignment> {
+      assignments.start(entry, recordOf('i-1', { softwareVersion }))
+      const { starts } = await poll(pollOf('e'))
+      return starts[0] as RunAssignment
+    }
+
+    function versionOf (entry: OpenItem): string | undefined {
+      return determineResumption(entry, 0)?.softwareVersion
+    }
+
+    /** Returns whether a new leader adopts the run. */
+    async function adopts (entry: OpenItem, reference: Partial<RunReference>, term: string): Promise<boolean> {
+      assignments.beginTerm(term)
+      const described = { run: 'b/7/3', job: 'j', item: 'a', server: 'i-1', ...reference }
+      const update = await poll(pollOf('e', { leadership: term, runs: [described.run], references: [described] }))
+      const isAdopted = entry.run?.id === described.run
+      expect(update.stops, 'a run that is not adopted is stopped').to.deep.equal(isAdopted ? [] : [described.run])
+      return isAdopted
+    }
+
+    // Guards against an output whose events are of two versions.
+    it('resumes only at the version of the saved events', async () => {
+      await connect(pollOf('e'))
+      const [entry] = submit('a') as [OpenItem]
+      save('b/1/1', 0, 5, 'v1')
+      expect(await start(entry, 'v1')).to.include({ softwareVersion: 'v1', savedEvents: 5, savedCharacters: 35, lastEvent: 4 })
+      expect(entry.run).to.include({ softwareVersion: 'v1', hasOutput: true })
+      for (const softwareVersion of ['v2', undefined]) {
+        assignments.release(entry)
+        entry.currentRuns = undefined
+        expect(await start(entry, softwareVersion)).to.include({ softwareVersion, savedEvents: 0, savedCharacters: 0, lastEvent: undefined })
+        expect(entry.run).to.include({ softwareVersion, hasOutput: false })
+      }
+      expect([...metrics.list(Counter.RestartedItems)]).to.deep.equal([['other version', 1], ['unknown version', 1]])
+    })
+
+    // Guards against events that follow those of another version: a run begins anew and is lost while its first events are being recorded,
+    // and the next run resumes after the events that they replace.
+    it('does not resume after events that a lost run replaces', async () => {
+      await connect(pollOf('e'))
+      const [entry] = submit('a') as [OpenItem]
+      save('b/1/1', 0, 5, 'v1')
+      const { run } = await start(entry, 'v2')
+      assignments.release(entry)
+      expect(versionOf(entry)).to.equal(undefined)
+      expect((await start(entry, 'v1')).savedEvents).to.equal(0)
+      expect(metrics.read(Counter.RestartedItems, 'replaced')).to.equal(1)
+      const second = entry.run?.id ?? ''
+      assignments.release(entry)
+      save(run, 0, 8, 'v2')
+      expect((await start(entry, 'v2')).savedEvents, 'the second run may replace these').to.equal(0)
+      assignments.release(entry)
+      save(second, 0, 8, 'v1')
+      expect((await start(entry, 'v1')).savedEvents, 'the third run may replace these').to.equal(0)
+    })
+
+    // Guards against progress that is dropped without need.
+    it('resumes after the events of a run that began anew, and after those that remain when its excess is discarded', async () => {
+      await connect(pollOf('e'))
+      const [entry] = submit('a') as [OpenItem]
+      save('b/1/1', 0, 5, 'v1')
+      const { run } = await start(entry, 'v2')
+      save(run, 0, 8, 'v2')
+      assignments.release(entry)
+      expect(versionOf(entry)).to.equal('v2')
+      const resumed = await start(entry, 'v2')
+      expect(resumed.savedEvents).to.equal(8)
+      save(`${resumed.run} discarded`, 8, 0, 'v2')
+      assignments.release(entry)
+      expect((await start(entry, 'v2')).savedEvents).to.equal(8)
+    })
+
+    // Guards against events of an adopted run that follow those of another version, or are named after it.
+    it('adopts a run only if its next events continue the saved ones', async () => {
+      const [entry] = submit('a') as [OpenItem]
+      expect(await adopts(entry, { softwareVersion: 'v1', from: 3 }, 'a/2')).to.equal(true)
+      expect(entry.run?.softwareVersion).to.equal('v1')
+      save('b/1/1', 0, 5, 'v1')
+      for (const [reference, isAdopted, text] of [
+        [{ softwareVersion: 'v1', from: 5 }, true, 'the same version'],
+        [{ softwareVersion: 'v2', from: 5 }, false, 'another version'],
+        [{ softwareVersion: 'v2', from: 0 }, true, 'a run that began anew'],
+        [{}, false, 'an executor of an earlier version'],
+        [{ run: 'b/1/1' }, true, 'an executor of an earlier version, with the run whose events are saved'],
+        [{ run: 'b/1/1', softwareVersion: 'v1', from: 5 }, true, 'the run whose events are saved']
+      ] as const) {
+        items.clear()
+        items.synchronize(state.submissions)
+        const current = items.find('j a') as OpenItem
+        expect(await adopts(current, reference, `a/${text}`), text).to.equal(isAdopted)
+        if (isAdopted) expect(current.run?.softwareVersion, text).to.equal('softwareVersion' in reference ? reference.softwareVersion : undefined)
+      }
+      save('b/1/1', 0, 6)
+      items.clear()
+      items.synchronize(state.submissions)
+      expect(await adopts(items.find('j a') as OpenItem, {}, 'a/9'), 'events and run of an earlier version').to.equal(true)
+    })
+
+    // Guards against a run that continues events which a later run has replaced.
+    it('does not adopt a run again after a later one has begun anew', async () => {
+      await connect(pollOf('e'))
+      const [entry] = submit('a') as [OpenItem]
+      save('b/1/1', 0, 5, 'v1')
+      const { run } = await start(entry, 'v1')
+      assignments.release(entry)
+      await start(entry, 'v2')
+      assignments.release(entry)
+      const reference = { run, job: 'j', item: 'a', server: 'i-1', softwareVersion: 'v1', from: 5 }
+      const update = await poll(pollOf('e', { holder: 'e-2', runs: [run], references: [reference] }))
+      expect([entry.run, update.stops]).to.deep.equal([undefined, [run]])
+    })
+  })
 })
