--- a/test/openItemStates.test.ts
+++ b/test/openItemStates.test.ts
@@ -7,11 +7,11 @@
 
 function entryOf (id: string, changes: Partial<OpenItem> = {}): OpenItem {
   const item = { id, path: '/p/1', headers: {}, body: Buffer.from(''), tokens: 1 }
-  return { key: `j ${id}`, record: {} as unknown as SubmissionRecord, item, interruptions: 0, runTimeMs: 0, startAfter: 0, run: undefined, isEnding: false, ...changes }
+  return { key: `j ${id}`, record: {} as unknown as SubmissionRecord, item, interruptions: 0, runTimeMs: 0, startAfter: 0, waitingSince: undefined, currentRuns: undefined, run: undefined, isEnding: false, ...changes }
 }
 
 function runOf (changes: Partial<ActiveRun> = {}): ActiveRun {
-  return { id: 'a/1/1', server: 'i-1', executor: 'e-1', hasOutput: false, isInterrupted: false, ...changes }
+  return { id: 'a/1/1', server: 'i-1', executor: 'e-1', softwareVersion: 'v1', hasOutput: false, isInterrupted: false, ...changes }
 }
 
 function contextOf (isListed: boolean | undefined, isBlocked = false): OpenItemContext {
--- a/test/runReports.test.ts
+++ b/test/runReports.test.ts
@@ -16,7 +16,7 @@
     applyCommand(state, { kind: CommandKind.Submit, submission, tokenLimit: 0, giveUpMs: 0, time: 0 })
     items.synchronize(state.submissions)
     const entry = items.find('j a') as OpenItem
-    entry.run = { id: 'a/1/1', server: 'i-1', executor: 'e-1', hasOutput: false, isInterrupted: false }
+    entry.run = { id: 'a/1/1', server: 'i-1', executor: 'e-1', softwareVersion: 'v1', hasOutput: false, isInterrupted: false }
     const report = { run: 'a/1/1', job: 'j', item: 'a', from: 0, data: ['x'], lastEvent: 0, end: RunEnd.Interrupted, isUnreachable: false, durationMs: 1 }
     const ended: unknown[] = []
     const recorded = await recordRunReports({ holder: 'e-1', reports: [report] }, {
@@ -24,7 +24,7 @@
       replica: {
         propose (command) {
           entry.run = undefined
-          entry.run = { id: 'a/1/1', server: 'i-1', executor: 'e-1', hasOutput: true, isInterrupted: false }
+          entry.run = { id: 'a/1/1', server: 'i-1', executor: 'e-1', softwareVersion: 'v1', hasOutput: true, isInterrupted: false }
           return okAsync(applyCommand(state, command))
         }
       },
