Fleet: records of which software version began a stream

Cause: only the gateway that relays a stream knows which software version began it, and gateways have no disk. After its end nobody can tell where the stream may continue. Change: a gateway records the service and the software version of a stream (streamOrigins.ts) and sends the record to two of at most eight executors, which the leader names; control hosts take their place while there is no executor, or the leader is of an earlier version. One task for each of them sends what has queued up in one call at a time. A look-up asks three hosts, so that a host that joins or leaves hides no record. Two records with different origins count as none. Executors serve internal calls for this; all additions to messages are optional. Nothing uses the records yet.

--- a/src/connection/internalRouter.ts
+++ b/src/connection/internalRouter.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import { initTRPC } from '@trpc/server'
-import { err } from 'neverthrow'
+import { err, ok } from 'neverthrow'
 import * as z from 'zod'
 import type { Command } from '../process/state/commands.ts'
 import type { ControlHost } from '../process/state/controlHost.ts'
@@ -11,6 +11,7 @@
 import type { BatchRunner } from '../process/fleet/batchRunner.ts'
 import type { FleetWatchRequest, LimitReport, LoadReport, PermitRequest, ServerCrashReport, TablesRequest, TrialRequest } from '../process/fleet/fleetMessages.ts'
 import type { TablesSource } from '../process/fleet/tablesSource.ts'
+import { maxStreamIdLength, OriginLookupKind, type StreamRecord, type StreamRecordStore } from '../process/fleet/streamRecords.ts'
 import type { RunPoll, RunReports } from '../process/fleet/runMessages.ts'
 import type { Heartbeat } from '../process/fleet/backendServerRegistry.ts'
 import { createFailure, FailureReason, Step } from '../process/program/failure.ts'
@@ -34,12 +35,28 @@
   fleetLeader?: FleetLeader | undefined
   tablesSource?: TablesSource | undefined
   batchRunner?: BatchRunner | undefined
+  streamRecords?: StreamRecordStore | undefined
+}
+
+/** What a host knows of the streams that it was asked for. */
+export interface FoundStreams {
+  readonly records: readonly StreamRecord[]
+  /** Ids of streams with records of several origins. */
+  readonly conflicting: readonly string[]
 }
 
 // The identity transformer: the connection preserves values, so the inferred types must not assume a conversion to JSON.
 const transformer = { serialize: (value: unknown) => value, deserialize: (value: unknown) => value }
 const { router, procedure } = initTRPC.create({ transformer })
 
+/** Maximum length of the name of a service and of a software version, in characters. */
+const maxNameLength = 256
+
+const streamId = z.string().min(1).max(maxStreamIdLength)
+const name = z.string().max(maxNameLength)
+const streamRecordsSchema = z.object({ records: z.array(z.object({ id: streamId, service: name, softwareVersion: name })) })
+const streamIdsSchema = z.object({ ids: z.array(streamId) })
+
 function objectSchema<Type> (): z.ZodType<Type, Type> {
   return z.custom<Type>(value => typeof value === 'object' && value !== null)
 }
@@ -119,6 +136,15 @@
       withdraw: procedure.input(objectSchema<{ readonly id: string }>()).mutation(async ({ input }) =>
         services.fleetLeader === undefined ? createMissingRoleReply(Step.Heartbeat) : toReply(await services.fleetLeader.withdraw(input.id)))
     }),
+    streams: router({
+      record: procedure.input(streamRecordsSchema).mutation(({ input }) => {
+        if (services.streamRecords === undefined) return createMissingRoleReply(Step.RecordStreams)
+        for (const record of input.records) services.streamRecords.record(record)
+        return toReply(ok({ count: input.records.length }))
+      }),
+      find: procedure.input(streamIdsSchema).mutation(({ input }) =>
+        services.streamRecords === undefined ? createMissingRoleReply(Step.FindStreams) : toReply(ok(findStreams(input.ids, services.streamRecords))))
+    }),
     entry: router({
       share: procedure.input(objectSchema<Share>()).mutation(({ input }) => services.shareReceiver?.receive(input) ?? false),
       dispatch: procedure.input(objectSchema<DispatchUpdate>()).mutation(({ input }) => services.dispatchReceiver?.receive(input) ?? false)
@@ -126,5 +152,16 @@
   })
 }
 
+function findStreams (ids: readonly string[], store: StreamRecordStore): FoundStreams {
+  const records: StreamRecord[] = []
+  const conflicting: string[] = []
+  for (const id of ids) {
+    const lookup = store.find(id)
+    if (lookup.kind === OriginLookupKind.Known) records.push({ id, ...lookup.origin })
+    if (lookup.kind === OriginLookupKind.Conflicting) conflicting.push(id)
+  }
+  return { records, conflicting }
+}
+
 /** Type of the router, for clients. */
 export type InternalRouter = ReturnType<typeof createInternalRouter>
--- a/src/process/fleet/controlDaemon.ts
+++ b/src/process/fleet/controlDaemon.ts
@@ -26,6 +26,7 @@
 import { createFleetLeader, type FleetLeader } from './fleetLeader.ts'
 import { type FleetHost, FleetRole } from './fleetMessages.ts'
 import type { FleetView } from './fleetView.ts'
+import { createStreamRecordStore } from './streamRecords.ts'
 import { createTablesSource, type TablesSource } from './tablesSource.ts'
 import { findHeartbeatProblem } from './heartbeatValidation.ts'
 import { listControlHosts, type FleetSettings } from './fleetSettings.ts'
@@ -66,7 +67,7 @@
   if (opened.isErr()) return err(opened.error)
   const controlHost = opened.value
   const { fleetLeader, batchRunner, tablesSource } = createLeaderComponents(base, controlHost, components)
-  const services: InternalServices = { controlHost, shareReceiver: undefined, dispatchReceiver: undefined, fleetLeader, batchRunner, tablesSource }
+  const services: InternalServices = { controlHost, shareReceiver: undefined, dispatchReceiver: undefined, fleetLeader, batchRunner, tablesSource, streamRecords: createStreamRecordStore(clock) }
   const listening = await serveInternalCalls(address, createInternalRouter(services), lifecycle, base.metrics)
   if (listening.isErr()) return err(listening.error)
   const served = await serveExternalApis(base, controlHost.state)
--- a/src/process/fleet/executorDaemon.ts
+++ b/src/process/fleet/executorDaemon.ts
@@ -2,8 +2,10 @@
  * An executor: a host that performs the runs of batch items, which the leader plans. It stores no data.
  * @module
  */
-import { ok, type Result } from 'neverthrow'
+import { err, ok, type Result } from 'neverthrow'
 import { createBackendServerHttp } from '../../../platform/backendServerHttp.ts'
+import { serveInternalCalls } from '../../connection/callServer.ts'
+import { createInternalRouter } from '../../connection/internalRouter.ts'
 import { runRunPolls, runRunReports, type ExecutorLink } from '../../connection/executorLink.ts'
 import type { Failure } from '../program/failure.ts'
 import { createFleetDaemon, createFleetHostBase, type FleetDaemon, type FleetHostBase, serveMetrics } from './fleetDaemon.ts'
@@ -11,6 +13,7 @@
 import { fleetLongPollMs } from './fleetMessages.ts'
 import type { FleetSettings } from './fleetSettings.ts'
 import { createItemExecutor, type ItemExecutor } from './itemExecutor.ts'
+import { createStreamRecordStore } from './streamRecords.ts'
 
 /** Longest time for which a draining executor reports the last events of its runs, in milliseconds. */
 const reportTimeoutMs = 3_000
@@ -26,11 +29,14 @@
 /**
  * Starts an executor.
  * @param settings - settings of the host
- * @returns the running executor
+ * @returns the running executor, or the failure that prevented its start
  */
 export async function startExecutor (settings: FleetSettings): Promise<Result<FleetDaemon, Failure>> {
   const base = createFleetHostBase(settings)
   const state: ExecutorState = { isDraining: false }
+  const router = createInternalRouter({ controlHost: undefined, shareReceiver: undefined, dispatchReceiver: undefined, streamRecords: createStreamRecordStore(base.clock) })
+  const listening = await serveInternalCalls(`${settings.address}:${settings.controlPort}`, router, base.lifecycle, base.metrics)
+  if (listening.isErr()) return err(listening.error)
   const executor = runItemExecutor(base, state, false)
   await serveMetrics(base)
   return ok(createFleetDaemon(base, () => drainExecutor(base, executor, state)))
--- a/src/process/fleet/fleetDaemon.ts
+++ b/src/process/fleet/fleetDaemon.ts
@@ -19,7 +19,7 @@
 import { createSystemRandom } from '../program/random.ts'
 import { serveApi } from '../program/servers.ts'
 import { containUncaughtErrors, runContained } from '../program/unexpectedErrors.ts'
-import type { FleetHost } from './fleetMessages.ts'
+import { type FleetHost, FleetRole } from './fleetMessages.ts'
 import { listControlHosts, type FleetSettings } from './fleetSettings.ts'
 import { createFleetView, type FleetView } from './fleetView.ts'
 
@@ -82,6 +82,7 @@
     availabilityZone: settings.availabilityZone,
     region: settings.region,
     callerAddress: settings.callerAddress,
+    internalAddress: settings.role === FleetRole.Gateway ? undefined : `${settings.address}:${settings.controlPort}`,
     ready: readiness.isReady
   })
   const taskInputs: FleetTaskInputs = { view, client: control, describe, clock, random, logger, metrics }
--- a/src/process/fleet/fleetMessages.ts
+++ b/src/process/fleet/fleetMessages.ts
@@ -28,6 +28,8 @@
   readonly region: string
   /** Address for callers; set at gateways only. */
   readonly callerAddress: string | undefined
+  /** Address for calls of other hosts; undefined at a gateway, and at hosts of an earlier version of the program. */
+  readonly internalAddress?: string | undefined
   /** Whether callers may be directed to this host. */
   readonly ready: boolean
 }
@@ -122,6 +124,8 @@
   readonly requestLimits?: RequestLimitUpdate | undefined
   /** Internal addresses of the control hosts, the closest to the polling host first. */
   readonly controlHosts: readonly string[]
+  /** Internal addresses of the hosts that keep the records of streams; sent to gateways only, once the leader knows the hosts. */
+  readonly streamKeepers?: readonly string[] | undefined
 }
 
 /** The request limit of a backend server. */
--- a/src/process/fleet/fleetUpdates.ts
+++ b/src/process/fleet/fleetUpdates.ts
@@ -10,6 +10,7 @@
 import { type FleetHost, FleetRole, type FleetUpdate, type FleetWatchRequest, type RequestLimitUpdate } from './fleetMessages.ts'
 import type { HostSessions } from './hostSessions.ts'
 import type { RequestPermits } from './requestPermits.ts'
+import { selectStreamKeepers } from './streamKeepers.ts'
 import type { TraitQuarantine } from './traitQuarantine.ts'
 
 /** State of the leader that the updates are made of. */
@@ -51,6 +52,10 @@
  * @returns the updates
  */
 export function createFleetUpdates ({ replica, state, sessions, registry, quarantine, permits, metrics, getLeadership, isComplete, getRegion }: FleetUpdateSources): FleetUpdates {
+  // The selection of the latest revision of the sessions: every poll of a gateway is answered with it.
+  let executorsRevision = -1
+  let keepingExecutors: readonly string[] = []
+
   // Until this leader has committed an entry of its own, it may lack entries that were acknowledged under its predecessors.
   function getConfirmedTables (): GatewayTables | undefined {
     return replica.state.commitIndex < replica.state.termStartIndex ? undefined : state.publication?.tables
@@ -103,8 +108,19 @@
       hosts: shouldSendHosts(request) ? sessions.list() : undefined,
       quarantine: shouldSendQuarantine(request) ? quarantine.createUpdate() : undefined,
       requestLimits: shouldSendLimits(request) ? createLimitUpdate() : undefined,
-      controlHosts: listControlHostsByDistance(request.host)
+      controlHosts: listControlHostsByDistance(request.host),
+      streamKeepers: request.host.role === FleetRole.Gateway ? listStreamKeepers() : undefined
+    }
+  }
+
+  // A leader that lacks some of the hosts would move the records of most streams to other hosts, and back soon after.
+  function listStreamKeepers (): readonly string[] | undefined {
+    if (!isComplete()) return undefined
+    if (executorsRevision !== sessions.revision) {
+      executorsRevision = sessions.revision
+      keepingExecutors = selectStreamKeepers(sessions.list())
     }
+    return keepingExecutors.length > 0 ? keepingExecutors : replica.state.members.map(({ address }) => address)
   }
 
   function listControlHostsByDistance (host: FleetHost): string[] {
--- a/src/process/fleet/fleetView.ts
+++ b/src/process/fleet/fleetView.ts
@@ -41,6 +41,8 @@
   readonly hosts: readonly FleetHost[]
   /** Internal addresses of the control hosts, the closest first, and the configured seeds. */
   readonly controlHosts: readonly string[]
+  /** Internal addresses of the hosts that keep the records of streams; none before the first update of a leader that knows all hosts. */
+  readonly streamKeepers: readonly string[]
   /** Requests to refuse because backend servers crash under them. */
   readonly quarantine: QuarantineView
   /** Limits that backend servers name in their responses. */
@@ -158,6 +160,7 @@
   let routes: RouteIndex = new Map()
   let hosts: readonly FleetHost[] = []
   let reportedControlHosts: readonly string[] = []
+  let streamKeepers: readonly string[] = []
   let lastContactAt = -Infinity
   let leadership = ''
   let serversRevision = 0
@@ -216,6 +219,7 @@
     get canServe () { return tables !== undefined && (getOutdatedMs() ?? 0) <= maxTablesOutdatedMs },
     get hosts () { return hosts },
     get controlHosts () { return [...new Set([...reportedControlHosts, ...seeds()])] },
+    get streamKeepers () { return streamKeepers },
     get lastContactAt () { return lastContactAt },
     quarantine,
     requestLimits,
@@ -241,6 +245,8 @@
       hostsRevision = update.hostsRevision
       if (update.quarantine !== undefined) quarantine.applyUpdate(update.quarantine, isNewLeader)
       if (update.controlHosts.length > 0) reportedControlHosts = update.controlHosts
+      // A leader of an earlier version names no keepers; a new leader names none before it knows the hosts, and the previous ones stay in use.
+      if (update.isComplete) streamKeepers = update.streamKeepers ?? update.controlHosts
       changed.notify()
     },
     applyTables,
--- /dev/null
+++ b/src/process/fleet/streamOrigins.ts
@@ -0,0 +1,183 @@
+/**
+ * The origins of streams as a gateway knows them: its own records, and those of the hosts that keep records.
+ * @module
+ */
+import type { Result } from 'neverthrow'
+import { createStreamRecordQueue, runStreamRecords, type StreamKeeperClient, type StreamRecordQueue } from '../../connection/streamKeeperLink.ts'
+import type { Failure } from '../program/failure.ts'
+import { Counter } from '../program/metrics.ts'
+import type { ProcessServices } from '../program/processServices.ts'
+import { createTaskSet } from '../program/taskSet.ts'
+import type { FleetView } from './fleetView.ts'
+import { listLookupKeepers, listRecordKeepers } from './streamKeepers.ts'
+import { createStreamRecordStore, maxStreamIdLength, type OriginLookup, OriginLookupKind, type StreamOrigin, type StreamRecord } from './streamRecords.ts'
+
+/** Age up to which records are sent again when the hosts that keep records change, in milliseconds. */
+const resendAgeMs = 10_000
+
+/** Interval at which the hosts that keep records are compared without an update, in milliseconds. */
+const keeperCheckMs = 1_000
+
+/** A software version that no server has; a record with it makes the origin of a stream conflicting. */
+const noSoftwareVersion = ''
+
+/** Why the origin of a stream was not found. */
+export const MissingOriginReason = {
+  /** No host that was asked has a record. */
+  Unknown: 'unknown',
+  /** No host that was asked has a record, and some did not answer. */
+  TimedOut: 'timeout',
+  Conflicting: 'conflicting',
+  /** This gateway has just started and does not know yet which hosts keep records. */
+  NoKeepers: 'no keepers'
+} as const
+export type MissingOriginReason = typeof MissingOriginReason[keyof typeof MissingOriginReason]
+
+/** Result of a search; the reason is undefined if the origin was found. */
+export interface OriginSearch {
+  readonly origin: StreamOrigin | undefined
+  readonly reason: MissingOriginReason | undefined
+}
+
+/** The origins of streams. */
+export interface StreamOrigins {
+  /**
+   * Records the origin of a stream, and queues the record for the hosts that keep records. An origin of unknown version is not recorded.
+   * @param id - id of the caller's attempt that receives the first event
+   * @param origin - the origin
+   */
+  record (id: string, origin: StreamOrigin): void
+  /**
+   * Makes the recorded origin of a stream unusable, here and at the hosts that keep records.
+   * @param id - id of the caller's attempt that received the first event
+   */
+  revoke (id: string): void
+  /**
+   * Searches for the origin of a stream: in the records of this gateway, then at the hosts that keep records.
+   * @param id - id of the caller's attempt that received the first event
+   */
+  find (id: string): Promise<OriginSearch>
+}
+
+/** Dependencies of the origins. */
+export interface StreamOriginInputs extends Pick<ProcessServices, 'clock' | 'random' | 'metrics'> {
+  readonly view: Pick<FleetView, 'streamKeepers' | 'changed'>
+  readonly client: StreamKeeperClient
+}
+
+/** The origins, with the task that keeps the connections to the hosts that keep records. */
+export interface StreamOriginService extends StreamOrigins {
+  /**
+   * Runs one task for each host that keeps records, until the signal aborts.
+   * @param signal - ends the tasks
+   * @returns a promise that resolves when all tasks have ended
+   */
+  run (signal: AbortSignal): Promise<void>
+}
+
+/**
+ * Creates the origins without any record.
+ * @param inputs - dependencies
+ * @returns the origins
+ */
+export function createStreamOrigins ({ view, client, clock, random, metrics }: StreamOriginInputs): StreamOriginService {
+  const own = createStreamRecordStore(clock)
+  const queues = new Map<string, StreamRecordQueue>()
+  let keepers: readonly string[] = []
+
+  function send (record: StreamRecord, isNeeded: (keeper: string) => boolean = () => true): void {
+    for (const keeper of listRecordKeepers(record.id, keepers)) {
+      if (isNeeded(keeper)) queues.get(keeper)?.add(record)
+    }
+  }
+
+  // Recent records move with the keepers: the previous ones may have left, or are not asked any more.
+  function applyKeepers (current: readonly string[]): void {
+    const previous = keepers
+    keepers = current
+    for (const keeper of queues.keys()) {
+      if (!current.includes(keeper)) queues.delete(keeper)
+    }
+    for (const keeper of current) {
+      if (!queues.has(keeper)) queues.set(keeper, createStreamRecordQueue(clock, metrics))
+    }
+    for (const record of own.listRecent(resendAgeMs)) {
+      const sentTo = listRecordKeepers(record.id, previous)
+      send(record, keeper => !sentTo.includes(keeper))
+    }
+  }
+
+  async function search (id: string): Promise<OriginSearch> {
+    const known = own.find(id)
+    if (known.kind !== OriginLookupKind.Unknown) {
+      if (known.kind === OriginLookupKind.Known) metrics.count(Counter.StreamLookups, 'own')
+      return toSearch(known)
+    }
+    const asked = listLookupKeepers(id, keepers)
+    if (asked.length === 0) return { origin: undefined, reason: MissingOriginReason.NoKeepers }
+    const lookups = asked.map(async keeper => await client.find(keeper, id))
+    const answer = await waitForAnswer(lookups)
+    if (answer !== undefined) {
+      if (answer.kind === OriginLookupKind.Known) metrics.count(Counter.StreamLookups, 'found')
+      return toSearch(answer)
+    }
+    const results = await Promise.all(lookups)
+    const isAnswered = results.every(result => result.isOk())
+    return { origin: undefined, reason: isAnswered ? MissingOriginReason.Unknown : MissingOriginReason.TimedOut }
+  }
+
+  return {
+    record (id, { service, softwareVersion }) {
+      if (id === '' || id.length > maxStreamIdLength || softwareVersion === undefined) return
+      const record = { id, service, softwareVersion }
+      own.record(record)
+      send(record)
+    },
+    revoke (id) {
+      const known = own.find(id)
+      if (known.kind !== OriginLookupKind.Known) return
+      const record = { id, service: known.origin.service, softwareVersion: noSoftwareVersion }
+      own.record(record)
+      send(record)
+    },
+    async find (id) {
+      const found = id.length > maxStreamIdLength ? { origin: undefined, reason: MissingOriginReason.Unknown } : await search(id)
+      if (found.reason !== undefined) metrics.count(Counter.StreamLookups, found.reason)
+      return found
+    },
+    async run (signal) {
+      const tasks = createTaskSet(signal)
+      while (!signal.aborted) {
+        if (view.streamKeepers.join() !== keepers.join()) applyKeepers(view.streamKeepers)
+        tasks.abortAllExcept(new Set(keepers))
+        for (const [address, queue] of queues) {
+          tasks.ensure(address, async taskSignal => await runStreamRecords({ address, queue, client, clock, random, metrics }, taskSignal))
+        }
+        await view.changed.wait(keeperCheckMs, signal)
+      }
+      await tasks.ended()
+    }
+  }
+}
+
+function toSearch (lookup: OriginLookup): OriginSearch {
+  switch (lookup.kind) {
+    case OriginLookupKind.Known: return { origin: lookup.origin, reason: undefined }
+    case OriginLookupKind.Conflicting: return { origin: undefined, reason: MissingOriginReason.Conflicting }
+    case OriginLookupKind.Unknown: return { origin: undefined, reason: MissingOriginReason.Unknown }
+  }
+}
+
+// Resolves with the first answer of a host that has records, or undefined when none has any.
+async function waitForAnswer (lookups: ReadonlyArray<Promise<Result<OriginLookup, Failure>>>): Promise<OriginLookup | undefined> {
+  return await new Promise((resolve, reject) => {
+    let pending = lookups.length
+    for (const lookup of lookups) {
+      lookup.then(result => {
+        pending--
+        if (result.isOk() && result.value.kind !== OriginLookupKind.Unknown) resolve(result.value)
+        else if (pending === 0) resolve(undefined)
+      }, reject)
+    }
+  })
+}
--- a/src/process/program/failure.ts
+++ b/src/process/program/failure.ts
@@ -63,7 +63,9 @@
   Upload: 'upload',
   Admit: 'admit',
   Choose: 'choose backend server',
-  Administration: 'administration'
+  Administration: 'administration',
+  RecordStreams: 'record streams',
+  FindStreams: 'find streams'
 } as const
 export type Step = typeof Step[keyof typeof Step]
 
--- a/src/process/program/metrics.ts
+++ b/src/process/program/metrics.ts
@@ -12,6 +12,10 @@
   WithheldRequests: 'jaychute_withheld_requests_total',
   Retries: 'jaychute_retries_total',
   RetriesDenied: 'jaychute_retries_denied_total',
+  /** Records of streams, by copy: sent, failed, dropped. */
+  StreamRecords: 'jaychute_stream_records_total',
+  StreamLookups: 'jaychute_stream_lookups_total',
+  ResumptionRefusals: 'jaychute_resumption_refusals_total',
   Attempts: 'jaychute_attempts_total',
   AttemptFailures: 'jaychute_attempt_failures_total',
   BrokenAttempts: 'jaychute_broken_attempts_total',
--- a/test/fleetLeader.test.ts
+++ b/test/fleetLeader.test.ts
@@ -47,15 +47,15 @@
   beforeEach(() => startLeader([]))
   afterEach(() => lifecycle.close())
 
-  function startLeader (knownServers: readonly BackendServerRecord[], startedMsAgo = sessionTimeoutMs): void {
+  function startLeader (knownServers: readonly BackendServerRecord[], startedMsAgo = sessionTimeoutMs, settleMs = 0): void {
     lifecycle = createLifecycle()
     leadership.role = ReplicaRole.Leader
     leadership.term = 1
     leadership.commitIndex = 5
     const clock = new ShiftedClock()
-    const replicaState = { identity: 'a', address: '10.0.0.9:1', leaderAddress: undefined, members: [], changed: createCondition(clock), get role () { return leadership.role }, get term () { return leadership.term }, get commitIndex () { return leadership.commitIndex }, get termStartIndex () { return leadership.termStartIndex } }
+    const replicaState = { identity: 'a', address: '10.0.0.9:1', leaderAddress: undefined, members: [{ identity: 'a', address: '10.0.0.9:1', availabilityZone: 'z1', voter: true }], changed: createCondition(clock), get role () { return leadership.role }, get term () { return leadership.term }, get commitIndex () { return leadership.commitIndex }, get termStartIndex () { return leadership.termStartIndex } }
     const replica = { state: replicaState } as unknown as Replica
-    fleet = createFleetLeader({ replica, state, clock, logger: createSilentLogger(), metrics: createMetrics(), lifecycle, knownServers: () => knownServers, getRegion: () => undefined, heartbeatTimeoutMs: 5_000, settleMs: 0 })
+    fleet = createFleetLeader({ replica, state, clock, logger: createSilentLogger(), metrics: createMetrics(), lifecycle, knownServers: () => knownServers, getRegion: () => undefined, heartbeatTimeoutMs: 5_000, settleMs })
     fleet.isLeading()
     clock.shiftMs = startedMsAgo
   }
@@ -201,4 +201,19 @@
     expect([control.tables?.version, gateway.tables?.version]).to.deep.equal([4, 4])
     state.publication = undefined
   })
+
+  // Guards against gateways that send the records of streams to hosts that do not keep them, or to some of the hosts only.
+  it('names the executors that keep stream records to gateways, otherwise the control hosts, and none before it knows all hosts', async () => {
+    const poll = async (name: string, role: FleetRole = 'gateway'): Promise<readonly string[] | undefined> => (await fleet.watch(firstPoll(hostOf(name, role))))._unsafeUnwrap().streamKeepers
+    await lifecycle.close()
+    startLeader([], 0, 5_000)
+    expect(await poll('g-1')).to.equal(undefined)
+    await lifecycle.close()
+    startLeader([])
+    expect(await poll('g-1')).to.deep.equal(['10.0.0.9:1'])
+    await poll('e-old', 'executor')
+    await fleet.watch(firstPoll({ ...hostOf('e-1', 'executor'), internalAddress: '10.0.0.7:1' }))
+    expect(await poll('g-1')).to.deep.equal(['10.0.0.7:1'])
+    expect(await poll('c-1', 'control')).to.equal(undefined)
+  })
 })
--- a/test/support/fakeFleet.ts
+++ b/test/support/fakeFleet.ts
@@ -8,7 +8,7 @@
   type BackendResponse, BackendResponseKind, type BackendRequest, BackendServerClient, type BackendServerTarget, type ExchangeFailure, ServerReachability
 } from '../../src/connection/backendServerClient.ts'
 import { createSystemClock } from '../../src/process/program/clock.ts'
-import { createFailure, FailureReason, Step } from '../../src/process/program/failure.ts'
+import { createFailure, type Failure, FailureReason, Step } from '../../src/process/program/failure.ts'
 import { type BackendServerRecord, ServerPhase } from '../../src/process/fleet/backendServerRegistry.ts'
 import type { FleetUpdate } from '../../src/process/fleet/fleetMessages.ts'
 import { createFleetView, type FleetView } from '../../src/process/fleet/fleetView.ts'
@@ -16,6 +16,9 @@
 import { createSilentLogger } from '../../src/process/program/logger.ts'
 import { createMetrics } from '../../src/process/program/metrics.ts'
 import { createSystemRandom } from '../../src/process/program/random.ts'
+import { createStreamOrigins, type StreamOriginService } from '../../src/process/fleet/streamOrigins.ts'
+import { createStreamRecordStore, type OriginLookup, type StreamRecord, type StreamRecordStore } from '../../src/process/fleet/streamRecords.ts'
+import type { StreamKeeperClient } from '../../src/connection/streamKeeperLink.ts'
 import { CallerResponse, type CallerRequest, type GatewayRefusal } from '../../src/request/callerExchange.ts'
 import type { ForwardingServices } from '../../src/request/forwardedAttempt.ts'
 import { type GatewayRoute, type GatewayTables, RouteKind } from '../../src/version/gatewayTables.ts'
@@ -184,12 +187,54 @@
   }
 }
 
+/** The hosts that keep the records of streams, in memory. */
+export class FakeStreamKeepers implements StreamKeeperClient {
+  readonly stores = new Map<string, StreamRecordStore>()
+  /** Addresses of hosts that fail each call. */
+  readonly lost = new Set<string>()
+  /** Addresses of hosts that answer no call. */
+  readonly silent = new Set<string>()
+
+  constructor (addresses: readonly string[]) {
+    for (const address of addresses) this.restart(address)
+  }
+
+  /** Starts a host without any record. */
+  restart (address: string): void {
+    this.stores.set(address, createStreamRecordStore(createSystemClock()))
+  }
+
+  async record (address: string, records: readonly StreamRecord[]): Promise<Result<unknown, Failure>> {
+    const store = await this.call(address)
+    if (store.isErr()) return err(store.error)
+    for (const record of records) store.value.record(record)
+    return ok(records.length)
+  }
+
+  async find (address: string, id: string): Promise<Result<OriginLookup, Failure>> {
+    return (await this.call(address)).map(store => store.find(id))
+  }
+
+  private async call (address: string): Promise<Result<StreamRecordStore, Failure>> {
+    await new Promise(resolve => setTimeout(resolve, this.silent.has(address) ? silentCallMs : 1))
+    const store = this.stores.get(address)
+    if (store !== undefined && !this.lost.has(address) && !this.silent.has(address)) return ok(store)
+    return err(createFailure(FailureReason.Timeout, { step: Step.FindStreams, peer: address }, 'no answer'))
+  }
+}
+
+/** Time until a call to a silent host fails, in milliseconds. */
+const silentCallMs = 250
+
 /** Builds the services of a forwarded request, with a fleet view that holds the routes and three servers unless `update` replaces them. */
-export function forwardingServicesOf (client: BackendServerClient, routes: readonly GatewayRoute[], update: Partial<FleetUpdate> = {}): ForwardingServices & { readonly view: FleetView } {
+export function forwardingServicesOf (client: BackendServerClient, routes: readonly GatewayRoute[], update: Partial<FleetUpdate> = {}, keepers: StreamKeeperClient = new FakeStreamKeepers([])): ForwardingServices & { readonly view: FleetView, readonly origins: StreamOriginService } {
   const clock = createSystemClock()
   const logger = createSilentLogger()
   const view = createFleetView(clock, logger, () => [])
   view.applyUpdate(fleetUpdateOf({ tables: tablesOf(1, routes), ...update }))
   const control = { reportCrash: async () => ok({ isBlocked: false }), acquireTrial: async () => ok(true), acquirePermit: async () => ok({ isGranted: true, retryMs: 0 }) }
-  return { view, drain: createGatewayDrain(), client, control, availabilityZone: 'z1', region: 'r1', getRegion: () => 'r1', clock, random: createSystemRandom(), logger, metrics: createMetrics() }
+  const random = createSystemRandom()
+  const metrics = createMetrics()
+  const origins = createStreamOrigins({ view, client: keepers, clock, random, metrics })
+  return { view, drain: createGatewayDrain(), client, origins, control, availabilityZone: 'z1', region: 'r1', getRegion: () => 'r1', clock, random, logger, metrics }
 }
