Gateway: continue a stream only at the software version that began it

What callers saw: streams with events of two software versions of one service (ORDER), within one response after a server broke off, and in responses that were joined after the caller had taken the stream up again. Cause: a gateway sent further attempts, and resumptions by callers, to any ready server of the service. Change: the first relayed event fixes the service and the version; further attempts go only to servers of both, also those that confirm the end of a stream without framing, and the response is aborted at once when none is listed. A resumption by a caller names in Resumes the attempt that received the first event; its origin is looked up in the gateway's own records and at the hosts that keep them. Without an origin, with conflicting ones, or without a ready server of the version it is refused as not run, without Retry-After; with Retry-After while the gateway does not know yet whom to ask. It waits for a free slot up to the objective of the route, since no other gateway has other servers for it. A server that turns out to run another version under its id than the one that was chosen makes the origin unusable. The test of platform HTTP that passes Last-Event-Id on now names the attempt too, since a resumption without it is refused; three new cases check that.

--- a/src/process/fleet/gatewayDaemon.ts
+++ b/src/process/fleet/gatewayDaemon.ts
@@ -5,6 +5,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import { createOpenRequests } from '../../connection/openRequests.ts'
 import { runLoadReports } from '../../connection/fleetWatch.ts'
+import { createStreamKeeperClient } from '../../connection/streamKeeperLink.ts'
 import { runTablesFetch } from '../../connection/tablesFetch.ts'
 import { createBackendServerHttp } from '../../../platform/backendServerHttp.ts'
 import { createCallerServer } from '../../../platform/callerHttp.ts'
@@ -19,6 +20,7 @@
 import { createFleetDaemon, createFleetHostBase, type FleetDaemon, type FleetHostBase, serveMetrics } from './fleetDaemon.ts'
 import type { FleetSettings } from './fleetSettings.ts'
 import { createGatewayDrain, drainGateway, type GatewayDrain } from './gatewayDrain.ts'
+import { createStreamOrigins } from './streamOrigins.ts'
 import { ErrorPlace, reportUnexpectedError, runContained } from '../program/unexpectedErrors.ts'
 import { millisecondsPerSecond } from '../program/units.ts'
 
@@ -32,13 +34,15 @@
  */
 export async function startGateway (settings: FleetSettings): Promise<Result<FleetDaemon, Failure>> {
   const base = createFleetHostBase(settings)
-  const { lifecycle, logger, view, readiness, clock, metrics, random, control, describe } = base
+  const { lifecycle, logger, view, readiness, clock, metrics, random, clients, control, describe } = base
   const drain = createGatewayDrain()
   const openRequests = createOpenRequests()
+  const origins = createStreamOrigins({ view, client: createStreamKeeperClient(clients), clock, random, metrics })
   const forwarding: ForwardingServices = {
     view,
     drain,
     client: createBackendServerHttp(metrics),
+    origins,
     control,
     availabilityZone: settings.availabilityZone,
     region: settings.region,
@@ -66,6 +70,7 @@
   const taskInputs = { view, client: control, describe, clock, random, logger, metrics }
   runContained(base, signal => runTablesFetch(taskInputs, signal))
   runContained(base, signal => runLoadReports(taskInputs, signal))
+  runContained(base, signal => origins.run(signal))
 
   // A poll without a leadership is answered at once; it reports to the leader that this gateway is no longer ready.
   async function announce (): Promise<void> {
--- a/src/request/callerExchange.ts
+++ b/src/request/callerExchange.ts
@@ -21,6 +21,13 @@
   Quarantined: 'quarantined',
   /** The gateway is shutting down and may end before the request would; the request has not run and another gateway can run it. */
   Draining: 'draining',
+  /**
+   * Nothing tells which service and software version began the stream that the request resumes, so no server may continue it; the request
+   * has not run.
+   */
+  UnknownStream: 'stream not known',
+  /** No ready server has the software version that began the stream that the request resumes; the request has not run. */
+  VersionUnavailable: 'software version unavailable',
   /** The limit of waiting tokens of the route is reached; the job has not been accepted. */
   QuotaExceeded: 'quota exceeded',
   /** The deadline passed; the request may have run. */
@@ -35,6 +42,8 @@
 
 /** Request of a caller. */
 export interface CallerRequest extends OpaqueRequest {
+  /** Id of the caller's attempt that received the first event of the stream that this request resumes; undefined if it names none. */
+  readonly resumes?: string | undefined
   /** Ids of the parts at the start of the prompt that other requests may have too, in order; empty when they are unknown. */
   readonly sharedPromptParts: readonly string[]
   /** Tokens of the shared parts together. */
--- a/src/request/forwardedAttempt.ts
+++ b/src/request/forwardedAttempt.ts
@@ -7,15 +7,18 @@
 import { createFailure, type Failure, FailureReason, Step, toFailure } from '../process/program/failure.ts'
 import type { BackendServerRecord } from '../process/fleet/backendServerRegistry.ts'
 import type { FleetView } from '../process/fleet/fleetView.ts'
+import type { StreamOrigins } from '../process/fleet/streamOrigins.ts'
+import type { StreamOrigin } from '../process/fleet/streamRecords.ts'
 import type { GatewayDrain } from '../process/fleet/gatewayDrain.ts'
 import { LogEvents } from '../process/program/logEvents.ts'
 import { Counter, Latency } from '../process/program/metrics.ts'
 import type { ProcessServices } from '../process/program/processServices.ts'
 import { maxTimerMs } from '../process/program/units.ts'
-import type { GatewayRoute } from '../version/gatewayTables.ts'
+import { type GatewayRoute, RouteKind } from '../version/gatewayTables.ts'
 import type { CallerResponse, CallerRequest } from './callerExchange.ts'
 import { createEventSplitter, isEventStream, removeContentLength } from './eventStream.ts'
 import { createIdleTimeout, type IdleTimeout } from './idleTimeout.ts'
+import { isReplaced } from './streamContinuation.ts'
 import type { RequestTraits } from './requestTraits.ts'
 
 /** Timeout for the headers and first event of a response while another server may still run the request, in latency objectives of the route. */
@@ -38,6 +41,7 @@
   readonly view: FleetView
   readonly drain: Pick<GatewayDrain, 'lastEndAt'>
   readonly client: BackendServerClient
+  readonly origins: StreamOrigins
   readonly control: Pick<FleetClient, 'reportCrash' | 'acquireTrial' | 'acquirePermit'>
   readonly availabilityZone: string
   /** Returns the region of an availability zone; undefined when the settings do not name it. */
@@ -67,7 +71,12 @@
   readonly request: CallerRequest
   readonly answer: CallerResponse
   readonly route: GatewayRoute
-  readonly service: string
+  /** Service of the route that gets the request; that of the origin for a caller's resumption. */
+  service: string
+  /** What wrote the first event of the stream; undefined before it. Only servers of the same service and software version may continue it. */
+  origin: StreamOrigin | undefined
+  /** Whether the request resumes a stream that an earlier attempt of the caller received in part. */
+  readonly isResumption: boolean
   readonly traits: RequestTraits
   /** Monotonic time at which the request is given up, in milliseconds. */
   readonly deadlineAt: number
@@ -223,7 +232,8 @@
 function startResponse (progress: ForwardingProgress, received: ExecutedResponse, headers: readonly string[]): void {
   if (progress.isResponseStarted) return
   progress.isResponseStarted = true
-  progress.isEndCertain = received.isFramed || (isEventStream(headers) && progress.hasResumePoint && canRunAgain(progress))
+  const canConfirmEnd = isEventStream(headers) && progress.hasResumePoint && progress.origin?.softwareVersion !== undefined && canRunAgain(progress)
+  progress.isEndCertain = received.isFramed || canConfirmEnd
   progress.answer.start(received.status, headers, progress.isEndCertain)
 }
 
@@ -233,12 +243,28 @@
   if (confirmed.isErr()) throw confirmed.error
 }
 
+// The record is sent while the first event is relayed, which does not wait for it.
+function recordOrigin (progress: ForwardingProgress, { service, softwareVersion }: BackendServerRecord, { origins }: ForwardingServices): void {
+  const { request, route, hasResumePoint } = progress
+  progress.origin = { service, softwareVersion }
+  if (route.kind === RouteKind.Streaming && route.resumable && hasResumePoint) origins.record(request.id, progress.origin)
+}
+
+// The stream itself is whole, but which version writes it is not known.
+function revokeOrigin (progress: ForwardingProgress, { origins }: ForwardingServices): void {
+  if (progress.origin !== undefined && progress.origin.softwareVersion !== undefined) origins.revoke(progress.request.id)
+  progress.origin = { service: progress.service, softwareVersion: undefined }
+}
+
 async function relayEvents (progress: ForwardingProgress, server: BackendServerRecord, received: ExecutedResponse, idleTimeout: IdleTimeout, services: ForwardingServices): Promise<ForwardedAttemptEnd> {
   const { answer: response, route } = progress
   const splitter = createEventSplitter()
   const isResumed = progress.isResponseStarted
+  const isContinuation = progress.origin !== undefined
   let isAwaitingResumption = isResumed
   for await (const chunk of received.body) {
+    const isOtherVersion = isReplaced(server, services.view.findServer(server.id))
+    if (isOtherVersion && isContinuation) return ForwardedAttemptEnd.Broken
     const eventChunks: Buffer[] = []
     for (const event of splitter.push(chunk)) {
       // A resumed stream continues with the next id. Anything before it does not belong to the stream that the caller receives.
@@ -252,6 +278,8 @@
       eventChunks.push(event.bytes)
     }
     if (eventChunks.length === 0) continue
+    if (isOtherVersion) revokeOrigin(progress, services)
+    else if (progress.origin === undefined) recordOrigin(progress, server, services)
     if (!progress.hasOutput) services.view.quarantine.recordOutput(progress.traits)
     progress.hasOutput = true
     // The time for which the caller does not read is not the server's.
--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -12,6 +12,7 @@
 import { type CallerResponse, type CallerRequest, drainingRetryAfterMs, GatewayRefusal } from './callerExchange.ts'
 import { ForwardedAttemptEnd, type ForwardingServices, isBodyReplayable, type ForwardingProgress, runForwardedAttempt, minServerErrorStatus } from './forwardedAttempt.ts'
 import { reportCrash } from './crashReport.ts'
+import { canContinue, decideResumption, isResumption } from './streamContinuation.ts'
 import { acquirePermit } from './requestPermit.ts'
 import { createRequestTraits, listTraits } from './requestTraits.ts'
 import { chooseServer, chooseServerByPrefix, type ServerCandidate } from './placement/serverChoice.ts'
@@ -29,7 +30,10 @@
 const recheckIntervalMs = 20
 
 /** Refusals that promise that the request has not run; they must not be reported after a run. */
-const notRunRefusals: ReadonlySet<GatewayRefusal> = new Set([GatewayRefusal.Overloaded, GatewayRefusal.Quarantined, GatewayRefusal.Draining])
+const notRunRefusals: ReadonlySet<GatewayRefusal> = new Set([GatewayRefusal.Overloaded, GatewayRefusal.VersionUnavailable, GatewayRefusal.Quarantined, GatewayRefusal.Draining])
+
+/** Refusals without a suggested delay: waiting for a while does not bring back the record of a stream, or a software version. */
+const lastingRefusals: ReadonlySet<GatewayRefusal> = new Set([GatewayRefusal.UnknownStream, GatewayRefusal.VersionUnavailable])
 
 /** Maximum number of attempts that the backend servers did not run. */
 const maxNotRunAttempts = 6
@@ -51,6 +55,8 @@
     answer: response,
     route,
     service: chooseTarget(route, random.next()),
+    origin: undefined,
+    isResumption: isResumption(request, route),
     traits: createRequestTraits(request),
     deadlineAt: Math.min(request.deadlineAt, request.receivedAt + route.timeoutMs),
     isRetryable: route.kind === RouteKind.Safe || (route.kind === RouteKind.Streaming && route.resumable),
@@ -71,6 +77,7 @@
     isEndCertain: true,
     server: undefined
   }
+  if (progress.isResumption && !await prepareResumption(progress, services)) return
   while (await makeAttempt(progress, services)) services.metrics.count(Counter.Retries, route.kind)
 }
 
@@ -83,6 +90,26 @@
   return view.tablesOutdatedMs === undefined ? GatewayRefusal.NoRoute : GatewayRefusal.NotReady
 }
 
+// Returns whether an attempt may be made; if not, the response has ended.
+async function prepareResumption (progress: ForwardingProgress, services: ForwardingServices): Promise<boolean> {
+  const { request, route } = progress
+  const { origins, view, metrics, logger } = services
+  const refusalBefore = findRefusal(progress, services)
+  if (refusalBefore !== undefined) return giveUp(progress, services, refusalBefore)
+  const { resumes } = request
+  const search = resumes === undefined || resumes === '' ? undefined : await origins.find(resumes)
+  if (request.disconnectSignal.aborted) return abortAfterDisconnect(progress, services)
+  const decision = decideResumption(search, route, service => view.listReadyServers(service))
+  if (decision.origin === undefined) {
+    metrics.count(Counter.ResumptionRefusals, decision.reason)
+    logger.write(LogEvents.resumptionRefused, { requestId: request.id, reason: decision.reason, inputs: { resumes: resumes ?? '', route: route.name, service: search?.origin?.service ?? '', softwareVersion: search?.origin?.softwareVersion ?? '' } })
+    return giveUp(progress, services, decision.refusal)
+  }
+  progress.origin = decision.origin
+  progress.service = decision.origin.service
+  return true
+}
+
 // Returns whether another attempt is to be made.
 async function makeAttempt (progress: ForwardingProgress, services: ForwardingServices): Promise<boolean> {
   const refusalBefore = findRefusal(progress, services)
@@ -91,7 +118,7 @@
   if (progress.request.disconnectSignal.aborted) return abortAfterDisconnect(progress, services)
   const refusalAfter = findRefusal(progress, services)
   if (refusalAfter !== undefined) return giveUp(progress, services, refusalAfter)
-  if (server === undefined) return giveUp(progress, services, GatewayRefusal.Overloaded)
+  if (server === undefined) return giveUp(progress, services, hasSuitableServer(progress, services) ? GatewayRefusal.Overloaded : GatewayRefusal.VersionUnavailable)
   if (!await acquireTrial(progress, services)) return giveUp(progress, services, GatewayRefusal.Quarantined)
   // It may have begun to leave while the leader was asked for a permit or a trial.
   if (!services.view.isReady(server)) return await makeAttempt(progress, services)
@@ -159,16 +186,26 @@
   return giveUp(progress, services, GatewayRefusal.Failed)
 }
 
+// Until the first event of a stream, every server of the service is suitable, also one that has yet to start.
+function hasSuitableServer ({ origin, service }: ForwardingProgress, { view }: ForwardingServices): boolean {
+  return origin === undefined || view.listReadyServers(service).some(server => canContinue(origin, server))
+}
+
+// A request that has already run or begun to respond waits for a free slot until its deadline; a new one is refused early, so that its caller
+// can try another gateway. A resumption waits for longer, since the servers of its version are the same everywhere.
+function computeWaitDeadline ({ request, route, deadlineAt, runs, isResponseStarted, isResumption }: ForwardingProgress): number {
+  if (runs > 0 || isResponseStarted) return deadlineAt
+  return Math.min(deadlineAt, request.receivedAt + route.objectiveMs * (isResumption ? 1 : earlyRefusalShare))
+}
+
 async function findServer (progress: ForwardingProgress, services: ForwardingServices): Promise<BackendServerRecord | undefined> {
-  const { request, route, avoided } = progress
+  const { request, avoided } = progress
   const { clock, view, random } = services
-  // A request that has already run or begun to respond waits for a free slot until its deadline; a new one is refused early.
-  const hasBegun = progress.runs > 0 || progress.isResponseStarted
-  const waitDeadlineAt = hasBegun ? progress.deadlineAt : Math.min(progress.deadlineAt, request.receivedAt + route.objectiveMs * earlyRefusalShare)
+  const waitDeadlineAt = computeWaitDeadline(progress)
   if (view.hasWithheldServer(progress.service)) services.metrics.count(Counter.WithheldRequests, 'live')
-  while (!request.disconnectSignal.aborted) {
+  while (!request.disconnectSignal.aborted && hasSuitableServer(progress, services)) {
     const remoteLoad = view.remoteLoads.estimate(progress.service)
-    const candidates = listCandidates(progress.service, remoteLoad, services)
+    const candidates = listCandidates(progress, remoteLoad, services)
     const prefix = { parts: request.sharedPromptParts, tokens: request.sharedPromptTokens }
     const server = chooseServerByPrefix(candidates, avoided, prefix) ?? chooseServer(candidates, avoided, () => random.next(), remoteLoad.unseenRequests)
     if (server !== undefined) {
@@ -184,11 +221,11 @@
   return undefined
 }
 
-function listCandidates (service: string, remoteLoad: RemoteLoadEstimate, services: ForwardingServices): ServerCandidate[] {
+function listCandidates ({ service, origin }: ForwardingProgress, remoteLoad: RemoteLoadEstimate, services: ForwardingServices): ServerCandidate[] {
   const { view } = services
   const candidates: ServerCandidate[] = []
   for (const server of view.listReadyServers(service)) {
-    if (view.requestLimits.isExcluded(server.id)) continue
+    if (!canContinue(origin, server) || view.requestLimits.isExcluded(server.id)) continue
     const remote = remoteLoad.getLoad(server.id)
     const live = remote.live + (view.live.get(server.id) ?? 0)
     // Batch items yield to live requests, so only live requests count towards the limit.
@@ -238,7 +275,8 @@
 function sendRefusal (services: ForwardingServices, request: CallerRequest, response: CallerResponse, refusal: GatewayRefusal, progress: ForwardingProgress | undefined): void {
   const jitteredRetryAfterMs = retryAfterBaseMs + services.random.next() * retryAfterBaseMs
   const blockedMs = progress === undefined ? undefined : services.view.quarantine.getBlockedMs(progress.traits)
-  response.refuse(refusal, refusal === GatewayRefusal.Draining ? drainingRetryAfterMs : Math.max(jitteredRetryAfterMs, blockedMs ?? 0))
+  if (lastingRefusals.has(refusal)) response.refuse(refusal)
+  else response.refuse(refusal, refusal === GatewayRefusal.Draining ? drainingRetryAfterMs : Math.max(jitteredRetryAfterMs, blockedMs ?? 0))
   services.metrics.count(Counter.Refusals, refusal)
   const described = progress === undefined ? { requestId: request.id, inputs: { version: services.view.tables?.version ?? 0 } } : describeProgress(progress, services)
   services.logger.write(LogEvents.requestRefused, { ...described, reason: refusal })
--- a/test/platformHttp.test.ts
+++ b/test/platformHttp.test.ts
@@ -12,10 +12,12 @@
 import type { CallerService } from '../src/request/callerService.ts'
 import { maxBufferedBodyBytes } from '../src/connection/opaqueRequest.ts'
 import { runForwardedRequest } from '../src/request/forwardedRequest.ts'
+import type { FleetUpdate } from '../src/process/fleet/fleetMessages.ts'
+import type { StreamOrigins } from '../src/process/fleet/streamOrigins.ts'
 import type { JobSubmission } from '../src/request/gatewayJobs.ts'
 import { type CallerLimits, type GatewayRoute, matchRoute, RouteKind } from '../src/version/gatewayTables.ts'
 import { eventually } from '../scripts/processes.ts'
-import { forwardingServicesOf, recordOf, requestOf, routeOf } from './support/fakeFleet.ts'
+import { FakeStreamKeepers, forwardingServicesOf, recordOf, requestOf, routeOf } from './support/fakeFleet.ts'
 
 /** A TCP server that records the bytes of each request; the test writes the bytes of the response. */
 interface RawServer {
@@ -56,12 +58,15 @@
   readonly url: string
   readonly port: number
   readonly jobs: JobSubmission[]
+  readonly origins: Pick<StreamOrigins, 'record'>
   close (): void
 }
 
-async function startGateway (address: string, route: Partial<GatewayRoute> = {}, limits: Partial<CallerLimits> = {}): Promise<Gateway> {
+async function startGateway (address: string, route: Partial<GatewayRoute> = {}, limits: Partial<CallerLimits> = {}, update: Partial<FleetUpdate> = {}): Promise<Gateway> {
   const routes = [routeOf({ attempts: 1, ...route }), routeOf({ name: 'b', pathPrefix: '/batch/', kind: RouteKind.Batch })]
-  const services = forwardingServicesOf(createBackendServerHttp(createMetrics()), routes, { servers: [recordOf('i-1', { address })] })
+  const services = forwardingServicesOf(createBackendServerHttp(createMetrics()), routes, { servers: [recordOf('i-1', { address })], ...update }, new FakeStreamKeepers(['k-1']))
+  const controller = new AbortController()
+  services.origins.run(controller.signal).catch(error => expect.fail(String(error)))
   const jobs: JobSubmission[] = []
   const callerLimits: CallerLimits = { headerBytes: 16_384, bodyBytes: 1_000_000, headerMs: 3_000, idleMs: 15_000, ...limits }
   const service: CallerService = {
@@ -88,7 +93,9 @@
     url: `http://127.0.0.1:${port}`,
     port,
     jobs,
+    origins: services.origins,
     close () {
+      controller.abort()
       server.close()
       server.closeAllConnections()
     }
@@ -126,9 +133,9 @@
     return text
   }
 
-  async function start (respond: (socket: Socket, text: string) => void, route: Partial<GatewayRoute> = {}, limits: Partial<CallerLimits> = {}): Promise<{ server: RawServer, gateway: Gateway }> {
+  async function start (respond: (socket: Socket, text: string) => void, route: Partial<GatewayRoute> = {}, limits: Partial<CallerLimits> = {}, update: Partial<FleetUpdate> = {}): Promise<{ server: RawServer, gateway: Gateway }> {
     const server = await startRawServer(respond)
-    const gateway = await startGateway(server.address, route, limits)
+    const gateway = await startGateway(server.address, route, limits, update)
     openServers.push(server, gateway)
     return { server, gateway }
   }
@@ -136,18 +143,31 @@
   // Guards against a request that runs on another server at the same address, and against headers that callers forge.
   it('sends the id of the intended server and the remaining time, and passes the rest on unchanged', async () => {
     const { server, gateway } = await start(socket => socket.end(`${responseHead}X-Request-Id: q-1\r\nContent-Length: 2\r\n\r\nok`))
+    gateway.origins.record('q-0', { service: 's', softwareVersion: 'v1' })
     const response = await request(`${gateway.url}/p/1?a=%20b`, {
-      method: 'POST', body: 'text', headers: { ...headers, 'x-deadline-ms': '900', 'x-expect-instance': 'forged', 'x-own': 'Value', 'last-event-id': '4' }
+      method: 'POST', body: 'text', headers: { ...headers, 'x-deadline-ms': '900', 'x-expect-instance': 'forged', 'x-own': 'Value', 'last-event-id': '4', resumes: 'q-0' }
     })
     expect([response.statusCode, response.headers['x-server-stamp'], await response.body.text()]).to.deep.equal([200, 'st', 'ok'])
     const sentText = server.received.join('')
     expect(sentText).to.match(/^POST \/p\/1\?a=%20b HTTP\/1\.1\r\n/)
     expect(sentText).to.match(/x-expect-instance: i-1\r\n/i).and.not.match(/forged/)
-    expect(sentText).to.match(/x-own: Value\r\n/i).and.match(/last-event-id: 4\r\n/i).and.match(/host: a\.example\r\n/i)
+    expect(sentText).to.match(/x-own: Value\r\n/i).and.match(/last-event-id: 4\r\n/i).and.match(/resumes: q-0\r\n/i).and.match(/host: a\.example\r\n/i)
     expect(Number(/x-deadline-ms: (\d+)/i.exec(sentText)?.[1])).to.be.within(1, 900)
     expect(sentText.endsWith('\r\n\r\ntext')).to.equal(true)
   })
 
+  // Failure it guards against: a stream went on at a server of any version when its caller named no attempt, or one that nothing is known of.
+  for (const [name, resumption] of [['no attempt', {}], ['an unknown attempt', { resumes: 'q-0' }], ['a version without a server', { resumes: 'q-9' }]] as const) {
+    it(`responds 503 without a retry-after, as not run, to the resumption of a stream that names ${name}`, async () => {
+      const { server, gateway } = await start(socket => socket.end(`${responseHead}X-Request-Id: q-1\r\nContent-Length: 2\r\n\r\nok`), {}, {}, { streamKeepers: ['k-1'] })
+      gateway.origins.record('q-9', { service: 's', softwareVersion: 'v9' })
+      const response = await request(`${gateway.url}/p/1`, { headers: { ...headers, 'last-event-id': '4', ...resumption } })
+      await response.body.dump()
+      expect([response.statusCode, response.headers['retry-after'], response.headers['x-server-stamp']]).to.deep.equal([503, undefined, undefined])
+      expect(server.received).to.deep.equal([])
+    })
+  }
+
   // Failure: a server's response to another request was delivered to the caller.
   it('does not deliver a response with the id of another request', async () => {
     const { gateway } = await start(socket => socket.end(`${responseHead}X-Request-Id: q-0\r\nContent-Length: 2\r\n\r\nno`))
--- a/test/support/fakeFleet.ts
+++ b/test/support/fakeFleet.ts
@@ -25,7 +25,7 @@
 
 /** How a scripted server handles one request. */
 export type Script =
-  | { readonly does: 'answer', readonly pieces: readonly string[], readonly status?: number, readonly type?: string, readonly then?: 'end' | 'break' | 'hang', readonly unframed?: boolean, readonly headMs?: number, readonly endMs?: number, readonly leaving?: boolean }
+  | { readonly does: 'answer', readonly pieces: readonly string[], readonly status?: number, readonly type?: string, readonly then?: 'end' | 'break' | 'hang', readonly unframed?: boolean, readonly headMs?: number, readonly pauseMs?: number, readonly endMs?: number, readonly leaving?: boolean }
   | { readonly does: 'refuse', readonly leaving?: boolean }
   | { readonly does: 'fail', readonly sent: boolean }
   | { readonly does: 'hang' }
@@ -73,7 +73,10 @@
 }
 
 async function * streamChunks (script: Script & { does: 'answer' }, signal: AbortSignal, connectionReset: Error): AsyncIterable<Buffer> {
-  for (const piece of script.pieces) yield Buffer.from(piece)
+  for (const piece of script.pieces) {
+    yield Buffer.from(piece)
+    if (script.pauseMs !== undefined) await new Promise(resolve => setTimeout(resolve, script.pauseMs))
+  }
   if (script.endMs !== undefined) await new Promise(resolve => setTimeout(resolve, script.endMs))
   if (script.then === 'break') throw connectionReset
   if (script.then !== 'hang') return
