--- a/test/support/fleetProcesses.ts
+++ b/test/support/fleetProcesses.ts
@@ -24,6 +24,8 @@
   /** Changes with each crash. */
   readonly id: string
   readonly address: string
+  /** Version of its software, which its heartbeats name. */
+  softwareVersion: string
   /** Ids of the requests that it ran, in order. */
   readonly ran: string[]
   /** Number of events in a response, unless the header `x-events` of the request gives another one. */
@@ -52,11 +54,22 @@
   readonly gateways: readonly string[]
   readonly servers: readonly StreamServer[]
   startControlHost (name: string): Promise<void>
+  /** Starts an executor at a loopback address. */
+  startExecutor (ip: string): Promise<Program>
+  /** Kills all gateways, and starts them again at their addresses. */
+  restartGateways (): Promise<void>
   /** Calls the control hosts in turn until one responds without a server error; status 0 when none responds. */
   callControl (method: 'GET' | 'PUT' | 'DELETE', path: string, body?: unknown): Promise<{ readonly status: number, readonly text: string }>
   publish (version: number): Promise<number>
   /** Adds up a counter over all labels and all control hosts. */
   readControlCounter (counter: Counter): Promise<number>
+  /**
+   * Adds up a counter over hosts with metrics.
+   * @param ips - loopback addresses of control hosts or executors
+   * @param counter - the counter
+   * @param label - its label; all labels by default
+   */
+  readCounter (ips: readonly string[], counter: Counter, label?: string): Promise<number>
   /** Sends a request of a caller to a gateway. */
   call (method: 'GET' | 'POST' | 'DELETE', path: string, headers?: Readonly<Record<string, string>>, body?: string, gateway?: number): Promise<{ readonly status: number, readonly text: string }>
   close (): Promise<void>
@@ -127,6 +140,7 @@
   const streamServer: StreamServer = {
     get id () { return crashes === 0 ? id : `${id}-${crashes}` },
     address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    softwareVersion: 'v1',
     ran,
     events: 5,
     endlessEventBytes: undefined,
@@ -162,6 +176,7 @@
   const seeds = controlIps.map(ip => `${ip}:${operatorPort}`)
   const controlPrograms = new Map<string, Program>()
   const gatewayPrograms: Program[] = []
+  const executorPrograms: Program[] = []
   const servers = await Promise.all(Array.from({ length: serverCount }, (_, index) => startStreamServer(`i-${index + 1}`)))
   const commonSettings = { availabilityZone: 'z1', region: 'r1', regions: { z1: 'r1' }, seeds: seeds.join(','), controlPort, heartbeatMs }
   let isFirstStart = true
@@ -182,6 +197,15 @@
         role: 'control', host: `control-${ip}`, address: ip, form: isFirstStart, controlAddress: `${ip}:${operatorPort}`, directoryAddress: `${ip}:${directoryPort}`, metricsAddress: `${ip}:${metricsPort}`, dataFolder: join(folder, ip)
       }))
     },
+    async startExecutor (ip) {
+      const program = await startHost({ role: 'executor', host: `executor-${ip}`, address: ip, metricsAddress: `${ip}:${metricsPort}` })
+      executorPrograms.push(program)
+      return program
+    },
+    async restartGateways () {
+      await Promise.all(gatewayPrograms.splice(0).map(async program => await program.end('SIGKILL')))
+      await startGateways()
+    },
     async callControl (method, path, body) {
       let lastResponse = { status: 0, text: '' }
       for (const address of seeds) {
@@ -209,12 +233,13 @@
       })
       return response.status
     },
-    async readControlCounter (counter) {
+    readControlCounter: async counter => await fleet.readCounter(controlIps, counter),
+    async readCounter (ips, counter, label) {
       let sum = 0
-      for (const ip of controlIps) {
+      for (const ip of ips) {
         const response = await request(`http://${ip}:${metricsPort}/metrics`)
         for (const line of (await response.body.text()).split('\n')) {
-          if (line.startsWith(`${counter}{`)) sum += Number(line.split(' ').at(-1))
+          if (line.startsWith(`${counter}{`) && line.includes(label === undefined ? '' : `"${label}"`)) sum += Number(line.split(' ').at(-1))
         }
       }
       return sum
@@ -225,25 +250,29 @@
     },
     async close () {
       clearInterval(heartbeats)
-      for (const program of [...controlPrograms.values(), ...gatewayPrograms]) await program.end('SIGKILL')
+      for (const program of [...controlPrograms.values(), ...gatewayPrograms, ...executorPrograms]) await program.end('SIGKILL')
       for (const server of servers) server.close()
       await rm(folder, { recursive: true, force: true })
     }
   }
 
+  async function startGateways (): Promise<void> {
+    for (const [index, address] of fleet.gateways.entries()) gatewayPrograms.push(await startHost({ role: 'gateway', host: `gateway-${index}`, callerAddress: address, ...gatewaySettings }))
+  }
+
   let sequence = 0
   const heartbeats = setInterval(() => {
     sequence++
     for (const server of servers) {
       if (!server.isUp) continue
-      const heartbeat = { service: 's', addr: server.address, zone: 'z1', version: 'v1', slots: 2, state: 'ready', seq: sequence, born: 1 + server.crashes }
+      const heartbeat = { service: 's', addr: server.address, zone: 'z1', version: server.softwareVersion, slots: 2, state: 'ready', seq: sequence, born: 1 + server.crashes }
       fleet.callControl('PUT', `/v1/instances/${server.id}`, heartbeat).catch(() => {})
     }
   }, heartbeatMs)
 
   for (const ip of controlIps) await fleet.startControlHost(ip)
   isFirstStart = false
-  for (const [index, address] of fleet.gateways.entries()) gatewayPrograms.push(await startHost({ role: 'gateway', host: `gateway-${index}`, callerAddress: address, ...gatewaySettings }))
+  await startGateways()
   await eventually('a control host that responds to reads', startTimeoutMs, async () => {
     const response = await fleet.callControl('GET', '/v1/config')
     return response.text.includes('no configuration') ? true : undefined
