--- a/src/process/fleet/fleetSettings.ts
+++ b/src/process/fleet/fleetSettings.ts
@@ -21,7 +21,7 @@
   regions: z.record(z.string(), z.string()).default({}).describe('regions by availability zone'),
   seeds: z.string().transform(text => text.split(',').filter(part => part !== '')).pipe(z.array(address))
     .describe('addresses of some control hosts, of which the IP numbers count'),
-  controlPort: z.coerce.number().int().min(1).max(65_535).describe('port of control hosts for other hosts'),
+  controlPort: z.coerce.number().int().min(1).max(65_535).describe('port of control hosts and executors for other hosts'),
   form: z.boolean().default(false).describe('whether this host may form the first group of control hosts'),
   address: z.string().default('127.0.0.1').describe('IP number of this host'),
   callerAddress: address.optional().describe('address for callers (gateway)'),
