Resumptions right after a restart of all hosts: ask the known hosts, wait for servers

What callers would see: a new leader waits some seconds (2.5 heartbeats) until it names the hosts that keep records, and lists a server with its next heartbeat only. Meanwhile a gateway that had just started refused every resumption, those without a listed server for good. Cause: a view that is not complete yet was taken for a complete one. Change: the view tells whether it was complete once since the start of the host (isPopulated). Until then a gateway asks all hosts that the leader knows so far, does not conclude from a missing record, and waits for a server of the version within the objective of the route. Result: five tests failed before, for example "expected 'timeout' to equal undefined" (search at a gateway that knows three of four hosts) and "expected RecordedResponse to have property 'text' of 'id: 1 data: b', but got ''"; they pass now.

--- a/src/process/fleet/fleetMessages.ts
+++ b/src/process/fleet/fleetMessages.ts
@@ -124,7 +124,7 @@
   readonly requestLimits?: RequestLimitUpdate | undefined
   /** Internal addresses of the control hosts, the closest to the polling host first. */
   readonly controlHosts: readonly string[]
-  /** Internal addresses of the hosts that keep the records of streams; sent to gateways only, once the leader knows the hosts. */
+  /** Internal addresses of the hosts that keep the records of streams, as far as the leader knows them; sent to gateways only. */
   readonly streamKeepers?: readonly string[] | undefined
 }
 
--- a/src/process/fleet/fleetUpdates.ts
+++ b/src/process/fleet/fleetUpdates.ts
@@ -113,14 +113,14 @@
     }
   }
 
-  // A leader that lacks some of the hosts would move the records of most streams to other hosts, and back soon after.
+  // Gateways that have just started use the executors known so far; the others keep theirs until the leader knows all hosts.
   function listStreamKeepers (): readonly string[] | undefined {
-    if (!isComplete()) return undefined
     if (executorsRevision !== sessions.revision) {
       executorsRevision = sessions.revision
       keepingExecutors = selectStreamKeepers(sessions.list())
     }
-    return keepingExecutors.length > 0 ? keepingExecutors : replica.state.members.map(({ address }) => address)
+    if (keepingExecutors.length > 0) return keepingExecutors
+    return isComplete() ? replica.state.members.map(({ address }) => address) : undefined
   }
 
   function listControlHostsByDistance (host: FleetHost): string[] {
--- a/src/process/fleet/fleetView.ts
+++ b/src/process/fleet/fleetView.ts
@@ -41,7 +41,9 @@
   readonly hosts: readonly FleetHost[]
   /** Internal addresses of the control hosts, the closest first, and the configured seeds. */
   readonly controlHosts: readonly string[]
-  /** Internal addresses of the hosts that keep the records of streams; none before the first update of a leader that knows all hosts. */
+  /** Whether the view was complete once since the start of this host. Until then it may lack servers and hosts. */
+  readonly isPopulated: boolean
+  /** Internal addresses of the hosts that keep the records of streams; some of them before the view is populated. */
   readonly streamKeepers: readonly string[]
   /** Requests to refuse because backend servers crash under them. */
   readonly quarantine: QuarantineView
@@ -161,6 +163,7 @@
   let hosts: readonly FleetHost[] = []
   let reportedControlHosts: readonly string[] = []
   let streamKeepers: readonly string[] = []
+  let isPopulated = false
   let lastContactAt = -Infinity
   let leadership = ''
   let serversRevision = 0
@@ -219,6 +222,7 @@
     get canServe () { return tables !== undefined && (getOutdatedMs() ?? 0) <= maxTablesOutdatedMs },
     get hosts () { return hosts },
     get controlHosts () { return [...new Set([...reportedControlHosts, ...seeds()])] },
+    get isPopulated () { return isPopulated },
     get streamKeepers () { return streamKeepers },
     get lastContactAt () { return lastContactAt },
     quarantine,
@@ -245,8 +249,10 @@
       hostsRevision = update.hostsRevision
       if (update.quarantine !== undefined) quarantine.applyUpdate(update.quarantine, isNewLeader)
       if (update.controlHosts.length > 0) reportedControlHosts = update.controlHosts
-      // A leader of an earlier version names no keepers; a new leader names none before it knows the hosts, and the previous ones stay in use.
+      // A new leader knows some of the hosts only, so the previous ones stay in use. A leader of an earlier version of the program names none.
       if (update.isComplete) streamKeepers = update.streamKeepers ?? update.controlHosts
+      else if (!isPopulated) streamKeepers = update.streamKeepers ?? []
+      isPopulated ||= update.isComplete
       changed.notify()
     },
     applyTables,
--- a/src/process/fleet/streamOrigins.ts
+++ b/src/process/fleet/streamOrigins.ts
@@ -28,8 +28,8 @@
   /** No host that was asked has a record, and some did not answer. */
   TimedOut: 'timeout',
   Conflicting: 'conflicting',
-  /** This gateway has just started and does not know yet which hosts keep records. */
-  NoKeepers: 'no keepers'
+  /** This gateway has just started, and may not know yet all hosts that keep records. */
+  UnknownKeepers: 'keepers unknown'
 } as const
 export type MissingOriginReason = typeof MissingOriginReason[keyof typeof MissingOriginReason]
 
@@ -61,7 +61,7 @@
 
 /** Dependencies of the origins. */
 export interface StreamOriginInputs extends Pick<ProcessServices, 'clock' | 'random' | 'metrics'> {
-  readonly view: Pick<FleetView, 'streamKeepers' | 'changed'>
+  readonly view: Pick<FleetView, 'streamKeepers' | 'isPopulated' | 'changed'>
   readonly client: StreamKeeperClient
 }
 
@@ -113,14 +113,16 @@
       if (known.kind === OriginLookupKind.Known) metrics.count(Counter.StreamLookups, 'own')
       return toSearch(known)
     }
-    const asked = listLookupKeepers(id, keepers)
-    if (asked.length === 0) return { origin: undefined, reason: MissingOriginReason.NoKeepers }
+    // Hosts that are not known yet may be among the first ones, so the rank of the known ones says little.
+    const isComplete = view.isPopulated
+    const asked = isComplete ? listLookupKeepers(id, keepers) : keepers
     const lookups = asked.map(async keeper => await client.find(keeper, id))
-    const answer = await waitForAnswer(lookups)
+    const answer = lookups.length === 0 ? undefined : await waitForAnswer(lookups)
     if (answer !== undefined) {
       if (answer.kind === OriginLookupKind.Known) metrics.count(Counter.StreamLookups, 'found')
       return toSearch(answer)
     }
+    if (!isComplete) return { origin: undefined, reason: MissingOriginReason.UnknownKeepers }
     const results = await Promise.all(lookups)
     const isAnswered = results.every(result => result.isOk())
     return { origin: undefined, reason: isAnswered ? MissingOriginReason.Unknown : MissingOriginReason.TimedOut }
--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -12,7 +12,7 @@
 import { type CallerResponse, type CallerRequest, drainingRetryAfterMs, GatewayRefusal } from './callerExchange.ts'
 import { ForwardedAttemptEnd, type ForwardingServices, isBodyReplayable, type ForwardingProgress, runForwardedAttempt, minServerErrorStatus } from './forwardedAttempt.ts'
 import { reportCrash } from './crashReport.ts'
-import { canContinue, decideResumption, isResumption } from './streamContinuation.ts'
+import { canContinue, decideResumption, isResumption, mayContinue } from './streamContinuation.ts'
 import { acquirePermit } from './requestPermit.ts'
 import { createRequestTraits, listTraits } from './requestTraits.ts'
 import { chooseServer, chooseServerByPrefix, type ServerCandidate } from './placement/serverChoice.ts'
@@ -99,7 +99,7 @@
   const { resumes } = request
   const search = resumes === undefined || resumes === '' ? undefined : await origins.find(resumes)
   if (request.disconnectSignal.aborted) return abortAfterDisconnect(progress, services)
-  const decision = decideResumption(search, route, service => view.listReadyServers(service))
+  const decision = decideResumption(search, route, view)
   if (decision.origin === undefined) {
     metrics.count(Counter.ResumptionRefusals, decision.reason)
     logger.write(LogEvents.resumptionRefused, { requestId: request.id, reason: decision.reason, inputs: { resumes: resumes ?? '', route: route.name, service: search?.origin?.service ?? '', softwareVersion: search?.origin?.softwareVersion ?? '' } })
@@ -118,7 +118,7 @@
   if (progress.request.disconnectSignal.aborted) return abortAfterDisconnect(progress, services)
   const refusalAfter = findRefusal(progress, services)
   if (refusalAfter !== undefined) return giveUp(progress, services, refusalAfter)
-  if (server === undefined) return giveUp(progress, services, hasSuitableServer(progress, services) ? GatewayRefusal.Overloaded : GatewayRefusal.VersionUnavailable)
+  if (server === undefined) return giveUp(progress, services, mayContinue(progress.origin, progress.service, services.view) ? GatewayRefusal.Overloaded : GatewayRefusal.VersionUnavailable)
   if (!await acquireTrial(progress, services)) return giveUp(progress, services, GatewayRefusal.Quarantined)
   // It may have begun to leave while the leader was asked for a permit or a trial.
   if (!services.view.isReady(server)) return await makeAttempt(progress, services)
@@ -186,11 +186,6 @@
   return giveUp(progress, services, GatewayRefusal.Failed)
 }
 
-// Until the first event of a stream, every server of the service is suitable, also one that has yet to start.
-function hasSuitableServer ({ origin, service }: ForwardingProgress, { view }: ForwardingServices): boolean {
-  return origin === undefined || view.listReadyServers(service).some(server => canContinue(origin, server))
-}
-
 // A request that has already run or begun to respond waits for a free slot until its deadline; a new one is refused early, so that its caller
 // can try another gateway. A resumption waits for longer, since the servers of its version are the same everywhere.
 function computeWaitDeadline ({ request, route, deadlineAt, runs, isResponseStarted, isResumption }: ForwardingProgress): number {
@@ -203,7 +198,7 @@
   const { clock, view, random } = services
   const waitDeadlineAt = computeWaitDeadline(progress)
   if (view.hasWithheldServer(progress.service)) services.metrics.count(Counter.WithheldRequests, 'live')
-  while (!request.disconnectSignal.aborted && hasSuitableServer(progress, services)) {
+  while (!request.disconnectSignal.aborted && mayContinue(progress.origin, progress.service, view)) {
     const remoteLoad = view.remoteLoads.estimate(progress.service)
     const candidates = listCandidates(progress, remoteLoad, services)
     const prefix = { parts: request.sharedPromptParts, tokens: request.sharedPromptTokens }
--- a/src/request/streamContinuation.ts
+++ b/src/request/streamContinuation.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { BackendServerRecord } from '../process/fleet/backendServerRegistry.ts'
+import type { FleetView } from '../process/fleet/fleetView.ts'
 import { MissingOriginReason, type OriginSearch } from '../process/fleet/streamOrigins.ts'
 import type { StreamOrigin } from '../process/fleet/streamRecords.ts'
 import { type GatewayRoute, RouteKind } from '../version/gatewayTables.ts'
@@ -25,6 +26,9 @@
   | { readonly origin: StreamOrigin }
   | { readonly origin: undefined, readonly refusal: GatewayRefusal, readonly reason: ResumptionRefusal | MissingOriginReason }
 
+/** The servers that a gateway knows. */
+export type KnownServers = Pick<FleetView, 'isPopulated' | 'listReadyServers'>
+
 /**
  * Checks whether a request resumes a stream that an earlier attempt of the caller received in part.
  * @param request - the request
@@ -38,17 +42,17 @@
  * Decides whether a resumption may be sent to a server.
  * @param search - result of the search for the origin; undefined if the request names no attempt
  * @param route - route of the request
- * @param listReadyServers - lists the ready servers of a service
+ * @param servers - the servers that the gateway knows
  * @returns the origin that the servers must have, or the refusal
  */
-export function decideResumption (search: OriginSearch | undefined, route: GatewayRoute, listReadyServers: (service: string) => readonly BackendServerRecord[]): ResumptionDecision {
+export function decideResumption (search: OriginSearch | undefined, route: GatewayRoute, servers: KnownServers): ResumptionDecision {
   if (search === undefined) return refuse(GatewayRefusal.UnknownStream, ResumptionRefusal.Unnamed)
   const { origin, reason } = search
   // Unlike the others, a gateway that has just started may find the record soon.
-  if (reason === MissingOriginReason.NoKeepers) return refuse(GatewayRefusal.NotReady, reason)
+  if (reason === MissingOriginReason.UnknownKeepers) return refuse(GatewayRefusal.NotReady, reason)
   if (origin === undefined) return refuse(GatewayRefusal.UnknownStream, reason ?? MissingOriginReason.Unknown)
   if (!route.targets.some(({ service, weight }) => service === origin.service && weight > 0)) return refuse(GatewayRefusal.UnknownStream, ResumptionRefusal.OtherService)
-  if (!listReadyServers(origin.service).some(server => canContinue(origin, server))) return refuse(GatewayRefusal.VersionUnavailable, ResumptionRefusal.NoServer)
+  if (!mayContinue(origin, origin.service, servers)) return refuse(GatewayRefusal.VersionUnavailable, ResumptionRefusal.NoServer)
   return { origin }
 }
 
@@ -56,6 +60,17 @@
   return { origin: undefined, refusal, reason }
 }
 
+/**
+ * Checks whether there is, or may be, a server for the next attempt of a request.
+ * @param origin - origin of the stream; undefined before its first event
+ * @param service - service of the request
+ * @param servers - the servers that the gateway knows
+ * @returns false if no server of the origin is ready and every server would be known
+ */
+export function mayContinue (origin: StreamOrigin | undefined, service: string, { isPopulated, listReadyServers }: KnownServers): boolean {
+  return origin === undefined || !isPopulated || listReadyServers(service).some(server => canContinue(origin, server))
+}
+
 /**
  * Checks whether a server may send events to a caller.
  * @param origin - origin of the stream; undefined before its first event
--- a/test/fleetLeader.test.ts
+++ b/test/fleetLeader.test.ts
@@ -203,11 +203,13 @@
   })
 
   // Guards against gateways that send the records of streams to hosts that do not keep them, or to some of the hosts only.
-  it('names the executors that keep stream records to gateways, otherwise the control hosts, and none before it knows all hosts', async () => {
+  it('names the executors that keep stream records to gateways, otherwise the control hosts, which it names only once it knows all hosts', async () => {
     const poll = async (name: string, role: FleetRole = 'gateway'): Promise<readonly string[] | undefined> => (await fleet.watch(firstPoll(hostOf(name, role))))._unsafeUnwrap().streamKeepers
     await lifecycle.close()
     startLeader([], 0, 5_000)
     expect(await poll('g-1')).to.equal(undefined)
+    await fleet.watch(firstPoll({ ...hostOf('e-1', 'executor'), internalAddress: '10.0.0.7:1' }))
+    expect(await poll('g-1')).to.deep.equal(['10.0.0.7:1'])
     await lifecycle.close()
     startLeader([])
     expect(await poll('g-1')).to.deep.equal(['10.0.0.9:1'])
--- a/test/streamOrigins.test.ts
+++ b/test/streamOrigins.test.ts
@@ -86,10 +86,15 @@
     const view = createFleetView(new FakeClock(), createSilentLogger(), () => ['10.0.0.9:1'])
     view.applyUpdate(fleetUpdateOf({ isComplete: false, controlHosts: ['10.0.0.8:1'] }))
     expect(view.streamKeepers).to.deep.equal([])
+    // Those that a new leader knows so far are better than none.
+    view.applyUpdate(fleetUpdateOf({ isComplete: false, streamKeepers: ['10.0.0.1:1'] }))
+    expect([view.streamKeepers, view.isPopulated]).to.deep.equal([['10.0.0.1:1'], false])
     view.applyUpdate(fleetUpdateOf({ streamKeepers: keepers, controlHosts: ['10.0.0.8:1'] }))
-    expect(view.streamKeepers).to.deep.equal(keepers)
-    view.applyUpdate(fleetUpdateOf({ leadership: 'b/2', isComplete: false, controlHosts: ['10.0.0.8:1'] }))
-    expect(view.streamKeepers).to.deep.equal(keepers)
+    expect([view.streamKeepers, view.isPopulated]).to.deep.equal([keepers, true])
+    for (const streamKeepers of [undefined, ['10.0.0.1:1']]) {
+      view.applyUpdate(fleetUpdateOf({ leadership: 'b/2', isComplete: false, controlHosts: ['10.0.0.8:1'], streamKeepers }))
+      expect([view.streamKeepers, view.isPopulated]).to.deep.equal([keepers, true])
+    }
   })
 
   // Failure it guards against: a leader of an earlier version of the program, which names none, left the gateways without any.
@@ -112,8 +117,8 @@
     applyKeepers (streamKeepers: readonly string[]): void
   }
 
-  function startGateway (client: StreamKeeperClient, streamKeepers: readonly string[] = keepers): Gateway {
-    const view = { streamKeepers, changed: createCondition() }
+  function startGateway (client: StreamKeeperClient, streamKeepers: readonly string[] = keepers, isPopulated = true): Gateway {
+    const view = { streamKeepers, isPopulated, changed: createCondition() }
     const metrics = createMetrics()
     const origins = createStreamOrigins({ view, client, clock: createSystemClock(), random: createSeededRandom(1), metrics })
     origins.run(controller.signal).catch(error => expect.fail(String(error)))
@@ -165,10 +170,21 @@
     expect(await gateway.origins.find('q')).to.deep.equal({ origin: undefined, reason: MissingOriginReason.Conflicting })
     for (const address of keepers) hosts.lost.add(address)
     expect(await gateway.origins.find('q-2')).to.deep.equal({ origin: undefined, reason: MissingOriginReason.TimedOut })
-    expect(await startGateway(hosts, []).origins.find('q')).to.deep.equal({ origin: undefined, reason: MissingOriginReason.NoKeepers })
+    expect(await startGateway(hosts, [], false).origins.find('q')).to.deep.equal({ origin: undefined, reason: MissingOriginReason.UnknownKeepers })
     for (const reason of [MissingOriginReason.Unknown, MissingOriginReason.Conflicting, MissingOriginReason.TimedOut]) expect(gateway.metrics.read(Counter.StreamLookups, reason)).to.equal(1)
   })
 
+  // Failure it guards against: for the seconds in which a new leader waits for all hosts, a gateway that had just started found no record.
+  it('are looked up at all hosts that the leader knows so far, until it knows all', async () => {
+    const hosts = new FakeStreamKeepers(keepers)
+    startGateway(hosts).origins.record('q', origin)
+    const [first = '', second = ''] = await waitForCopies(hosts, 'q', 2)
+    const gateway = startGateway(hosts, keepers.filter(keeper => keeper !== first), false)
+    expect((await gateway.origins.find('q')).origin).to.deep.equal(origin)
+    hosts.lost.add(second)
+    expect((await gateway.origins.find('q')).reason).to.equal(MissingOriginReason.UnknownKeepers)
+  })
+
   // Failure it guards against: a stream whose server turned out to run another version was continued from the record at another gateway.
   it('are not found any more at any gateway once they were revoked', async () => {
     const hosts = new FakeStreamKeepers(keepers)
--- a/test/streamVersions.test.ts
+++ b/test/streamVersions.test.ts
@@ -3,6 +3,7 @@
 import { runForwardedRequest } from '../src/request/forwardedRequest.ts'
 import { type GatewayRoute, RouteKind } from '../src/version/gatewayTables.ts'
 import { type BackendServerRecord, ServerPhase } from '../src/process/fleet/backendServerRegistry.ts'
+import type { FleetUpdate } from '../src/process/fleet/fleetMessages.ts'
 import { MissingOriginReason } from '../src/process/fleet/streamOrigins.ts'
 import { listRecordKeepers } from '../src/process/fleet/streamKeepers.ts'
 import { OriginLookupKind } from '../src/process/fleet/streamRecords.ts'
@@ -46,9 +47,9 @@
 }
 
 // Starts a gateway that knows the servers, and all hosts that keep records.
-function startGateway (scripts: readonly Script[], records: readonly BackendServerRecord[], hosts: FakeStreamKeepers, route: Partial<GatewayRoute> = {}): Gateway {
+function startGateway (scripts: readonly Script[], records: readonly BackendServerRecord[], hosts: FakeStreamKeepers, route: Partial<GatewayRoute> = {}, update: Partial<FleetUpdate> = {}): Gateway {
   const servers = new ScriptedServers(scripts)
-  const services = forwardingServicesOf(servers, [routeOf(route)], { servers: records, streamKeepers: [...hosts.stores.keys()] }, hosts)
+  const services = forwardingServicesOf(servers, [routeOf(route)], { servers: records, streamKeepers: [...hosts.stores.keys()], ...update }, hosts)
   const controller = new AbortController()
   stops.push(() => controller.abort())
   services.origins.run(controller.signal).catch(error => expect.fail(String(error)))
@@ -229,12 +230,27 @@
   // Failure it guards against: callers gave up their streams since a gateway that had just started did not know yet whom to ask.
   it('is refused with a delay while the gateway does not know the hosts that keep records', async () => {
     await beginStream()
-    const gateway = startGateway([answerRest], [oldServer], new FakeStreamKeepers([]))
+    const gateway = startGateway([answerRest], [oldServer], new FakeStreamKeepers([]), {}, { isComplete: false })
     const answer = await gateway.forward(resumption)
     expect(answer.refusal).to.equal(GatewayRefusal.NotReady)
     expect(answer.retryAfterMs).to.be.above(0)
   })
 
+  // Failure it guards against: after a restart of all hosts, servers are listed with their next heartbeat; until then streams were refused for good.
+  it('waits for a server of its version while the view of the gateway may lack servers, and is then refused with a delay', async () => {
+    await beginStream()
+    for (const isListedInTime of [true, false]) {
+      const gateway = startGateway([answerRest], [newServer], hosts, { objectiveMs: 300 }, { isComplete: false })
+      const forwarded = gateway.forward(resumption)
+      await sleep(100)
+      if (isListedInTime) gateway.services.view.applyUpdate(fleetUpdateOf({ serversRevision: 2, servers: [oldServer], isComplete: false }))
+      const answer = await forwarded
+      if (isListedInTime) expect(answer).to.include({ text: secondEvent, isComplete: true })
+      else expect(answer.refusal).to.equal(GatewayRefusal.Overloaded)
+      if (!isListedInTime) expect(answer.retryAfterMs).to.be.above(0)
+    }
+  })
+
   // Failure it guards against: with a split route, the rest of a stream came from the other service.
   it('stays with the service that began the stream, and is refused when the route has left it', async () => {
     await beginStream()
