--- a/test/streamProcesses.test.ts
+++ b/test/streamProcesses.test.ts
@@ -70,6 +70,14 @@
   }
 
   // Failure (ORDER on deploy/days/rejoined): after all gateways were killed and came back, streams went on at servers of another version.
+  // Guards against an executor that keeps no records, and is named as a host that keeps them.
+  it('do not depend on an executor whose port is in use: it ends at its start', async () => {
+    const executor = await fleet.startExecutor('127.0.0.1')
+    await eventually('the end of the executor', startTimeoutMs, async () => executor.child.exitCode === null ? undefined : true)
+    expect(executor.child.exitCode).to.equal(1)
+    expect(executor.errors()).to.match(/listen: .*EADDRINUSE/)
+  })
+
   for (const [name, executors] of [['control hosts', []], ['executors', ['127.0.0.4', '127.0.0.5', '127.0.0.6']]] as const) {
     it(`go on at their version after all gateways were killed, by the records of ${name}`, async () => {
       for (const ip of executors) await fleet.startExecutor(ip)
--- a/test/streamVersions.test.ts
+++ b/test/streamVersions.test.ts
@@ -135,6 +135,14 @@
     }
   })
 
+  // Failure it guards against: a stream without framing was announced as one whose end is confirmed, and cut since no server may confirm it.
+  it('passes on a stream without framing from a server of unknown version as one whose end is uncertain', async () => {
+    const records = [recordOf('i-1', { softwareVersion: undefined }), recordOf('i-2', { softwareVersion: undefined })]
+    const { answer, servers } = await forward([{ does: 'answer', pieces: [firstEvent], unframed: true }, answerRest], records, { attempts: 3 })
+    expect(answer).to.include({ text: firstEvent, isEndCertain: false, isComplete: true })
+    expect(servers.arrivals).to.have.length(1)
+  })
+
   // Failure it guards against: a server that restarted under its id with another version was taken for the one that began the stream.
   it('continues no stream that began at a server found to run another version', async () => {
     const hosts = new FakeStreamKeepers(['k-1', 'k-2'])
