--- a/src/connection/streamKeeperLink.ts
+++ b/src/connection/streamKeeperLink.ts
@@ -27,7 +27,7 @@
 /** Maximum number of records that wait for one host. */
 const maxQueuedRecords = 1_000
 
-/** Age from which a record is not sent any more, in milliseconds: callers take up a broken stream at once. */
+/** Age from which a record is not sent any more, in milliseconds: callers resume a broken stream at once. */
 const maxQueuedMs = 2_000
 
 /** Calls to the hosts that keep records. */
--- a/src/process/fleet/streamRecords.ts
+++ b/src/process/fleet/streamRecords.ts
@@ -41,7 +41,7 @@
 /** Maximum length of the id of an attempt, in characters; streams with longer ids are not recorded. */
 export const maxStreamIdLength = 128
 
-/** Time for which a record is kept, in milliseconds; a caller takes up a stream within seconds after it broke. */
+/** Time for which a record is kept, in milliseconds; callers resume a stream within seconds after it broke. */
 const defaultRetentionMs = 60_000
 
 /** Maximum number of records; each takes some 200 bytes. */
--- a/test/streamVersions.test.ts
+++ b/test/streamVersions.test.ts
@@ -108,7 +108,7 @@
   })
 
   // Failure (ORDER on deploy/days/rejoined): after all gateways had restarted, streams were taken up at a server of any version.
-  it('refuses a take-up when nothing tells the version that began the stream', async () => {
+  it('refuses a resumption by the caller when nothing tells the version that began the stream', async () => {
     const { answer, servers } = await forward([answerRest], [oldServer, newServer], {}, { resumeAfter: 0 })
     expect(servers.arrivals).to.have.length(0)
     expect(answer.refusal).to.equal('stream not known')
