--- a/src/process/fleet/fleetView.ts
+++ b/src/process/fleet/fleetView.ts
@@ -41,6 +41,10 @@
   readonly hosts: readonly FleetHost[]
   /** Internal addresses of the control hosts, the closest first, and the configured seeds. */
   readonly controlHosts: readonly string[]
+  /** Whether the view was complete once since the start of this host. Until then it may lack servers and hosts. */
+  readonly isPopulated: boolean
+  /** Internal addresses of the hosts that keep the records of streams; some of them before the view is populated. */
+  readonly streamKeepers: readonly string[]
   /** Requests to refuse because backend servers crash under them. */
   readonly quarantine: QuarantineView
   /** Limits that backend servers name in their responses. */
@@ -158,6 +162,8 @@
   let routes: RouteIndex = new Map()
   let hosts: readonly FleetHost[] = []
   let reportedControlHosts: readonly string[] = []
+  let streamKeepers: readonly string[] = []
+  let isPopulated = false
   let lastContactAt = -Infinity
   let leadership = ''
   let serversRevision = 0
@@ -216,6 +222,8 @@
     get canServe () { return tables !== undefined && (getOutdatedMs() ?? 0) <= maxTablesOutdatedMs },
     get hosts () { return hosts },
     get controlHosts () { return [...new Set([...reportedControlHosts, ...seeds()])] },
+    get isPopulated () { return isPopulated },
+    get streamKeepers () { return streamKeepers },
     get lastContactAt () { return lastContactAt },
     quarantine,
     requestLimits,
@@ -241,6 +249,10 @@
       hostsRevision = update.hostsRevision
       if (update.quarantine !== undefined) quarantine.applyUpdate(update.quarantine, isNewLeader)
       if (update.controlHosts.length > 0) reportedControlHosts = update.controlHosts
+      // A new leader knows some of the hosts only, so the previous ones stay in use. A leader of an earlier version of the program names none.
+      if (update.isComplete) streamKeepers = update.streamKeepers ?? update.controlHosts
+      else if (!isPopulated) streamKeepers = update.streamKeepers ?? []
+      isPopulated ||= update.isComplete
       changed.notify()
     },
     applyTables,
