Soak: servers of two software versions, and callers that take streams up

What two software versions of a backend server write does not fit together, but all servers of the soak had one version, and no caller took a stream up.

Change: four servers start in series of two versions, and the data of each event names the version that wrote it. A task with random numbers of its own (seed + 3) replaces servers by ones of the other version, with a new id at the same address, and kills all gateways at once. Servers answer 421 to a request for another id. Besides the short live streams there are longer ones (0.7 s), of which a quarter lose the connection of their caller (seed + 4). Callers take up a stream that broke off after its first event or paused for 1.5 s, at the other gateway, within their deadline, with a new X-Request-Id, Resumes and Last-Event-Id. Checks: no stream, over one answer or all tries, and no output of an item has events of two versions; the events of all tries together follow each other, also in answers that broke. The random numbers of the existing faults are the same per seed (seed + 1 and + 2), and they crash the same three servers; a fault at a gateway is passed over while all are killed. Runs are as long as before.

--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -7,13 +7,19 @@
 import { eventually } from '../../scripts/processes.ts'
 import { createSeededRandom } from '../../src/process/program/random.ts'
 import {
-  itemAttempts, type OperatorState, publish, readResults, readVersion, runJobOwner, runLiveCallers, runPublisher, runReader, sendCrashingRequests, type SoakContext, type SoakJob
+  itemAttempts, type OperatorState, publish, readResults, readVersion, runJobOwner, runPublisher, runReader, sendCrashingRequests, type SoakContext, type SoakJob
 } from './soakClients.ts'
 import { type InjectedFault, injectFaults, injectReloads } from './soakFaults.ts'
-import { heartbeatMs, type SoakFleet, startSoakFleet } from './soakFleet.ts'
+import { heartbeatMs, type SoakFleet, type SoakHost, startSoakFleet } from './soakFleet.ts'
+import { injectReleases, softwareVersions } from './soakReleases.ts'
 import { failingPath, type SoakServer, startSoakServer } from './soakServers.ts'
+import { runLiveCallers, type TakenUpStreams } from './soakStreams.ts'
 
-const serverCount = 3
+/** Servers in series of both software versions. */
+const serverCount = 4
+
+/** Servers that the faults of `injectFaults` crash. */
+const crashedServerCount = 3
 const startTimeoutMs = 30_000
 
 /** Time after the last fault within which each acknowledged job has all its results, in milliseconds. */
@@ -46,6 +52,7 @@
   readonly jobs: number
   /** Live requests by status; 0 stands for a broken connection. */
   readonly statuses: ReadonlyMap<number, number>
+  readonly takenUp: TakenUpStreams
   readonly acknowledgedVersion: number
   /** Crashes of servers by requests. */
   readonly crashes: number
@@ -60,7 +67,7 @@
  * @returns the report
  */
 export async function runSoak (seed: number, durationMs: number): Promise<SoakReport> {
-  const servers = await Promise.all(Array.from({ length: serverCount }, (_, index) => startSoakServer(`i-${index}`)))
+  const servers = await Promise.all(Array.from({ length: serverCount }, (_, index) => startSoakServer(`i-${index}`, softwareVersions[index % softwareVersions.length] ?? '')))
   const fleet = await startSoakFleet()
   const stopped = new AbortController()
   const context: SoakContext = { fleet, random: createSeededRandom(seed), violations: [], signal: stopped.signal }
@@ -73,23 +80,27 @@
     })
     const publisher = runPublisher(context, state)
     const reader = runReader(context, state)
-    const callers = runLiveCallers(context, id => servers.flatMap(server => server.runs).filter(run => run.id === id).length)
+    const callers = runLiveCallers(context, servers, createSeededRandom(seed + 4))
     const owner = runJobOwner(context)
     const faultsEnded = new AbortController()
     setTimeout(() => faultsEnded.abort(), durationMs).unref()
     const reloads = injectReloads(fleet, createSeededRandom(seed + 2), faultsEnded.signal)
-    const faults = await injectFaults(fleet, servers, createSeededRandom(seed + 1), faultsEnded.signal)
+    const affected = new Set<SoakHost>()
+    const releases = injectReleases(fleet, servers, affected, createSeededRandom(seed + 3), faultsEnded.signal)
+    const faults = await injectFaults(fleet, servers.slice(0, crashedServerCount), affected, createSeededRandom(seed + 1), faultsEnded.signal)
+    faults.push(...await releases)
+    faults.sort((left, right) => left.at - right.at)
     await reloads
     await checkCrashingPart(context, servers)
     await checkRequestLimit(context, servers)
     stopped.abort()
     const jobs = await owner
-    const statuses = await callers
+    const { statuses, takenUp } = await callers
     await Promise.all([publisher, reader])
     await completeJobs(context, jobs)
     await checkFinalVersion(context, state)
     checkRuns(context, servers)
-    return { seed, violations: context.violations, faults, jobs: jobs.length, statuses, acknowledgedVersion: state.acknowledgedVersion, crashes: countCrashes(servers), outputs: new Map(fleet.hosts.map(host => [host.name, host.output()])) }
+    return { seed, violations: context.violations, faults, jobs: jobs.length, statuses, takenUp, acknowledgedVersion: state.acknowledgedVersion, crashes: countCrashes(servers), outputs: new Map(fleet.hosts.map(host => [host.name, host.output()])) }
   } finally {
     clearInterval(heartbeats)
     await fleet.close()
@@ -101,9 +112,9 @@
   let sequence = 0
   return setInterval(() => {
     sequence++
-    for (const { id, address, startedAt, isUp } of servers) {
+    for (const { id, address, softwareVersion, startedAt, isUp } of servers) {
       if (!isUp) continue
-      const body = JSON.stringify({ service: 's', addr: address, zone: 'z1', version: 'v1', slots: 4, state: 'ready', seq: sequence, born: startedAt })
+      const body = JSON.stringify({ service: 's', addr: address, zone: 'z1', version: softwareVersion, slots: 4, state: 'ready', seq: sequence, born: startedAt })
       sendHeartbeat(fleet.controls, id, body).catch(() => {})
     }
   }, heartbeatMs)
--- a/test/soak/soakClients.ts
+++ b/test/soak/soakClients.ts
@@ -1,15 +1,16 @@
 /**
- * Callers, job owners and operators of the soak. Each checks what it sees against the promises of the pages and notes what
+ * Job owners and operators of the soak. Each checks what it sees against the promises of the pages and notes what
  * breaks them.
  * @module
  */
-import { Agent, request } from 'undici'
+import { request } from 'undici'
 import type { Random } from '../../src/process/program/random.ts'
 import type { SoakFleet } from './soakFleet.ts'
-import { crashingPart, eventCount, failingPath } from './soakServers.ts'
+import { areInSequence, decodeOutput, describeMixedVersions } from './soakEvents.ts'
+import { crashingPart, failingPath } from './soakServers.ts'
 
-const callTimeoutMs = 5_000
-const liveIntervalMs = 60
+/** Time for which callers and operators wait for an answer, in milliseconds. */
+export const callTimeoutMs = 5_000
 const jobIntervalMs = 400
 const versionIntervalMs = 700
 const readIntervalMs = 150
@@ -22,9 +23,6 @@
 const itemsPerJob = 4
 const submitAttempts = 12
 
-/** One in this number of live requests has the crashing prompt part. */
-const crashingRequestInterval = 25
-
 /** Maximum number of failed runs of an item, as the route of the soak allows it. */
 export const itemAttempts = 3
 
@@ -59,44 +57,6 @@
   readonly text: string
 }
 
-const completeText = Array.from({ length: eventCount }, (_, id) => `id: ${id}\ndata: e${id}\n\n`).join('')
-const completeOutput = Array.from({ length: eventCount }, (_, id) => `e${id}`).join('\n')
-
-/**
- * Sends live requests on open connections until the signal aborts.
- * @param context - the run
- * @param runsOf - returns how often a server ran the request with an id
- * @returns the number of requests by status; 0 stands for a broken connection
- */
-export async function runLiveCallers (context: SoakContext, runsOf: (id: string) => number): Promise<Map<number, number>> {
-  const statuses = new Map<number, number>()
-  const agents = context.fleet.gateways.map(() => new Agent({ connections: 4, pipelining: 1, headersTimeout: callTimeoutMs, bodyTimeout: callTimeoutMs }))
-  const open = new Set<Promise<void>>()
-  let number = 0
-
-  async function sendOne (): Promise<void> {
-    const id = `live-${number++}`
-    const gateway = context.random.below(context.fleet.gateways.length)
-    const isCrashing = number % crashingRequestInterval === 0
-    const parts = `first:10,${isCrashing ? `${crashingPart}:5,` : ''}${id}:3`
-    const answer = await call(`http://${context.fleet.gateways[gateway] ?? ''}/live/${number}`, { id, parts, agent: agents[gateway] })
-    statuses.set(answer.status, (statuses.get(answer.status) ?? 0) + 1)
-    if (answer.status === 200 && answer.text !== completeText) context.violations.push(`${id}: a complete answer lacks or repeats events: ${JSON.stringify(answer.text)}`)
-    if ((answer.status === 503 || answer.status === 429) && runsOf(id) > 0) context.violations.push(`${id}: ${answer.status} says that it has not run, but it ran`)
-    if (isCrashing && answer.status === 200) context.violations.push(`${id}: an answer to a request that crashes servers`)
-    if (answer.status === 404) context.violations.push(`${id}: 404 for a route that is in every version`)
-  }
-
-  while (!context.signal.aborted) {
-    const sent = sendOne().finally(() => open.delete(sent))
-    open.add(sent)
-    await pause(liveIntervalMs)
-  }
-  await Promise.all(open)
-  for (const agent of agents) await agent.close()
-  return statuses
-}
-
 /**
  * Submits jobs until the signal aborts; each third one has an item that fails at each run.
  * @param context - the run
@@ -145,7 +105,11 @@
     const known = job.results[after + index]
     if (known !== undefined && known !== text) context.violations.push(`${job.id}: position ${after + index} changed from ${known} to ${text}`)
     job.results[after + index] = text
-    if (result.state === 'completed' && result.output !== completeOutput) context.violations.push(`${result.id}: an incomplete output is completed: ${JSON.stringify(result.output)}`)
+    const events = decodeOutput(result.output)
+    const mixed = describeMixedVersions(events ?? [])
+    if (events === undefined) context.violations.push(`${result.id}: an output of no server: ${JSON.stringify(result.output)}`)
+    if (mixed !== undefined && known === undefined) context.violations.push(`${result.id}: an output of two software versions: ${mixed}`)
+    if (result.state === 'completed' && !areInSequence(events ?? [], true)) context.violations.push(`${result.id}: an incomplete output is completed: ${JSON.stringify(result.output)}`)
   }
   const ids = new Set(job.results.map(text => (JSON.parse(text) as { id: string }).id))
   if (ids.size !== job.results.length) context.violations.push(`${job.id}: an item has two results`)
@@ -273,11 +237,11 @@
   }
 }
 
-async function call (url: string, options: { readonly id: string, readonly parts?: string, readonly method?: 'GET' | 'PUT' | 'POST', readonly body?: string, readonly agent?: Agent | undefined }): Promise<Answer> {
+async function call (url: string, options: { readonly id: string, readonly parts?: string, readonly method?: 'GET' | 'PUT' | 'POST', readonly body?: string }): Promise<Answer> {
   try {
     const headers = { host: 'a.example', 'x-request-id': options.id, 'x-deadline-ms': String(callTimeoutMs), ...(options.parts === undefined ? {} : { 'x-prefix-hash': options.parts }) }
     const response = await request(url, {
-      method: options.method ?? 'POST', headers, body: options.body ?? null, ...(options.agent === undefined ? {} : { dispatcher: options.agent }), headersTimeout: callTimeoutMs, bodyTimeout: callTimeoutMs
+      method: options.method ?? 'POST', headers, body: options.body ?? null, headersTimeout: callTimeoutMs, bodyTimeout: callTimeoutMs
     })
     return { status: response.statusCode, text: await response.body.text() }
   } catch {
@@ -286,6 +250,11 @@
   }
 }
 
-function pause (durationMs: number): Promise<void> {
+/**
+ * Waits.
+ * @param durationMs - the time, in milliseconds
+ * @returns a promise that resolves after it
+ */
+export function pause (durationMs: number): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, durationMs))
 }
--- a/test/soak/soakFaults.ts
+++ b/test/soak/soakFaults.ts
@@ -20,19 +20,19 @@
 }
 
 /**
- * Injects faults until the signal aborts, then ends those in progress. A majority of the control hosts runs at any time, and one
- * gateway.
+ * Injects faults until the signal aborts, then ends those in progress. Of these faults, one affects a role at a time: a majority of
+ * the control hosts runs, and a gateway unless all are killed otherwise.
  * @param fleet - the processes
  * @param servers - the backend servers
+ * @param affected - hosts with a fault in progress, shared with faults of other sources
  * @param random - source of the faults
  * @param signal - ends the task
  * @returns the faults
  */
-export async function injectFaults (fleet: SoakFleet, servers: readonly SoakServer[], random: Random, signal: AbortSignal): Promise<InjectedFault[]> {
+export async function injectFaults (fleet: SoakFleet, servers: readonly SoakServer[], affected: Set<SoakHost>, random: Random, signal: AbortSignal): Promise<InjectedFault[]> {
   const injected: InjectedFault[] = []
   const startedAt = performance.now()
   const inProgress = new Set<Promise<void>>()
-  const affected = new Set<SoakHost>()
 
   function note (text: string): void {
     injected.push({ at: Math.round(performance.now() - startedAt), text })
--- a/test/soak/soakServers.ts
+++ b/test/soak/soakServers.ts
@@ -4,9 +4,16 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
+import { encodeData, eventCount } from './soakEvents.ts'
 
 const eventIntervalMs = 15
 
+/** Interval between the events of a request with `longPath`, in milliseconds. */
+const longEventIntervalMs = 60
+
+/** Path of a live request that takes longer than the others. */
+export const longPath = '/live/long-'
+
 /** Path of a request that fails at each run. */
 export const failingPath = '/batch/failing'
 
@@ -16,9 +23,6 @@
 /** Time for which a server is down after such a crash, in milliseconds. */
 const downMs = 400
 
-/** Number of events of an answer. */
-export const eventCount = 12
-
 /** A request that a server began to run. */
 export interface SoakRun {
   readonly id: string
@@ -30,7 +34,10 @@
 
 /** A backend server. */
 export interface SoakServer {
+  /** Id of the current start. */
   readonly id: string
+  /** Version of the software of the current start. */
+  readonly softwareVersion: string
   readonly address: string
   readonly runs: readonly SoakRun[]
   /** Time at which the current start began, in milliseconds since the epoch. */
@@ -42,16 +49,19 @@
   requestLimit: number | undefined
   /** Closes all connections and refuses new ones until `restart`. */
   crash (): void
+  /** Crashes; the next start has other software, and an id of its own at the same address. */
+  replace (softwareVersion: string): void
   restart (): Promise<void>
   close (): void
 }
 
 /**
  * Starts a server.
- * @param id - its id
+ * @param firstId - its id until it is replaced
+ * @param firstVersion - version of its software until it is replaced
  * @returns the server
  */
-export async function startSoakServer (id: string): Promise<SoakServer> {
+export async function startSoakServer (firstId: string, firstVersion: string): Promise<SoakServer> {
   const runs: SoakRun[] = []
   const sockets = new Set<Socket>()
   let server: Server
@@ -60,30 +70,35 @@
   let isClosed = false
   let startedAt = Date.now()
   let crashes = 0
+  let id = firstId
+  let softwareVersion = firstVersion
+  let replacements = 0
 
   function handle (request: IncomingMessage, response: ServerResponse): void {
     request.resume()
     request.once('end', () => {
+      if (request.headers['x-expect-instance'] !== id) return response.writeHead(421, { 'x-not-executed': '1' }).end()
       const lastEvent = request.headers['last-event-id']
       const run = { id: String(request.headers['x-request-id']), path: request.url ?? '', resumedAfter: lastEvent === undefined ? undefined : Number(lastEvent), at: performance.now() }
       runs.push(run)
       if (String(request.headers['x-prefix-hash'] ?? '').includes(`${crashingPart}:`)) return crashByRequest()
       if (run.path.startsWith(failingPath)) response.writeHead(500, { 'x-server-stamp': id }).end()
-      else streamEvents(response, (run.resumedAfter ?? -1) + 1)
+      else streamEvents(response, (run.resumedAfter ?? -1) + 1, run.path.startsWith(longPath) ? longEventIntervalMs : eventIntervalMs)
     })
   }
 
-  function streamEvents (response: ServerResponse, first: number): void {
+  function streamEvents (response: ServerResponse, first: number, intervalMs: number): void {
     const { requestLimit } = soakServer
+    const writer = softwareVersion
     response.writeHead(200, { 'content-type': 'text/event-stream', 'x-server-stamp': `stamp-${id}`, ...(requestLimit === undefined ? {} : { 'server-limit': String(requestLimit) }) })
     let next = first
     const timer = setInterval(() => {
-      if (next < eventCount) response.write(`id: ${next}\ndata: e${next}\n\n`)
+      if (next < eventCount) response.write(`id: ${next}\ndata: ${encodeData({ id: next, softwareVersion: writer })}\n\n`)
       next++
       if (next < eventCount) return
       clearInterval(timer)
       response.end()
-    }, eventIntervalMs)
+    }, intervalMs)
     response.once('close', () => clearInterval(timer))
   }
 
@@ -114,7 +129,8 @@
   }
 
   const soakServer: SoakServer = {
-    id,
+    get id () { return id },
+    get softwareVersion () { return softwareVersion },
     get address () { return `127.0.0.1:${port}` },
     runs,
     get startedAt () { return startedAt },
@@ -122,6 +138,11 @@
     get crashes () { return crashes },
     requestLimit: undefined,
     crash,
+    replace (version) {
+      crash()
+      id = `${firstId}-${++replacements}`
+      softwareVersion = version
+    },
     restart: listen,
     close () {
       isClosed = true
