--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -52,6 +52,8 @@
   readonly jobs: number
   /** Live requests by status; 0 stands for a broken connection. */
   readonly statuses: ReadonlyMap<number, number>
+  /** Live requests of which the first try brought an event. */
+  readonly begun: number
   readonly takenUp: TakenUpStreams
   readonly acknowledgedVersion: number
   /** Crashes of servers by requests. */
@@ -95,12 +97,12 @@
     await checkRequestLimit(context, servers)
     stopped.abort()
     const jobs = await owner
-    const { statuses, takenUp } = await callers
+    const { statuses, begun, takenUp } = await callers
     await Promise.all([publisher, reader])
     await completeJobs(context, jobs)
     await checkFinalVersion(context, state)
     checkRuns(context, servers)
-    return { seed, violations: context.violations, faults, jobs: jobs.length, statuses, takenUp, acknowledgedVersion: state.acknowledgedVersion, crashes: countCrashes(servers), outputs: new Map(fleet.hosts.map(host => [host.name, host.output()])) }
+    return { seed, violations: context.violations, faults, jobs: jobs.length, statuses, begun, takenUp, acknowledgedVersion: state.acknowledgedVersion, crashes: countCrashes(servers), outputs: new Map(fleet.hosts.map(host => [host.name, host.output()])) }
   } finally {
     clearInterval(heartbeats)
     await fleet.close()
--- a/test/soak/soakStreams.ts
+++ b/test/soak/soakStreams.ts
@@ -46,12 +46,15 @@
 export interface LiveReport {
   /** First tries by status; 0 stands for a broken connection. */
   readonly statuses: ReadonlyMap<number, number>
+  /** Streams of which the first try brought an event. */
+  readonly begun: number
   readonly takenUp: TakenUpStreams
 }
 
 /** Counts of one run, which all callers add to. */
 interface LiveCounts {
   readonly statuses: Map<number, number>
+  begun: number
   readonly takenUp: { -readonly [Name in keyof TakenUpStreams]: number }
 }
 
@@ -87,7 +90,7 @@
  * @returns what the callers have seen
  */
 export async function runLiveCallers (context: SoakContext, servers: readonly SoakServer[], losses: Random): Promise<LiveReport> {
-  const counts: LiveCounts = { statuses: new Map(), takenUp: { total: 0, continued: 0, refused: 0, withServers: 0, continuedWithServers: 0 } }
+  const counts: LiveCounts = { statuses: new Map(), begun: 0, takenUp: { total: 0, continued: 0, refused: 0, withServers: 0, continuedWithServers: 0 } }
   await Promise.all([runShortStreams(context, servers, counts), runLongStreams(context, servers, losses, counts)])
   return counts
 }
@@ -136,6 +139,7 @@
   const first = await tryStream(context, servers, stream, gateway)
   const status = first.isComplete ? first.status : 0
   counts.statuses.set(status, (counts.statuses.get(status) ?? 0) + 1)
+  if (stream.events.length > 0) counts.begun++
   if (status === 0 && stream.events.length > 0) await takeUp(context, servers, counts, stream, gateway)
   const mixed = describeMixedVersions(stream.events)
   if (mixed !== undefined) context.violations.push(`${stream.id}: a stream of two software versions over the tries ${stream.tries.join(', ')} (begun by ${stream.begunBy ?? ''}): ${mixed}`)
