--- a/test/powerLoss/powerLossFleet.ts
+++ b/test/powerLoss/powerLossFleet.ts
@@ -101,7 +101,7 @@
   const hosts: Host[] = [
     ...ips.map((ip, index) => ({ name: `control-${index}`, role: FleetRole.Control, settings: { ...zoneOf(index), address: ip, controlAddress: controls[index], directoryAddress: `${ip}:${directoryPort}`, metricsAddress: `${ip}:${metricsPort}`, dataFolder: dataFolders[index] } })),
     ...gateways.map((callerAddress, index) => ({ name: `gateway-${index}`, role: FleetRole.Gateway, settings: { ...zoneOf(index), callerAddress } })),
-    ...Array.from({ length: shape.executors }, (_, index) => ({ name: `executor-${index}`, role: FleetRole.Executor, settings: zoneOf(index) }))
+    ...Array.from({ length: shape.executors }, (_, index) => ({ name: `executor-${index}`, role: FleetRole.Executor, settings: { ...zoneOf(index), address: `127.0.39.${index + 1}` } }))
   ]
   const children = new Map<string, ChildProcess>()
   const lines: LogLine[] = []
--- a/test/soak/soakFleet.ts
+++ b/test/soak/soakFleet.ts
@@ -48,6 +48,8 @@
   const folder = await mkdtemp(join(tmpdir(), 'jaychute-soak-'))
   const [controlPort = 0, operatorPort = 0, directoryPort = 0] = (await reserveAddresses(3)).map(address => Number(address.split(':')[1]))
   const controlIps = ['127.0.0.1', '127.0.0.2', '127.0.0.3']
+  // Executors serve calls of other hosts at the same port as control hosts.
+  const executorIps = ['127.0.0.4', '127.0.0.5']
   const controls = controlIps.map(ip => `${ip}:${operatorPort}`)
   const gateways = await reserveAddresses(2)
   const commonSettings = {
@@ -103,7 +105,7 @@
       address: ip, controlAddress: `${ip}:${operatorPort}`, directoryAddress: `${ip}:${directoryPort}`, dataFolder: join(folder, ip)
     })),
     ...gateways.map((callerAddress, index) => createHost('gateway', `gateway-${index}`, { callerAddress })),
-    ...[0, 1].map(index => createHost('executor', `executor-${index}`, {}))
+    ...executorIps.map((ip, index) => createHost('executor', `executor-${index}`, { address: ip }))
   ]
   for (const host of hosts) await host.start()
   return {
