--- a/src/process/fleet/batchRunner.ts
+++ b/src/process/fleet/batchRunner.ts
@@ -20,7 +20,7 @@
 import type { ProcessServices } from '../program/processServices.ts'
 import type { Replica } from '../log/replica.ts'
 import type { SubmittedItem } from '../jobs/submission.ts'
-import { maxOutputBytes } from '../jobs/outputSpace.ts'
+import { countOutputBytes, maxOutputBytes } from '../jobs/outputSpace.ts'
 import { isSubmissionClosed } from '../jobs/submissions.ts'
 import { assertNever } from '../program/assert.ts'
 import { createBatchRoutes } from './batchRoutes.ts'
@@ -173,7 +173,7 @@
     for (const [service, servers] of serversByService) plannedByService.set(service, describeServers(servers, running))
     // Ordering the waiting items is the larger part of a plan, and mostly there is no free slot.
     checkOutputSize()
-    const canStart = !isOutputFull && assignments.canStart() && [...plannedByService.values()].some(servers => servers.some(hasFreeSlot))
+    const canStart = assignments.canStart() && [...plannedByService.values()].some(servers => servers.some(hasFreeSlot))
     const startableByService = canStart ? groupStartableByService() : new Map<string, StartableItems>()
     for (const [service, servers] of plannedByService) {
       const startable = startableByService.get(service)
@@ -188,9 +188,10 @@
     }
   }
 
-  // Items that wait are started again once the results of closed jobs have been purged.
+  // At the maximum, the items with saved progress are completed, which takes less space than their progress; the others wait for them, or for
+  // the purge of closed jobs.
   function checkOutputSize (): void {
-    const { outputBytes } = state.submissions
+    const outputBytes = countOutputBytes(state.submissions)
     if (isOutputFull === (outputBytes >= maxOutputBytes)) return
     isOutputFull = !isOutputFull
     logger.write(isOutputFull ? LogEvents.outputFull : LogEvents.outputSpaceFound, { value: outputBytes })
@@ -202,7 +203,7 @@
     const now = clock.now()
     for (const { key } of orderByUrgency(describeUrgency(items.startable(now)))) {
       const entry = items.find(key)
-      if (entry === undefined) continue
+      if (entry === undefined || (isOutputFull && countSavedEvents(entry) === 0)) continue
       const route = routes.find(entry.record)
       if (route === undefined) {
         // The active configuration no longer has a batch route for the item.
@@ -295,7 +296,7 @@
       case RunEnd.Interrupted:
         if (report.isExcessive === true) backoffs.recordFailure(run.server)
         if (run.isInterrupted) break
-        if (report.data.length === 0) backoffs.recordRefusal(run.server)
+        if (run.hasDelivered === false) backoffs.recordRefusal(run.server)
         entry.interruptions++
         delayStartAfterInterruption(entry, entry.interruptions, clock.now())
         break
@@ -314,7 +315,10 @@
   function recordOutputs (reports: RunReports): void {
     for (const report of reports.reports) {
       const entry = items.find(createItemKey(report))
-      if (entry?.run?.id !== report.run || entry.run.hasOutput || report.data.length === 0) continue
+      if (entry?.run?.id !== report.run || report.data.length === 0) continue
+      entry.run.hasDelivered = true
+      backoffs.recordOutput(entry.run.server)
+      if (entry.run.hasOutput) continue
       entry.run.hasOutput = true
       fleet.quarantine.recordOutputs(listTraitsOf(entry).map(trait => ({ trait, ageMs: 0 })))
     }
