Tests: order the steps of stream version tests by gates

Cause: three tests of test/streamVersions.test.ts applied an update of the fleet after a sleep of 10 or 20 ms, while the scripted server waited 30 or 50 ms. On a busy machine the order of the two timers is not certain.

Change: ScriptGate is a point at which a scripted server waits until the test lets it go on. The tests wait until the server has reached the gate, apply the update, and open the gate. Their expectations are unchanged.

--- a/test/streamVersions.test.ts
+++ b/test/streamVersions.test.ts
@@ -11,7 +11,7 @@
 import { GatewayRefusal } from '../src/request/callerExchange.ts'
 import { ResumptionRefusal } from '../src/request/streamContinuation.ts'
 import { eventually } from '../scripts/processes.ts'
-import { FakeStreamKeepers, fleetUpdateOf, forwardingServicesOf, RecordedResponse, recordOf, requestOf, routeOf, type Script, ScriptedServers } from './support/fakeFleet.ts'
+import { FakeStreamKeepers, fleetUpdateOf, forwardingServicesOf, RecordedResponse, recordOf, requestOf, routeOf, type Script, ScriptedServers, ScriptGate } from './support/fakeFleet.ts'
 
 const firstEvent = 'id: 0\ndata: a\n\n'
 const secondEvent = 'id: 1\ndata: b\n\n'
@@ -85,14 +85,16 @@
   // Failure: with no server of the version left, the stream went on at another version. Waiting for one would only delay the caller's next attempt.
   it('aborts a stream that broke at once when no server of its version is listed', async () => {
     const records = [oldServer, newServer]
-    const servers = new ScriptedServers([{ ...breakAfterFirstEvent, endMs: 30 }, answerRest])
+    const endGate = new ScriptGate()
+    const servers = new ScriptedServers([{ ...breakAfterFirstEvent, endGate }, answerRest])
     const services = forwardingServicesOf(servers, [routeOf({ timeoutMs: 5_000 })], { servers: records })
     const answer = new RecordedResponse()
     const startedAt = performance.now()
     const forwarded = runForwardedRequest(requestOf().request, answer, services)
-    await sleep(10)
+    await endGate.reached
     const first = records.find(({ id }) => id === servers.arrivals[0]?.server) ?? expect.fail('no request reached a server')
     services.view.applyUpdate(fleetUpdateOf({ serversRevision: 2, servers: [{ ...first, phase: ServerPhase.Gone, revision: 2 }] }))
+    endGate.open()
     await forwarded
     expect(servers.arrivals).to.have.length(1)
     expect(answer).to.include({ text: firstEvent, isComplete: false, isAborted: true })
@@ -146,10 +148,12 @@
   // Failure it guards against: a server that restarted under its id with another version was taken for the one that began the stream.
   it('continues no stream that began at a server found to run another version', async () => {
     const hosts = new FakeStreamKeepers(['k-1', 'k-2'])
-    const gateway = startGateway([{ does: 'answer', pieces: [firstEvent, secondEvent], pauseMs: 50, then: 'break' }, answerRest], [oldServer], hosts)
+    const pieceGate = new ScriptGate()
+    const gateway = startGateway([{ does: 'answer', pieces: [firstEvent, secondEvent], pieceGate, then: 'break' }, answerRest], [oldServer], hosts)
     const forwarded = gateway.forward()
-    await sleep(20)
+    await pieceGate.reached
     gateway.services.view.applyUpdate(fleetUpdateOf({ serversRevision: 2, servers: [{ ...oldServer, startedAt: 2, softwareVersion: 'v2', revision: 2 }, recordOf('i-2')] }))
+    pieceGate.open()
     const answer = await forwarded
     expect(gateway.servers.arrivals).to.have.length(1)
     expect(answer).to.include({ text: firstEvent + secondEvent, isAborted: true })
@@ -159,11 +163,13 @@
   // Failure it guards against: events of another version that follow those of the first one, from a server that restarted under its id.
   it('relays nothing of a server found to run another version than the one that began the stream', async () => {
     const records = [oldServer, recordOf('i-2', { startedAt: 1 })]
-    const gateway = startGateway([breakAfterFirstEvent, { does: 'answer', pieces: [secondEvent], headMs: 50 }], records, new FakeStreamKeepers([]))
+    const headGate = new ScriptGate()
+    const gateway = startGateway([breakAfterFirstEvent, { does: 'answer', pieces: [secondEvent], headGate }], records, new FakeStreamKeepers([]))
     const forwarded = gateway.forward()
-    await sleep(20)
+    await headGate.reached
     const second = records.find(({ id }) => id === gateway.servers.arrivals[1]?.server) ?? expect.fail('no second attempt')
     gateway.services.view.applyUpdate(fleetUpdateOf({ serversRevision: 2, servers: [{ ...second, startedAt: 2, softwareVersion: 'v2', revision: 2 }] }))
+    headGate.open()
     expect(await forwarded).to.include({ text: firstEvent, isComplete: false, isAborted: true })
   })
 })
--- a/test/support/fakeFleet.ts
+++ b/test/support/fakeFleet.ts
@@ -23,9 +23,34 @@
 import type { ForwardingServices } from '../../src/request/forwardedAttempt.ts'
 import { type GatewayRoute, type GatewayTables, RouteKind } from '../../src/version/gatewayTables.ts'
 
-/** How a scripted server handles one request. */
+/** A point at which a scripted server waits until the test lets it go on. */
+export class ScriptGate {
+  /** Resolves when a server waits at this point, or has passed it. */
+  readonly reached: Promise<void>
+  private readonly opened: Promise<void>
+  private resolveReached: () => void = () => {}
+  private resolveOpened: () => void = () => {}
+
+  constructor () {
+    this.reached = new Promise(resolve => { this.resolveReached = resolve })
+    this.opened = new Promise(resolve => { this.resolveOpened = resolve })
+  }
+
+  /** Lets the server go on. */
+  open (): void {
+    this.resolveOpened()
+  }
+
+  /** Waits for `open`; called by the scripted server. */
+  async pass (): Promise<void> {
+    this.resolveReached()
+    await this.opened
+  }
+}
+
+/** How a scripted server handles one request. A gate after a piece is reached when the piece was relayed. */
 export type Script =
-  | { readonly does: 'answer', readonly pieces: readonly string[], readonly status?: number, readonly type?: string, readonly then?: 'end' | 'break' | 'hang', readonly unframed?: boolean, readonly headMs?: number, readonly pauseMs?: number, readonly endMs?: number, readonly leaving?: boolean }
+  | { readonly does: 'answer', readonly pieces: readonly string[], readonly status?: number, readonly type?: string, readonly then?: 'end' | 'break' | 'hang', readonly unframed?: boolean, readonly headMs?: number, readonly pauseMs?: number, readonly endMs?: number, readonly headGate?: ScriptGate, readonly pieceGate?: ScriptGate, readonly endGate?: ScriptGate, readonly leaving?: boolean }
   | { readonly does: 'refuse', readonly leaving?: boolean }
   | { readonly does: 'fail', readonly sent: boolean }
   | { readonly does: 'hang' }
@@ -64,6 +89,7 @@
         await waitForAbort(signal)
         return err({ sent: true, failure: connectionReset })
       case 'answer': {
+        await script.headGate?.pass()
         if (script.headMs !== undefined) await new Promise(resolve => setTimeout(resolve, script.headMs))
         const headers = ['content-type', script.type ?? 'text/event-stream', 'x-server-stamp', target.id]
         return ok({ kind: BackendResponseKind.Response, status: script.status ?? 200, requestLimit: undefined, isLeaving: script.leaving === true, isFramed: script.unframed !== true, headers, body: streamChunks(script, signal, connectionReset) })
@@ -75,8 +101,10 @@
 async function * streamChunks (script: Script & { does: 'answer' }, signal: AbortSignal, connectionReset: Error): AsyncIterable<Buffer> {
   for (const piece of script.pieces) {
     yield Buffer.from(piece)
+    await script.pieceGate?.pass()
     if (script.pauseMs !== undefined) await new Promise(resolve => setTimeout(resolve, script.pauseMs))
   }
+  await script.endGate?.pass()
   if (script.endMs !== undefined) await new Promise(resolve => setTimeout(resolve, script.endMs))
   if (script.then === 'break') throw connectionReset
   if (script.then !== 'hang') return
