Revoke a stream's origin when the restart is found late

Cause: relayEvents looked for another software version under the id of the server only when a further chunk arrived. When the heartbeat of the restart came after the last chunk and the stream then broke, the origin kept the version of the earlier start. The retry in the same answer, or a take-up at another gateway, joined two versions. The end of a continuation was not checked either, so a server of another version could confirm the end of a stream without framing.

Change: the progress of a request keeps the records of the servers that wrote its events, as they were when the request was sent to them. verifyOrigin revokes the origin when one of their ids is by now listed with another version. It runs after each attempt, while the request waits for a server, and before each further attempt is sent. A continuation also fails when its server is found to run another version by the end of the body. For a resumption the record of the attempt that it names is revoked. A restart with the same version revokes nothing.

A server that crashes and returns with another version before the next attempt also ends its streams: its first heartbeat does not tell which start wrote the events.

--- a/src/request/forwardedAttempt.ts
+++ b/src/request/forwardedAttempt.ts
@@ -75,6 +75,8 @@
   service: string
   /** What wrote the first event of the stream; undefined before it. Only servers of the same service and software version may continue it. */
   origin: StreamOrigin | undefined
+  /** Records of the servers that wrote the relayed events, as they were when the request was sent to each; in order. */
+  readonly writers: BackendServerRecord[]
   /** Whether the request resumes a stream that an earlier attempt of the caller received in part. */
   readonly isResumption: boolean
   readonly traits: RequestTraits
@@ -250,12 +252,30 @@
   if (route.kind === RouteKind.Streaming && route.resumable && hasResumePoint) origins.record(request.id, progress.origin)
 }
 
-// The stream itself is whole, but which version writes it is not known.
+// Which version wrote the relayed events is not known. The record of a resumed stream belongs to the attempt that the request names; this
+// gateway may have found it at another host, and revokes only records of its own.
 function revokeOrigin (progress: ForwardingProgress, { origins }: ForwardingServices): void {
-  if (progress.origin !== undefined && progress.origin.softwareVersion !== undefined) origins.revoke(progress.request.id)
+  const { request, isResumption, origin } = progress
+  if (origin?.softwareVersion !== undefined) {
+    const id = isResumption ? request.resumes ?? '' : request.id
+    if (isResumption) origins.record(id, origin)
+    origins.revoke(id)
+  }
   progress.origin = { service: progress.service, softwareVersion: undefined }
 }
 
+/**
+ * Revokes the origin of a stream if another software version is by now known to run under the id of a server that wrote events of it.
+ * The heartbeat of a restart may arrive after the events of the new start, and nothing tells the events of one start from those of another.
+ * @param progress - state of the request
+ * @param services - dependencies and settings of the request
+ */
+export function verifyOrigin (progress: ForwardingProgress, services: ForwardingServices): void {
+  const { origin, writers } = progress
+  if (origin === undefined || origin.softwareVersion === undefined) return
+  if (writers.some(writer => isReplaced(writer, services.view.findServer(writer.id)))) revokeOrigin(progress, services)
+}
+
 async function relayEvents (progress: ForwardingProgress, server: BackendServerRecord, received: ExecutedResponse, idleTimeout: IdleTimeout, services: ForwardingServices): Promise<ForwardedAttemptEnd> {
   const { answer: response, route } = progress
   const splitter = createEventSplitter()
@@ -280,7 +300,10 @@
     if (eventChunks.length === 0) continue
     if (isOtherVersion) revokeOrigin(progress, services)
     else if (progress.origin === undefined) recordOrigin(progress, server, services)
-    if (!progress.hasOutput) services.view.quarantine.recordOutput(progress.traits)
+    if (!progress.hasOutput) {
+      services.view.quarantine.recordOutput(progress.traits)
+      progress.writers.push(server)
+    }
     progress.hasOutput = true
     // The time for which the caller does not read is not the server's.
     idleTimeout.stop()
@@ -300,6 +323,8 @@
     throw createFailure(FailureReason.Incomplete, { step: Step.ReadResponse, peer: server.address }, 'the connection closed before the first event of a stream without framing')
   }
   await checkEnd(received, server, services)
+  // The heartbeat of a restart may arrive after the last event, or instead of any.
+  if (isContinuation && isReplaced(server, services.view.findServer(server.id))) return ForwardedAttemptEnd.Broken
   startResponse(progress, received, removeContentLength(received.headers))
   // A faulty server may also end the connection early. The end is certain if another server has nothing to add to the stream.
   const isConfirmed = received.isFramed || (isResumed && isAwaitingResumption)
--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -10,7 +10,7 @@
 import { Counter } from '../process/program/metrics.ts'
 import { chooseTarget, matchRoute, RouteKind } from '../version/gatewayTables.ts'
 import { type CallerResponse, type CallerRequest, drainingRetryAfterMs, GatewayRefusal } from './callerExchange.ts'
-import { ForwardedAttemptEnd, type ForwardingServices, isBodyReplayable, type ForwardingProgress, runForwardedAttempt, minServerErrorStatus } from './forwardedAttempt.ts'
+import { ForwardedAttemptEnd, type ForwardingServices, isBodyReplayable, type ForwardingProgress, runForwardedAttempt, minServerErrorStatus, verifyOrigin } from './forwardedAttempt.ts'
 import { reportCrash } from './crashReport.ts'
 import { canContinue, decideResumption, isResumption, mayContinue } from './streamContinuation.ts'
 import { acquirePermit } from './requestPermit.ts'
@@ -56,6 +56,7 @@
     route,
     service: chooseTarget(route, random.next()),
     origin: undefined,
+    writers: [],
     isResumption: isResumption(request, route),
     traits: createRequestTraits(request),
     deadlineAt: Math.min(request.deadlineAt, request.receivedAt + route.timeoutMs),
@@ -120,10 +121,12 @@
   if (refusalAfter !== undefined) return giveUp(progress, services, refusalAfter)
   if (server === undefined) return giveUp(progress, services, mayContinue(progress.origin, progress.service, services.view) ? GatewayRefusal.Overloaded : GatewayRefusal.VersionUnavailable)
   if (!await acquireTrial(progress, services)) return giveUp(progress, services, GatewayRefusal.Quarantined)
-  // It may have begun to leave while the leader was asked for a permit or a trial.
-  if (!services.view.isReady(server)) return await makeAttempt(progress, services)
+  // It may have begun to leave, or a writer of the stream may be found to run another version, while the leader was asked for a permit or a trial.
+  verifyOrigin(progress, services)
+  if (!services.view.isReady(server) || !canContinue(progress.origin, server)) return await makeAttempt(progress, services)
   progress.server = server
   const end = await runCountedAttempt(progress, server, services)
+  verifyOrigin(progress, services)
   recordRun(progress, server, end, services)
   await reportCrash(progress, server, end, services)
   return concludeAttempt(progress, server, end, services)
@@ -198,7 +201,9 @@
   const { clock, view, random } = services
   const waitDeadlineAt = computeWaitDeadline(progress)
   if (view.hasWithheldServer(progress.service)) services.metrics.count(Counter.WithheldRequests, 'live')
-  while (!request.disconnectSignal.aborted && mayContinue(progress.origin, progress.service, view)) {
+  while (!request.disconnectSignal.aborted) {
+    verifyOrigin(progress, services)
+    if (!mayContinue(progress.origin, progress.service, view)) return undefined
     const remoteLoad = view.remoteLoads.estimate(progress.service)
     const candidates = listCandidates(progress, remoteLoad, services)
     const prefix = { parts: request.sharedPromptParts, tokens: request.sharedPromptTokens }
