Notify hosts of a restart of a server under its id

Cause: handlePhaseChange notified the polls of hosts only when the phase of a server changed.

Change: the leader notifies hosts whenever the revision of the record has changed, and logs a server that starts again as announced.

Result: the new test failed before: the poll had not ended 200 ms after the heartbeat of the restart ('expected false to equal true'). It passes now, with a restart, a restart without a version, and a version that becomes known within a start.

--- a/src/process/fleet/fleetLeader.ts
+++ b/src/process/fleet/fleetLeader.ts
@@ -251,11 +251,14 @@
     return confirmed.map(() => true)
   }
 
-  function handlePhaseChange (id: string, previousPhase: ServerPhase | undefined): void {
+  // A restart under the same id changes the record without changing its phase, and hosts must learn of it as early as of a new server.
+  function handleChange (id: string, previous: BackendServerRecord | undefined): void {
     const record = registry.find(id)
-    if (record === undefined || record.phase === previousPhase) return
-    const event = record.phase === ServerPhase.Ready ? LogEvents.backendServerAnnounced : LogEvents.backendServerLeaving
-    logger.write(event, { peer: record.address, detail: id, value: record.revision })
+    if (record === undefined || record.revision === previous?.revision) return
+    if (record.phase !== previous?.phase || record.startedAt !== previous.startedAt) {
+      const event = record.phase === ServerPhase.Ready ? LogEvents.backendServerAnnounced : LogEvents.backendServerLeaving
+      logger.write(event, { peer: record.address, detail: id, value: record.revision })
+    }
     notifyFleetChanged()
   }
 
@@ -265,7 +268,7 @@
       const record = registry.find(id)
       if (record?.phase !== ServerPhase.Ready || record.startedAt !== startedAt) continue
       registry.withdraw(id, clock.now())
-      handlePhaseChange(id, record.phase)
+      handleChange(id, record)
     }
   }
 
@@ -354,16 +357,16 @@
     }),
     async receiveHeartbeat (heartbeat) {
       if (!isLeading()) return err(createNotLeaderFailure(Step.Heartbeat))
-      const previousPhase = registry.find(heartbeat.id)?.phase
+      const previous = registry.find(heartbeat.id)
       const isNewer = registry.receive(heartbeat, clock.now())
-      if (isNewer) handlePhaseChange(heartbeat.id, previousPhase)
+      if (isNewer) handleChange(heartbeat.id, previous)
       return heartbeat.leaving ? await waitForLeaveConfirmation(heartbeat.id) : ok(isNewer)
     },
     async withdraw (id) {
       if (!isLeading()) return err(createNotLeaderFailure(Step.Heartbeat))
-      const previousPhase = registry.find(id)?.phase
+      const previous = registry.find(id)
       registry.withdraw(id, clock.now())
-      handlePhaseChange(id, previousPhase)
+      handleChange(id, previous)
       return await waitForLeaveConfirmation(id)
     },
     listReadyServers: () => registry.listChangesSince(0).filter(record => record.phase === ServerPhase.Ready),
--- a/test/fleetLeader.test.ts
+++ b/test/fleetLeader.test.ts
@@ -5,6 +5,7 @@
 import { type BackendServerRecord, type Heartbeat, ServerPhase } from '../src/process/fleet/backendServerRegistry.ts'
 import { createFleetLeader, type FleetLeader } from '../src/process/fleet/fleetLeader.ts'
 import type { FleetHost, FleetUpdate, FleetRole, FleetWatchRequest, LoadReport } from '../src/process/fleet/fleetMessages.ts'
+import { createFleetView } from '../src/process/fleet/fleetView.ts'
 import { FailureReason } from '../src/process/program/failure.ts'
 import { createHostSessions, sessionTimeoutMs } from '../src/process/fleet/hostSessions.ts'
 import { createLifecycle, type Lifecycle } from '../src/process/program/lifecycle.ts'
@@ -117,6 +118,26 @@
     expect(fleet.listReadyServers()).to.deep.equal([])
   })
 
+  // Failure (trial T1): a restart of a server under its id ended no poll, so hosts learned the new version only with the next update, 472 ms
+  // later. The end of a long poll without an update would take longer than this test waits.
+  it('ends the polls when a server restarts under its id, or only its version becomes known', async () => {
+    const heartbeat = { ...leavingHeartbeat, leaving: false }
+    await fleet.receiveHeartbeat(heartbeat)
+    const host = hostOf('g-1')
+    const view = createFleetView(createSystemClock(), createSilentLogger(), () => [])
+    const poll = async (): Promise<void> => view.applyUpdate((await fleet.watch(view.createWatchRequest(host)))._unsafeUnwrap())
+    // The first polls are answered with what the leader knows already; the third one finds nothing new.
+    for (let count = 0; count < 3; count++) await poll()
+    for (const change of [{ startedAt: 2, softwareVersion: 'v2' }, { startedAt: 3 }, { startedAt: 3, softwareVersion: 'v3', sequence: 6 }]) {
+      const polled = poll().then(() => true)
+      await new Promise(resolve => setTimeout(resolve, 20))
+      await fleet.receiveHeartbeat({ ...heartbeat, ...change })
+      const isEnded = await Promise.race([polled, new Promise(resolve => setTimeout(resolve, 200)).then(() => false)])
+      expect(isEnded, JSON.stringify(change)).to.equal(true)
+      expect(view.findServer('i-1')).to.include(change)
+    }
+  })
+
   // Guards against requests of other hosts to a server that says in its responses that it leaves, and never reports it (DRAIN).
   it('lists a server as leaving when a host has read so in a response, until a later start of it', async () => {
     const heartbeat = { ...leavingHeartbeat, leaving: false }
