Keep the later start of a server when a new leader lists an earlier one

Cause: a host took over the record of a new leader unless it made a leaving server ready. A leader that had seeded its registry from an older view turned a ready server back to its earlier start and software version, and a stream of that version went on at the server.

Change: while the leader may lack updates, a host keeps the record of a later start, whatever the phase of the other one, and within a start the newer record of a ready server. Records that a server of the same start leaves or is gone are still taken over, since a later update would not repeat them. A kept start that the leader has not listed by the time that its list is complete has stopped and is removed. A record that names no software version keeps the version known for the same start.

--- a/src/process/fleet/backendServerRegistry.ts
+++ b/src/process/fleet/backendServerRegistry.ts
@@ -175,8 +175,14 @@
   return heartbeat.service !== known.service || heartbeat.address !== known.address || (heartbeat.startedAt > 0 && hasOtherSoftware)
 }
 
-// A control host of an earlier version of this program forwards heartbeats without the software version.
-function keepSoftwareVersion (heartbeat: Heartbeat, known: BackendServerRecord | undefined): Heartbeat {
+/**
+ * Adds the known software version to a heartbeat of the same start that names none: a control host of an earlier version of this program
+ * forwards heartbeats without it.
+ * @param heartbeat - the heartbeat or record
+ * @param known - the known record of the server; undefined if there is none
+ * @returns the heartbeat, with the known software version if it names none
+ */
+export function keepSoftwareVersion<T extends Heartbeat> (heartbeat: T, known: BackendServerRecord | undefined): T {
   if (heartbeat.softwareVersion !== undefined || heartbeat.startedAt === 0 || known?.startedAt !== heartbeat.startedAt) return heartbeat
   return { ...heartbeat, softwareVersion: known.softwareVersion }
 }
--- a/src/process/fleet/fleetView.ts
+++ b/src/process/fleet/fleetView.ts
@@ -8,7 +8,7 @@
 import { LogEvents } from '../program/logEvents.ts'
 import type { Logger } from '../program/logger.ts'
 import { createRouteIndex, type GatewayTables, type RouteIndex } from '../../version/gatewayTables.ts'
-import { type BackendServerRecord, isNewer, ServerPhase } from './backendServerRegistry.ts'
+import { type BackendServerRecord, isNewer, keepSoftwareVersion, ServerPhase } from './backendServerRegistry.ts'
 import { createQuarantineView, type QuarantineView } from './quarantineView.ts'
 import { createLeavingServers, type LeavingServers } from './leavingServers.ts'
 import { createRemoteLoads, type RemoteLoads } from './remoteLoads.ts'
@@ -197,14 +197,16 @@
   function applyServers (update: FleetUpdate): void {
     const isSameLeadership = update.leadership === leadership
     if (!isSameLeadership) listedServers.clear()
+    // A new leader may lack updates that its predecessor received, for example that a server is leaving, until every server has contacted it.
+    const mayLackUpdates = !isSameLeadership || !isSettled
     for (const record of update.servers) {
-      listedServers.add(record.id)
       leavingServers.applyRecord(record)
       const known = servers.get(record.id)
-      // A new leader may lack updates that its predecessor received, for example that a server is leaving, until every server has contacted it.
-      const mayLackUpdates = !isSameLeadership || !isSettled
-      const isStale = mayLackUpdates && known !== undefined && known.phase !== ServerPhase.Ready && record.phase === ServerPhase.Ready && !isNewer(record, known)
-      if (!isStale) servers.set(record.id, record)
+      const isKept = mayLackUpdates && known !== undefined && isOutdated(record, known)
+      // A ready server whose present start the leader has not listed by the time that its list is complete has stopped.
+      if (isKept && known.phase === ServerPhase.Ready && known.startedAt > record.startedAt) listedServers.delete(record.id)
+      else listedServers.add(record.id)
+      if (!isKept) servers.set(record.id, keepSoftwareVersion(record, known))
     }
     if (!update.isComplete || (isSameLeadership && isSettled)) return
     for (const id of servers.keys()) {
@@ -311,3 +313,11 @@
     }
   }
 }
+
+// Whether a record of a leader that may lack updates is older than the known one. Within one start a server that leaves or is gone does not
+// become ready with an older heartbeat; that it leaves is final, so it is taken over whichever heartbeat is newer.
+function isOutdated (record: BackendServerRecord, known: BackendServerRecord): boolean {
+  if (record.startedAt !== known.startedAt) return record.startedAt < known.startedAt
+  if (record.phase !== ServerPhase.Ready) return false
+  return known.phase === ServerPhase.Ready ? isNewer(known, record) : !isNewer(record, known)
+}
--- a/test/fleetRegistry.test.ts
+++ b/test/fleetRegistry.test.ts
@@ -158,6 +158,48 @@
     expect(fleet.listReadyServers('s')).to.deep.equal([])
   })
 
+  // Failure (trial T9): a new leader with an older record turned a ready server back to its earlier start and version, and a stream of that
+  // version went on at it.
+  it('keeps the later start of a server when a new leader sends the record of an earlier one', () => {
+    for (const phase of [ServerPhase.Ready, ServerPhase.Gone]) {
+      const view = createView()
+      view.applyUpdate(fleetUpdateOf({ servers: [recordOf('i-1', { startedAt: 2, softwareVersion: 'v2' })] }))
+      view.applyUpdate(fleetUpdateOf({ leadership: 'b/2', servers: [recordOf('i-1', { phase })], isComplete: false }))
+      expect(view.findServer('i-1')).to.include({ startedAt: 2, softwareVersion: 'v2', phase: ServerPhase.Ready })
+      view.applyUpdate(fleetUpdateOf({ leadership: 'b/2', serversRevision: 2, servers: [recordOf('i-1', { startedAt: 2, sequence: 2, softwareVersion: 'v2' })] }))
+      expect(view.findServer('i-1')).to.include({ startedAt: 2, sequence: 2, phase: ServerPhase.Ready })
+    }
+  })
+
+  // Guards against a server that has stopped and stays listed, since the leader knows only its earlier start.
+  it('removes a server when the complete list of a new leader has only an earlier start of it', () => {
+    const view = createView()
+    view.applyUpdate(fleetUpdateOf({ servers: [recordOf('i-1', { startedAt: 2, softwareVersion: 'v2' })] }))
+    view.applyUpdate(fleetUpdateOf({ leadership: 'b/2', servers: [recordOf('i-1')], isComplete: false }))
+    view.applyUpdate(fleetUpdateOf({ leadership: 'b/2', serversRevision: 2, servers: [] }))
+    expect(view.findServer('i-1')).to.equal(undefined)
+  })
+
+  // Failure it guards against: a new leader whose record is from a host of an earlier version removed the known software version of a server.
+  it('keeps the software version of a start when a new leader names none', () => {
+    const view = createView()
+    view.applyUpdate(fleetUpdateOf({ servers: [recordOf('i-1')] }))
+    view.applyUpdate(fleetUpdateOf({ leadership: 'b/2', servers: [recordOf('i-1', { sequence: 2, softwareVersion: undefined })], isComplete: false }))
+    expect(view.findServer('i-1')).to.include({ sequence: 2, softwareVersion: 'v1' })
+    view.applyUpdate(fleetUpdateOf({ leadership: 'b/2', serversRevision: 2, servers: [recordOf('i-1', { startedAt: 2, softwareVersion: undefined })], isComplete: false }))
+    expect(view.findServer('i-1')).to.include({ startedAt: 2, softwareVersion: undefined })
+  })
+
+  // Guards against a server without a reported start that returns to the version of an older heartbeat.
+  it('keeps a newer heartbeat of a ready server, and takes over that it is gone', () => {
+    const view = createView()
+    view.applyUpdate(fleetUpdateOf({ servers: [recordOf('i-1', { startedAt: 0, sequence: 9, softwareVersion: 'v2' })] }))
+    view.applyUpdate(fleetUpdateOf({ leadership: 'b/2', servers: [recordOf('i-1', { startedAt: 0, sequence: 8 })], isComplete: false }))
+    expect(view.findServer('i-1')).to.include({ sequence: 9, softwareVersion: 'v2' })
+    view.applyUpdate(fleetUpdateOf({ leadership: 'b/2', serversRevision: 2, servers: [recordOf('i-1', { startedAt: 0, sequence: 8, phase: ServerPhase.Gone })], isComplete: false }))
+    expect(view.findServer('i-1')?.phase).to.equal(ServerPhase.Gone)
+  })
+
   // Guards against a new leader with older tables replacing newer ones at a host.
   it('never returns to an older version of the tables', () => {
     const fleet = createView()
