Send and store no item's run whose server may have another version

Cause: an executor sent a run although its own list had a later start or another software version of the server than the assignment. The leader stored the output as that of the assigned version. The same happened when the executor learned of the restart during the run.

Change: such a run ends as not run, before anything is sent. If the list has another version by the end of the run, a whole run ends as interrupted, and none of its output becomes part of the item: the report sets isExcessive, with which leaders of earlier versions, too, discard what they have saved of the run. New events are not reported meanwhile. A list that is older than the assignment changes nothing, nor does a restart with the same version during the run.

As with an excessive output, the leader counts a failure of the server, so its next item may be delayed.

--- a/src/process/fleet/itemExecutor.ts
+++ b/src/process/fleet/itemExecutor.ts
@@ -109,7 +109,7 @@
     const { item, host, target } = assignment
     if (view.requestLimits.find(target.id) !== undefined) metrics.count(Counter.LimitedRequests, 'item')
     const server = { id: target.id, startedAt: assignment.startedAt }
-    run.outcome = isLeaving(server)
+    run.outcome = isLeaving(server) || isOutdated(assignment)
       ? { end: RunEnd.NotRun }
       : await runSubmittedItem({
         item,
@@ -126,6 +126,7 @@
         },
         signal: AbortSignal.any([closeSignal, controller.signal])
       })
+    run.outcome = withoutForeignOutput(run, run.outcome)
     run.endedAt = clock.now()
     const { end, failure, isExcessive } = run.outcome
     if (isExcessive === true) discardProgress(run)
@@ -158,8 +159,30 @@
     return record !== undefined && record.phase !== ServerPhase.Ready
   }
 
-  function isReportDue ({ outcome, progress, reportedAt }: ExecutorRun, now: number): boolean {
+  // The leader may have planned the run before it learned of a later start of the server.
+  function isOutdated (assignment: RunAssignment): boolean {
+    const record = view.findServer(assignment.target.id)
+    return record !== undefined && (record.startedAt > assignment.startedAt || isOtherVersion(assignment))
+  }
+
+  // Whether another version than that of the assignment, with which its output is stored, runs at the server by now. The list of this host may
+  // also be older than that of the leader.
+  function isOtherVersion ({ target, startedAt, softwareVersion }: RunAssignment): boolean {
+    const record = view.findServer(target.id)
+    if (softwareVersion === undefined || record === undefined || record.startedAt < startedAt) return false
+    return record.softwareVersion === undefined ? record.startedAt > startedAt : record.softwareVersion !== softwareVersion
+  }
+
+  // Nothing tells the events of one start of a server from those of the next, so none of the run is stored when the version may have changed.
+  function withoutForeignOutput ({ assignment, progress, savedEvents }: ExecutorRun, outcome: RunOutcome): RunOutcome {
+    const hasOutput = savedEvents + progress.data.length > assignment.savedEvents
+    if (!isOtherVersion(assignment) || (outcome.end !== RunEnd.Complete && !hasOutput)) return outcome
+    return { ...outcome, end: RunEnd.Interrupted, isExcessive: hasOutput }
+  }
+
+  function isReportDue ({ assignment, outcome, progress, reportedAt }: ExecutorRun, now: number): boolean {
     if (outcome !== undefined) return true
+    if (isOtherVersion(assignment)) return false
     return progress.data.length >= minReportedEvents && now - reportedAt >= progressIntervalMs
   }
 
--- a/src/process/fleet/runMessages.ts
+++ b/src/process/fleet/runMessages.ts
@@ -88,7 +88,10 @@
   readonly end: RunEnd | undefined
   /** Whether the run failed before anything was sent. */
   readonly isUnreachable: boolean
-  /** Whether the run had more output than the item can have; the leader discards what it has saved of the run. */
+  /**
+   * Whether the run had more output than the item can have, or another software version may have written it; the leader discards what it has
+   * saved of the run.
+   */
   readonly isExcessive?: boolean | undefined
   /** Duration of the run so far, in milliseconds. */
   readonly durationMs: number
--- a/src/request/submittedItemRun.ts
+++ b/src/request/submittedItemRun.ts
@@ -76,7 +76,7 @@
   readonly failure?: Failure
   /** Whether the run failed before anything was sent. */
   readonly isUnreachable?: boolean
-  /** Whether the run had more output than the item can have, so that none of it is part of the item's output. */
+  /** Whether none of the run's output is part of the item's: it is more than the item can have, or another software version may have written it. */
   readonly isExcessive?: boolean
 }
 
