Send records of streams again to hosts that restart or fail

Cause: records were sent once, and again only when the list of addresses changed. An executor that restarts at its address is the same entry in the list, and the records of a failed call were dropped, so take-ups were refused although the gateway that began the stream still knew its origin.

Change: the answer of streams.record names the random id of the store. The task of a host sends the gateway's records of the last 10 s again, at most 1,000, when that id has changed or a call has failed; without records it asks every second. The field is optional, so hosts of both builds work together.

--- a/src/connection/internalRouter.ts
+++ b/src/connection/internalRouter.ts
@@ -38,6 +38,14 @@
   streamRecords?: StreamRecordStore | undefined
 }
 
+/** Answer of a host to which records were sent. */
+export interface RecordedStreams {
+  /** Number of records that the host has stored. */
+  readonly count: number
+  /** Random id of the store, which changes when the host restarts; hosts of earlier versions of the program send none. */
+  readonly start?: string | undefined
+}
+
 /** What a host knows of the streams that it was asked for. */
 export interface FoundStreams {
   readonly records: readonly StreamRecord[]
@@ -140,7 +148,7 @@
       record: procedure.input(streamRecordsSchema).mutation(({ input }) => {
         if (services.streamRecords === undefined) return createMissingRoleReply(Step.RecordStreams)
         for (const record of input.records) services.streamRecords.record(record)
-        return toReply(ok({ count: input.records.length }))
+        return toReply(ok<RecordedStreams>({ count: input.records.length, start: services.streamRecords.start }))
       }),
       find: procedure.input(streamIdsSchema).mutation(({ input }) =>
         services.streamRecords === undefined ? createMissingRoleReply(Step.FindStreams) : toReply(ok(findStreams(input.ids, services.streamRecords))))
--- a/src/connection/streamKeeperLink.ts
+++ b/src/connection/streamKeeperLink.ts
@@ -10,7 +10,7 @@
 import type { Random } from '../process/program/random.ts'
 import { type OriginLookup, OriginLookupKind, type StreamRecord } from '../process/fleet/streamRecords.ts'
 import { type InternalClients, TrafficClass } from './internalClient.ts'
-import type { FoundStreams } from './internalRouter.ts'
+import type { FoundStreams, RecordedStreams } from './internalRouter.ts'
 
 /** Timeout for sending records, in milliseconds. */
 const recordTimeoutMs = 500
@@ -21,10 +21,10 @@
 /** Maximum delay after records could not be sent, in milliseconds; the delay is random. */
 const maxRetryDelayMs = 200
 
-/** Interval at which a task without records wakes up, in milliseconds. */
+/** Interval at which a task without records asks whether its host has restarted, in milliseconds. */
 const idleCheckMs = 1_000
 
-/** Maximum number of records that wait for one host. */
+/** Maximum number of records that wait for one host; also bounds what is sent again to a host that has restarted. */
 const maxQueuedRecords = 1_000
 
 /** Age from which a record is not sent any more, in milliseconds: callers resume a broken stream at once. */
@@ -33,11 +33,12 @@
 /** Calls to the hosts that keep records. */
 export interface StreamKeeperClient {
   /**
-   * Sends records; they are not sent again.
+   * Sends records.
    * @param address - internal address of the host
-   * @param records - the records
+   * @param records - the records; none to learn only whether the host has restarted
+   * @returns the answer of the host, or why it is not known whether it has the records
    */
-  record (address: string, records: readonly StreamRecord[]): Promise<Result<unknown, Failure>>
+  record (address: string, records: readonly StreamRecord[]): Promise<Result<RecordedStreams, Failure>>
   /**
    * Looks up the origin of a stream.
    * @param address - internal address of the host
@@ -53,7 +54,7 @@
  */
 export function createStreamKeeperClient (clients: InternalClients): StreamKeeperClient {
   return {
-    record: async (address, records) => await clients.callReply<unknown>(address, TrafficClass.Live, Step.RecordStreams, recordTimeoutMs, (client, signal) =>
+    record: async (address, records) => await clients.callReply<RecordedStreams>(address, TrafficClass.Live, Step.RecordStreams, recordTimeoutMs, (client, signal) =>
       client.streams.record.mutate({ records: [...records] }, { signal })),
     find: async (address, id) => await clients.callReply<FoundStreams>(address, TrafficClass.Live, Step.FindStreams, lookupTimeoutMs, (client, signal) =>
       client.streams.find.mutate({ ids: [id] }, { signal })).map(found => readLookup(found, id))
@@ -117,6 +118,8 @@
   /** Internal address of the host. */
   readonly address: string
   readonly queue: StreamRecordQueue
+  /** Lists the records of this gateway that the host should have, the oldest first. */
+  readonly listRecent: () => readonly StreamRecord[]
   readonly client: StreamKeeperClient
   readonly clock: Clock
   readonly random: Random
@@ -125,22 +128,31 @@
 
 /**
  * Sends the queued records of one host until the signal aborts, in one call at a time. Records that arrive during a call are sent
- * in the next one; those of a failed call are not sent again.
+ * in the next one. After a failed call, and when the host has restarted, all recent records are sent again.
  * @param link - dependencies of the task
  * @param signal - ends the task
  * @returns a promise that resolves when the task has ended
  */
-export async function runStreamRecords ({ address, queue, client, clock, random, metrics }: StreamKeeperLink, signal: AbortSignal): Promise<void> {
-  // Opens the connection before the first look-up needs it.
-  await client.record(address, [])
+export async function runStreamRecords ({ address, queue, listRecent, client, clock, random, metrics }: StreamKeeperLink, signal: AbortSignal): Promise<void> {
+  let answer: RecordedStreams | undefined
+  // The first call has no records; it opens the connection before the first look-up needs it.
+  let records: readonly StreamRecord[] = []
   while (!signal.aborted) {
-    const records = queue.take()
-    if (records.length === 0) {
-      await queue.added.wait(idleCheckMs, signal)
-      continue
-    }
     const sent = await client.record(address, records)
-    metrics.count(Counter.StreamRecords, sent.isOk() ? 'sent' : 'failed', records.length)
-    if (sent.isErr()) await clock.sleep(random.next() * maxRetryDelayMs, signal)
+    if (records.length > 0) metrics.count(Counter.StreamRecords, sent.isOk() ? 'sent' : 'failed', records.length)
+    const isRestarted = sent.isOk() && answer !== undefined && answer.start !== sent.value.start
+    if (sent.isOk()) answer = sent.value
+    else await clock.sleep(random.next() * maxRetryDelayMs, signal)
+    if (signal.aborted) return
+    records = sent.isErr() || isRestarted ? refill(queue, listRecent()) : queue.take()
+    if (records.length > 0) continue
+    await queue.added.wait(idleCheckMs, signal)
+    records = queue.take()
   }
 }
+
+// The queued records are among the recent ones, unless they are outdated.
+function refill (queue: StreamRecordQueue, recent: readonly StreamRecord[]): StreamRecord[] {
+  queue.take()
+  return recent.slice(-maxQueuedRecords)
+}
--- a/src/process/fleet/streamOrigins.ts
+++ b/src/process/fleet/streamOrigins.ts
@@ -12,7 +12,7 @@
 import { listLookupKeepers, listRecordKeepers } from './streamKeepers.ts'
 import { createStreamRecordStore, maxStreamIdLength, type OriginLookup, OriginLookupKind, type StreamOrigin, type StreamRecord } from './streamRecords.ts'
 
-/** Age up to which records are sent again when the hosts that keep records change, in milliseconds. */
+/** Age up to which records are sent again when the hosts that keep records change, restart or fail, in milliseconds. */
 const resendAgeMs = 10_000
 
 /** Interval at which the hosts that keep records are compared without an update, in milliseconds. */
@@ -107,6 +107,10 @@
     }
   }
 
+  function listRecent (keeper: string): StreamRecord[] {
+    return own.listRecent(resendAgeMs).filter(({ id }) => listRecordKeepers(id, keepers).includes(keeper))
+  }
+
   async function search (id: string): Promise<OriginSearch> {
     const known = own.find(id)
     if (known.kind !== OriginLookupKind.Unknown) {
@@ -153,7 +157,7 @@
         if (view.streamKeepers.join() !== keepers.join()) applyKeepers(view.streamKeepers)
         tasks.abortAllExcept(new Set(keepers))
         for (const [address, queue] of queues) {
-          tasks.ensure(address, async taskSignal => await runStreamRecords({ address, queue, client, clock, random, metrics }, taskSignal))
+          tasks.ensure(address, async taskSignal => await runStreamRecords({ address, queue, listRecent: () => listRecent(address), client, clock, random, metrics }, taskSignal))
         }
         await view.changed.wait(keeperCheckMs, signal)
       }
--- a/src/process/fleet/streamRecords.ts
+++ b/src/process/fleet/streamRecords.ts
@@ -2,6 +2,7 @@
  * Records of which service and software version began a stream, and a bounded store of them.
  * @module
  */
+import { randomUUID } from 'node:crypto'
 import type { Clock } from '../program/clock.ts'
 
 /** What wrote the first event of a stream. Only servers of the same service and software version may continue it. */
@@ -56,6 +57,8 @@
 
 /** A bounded store of records. It starts empty, so a missing record says nothing about the stream. */
 export interface StreamRecordStore {
+  /** Random id of this store. A host that restarts has another one, by which gateways learn that its records are gone. */
+  readonly start: string
   /**
    * Stores a record. A record with another origin than a stored one makes the origin of the stream conflicting.
    * @param record - the record
@@ -93,6 +96,7 @@
   }
 
   return {
+    start: randomUUID(),
     record ({ id, service, softwareVersion }) {
       const stored = origins.get(id)
       const isConflicting = stored !== undefined && (stored.isConflicting || stored.service !== service || stored.softwareVersion !== softwareVersion)
--- a/test/streamOrigins.test.ts
+++ b/test/streamOrigins.test.ts
@@ -228,7 +228,7 @@
       }
     }
     const controller = new AbortController()
-    const task = runStreamRecords({ address: 'k', queue, client, clock, random: createSeededRandom(1), metrics }, controller.signal)
+    const task = runStreamRecords({ address: 'k', queue, listRecent: () => [], client, clock, random: createSeededRandom(1), metrics }, controller.signal)
     for (let number = 0; number < 1_003; number++) queue.add({ id: `q-${number}`, ...origin })
     expect(metrics.read(Counter.StreamRecords, 'dropped')).to.equal(3)
     const settle = async (): Promise<unknown> => await new Promise(resolve => setTimeout(resolve, 10))
@@ -265,7 +265,7 @@
     const [keeper = '', other = ''] = addresses
     const clients = createInternalClients(lifecycle)
     const client = createStreamKeeperClient(clients)
-    expect((await client.record(keeper, [{ id: 'q', ...origin }])).isOk()).to.equal(true)
+    expect((await client.record(keeper, [{ id: 'q', ...origin }]))._unsafeUnwrap()).to.deep.equal({ count: 1, start: store.start })
     expect((await client.find(keeper, 'q'))._unsafeUnwrap()).to.deep.equal({ kind: OriginLookupKind.Known, origin })
     expect((await client.find(keeper, 'q-2'))._unsafeUnwrap()).to.deep.equal({ kind: OriginLookupKind.Unknown })
     store.record({ id: 'q', service: 's', softwareVersion: 'v2' })
--- a/test/support/fakeFleet.ts
+++ b/test/support/fakeFleet.ts
@@ -18,6 +18,7 @@
 import { createSystemRandom } from '../../src/process/program/random.ts'
 import { createStreamOrigins, type StreamOriginService } from '../../src/process/fleet/streamOrigins.ts'
 import { createStreamRecordStore, type OriginLookup, type StreamRecord, type StreamRecordStore } from '../../src/process/fleet/streamRecords.ts'
+import type { RecordedStreams } from '../../src/connection/internalRouter.ts'
 import type { StreamKeeperClient } from '../../src/connection/streamKeeperLink.ts'
 import { CallerResponse, type CallerRequest, type GatewayRefusal } from '../../src/request/callerExchange.ts'
 import type { ForwardingServices } from '../../src/request/forwardedAttempt.ts'
@@ -207,11 +208,11 @@
     this.stores.set(address, createStreamRecordStore(createSystemClock()))
   }
 
-  async record (address: string, records: readonly StreamRecord[]): Promise<Result<unknown, Failure>> {
+  async record (address: string, records: readonly StreamRecord[]): Promise<Result<RecordedStreams, Failure>> {
     const store = await this.call(address)
     if (store.isErr()) return err(store.error)
     for (const record of records) store.value.record(record)
-    return ok(records.length)
+    return ok({ count: records.length, start: store.value.start })
   }
 
   async find (address: string, id: string): Promise<Result<OriginLookup, Failure>> {
