Let a conflict win over the first answer, and send conflicts until acknowledged

Cause: a look-up ended with the first host that named an origin, although another one may know that the stream was revoked or has contradicting records. A revocation was sent once, to the two hosts with the record, so a host that missed the call kept naming the revoked origin.

Change: after the first origin the other answers are waited for 15 ms at most. A conflict wins, and so does a second origin that differs. Records without a software version make an origin conflicting at once, go to all three hosts that are asked, and are part of what is sent again after a failed call or a restart while the gateway keeps them (60 s). A host of the previous build that has only such a record names an origin with an empty version; the gateway takes that for a conflict.

--- a/src/connection/streamKeeperLink.ts
+++ b/src/connection/streamKeeperLink.ts
@@ -8,7 +8,7 @@
 import { type Failure, Step } from '../process/program/failure.ts'
 import { Counter, type Metrics } from '../process/program/metrics.ts'
 import type { Random } from '../process/program/random.ts'
-import { type OriginLookup, OriginLookupKind, type StreamRecord } from '../process/fleet/streamRecords.ts'
+import { noSoftwareVersion, type OriginLookup, OriginLookupKind, type StreamRecord } from '../process/fleet/streamRecords.ts'
 import { type InternalClients, TrafficClass } from './internalClient.ts'
 import type { FoundStreams, RecordedStreams } from './internalRouter.ts'
 
@@ -65,6 +65,8 @@
   if (conflicting.includes(id)) return { kind: OriginLookupKind.Conflicting }
   const record = records.find(found => found.id === id)
   if (record === undefined) return { kind: OriginLookupKind.Unknown }
+  // A host of an earlier version of the program that has only this record does not take it for a conflict.
+  if (record.softwareVersion === noSoftwareVersion) return { kind: OriginLookupKind.Conflicting }
   return { kind: OriginLookupKind.Known, origin: { service: record.service, softwareVersion: record.softwareVersion } }
 }
 
@@ -77,7 +79,7 @@
    * @param record - the record
    */
   add (record: StreamRecord): void
-  /** Removes all records, and returns those that are recent enough to be sent. */
+  /** Removes all records, and returns those that are recent enough to be sent, and those that make an origin conflicting. */
   take (): StreamRecord[]
 }
 
@@ -104,7 +106,7 @@
       const oldestAt = clock.now() - maxQueuedMs
       const recent: StreamRecord[] = []
       for (const { record, addedAt } of queued) {
-        if (addedAt >= oldestAt) recent.push(record)
+        if (addedAt >= oldestAt || record.softwareVersion === noSoftwareVersion) recent.push(record)
         else metrics.count(Counter.StreamRecords, 'dropped')
       }
       queued = []
--- a/src/process/fleet/streamOrigins.ts
+++ b/src/process/fleet/streamOrigins.ts
@@ -4,13 +4,14 @@
  */
 import type { Result } from 'neverthrow'
 import { createStreamRecordQueue, runStreamRecords, type StreamKeeperClient, type StreamRecordQueue } from '../../connection/streamKeeperLink.ts'
+import type { Clock } from '../program/clock.ts'
 import type { Failure } from '../program/failure.ts'
 import { Counter } from '../program/metrics.ts'
 import type { ProcessServices } from '../program/processServices.ts'
 import { createTaskSet } from '../program/taskSet.ts'
 import type { FleetView } from './fleetView.ts'
 import { listLookupKeepers, listRecordKeepers } from './streamKeepers.ts'
-import { createStreamRecordStore, maxStreamIdLength, type OriginLookup, OriginLookupKind, type StreamOrigin, type StreamRecord } from './streamRecords.ts'
+import { createStreamRecordStore, maxStreamIdLength, noSoftwareVersion, type OriginLookup, OriginLookupKind, type StreamOrigin, type StreamRecord } from './streamRecords.ts'
 
 /** Age up to which records are sent again when the hosts that keep records change, restart or fail, in milliseconds. */
 const resendAgeMs = 10_000
@@ -18,8 +19,11 @@
 /** Interval at which the hosts that keep records are compared without an update, in milliseconds. */
 const keeperCheckMs = 1_000
 
-/** A software version that no server has; a record with it makes the origin of a stream conflicting. */
-const noSoftwareVersion = ''
+/**
+ * Time for which the other hosts are waited for after one has named an origin, in milliseconds: hosts of the same region answer within a few,
+ * and one of them may know that the origin is conflicting. The caller waits meanwhile.
+ */
+const contradictionWaitMs = 15
 
 /** Why the origin of a stream was not found. */
 export const MissingOriginReason = {
@@ -86,7 +90,7 @@
   let keepers: readonly string[] = []
 
   function send (record: StreamRecord, isNeeded: (keeper: string) => boolean = () => true): void {
-    for (const keeper of listRecordKeepers(record.id, keepers)) {
+    for (const keeper of listKeepers(record, keepers)) {
       if (isNeeded(keeper)) queues.get(keeper)?.add(record)
     }
   }
@@ -102,13 +106,13 @@
       if (!queues.has(keeper)) queues.set(keeper, createStreamRecordQueue(clock, metrics))
     }
     for (const record of own.listRecent(resendAgeMs)) {
-      const sentTo = listRecordKeepers(record.id, previous)
+      const sentTo = listKeepers(record, previous)
       send(record, keeper => !sentTo.includes(keeper))
     }
   }
 
   function listRecent (keeper: string): StreamRecord[] {
-    return own.listRecent(resendAgeMs).filter(({ id }) => listRecordKeepers(id, keepers).includes(keeper))
+    return own.listRecent(resendAgeMs).filter(record => listKeepers(record, keepers).includes(keeper))
   }
 
   async function search (id: string): Promise<OriginSearch> {
@@ -121,7 +125,7 @@
     const isComplete = view.isPopulated
     const asked = isComplete ? listLookupKeepers(id, keepers) : keepers
     const lookups = asked.map(async keeper => await client.find(keeper, id))
-    const answer = lookups.length === 0 ? undefined : await waitForAnswer(lookups)
+    const answer = lookups.length === 0 ? undefined : await waitForAnswer(lookups, clock)
     if (answer !== undefined) {
       if (answer.kind === OriginLookupKind.Known) metrics.count(Counter.StreamLookups, 'found')
       return toSearch(answer)
@@ -137,7 +141,8 @@
       if (id === '' || id.length > maxStreamIdLength || softwareVersion === undefined) return
       const record = { id, service, softwareVersion }
       own.record(record)
-      send(record)
+      const isConflicting = own.find(id).kind === OriginLookupKind.Conflicting
+      send(isConflicting ? { ...record, softwareVersion: noSoftwareVersion } : record)
     },
     revoke (id) {
       const known = own.find(id)
@@ -174,15 +179,37 @@
   }
 }
 
-// Resolves with the first answer of a host that has records, or undefined when none has any.
-async function waitForAnswer (lookups: ReadonlyArray<Promise<Result<OriginLookup, Failure>>>): Promise<OriginLookup | undefined> {
+// A conflicting record goes to all hosts that are asked, so that none of them names an origin.
+function listKeepers ({ id, softwareVersion }: StreamRecord, keepers: readonly string[]): string[] {
+  return softwareVersion === noSoftwareVersion ? listLookupKeepers(id, keepers) : listRecordKeepers(id, keepers)
+}
+
+// Two answers with different origins are as conflicting as two such records at one host.
+function mergeLookups (left: OriginLookup, right: OriginLookup): OriginLookup {
+  if (left.kind === OriginLookupKind.Unknown) return right
+  if (right.kind === OriginLookupKind.Unknown || left.kind === OriginLookupKind.Conflicting) return left
+  if (right.kind === OriginLookupKind.Conflicting) return right
+  const isSame = left.origin.service === right.origin.service && left.origin.softwareVersion === right.origin.softwareVersion
+  return isSame ? left : { kind: OriginLookupKind.Conflicting }
+}
+
+// Resolves with what the hosts know together, as soon as it is conflicting or all have answered; or undefined when none has any record.
+// Once one has named an origin, the others are waited for briefly.
+async function waitForAnswer (lookups: ReadonlyArray<Promise<Result<OriginLookup, Failure>>>, clock: Clock): Promise<OriginLookup | undefined> {
   return await new Promise((resolve, reject) => {
     let pending = lookups.length
+    let merged: OriginLookup = { kind: OriginLookupKind.Unknown }
+    let cancelTimer: (() => void) | undefined
+    const end = (): void => {
+      cancelTimer?.()
+      resolve(merged.kind === OriginLookupKind.Unknown ? undefined : merged)
+    }
     for (const lookup of lookups) {
       lookup.then(result => {
         pending--
-        if (result.isOk() && result.value.kind !== OriginLookupKind.Unknown) resolve(result.value)
-        else if (pending === 0) resolve(undefined)
+        if (result.isOk()) merged = mergeLookups(merged, result.value)
+        if (pending === 0 || merged.kind === OriginLookupKind.Conflicting) end()
+        else if (merged.kind === OriginLookupKind.Known) cancelTimer ??= clock.schedule(contradictionWaitMs, end)
       }, reject)
     }
   })
--- a/src/process/fleet/streamRecords.ts
+++ b/src/process/fleet/streamRecords.ts
@@ -39,6 +39,9 @@
   | { readonly kind: typeof OriginLookupKind.Unknown }
   | { readonly kind: typeof OriginLookupKind.Conflicting }
 
+/** A software version that no server has; a record with it makes the origin of a stream conflicting, whatever else is recorded. */
+export const noSoftwareVersion = ''
+
 /** Maximum length of the id of an attempt, in characters; streams with longer ids are not recorded. */
 export const maxStreamIdLength = 128
 
@@ -70,8 +73,8 @@
    */
   find (id: string): OriginLookup
   /**
-   * Lists the records that are not conflicting, the oldest first.
-   * @param maxAgeMs - maximum age of a record, in milliseconds
+   * Lists the records up to an age, the oldest first, and after them the conflicting ones of any age, with `noSoftwareVersion`.
+   * @param maxAgeMs - maximum age of a record that is not conflicting, in milliseconds
    */
   listRecent (maxAgeMs: number): StreamRecord[]
 }
@@ -99,7 +102,8 @@
     start: randomUUID(),
     record ({ id, service, softwareVersion }) {
       const stored = origins.get(id)
-      const isConflicting = stored !== undefined && (stored.isConflicting || stored.service !== service || stored.softwareVersion !== softwareVersion)
+      const isContradicted = stored !== undefined && (stored.isConflicting || stored.service !== service || stored.softwareVersion !== softwareVersion)
+      const isConflicting = softwareVersion === noSoftwareVersion || isContradicted
       origins.delete(id)
       origins.set(id, { service, softwareVersion, recordedAt: clock.now(), isConflicting })
       discard()
@@ -114,10 +118,12 @@
     listRecent (maxAgeMs) {
       const oldestAt = clock.now() - maxAgeMs
       const recent: StreamRecord[] = []
+      const conflicting: StreamRecord[] = []
       for (const [id, { service, softwareVersion, recordedAt, isConflicting }] of origins) {
-        if (recordedAt >= oldestAt && !isConflicting) recent.push({ id, service, softwareVersion })
+        if (isConflicting) conflicting.push({ id, service, softwareVersion: noSoftwareVersion })
+        else if (recordedAt >= oldestAt) recent.push({ id, service, softwareVersion })
       }
-      return recent
+      return [...recent, ...conflicting]
     }
   }
 }
--- a/test/streamKeepers.test.ts
+++ b/test/streamKeepers.test.ts
@@ -1,10 +1,12 @@
 import { expect } from 'chai'
+import type { Result } from 'neverthrow'
 import type { StreamKeeperClient } from '../src/connection/streamKeeperLink.ts'
-import { listRecordKeepers } from '../src/process/fleet/streamKeepers.ts'
-import { createStreamOrigins, type StreamOriginService } from '../src/process/fleet/streamOrigins.ts'
-import { OriginLookupKind } from '../src/process/fleet/streamRecords.ts'
+import { listLookupKeepers, listRecordKeepers } from '../src/process/fleet/streamKeepers.ts'
+import { createStreamOrigins, MissingOriginReason, type StreamOriginService } from '../src/process/fleet/streamOrigins.ts'
+import { type OriginLookup, OriginLookupKind } from '../src/process/fleet/streamRecords.ts'
 import { createSystemClock } from '../src/process/program/clock.ts'
 import { createCondition } from '../src/process/program/condition.ts'
+import type { Failure } from '../src/process/program/failure.ts'
 import { Counter, createMetrics, type Metrics } from '../src/process/program/metrics.ts'
 import { createSeededRandom } from '../src/process/program/random.ts'
 import { eventually } from '../scripts/processes.ts'
@@ -39,6 +41,11 @@
     await eventually(`${id} ${kind} at ${addresses.join()}`, 4_000, async () => addresses.every(address => findAt(address, id) === kind) ? true : undefined)
   }
 
+  // Calls a host as usual, unless the test replaces the look-up.
+  function clientOf (find: StreamKeeperClient['find']): StreamKeeperClient {
+    return { record: async (address, records) => await hosts.record(address, records), find }
+  }
+
   // Failure it guards against: hosts that restarted at their addresses got no record of running streams again, so their callers lost them.
   it('sends records again to hosts that have restarted at their addresses', async () => {
     const { origins } = startGateway()
@@ -58,4 +65,39 @@
     hosts.lost.delete(firstHolder)
     await waitForKind([firstHolder], 'q', OriginLookupKind.Known)
   })
+
+  // Failure it guards against: the host that answered first hid from a take-up that another one knows of contradicting records.
+  for (const [name, softwareVersions] of [['contradicting records', ['v1', 'v2']], ['another version', ['v2']], ['a revocation', ['']]] as const) {
+    it(`believes ${name} that the second host reports after the first one`, async () => {
+      hosts.stores.get(firstHolder)?.record({ id: 'q', ...origin })
+      for (const softwareVersion of softwareVersions) hosts.stores.get(secondHolder)?.record({ id: 'q', service: 's', softwareVersion })
+      let firstAnswer: Promise<Result<OriginLookup, Failure>> | undefined
+      const { origins } = startGateway(clientOf(async (address, id) => {
+        if (address === secondHolder) await firstAnswer
+        const answer = hosts.find(address, id)
+        if (address === firstHolder) firstAnswer = answer
+        return await answer
+      }))
+      expect(await origins.find('q')).to.deep.equal({ origin: undefined, reason: MissingOriginReason.Conflicting })
+    })
+  }
+
+  // Failure it guards against: a take-up waited for hosts that are lost although another one had the record.
+  it('waits only briefly for the other hosts once one has the record', async () => {
+    hosts.stores.get(firstHolder)?.record({ id: 'q', ...origin })
+    const { origins } = startGateway(clientOf(async (address, id) => address === firstHolder ? await hosts.find(address, id) : await new Promise(() => {})))
+    expect((await origins.find('q')).origin).to.deep.equal(origin)
+  })
+
+  // Failure it guards against: a host that missed the only call with a revocation kept naming the revoked origin.
+  it('sends a revocation until all hosts that are asked have it', async () => {
+    const { origins, metrics } = startGateway()
+    origins.record('q', origin)
+    await waitForKind([firstHolder, secondHolder], 'q', OriginLookupKind.Known)
+    hosts.lost.add(firstHolder)
+    origins.revoke('q')
+    await eventually('a failed call', 2_000, async () => metrics.read(Counter.StreamRecords, 'failed') > 0 ? true : undefined)
+    hosts.lost.delete(firstHolder)
+    await waitForKind(listLookupKeepers('q', keepers), 'q', OriginLookupKind.Conflicting)
+  })
 })
