Look up the record of a stream once more before refusing its take-up

Cause: a caller that reconnects at once may reach the keepers before the record of its stream, which waits for the call in progress. All keepers answered that they have none, and the take-up was refused for good.

Change: when all hosts have answered without a record, they are asked once more after 100 ms, unless the caller's deadline comes first.

--- a/src/process/fleet/streamOrigins.ts
+++ b/src/process/fleet/streamOrigins.ts
@@ -25,6 +25,12 @@
  */
 const contradictionWaitMs = 15
 
+/**
+ * Delay of a second look-up after all hosts had no record, in milliseconds: a caller that reconnects at once may overtake the record, which
+ * waits for one call at most.
+ */
+const secondLookupMs = 100
+
 /** Why the origin of a stream was not found. */
 export const MissingOriginReason = {
   /** No host that was asked has a record. */
@@ -43,6 +49,14 @@
   readonly reason: MissingOriginReason | undefined
 }
 
+/** When the caller no longer waits for a search. */
+export interface SearchLimit {
+  /** Monotonic time by which the search ends, in milliseconds. */
+  readonly deadlineAt: number
+  /** Ends the search, for instance when the caller has closed its connection. */
+  readonly signal?: AbortSignal
+}
+
 /** The origins of streams. */
 export interface StreamOrigins {
   /**
@@ -59,8 +73,10 @@
   /**
    * Searches for the origin of a stream: in the records of this gateway, then at the hosts that keep records.
    * @param id - id of the caller's attempt that received the first event
+   * @param limit - ends the search early; by default it ends by the timeouts of the calls
+   * @returns the origin, or why it was not found; `TimedOut` after an early end without an answer
    */
-  find (id: string): Promise<OriginSearch>
+  find (id: string, limit?: SearchLimit): Promise<OriginSearch>
 }
 
 /** Dependencies of the origins. */
@@ -115,7 +131,16 @@
     return own.listRecent(resendAgeMs).filter(record => listKeepers(record, keepers).includes(keeper))
   }
 
-  async function search (id: string): Promise<OriginSearch> {
+  // Looks up once more when no host has a record yet, unless the caller's time would be over.
+  async function search (id: string, limit: SearchLimit): Promise<OriginSearch> {
+    const found = await lookUp(id)
+    if (found.reason !== MissingOriginReason.Unknown || keepers.length === 0) return found
+    if (clock.now() + secondLookupMs >= limit.deadlineAt) return found
+    await clock.sleep(secondLookupMs, limit.signal)
+    return limit.signal?.aborted === true ? found : await lookUp(id)
+  }
+
+  async function lookUp (id: string): Promise<OriginSearch> {
     const known = own.find(id)
     if (known.kind !== OriginLookupKind.Unknown) {
       if (known.kind === OriginLookupKind.Known) metrics.count(Counter.StreamLookups, 'own')
@@ -151,8 +176,8 @@
       own.record(record)
       send(record)
     },
-    async find (id) {
-      const found = id.length > maxStreamIdLength ? { origin: undefined, reason: MissingOriginReason.Unknown } : await search(id)
+    async find (id, limit = { deadlineAt: Infinity }) {
+      const found = id.length > maxStreamIdLength ? { origin: undefined, reason: MissingOriginReason.Unknown } : await search(id, limit)
       if (found.reason !== undefined) metrics.count(Counter.StreamLookups, found.reason)
       return found
     },
--- a/test/streamKeepers.test.ts
+++ b/test/streamKeepers.test.ts
@@ -100,4 +100,19 @@
     hosts.lost.delete(firstHolder)
     await waitForKind(listLookupKeepers('q', keepers), 'q', OriginLookupKind.Conflicting)
   })
+
+  // Failure it guards against: a take-up that overtook the record of its stream was refused for good.
+  it('looks up once more when the record arrives after the first look-up', async () => {
+    let calls = 0
+    const { origins } = startGateway(clientOf(async (address, id) => {
+      const answer = await hosts.find(address, id)
+      if (++calls === 3) hosts.stores.get(secondHolder)?.record({ id: 'q', ...origin })
+      return answer
+    }))
+    expect((await origins.find('q')).origin).to.deep.equal(origin)
+    expect(calls).to.equal(6)
+    calls = 3
+    expect((await origins.find('q-2')).reason).to.equal(MissingOriginReason.Unknown)
+    expect(calls).to.equal(9)
+  })
 })
