End the look-up of a stream when its caller no longer waits

Cause: a look-up waited for the timeouts of the calls, 250 ms, whatever the deadline of the request, and also after the caller had left.

Change: find takes the deadline of the request and its disconnect signal, and ends at the earlier of them with the reason of a missing answer. The wait that followed for the outcome of all calls is part of the same wait now.

--- a/src/process/fleet/streamOrigins.ts
+++ b/src/process/fleet/streamOrigins.ts
@@ -133,14 +133,14 @@
 
   // Looks up once more when no host has a record yet, unless the caller's time would be over.
   async function search (id: string, limit: SearchLimit): Promise<OriginSearch> {
-    const found = await lookUp(id)
+    const found = await lookUp(id, limit)
     if (found.reason !== MissingOriginReason.Unknown || keepers.length === 0) return found
     if (clock.now() + secondLookupMs >= limit.deadlineAt) return found
     await clock.sleep(secondLookupMs, limit.signal)
-    return limit.signal?.aborted === true ? found : await lookUp(id)
+    return limit.signal?.aborted === true ? found : await lookUp(id, limit)
   }
 
-  async function lookUp (id: string): Promise<OriginSearch> {
+  async function lookUp (id: string, limit: SearchLimit): Promise<OriginSearch> {
     const known = own.find(id)
     if (known.kind !== OriginLookupKind.Unknown) {
       if (known.kind === OriginLookupKind.Known) metrics.count(Counter.StreamLookups, 'own')
@@ -150,14 +150,12 @@
     const isComplete = view.isPopulated
     const asked = isComplete ? listLookupKeepers(id, keepers) : keepers
     const lookups = asked.map(async keeper => await client.find(keeper, id))
-    const answer = lookups.length === 0 ? undefined : await waitForAnswer(lookups, clock)
-    if (answer !== undefined) {
-      if (answer.kind === OriginLookupKind.Known) metrics.count(Counter.StreamLookups, 'found')
-      return toSearch(answer)
+    const { merged, isAnswered } = await waitForAnswers(lookups, limit, clock)
+    if (merged.kind !== OriginLookupKind.Unknown) {
+      if (merged.kind === OriginLookupKind.Known) metrics.count(Counter.StreamLookups, 'found')
+      return toSearch(merged)
     }
     if (!isComplete) return { origin: undefined, reason: MissingOriginReason.UnknownKeepers }
-    const results = await Promise.all(lookups)
-    const isAnswered = results.every(result => result.isOk())
     return { origin: undefined, reason: isAnswered ? MissingOriginReason.Unknown : MissingOriginReason.TimedOut }
   }
 
@@ -218,23 +216,38 @@
   return isSame ? left : { kind: OriginLookupKind.Conflicting }
 }
 
-// Resolves with what the hosts know together, as soon as it is conflicting or all have answered; or undefined when none has any record.
-// Once one has named an origin, the others are waited for briefly.
-async function waitForAnswer (lookups: ReadonlyArray<Promise<Result<OriginLookup, Failure>>>, clock: Clock): Promise<OriginLookup | undefined> {
+/** What the hosts that were asked know together. */
+interface MergedAnswers {
+  readonly merged: OriginLookup
+  /** Whether each host has answered. */
+  readonly isAnswered: boolean
+}
+
+// Waits until all hosts have answered or failed, the origin is conflicting, or the limit is reached. Once one has named an origin, the
+// others are waited for briefly.
+async function waitForAnswers (lookups: ReadonlyArray<Promise<Result<OriginLookup, Failure>>>, { deadlineAt, signal }: SearchLimit, clock: Clock): Promise<MergedAnswers> {
   return await new Promise((resolve, reject) => {
     let pending = lookups.length
+    let answered = 0
     let merged: OriginLookup = { kind: OriginLookupKind.Unknown }
-    let cancelTimer: (() => void) | undefined
+    const cancellations: Array<() => void> = []
     const end = (): void => {
-      cancelTimer?.()
-      resolve(merged.kind === OriginLookupKind.Unknown ? undefined : merged)
+      for (const cancel of cancellations) cancel()
+      signal?.removeEventListener('abort', end)
+      resolve({ merged, isAnswered: answered === lookups.length })
     }
+    if (pending === 0 || signal?.aborted === true) return end()
+    signal?.addEventListener('abort', end, { once: true })
+    cancellations.push(clock.schedule(Math.max(0, deadlineAt - clock.now()), end))
     for (const lookup of lookups) {
       lookup.then(result => {
         pending--
-        if (result.isOk()) merged = mergeLookups(merged, result.value)
+        if (result.isOk()) {
+          answered++
+          merged = mergeLookups(merged, result.value)
+        }
         if (pending === 0 || merged.kind === OriginLookupKind.Conflicting) end()
-        else if (merged.kind === OriginLookupKind.Known) cancelTimer ??= clock.schedule(contradictionWaitMs, end)
+        else if (merged.kind === OriginLookupKind.Known && cancellations.length === 1) cancellations.push(clock.schedule(contradictionWaitMs, end))
       }, reject)
     }
   })
--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -97,7 +97,7 @@
   const refusalBefore = findRefusal(progress, services)
   if (refusalBefore !== undefined) return giveUp(progress, services, refusalBefore)
   const { resumes } = request
-  const search = resumes === undefined || resumes === '' ? undefined : await origins.find(resumes)
+  const search = resumes === undefined || resumes === '' ? undefined : await origins.find(resumes, { deadlineAt: progress.deadlineAt, signal: request.disconnectSignal })
   if (request.disconnectSignal.aborted) return abortAfterDisconnect(progress, services)
   const decision = decideResumption(search, route, view)
   if (decision.origin === undefined) {
--- a/test/streamKeepers.test.ts
+++ b/test/streamKeepers.test.ts
@@ -9,8 +9,10 @@
 import type { Failure } from '../src/process/program/failure.ts'
 import { Counter, createMetrics, type Metrics } from '../src/process/program/metrics.ts'
 import { createSeededRandom } from '../src/process/program/random.ts'
+import { GatewayRefusal } from '../src/request/callerExchange.ts'
+import { runForwardedRequest } from '../src/request/forwardedRequest.ts'
 import { eventually } from '../scripts/processes.ts'
-import { FakeStreamKeepers } from './support/fakeFleet.ts'
+import { FakeStreamKeepers, forwardingServicesOf, RecordedResponse, requestOf, routeOf, ScriptedServers } from './support/fakeFleet.ts'
 
 const origin = { service: 's', softwareVersion: 'v1' }
 const keepers = ['10.0.0.1:1', '10.0.0.2:1', '10.0.0.3:1', '10.0.0.4:1', '10.0.0.5:1']
@@ -115,4 +117,26 @@
     expect((await origins.find('q-2')).reason).to.equal(MissingOriginReason.Unknown)
     expect(calls).to.equal(9)
   })
+
+  // Failure it guards against: a look-up went on after the deadline of the caller, or after the caller had left.
+  it('ends a look-up at the deadline of the caller and when the caller leaves', async () => {
+    const { origins } = startGateway(clientOf(async () => await new Promise(() => {})))
+    expect((await origins.find('q', { deadlineAt: performance.now() + 30 })).reason).to.equal(MissingOriginReason.TimedOut)
+    const leaving = new AbortController()
+    const found = origins.find('q', { deadlineAt: Infinity, signal: leaving.signal })
+    leaving.abort()
+    expect((await found).reason).to.equal(MissingOriginReason.TimedOut)
+    const servers = new ScriptedServers([])
+    for (const isDisconnected of [false, true]) {
+      const client = clientOf(async () => await new Promise(() => {}))
+      const services = forwardingServicesOf(servers, [routeOf()], { streamKeepers: keepers }, client)
+      services.origins.run(controller.signal).catch(error => expect.fail(String(error)))
+      const answer = new RecordedResponse()
+      const { request, disconnect } = requestOf({ id: 'q-2', resumes: 'q', resumeAfter: 0, deadlineAt: performance.now() + (isDisconnected ? 60_000 : 30) })
+      const forwarded = runForwardedRequest(request, answer, services)
+      if (isDisconnected) disconnect()
+      await forwarded
+      if (!isDisconnected) expect(answer.refusal).to.equal(GatewayRefusal.UnknownStream)
+    }
+  }).timeout(5_000)
 })
