Compare a gateway's own record of a stream with those of the keepers

Cause: ids are chosen by the callers, so a faulty or hostile one may use an id for two streams at two gateways. The own record of one gateway then hid the contradicting one at the keepers, and the stream could be joined from two versions.

Change: an own record counts as the first answer. Without any keeper the own record is used at once, as before.

Not part of this change: records are still kept under the id alone, so two streams of one id refuse each other's take-up when their origins differ.

--- a/src/process/fleet/streamOrigins.ts
+++ b/src/process/fleet/streamOrigins.ts
@@ -71,7 +71,7 @@
    */
   revoke (id: string): void
   /**
-   * Searches for the origin of a stream: in the records of this gateway, then at the hosts that keep records.
+   * Searches for the origin of a stream in the records of this gateway and at the hosts that keep records.
    * @param id - id of the caller's attempt that received the first event
    * @param limit - ends the search early; by default it ends by the timeouts of the calls
    * @returns the origin, or why it was not found; `TimedOut` after an early end without an answer
@@ -142,17 +142,14 @@
 
   async function lookUp (id: string, limit: SearchLimit): Promise<OriginSearch> {
     const known = own.find(id)
-    if (known.kind !== OriginLookupKind.Unknown) {
-      if (known.kind === OriginLookupKind.Known) metrics.count(Counter.StreamLookups, 'own')
-      return toSearch(known)
-    }
+    if (known.kind === OriginLookupKind.Conflicting) return toSearch(known)
     // Hosts that are not known yet may be among the first ones, so the rank of the known ones says little.
     const isComplete = view.isPopulated
     const asked = isComplete ? listLookupKeepers(id, keepers) : keepers
     const lookups = asked.map(async keeper => await client.find(keeper, id))
-    const { merged, isAnswered } = await waitForAnswers(lookups, limit, clock)
+    const { merged, isAnswered } = await waitForAnswers(known, lookups, limit, clock)
     if (merged.kind !== OriginLookupKind.Unknown) {
-      if (merged.kind === OriginLookupKind.Known) metrics.count(Counter.StreamLookups, 'found')
+      if (merged.kind === OriginLookupKind.Known) metrics.count(Counter.StreamLookups, known.kind === OriginLookupKind.Known ? 'own' : 'found')
       return toSearch(merged)
     }
     if (!isComplete) return { origin: undefined, reason: MissingOriginReason.UnknownKeepers }
@@ -216,20 +213,21 @@
   return isSame ? left : { kind: OriginLookupKind.Conflicting }
 }
 
-/** What the hosts that were asked know together. */
+/** What this gateway and the hosts that were asked know together. */
 interface MergedAnswers {
   readonly merged: OriginLookup
   /** Whether each host has answered. */
   readonly isAnswered: boolean
 }
 
-// Waits until all hosts have answered or failed, the origin is conflicting, or the limit is reached. Once one has named an origin, the
-// others are waited for briefly.
-async function waitForAnswers (lookups: ReadonlyArray<Promise<Result<OriginLookup, Failure>>>, { deadlineAt, signal }: SearchLimit, clock: Clock): Promise<MergedAnswers> {
+// Waits until all hosts have answered or failed, the origin is conflicting, or the limit is reached. Once an origin is known, here or
+// at a host, the others are waited for briefly: a caller may have used the id for another stream at another gateway.
+async function waitForAnswers (own: OriginLookup, lookups: ReadonlyArray<Promise<Result<OriginLookup, Failure>>>, { deadlineAt, signal }: SearchLimit, clock: Clock): Promise<MergedAnswers> {
   return await new Promise((resolve, reject) => {
     let pending = lookups.length
     let answered = 0
-    let merged: OriginLookup = { kind: OriginLookupKind.Unknown }
+    let merged = own
+    let isWaitShort = false
     const cancellations: Array<() => void> = []
     const end = (): void => {
       for (const cancel of cancellations) cancel()
@@ -239,6 +237,12 @@
     if (pending === 0 || signal?.aborted === true) return end()
     signal?.addEventListener('abort', end, { once: true })
     cancellations.push(clock.schedule(Math.max(0, deadlineAt - clock.now()), end))
+    const shortenWait = (): void => {
+      if (isWaitShort || merged.kind !== OriginLookupKind.Known) return
+      isWaitShort = true
+      cancellations.push(clock.schedule(contradictionWaitMs, end))
+    }
+    shortenWait()
     for (const lookup of lookups) {
       lookup.then(result => {
         pending--
@@ -247,7 +251,7 @@
           merged = mergeLookups(merged, result.value)
         }
         if (pending === 0 || merged.kind === OriginLookupKind.Conflicting) end()
-        else if (merged.kind === OriginLookupKind.Known && cancellations.length === 1) cancellations.push(clock.schedule(contradictionWaitMs, end))
+        else shortenWait()
       }, reject)
     }
   })
--- a/test/streamKeepers.test.ts
+++ b/test/streamKeepers.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import type { Result } from 'neverthrow'
+import { ok, type Result } from 'neverthrow'
 import type { StreamKeeperClient } from '../src/connection/streamKeeperLink.ts'
 import { listLookupKeepers, listRecordKeepers } from '../src/process/fleet/streamKeepers.ts'
 import { createStreamOrigins, MissingOriginReason, type StreamOriginService } from '../src/process/fleet/streamOrigins.ts'
@@ -139,4 +139,12 @@
       if (!isDisconnected) expect(answer.refusal).to.equal(GatewayRefusal.UnknownStream)
     }
   }).timeout(5_000)
+
+  // Failure it guards against: the record of another stream with the same id hid the records of the stream that is taken up.
+  it('does not believe its own record when a host contradicts it', async () => {
+    for (const address of [firstHolder, secondHolder]) hosts.stores.get(address)?.record({ id: 'q', service: 's', softwareVersion: 'v2' })
+    const { origins } = startGateway({ record: async () => ok({ count: 0 }), find: async (address, id) => await hosts.find(address, id) })
+    origins.record('q', origin)
+    expect((await origins.find('q')).reason).to.equal(MissingOriginReason.Conflicting)
+  })
 })
