Contain unexpected errors in look-ups and in the tasks of record keepers

Cause: a look-up that rejected closed the connection of its caller instead of refusing the request. An error in the task of one keeper became an unhandled rejection of the process.

Change: a look-up that rejects is reported and counts as no answer, so the take-up is refused with 503. The task of each keeper is reported and started again like other background tasks; the loop for that is taken out of runContained, so that it also runs inside another task.

--- a/bench/streamRecords.ts
+++ b/bench/streamRecords.ts
@@ -15,6 +15,7 @@
 import { createCondition } from '../src/process/program/condition.ts'
 import { createSystemClock } from '../src/process/program/clock.ts'
 import { createLifecycle } from '../src/process/program/lifecycle.ts'
+import { createSilentLogger } from '../src/process/program/logger.ts'
 import { createMetrics } from '../src/process/program/metrics.ts'
 import { createSeededRandom } from '../src/process/program/random.ts'
 import { millisecondsPerSecond } from '../src/process/program/units.ts'
@@ -46,7 +47,7 @@
 function startGateways (addresses: readonly string[]): StreamOriginService[] {
   return Array.from({ length: gateways }, () => {
     const view = { streamKeepers: addresses, isPopulated: true, changed: createCondition(clock) }
-    const origins = createStreamOrigins({ view, client: createStreamKeeperClient(createInternalClients(lifecycle)), clock, random, metrics })
+    const origins = createStreamOrigins({ view, client: createStreamKeeperClient(createInternalClients(lifecycle)), clock, random, logger: createSilentLogger(), metrics })
     lifecycle.run(signal => origins.run(signal))
     return origins
   })
--- a/src/process/fleet/gatewayDaemon.ts
+++ b/src/process/fleet/gatewayDaemon.ts
@@ -37,7 +37,7 @@
   const { lifecycle, logger, view, readiness, clock, metrics, random, clients, control, describe } = base
   const drain = createGatewayDrain()
   const openRequests = createOpenRequests()
-  const origins = createStreamOrigins({ view, client: createStreamKeeperClient(clients), clock, random, metrics })
+  const origins = createStreamOrigins({ view, client: createStreamKeeperClient(clients), clock, random, logger, metrics })
   const forwarding: ForwardingServices = {
     view,
     drain,
--- a/src/process/fleet/streamOrigins.ts
+++ b/src/process/fleet/streamOrigins.ts
@@ -2,13 +2,15 @@
  * The origins of streams as a gateway knows them: its own records, and those of the hosts that keep records.
  * @module
  */
-import type { Result } from 'neverthrow'
+import { err, type Result } from 'neverthrow'
 import { createStreamRecordQueue, runStreamRecords, type StreamKeeperClient, type StreamRecordQueue } from '../../connection/streamKeeperLink.ts'
 import type { Clock } from '../program/clock.ts'
-import type { Failure } from '../program/failure.ts'
+import { InvariantError } from '../program/assert.ts'
+import { type Failure, Step, toFailure } from '../program/failure.ts'
 import { Counter } from '../program/metrics.ts'
 import type { ProcessServices } from '../program/processServices.ts'
 import { createTaskSet } from '../program/taskSet.ts'
+import { ErrorPlace, reportUnexpectedError, runRestarted } from '../program/unexpectedErrors.ts'
 import type { FleetView } from './fleetView.ts'
 import { listLookupKeepers, listRecordKeepers } from './streamKeepers.ts'
 import { createStreamRecordStore, maxStreamIdLength, noSoftwareVersion, type OriginLookup, OriginLookupKind, type StreamOrigin, type StreamRecord } from './streamRecords.ts'
@@ -80,7 +82,7 @@
 }
 
 /** Dependencies of the origins. */
-export interface StreamOriginInputs extends Pick<ProcessServices, 'clock' | 'random' | 'metrics'> {
+export interface StreamOriginInputs extends Pick<ProcessServices, 'clock' | 'random' | 'logger' | 'metrics'> {
   readonly view: Pick<FleetView, 'streamKeepers' | 'isPopulated' | 'changed'>
   readonly client: StreamKeeperClient
 }
@@ -100,7 +102,7 @@
  * @param inputs - dependencies
  * @returns the origins
  */
-export function createStreamOrigins ({ view, client, clock, random, metrics }: StreamOriginInputs): StreamOriginService {
+export function createStreamOrigins ({ view, client, clock, random, logger, metrics }: StreamOriginInputs): StreamOriginService {
   const own = createStreamRecordStore(clock)
   const queues = new Map<string, StreamRecordQueue>()
   let keepers: readonly string[] = []
@@ -131,6 +133,17 @@
     return own.listRecent(resendAgeMs).filter(record => listKeepers(record, keepers).includes(keeper))
   }
 
+  // An unexpected error counts as no answer, so that the caller gets a refusal.
+  async function ask (keeper: string, id: string): Promise<Result<OriginLookup, Failure>> {
+    try {
+      return await client.find(keeper, id)
+    } catch (error) {
+      if (error instanceof InvariantError) throw error
+      reportUnexpectedError({ logger, metrics }, ErrorPlace.CallerRequest, error)
+      return err(toFailure(error, { step: Step.FindStreams, peer: keeper }))
+    }
+  }
+
   // Looks up once more when no host has a record yet, unless the caller's time would be over.
   async function search (id: string, limit: SearchLimit): Promise<OriginSearch> {
     const found = await lookUp(id, limit)
@@ -146,7 +159,7 @@
     // Hosts that are not known yet may be among the first ones, so the rank of the known ones says little.
     const isComplete = view.isPopulated
     const asked = isComplete ? listLookupKeepers(id, keepers) : keepers
-    const lookups = asked.map(async keeper => await client.find(keeper, id))
+    const lookups = asked.map(async keeper => await ask(keeper, id))
     const { merged, isAnswered } = await waitForAnswers(known, lookups, limit, clock)
     if (merged.kind !== OriginLookupKind.Unknown) {
       if (merged.kind === OriginLookupKind.Known) metrics.count(Counter.StreamLookups, known.kind === OriginLookupKind.Known ? 'own' : 'found')
@@ -182,7 +195,8 @@
         if (view.streamKeepers.join() !== keepers.join()) applyKeepers(view.streamKeepers)
         tasks.abortAllExcept(new Set(keepers))
         for (const [address, queue] of queues) {
-          tasks.ensure(address, async taskSignal => await runStreamRecords({ address, queue, listRecent: () => listRecent(address), client, clock, random, metrics }, taskSignal))
+          const link = { address, queue, listRecent: () => listRecent(address), client, clock, random, metrics }
+          tasks.ensure(address, async taskSignal => await runRestarted({ clock, logger, metrics }, async restarted => await runStreamRecords(link, restarted), taskSignal))
         }
         await view.changed.wait(keeperCheckMs, signal)
       }
--- a/src/process/program/unexpectedErrors.ts
+++ b/src/process/program/unexpectedErrors.ts
@@ -43,23 +43,32 @@
   logger.write(LogEvents.unexpectedError, { reason: place, detail, ...(requestId === undefined ? {} : { requestId }) })
 }
 
+/**
+ * Runs a background task, and starts it again after an unexpected error, until it ends or the signal aborts.
+ * @param services - clock, log and counters
+ * @param task - the task
+ * @param signal - ends the task
+ * @returns a promise that resolves when the task has ended; rejects with an `InvariantError` only
+ */
+export async function runRestarted (services: Pick<ProcessServices, 'clock' | 'logger' | 'metrics'>, task: (signal: AbortSignal) => Promise<void>, signal: AbortSignal): Promise<void> {
+  while (!signal.aborted) {
+    try {
+      return await task(signal)
+    } catch (error) {
+      if (error instanceof InvariantError) throw error
+      reportUnexpectedError(services, ErrorPlace.BackgroundTask, error)
+    }
+    await services.clock.sleep(taskRestartMs, signal)
+  }
+}
+
 /**
  * Runs a background task until the life cycle ends, and starts it again after an unexpected error.
  * @param services - life cycle, clock, log and counters
  * @param task - the task
  */
 export function runContained (services: Pick<ProcessServices, 'lifecycle' | 'clock' | 'logger' | 'metrics'>, task: (signal: AbortSignal) => Promise<void>): void {
-  services.lifecycle.run(async signal => {
-    while (!signal.aborted) {
-      try {
-        return await task(signal)
-      } catch (error) {
-        if (error instanceof InvariantError) throw error
-        reportUnexpectedError(services, ErrorPlace.BackgroundTask, error)
-      }
-      await services.clock.sleep(taskRestartMs, signal)
-    }
-  })
+  services.lifecycle.run(async signal => await runRestarted(services, task, signal))
 }
 
 /** The part of a process that reports errors which nothing caught. */
--- a/test/streamKeepers.test.ts
+++ b/test/streamKeepers.test.ts
@@ -7,6 +7,7 @@
 import { createSystemClock } from '../src/process/program/clock.ts'
 import { createCondition } from '../src/process/program/condition.ts'
 import type { Failure } from '../src/process/program/failure.ts'
+import { createSilentLogger } from '../src/process/program/logger.ts'
 import { Counter, createMetrics, type Metrics } from '../src/process/program/metrics.ts'
 import { createSeededRandom } from '../src/process/program/random.ts'
 import { GatewayRefusal } from '../src/request/callerExchange.ts'
@@ -30,7 +31,7 @@
   function startGateway (client: StreamKeeperClient = hosts): { readonly origins: StreamOriginService, readonly metrics: Metrics } {
     const view = { streamKeepers: keepers, isPopulated: true, changed: createCondition() }
     const metrics = createMetrics()
-    const origins = createStreamOrigins({ view, client, clock: createSystemClock(), random: createSeededRandom(1), metrics })
+    const origins = createStreamOrigins({ view, client, clock: createSystemClock(), random: createSeededRandom(1), logger: createSilentLogger(), metrics })
     origins.run(controller.signal).catch(error => expect.fail(String(error)))
     return { origins, metrics }
   }
@@ -147,4 +148,27 @@
     origins.record('q', origin)
     expect((await origins.find('q')).reason).to.equal(MissingOriginReason.Conflicting)
   })
+
+  // Failure it guards against: an unexpected error in a look-up closed the connection of the caller instead of refusing the request.
+  it('takes a look-up that ends with an unexpected error for one without an answer, and reports it', async () => {
+    const { origins, metrics } = startGateway(clientOf(async () => { throw new TypeError('unexpected') }))
+    expect((await origins.find('q')).reason).to.equal(MissingOriginReason.TimedOut)
+    expect(metrics.read(Counter.UnexpectedErrors, 'caller request')).to.equal(3)
+  })
+
+  // Failure it guards against: an unexpected error in the task of a host went by unreported, as an unhandled rejection of the process.
+  it('reports an unexpected error in the task of a host, and starts the task again', async () => {
+    let isBroken = true
+    const { origins, metrics } = startGateway({
+      find: async (address, id) => await hosts.find(address, id),
+      async record (address, records) {
+        if (address === firstHolder && isBroken) throw new TypeError('unexpected')
+        return await hosts.record(address, records)
+      }
+    })
+    await eventually('a report', 2_000, async () => metrics.read(Counter.UnexpectedErrors, 'background task') > 0 ? true : undefined)
+    origins.record('q', origin)
+    isBroken = false
+    await waitForKind([firstHolder], 'q', OriginLookupKind.Known)
+  })
 })
--- a/test/streamOrigins.test.ts
+++ b/test/streamOrigins.test.ts
@@ -120,7 +120,7 @@
   function startGateway (client: StreamKeeperClient, streamKeepers: readonly string[] = keepers, isPopulated = true): Gateway {
     const view = { streamKeepers, isPopulated, changed: createCondition() }
     const metrics = createMetrics()
-    const origins = createStreamOrigins({ view, client, clock: createSystemClock(), random: createSeededRandom(1), metrics })
+    const origins = createStreamOrigins({ view, client, clock: createSystemClock(), random: createSeededRandom(1), logger: createSilentLogger(), metrics })
     origins.run(controller.signal).catch(error => expect.fail(String(error)))
     return {
       origins,
--- a/test/support/fakeFleet.ts
+++ b/test/support/fakeFleet.ts
@@ -239,6 +239,6 @@
   const control = { reportCrash: async () => ok({ isBlocked: false }), acquireTrial: async () => ok(true), acquirePermit: async () => ok({ isGranted: true, retryMs: 0 }) }
   const random = createSystemRandom()
   const metrics = createMetrics()
-  const origins = createStreamOrigins({ view, client: keepers, clock, random, metrics })
+  const origins = createStreamOrigins({ view, client: keepers, clock, random, logger, metrics })
   return { view, drain: createGatewayDrain(), client, origins, control, availabilityZone: 'z1', region: 'r1', getRegion: () => 'r1', clock, random, logger, metrics }
 }
