Keep revocations in a full queue of stream records

Cause: the oldest record of a full queue is dropped. If it was a revocation, its host kept naming the revoked origin, since no call had failed.

Change: other records are dropped first. Two tests for hosts of the previous build come along, which passed before: one without the id of its store is sent each record once, and an origin with an empty version is a conflict.

--- a/src/connection/streamKeeperLink.ts
+++ b/src/connection/streamKeeperLink.ts
@@ -75,7 +75,7 @@
   /** Notified when a record is added. */
   readonly added: Condition
   /**
-   * Adds a record. When the queue is full, the oldest one is dropped.
+   * Adds a record. When the queue is full, the oldest one is dropped, of those that make an origin conflicting last.
    * @param record - the record
    */
   add (record: StreamRecord): void
@@ -97,7 +97,8 @@
     add (record) {
       queued.push({ record, addedAt: clock.now() })
       if (queued.length > maxQueuedRecords) {
-        queued.shift()
+        const oldest = queued.findIndex(({ record }) => record.softwareVersion !== noSoftwareVersion)
+        queued.splice(Math.max(0, oldest), 1)
         metrics.count(Counter.StreamRecords, 'dropped')
       }
       added.notify()
--- a/test/streamKeepers.test.ts
+++ b/test/streamKeepers.test.ts
@@ -1,18 +1,24 @@
 import { expect } from 'chai'
 import { ok, type Result } from 'neverthrow'
-import type { StreamKeeperClient } from '../src/connection/streamKeeperLink.ts'
+import type { AddressInfo } from 'node:net'
+import { serveInternalCalls } from '../src/connection/callServer.ts'
+import { createInternalClients } from '../src/connection/internalClient.ts'
+import { createInternalRouter } from '../src/connection/internalRouter.ts'
+import { createStreamKeeperClient, createStreamRecordQueue, type StreamKeeperClient } from '../src/connection/streamKeeperLink.ts'
 import { listLookupKeepers, listRecordKeepers } from '../src/process/fleet/streamKeepers.ts'
 import { createStreamOrigins, MissingOriginReason, type StreamOriginService } from '../src/process/fleet/streamOrigins.ts'
-import { type OriginLookup, OriginLookupKind } from '../src/process/fleet/streamRecords.ts'
+import { createStreamRecordStore, noSoftwareVersion, type OriginLookup, OriginLookupKind, type StreamRecordStore } from '../src/process/fleet/streamRecords.ts'
 import { createSystemClock } from '../src/process/program/clock.ts'
 import { createCondition } from '../src/process/program/condition.ts'
 import type { Failure } from '../src/process/program/failure.ts'
+import { createLifecycle } from '../src/process/program/lifecycle.ts'
 import { createSilentLogger } from '../src/process/program/logger.ts'
 import { Counter, createMetrics, type Metrics } from '../src/process/program/metrics.ts'
 import { createSeededRandom } from '../src/process/program/random.ts'
 import { GatewayRefusal } from '../src/request/callerExchange.ts'
 import { runForwardedRequest } from '../src/request/forwardedRequest.ts'
 import { eventually } from '../scripts/processes.ts'
+import { FakeClock } from './support/fakeClock.ts'
 import { FakeStreamKeepers, forwardingServicesOf, RecordedResponse, requestOf, routeOf, ScriptedServers } from './support/fakeFleet.ts'
 
 const origin = { service: 's', softwareVersion: 'v1' }
@@ -104,6 +110,51 @@
     await waitForKind(listLookupKeepers('q', keepers), 'q', OriginLookupKind.Conflicting)
   })
 
+  // Failure it guards against: with many streams, a revocation was the oldest queued record, and dropped.
+  it('keeps a revocation in a queue that is full or outdated', async () => {
+    const clock = new FakeClock()
+    const metrics = createMetrics()
+    const queue = createStreamRecordQueue(clock, metrics)
+    const revocation = { id: 'q', service: 's', softwareVersion: noSoftwareVersion }
+    queue.add(revocation)
+    for (let number = 0; number < 1_001; number++) queue.add({ id: `q-${number}`, ...origin })
+    expect(metrics.read(Counter.StreamRecords, 'dropped')).to.equal(2)
+    await clock.advance(2_001)
+    expect(queue.take()).to.deep.equal([revocation])
+  })
+
+  // Failure it guards against: a host of the previous build, whose answers name no start, was sent all records again and again.
+  it('sends records once to a host that does not name the start of its store', async () => {
+    const sent: string[] = []
+    const { origins } = startGateway({
+      find: async (address, id) => await hosts.find(address, id),
+      async record (address, records) {
+        if (address === firstHolder) sent.push(...records.map(({ id }) => id))
+        return (await hosts.record(address, records)).map(({ count }) => ({ count }))
+      }
+    })
+    origins.record('q', origin)
+    await waitForKind([firstHolder], 'q', OriginLookupKind.Known)
+    origins.record('q', origin)
+    await eventually('the second record', 2_000, async () => sent.length === 2 ? true : undefined)
+    origins.revoke('q')
+    await waitForKind([firstHolder], 'q', OriginLookupKind.Conflicting)
+    expect(sent).to.deep.equal(['q', 'q', 'q'])
+  })
+
+  // Failure it guards against: a host of the previous build that has only a revocation named an origin with an empty version.
+  it('takes an origin without a version for a conflict', async () => {
+    const lifecycle = createLifecycle()
+    const store = createStreamRecordStore(createSystemClock())
+    const streamRecords: StreamRecordStore = { ...store, find: () => ({ kind: OriginLookupKind.Known, origin: { service: 's', softwareVersion: noSoftwareVersion } }) }
+    const router = createInternalRouter({ controlHost: undefined, shareReceiver: undefined, dispatchReceiver: undefined, streamRecords })
+    const server = (await serveInternalCalls('127.0.0.1:0', router, lifecycle, createMetrics()))._unsafeUnwrap()
+    const client = createStreamKeeperClient(createInternalClients(lifecycle))
+    const found = await client.find(`127.0.0.1:${(server.address() as AddressInfo).port}`, 'q')
+    await lifecycle.close()
+    expect(found._unsafeUnwrap().kind).to.equal(OriginLookupKind.Conflicting)
+  })
+
   // Failure it guards against: a take-up that overtook the record of its stream was refused for good.
   it('looks up once more when the record arrives after the first look-up', async () => {
     let calls = 0
