--- a/test/streamKeepers.test.ts
+++ b/test/streamKeepers.test.ts
@@ -11,7 +11,7 @@
 import { createSystemClock } from '../src/process/program/clock.ts'
 import { createCondition } from '../src/process/program/condition.ts'
 import type { Failure } from '../src/process/program/failure.ts'
-import { createLifecycle } from '../src/process/program/lifecycle.ts'
+import { createLifecycle, type Lifecycle } from '../src/process/program/lifecycle.ts'
 import { createSilentLogger } from '../src/process/program/logger.ts'
 import { Counter, createMetrics, type Metrics } from '../src/process/program/metrics.ts'
 import { createSeededRandom } from '../src/process/program/random.ts'
@@ -65,6 +65,32 @@
     expect(keepers.filter(address => findAt(address, 'q') === OriginLookupKind.Known)).to.have.length(2)
   })
 
+  // Failure it guards against: as above, over real connections, which break when the host ends.
+  it('sends records again over a new connection to a host that has restarted', async () => {
+    const gatewayLifecycle = createLifecycle()
+    const metrics = createMetrics()
+    async function startHost (address: string): Promise<{ readonly address: string, readonly store: StreamRecordStore, readonly lifecycle: Lifecycle }> {
+      const lifecycle = createLifecycle()
+      const store = createStreamRecordStore(createSystemClock())
+      const router = createInternalRouter({ controlHost: undefined, shareReceiver: undefined, dispatchReceiver: undefined, streamRecords: store })
+      const server = (await serveInternalCalls(address, router, lifecycle, metrics))._unsafeUnwrap()
+      return { address: `127.0.0.1:${(server.address() as AddressInfo).port}`, store, lifecycle }
+    }
+    const first = await startHost('127.0.0.1:0')
+    const view = { streamKeepers: [first.address], isPopulated: true, changed: createCondition() }
+    const client = createStreamKeeperClient(createInternalClients(gatewayLifecycle))
+    const origins = createStreamOrigins({ view, client, clock: createSystemClock(), random: createSeededRandom(1), logger: createSilentLogger(), metrics })
+    origins.run(controller.signal).catch(error => expect.fail(String(error)))
+    origins.record('q', origin)
+    await eventually('the record', 4_000, async () => first.store.find('q').kind === OriginLookupKind.Known ? true : undefined)
+    await first.lifecycle.close()
+    const second = await startHost(first.address)
+    await eventually('the record at the next start', 6_000, async () => second.store.find('q').kind === OriginLookupKind.Known ? true : undefined)
+    controller.abort()
+    await gatewayLifecycle.close()
+    await second.lifecycle.close()
+  })
+
   // Failure it guards against: records of a failed call were lost although the host was back soon.
   it('sends the records of a failed call again', async () => {
     const { origins, metrics } = startGateway()
