--- a/test/streamOrigins.test.ts
+++ b/test/streamOrigins.test.ts
@@ -8,7 +8,7 @@
 import { createFleetView } from '../src/process/fleet/fleetView.ts'
 import { listLookupKeepers, listRecordKeepers, selectStreamKeepers } from '../src/process/fleet/streamKeepers.ts'
 import { createStreamOrigins, MissingOriginReason, type StreamOriginService } from '../src/process/fleet/streamOrigins.ts'
-import { createStreamRecordStore, OriginLookupKind } from '../src/process/fleet/streamRecords.ts'
+import { createStreamRecordStore, noSoftwareVersion, OriginLookupKind } from '../src/process/fleet/streamRecords.ts'
 import { createSystemClock } from '../src/process/program/clock.ts'
 import { createCondition } from '../src/process/program/condition.ts'
 import { FailureReason, Step } from '../src/process/program/failure.ts'
@@ -38,7 +38,7 @@
       store.record({ id: 'q', ...other })
       store.record({ id: 'q', ...other })
       expect(store.find('q').kind).to.equal(OriginLookupKind.Conflicting)
-      expect(store.listRecent(1_000)).to.deep.equal([])
+      expect(store.listRecent(1_000)).to.deep.equal([{ id: 'q', service: other.service, softwareVersion: noSoftwareVersion }])
     }
   })
 
@@ -120,7 +120,7 @@
   function startGateway (client: StreamKeeperClient, streamKeepers: readonly string[] = keepers, isPopulated = true): Gateway {
     const view = { streamKeepers, isPopulated, changed: createCondition() }
     const metrics = createMetrics()
-    const origins = createStreamOrigins({ view, client, clock: createSystemClock(), random: createSeededRandom(1), metrics })
+    const origins = createStreamOrigins({ view, client, clock: createSystemClock(), random: createSeededRandom(1), logger: createSilentLogger(), metrics })
     origins.run(controller.signal).catch(error => expect.fail(String(error)))
     return {
       origins,
@@ -228,7 +228,7 @@
       }
     }
     const controller = new AbortController()
-    const task = runStreamRecords({ address: 'k', queue, client, clock, random: createSeededRandom(1), metrics }, controller.signal)
+    const task = runStreamRecords({ address: 'k', queue, listRecent: () => [], client, clock, random: createSeededRandom(1), metrics }, controller.signal)
     for (let number = 0; number < 1_003; number++) queue.add({ id: `q-${number}`, ...origin })
     expect(metrics.read(Counter.StreamRecords, 'dropped')).to.equal(3)
     const settle = async (): Promise<unknown> => await new Promise(resolve => setTimeout(resolve, 10))
@@ -265,7 +265,7 @@
     const [keeper = '', other = ''] = addresses
     const clients = createInternalClients(lifecycle)
     const client = createStreamKeeperClient(clients)
-    expect((await client.record(keeper, [{ id: 'q', ...origin }])).isOk()).to.equal(true)
+    expect((await client.record(keeper, [{ id: 'q', ...origin }]))._unsafeUnwrap()).to.deep.equal({ count: 1, start: store.start })
     expect((await client.find(keeper, 'q'))._unsafeUnwrap()).to.deep.equal({ kind: OriginLookupKind.Known, origin })
     expect((await client.find(keeper, 'q-2'))._unsafeUnwrap()).to.deep.equal({ kind: OriginLookupKind.Unknown })
     store.record({ id: 'q', service: 's', softwareVersion: 'v2' })
--- a/test/support/fakeFleet.ts
+++ b/test/support/fakeFleet.ts
@@ -18,6 +18,7 @@
 import { createSystemRandom } from '../../src/process/program/random.ts'
 import { createStreamOrigins, type StreamOriginService } from '../../src/process/fleet/streamOrigins.ts'
 import { createStreamRecordStore, type OriginLookup, type StreamRecord, type StreamRecordStore } from '../../src/process/fleet/streamRecords.ts'
+import type { RecordedStreams } from '../../src/connection/internalRouter.ts'
 import type { StreamKeeperClient } from '../../src/connection/streamKeeperLink.ts'
 import { CallerResponse, type CallerRequest, type GatewayRefusal } from '../../src/request/callerExchange.ts'
 import type { ForwardingServices } from '../../src/request/forwardedAttempt.ts'
@@ -235,11 +236,11 @@
     this.stores.set(address, createStreamRecordStore(createSystemClock()))
   }
 
-  async record (address: string, records: readonly StreamRecord[]): Promise<Result<unknown, Failure>> {
+  async record (address: string, records: readonly StreamRecord[]): Promise<Result<RecordedStreams, Failure>> {
     const store = await this.call(address)
     if (store.isErr()) return err(store.error)
     for (const record of records) store.value.record(record)
-    return ok(records.length)
+    return ok({ count: records.length, start: store.value.start })
   }
 
   async find (address: string, id: string): Promise<Result<OriginLookup, Failure>> {
@@ -266,6 +267,6 @@
   const control = { reportCrash: async () => ok({ isBlocked: false }), acquireTrial: async () => ok(true), acquirePermit: async () => ok({ isGranted: true, retryMs: 0 }) }
   const random = createSystemRandom()
   const metrics = createMetrics()
-  const origins = createStreamOrigins({ view, client: keepers, clock, random, metrics })
+  const origins = createStreamOrigins({ view, client: keepers, clock, random, logger, metrics })
   return { view, drain: createGatewayDrain(), client, origins, control, availabilityZone: 'z1', region: 'r1', getRegion: () => 'r1', clock, random, logger, metrics }
 }
