Test of the maximum size of results: name the version of the saved progress

Change: the progress names the version of the server; the check stays. Result: test/batchRunner passes.

--- a/test/batchRunner.test.ts
+++ b/test/batchRunner.test.ts
@@ -389,7 +389,7 @@
   it('completes the items with saved progress while results and saved progress have their maximum size', async () => {
     startRunner([{ does: 'answer', pieces: [secondEvent] }], 1)
     submit('j', ['new', 'a'])
-    apply({ kind: CommandKind.SaveProgress, pieces: [{ job: 'j', item: 'a', from: 0, data: ['a'], lastEvent: 0, run: 'r' }] })
+    apply({ kind: CommandKind.SaveProgress, pieces: [{ job: 'j', item: 'a', from: 0, data: ['a'], lastEvent: 0, run: 'r', softwareVersion: 'v1' }] })
     state.submissions.resultBytes = maxOutputBytes
     await waitUntil(() => recordedResults.length === 1)
     expect(recordedResults).to.deep.equal([{ job: 'j', item: 'a', ending: Ending.Done, output: 'a\nb' }])
