--- a/src/process/fleet/fleetView.ts
+++ b/src/process/fleet/fleetView.ts
@@ -8,7 +8,7 @@
 import { LogEvents } from '../program/logEvents.ts'
 import type { Logger } from '../program/logger.ts'
 import { createRouteIndex, type GatewayTables, type RouteIndex } from '../../version/gatewayTables.ts'
-import { type BackendServerRecord, isNewer, ServerPhase } from './backendServerRegistry.ts'
+import { type BackendServerRecord, isNewer, keepSoftwareVersion, ServerPhase } from './backendServerRegistry.ts'
 import { createQuarantineView, type QuarantineView } from './quarantineView.ts'
 import { createLeavingServers, type LeavingServers } from './leavingServers.ts'
 import { createRemoteLoads, type RemoteLoads } from './remoteLoads.ts'
@@ -41,6 +41,10 @@
   readonly hosts: readonly FleetHost[]
   /** Internal addresses of the control hosts, the closest first, and the configured seeds. */
   readonly controlHosts: readonly string[]
+  /** Whether the view was complete once since the start of this host. Until then it may lack servers and hosts. */
+  readonly isPopulated: boolean
+  /** Internal addresses of the hosts that keep the records of streams; some of them before the view is populated. */
+  readonly streamKeepers: readonly string[]
   /** Requests to refuse because backend servers crash under them. */
   readonly quarantine: QuarantineView
   /** Limits that backend servers name in their responses. */
@@ -158,6 +162,8 @@
   let routes: RouteIndex = new Map()
   let hosts: readonly FleetHost[] = []
   let reportedControlHosts: readonly string[] = []
+  let streamKeepers: readonly string[] = []
+  let isPopulated = false
   let lastContactAt = -Infinity
   let leadership = ''
   let serversRevision = 0
@@ -191,14 +197,16 @@
   function applyServers (update: FleetUpdate): void {
     const isSameLeadership = update.leadership === leadership
     if (!isSameLeadership) listedServers.clear()
+    // A new leader may lack updates that its predecessor received, for example that a server is leaving, until every server has contacted it.
+    const mayLackUpdates = !isSameLeadership || !isSettled
     for (const record of update.servers) {
-      listedServers.add(record.id)
       leavingServers.applyRecord(record)
       const known = servers.get(record.id)
-      // A new leader may lack updates that its predecessor received, for example that a server is leaving, until every server has contacted it.
-      const mayLackUpdates = !isSameLeadership || !isSettled
-      const isStale = mayLackUpdates && known !== undefined && known.phase !== ServerPhase.Ready && record.phase === ServerPhase.Ready && !isNewer(record, known)
-      if (!isStale) servers.set(record.id, record)
+      const isKept = mayLackUpdates && known !== undefined && isOutdated(record, known)
+      // A ready server whose present start the leader has not listed by the time that its list is complete has stopped.
+      if (isKept && known.phase === ServerPhase.Ready && known.startedAt > record.startedAt) listedServers.delete(record.id)
+      else listedServers.add(record.id)
+      if (!isKept) servers.set(record.id, keepSoftwareVersion(record, known))
     }
     if (!update.isComplete || (isSameLeadership && isSettled)) return
     for (const id of servers.keys()) {
@@ -216,6 +224,8 @@
     get canServe () { return tables !== undefined && (getOutdatedMs() ?? 0) <= maxTablesOutdatedMs },
     get hosts () { return hosts },
     get controlHosts () { return [...new Set([...reportedControlHosts, ...seeds()])] },
+    get isPopulated () { return isPopulated },
+    get streamKeepers () { return streamKeepers },
     get lastContactAt () { return lastContactAt },
     quarantine,
     requestLimits,
@@ -241,6 +251,10 @@
       hostsRevision = update.hostsRevision
       if (update.quarantine !== undefined) quarantine.applyUpdate(update.quarantine, isNewLeader)
       if (update.controlHosts.length > 0) reportedControlHosts = update.controlHosts
+      // A new leader knows some of the hosts only, so the previous ones stay in use. A leader of an earlier version of the program names none.
+      if (update.isComplete) streamKeepers = update.streamKeepers ?? update.controlHosts
+      else if (!isPopulated) streamKeepers = update.streamKeepers ?? []
+      isPopulated ||= update.isComplete
       changed.notify()
     },
     applyTables,
@@ -299,3 +313,11 @@
     }
   }
 }
+
+// Whether a record of a leader that may lack updates is older than the known one. Within one start a server that leaves or is gone does not
+// become ready with an older heartbeat; that it leaves is final, so it is taken over whichever heartbeat is newer.
+function isOutdated (record: BackendServerRecord, known: BackendServerRecord): boolean {
+  if (record.startedAt !== known.startedAt) return record.startedAt < known.startedAt
+  if (record.phase !== ServerPhase.Ready) return false
+  return known.phase === ServerPhase.Ready ? isNewer(known, record) : !isNewer(record, known)
+}
