Jobs: compress results only where the settings say so

A host of this version that leads during an upgrade, or one that goes back to the previous build on its own disk, would return them as something else than texts.

--- a/src/process/fleet/controlDaemon.ts
+++ b/src/process/fleet/controlDaemon.ts
@@ -105,6 +105,7 @@
     availabilityZone: settings.availabilityZone,
     controlHosts: listControlHosts(settings),
     canBootstrap: settings.form,
+    compressesResults: settings.compressesResults,
     voters: 2 * settings.toleratedLosses + 1,
     storage: createFileStorage({ folder: settings.dataFolder ?? '', host: settings.host, logger, metrics, clock }),
     transport: createTrpcTransport(clients),
--- a/src/process/fleet/fleetSettings.ts
+++ b/src/process/fleet/fleetSettings.ts
@@ -30,6 +30,7 @@
   directoryAddress: address.optional().describe('address for callers in search of a gateway (control)'),
   metricsAddress: address.optional().describe('address for metrics'),
   dataFolder: z.string().optional().describe('folder for durable state (control)'),
+  compressesResults: z.boolean().default(false).describe('whether results of jobs are kept compressed (control); earlier versions cannot read them'),
   toleratedLosses: z.coerce.number().int().min(0).max(2).default(1).describe('control hosts that may be lost at once'),
   heartbeatMs: durationMs.default(1_200).describe('time between two heartbeats of a backend server, in milliseconds'),
   graceSeconds: z.coerce.number().min(0).default(8).describe('time from SIGTERM to the end of the process, in seconds'),
--- a/src/process/jobs/submissions.ts
+++ b/src/process/jobs/submissions.ts
@@ -43,6 +43,8 @@
   readonly jobs: Map<string, SubmissionRecord>
   /** Number of waiting tokens by host and path prefix of the route. */
   readonly waitingTokens: Map<string, number>
+  /** Whether results are kept compressed; each host decides for itself, nothing else in the state depends on it. */
+  readonly compressesResults: boolean
   /** Size of all results as they are kept: bytes of compressed ones, characters of the others. */
   resultBytes: number
   /** Size of all saved progress, in characters. */
@@ -51,10 +53,11 @@
 
 /**
  * Creates the state without jobs.
+ * @param compressesResults - whether results are kept compressed
  * @returns the state
  */
-export function createSubmissions (): Submissions {
-  return { jobs: new Map(), waitingTokens: new Map(), resultBytes: 0, progressCharacters: 0 }
+export function createSubmissions (compressesResults: boolean): Submissions {
+  return { compressesResults, jobs: new Map(), waitingTokens: new Map(), resultBytes: 0, progressCharacters: 0 }
 }
 
 /**
@@ -124,7 +127,7 @@
     if (record === undefined || item === undefined) continue
     const text = determineOutput(record, result)
     if (text === undefined) continue
-    const output = storeOutput(text)
+    const output = state.compressesResults ? storeOutput(text) : text
     state.resultBytes += output.length
     state.progressCharacters -= countProgressCharacters(record, id)
     record.open.delete(id)
--- a/src/process/state/controlHost.ts
+++ b/src/process/state/controlHost.ts
@@ -42,6 +42,8 @@
   readonly controlHosts: readonly string[]
   /** Whether this host may create the first membership; default true. */
   readonly canBootstrap?: boolean
+  /** Whether the results of jobs are kept compressed, also in snapshots; false by default. */
+  readonly compressesResults?: boolean
   /** Called with each command after it was applied. */
   readonly applied?: (command: Command) => void
 }
@@ -92,7 +94,7 @@
  * @returns the control host, or a failure when its stored data cannot be read
  */
 export function createControlHost (inputs: ControlHostInputs): ResultAsync<ControlHost, Failure> {
-  const state = createControlState()
+  const state = createControlState(inputs.compressesResults)
   const stateChanged = createCondition()
   const finished = createCondition()
   const idleClaims = createIdleClaims(state, inputs.clock)
@@ -108,7 +110,7 @@
     },
     exportChunks: () => exportState(state),
     importChunks (parts) {
-      Object.assign(state, importState(parts))
+      Object.assign(state, importState(parts, inputs.compressesResults))
       stateChanged.notify()
     }
   }).map(replica => startControlHost(inputs, replica, state, { stateChanged, finished }, idleClaims))
--- a/src/process/state/controlState.ts
+++ b/src/process/state/controlState.ts
@@ -27,10 +27,11 @@
 
 /**
  * Creates the state before the first command.
+ * @param compressesResults - whether the results of jobs are kept compressed
  * @returns the state
  */
-export function createControlState (): ControlState {
-  return { configuration: emptyConfiguration, operations: new Map(), changes: 0, leases: new Map(), jobs: createJobs(), publication: undefined, submissions: createSubmissions(), quarantinedTraits: new Map(), serverCrashes: new Map() }
+export function createControlState (compressesResults = false): ControlState {
+  return { configuration: emptyConfiguration, operations: new Map(), changes: 0, leases: new Map(), jobs: createJobs(), publication: undefined, submissions: createSubmissions(compressesResults), quarantinedTraits: new Map(), serverCrashes: new Map() }
 }
 
 /**
--- a/src/process/state/stateSnapshot.ts
+++ b/src/process/state/stateSnapshot.ts
@@ -16,6 +16,7 @@
 import type { QuarantinedTrait, RecordedServerCrash } from './quarantinedTraits.ts'
 import type { Publication } from '../../version/gatewayTables.ts'
 import { restoreSubmission, type StoredResult, type SubmissionRecord } from '../jobs/submissions.ts'
+import { readOutput } from '../jobs/storedOutput.ts'
 import type { SavedProgress, SubmissionHeader, SubmittedItem } from '../jobs/submission.ts'
 import { createWaitingItems } from '../jobs/waitingItems.ts'
 
@@ -99,11 +100,12 @@
 /**
  * Imports an exported state.
  * @param chunks - the chunks in the order of the export
+ * @param compressesResults - whether the results of jobs are kept compressed
  * @returns the state
  * @throws Error when the final chunk is missing
  */
-export function importState (chunks: Iterable<StateChunk>): ControlState {
-  const state = createControlState()
+export function importState (chunks: Iterable<StateChunk>, compressesResults = false): ControlState {
+  const state = createControlState(compressesResults)
   const pending: PartialImport = { items: [], uploadItems: [] }
   let hasEndChunk = false
   for (const stateChunk of chunks as Iterable<Chunk>) {
@@ -254,7 +256,8 @@
   if (pending.submission === undefined) return
   const { submission, ended, total, items, results, progress, failures, failedRuns } = pending.submission
   pending.submission = undefined
-  restoreSubmission(state.submissions, items, { submission, total: total ?? items.length, ended, results, progress, failures, failedRuns })
+  const keptResults = state.submissions.compressesResults ? results : results.map(result => ({ ...result, output: readOutput(result.output) }))
+  restoreSubmission(state.submissions, items, { submission, total: total ?? items.length, ended, results: keptResults, progress, failures, failedRuns })
 }
 
 function toHeader (job: Job): JobHeader {
--- a/test/gatewayState.test.ts
+++ b/test/gatewayState.test.ts
@@ -2,7 +2,7 @@
 import { type Command, CommandKind, Ending, OutcomeKind } from '../src/process/state/commands.ts'
 import { answerQuery, applyCommand, type ControlState, createControlState } from '../src/process/state/controlState.ts'
 import { QueryKind } from '../src/process/state/queries.ts'
-import { encodeRecord } from '../src/process/log/recordCodec.ts'
+import { decodeFrames, encodeFrame, encodeRecord } from '../src/process/log/recordCodec.ts'
 import { exportState, importState } from '../src/process/state/stateSnapshot.ts'
 import { countOutputBytes } from '../src/process/jobs/outputSpace.ts'
 import type { SubmittedItem } from '../src/process/jobs/submission.ts'
@@ -173,18 +173,31 @@
 
   // Guards against outputs that come back with other characters, and against a control host that needs the space of two outputs for one.
   it('keeps results in less space than their characters take, and returns them unchanged, also from a snapshot', () => {
-    const state = createControlState()
+    const state = createControlState(true)
     applyCommand(state, submitOf('j', [itemOf('a'), itemOf('b')]))
     const words = Array.from({ length: 150 }, (_, index) => `${index}.${(index * 7_919).toString(16)}.wörd-€-😀-${(index * 104_729 % 65_521).toString(36)}`).join('\n')
     applyCommand(state, finishOf('j', 'a', words))
     applyCommand(state, finishOf('j', 'b', 'short'))
     expect(countOutputBytes(state.submissions)).to.be.below(words.length * 0.7)
-    for (const { submissions } of [state, importState([...exportState(state)])]) {
+    for (const { submissions } of [state, importState(decodeFrames(encodeFrame(0, [...exportState(state)].map(encodeRecord))).records as object[], true), importState([...exportState(state)])]) {
       const record = submissions.jobs.get('j')
       expect(record === undefined ? [] : readResults(record, 0).results.map(({ output }) => output)).to.deep.equal([words, 'short'])
     }
   })
 
+  // Guards against a snapshot that hosts of an earlier version cannot read while some of them are left, or after a way back.
+  it('keeps results as texts unless the settings say otherwise, also those of a compressed snapshot', () => {
+    const outputs = (state: ControlState): unknown[] => state.submissions.jobs.get('j')?.results.map(({ output }) => output) ?? []
+    const [texts, compressed] = [createControlState(), createControlState(true)]
+    for (const state of [texts, compressed]) {
+      applyCommand(state, submitOf('j', [itemOf('a')]))
+      applyCommand(state, finishOf('j', 'a', 'x'.repeat(1_000)))
+    }
+    expect(outputs(texts)).to.deep.equal(['x'.repeat(1_000)])
+    expect(outputs(compressed)[0]).to.be.instanceOf(Uint8Array)
+    expect(outputs(importState([...exportState(compressed)]))).to.deep.equal(['x'.repeat(1_000)])
+  })
+
   // Guards against a control host that cannot read the snapshot of an earlier version of this program, which has texts as outputs.
   it('reads results that were kept as texts', () => {
     const state = createControlState()
