--- a/src/process/fleet/streamOrigins.ts
+++ b/src/process/fleet/streamOrigins.ts
@@ -213,7 +213,7 @@
   }
 }
 
-// A conflicting record goes to all hosts that are asked, so that none of them names an origin.
+// A conflicting record is sent to all hosts that are asked, so that none of them names an origin.
 function listKeepers ({ id, softwareVersion }: StreamRecord, keepers: readonly string[]): string[] {
   return softwareVersion === noSoftwareVersion ? listLookupKeepers(id, keepers) : listRecordKeepers(id, keepers)
 }
