--- a/src/process/jobs/storedOutput.ts
+++ b/src/process/jobs/storedOutput.ts
@@ -1,5 +1,5 @@
 /**
- * Outputs of items as the control hosts keep them: compressed, since the results of all jobs are kept in memory and in each snapshot.
+ * Compression of the outputs of items, since the results of all jobs are kept in memory and in each snapshot of a control host.
  * @module
  */
 import { constants, deflateRawSync, inflateRawSync } from 'node:zlib'
--- a/src/process/state/controlHost.ts
+++ b/src/process/state/controlHost.ts
@@ -142,7 +142,7 @@
       if (emptyOutcome !== undefined) return ok(emptyOutcome)
     }
     if (isRepeatable(command)) {
-      // Before, the job may be accepted already, and others whose results need space.
+      // An earlier term may have accepted this job, or others whose results need space.
       if (command.kind === CommandKind.Submit && !await waitForTermStart()) return err(createNotLeaderFailure(replica, Step.Execute))
       // Callers repeat what takes long. A repetition must not add an entry: the entries of submissions and publications are large.
       const repeated = findOutcomeWithoutEntry(state, command)
