Interfaces of client accounts, quotas and reported load

The parts are built side by side, so their interfaces come first. Change: tables may have accounts with digests of keys, routes may be public, a request carries the key and the name of its account, load reports carry the use of accounts, responses carry a reported load. The calls stand where they belong; without accounts in the tables each of them decides as before.

--- a/src/connection/backendServerClient.ts
+++ b/src/connection/backendServerClient.ts
@@ -21,6 +21,15 @@
   readonly id: string
 }
 
+/** Load that a backend server reports of itself with a response. */
+export interface ReportedLoad {
+  readonly running: number
+  readonly waiting: number
+  readonly slots: number
+  /** Duration of work on the server at the moment, as a multiple of the usual one; undefined if it reports none. */
+  readonly slowdown: number | undefined
+}
+
 /** Kinds of response. */
 export const BackendResponseKind = { Response: 'answer', NotRun: 'not run' } as const
 export type BackendResponseKind = typeof BackendResponseKind[keyof typeof BackendResponseKind]
@@ -34,6 +43,8 @@
     readonly requestLimit: number | undefined
     /** Whether the server says that it leaves: it finishes its current requests and is to get no new ones. */
     readonly isLeaving: boolean
+    /** Load of the server when it sent the head; undefined if it reports none. */
+    readonly load?: ReportedLoad | undefined
     /** Headers to forward to the caller, as alternating names and values. */
     readonly headers: readonly string[]
     /**
@@ -50,6 +61,7 @@
     readonly status: number
     readonly requestLimit: number | undefined
     readonly isLeaving: boolean
+    readonly load?: ReportedLoad | undefined
   }
 
 /** The response of a backend server that ran the request. */
--- a/src/process/fleet/fleetMessages.ts
+++ b/src/process/fleet/fleetMessages.ts
@@ -2,6 +2,7 @@
  * Messages between the leading control host and the hosts of the fleet.
  * @module
  */
+import type { AccountUse } from '../accounts/accountQuotas.ts'
 import type { GatewayTables } from '../../version/gatewayTables.ts'
 import type { EncodedTables } from '../../connection/tablesCodec.ts'
 import type { Trait } from '../../request/requestTraits.ts'
@@ -108,6 +109,11 @@
   readonly leadership: string
   /** Version of the tables in force; 0 as long as the leader does not know it. */
   readonly tablesVersion?: number | undefined
+  /**
+   * Time for which `tablesVersion` may have been superseded unnoticed: since the leader last confirmed its leadership by a majority, in
+   * milliseconds. Undefined if it has not, or if the tables have no accounts.
+   */
+  readonly tablesAgeMs?: number | undefined
   /** Present when newer than the version in the poll, for a host that does not fetch tables itself. */
   readonly tables?: GatewayTables | undefined
   readonly serversRevision: number
@@ -191,6 +197,8 @@
   readonly suspects: readonly string[]
   /** Outputs with suspect traits since the last accepted report. */
   readonly outputs?: readonly TraitOutput[] | undefined
+  /** Requests of limited client accounts that the host has admitted in the latest window; undefined if there are none. */
+  readonly accountUse?: AccountUse | undefined
 }
 
 /** Requests in flight on one backend server. */
@@ -207,4 +215,8 @@
   readonly suspects: readonly string[]
   /** Minimum time until the next report, in milliseconds; grows with the number of hosts. */
   readonly intervalMs: number
+  /** Requests of limited client accounts that all hosts have admitted in the latest window; undefined if there are none. */
+  readonly accountUse?: AccountUse | undefined
+  /** Number of gateways with a session; undefined from a leader of an earlier version of the program. */
+  readonly gateways?: number | undefined
 }
--- a/src/process/fleet/fleetView.ts
+++ b/src/process/fleet/fleetView.ts
@@ -7,6 +7,8 @@
 import { type Condition, createCondition } from '../program/condition.ts'
 import { LogEvents } from '../program/logEvents.ts'
 import type { Logger } from '../program/logger.ts'
+import { type AccountQuotas, createAccountQuotas } from '../accounts/accountQuotas.ts'
+import { type AccountIndex, createAccountIndex } from '../../version/accounts.ts'
 import { createRouteIndex, type GatewayTables, type RouteIndex } from '../../version/gatewayTables.ts'
 import { type BackendServerRecord, isNewer, keepSoftwareVersion, ServerPhase } from './backendServerRegistry.ts'
 import { createQuarantineView, type QuarantineView } from './quarantineView.ts'
@@ -37,6 +39,12 @@
   readonly tablesOutdatedMs: number | undefined
   /** Whether requests may be served by the tables: there are some, and they have not been outdated for too long. */
   readonly canServe: boolean
+  /** Client accounts by the digests of their keys; undefined if requests need no key. */
+  readonly accounts: AccountIndex | undefined
+  /** Whether the accounts are recent enough to accept keys by them. */
+  readonly canServeAccounts: boolean
+  /** Quotas of the accounts at this host. */
+  readonly accountQuotas: AccountQuotas
   /** Hosts of the fleet; only control hosts receive them. */
   readonly hosts: readonly FleetHost[]
   /** Internal addresses of the control hosts, the closest first, and the configured seeds. */
@@ -160,6 +168,8 @@
   // Newer versions that this host does not have, in order, with the monotonic time at which it learned of each, in milliseconds.
   let missingVersions: ReadonlyArray<{ readonly version: number, readonly knownSince: number }> = []
   let routes: RouteIndex = new Map()
+  let accounts: AccountIndex | undefined
+  const accountQuotas = createAccountQuotas()
   let hosts: readonly FleetHost[] = []
   let reportedControlHosts: readonly string[] = []
   let streamKeepers: readonly string[] = []
@@ -186,6 +196,7 @@
     if (newTables.version <= (tables?.version ?? 0)) return
     tables = newTables
     routes = createRouteIndex(newTables)
+    accounts = createAccountIndex(newTables.accounts)
     recordTablesVersion(newTables.version)
     const delayMs = getOutdatedMs() ?? 0
     missingVersions = missingVersions.filter(({ version }) => version > newTables.version)
@@ -222,6 +233,9 @@
     get tablesVersionInForce () { return tablesVersionInForce },
     get tablesOutdatedMs () { return getOutdatedMs() },
     get canServe () { return tables !== undefined && (getOutdatedMs() ?? 0) <= maxTablesOutdatedMs },
+    get accounts () { return accounts },
+    get canServeAccounts () { return true },
+    accountQuotas,
     get hosts () { return hosts },
     get controlHosts () { return [...new Set([...reportedControlHosts, ...seeds()])] },
     get isPopulated () { return isPopulated },
--- a/src/request/callerExchange.ts
+++ b/src/request/callerExchange.ts
@@ -10,6 +10,8 @@
   NoRoute: 'no route',
   /** The request is malformed. */
   Invalid: 'invalid request',
+  /** The request has no key of a client account, or one that no account holds. */
+  Unauthorized: 'unknown key',
   TooLarge: 'body too large',
   /** The body stopped arriving; the request has not run. */
   Stalled: 'body stalled',
@@ -28,7 +30,7 @@
   UnknownStream: 'stream not known',
   /** No ready server has the software version that began the stream that the request resumes; the request has not run. */
   VersionUnavailable: 'software version unavailable',
-  /** The limit of waiting tokens of the route is reached; the job has not been accepted. */
+  /** A limit of the client account or of the route is reached; the request or job has not run and will not. */
   QuotaExceeded: 'quota exceeded',
   /** The deadline passed; the request may have run. */
   TimedOut: 'timed out',
@@ -42,6 +44,8 @@
 
 /** Request of a caller. */
 export interface CallerRequest extends OpaqueRequest {
+  /** Key of a client account as the caller sent it; undefined if it sent none. */
+  readonly credential?: string | undefined
   /** Id of the caller's attempt that received the first event of the stream that this request resumes; undefined if it names none. */
   readonly resumes?: string | undefined
   /** Ids of the parts at the start of the prompt that other requests may have too, in order; empty when they are unknown. */
--- a/src/request/forwardedAttempt.ts
+++ b/src/request/forwardedAttempt.ts
@@ -14,6 +14,7 @@
 import { Counter, Latency } from '../process/program/metrics.ts'
 import type { ProcessServices } from '../process/program/processServices.ts'
 import { maxTimerMs } from '../process/program/units.ts'
+import type { ClientAccount } from '../version/accounts.ts'
 import { type GatewayRoute, RouteKind } from '../version/gatewayTables.ts'
 import type { CallerResponse, CallerRequest } from './callerExchange.ts'
 import { createEventSplitter, isEventStream, removeContentLength } from './eventStream.ts'
@@ -71,6 +72,8 @@
   readonly request: CallerRequest
   readonly answer: CallerResponse
   readonly route: GatewayRoute
+  /** Client account of the caller; undefined if the request needs none. */
+  readonly account: ClientAccount | undefined
   /** Service of the route that gets the request; that of the origin for a caller's resumption. */
   service: string
   /** What wrote the first event of the stream; undefined before it. Only servers of the same service and software version may continue it. */
@@ -154,6 +157,7 @@
       remainder: request.remainder,
       resumeAfter: progress.lastEvent,
       timeLeftMs: Math.max(1, Math.floor(timeLeftMs)),
+      account: progress.account?.name,
       isRepeatable: canRunAgain(progress)
     }, abort.signal)
     if (sent.isErr()) return handleSendFailure(progress, server, sent.error, services)
--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -10,6 +10,7 @@
 import { Counter } from '../process/program/metrics.ts'
 import { chooseTarget, matchRoute, RouteKind } from '../version/gatewayTables.ts'
 import { type CallerResponse, type CallerRequest, drainingRetryAfterMs, GatewayRefusal } from './callerExchange.ts'
+import { identifyCaller } from './callerIdentity.ts'
 import { ForwardedAttemptEnd, type ForwardingServices, isBodyReplayable, type ForwardingProgress, runForwardedAttempt, minServerErrorStatus, verifyOrigin } from './forwardedAttempt.ts'
 import { reportCrash } from './crashReport.ts'
 import { canContinue, decideResumption, isResumption, mayContinue } from './streamContinuation.ts'
@@ -50,8 +51,14 @@
   if (!view.canServe) return sendRefusal(services, request, response, GatewayRefusal.NotReady, undefined)
   const route = matchRoute(view.routes, request.host, request.path)
   if (route === undefined || route.kind === RouteKind.Batch) return sendRefusal(services, request, response, refuseUnknownRoute(view), undefined)
+  const identified = identifyCaller(request.credential, route.isPublic === true, view)
+  if (identified.isErr()) return sendRefusal(services, request, response, identified.error, undefined)
+  const account = identified.value
+  const quota = view.accountQuotas.admit(account)
+  if (!quota.isAdmitted) return sendRefusal(services, request, response, GatewayRefusal.QuotaExceeded, undefined, quota.retryMs)
   const progress: ForwardingProgress = {
     request,
+    account,
     answer: response,
     route,
     service: chooseTarget(route, random.next()),
@@ -272,11 +279,11 @@
   return false
 }
 
-function sendRefusal (services: ForwardingServices, request: CallerRequest, response: CallerResponse, refusal: GatewayRefusal, progress: ForwardingProgress | undefined): void {
+function sendRefusal (services: ForwardingServices, request: CallerRequest, response: CallerResponse, refusal: GatewayRefusal, progress: ForwardingProgress | undefined, retryMs = 0): void {
   const jitteredRetryAfterMs = retryAfterBaseMs + services.random.next() * retryAfterBaseMs
   const blockedMs = progress === undefined ? undefined : services.view.quarantine.getBlockedMs(progress.traits)
   if (lastingRefusals.has(refusal)) response.refuse(refusal)
-  else response.refuse(refusal, refusal === GatewayRefusal.Draining ? drainingRetryAfterMs : Math.max(jitteredRetryAfterMs, blockedMs ?? 0))
+  else response.refuse(refusal, refusal === GatewayRefusal.Draining ? drainingRetryAfterMs : Math.max(jitteredRetryAfterMs, blockedMs ?? 0, retryMs))
   services.metrics.count(Counter.Refusals, refusal)
   const described = progress === undefined ? { requestId: request.id, inputs: { version: services.view.tables?.version ?? 0 } } : describeProgress(progress, services)
   services.logger.write(LogEvents.requestRefused, { ...described, reason: refusal })
--- a/src/version/gatewayTables.ts
+++ b/src/version/gatewayTables.ts
@@ -3,6 +3,7 @@
  * routes and services tables together under a version number of their choice; the highest version is active.
  * @module
  */
+import type { ClientAccount } from './accounts.ts'
 import type { Problem } from './validation.ts'
 
 /** Kinds of route: whether its requests may be retried, and how responses are delivered. */
@@ -41,6 +42,8 @@
   readonly dueMs: number
   /** Time from submission after which an item may be abandoned, in milliseconds; 0 for never. */
   readonly giveUpMs: number
+  /** Whether requests need no key although the tables have accounts. */
+  readonly isPublic?: boolean | undefined
 }
 
 /** Group of identical backend servers. */
@@ -68,6 +71,8 @@
   readonly routes: readonly GatewayRoute[]
   readonly services: readonly Service[]
   readonly limits: CallerLimits
+  /** Client accounts; undefined if requests need no key. */
+  readonly accounts?: readonly ClientAccount[] | undefined
 }
 
 /** Published version: the tables, and the document from which they were read. */
