Client accounts: keys of requests, the account's name to servers, owners of jobs

Backend servers get the account's name and never the key. A job belongs to the account of its submission: other accounts get what an unknown job gets, its tokens count for the account, and its items run with the account's name.

--- a/src/process/fleet/gatewayDaemon.ts
+++ b/src/process/fleet/gatewayDaemon.ts
@@ -88,12 +88,13 @@
   return {
     limits: () => view.tables?.limits,
     isJob: (host, path) => matchRoute(view.routes, host, path)?.kind === RouteKind.Batch,
+    hasAccounts: () => view.accounts !== undefined,
     now: () => clock.now(),
     forward: (request, response) => runForwardedRequest(request, response, forwarding),
     submit: job => submitJob(job, jobs),
-    results: (job, after, waitMs) => readJobResults(job, after, waitMs, jobs),
-    body: (job, item) => readItemBody(job, item, jobs),
-    end: job => endJob(job, jobs),
+    results: (job, after, waitMs, access) => readJobResults(job, after, waitMs, access, jobs),
+    body: (job, item, access) => readItemBody(job, item, access, jobs),
+    end: (job, access) => endJob(job, access, jobs),
     reportError: (error, requestId) => reportUnexpectedError({ logger, metrics }, ErrorPlace.CallerRequest, error, requestId)
   }
 }
--- a/src/process/fleet/itemExecutor.ts
+++ b/src/process/fleet/itemExecutor.ts
@@ -114,6 +114,7 @@
       : await runSubmittedItem({
         item,
         host,
+        account: assignment.account,
         target,
         client,
         progress,
--- a/src/process/fleet/runAssignments.ts
+++ b/src/process/fleet/runAssignments.ts
@@ -179,6 +179,7 @@
         job: submission.id,
         item,
         host: submission.host,
+        account: submission.account,
         target: { address: server.address, id: server.id },
         startedAt: server.startedAt,
         softwareVersion,
--- a/src/process/fleet/runMessages.ts
+++ b/src/process/fleet/runMessages.ts
@@ -38,6 +38,8 @@
   readonly item: SubmittedItem
   /** Host of the route, which the request names. */
   readonly host: string
+  /** Name of the client account that the job belongs to; undefined if it belongs to none. */
+  readonly account?: string | undefined
   readonly target: BackendServerTarget
   /** Time of day at which the backend server started, in milliseconds; 0 if it does not report one. */
   readonly startedAt: number
--- a/src/process/jobs/submission.ts
+++ b/src/process/jobs/submission.ts
@@ -25,6 +25,24 @@
   readonly acceptedAt: number
   /** Wall-clock time from which items may be abandoned, in milliseconds since the epoch; Infinity for never. */
   readonly giveUpAt: number
+  /** Name of the client account that the job belongs to; undefined if it belongs to none, as in a log of a version without accounts. */
+  readonly account?: string | undefined
+}
+
+/** Caller whose access to a job is checked. */
+export interface JobCaller {
+  /** Name of its client account; undefined if it has none. */
+  readonly account?: string | undefined
+}
+
+/**
+ * Checks whether a caller may read and end a job.
+ * @param submission - the job
+ * @param caller - the caller; undefined if jobs need no key
+ * @returns whether it may: a job without an account is open to all callers
+ */
+export function canAccessJob (submission: SubmissionHeader, caller: JobCaller | undefined): boolean {
+  return caller === undefined || submission.account === undefined || submission.account === caller.account
 }
 
 /** A job as submitted. */
--- a/src/process/jobs/submissions.ts
+++ b/src/process/jobs/submissions.ts
@@ -1,11 +1,11 @@
 /**
  * Jobs submitted to gateways: items that are opaque requests, their results in stable positions, and the number of
- * waiting tokens per route. Applied from the replicated log.
+ * waiting tokens per route and client account. Applied from the replicated log.
  * @module
  */
 import { countCharacters } from '../program/chunk.ts'
 import { readOutput, type StoredOutput, storeOutput } from './storedOutput.ts'
-import type { SavedProgress, SubmissionHeader, SubmittedItem } from './submission.ts'
+import { canAccessJob, type SavedProgress, type SubmissionHeader, type SubmittedItem } from './submission.ts'
 import { CommandKind, type CommandOf, done, Ending, type FinishedItem, notFound, type Outcome, OutcomeKind } from '../state/commands.ts'
 
 /** Result of an item. */
@@ -41,7 +41,7 @@
 /** All submitted jobs. */
 export interface Submissions {
   readonly jobs: Map<string, SubmissionRecord>
-  /** Number of waiting tokens by host and path prefix of the route. */
+  /** Number of waiting tokens by host and path prefix of the route, and by client account of the jobs that have one. */
   readonly waitingTokens: Map<string, number>
   /** Whether results are kept compressed; each host decides for itself, nothing else in the state depends on it. */
   readonly compressesResults: boolean
@@ -60,23 +60,31 @@
   return { compressesResults, jobs: new Map(), waitingTokens: new Map(), resultBytes: 0, progressCharacters: 0 }
 }
 
+const foreignJob: Outcome = { kind: OutcomeKind.Conflict, text: 'the job belongs to another client account' }
+
 /**
  * Finds the outcome of a command that repeats an applied one.
  * @param state - the jobs
  * @param command - the submission or the end of a job
- * @returns the outcome, or undefined if the command may change the state
+ * @returns the outcome, or undefined if the command may change the state; a conflict if the job belongs to another client account
  */
 export function findOutcomeOfRepetition (state: Submissions, command: CommandOf<'submit'> | CommandOf<'end submission'>): Outcome | undefined {
-  if (command.kind === CommandKind.EndSubmission) return state.jobs.get(command.job)?.ended === true ? done : undefined
-  const { id } = command.submission
-  return state.jobs.has(id) ? { kind: OutcomeKind.Job, job: id } : undefined
+  if (command.kind === CommandKind.EndSubmission) {
+    const record = state.jobs.get(command.job)
+    if (record !== undefined && !canAccessJob(record.submission, command.caller)) return foreignJob
+    return record?.ended === true ? done : undefined
+  }
+  const { id, account } = command.submission
+  const known = state.jobs.get(id)
+  if (known === undefined) return undefined
+  return canAccessJob(known.submission, { account }) ? { kind: OutcomeKind.Job, job: id } : foreignJob
 }
 
 /**
  * Accepts a job. A retry is accepted without effect.
  * @param state - the jobs
  * @param command - the command
- * @returns the job, or a limit if its tokens exceed the token limit of the route
+ * @returns the job, a conflict if another client account has a job of that id, or a limit if its tokens exceed the token limit
  */
 export function submit (state: Submissions, command: CommandOf<'submit'>): Outcome {
   const repeated = findOutcomeOfRepetition(state, command)
@@ -210,7 +218,7 @@
  * Ends a job. Its open items are not run.
  * @param state - the jobs
  * @param command - the command
- * @returns done, or not found
+ * @returns done, not found, or a conflict if the job belongs to another client account
  */
 export function endSubmission (state: Submissions, command: CommandOf<'end submission'>): Outcome {
   const repeated = findOutcomeOfRepetition(state, command)
@@ -293,8 +301,10 @@
   return countCharacters(progress.get(item)?.data ?? [])
 }
 
+// The limit counts for each client account.
 function createRouteKey (submission: SubmissionHeader): string {
-  return `${submission.host} ${submission.pathPrefix}`
+  const route = `${submission.host} ${submission.pathPrefix}`
+  return submission.account === undefined ? route : `${route}\n${submission.account}`
 }
 
 function adjustWaitingTokens (state: Submissions, submission: SubmissionHeader, tokens: number): void {
--- a/src/process/state/commands.ts
+++ b/src/process/state/commands.ts
@@ -6,7 +6,7 @@
 import type { Tables } from '../../version/tables.ts'
 import type { Publication } from '../../version/gatewayTables.ts'
 import type { Problem } from '../../version/validation.ts'
-import type { ItemReference, ProgressChunk, Submission } from '../jobs/submission.ts'
+import type { ItemReference, JobCaller, ProgressChunk, Submission } from '../jobs/submission.ts'
 import type { Trait } from '../../request/requestTraits.ts'
 import type { QuarantinedTrait, RecordedServerCrash } from './quarantinedTraits.ts'
 
@@ -139,7 +139,7 @@
   | { readonly kind: typeof CommandKind.SaveProgress, readonly pieces: readonly ProgressChunk[] }
   | { readonly kind: typeof CommandKind.FinishItems, readonly results: readonly FinishedItem[] }
   | { readonly kind: typeof CommandKind.RecordFailures, readonly failures: readonly FailedItem[] }
-  | { readonly kind: typeof CommandKind.EndSubmission, readonly job: string }
+  | { readonly kind: typeof CommandKind.EndSubmission, readonly job: string, readonly caller?: JobCaller | undefined }
   | { readonly kind: typeof CommandKind.PurgeSubmissions, readonly jobs: readonly string[] }
   | { readonly kind: typeof CommandKind.UpdateQuarantine, readonly changed: readonly QuarantinedTrait[], readonly removed: readonly Trait[], readonly crashes?: readonly RecordedServerCrash[] }
 
--- a/src/process/state/controlHost.ts
+++ b/src/process/state/controlHost.ts
@@ -11,8 +11,9 @@
 import { findOutcomeWithoutChange } from './publications.ts'
 import { answerQuery, applyCommand, type ControlState, createControlState } from './controlState.ts'
 import { createFailure, type Failure, FailureReason, Step } from '../program/failure.ts'
-import { type Query, QueryKind, type QueryResponse } from './queries.ts'
+import { type Query, QueryKind, type QueryOf, type QueryResponse } from './queries.ts'
 import { hasOutputSpace } from '../jobs/outputSpace.ts'
+import { canAccessJob } from '../jobs/submission.ts'
 import { findOutcomeOfRepetition, isSubmissionClosed } from '../jobs/submissions.ts'
 import { createIdleUploads } from '../jobs/idleUploads.ts'
 import { createIdleClaims, type IdleClaims } from '../jobs/idleClaims.ts'
@@ -214,16 +215,16 @@
   }
 
   async function read (query: Query): Promise<Result<QueryResponse, Failure>> {
-    if (query.kind === QueryKind.SubmissionResults && query.waitMs > 0) await waitForResults(query.job, query.after, query.waitMs)
+    if (query.kind === QueryKind.SubmissionResults && query.waitMs > 0) await waitForResults(query)
     const confirmed = await replica.confirmLocalRead()
     return confirmed.map(() => answerQuery(state, query))
   }
 
-  async function waitForResults (job: string, after: number, waitMs: number): Promise<void> {
+  async function waitForResults ({ job, after, waitMs, caller }: QueryOf<typeof QueryKind.SubmissionResults>): Promise<void> {
     const deadline = clock.now() + Math.min(waitMs, longPollMs)
     while (clock.now() < deadline && !lifecycle.signal.aborted) {
       const record = state.submissions.jobs.get(job)
-      if (record === undefined || record.results.length > after || isSubmissionClosed(record)) return
+      if (record === undefined || record.results.length > after || isSubmissionClosed(record) || !canAccessJob(record.submission, caller)) return
       await finished.wait(deadline - clock.now(), lifecycle.signal)
     }
   }
@@ -338,8 +339,8 @@
 function identifyRepetitions (command: RepeatableCommand): string {
   switch (command.kind) {
     case CommandKind.Publish: return `${command.kind} ${command.publication.tables.version} ${command.publication.digest}`
-    case CommandKind.Submit: return `${command.kind} ${command.submission.id}`
-    case CommandKind.EndSubmission: return `${command.kind} ${command.job}`
+    case CommandKind.Submit: return `${command.kind} ${command.submission.id} ${command.submission.account ?? ''}`
+    case CommandKind.EndSubmission: return `${command.kind} ${command.job} ${command.caller?.account ?? ''} ${command.caller === undefined}`
     default: return assertNever(command)
   }
 }
--- a/src/process/state/controlState.ts
+++ b/src/process/state/controlState.ts
@@ -17,6 +17,7 @@
 import { type Publications, publish } from './publications.ts'
 import { type QuarantinedTraits, updateQuarantine } from './quarantinedTraits.ts'
 import { JobPhase, type Query, QueryKind, type QueryResponse } from './queries.ts'
+import { canAccessJob } from '../jobs/submission.ts'
 import { createSubmissions, endSubmission, finishItems, purgeSubmissions, readResults, recordFailures, saveProgress, type Submissions, submit } from '../jobs/submissions.ts'
 import { appendItems, discardUpload, openUpload } from '../jobs/uploads.ts'
 
@@ -91,10 +92,12 @@
     case QueryKind.Publication: return { kind: query.kind, document: state.publication?.document }
     case QueryKind.SubmissionResults: {
       const record = state.submissions.jobs.get(query.job)
+      if (record !== undefined && !canAccessJob(record.submission, query.caller)) return { kind: query.kind, isForeign: true }
       return { kind: query.kind, page: record === undefined ? undefined : readResults(record, query.after) }
     }
     case QueryKind.SubmittedBody: {
       const record = state.submissions.jobs.get(query.job)
+      if (record !== undefined && !canAccessJob(record.submission, query.caller)) return { kind: query.kind, isForeign: true }
       return { kind: query.kind, body: record?.ended === true ? undefined : record?.open.get(query.item)?.body }
     }
     default: return assertNever(query)
--- a/src/process/state/queries.ts
+++ b/src/process/state/queries.ts
@@ -6,6 +6,7 @@
 import type { Configuration, Tables } from '../../version/tables.ts'
 import type { Problem } from '../../version/validation.ts'
 import type { Ending } from './commands.ts'
+import type { JobCaller } from '../jobs/submission.ts'
 import type { ResultPage } from '../jobs/submissions.ts'
 
 /** Queries that a control host answers. */
@@ -33,8 +34,11 @@
    * Long poll: waits up to `waitMs`, and at most `longPollMs`, until there is a result with index `after`, which is the
    * first one of the page.
    */
-  | { readonly kind: typeof QueryKind.SubmissionResults, readonly job: string, readonly after: number, readonly waitMs: number }
-  | { readonly kind: typeof QueryKind.SubmittedBody, readonly job: string, readonly item: string }
+  | { readonly kind: typeof QueryKind.SubmissionResults, readonly job: string, readonly after: number, readonly waitMs: number, readonly caller?: JobCaller | undefined }
+  | { readonly kind: typeof QueryKind.SubmittedBody, readonly job: string, readonly item: string, readonly caller?: JobCaller | undefined }
+
+/** Query of a kind. */
+export type QueryOf<Kind extends QueryKind> = Extract<Query, { readonly kind: Kind }>
 
 /** Phase of a job. */
 export const JobPhase = { Running: 'running', Finished: 'finished', Cancelled: 'cancelled' } as const
@@ -73,5 +77,6 @@
   | { readonly kind: typeof QueryKind.Jobs, readonly jobs: readonly JobStatus[] }
   | { readonly kind: typeof QueryKind.Results, readonly results?: readonly ItemResult[] | undefined, readonly finished: boolean }
   | { readonly kind: typeof QueryKind.Publication, readonly document?: string | undefined }
-  | { readonly kind: typeof QueryKind.SubmissionResults, readonly page?: ResultPage | undefined }
-  | { readonly kind: typeof QueryKind.SubmittedBody, readonly body?: Uint8Array | undefined }
+  /** `isForeign` is set if the job exists, but the caller may not read it. */
+  | { readonly kind: typeof QueryKind.SubmissionResults, readonly page?: ResultPage | undefined, readonly isForeign?: boolean | undefined }
+  | { readonly kind: typeof QueryKind.SubmittedBody, readonly body?: Uint8Array | undefined, readonly isForeign?: boolean | undefined }
--- a/src/request/callerService.ts
+++ b/src/request/callerService.ts
@@ -7,7 +7,7 @@
 import type { ResultPage } from '../process/jobs/submissions.ts'
 import type { CallerLimits } from '../version/gatewayTables.ts'
 import type { CallerResponse, CallerRequest, GatewayRefusal } from './callerExchange.ts'
-import type { JobSubmission } from './gatewayJobs.ts'
+import type { JobAccess, JobSubmission } from './gatewayJobs.ts'
 
 /** Operations for callers. */
 export interface CallerService {
@@ -20,6 +20,8 @@
    * @returns whether the matching route is a batch route
    */
   isJob (host: string, path: string): boolean
+  /** Checks whether the tables have client accounts, so that what callers say of their identity is not forwarded. */
+  hasAccounts (): boolean
   /** Monotonic time, in milliseconds. */
   now (): number
   /**
@@ -40,22 +42,25 @@
    * @param job - id of the job
    * @param after - position of the first result to return
    * @param waitMs - duration of the long poll, in milliseconds
-   * @returns a page of results, undefined when the job does not exist, or a refusal
+   * @param access - how the caller identifies itself
+   * @returns a page of results, undefined when the job does not exist or belongs to another client account, or a refusal
    */
-  results (job: string, after: number, waitMs: number): Promise<Result<ResultPage | undefined, GatewayRefusal>>
+  results (job: string, after: number, waitMs: number, access: JobAccess): Promise<Result<ResultPage | undefined, GatewayRefusal>>
   /**
    * Reads the body of an item that has no result yet.
    * @param job - id of the job
    * @param item - id of the item
-   * @returns the body, undefined when there is none, or a refusal
+   * @param access - how the caller identifies itself
+   * @returns the body, undefined when there is none or the job belongs to another client account, or a refusal
    */
-  body (job: string, item: string): Promise<Result<Uint8Array | undefined, GatewayRefusal>>
+  body (job: string, item: string, access: JobAccess): Promise<Result<Uint8Array | undefined, GatewayRefusal>>
   /**
    * Ends a job.
    * @param job - id of the job
-   * @returns whether the job existed, or a refusal when it may not have ended
+   * @param access - how the caller identifies itself
+   * @returns whether the job existed and the caller may end it, or a refusal when it may not have ended
    */
-  end (job: string): Promise<Result<boolean, GatewayRefusal>>
+  end (job: string, access: JobAccess): Promise<Result<boolean, GatewayRefusal>>
   /**
    * Reports an unexpected error that ended a request.
    * @param error - the caught value
--- a/src/request/submittedItemRun.ts
+++ b/src/request/submittedItemRun.ts
@@ -50,6 +50,8 @@
 export interface SubmittedItemRun {
   readonly item: SubmittedItem
   readonly host: string
+  /** Name of the client account that the item belongs to; undefined if it belongs to none. */
+  readonly account?: string | undefined
   readonly target: BackendServerTarget
   readonly client: BackendServerClient
   /** Extended as events arrive; shared by all runs of the item. */
@@ -99,7 +101,7 @@
     const headers: string[] = []
     for (const [name, value] of Object.entries(item.headers)) headers.push(name, value)
     const sent = await client.send(target, {
-      id: item.id, host, method: 'POST', path: item.path, headers, body: item.body, remainder: undefined, resumeAfter: progress.lastEvent, timeLeftMs: undefined, isRepeatable: true
+      id: item.id, host, method: 'POST', path: item.path, headers, body: item.body, remainder: undefined, resumeAfter: progress.lastEvent, timeLeftMs: undefined, account: run.account, isRepeatable: true
     }, abort.signal)
     if (sent.isErr()) return { end: sent.error.sent ? RunEnd.Interrupted : RunEnd.NotRun, failure: sent.error.failure, isUnreachable: !sent.error.sent }
     const response = sent.value
--- a/src/version/gatewayTables.ts
+++ b/src/version/gatewayTables.ts
@@ -159,6 +159,16 @@
   return undefined
 }
 
+/**
+ * Lists the routes of a host name.
+ * @param index - the routes
+ * @param host - the host name of a request, without a port
+ * @returns its routes
+ */
+export function listRoutes (index: RouteIndex, host: string): GatewayRoute[] {
+  return [...index.get(host.toLowerCase())?.byPathPrefix.values() ?? []]
+}
+
 /**
  * Chooses the service of a request by the weights of its route.
  * @param route - the route
--- a/test/gatewayDrain.test.ts
+++ b/test/gatewayDrain.test.ts
@@ -136,10 +136,11 @@
 
   // Guards against job calls that the end of the process cuts without an answer.
   it('is refused unless the call ends in time, and a long poll is shortened to the time left', async () => {
-    const job = { id: 'j', host: 'a.example', path: '/batch/j', items: [] }
+    const access = { host: 'a.example' }
+    const job = { id: 'j', path: '/batch/j', items: [], ...access }
     const late = createServices(500)
     const results = await Promise.all([
-      submitJob(job, late.services), readJobResults('j', 0, 1_000, late.services), readItemBody('j', 'x', late.services), endJob('j', late.services)
+      submitJob(job, late.services), readJobResults('j', 0, 1_000, access, late.services), readItemBody('j', 'x', access, late.services), endJob('j', access, late.services)
     ])
     for (const result of results) expect(result._unsafeUnwrapErr()).to.equal(GatewayRefusal.Draining)
     expect([late.executed, late.queries]).to.deep.equal([[], []])
@@ -148,7 +149,7 @@
     const inTime = createServices(6_000)
     await submitJob(job, inTime.services)
     expect(inTime.executed).to.have.length(1)
-    expect((await readJobResults('j', 0, 60_000, inTime.services)).isOk()).to.equal(true)
+    expect((await readJobResults('j', 0, 60_000, access, inTime.services)).isOk()).to.equal(true)
     const [query] = inTime.queries
     expect(query?.kind === QueryKind.SubmissionResults ? query.waitMs : undefined).to.be.within(1, 6_000)
   })
--- a/test/lastEventId.test.ts
+++ b/test/lastEventId.test.ts
@@ -18,6 +18,7 @@
     server = createCallerServer({
       limits: () => undefined,
       isJob: () => false,
+      hasAccounts: () => false,
       now: () => performance.now(),
       async forward (callerRequest: CallerRequest, response: CallerResponse) {
         forwarded.push(callerRequest)
--- a/test/malformedMessages.test.ts
+++ b/test/malformedMessages.test.ts
@@ -91,6 +91,7 @@
       const server = createCallerServer({
         limits: () => decoded.value.tables.limits,
         isJob: () => false,
+        hasAccounts: () => false,
         now: () => performance.now(),
         async forward (_request: unknown, response: CallerResponse) {
           response.start(200, ['content-length', '0'], true)
@@ -118,6 +119,7 @@
     const server = createCallerServer({
       limits: () => limits,
       isJob: (_host: string, path: string) => path.startsWith('/batch/'),
+      hasAccounts: () => false,
       now: () => performance.now(),
       async forward (_request: unknown, response: CallerResponse) {
         served++
--- a/test/plannedStop.test.ts
+++ b/test/plannedStop.test.ts
@@ -39,6 +39,7 @@
     server = createCallerServer({
       limits: () => ({ headerBytes: 16_384, bodyBytes: 1_000_000, headerMs: 3_000, idleMs: 15_000 }),
       isJob: () => false,
+      hasAccounts: () => false,
       now: () => performance.now(),
       forward: (request: CallerRequest, response: CallerResponse) => new Promise<void>(resolve => { forwarded.push({ request, response, end: resolve }) }),
       results: async () => ok({ total: 0, next: 0, results: [] }),
--- a/test/platformHttp.test.ts
+++ b/test/platformHttp.test.ts
@@ -72,6 +72,7 @@
   const service: CallerService = {
     limits: () => callerLimits,
     isJob: (host, path) => matchRoute(services.view.routes, host, path)?.kind === RouteKind.Batch,
+    hasAccounts: () => false,
     now: () => performance.now(),
     forward: (callerRequest, callerResponse) => runForwardedRequest(callerRequest, callerResponse, services),
     async submit (job) {
--- a/test/unexpectedErrors.test.ts
+++ b/test/unexpectedErrors.test.ts
@@ -42,6 +42,7 @@
     const service: CallerService = {
       limits: () => callerLimits,
       isJob: (_host, path) => path.startsWith('/batch/'),
+      hasAccounts: () => false,
       now: () => performance.now(),
       async forward ({ id }, response) {
         if (id === 'bad') throw new Error('unexpected')
