--- a/src/connection/fleetWatch.ts
+++ b/src/connection/fleetWatch.ts
@@ -41,6 +41,7 @@
   // Failed polls since the last answered one, by reason.
   const failedPolls = new Map<string, number>()
   while (!signal.aborted) {
+    const sentAt = clock.now()
     const update = await client.watchFleet(view.createWatchRequest(inputs.describe()))
     if (signal.aborted) return
     if (update.isOk()) {
@@ -49,7 +50,7 @@
       if (silentMs < Infinity) metrics.record(Latency.FleetPollGap, silentMs)
       if (failedPolls.size > 0) logger.write(LogEvents.leaderReached, { value: Math.round(silentMs), inputs: Object.fromEntries(failedPolls) })
       failedPolls.clear()
-      view.applyUpdate(update.value)
+      view.applyUpdate(update.value, sentAt)
       continue
     }
     const { reason } = update.error
--- a/src/process/fleet/fleetDaemon.ts
+++ b/src/process/fleet/fleetDaemon.ts
@@ -8,6 +8,7 @@
 import { type FleetTaskInputs, runCrashReports, runFleetWatch, runLimitReports } from '../../connection/fleetWatch.ts'
 import { compressionThresholdBytes } from '../../connection/frames.ts'
 import { createInternalClients, type InternalClients } from '../../connection/internalClient.ts'
+import { getKeyLeaseMs } from '../accounts/keyLease.ts'
 import { createSystemClock } from '../program/clock.ts'
 import type { RunningDaemon } from '../program/daemonRun.ts'
 import { createLifecycle } from '../program/lifecycle.ts'
@@ -71,7 +72,7 @@
   const clock = createSystemClock()
   const random = createSystemRandom()
   const clients = createInternalClients(lifecycle, compressionThresholdBytes, metrics)
-  const view = createFleetView(clock, logger, () => listControlHosts(settings))
+  const view = createFleetView(clock, logger, () => listControlHosts(settings), () => getKeyLeaseMs(settings.revocationMs))
   const control = createControlClient({ controlHosts: () => view.controlHosts, readTarget: ReadTarget.Nearest, clients, clock, random, metrics, signal: lifecycle.signal })
   const readiness = { isReady: false }
   const holder = randomUUID()
--- a/src/process/fleet/fleetLeader.ts
+++ b/src/process/fleet/fleetLeader.ts
@@ -21,6 +21,7 @@
 import type { ServerStart } from './leavingServers.ts'
 import { createHostConfirmations } from './hostConfirmations.ts'
 import { createHostSessions, sessionTimeoutMs } from './hostSessions.ts'
+import { createTablesConfirmations } from './tablesConfirmation.ts'
 import { createRequestPermits, type RequestPermits } from './requestPermits.ts'
 import { createTraitQuarantine, type TraitQuarantine } from './traitQuarantine.ts'
 
@@ -213,7 +214,10 @@
     confirmations.notify()
   }
 
-  const { getConfirmedVersion, hasUpdate, createUpdate } = createFleetUpdates({ ...inputs, sessions, registry, quarantine, permits, getLeadership, isComplete })
+  const tablesConfirmations = createTablesConfirmations({ clock, replica, state, isLeading, getLeadership })
+  const { getConfirmedVersion, hasUpdate, createUpdate } = createFleetUpdates({
+    ...inputs, sessions, registry, quarantine, permits, getLeadership, isComplete, getTablesAgeMs: tablesConfirmations.getAgeMs
+  })
 
   async function waitForUpdate (request: FleetWatchRequest): Promise<void> {
     if (hasUpdate(request)) return
@@ -295,6 +299,7 @@
       permits.retain(id => registry.find(id)?.phase !== ServerPhase.Gone && registry.find(id) !== undefined)
     }
   })
+  runContained(inputs, signal => tablesConfirmations.run(signal))
   runContained(inputs, async signal => {
     while (!signal.aborted) {
       await replica.state.changed.wait(sessionTimeoutMs, signal)
--- a/src/process/fleet/fleetSettings.ts
+++ b/src/process/fleet/fleetSettings.ts
@@ -35,6 +35,7 @@
   heartbeatMs: durationMs.default(1_200).describe('time between two heartbeats of a backend server, in milliseconds'),
   graceSeconds: z.coerce.number().min(0).default(8).describe('time from SIGTERM to the end of the process, in seconds'),
   statusKeepSeconds: z.coerce.number().min(0).default(120).describe('time for which jobs can be read after their submission, in seconds'),
+  revocationMs: durationMs.default(0).describe('time within which withdrawn keys are refused by all hosts, also by those out of touch, in milliseconds; 0 for no such bound'),
   logLevel: z.enum(Level).default(Level.Info).describe('debug, info, warn or error')
 })
 
--- a/src/process/fleet/fleetUpdates.ts
+++ b/src/process/fleet/fleetUpdates.ts
@@ -25,6 +25,8 @@
   readonly getLeadership: () => string
   /** Checks whether every backend server and host has had time to contact this leader. */
   readonly isComplete: () => boolean
+  /** Returns the time since the leadership was last known to be the only one, in milliseconds; undefined if it is not known, or not needed. */
+  readonly getTablesAgeMs: () => number | undefined
   /** Returns the region of an availability zone; undefined when the settings do not name it. */
   readonly getRegion: (availabilityZone: string) => string | undefined
 }
@@ -51,7 +53,7 @@
  * @param sources - state of the leader
  * @returns the updates
  */
-export function createFleetUpdates ({ replica, state, sessions, registry, quarantine, permits, metrics, getLeadership, isComplete, getRegion }: FleetUpdateSources): FleetUpdates {
+export function createFleetUpdates ({ replica, state, sessions, registry, quarantine, permits, metrics, getLeadership, isComplete, getTablesAgeMs, getRegion }: FleetUpdateSources): FleetUpdates {
   // The selection of the latest revision of the sessions: every poll of a gateway is answered with it.
   let executorsRevision = -1
   let keepingExecutors: readonly string[] = []
@@ -100,6 +102,7 @@
     return {
       leadership: getLeadership(),
       tablesVersion: version,
+      tablesAgeMs: version > 0 ? getTablesAgeMs() : undefined,
       tables,
       serversRevision: registry.revision,
       servers: registry.listChangesSince(request.leadership === getLeadership() ? request.serversRevision : 0),
--- a/src/process/fleet/fleetView.ts
+++ b/src/process/fleet/fleetView.ts
@@ -8,6 +8,7 @@
 import { LogEvents } from '../program/logEvents.ts'
 import type { Logger } from '../program/logger.ts'
 import { type AccountQuotas, createAccountQuotas } from '../accounts/accountQuotas.ts'
+import { createKeyLease } from '../accounts/keyLease.ts'
 import { type AccountIndex, createAccountIndex } from '../../version/accounts.ts'
 import { createRouteIndex, type GatewayTables, type RouteIndex } from '../../version/gatewayTables.ts'
 import { type BackendServerRecord, isNewer, keepSoftwareVersion, ServerPhase } from './backendServerRegistry.ts'
@@ -74,8 +75,9 @@
   /**
    * Applies the response to a long poll.
    * @param update - the response
+   * @param sentAt - monotonic time at which the poll was sent, in milliseconds; without it the response does not extend the lease for keys
    */
-  applyUpdate (update: FleetUpdate): void
+  applyUpdate (update: FleetUpdate, sentAt?: number): void
   /**
    * Applies fetched tables, unless they are older than those that the host has.
    * @param tables - the tables
@@ -146,9 +148,10 @@
  * @param clock - source of time
  * @param logger - receives log events
  * @param seeds - returns the internal addresses of the control hosts in the settings
+ * @param keyLeaseMs - returns the duration of the lease for keys, in milliseconds; 0 for no lease
  * @returns the view
  */
-export function createFleetView (clock: Clock, logger: Logger, seeds: () => readonly string[]): FleetView {
+export function createFleetView (clock: Clock, logger: Logger, seeds: () => readonly string[], keyLeaseMs: () => number = () => 0): FleetView {
   const servers = new Map<string, BackendServerRecord>()
   // Servers listed by the current leader; all others are deleted once every server has had time to contact that leader.
   const listedServers = new Set<string>()
@@ -170,6 +173,7 @@
   let routes: RouteIndex = new Map()
   let accounts: AccountIndex | undefined
   const accountQuotas = createAccountQuotas()
+  const keyLease = createKeyLease(clock, keyLeaseMs)
   let hosts: readonly FleetHost[] = []
   let reportedControlHosts: readonly string[] = []
   let streamKeepers: readonly string[] = []
@@ -234,7 +238,7 @@
     get tablesOutdatedMs () { return getOutdatedMs() },
     get canServe () { return tables !== undefined && (getOutdatedMs() ?? 0) <= maxTablesOutdatedMs },
     get accounts () { return accounts },
-    get canServeAccounts () { return true },
+    get canServeAccounts () { return accounts === undefined || keyLease.isHeld(tables?.version ?? 0) },
     accountQuotas,
     get hosts () { return hosts },
     get controlHosts () { return [...new Set([...reportedControlHosts, ...seeds()])] },
@@ -249,8 +253,10 @@
     loadChanged,
     live,
     createWatchRequest: host => ({ host, leadership, tablesVersion: tables?.version ?? 0, fetchesTables: true, knownTablesVersion: tablesVersionInForce, serversRevision, hostsRevision, isSettled, quarantineRevision: quarantine.revision, limitsRevision: requestLimits.revision }),
-    applyUpdate (update) {
+    applyUpdate (update, sentAt) {
       lastContactAt = clock.now()
+      const { tablesVersion: version, tablesAgeMs: ageMs } = update
+      if (sentAt !== undefined && version !== undefined && ageMs !== undefined) keyLease.record({ version, sentAt, ageMs })
       recordTablesVersion(update.tablesVersion ?? 0)
       if (update.tables !== undefined) applyTables(update.tables)
       applyServers(update)
--- a/src/process/fleet/settingsReload.ts
+++ b/src/process/fleet/settingsReload.ts
@@ -13,7 +13,7 @@
 export const settingsCheckIntervalMs = 2_000
 
 /** Settings that may change in a running process; the code that uses them reads them at each use. */
-const reloadable: ReadonlySet<string> = new Set(['seeds', 'regions', 'heartbeatMs', 'graceSeconds', 'statusKeepSeconds'])
+const reloadable: ReadonlySet<string> = new Set(['seeds', 'regions', 'heartbeatMs', 'graceSeconds', 'statusKeepSeconds', 'revocationMs'])
 
 /** Dependencies and settings of the reload task. */
 export interface SettingsReload {
--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -27,6 +27,9 @@
 /** Retry delay suggested to a refused caller, in milliseconds; a random jitter of up to the same length is added. */
 const retryAfterBaseMs = 700
 
+/** The same for a caller that this host refuses without its lease for keys, in milliseconds; another gateway may have one. */
+const leaseRetryAfterBaseMs = 100
+
 /** Interval at which a request without a free slot checks the servers again, in milliseconds. */
 const recheckIntervalMs = 20
 
@@ -280,7 +283,8 @@
 }
 
 function sendRefusal (services: ForwardingServices, request: CallerRequest, response: CallerResponse, refusal: GatewayRefusal, progress: ForwardingProgress | undefined, retryMs = 0): void {
-  const jitteredRetryAfterMs = retryAfterBaseMs + services.random.next() * retryAfterBaseMs
+  const baseMs = refusal === GatewayRefusal.NotReady && !services.view.canServeAccounts ? leaseRetryAfterBaseMs : retryAfterBaseMs
+  const jitteredRetryAfterMs = baseMs + services.random.next() * baseMs
   const blockedMs = progress === undefined ? undefined : services.view.quarantine.getBlockedMs(progress.traits)
   if (lastingRefusals.has(refusal)) response.refuse(refusal)
   else response.refuse(refusal, refusal === GatewayRefusal.Draining ? drainingRetryAfterMs : Math.max(jitteredRetryAfterMs, blockedMs ?? 0, retryMs))
