Quotas of client accounts over all hosts

Change: a host counts its own requests of each limited account in the sliding window and reports the counts with its load. The leader adds them up and returns the sums of the accounts near their limits. A host admits the share of the requests that brings the sum near to a target between the limit and the tolerated maximum; an ordinary request pays no round trip. An admission is taken back if the request was not sent.

--- a/src/connection/fleetWatch.ts
+++ b/src/connection/fleetWatch.ts
@@ -74,10 +74,12 @@
     const nextChange = view.loadChanged.wait(view.live.size > 0 ? intervalMs * busyReportFactor : idleReportIntervalMs, signal)
     const reported = new Map(view.live)
     const outputs = view.quarantine.listOutputs()
-    const totals = await client.reportLoad({ holder: describe().holder, tablesVersion: view.tables?.version ?? 0, live: Object.fromEntries(reported), suspects: view.listLocalSuspects(), outputs })
+    const accountUse = view.accountQuotas.describeUse()
+    const totals = await client.reportLoad({ holder: describe().holder, tablesVersion: view.tables?.version ?? 0, live: Object.fromEntries(reported), suspects: view.listLocalSuspects(), outputs, accountUse })
     // Without a response the last totals remain valid; the watch task logs an unreachable leader.
     if (totals.isOk()) {
       view.applyLoads(totals.value, reported)
+      view.accountQuotas.applyTotals(totals.value.accountUse, accountUse, totals.value.gateways)
       view.quarantine.confirmOutputs(outputs)
     }
     intervalMs = totals.isOk() ? totals.value.intervalMs : idleReportIntervalMs
--- a/src/process/accounts/accountQuotas.ts
+++ b/src/process/accounts/accountQuotas.ts
@@ -3,10 +3,33 @@
  * process; the hosts exchange what they have admitted within the load reports.
  * @module
  */
+import { createHash } from 'node:crypto'
+import { type AccountCount, type AccountSums, assumeUnlisted, createWindowLimit, decideQuota, type QuotaBounds, type WindowLimit } from '../../request/placement/accountQuota.ts'
 import type { ClientAccount } from '../../version/accounts.ts'
+import type { Clock } from '../program/clock.ts'
+import { createRequestLog, type RequestLog } from './requestLog.ts'
 
-/** Requests that a host has admitted in the latest window, by name of the account. */
-export type AccountUse = Readonly<Record<string, number>>
+/** Tolerances of a host whose settings name none. */
+export const defaultQuotaBounds: QuotaBounds = { windowMs: 5_000, overshootShare: 0.1, overshootRequests: 20 }
+
+/** Minimum interval between two reports of use, in milliseconds. */
+const minReportIntervalMs = 100
+
+/** Interval between two reports of use for each account in a report and its response, in milliseconds; bounds the bytes for them. */
+const reportIntervalPerAccountMs = 4
+
+/** Weight of the latest interval in the moving average of the intervals between sums. */
+const intervalSmoothingFactor = 0.3
+
+/** Difference of two consecutive numbers of an evenly distributed sequence from 0 to 1: the golden ratio. */
+const sequenceStep = 0.618_033_988_75
+
+/**
+ * Requests by name of the account: those admitted in the latest window, those of them that are recent, those that
+ * leave the window next, and those refused recently. Zeros at the
+ * end are left out.
+ */
+export type AccountUse = Readonly<Record<string, readonly number[]>>
 
 /** Decision on one request. */
 export interface QuotaDecision {
@@ -23,27 +46,144 @@
    * @returns whether it may run
    */
   admit (account: ClientAccount | undefined): QuotaDecision
-  /** Returns what this host has admitted, for the next load report; undefined without any limited account. */
+  /**
+   * Takes back the latest admission of an account: the request was not sent to a server.
+   * @param account - the account; undefined if the request needed none
+   */
+  release (account: ClientAccount | undefined): void
+  /** Returns what this host has admitted, for the next load report; undefined without any limited account, or if it was reported just now. */
   describeUse (): AccountUse | undefined
   /**
    * Applies the sums of all hosts in the response to a load report.
-   * @param use - requests by account; undefined from a leader that names none
+   * @param use - requests by account; undefined if the response has none
    * @param reported - what this host had reported
-   * @param gateways - number of gateways
+   * @param gateways - number of gateways; undefined from a leader of an earlier version of the program
    */
-  applyTotals (use: AccountUse | undefined, reported: AccountUse | undefined, gateways: number): void
+  applyTotals (use: AccountUse | undefined, reported: AccountUse | undefined, gateways: number | undefined): void
 }
 
 const admitted: QuotaDecision = { isAdmitted: true, retryMs: 0 }
 
+/** Requests of one account at this host. */
+interface AccountState {
+  readonly requests: RequestLog
+  /** Position in the evenly distributed sequence that selects the requests to admit. */
+  position: number
+  /** Rounding of this host's part of the limit, from 0 to 1. */
+  readonly rounding: number
+}
+
 /**
  * Creates quotas without any use.
+ * @param clock - source of time
+ * @param bounds - returns the tolerances
+ * @param host - differs between hosts, so that their roundings do
  * @returns the quotas
  */
-export function createAccountQuotas (): AccountQuotas {
+export function createAccountQuotas (clock: Clock, bounds: () => QuotaBounds, host: string): AccountQuotas {
+  const states = new Map<string, AccountState>()
+  let sums: AccountUse = {}
+  let previousSums: AccountUse = {}
+  let reportedUse: AccountUse = {}
+  let gateways: number | undefined
+  let receivedAt = -Infinity
+  let intervalMs = minReportIntervalMs
+  let nextReportAt = -Infinity
+  let isUsed = false
+
+  function findState (name: string): AccountState {
+    const known = states.get(name)
+    if (known !== undefined) return known
+    const rounding = computeRounding(name, host)
+    const state = { requests: createRequestLog(), position: rounding, rounding }
+    states.set(name, state)
+    return state
+  }
+
+  function previousDemand (name: string): number | undefined {
+    const numbers = previousSums[name]
+    if (numbers === undefined) return undefined
+    const { recent, refused } = readCount(numbers)
+    return recent + refused
+  }
+
+  function findSums (name: string, limit: WindowLimit): AccountSums | undefined {
+    if (receivedAt === -Infinity) return undefined
+    const entry = sums[name]
+    return {
+      count: entry === undefined ? assumeUnlisted(limit) : readCount(entry),
+      // The sums that are assumed may contain requests of this host; which ones is not known.
+      reported: entry === undefined ? noCount : readCount(reportedUse[name] ?? []),
+      previousDemand: previousDemand(name),
+      ageMs: clock.now() - receivedAt,
+      intervalMs
+    }
+  }
+
   return {
-    admit: () => admitted,
-    describeUse: () => undefined,
-    applyTotals () {}
+    admit (account) {
+      if (account === undefined || account.ratePerSecond <= 0) return admitted
+      isUsed = true
+      const now = clock.now()
+      const state = findState(account.name)
+      const own = state.requests.count(now, bounds().windowMs)
+      const limit = createWindowLimit(account.ratePerSecond, account.burst, bounds())
+      const { admittedShare, retryMs } = decideQuota({ own, sums: findSums(account.name, limit), gateways, rounding: state.rounding }, limit, bounds())
+      state.position = (state.position + sequenceStep) % 1
+      const isAdmitted = state.position < admittedShare
+      state.requests.add(now, isAdmitted)
+      return isAdmitted ? admitted : { isAdmitted, retryMs }
+    },
+    release (account) {
+      if (account !== undefined) states.get(account.name)?.requests.removeLatest()
+    },
+    describeUse () {
+      const now = clock.now()
+      if (!isUsed || now < nextReportAt) return undefined
+      const use: Record<string, number[]> = {}
+      for (const [name, { requests }] of states) {
+        const count = requests.count(now, bounds().windowMs)
+        if (count.admitted === 0 && count.refused === 0) states.delete(name)
+        else use[name] = describeCount(count)
+      }
+      nextReportAt = now + Math.max(minReportIntervalMs, reportIntervalPerAccountMs * (Object.keys(use).length + Object.keys(sums).length))
+      return use
+    },
+    applyTotals (use, reported, newGateways) {
+      if (use === undefined) return
+      const now = clock.now()
+      if (receivedAt !== -Infinity) intervalMs += (now - receivedAt - intervalMs) * intervalSmoothingFactor
+      previousSums = sums
+      sums = use
+      reportedUse = reported ?? {}
+      gateways = newGateways
+      receivedAt = now
+    }
   }
 }
+
+const noCount = readCount([])
+
+/**
+ * Reads the counts of an account in a message.
+ * @param numbers - the numbers; missing ones are 0
+ * @returns the counts
+ */
+export function readCount ([admitted = 0, recent = 0, ending = 0, refused = 0]: readonly number[]): AccountCount {
+  return { admitted, recent, ending, refused }
+}
+
+/**
+ * Describes the counts of an account for a message.
+ * @param count - the counts
+ * @returns the numbers, without zeros at the end
+ */
+export function describeCount ({ admitted, recent, ending, refused }: AccountCount): number[] {
+  if (refused > 0) return [admitted, recent, ending, refused]
+  if (ending > 0) return [admitted, recent, ending]
+  return recent > 0 ? [admitted, recent] : [admitted]
+}
+
+function computeRounding (account: string, host: string): number {
+  return createHash('sha256').update(`${host}\n${account}`).digest().readUInt32BE(0) / 2 ** 32
+}
--- /dev/null
+++ b/src/process/accounts/accountUseSums.ts
@@ -0,0 +1,122 @@
+/**
+ * Sums of the use of client accounts over all hosts, at the leader. They are kept in memory: a new leader rebuilds them from one round of
+ * reports.
+ * @module
+ */
+import { type AccountCount, createWindowLimit, isNearLimit, type QuotaBounds } from '../../request/placement/accountQuota.ts'
+import type { ClientAccount } from '../../version/accounts.ts'
+import { type AccountUse, describeCount, readCount } from './accountQuotas.ts'
+
+/** Minimum interval between two selections of the accounts near their limits, in milliseconds. With hundreds of hosts, a report arrives every few milliseconds. */
+const selectionIntervalMs = 40
+
+/** Windows for which the use of a host without contact counts: the host may go on with as many requests for as long as it accepts keys. */
+const lostHostWindows = 2
+
+/** Sums over all hosts. */
+export interface AccountUseSums {
+  /**
+   * Replaces the use of a host.
+   * @param holder - identifies the host's process start
+   * @param use - what the host reports
+   */
+  record (holder: string, use: AccountUse): void
+  /**
+   * Keeps the use of a host that reports no more until it has left the window.
+   * @param holder - identifies the host's process start
+   * @param isRestarted - whether its process has ended for certain
+   * @param now - monotonic time in milliseconds
+   */
+  retire (holder: string, isRestarted: boolean, now: number): void
+  /**
+   * Lists the sums of the accounts that are near their limits.
+   * @param accounts - accounts of the tables in force
+   * @param bounds - tolerances
+   * @param now - monotonic time in milliseconds
+   * @returns the sums
+   */
+  listNearLimit (accounts: readonly ClientAccount[], bounds: QuotaBounds, now: number): AccountUse
+  /** Removes everything. */
+  clear (): void
+}
+
+interface RetiredUse {
+  readonly since: number
+  readonly windows: number
+}
+
+/**
+ * Creates empty sums.
+ * @returns the sums
+ */
+export function createAccountUseSums (): AccountUseSums {
+  const useByHolder = new Map<string, AccountUse>()
+  const retired = new Map<string, RetiredUse>()
+  // Changed by the difference of each report, as the sums of the load are.
+  const sums = new Map<string, AccountCount>()
+  let selection: AccountUse = {}
+  let selectedAt = -Infinity
+
+  function add (use: AccountUse, sign: 1 | -1): void {
+    for (const [name, numbers] of Object.entries(use)) {
+      const sum = sums.get(name) ?? readCount([])
+      const { admitted, recent, ending, refused } = readCount(numbers)
+      const changed = { admitted: sum.admitted + sign * admitted, recent: sum.recent + sign * recent, ending: sum.ending + sign * ending, refused: sum.refused + sign * refused }
+      if (changed.admitted > 0 || changed.refused > 0) sums.set(name, changed)
+      else sums.delete(name)
+    }
+  }
+
+  function replace (holder: string, use: AccountUse | undefined): void {
+    add(useByHolder.get(holder) ?? {}, -1)
+    if (use === undefined) useByHolder.delete(holder)
+    else useByHolder.set(holder, use)
+    add(use ?? {}, 1)
+  }
+
+  function removeExpired (windowMs: number, now: number): void {
+    for (const [holder, { since, windows }] of retired) {
+      if (now - since <= windowMs * windows) continue
+      retired.delete(holder)
+      replace(holder, undefined)
+    }
+  }
+
+  function select (accounts: readonly ClientAccount[], bounds: QuotaBounds): AccountUse {
+    const near: Record<string, readonly number[]> = {}
+    for (const { name, ratePerSecond, burst } of accounts) {
+      const count = sums.get(name)
+      if (count === undefined || ratePerSecond <= 0) continue
+      if (isNearLimit(count, createWindowLimit(ratePerSecond, burst, bounds))) near[name] = describeCount(count)
+    }
+    return near
+  }
+
+  return {
+    record (holder, use) {
+      retired.delete(holder)
+      replace(holder, use)
+    },
+    retire (holder, isRestarted, now) {
+      const use = useByHolder.get(holder)
+      if (use === undefined) return
+      retired.set(holder, { since: now, windows: isRestarted ? 1 : lostHostWindows })
+      // What it sent most recently says nothing about what comes next.
+      replace(holder, Object.fromEntries(Object.entries(use).map(([name, numbers]) => [name, [readCount(numbers).admitted]])))
+    },
+    listNearLimit (accounts, bounds, now) {
+      if (now - selectedAt < selectionIntervalMs) return selection
+      removeExpired(bounds.windowMs, now)
+      selectedAt = now
+      selection = select(accounts, bounds)
+      return selection
+    },
+    clear () {
+      useByHolder.clear()
+      retired.clear()
+      sums.clear()
+      selection = {}
+      selectedAt = -Infinity
+    }
+  }
+}
--- a/src/process/fleet/controlDaemon.ts
+++ b/src/process/fleet/controlDaemon.ts
@@ -29,7 +29,7 @@
 import { createStreamRecordStore } from './streamRecords.ts'
 import { createTablesSource, type TablesSource } from './tablesSource.ts'
 import { findHeartbeatProblem } from './heartbeatValidation.ts'
-import { listControlHosts, type FleetSettings } from './fleetSettings.ts'
+import { listControlHosts, readQuotaBounds, type FleetSettings } from './fleetSettings.ts'
 import { millisecondsPerSecond } from '../program/units.ts'
 
 /** Consecutive heartbeats that a backend server may miss before it is removed; gateways detect a crash on their own. */
@@ -130,6 +130,7 @@
     getRegion: zone => settings.regions[zone],
     // Getters, because the settings may change at run time.
     get heartbeatTimeoutMs () { return settings.heartbeatMs * maxMissedHeartbeats },
+    get quotaBounds () { return readQuotaBounds(settings) },
     get settleMs () { return settings.heartbeatMs * settleHeartbeatIntervals }
   })
   components.fleetLeader = fleetLeader
--- a/src/process/fleet/fleetDaemon.ts
+++ b/src/process/fleet/fleetDaemon.ts
@@ -20,7 +20,7 @@
 import { serveApi } from '../program/servers.ts'
 import { containUncaughtErrors, runContained } from '../program/unexpectedErrors.ts'
 import { type FleetHost, FleetRole } from './fleetMessages.ts'
-import { listControlHosts, type FleetSettings } from './fleetSettings.ts'
+import { listControlHosts, readQuotaBounds, type FleetSettings } from './fleetSettings.ts'
 import { createFleetView, type FleetView } from './fleetView.ts'
 
 /** Content type of the Prometheus text exposition format. */
@@ -71,7 +71,7 @@
   const clock = createSystemClock()
   const random = createSystemRandom()
   const clients = createInternalClients(lifecycle, compressionThresholdBytes, metrics)
-  const view = createFleetView(clock, logger, () => listControlHosts(settings))
+  const view = createFleetView(clock, logger, () => listControlHosts(settings), { host: settings.host, bounds: () => readQuotaBounds(settings) })
   const control = createControlClient({ controlHosts: () => view.controlHosts, readTarget: ReadTarget.Nearest, clients, clock, random, metrics, signal: lifecycle.signal })
   const readiness = { isReady: false }
   const holder = randomUUID()
--- a/src/process/fleet/fleetLeader.ts
+++ b/src/process/fleet/fleetLeader.ts
@@ -4,6 +4,8 @@
  * @module
  */
 import { err, ok, type Result } from 'neverthrow'
+import type { QuotaBounds } from '../../request/placement/accountQuota.ts'
+import { type AccountUse, defaultQuotaBounds } from '../accounts/accountQuotas.ts'
 import { type Condition, createCondition } from '../program/condition.ts'
 import type { ControlState } from '../state/controlState.ts'
 import { createFailure, type Failure, FailureReason, Step } from '../program/failure.ts'
@@ -33,6 +35,12 @@
 /** Load reports per second that the leader accepts from all hosts together; with more hosts, each reports less often. */
 const maxReportsPerSecond = 400
 
+/** Time within which the hosts contact a new leader, in milliseconds. Until they have reported, its sums of the use of accounts are too low. */
+const useContactMs = 1_000
+
+/** Report intervals within which the hosts report their use of accounts after they have contacted a new leader. */
+const useReportIntervals = 2
+
 /** Delay before a pending poll is answered, in milliseconds, so that changes close together go out in one update. */
 const updateDelayMs = 10
 
@@ -48,6 +56,8 @@
   readonly getRegion: (availabilityZone: string) => string | undefined
   /** Time after an election within which every backend server and host contacts the new leader, in milliseconds. */
   readonly settleMs: number
+  /** Tolerances of the quotas of client accounts; undefined for the usual ones. */
+  readonly quotaBounds?: QuotaBounds | undefined
 }
 
 /** The fleet's coordinator on the leading control host. */
@@ -231,6 +241,15 @@
     return Math.max(minReportIntervalMs, sessions.size * millisecondsPerSecond / maxReportsPerSecond)
   }
 
+  // Returns the sums for a host that has reported its use, and no sums that lack the reports of other hosts.
+  function listAccountUse ({ accountUse }: LoadReport): Pick<LoadTotals, 'accountUse' | 'gateways'> {
+    const accounts = state.publication?.tables.accounts
+    const hasReports = clock.now() - leaderSince > useContactMs + useReportIntervals * getReportIntervalMs()
+    if (accountUse === undefined || accounts === undefined || !hasReports) return {}
+    const use: AccountUse = sessions.accountUse.listNearLimit(accounts, inputs.quotaBounds ?? defaultQuotaBounds, clock.now())
+    return { accountUse: use, gateways: sessions.gateways }
+  }
+
   function listLoads (): Record<string, ServerLoad> {
     const loads: Record<string, ServerLoad> = {}
     for (const id of [...sessions.getLoadSums().live.keys(), ...batch.keys()]) loads[id] = getLoad(id)
@@ -325,7 +344,7 @@
       if (sessions.report(report)) changed.notify()
       confirmations.notify()
       quarantine.recordOutputs(report.outputs ?? [])
-      return ok({ loads: listLoads(), suspects: [...sessions.getLoadSums().suspects.keys()], intervalMs: getReportIntervalMs() })
+      return ok({ loads: listLoads(), suspects: [...sessions.getLoadSums().suspects.keys()], intervalMs: getReportIntervalMs(), ...listAccountUse(report) })
     },
     async reportCrash (report) {
       if (!isLeading()) return err(createNotLeaderFailure(Step.Report))
--- a/src/process/fleet/fleetMessages.ts
+++ b/src/process/fleet/fleetMessages.ts
@@ -197,7 +197,7 @@
   readonly suspects: readonly string[]
   /** Outputs with suspect traits since the last accepted report. */
   readonly outputs?: readonly TraitOutput[] | undefined
-  /** Requests of limited client accounts that the host has admitted in the latest window; undefined if there are none. */
+  /** Requests of limited client accounts at the host; undefined if they are as last reported. */
   readonly accountUse?: AccountUse | undefined
 }
 
@@ -215,8 +215,8 @@
   readonly suspects: readonly string[]
   /** Minimum time until the next report, in milliseconds; grows with the number of hosts. */
   readonly intervalMs: number
-  /** Requests of limited client accounts that all hosts have admitted in the latest window; undefined if there are none. */
+  /** Requests, at all hosts, of the client accounts near their limits; undefined in the response to a report without them, and from a new leader. */
   readonly accountUse?: AccountUse | undefined
-  /** Number of gateways with a session; undefined from a leader of an earlier version of the program. */
+  /** Number of gateways with a session; undefined where `accountUse` is. */
   readonly gateways?: number | undefined
 }
--- a/src/process/fleet/fleetSettings.ts
+++ b/src/process/fleet/fleetSettings.ts
@@ -5,8 +5,11 @@
 import { readFileSync } from 'node:fs'
 import { err, ok, type Result } from 'neverthrow'
 import * as z from 'zod'
+import type { QuotaBounds } from '../../request/placement/accountQuota.ts'
+import { defaultQuotaBounds } from '../accounts/accountQuotas.ts'
 import { isAddress } from '../program/address.ts'
 import { Level } from '../program/logEvents.ts'
+import { millisecondsPerSecond } from '../program/units.ts'
 import { FleetRole } from './fleetMessages.ts'
 
 const address = z.string().refine(isAddress, 'must be an IP address and a port, for example 127.0.0.1:7000')
@@ -35,6 +38,9 @@
   heartbeatMs: durationMs.default(1_200).describe('time between two heartbeats of a backend server, in milliseconds'),
   graceSeconds: z.coerce.number().min(0).default(8).describe('time from SIGTERM to the end of the process, in seconds'),
   statusKeepSeconds: z.coerce.number().min(0).default(120).describe('time for which jobs can be read after their submission, in seconds'),
+  quotaWindowSeconds: z.coerce.number().min(0.1).default(defaultQuotaBounds.windowMs / millisecondsPerSecond).describe('sliding window of the limits of client accounts, in seconds'),
+  quotaOvershootShare: z.coerce.number().min(0).default(defaultQuotaBounds.overshootShare).describe('tolerated excess of the limit of a client account in a window, as a share of the limit'),
+  quotaOvershootRequests: z.coerce.number().min(0).default(defaultQuotaBounds.overshootRequests).describe('tolerated excess of the limit of a client account in a window in addition, in requests'),
   logLevel: z.enum(Level).default(Level.Info).describe('debug, info, warn or error')
 })
 
@@ -80,6 +86,15 @@
   return problems
 }
 
+/**
+ * Reads the tolerances of the quotas of client accounts.
+ * @param settings - the settings
+ * @returns the tolerances
+ */
+export function readQuotaBounds (settings: FleetSettings): QuotaBounds {
+  return { windowMs: settings.quotaWindowSeconds * millisecondsPerSecond, overshootShare: settings.quotaOvershootShare, overshootRequests: settings.quotaOvershootRequests }
+}
+
 /**
  * Lists the internal addresses of the control hosts in the settings.
  * @param settings - the settings
--- a/src/process/fleet/fleetView.ts
+++ b/src/process/fleet/fleetView.ts
@@ -7,7 +7,8 @@
 import { type Condition, createCondition } from '../program/condition.ts'
 import { LogEvents } from '../program/logEvents.ts'
 import type { Logger } from '../program/logger.ts'
-import { type AccountQuotas, createAccountQuotas } from '../accounts/accountQuotas.ts'
+import type { QuotaBounds } from '../../request/placement/accountQuota.ts'
+import { type AccountQuotas, createAccountQuotas, defaultQuotaBounds } from '../accounts/accountQuotas.ts'
 import { type AccountIndex, createAccountIndex } from '../../version/accounts.ts'
 import { createRouteIndex, type GatewayTables, type RouteIndex } from '../../version/gatewayTables.ts'
 import { type BackendServerRecord, isNewer, keepSoftwareVersion, ServerPhase } from './backendServerRegistry.ts'
@@ -29,6 +30,14 @@
 /** Weight of the latest run in the moving average of failed runs; about the last ten runs contribute. */
 const failureSmoothingFactor = 0.1
 
+/** Settings of the quotas of client accounts. */
+export interface QuotaSettings {
+  /** Name of this host. */
+  readonly host: string
+  /** Returns the tolerances, which may change at run time. */
+  readonly bounds: () => QuotaBounds
+}
+
 /** A host's local view of the fleet. */
 export interface FleetView {
   readonly tables: GatewayTables | undefined
@@ -146,9 +155,10 @@
  * @param clock - source of time
  * @param logger - receives log events
  * @param seeds - returns the internal addresses of the control hosts in the settings
+ * @param quotaSettings - name of this host, and the tolerances of quotas
  * @returns the view
  */
-export function createFleetView (clock: Clock, logger: Logger, seeds: () => readonly string[]): FleetView {
+export function createFleetView (clock: Clock, logger: Logger, seeds: () => readonly string[], quotaSettings: QuotaSettings = { host: '', bounds: () => defaultQuotaBounds }): FleetView {
   const servers = new Map<string, BackendServerRecord>()
   // Servers listed by the current leader; all others are deleted once every server has had time to contact that leader.
   const listedServers = new Set<string>()
@@ -169,7 +179,7 @@
   let missingVersions: ReadonlyArray<{ readonly version: number, readonly knownSince: number }> = []
   let routes: RouteIndex = new Map()
   let accounts: AccountIndex | undefined
-  const accountQuotas = createAccountQuotas()
+  const accountQuotas = createAccountQuotas(clock, quotaSettings.bounds, quotaSettings.host)
   let hosts: readonly FleetHost[] = []
   let reportedControlHosts: readonly string[] = []
   let streamKeepers: readonly string[] = []
--- a/src/process/fleet/hostSessions.ts
+++ b/src/process/fleet/hostSessions.ts
@@ -2,6 +2,7 @@
  * Sessions of the fleet's hosts with the leader, and the load and suspect servers that the hosts report.
  * @module
  */
+import { type AccountUseSums, createAccountUseSums } from '../accounts/accountUseSums.ts'
 import { maxTablesOutdatedMs } from './fleetView.ts'
 import { type FleetHost, fleetLongPollMs, FleetRole, type FleetWatchRequest, type LiveCounts, type LoadReport } from './fleetMessages.ts'
 
@@ -55,6 +56,10 @@
   expire (now: number): ExpiredSession[]
   /** Lists the hosts that have a session. */
   list (): FleetHost[]
+  /** Use of client accounts as of the latest reports. */
+  readonly accountUse: AccountUseSums
+  /** Number of gateways that have a session. */
+  readonly gateways: number
   /** Returns the totals of the latest reports. */
   getLoadSums (): LoadSums
   /**
@@ -98,11 +103,16 @@
   // Changed by the difference of each report: with many hosts, adding up all of them for each report takes too much time.
   const liveSums = new Map<string, number>()
   const suspectCounts = new Map<string, number>()
+  const accountUse = createAccountUseSums()
+  let gateways = 0
 
   // A restarted process has a new holder, so the session of the previous process is removed.
-  function removePreviousSession (host: FleetHost): void {
+  function removePreviousSession (host: FleetHost, now: number): void {
     for (const [holder, session] of sessions) {
-      if (session.host.name === host.name && session.host.role === host.role) remove(holder, session)
+      if (session.host.name === host.name && session.host.role === host.role) {
+        accountUse.retire(holder, true, now)
+        remove(holder, session)
+      }
     }
   }
 
@@ -114,6 +124,7 @@
   function remove (holder: string, session: Session): void {
     addLoad(session, -1)
     sessions.delete(holder)
+    if (session.host.role === FleetRole.Gateway) gateways--
   }
 
   return {
@@ -121,7 +132,10 @@
     get revision () { return revision },
     renew ({ host, tablesVersion, knownTablesVersion }, confirmedRevision, now) {
       const known = sessions.get(host.holder)
-      if (known === undefined) removePreviousSession(host)
+      if (known === undefined) {
+        removePreviousSession(host, now)
+        if (host.role === FleetRole.Gateway) gateways++
+      }
       if (known?.host.ready !== host.ready) revision++
       sessions.set(host.holder, {
         host,
@@ -138,13 +152,14 @@
       const session = sessions.get(holder)
       if (session !== undefined) session.lastContactAt = now
     },
-    report ({ holder, live, suspects, tablesVersion }) {
+    report ({ holder, live, suspects, tablesVersion, accountUse: use }) {
       const session = sessions.get(holder)
       if (session === undefined) return false
       addLoad(session, -1)
       session.live = live
       session.suspects = suspects
       addLoad(session, 1)
+      if (use !== undefined) accountUse.record(holder, use)
       session.tablesVersion = Math.max(session.tablesVersion, tablesVersion ?? 0)
       return true
     },
@@ -153,6 +168,7 @@
       for (const [holder, session] of sessions) {
         const { host, lastContactAt } = session
         if (now - lastContactAt <= sessionTimeoutMs) continue
+        accountUse.retire(holder, false, now)
         remove(holder, session)
         revision++
         expired.push({ host, silentMs: now - lastContactAt })
@@ -160,6 +176,8 @@
       return expired
     },
     list: () => [...sessions.values()].map(session => session.host),
+    accountUse,
+    get gateways () { return gateways },
     getLoadSums: () => ({ live: liveSums, suspects: suspectCounts }),
     findUnconfirmed (requiredRevision) {
       for (const { host, confirmedRevision } of sessions.values()) {
@@ -179,6 +197,8 @@
       sessions.clear()
       liveSums.clear()
       suspectCounts.clear()
+      accountUse.clear()
+      gateways = 0
       revision++
     }
   }
--- a/src/request/forwardedAttempt.ts
+++ b/src/request/forwardedAttempt.ts
@@ -91,6 +91,8 @@
   hasResumePoint: boolean
   /** Number of failed attempts that may have run. */
   runs: number
+  /** Whether an attempt was sent that was not reported as not run. */
+  mayHaveRun: boolean
   /** Number of attempts that have not run. */
   notRun: number
   /** Whether status and headers were sent to the caller. */
--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -70,6 +70,7 @@
     isRetryable: route.kind === RouteKind.Safe || (route.kind === RouteKind.Streaming && route.resumable),
     hasResumePoint: true,
     runs: 0,
+    mayHaveRun: false,
     notRun: 0,
     isResponseStarted: false,
     isTimedOut: false,
@@ -85,8 +86,12 @@
     isEndCertain: true,
     server: undefined
   }
-  if (progress.isResumption && !await prepareResumption(progress, services)) return
-  while (await makeAttempt(progress, services)) services.metrics.count(Counter.Retries, route.kind)
+  try {
+    if (progress.isResumption && !await prepareResumption(progress, services)) return
+    while (await makeAttempt(progress, services)) services.metrics.count(Counter.Retries, route.kind)
+  } finally {
+    if (!progress.mayHaveRun) view.accountQuotas.release(account)
+  }
 }
 
 /**
@@ -133,6 +138,7 @@
   if (!services.view.isReady(server) || !canContinue(progress.origin, server)) return await makeAttempt(progress, services)
   progress.server = server
   const end = await runCountedAttempt(progress, server, services)
+  progress.mayHaveRun ||= end !== ForwardedAttemptEnd.NotRun && end !== ForwardedAttemptEnd.Unsent
   verifyOrigin(progress, services)
   recordRun(progress, server, end, services)
   await reportCrash(progress, server, end, services)
--- /dev/null
+++ b/src/request/placement/accountQuota.ts
@@ -0,0 +1,190 @@
+/**
+ * Decides which share of the requests of a client account a host may admit, so that all hosts together stay within the account's limit in
+ * every sliding window.
+ *
+ * Load pattern: tens of accounts, a few of them large, spread over tens to hundreds of hosts. At most hosts an account has less than one
+ * request in a window, so no host can tell a busy account from a quiet one by itself, and the first request of an account must be admitted
+ * without asking. A host knows the sums of all hosts, which are some hundred milliseconds old. Most accounts stay far below their limit, in
+ * waves; a busy one sends several times its usual rate for some seconds. If hosts admitted everything below the limit and nothing above it,
+ * all of them would do so at once, for as long as the sums are old. So they admit the share of the requests that brings the sum near to a
+ * target between the limit and the tolerated maximum.
+ *
+ * Without recent sums nothing tells a host what the others admit. It then keeps to its own part of the tolerated maximum: what it used as of
+ * the last sums is not known to be typical, so each host has the same part.
+ * @module
+ */
+
+/** Time over which the latest rate of an account is counted, in milliseconds: long enough for a count, short enough to see a rise. */
+export const recentMs = 250
+
+/** Time until the end of their window within which admitted requests are counted as ending, in milliseconds. */
+export const endingMs = 500
+
+/** Part of the tolerated overshoot up to which the hosts aim; the remainder covers what they see too late. */
+const targetShare = 0.5
+
+/** Factor of the delay of the sums in which the target is approached: a shorter time makes the hosts overreact to old sums. */
+const approachFactor = 1.5
+
+/** Shortest time in which the target is approached, in milliseconds. */
+const minApproachMs = 300
+
+/** Share of the target from which the sums of an account are distributed. Below it, one window cannot reach the target before the next sums. */
+const listedShare = 0.6
+
+/** Time for which the latest rate is taken to last when the leader selects the sums to distribute, in milliseconds. */
+const listedAheadMs = 1_000
+
+/** Number of gateways that a host assumes before its first sums. */
+const assumedGateways = 100
+
+const millisecondsPerSecond = 1_000
+
+/** Tolerances of the limits of all accounts. */
+export interface QuotaBounds {
+  /** Length of the sliding window, in milliseconds. */
+  readonly windowMs: number
+  /** Tolerated overshoot, as a share of the limit. */
+  readonly overshootShare: number
+  /** Tolerated overshoot in addition, in requests. */
+  readonly overshootRequests: number
+}
+
+/** Limit of one account in a window. */
+export interface WindowLimit {
+  /** Requests that the account may send. */
+  readonly limit: number
+  /** Requests at which the hosts aim when the account sends more. */
+  readonly target: number
+  /** Requests that no window may exceed. */
+  readonly maximum: number
+}
+
+/** Requests of an account, of one host or of all. */
+export interface AccountCount {
+  /** Requests admitted in the latest window. */
+  readonly admitted: number
+  /** Requests admitted in the latest `recentMs`. */
+  readonly recent: number
+  /** Requests admitted in the window that leave it within `endingMs`. */
+  readonly ending: number
+  /** Requests refused in the latest `recentMs` since the limit was used up. */
+  readonly refused: number
+}
+
+/** Sums of the counts of all hosts. */
+export interface AccountSums {
+  readonly count: AccountCount
+  /** What the deciding host had contributed. */
+  readonly reported: AccountCount
+  /** Requests, admitted and refused, in `recentMs` as of the sums before; undefined if they were not distributed. */
+  readonly previousDemand: number | undefined
+  /** Time since the sums were received, in milliseconds. */
+  readonly ageMs: number
+  /** Usual time between two receptions of sums, in milliseconds. */
+  readonly intervalMs: number
+}
+
+/** What a host knows of an account. */
+export interface AccountKnowledge {
+  readonly own: AccountCount
+  /** The last sums; undefined before the first ones. */
+  readonly sums: AccountSums | undefined
+  /** Number of gateways as of the last sums; undefined before the first ones. */
+  readonly gateways: number | undefined
+  /** Number from 0 to 1 that is distributed evenly over the hosts, for the rounding of a host's part. */
+  readonly rounding: number
+}
+
+/** Share of the requests to admit. */
+export interface QuotaShare {
+  /** From 0 for none to 1 for all. */
+  readonly admittedShare: number
+  /** Time after which a further request is likely to be admitted, in milliseconds. */
+  readonly retryMs: number
+}
+
+/**
+ * Computes the limit of an account in one window.
+ * @param ratePerSecond - requests per second
+ * @param burst - requests in addition to the rate
+ * @param bounds - tolerances
+ * @returns the limit, the target and the maximum
+ */
+export function createWindowLimit (ratePerSecond: number, burst: number, { windowMs, overshootShare, overshootRequests }: QuotaBounds): WindowLimit {
+  const limit = ratePerSecond * windowMs / millisecondsPerSecond + burst
+  const overshoot = limit * overshootShare + overshootRequests
+  return { limit, target: limit + overshoot * targetShare, maximum: limit + overshoot }
+}
+
+/**
+ * Checks whether an account is so near to its limit that the hosts need its sums.
+ * @param count - sums of all hosts
+ * @param limit - limit of the account
+ * @returns whether the sums are to be distributed; for all other accounts, `assumeUnlisted` is valid
+ */
+export function isNearLimit ({ admitted, recent, refused }: AccountCount, { target }: WindowLimit): boolean {
+  return admitted + (recent + refused) * listedAheadMs / recentMs >= target * listedShare
+}
+
+/**
+ * Returns the largest sums that an account may have whose sums were not distributed.
+ * @param limit - limit of the account
+ * @returns the sums
+ */
+export function assumeUnlisted ({ target }: WindowLimit): AccountCount {
+  return { admitted: target * listedShare, recent: 0, ending: 0, refused: 0 }
+}
+
+/**
+ * Computes the share of the requests of an account that a host may admit.
+ * @param knowledge - what the host knows of the account
+ * @param limit - limit of the account
+ * @param bounds - tolerances
+ * @returns the share
+ */
+export function decideQuota (knowledge: AccountKnowledge, limit: WindowLimit, bounds: QuotaBounds): QuotaShare {
+  const { sums } = knowledge
+  if (sums === undefined || areOutdated(sums)) return decideAlone(knowledge, limit, bounds)
+  return approachTarget(knowledge.own, sums, limit, bounds)
+}
+
+// Two reports of which each was late: the host is cut off, or the leader is lost.
+function areOutdated ({ ageMs, intervalMs }: AccountSums): boolean {
+  return ageMs > 2 * Math.max(intervalMs, 300)
+}
+
+function approachTarget (own: AccountCount, { count, reported, previousDemand, ageMs, intervalMs }: AccountSums, { target }: WindowLimit, { windowMs }: QuotaBounds): QuotaShare {
+  const others = {
+    admitted: Math.max(0, count.admitted - reported.admitted),
+    recent: Math.max(0, count.recent - reported.recent),
+    ending: Math.max(0, count.ending - reported.ending),
+    refused: Math.max(0, count.refused - reported.refused)
+  }
+  // The reports in the sums are half an interval old on average.
+  const delayMs = ageMs + intervalMs / 2
+  const demand = count.recent + count.refused
+  // The counts follow a rise over an interval and `recentMs`. Its slope tells where it leads before they have got there.
+  const risePerMs = previousDemand === undefined ? 0 : Math.max(0, demand - previousDemand) / intervalMs
+  const rise = risePerMs * (delayMs + recentMs / 2)
+  const admittedBefore = count.refused > 0 ? count.recent / demand : 1
+  const othersGrowth = ((others.recent + rise * admittedBefore / 2) / recentMs - others.ending / endingMs) * delayMs
+  const used = own.admitted + Math.max(0, others.admitted + othersGrowth)
+  const endingPerMs = (others.ending + own.ending) / endingMs
+  const demandPerMs = (others.recent + others.refused + own.recent + own.refused + rise + 1) / recentMs
+  const approachMs = Math.max(minApproachMs, intervalMs * approachFactor)
+  const admittedPerMs = endingPerMs + (target - used) / approachMs
+  const admittedShare = Math.min(1, Math.max(0, admittedPerMs / demandPerMs))
+  const excess = used + 1 - target
+  const retryMs = excess > 0 ? excess / Math.max(endingPerMs, 1 / windowMs) : 1 / Math.max(admittedPerMs, 1 / windowMs)
+  return { admittedShare, retryMs: Math.min(windowMs, retryMs) }
+}
+
+function decideAlone ({ own, sums, gateways = assumedGateways, rounding }: AccountKnowledge, { maximum }: WindowLimit, { windowMs }: QuotaBounds): QuotaShare {
+  const part = maximum / Math.max(1, gateways)
+  // While the sums may still hold, a host that has less than one request in a window must not refuse it. Later the roundings of all hosts must
+  // not add up.
+  const isRoundedUp = sums === undefined || sums.ageMs <= windowMs
+  const allowed = isRoundedUp ? Math.ceil(part) : Math.floor(part + rounding)
+  return { admittedShare: own.admitted < allowed ? 1 : 0, retryMs: windowMs / Math.max(1, own.admitted) }
+}
--- /dev/null
+++ b/test/support/quotaReplay.ts
@@ -0,0 +1,172 @@
+/**
+ * A replay of requests of client accounts over many gateways. The gateways and the leader are those of the product; messages take time, and
+ * hosts and leader can be lost. It keeps the time of each admitted request, from which the windows are counted.
+ * @module
+ */
+import { type AccountQuotas, type AccountUse, createAccountQuotas, defaultQuotaBounds } from '../../src/process/accounts/accountQuotas.ts'
+import { FleetRole, type FleetWatchRequest } from '../../src/process/fleet/fleetMessages.ts'
+import { createHostSessions } from '../../src/process/fleet/hostSessions.ts'
+import type { Random } from '../../src/process/program/random.ts'
+import { createWindowLimit } from '../../src/request/placement/accountQuota.ts'
+import type { ClientAccount } from '../../src/version/accounts.ts'
+import { FakeClock } from './fakeClock.ts'
+
+/** Steps of the replay, in milliseconds. */
+const stepMs = 5
+/** One way between a host and the leader, in milliseconds. */
+const messageMs = 20
+const { windowMs } = defaultQuotaBounds
+
+/** Times of admitted requests of an account, and what was refused of it. */
+export interface AccountOutcome {
+  readonly admittedAt: number[]
+  /** Requests that arrived while less than the limit was admitted. */
+  inside: number
+  /** Those of them that were refused. */
+  refusedInside: number
+  /** Times of the requests that an exact limiter would have admitted. */
+  readonly exactAt: number[]
+  /** Largest number of requests by which the exact limiter was ahead. */
+  shortfall: number
+}
+
+/** What happens in a replay. Times are in milliseconds from its start. */
+export interface QuotaReplay {
+  readonly hosts: number
+  readonly accounts: readonly ClientAccount[]
+  readonly durationMs: number
+  readonly random: Random
+  /** Returns the requests per second of an account at a time. */
+  rateOf (account: ClientAccount, at: number): number
+  /** Returns the account as a host knows it at a time; by default it does not change. */
+  describe? (account: ClientAccount, at: number): ClientAccount
+  /** Returns whether a host reaches the leader. */
+  isReached? (host: number, at: number): boolean
+  /** Times at which the leader loses its state, and another one begins. */
+  readonly leaderStarts?: readonly number[]
+  /** Returns whether a host restarts within the step that ends at a time. */
+  isRestarted? (host: number, from: number, until: number): boolean
+}
+
+interface SimulatedHost {
+  readonly index: number
+  quotas: AccountQuotas
+  start: number
+  nextReportAt: number
+}
+
+/** The result of a replay. */
+export interface ReplayResult {
+  readonly outcomes: ReadonlyMap<string, AccountOutcome>
+  /** Bytes of the use of accounts in reports and responses, encoded as JSON, a second and host. */
+  readonly bytesPerSecond: number
+}
+
+/** Plays a replay from its start to its end. */
+export function playQuotas (replay: QuotaReplay): ReplayResult {
+  const { random } = replay
+  const clock = new FakeClock()
+  const sessions = createHostSessions()
+  const outcomes = new Map<string, AccountOutcome>()
+  const pending: Array<{ at: number, run: () => void }> = []
+  const reportMs = Math.max(40, replay.hosts * 2.5)
+  let leaderSince = -10_000
+  let bytes = 0
+  const createQuotas = (index: number): AccountQuotas => createAccountQuotas(clock, () => defaultQuotaBounds, `g-${index}`)
+  const hosts: SimulatedHost[] = Array.from({ length: replay.hosts }, (_, index) => ({ index, quotas: createQuotas(index), start: 0, nextReportAt: random.next() * reportMs }))
+  for (const account of replay.accounts) outcomes.set(account.name, { admittedAt: [], inside: 0, refusedInside: 0, exactAt: [], shortfall: 0 })
+
+  function describe (account: ClientAccount): ClientAccount {
+    return replay.describe?.(account, clock.now()) ?? account
+  }
+
+  function arrive (account: ClientAccount): void {
+    const outcome = outcomes.get(account.name) as AccountOutcome
+    const host = hosts[random.below(hosts.length)] as SimulatedHost
+    const known = describe(account)
+    const { limit } = createWindowLimit(known.ratePerSecond, known.burst, defaultQuotaBounds)
+    const isInside = countInWindow(outcome.admittedAt, clock.now()) + 1 <= limit
+    const { isAdmitted } = host.quotas.admit(known)
+    if (isInside) outcome.inside++
+    if (isAdmitted) outcome.admittedAt.push(clock.now())
+    else if (isInside) outcome.refusedInside++
+    if (countInWindow(outcome.exactAt, clock.now()) + 1 <= limit) outcome.exactAt.push(clock.now())
+    outcome.shortfall = Math.max(outcome.shortfall, outcome.exactAt.length - outcome.admittedAt.length)
+  }
+
+  function report (host: SimulatedHost): void {
+    const use = host.quotas.describeUse()
+    host.nextReportAt = clock.now() + reportMs * (1 + random.next()) + 2 * messageMs
+    if (use === undefined) return
+    bytes += JSON.stringify({ accountUse: use }).length
+    pending.push({ at: clock.now() + messageMs, run: () => receive(host, use) })
+  }
+
+  function receive (host: SimulatedHost, use: AccountUse): void {
+    if (replay.isReached?.(host.index, clock.now()) === false) return
+    const holder = `g-${host.index}/${host.start}`
+    sessions.renew(createPoll(`g-${host.index}`, holder), 0, clock.now())
+    sessions.report({ holder, live: {}, suspects: [], accountUse: use })
+    if (clock.now() - leaderSince <= 1_000 + 2 * reportMs) return
+    const totals = sessions.accountUse.listNearLimit(replay.accounts.map(describe), defaultQuotaBounds, clock.now())
+    const { gateways } = sessions
+    const { quotas } = host
+    bytes += JSON.stringify({ accountUse: totals, gateways }).length
+    pending.push({ at: clock.now() + messageMs, run: () => { quotas.applyTotals(totals, use, gateways) } })
+  }
+
+  function runStep (from: number): void {
+    sessions.expire(clock.now())
+    for (const at of replay.leaderStarts ?? []) {
+      if (at < from || at >= clock.now()) continue
+      sessions.clear()
+      leaderSince = clock.now()
+    }
+    for (const host of hosts) {
+      if (replay.isRestarted?.(host.index, from, clock.now()) !== true) continue
+      host.quotas = createQuotas(host.index)
+      host.start++
+    }
+    for (const [position, message] of [...pending.entries()].reverse()) {
+      if (message.at > clock.now()) continue
+      pending.splice(position, 1)
+      message.run()
+    }
+    for (const account of replay.accounts) {
+      const expected = replay.rateOf(account, clock.now()) * stepMs / 1_000
+      for (let sum = drawExponential(random); sum < expected; sum += drawExponential(random)) arrive(account)
+    }
+    for (const host of hosts) if (host.nextReportAt <= clock.now()) report(host)
+  }
+
+  while (clock.now() < replay.durationMs) {
+    const from = clock.now()
+    clock.jump(stepMs)
+    runStep(from)
+  }
+  return { outcomes, bytesPerSecond: bytes / replay.hosts / (replay.durationMs / 1_000) }
+}
+
+/** Returns the most admitted requests of any window, of those windows that begin at or after a time. */
+export function findLargestWindow ({ admittedAt }: AccountOutcome, from = 0): number {
+  let largest = 0
+  let first = 0
+  for (const [last, at] of admittedAt.entries()) {
+    while ((admittedAt[first] ?? 0) < Math.max(from, at - windowMs + stepMs)) first++
+    largest = Math.max(largest, last - first + 1)
+  }
+  return largest
+}
+
+function countInWindow (times: readonly number[], now: number): number {
+  return times.length - 1 - times.findLastIndex(time => time <= now - windowMs)
+}
+
+function drawExponential (random: Random): number {
+  return -Math.log(1 - random.next())
+}
+
+function createPoll (name: string, holder: string): FleetWatchRequest {
+  const host = { name, holder, role: FleetRole.Gateway, availabilityZone: 'z1', region: 'r1', callerAddress: undefined, ready: true }
+  return { host, leadership: '', tablesVersion: 0, serversRevision: 0, hostsRevision: 0, isSettled: true }
+}
