Quotas: ending requests, parts without the leader

Cause: hosts took the requests of an account to leave the window at an even rate, so after a quiet phase the sum grew past the maximum; a host without sums allowed itself its part of the whole window. Without recent sums a host divides what was left as of the last ones. Sums of a new leader are believed once most gateways have reported.

--- a/src/process/accounts/accountQuotas.ts
+++ b/src/process/accounts/accountQuotas.ts
@@ -18,6 +18,15 @@
 /** Interval between two reports of use for each account in a report and its response, in milliseconds; bounds the bytes for them. */
 const reportIntervalPerAccountMs = 4
 
+/** Interval between sums that a host assumes before it knows one, in milliseconds. */
+const assumedIntervalMs = 1_000
+
+/** Share of the gateways known before that sums must contain; with fewer, the leader is new and lacks reports. */
+const minReporterShare = 0.8
+
+/** Time after which sums of fewer gateways are believed, in milliseconds: hosts contact a new leader within a second and report soon after. */
+const believedAfterMs = 3_000
+
 /** Weight of the latest interval in the moving average of the intervals between sums. */
 const intervalSmoothingFactor = 0.3
 
@@ -51,15 +60,15 @@
    * @param account - the account; undefined if the request needed none
    */
   release (account: ClientAccount | undefined): void
-  /** Returns what this host has admitted, for the next load report; undefined without any limited account, or if it was reported just now. */
+  /** Returns what this host has admitted, for the next load report; undefined if it was reported just now. */
   describeUse (): AccountUse | undefined
   /**
    * Applies the sums of all hosts in the response to a load report.
    * @param use - requests by account; undefined if the response has none
    * @param reported - what this host had reported
-   * @param gateways - number of gateways; undefined from a leader of an earlier version of the program
+   * @param newGateways - number of gateways whose use the sums contain; undefined if the response has none
    */
-  applyTotals (use: AccountUse | undefined, reported: AccountUse | undefined, gateways: number | undefined): void
+  applyTotals (use: AccountUse | undefined, reported: AccountUse | undefined, newGateways: number | undefined): void
 }
 
 const admitted: QuotaDecision = { isAdmitted: true, retryMs: 0 }
@@ -85,11 +94,15 @@
   let sums: AccountUse = {}
   let previousSums: AccountUse = {}
   let reportedUse: AccountUse = {}
+  // Gateways whose use the sums contain.
   let gateways: number | undefined
   let receivedAt = -Infinity
-  let intervalMs = minReportIntervalMs
+  // Times at which the host described its use: the latest, and the one that the sums contain.
+  let describedAt = -Infinity
+  let reportedAt = -Infinity
+  let intervalMs: number | undefined
+  let incompleteSince = Infinity
   let nextReportAt = -Infinity
-  let isUsed = false
 
   function findState (name: string): AccountState {
     const known = states.get(name)
@@ -107,7 +120,7 @@
     return recent + refused
   }
 
-  function findSums (name: string, limit: WindowLimit): AccountSums | undefined {
+  function findSums (name: string, limit: WindowLimit, { requests }: AccountState): AccountSums | undefined {
     if (receivedAt === -Infinity) return undefined
     const entry = sums[name]
     return {
@@ -115,20 +128,20 @@
       // The sums that are assumed may contain requests of this host; which ones is not known.
       reported: entry === undefined ? noCount : readCount(reportedUse[name] ?? []),
       previousDemand: previousDemand(name),
+      ownSince: requests.countAfter(reportedAt),
       ageMs: clock.now() - receivedAt,
-      intervalMs
+      intervalMs: intervalMs ?? assumedIntervalMs
     }
   }
 
   return {
     admit (account) {
       if (account === undefined || account.ratePerSecond <= 0) return admitted
-      isUsed = true
       const now = clock.now()
       const state = findState(account.name)
       const own = state.requests.count(now, bounds().windowMs)
       const limit = createWindowLimit(account.ratePerSecond, account.burst, bounds())
-      const { admittedShare, retryMs } = decideQuota({ own, sums: findSums(account.name, limit), gateways, rounding: state.rounding }, limit, bounds())
+      const { admittedShare, retryMs } = decideQuota({ own, sums: findSums(account.name, limit, state), gateways, rounding: state.rounding }, limit, bounds())
       state.position = (state.position + sequenceStep) % 1
       const isAdmitted = state.position < admittedShare
       state.requests.add(now, isAdmitted)
@@ -139,8 +152,9 @@
     },
     describeUse () {
       const now = clock.now()
-      if (!isUsed || now < nextReportAt) return undefined
+      if (now < nextReportAt) return undefined
       const use: Record<string, number[]> = {}
+      describedAt = now
       for (const [name, { requests }] of states) {
         const count = requests.count(now, bounds().windowMs)
         if (count.admitted === 0 && count.refused === 0) states.delete(name)
@@ -150,14 +164,19 @@
       return use
     },
     applyTotals (use, reported, newGateways) {
-      if (use === undefined) return
+      if (use === undefined || newGateways === undefined) return
       const now = clock.now()
-      if (receivedAt !== -Infinity) intervalMs += (now - receivedAt - intervalMs) * intervalSmoothingFactor
+      const isComplete = newGateways >= (gateways ?? 0) * minReporterShare
+      incompleteSince = isComplete ? Infinity : Math.min(incompleteSince, now)
+      if (now - incompleteSince < believedAfterMs && !isComplete) return
+      incompleteSince = Infinity
+      if (receivedAt !== -Infinity) intervalMs = (intervalMs ?? now - receivedAt) * (1 - intervalSmoothingFactor) + (now - receivedAt) * intervalSmoothingFactor
       previousSums = sums
       sums = use
       reportedUse = reported ?? {}
       gateways = newGateways
       receivedAt = now
+      reportedAt = describedAt
     }
   }
 }
--- a/src/process/accounts/accountUseSums.ts
+++ b/src/process/accounts/accountUseSums.ts
@@ -15,6 +15,8 @@
 
 /** Sums over all hosts. */
 export interface AccountUseSums {
+  /** Number of hosts whose use the sums contain, without those that have restarted. */
+  readonly reporters: number
   /**
    * Replaces the use of a host.
    * @param holder - identifies the host's process start
@@ -92,7 +94,14 @@
     return near
   }
 
+  function countRestarted (): number {
+    let count = 0
+    for (const { windows } of retired.values()) if (windows !== lostHostWindows) count++
+    return count
+  }
+
   return {
+    get reporters () { return useByHolder.size - countRestarted() },
     record (holder, use) {
       retired.delete(holder)
       replace(holder, use)
--- a/src/process/accounts/requestLog.ts
+++ b/src/process/accounts/requestLog.ts
@@ -21,6 +21,12 @@
    * @returns the requests in the window that ends now
    */
   count (now: number, windowMs: number): AccountCount
+  /**
+   * Counts the admitted requests after a time within the latest window.
+   * @param time - monotonic time in milliseconds
+   * @returns the number of requests
+   */
+  countAfter (time: number): number
 }
 
 /**
@@ -43,7 +49,8 @@
       discardUntil(refusedAt, now - recentMs)
       const ending = admittedAt.length - countAfter(admittedAt, now - windowMs + endingMs)
       return { admitted: admittedAt.length, recent: countAfter(admittedAt, now - recentMs), ending, refused: refusedAt.length }
-    }
+    },
+    countAfter: time => countAfter(admittedAt, time)
   }
 }
 
--- a/src/process/fleet/fleetLeader.ts
+++ b/src/process/fleet/fleetLeader.ts
@@ -35,12 +35,6 @@
 /** Load reports per second that the leader accepts from all hosts together; with more hosts, each reports less often. */
 const maxReportsPerSecond = 400
 
-/** Time within which the hosts contact a new leader, in milliseconds. Until they have reported, its sums of the use of accounts are too low. */
-const useContactMs = 1_000
-
-/** Report intervals within which the hosts report their use of accounts after they have contacted a new leader. */
-const useReportIntervals = 2
-
 /** Delay before a pending poll is answered, in milliseconds, so that changes close together go out in one update. */
 const updateDelayMs = 10
 
@@ -241,13 +235,11 @@
     return Math.max(minReportIntervalMs, sessions.size * millisecondsPerSecond / maxReportsPerSecond)
   }
 
-  // Returns the sums for a host that has reported its use, and no sums that lack the reports of other hosts.
   function listAccountUse ({ accountUse }: LoadReport): Pick<LoadTotals, 'accountUse' | 'gateways'> {
     const accounts = state.publication?.tables.accounts
-    const hasReports = clock.now() - leaderSince > useContactMs + useReportIntervals * getReportIntervalMs()
-    if (accountUse === undefined || accounts === undefined || !hasReports) return {}
+    if (accountUse === undefined || accounts === undefined) return {}
     const use: AccountUse = sessions.accountUse.listNearLimit(accounts, inputs.quotaBounds ?? defaultQuotaBounds, clock.now())
-    return { accountUse: use, gateways: sessions.gateways }
+    return { accountUse: use, gateways: sessions.accountUse.reporters }
   }
 
   function listLoads (): Record<string, ServerLoad> {
--- a/src/process/fleet/fleetMessages.ts
+++ b/src/process/fleet/fleetMessages.ts
@@ -215,8 +215,8 @@
   readonly suspects: readonly string[]
   /** Minimum time until the next report, in milliseconds; grows with the number of hosts. */
   readonly intervalMs: number
-  /** Requests, at all hosts, of the client accounts near their limits; undefined in the response to a report without them, and from a new leader. */
+  /** Requests, at all hosts, of the client accounts near their limits; undefined in the response to a report without them. */
   readonly accountUse?: AccountUse | undefined
-  /** Number of gateways with a session; undefined where `accountUse` is. */
+  /** Number of gateways whose use the leader has; undefined where `accountUse` is. */
   readonly gateways?: number | undefined
 }
--- a/src/process/fleet/hostSessions.ts
+++ b/src/process/fleet/hostSessions.ts
@@ -58,8 +58,6 @@
   list (): FleetHost[]
   /** Use of client accounts as of the latest reports. */
   readonly accountUse: AccountUseSums
-  /** Number of gateways that have a session. */
-  readonly gateways: number
   /** Returns the totals of the latest reports. */
   getLoadSums (): LoadSums
   /**
@@ -104,7 +102,6 @@
   const liveSums = new Map<string, number>()
   const suspectCounts = new Map<string, number>()
   const accountUse = createAccountUseSums()
-  let gateways = 0
 
   // A restarted process has a new holder, so the session of the previous process is removed.
   function removePreviousSession (host: FleetHost, now: number): void {
@@ -124,7 +121,6 @@
   function remove (holder: string, session: Session): void {
     addLoad(session, -1)
     sessions.delete(holder)
-    if (session.host.role === FleetRole.Gateway) gateways--
   }
 
   return {
@@ -132,10 +128,7 @@
     get revision () { return revision },
     renew ({ host, tablesVersion, knownTablesVersion }, confirmedRevision, now) {
       const known = sessions.get(host.holder)
-      if (known === undefined) {
-        removePreviousSession(host, now)
-        if (host.role === FleetRole.Gateway) gateways++
-      }
+      if (known === undefined) removePreviousSession(host, now)
       if (known?.host.ready !== host.ready) revision++
       sessions.set(host.holder, {
         host,
@@ -177,7 +170,6 @@
     },
     list: () => [...sessions.values()].map(session => session.host),
     accountUse,
-    get gateways () { return gateways },
     getLoadSums: () => ({ live: liveSums, suspects: suspectCounts }),
     findUnconfirmed (requiredRevision) {
       for (const { host, confirmedRevision } of sessions.values()) {
@@ -198,7 +190,6 @@
       liveSums.clear()
       suspectCounts.clear()
       accountUse.clear()
-      gateways = 0
       revision++
     }
   }
--- a/src/request/placement/accountQuota.ts
+++ b/src/request/placement/accountQuota.ts
@@ -21,7 +21,7 @@
 export const endingMs = 500
 
 /** Part of the tolerated overshoot up to which the hosts aim; the remainder covers what they see too late. */
-const targetShare = 0.5
+const targetShare = 0.3
 
 /** Factor of the delay of the sums in which the target is approached: a shorter time makes the hosts overreact to old sums. */
 const approachFactor = 1.5
@@ -35,6 +35,12 @@
 /** Time for which the latest rate is taken to last when the leader selects the sums to distribute, in milliseconds. */
 const listedAheadMs = 1_000
 
+/** Usual intervals after which sums are outdated: a report was lost, or the leader is. */
+const outdatedIntervals = 2.5
+
+/** Shortest time after which sums are outdated, in milliseconds. */
+const minOutdatedMs = 600
+
 /** Number of gateways that a host assumes before its first sums. */
 const assumedGateways = 100
 
@@ -81,6 +87,8 @@
   readonly previousDemand: number | undefined
   /** Time since the sums were received, in milliseconds. */
   readonly ageMs: number
+  /** Requests that the host has admitted since the report in the sums. */
+  readonly ownSince: number
   /** Usual time between two receptions of sums, in milliseconds. */
   readonly intervalMs: number
 }
@@ -149,9 +157,8 @@
   return approachTarget(knowledge.own, sums, limit, bounds)
 }
 
-// Two reports of which each was late: the host is cut off, or the leader is lost.
 function areOutdated ({ ageMs, intervalMs }: AccountSums): boolean {
-  return ageMs > 2 * Math.max(intervalMs, 300)
+  return ageMs > Math.max(minOutdatedMs, intervalMs * outdatedIntervals)
 }
 
 function approachTarget (own: AccountCount, { count, reported, previousDemand, ageMs, intervalMs }: AccountSums, { target }: WindowLimit, { windowMs }: QuotaBounds): QuotaShare {
@@ -171,20 +178,28 @@
   const othersGrowth = ((others.recent + rise * admittedBefore / 2) / recentMs - others.ending / endingMs) * delayMs
   const used = own.admitted + Math.max(0, others.admitted + othersGrowth)
   const endingPerMs = (others.ending + own.ending) / endingMs
-  const demandPerMs = (others.recent + others.refused + own.recent + own.refused + rise + 1) / recentMs
+  const demandPerMs = (others.recent + others.refused + own.recent + own.refused) / recentMs
   const approachMs = Math.max(minApproachMs, intervalMs * approachFactor)
   const admittedPerMs = endingPerMs + (target - used) / approachMs
-  const admittedShare = Math.min(1, Math.max(0, admittedPerMs / demandPerMs))
+  const admittedShare = admittedPerMs >= demandPerMs ? 1 : Math.max(0, admittedPerMs / demandPerMs)
   const excess = used + 1 - target
   const retryMs = excess > 0 ? excess / Math.max(endingPerMs, 1 / windowMs) : 1 / Math.max(admittedPerMs, 1 / windowMs)
   return { admittedShare, retryMs: Math.min(windowMs, retryMs) }
 }
 
 function decideAlone ({ own, sums, gateways = assumedGateways, rounding }: AccountKnowledge, { maximum }: WindowLimit, { windowMs }: QuotaBounds): QuotaShare {
-  const part = maximum / Math.max(1, gateways)
-  // While the sums may still hold, a host that has less than one request in a window must not refuse it. Later the roundings of all hosts must
-  // not add up.
-  const isRoundedUp = sums === undefined || sums.ageMs <= windowMs
-  const allowed = isRoundedUp ? Math.ceil(part) : Math.floor(part + rounding)
-  return { admittedShare: own.admitted < allowed ? 1 : 0, retryMs: windowMs / Math.max(1, own.admitted) }
+  const part = (sums === undefined ? maximum : estimateRoom(sums, maximum, windowMs)) / Math.max(1, gateways)
+  // The roundings of all hosts must not add up. But while the sums may still hold, a host with a part of less than one request does not refuse
+  // the only one that it gets in a window.
+  const isOneAdmitted = sums === undefined || sums.ageMs <= windowMs
+  const allowed = Math.max(isOneAdmitted ? 1 : 0, Math.floor(part + rounding))
+  const admittedBefore = sums === undefined ? own.admitted : sums.ownSince
+  return { admittedShare: admittedBefore < allowed ? 1 : 0, retryMs: windowMs / Math.max(1, own.admitted) }
+}
+
+// Returns how many requests all hosts may have admitted since the sums: what was left then, and what has left the window since.
+function estimateRoom ({ count, ageMs, intervalMs }: AccountSums, maximum: number, windowMs: number): number {
+  const growth = Math.max(0, (count.recent / recentMs - count.ending / endingMs) * intervalMs / 2)
+  const used = count.admitted + growth
+  return Math.max(0, maximum - used) + used * Math.min(1, ageMs / windowMs)
 }
--- a/test/support/quotaReplay.ts
+++ b/test/support/quotaReplay.ts
@@ -15,6 +15,8 @@
 const stepMs = 5
 /** One way between a host and the leader, in milliseconds. */
 const messageMs = 20
+/** Time before the first request, in milliseconds: hosts report before they serve. */
+const startMs = 3_000
 const { windowMs } = defaultQuotaBounds
 
 /** Times of admitted requests of an account, and what was refused of it. */
@@ -70,7 +72,7 @@
   const outcomes = new Map<string, AccountOutcome>()
   const pending: Array<{ at: number, run: () => void }> = []
   const reportMs = Math.max(40, replay.hosts * 2.5)
-  let leaderSince = -10_000
+  const maxChangeMs = Math.max(500 - reportMs, 1.5 * reportMs)
   let bytes = 0
   const createQuotas = (index: number): AccountQuotas => createAccountQuotas(clock, () => defaultQuotaBounds, `g-${index}`)
   const hosts: SimulatedHost[] = Array.from({ length: replay.hosts }, (_, index) => ({ index, quotas: createQuotas(index), start: 0, nextReportAt: random.next() * reportMs }))
@@ -96,7 +98,9 @@
 
   function report (host: SimulatedHost): void {
     const use = host.quotas.describeUse()
-    host.nextReportAt = clock.now() + reportMs * (1 + random.next()) + 2 * messageMs
+    // As the task of load reports: an interval, and then until the next request begins or ends.
+    const changesPerMs = 2 * replay.accounts.reduce((sum, account) => sum + replay.rateOf(account, clock.now()), 0) / replay.hosts / 1_000
+    host.nextReportAt = clock.now() + 2 * messageMs + reportMs + Math.min(maxChangeMs, drawExponential(random) / changesPerMs)
     if (use === undefined) return
     bytes += JSON.stringify({ accountUse: use }).length
     pending.push({ at: clock.now() + messageMs, run: () => receive(host, use) })
@@ -107,9 +111,8 @@
     const holder = `g-${host.index}/${host.start}`
     sessions.renew(createPoll(`g-${host.index}`, holder), 0, clock.now())
     sessions.report({ holder, live: {}, suspects: [], accountUse: use })
-    if (clock.now() - leaderSince <= 1_000 + 2 * reportMs) return
     const totals = sessions.accountUse.listNearLimit(replay.accounts.map(describe), defaultQuotaBounds, clock.now())
-    const { gateways } = sessions
+    const gateways = sessions.accountUse.reporters
     const { quotas } = host
     bytes += JSON.stringify({ accountUse: totals, gateways }).length
     pending.push({ at: clock.now() + messageMs, run: () => { quotas.applyTotals(totals, use, gateways) } })
@@ -120,7 +123,6 @@
     for (const at of replay.leaderStarts ?? []) {
       if (at < from || at >= clock.now()) continue
       sessions.clear()
-      leaderSince = clock.now()
     }
     for (const host of hosts) {
       if (replay.isRestarted?.(host.index, from, clock.now()) !== true) continue
@@ -132,7 +134,7 @@
       pending.splice(position, 1)
       message.run()
     }
-    for (const account of replay.accounts) {
+    for (const account of clock.now() < startMs ? [] : replay.accounts) {
       const expected = replay.rateOf(account, clock.now()) * stepMs / 1_000
       for (let sum = drawExponential(random); sum < expected; sum += drawExponential(random)) arrive(account)
     }
