Competition of client accounts for places at backend servers

Change: the leader returns the level of use of all limits together. A host lets the requests within the share of an account compete as before; those beyond it get free slots only and are refused at once without one. A lower priority leaves queue places free. Items are ordered by priority, lateness, share and urgency (not called yet). Without accounts nothing changes.

--- a/src/connection/fleetWatch.ts
+++ b/src/connection/fleetWatch.ts
@@ -79,7 +79,7 @@
     // Without a response the last totals remain valid; the watch task logs an unreachable leader.
     if (totals.isOk()) {
       view.applyLoads(totals.value, reported)
-      view.accountQuotas.applyTotals(totals.value.accountUse, accountUse, totals.value.gateways)
+      view.accountQuotas.applyTotals(totals.value, accountUse)
       view.quarantine.confirmOutputs(outputs)
     }
     intervalMs = totals.isOk() ? totals.value.intervalMs : idleReportIntervalMs
--- a/src/process/accounts/accountQuotas.ts
+++ b/src/process/accounts/accountQuotas.ts
@@ -5,8 +5,12 @@
  */
 import { createHash } from 'node:crypto'
 import { type AccountCount, type AccountSums, assumeUnlisted, createWindowLimit, decideQuota, type QuotaBounds, type WindowLimit } from '../../request/placement/accountQuota.ts'
+import type { AccountLevel } from '../../request/placement/competition.ts'
 import type { ClientAccount } from '../../version/accounts.ts'
 import type { Clock } from '../program/clock.ts'
+import { LogEvents } from '../program/logEvents.ts'
+import type { Logger } from '../program/logger.ts'
+import type { AccountTotals } from './accountUseSums.ts'
 import { createRequestLog, type RequestLog } from './requestLog.ts'
 
 /** Tolerances of a host whose settings name none. */
@@ -64,11 +68,16 @@
   describeUse (): AccountUse | undefined
   /**
    * Applies the sums of all hosts in the response to a load report.
-   * @param use - requests by account; undefined if the response has none
+   * @param totals - the sums; nothing happens if the response has none
    * @param reported - what this host had reported
-   * @param newGateways - number of gateways whose use the sums contain; undefined if the response has none
    */
-  applyTotals (use: AccountUse | undefined, reported: AccountUse | undefined, newGateways: number | undefined): void
+  applyTotals (totals: AccountTotals, reported: AccountUse | undefined): void
+  /**
+   * Returns how much of its limit an account uses, for the decision who gives way when places are short.
+   * @param account - the account; undefined if the request needs none
+   * @returns the level of the account and that of all
+   */
+  getLevel (account: ClientAccount | undefined): AccountLevel
 }
 
 const admitted: QuotaDecision = { isAdmitted: true, retryMs: 0 }
@@ -76,6 +85,8 @@
 /** Requests of one account at this host. */
 interface AccountState {
   readonly requests: RequestLog
+  /** Monotonic time of the latest refusal, in milliseconds. */
+  refusedAt: number
   /** Position in the evenly distributed sequence that selects the requests to admit. */
   position: number
   /** Rounding of this host's part of the limit, from 0 to 1. */
@@ -85,11 +96,12 @@
 /**
  * Creates quotas without any use.
  * @param clock - source of time
+ * @param logger - receives an event when the limit of an account begins to be used up
  * @param bounds - returns the tolerances
  * @param host - differs between hosts, so that their roundings do
  * @returns the quotas
  */
-export function createAccountQuotas (clock: Clock, bounds: () => QuotaBounds, host: string): AccountQuotas {
+export function createAccountQuotas (clock: Clock, logger: Logger, bounds: () => QuotaBounds, host: string): AccountQuotas {
   const states = new Map<string, AccountState>()
   let sums: AccountUse = {}
   let previousSums: AccountUse = {}
@@ -101,6 +113,7 @@
   let describedAt = -Infinity
   let reportedAt = -Infinity
   let intervalMs: number | undefined
+  let meanLevel: number | undefined
   let incompleteSince = Infinity
   let nextReportAt = -Infinity
 
@@ -108,7 +121,7 @@
     const known = states.get(name)
     if (known !== undefined) return known
     const rounding = computeRounding(name, host)
-    const state = { requests: createRequestLog(), position: rounding, rounding }
+    const state: AccountState = { requests: createRequestLog(), refusedAt: -Infinity, position: rounding, rounding }
     states.set(name, state)
     return state
   }
@@ -141,11 +154,18 @@
       const state = findState(account.name)
       const own = state.requests.count(now, bounds().windowMs)
       const limit = createWindowLimit(account.ratePerSecond, account.burst, bounds())
-      const { admittedShare, retryMs } = decideQuota({ own, sums: findSums(account.name, limit, state), gateways, rounding: state.rounding }, limit, bounds())
+      const accountSums = findSums(account.name, limit, state)
+      const { admittedShare, retryMs } = decideQuota({ own, sums: accountSums, gateways, rounding: state.rounding }, limit, bounds())
       state.position = (state.position + sequenceStep) % 1
       const isAdmitted = state.position < admittedShare
       state.requests.add(now, isAdmitted)
-      return isAdmitted ? admitted : { isAdmitted, retryMs }
+      if (isAdmitted) return admitted
+      // One event for each time that the account is limited: with an event for each request, a busy account would fill the log.
+      if (now - state.refusedAt > bounds().windowMs) {
+        logger.write(LogEvents.accountLimited, { detail: account.name, value: Math.round(limit.limit), inputs: { used: accountSums?.count.admitted ?? -1, own: own.admitted, ageMs: Math.round(accountSums?.ageMs ?? -1), admittedShare, gateways: gateways ?? 0 } })
+      }
+      state.refusedAt = now
+      return { isAdmitted, retryMs }
     },
     release (account) {
       if (account !== undefined) states.get(account.name)?.requests.removeLatest()
@@ -155,15 +175,15 @@
       if (now < nextReportAt) return undefined
       const use: Record<string, number[]> = {}
       describedAt = now
-      for (const [name, { requests }] of states) {
+      for (const [name, { requests, refusedAt }] of states) {
         const count = requests.count(now, bounds().windowMs)
-        if (count.admitted === 0 && count.refused === 0) states.delete(name)
-        else use[name] = describeCount(count)
+        if (count.admitted > 0 || count.refused > 0) use[name] = describeCount(count)
+        else if (now - refusedAt > bounds().windowMs) states.delete(name)
       }
       nextReportAt = now + Math.max(minReportIntervalMs, reportIntervalPerAccountMs * (Object.keys(use).length + Object.keys(sums).length))
       return use
     },
-    applyTotals (use, reported, newGateways) {
+    applyTotals ({ accountUse: use, gateways: newGateways, accountLevel }, reported) {
       if (use === undefined || newGateways === undefined) return
       const now = clock.now()
       const isComplete = newGateways >= (gateways ?? 0) * minReporterShare
@@ -173,10 +193,16 @@
       if (receivedAt !== -Infinity) intervalMs = (intervalMs ?? now - receivedAt) * (1 - intervalSmoothingFactor) + (now - receivedAt) * intervalSmoothingFactor
       previousSums = sums
       sums = use
+      meanLevel = accountLevel
       reportedUse = reported ?? {}
       gateways = newGateways
       receivedAt = now
       reportedAt = describedAt
+    },
+    getLevel (account) {
+      const used = account === undefined ? undefined : sums[account.name]?.[0]
+      if (account === undefined || account.ratePerSecond <= 0 || used === undefined) return { level: undefined, meanLevel }
+      return { level: used / createWindowLimit(account.ratePerSecond, account.burst, bounds()).limit, meanLevel }
     }
   }
 }
--- a/src/process/accounts/accountUseSums.ts
+++ b/src/process/accounts/accountUseSums.ts
@@ -13,10 +13,21 @@
 /** Windows for which the use of a host without contact counts: the host may go on with as many requests for as long as it accepts keys. */
 const lostHostWindows = 2
 
+/** Sums in the response to a load report. */
+export interface AccountTotals {
+  /** Use of the accounts near their limits, by all hosts; undefined if the report had none. */
+  readonly accountUse?: AccountUse | undefined
+  /** Number of gateways whose use the leader has; undefined where `accountUse` is. */
+  readonly gateways?: number | undefined
+  /** Use of all limited accounts together, as a share of their limits; undefined where `accountUse` is. */
+  readonly accountLevel?: number | undefined
+}
+
+/** Decimal places of the level in messages. */
+const levelDigits = 3
+
 /** Sums over all hosts. */
 export interface AccountUseSums {
-  /** Number of hosts whose use the sums contain, without those that have restarted. */
-  readonly reporters: number
   /**
    * Replaces the use of a host.
    * @param holder - identifies the host's process start
@@ -31,13 +42,13 @@
    */
   retire (holder: string, isRestarted: boolean, now: number): void
   /**
-   * Lists the sums of the accounts that are near their limits.
-   * @param accounts - accounts of the tables in force
+   * Describes the sums for the response to a report.
+   * @param accounts - accounts of the tables in force; undefined if they have none
    * @param bounds - tolerances
    * @param now - monotonic time in milliseconds
-   * @returns the sums
+   * @returns the sums of the accounts near their limits
    */
-  listNearLimit (accounts: readonly ClientAccount[], bounds: QuotaBounds, now: number): AccountUse
+  describe (accounts: readonly ClientAccount[] | undefined, bounds: QuotaBounds, now: number): AccountTotals
   /** Removes everything. */
   clear (): void
 }
@@ -56,7 +67,7 @@
   const retired = new Map<string, RetiredUse>()
   // Changed by the difference of each report, as the sums of the load are.
   const sums = new Map<string, AccountCount>()
-  let selection: AccountUse = {}
+  let selection: AccountTotals = {}
   let selectedAt = -Infinity
 
   function add (use: AccountUse, sign: 1 | -1): void {
@@ -84,24 +95,29 @@
     }
   }
 
-  function select (accounts: readonly ClientAccount[], bounds: QuotaBounds): AccountUse {
+  function select (accounts: readonly ClientAccount[], bounds: QuotaBounds): AccountTotals {
     const near: Record<string, readonly number[]> = {}
+    let used = 0
+    let limits = 0
     for (const { name, ratePerSecond, burst } of accounts) {
+      if (ratePerSecond <= 0) continue
+      const limit = createWindowLimit(ratePerSecond, burst, bounds)
+      limits += limit.limit
       const count = sums.get(name)
-      if (count === undefined || ratePerSecond <= 0) continue
-      if (isNearLimit(count, createWindowLimit(ratePerSecond, burst, bounds))) near[name] = describeCount(count)
+      if (count === undefined) continue
+      used += count.admitted
+      if (isNearLimit(count, limit)) near[name] = describeCount(count)
     }
-    return near
+    return { accountUse: near, gateways: countReporters(), accountLevel: limits === 0 ? undefined : Number((used / limits).toFixed(levelDigits)) }
   }
 
-  function countRestarted (): number {
-    let count = 0
-    for (const { windows } of retired.values()) if (windows !== lostHostWindows) count++
-    return count
+  function countReporters (): number {
+    let restarted = 0
+    for (const { windows } of retired.values()) if (windows !== lostHostWindows) restarted++
+    return useByHolder.size - restarted
   }
 
   return {
-    get reporters () { return useByHolder.size - countRestarted() },
     record (holder, use) {
       retired.delete(holder)
       replace(holder, use)
@@ -113,7 +129,8 @@
       // What it sent most recently says nothing about what comes next.
       replace(holder, Object.fromEntries(Object.entries(use).map(([name, numbers]) => [name, [readCount(numbers).admitted]])))
     },
-    listNearLimit (accounts, bounds, now) {
+    describe (accounts, bounds, now) {
+      if (accounts === undefined) return {}
       if (now - selectedAt < selectionIntervalMs) return selection
       removeExpired(bounds.windowMs, now)
       selectedAt = now
--- a/src/process/fleet/fleetLeader.ts
+++ b/src/process/fleet/fleetLeader.ts
@@ -5,7 +5,7 @@
  */
 import { err, ok, type Result } from 'neverthrow'
 import type { QuotaBounds } from '../../request/placement/accountQuota.ts'
-import { type AccountUse, defaultQuotaBounds } from '../accounts/accountQuotas.ts'
+import { defaultQuotaBounds } from '../accounts/accountQuotas.ts'
 import { type Condition, createCondition } from '../program/condition.ts'
 import type { ControlState } from '../state/controlState.ts'
 import { createFailure, type Failure, FailureReason, Step } from '../program/failure.ts'
@@ -235,13 +235,6 @@
     return Math.max(minReportIntervalMs, sessions.size * millisecondsPerSecond / maxReportsPerSecond)
   }
 
-  function listAccountUse ({ accountUse }: LoadReport): Pick<LoadTotals, 'accountUse' | 'gateways'> {
-    const accounts = state.publication?.tables.accounts
-    if (accountUse === undefined || accounts === undefined) return {}
-    const use: AccountUse = sessions.accountUse.listNearLimit(accounts, inputs.quotaBounds ?? defaultQuotaBounds, clock.now())
-    return { accountUse: use, gateways: sessions.accountUse.reporters }
-  }
-
   function listLoads (): Record<string, ServerLoad> {
     const loads: Record<string, ServerLoad> = {}
     for (const id of [...sessions.getLoadSums().live.keys(), ...batch.keys()]) loads[id] = getLoad(id)
@@ -336,7 +329,8 @@
       if (sessions.report(report)) changed.notify()
       confirmations.notify()
       quarantine.recordOutputs(report.outputs ?? [])
-      return ok({ loads: listLoads(), suspects: [...sessions.getLoadSums().suspects.keys()], intervalMs: getReportIntervalMs(), ...listAccountUse(report) })
+      const accountTotals = report.accountUse === undefined ? {} : sessions.accountUse.describe(state.publication?.tables.accounts, inputs.quotaBounds ?? defaultQuotaBounds, clock.now())
+      return ok({ loads: listLoads(), suspects: [...sessions.getLoadSums().suspects.keys()], intervalMs: getReportIntervalMs(), ...accountTotals })
     },
     async reportCrash (report) {
       if (!isLeading()) return err(createNotLeaderFailure(Step.Report))
--- a/src/process/fleet/fleetMessages.ts
+++ b/src/process/fleet/fleetMessages.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import type { AccountUse } from '../accounts/accountQuotas.ts'
+import type { AccountTotals } from '../accounts/accountUseSums.ts'
 import type { GatewayTables } from '../../version/gatewayTables.ts'
 import type { EncodedTables } from '../../connection/tablesCodec.ts'
 import type { Trait } from '../../request/requestTraits.ts'
@@ -210,13 +211,9 @@
 }
 
 /** The response to a load report. */
-export interface LoadTotals {
+export interface LoadTotals extends AccountTotals {
   readonly loads: Readonly<Record<string, ServerLoad>>
   readonly suspects: readonly string[]
   /** Minimum time until the next report, in milliseconds; grows with the number of hosts. */
   readonly intervalMs: number
-  /** Requests, at all hosts, of the client accounts near their limits; undefined in the response to a report without them. */
-  readonly accountUse?: AccountUse | undefined
-  /** Number of gateways whose use the leader has; undefined where `accountUse` is. */
-  readonly gateways?: number | undefined
 }
--- a/src/process/fleet/fleetView.ts
+++ b/src/process/fleet/fleetView.ts
@@ -179,7 +179,7 @@
   let missingVersions: ReadonlyArray<{ readonly version: number, readonly knownSince: number }> = []
   let routes: RouteIndex = new Map()
   let accounts: AccountIndex | undefined
-  const accountQuotas = createAccountQuotas(clock, quotaSettings.bounds, quotaSettings.host)
+  const accountQuotas = createAccountQuotas(clock, logger, quotaSettings.bounds, quotaSettings.host)
   let hosts: readonly FleetHost[] = []
   let reportedControlHosts: readonly string[] = []
   let streamKeepers: readonly string[] = []
--- a/src/process/program/metrics.ts
+++ b/src/process/program/metrics.ts
@@ -8,6 +8,12 @@
 export const Counter = {
   Requests: 'jaychute_requests_total',
   Refusals: 'jaychute_refusals_total',
+  /** Requests refused since the limit of their client account was used up, by account. */
+  QuotaRefusals: 'jaychute_quota_refusals_total',
+  /** Requests beyond the share of their client account that found no free slot, by account. */
+  ShareRefusals: 'jaychute_share_refusals_total',
+  /** Rounds of waiting for a place at a backend server, by client account; empty without one. */
+  Waits: 'jaychute_waits_total',
   LimitedRequests: 'jaychute_limited_requests_total',
   WithheldRequests: 'jaychute_withheld_requests_total',
   Retries: 'jaychute_retries_total',
--- a/src/request/forwardedAttempt.ts
+++ b/src/request/forwardedAttempt.ts
@@ -14,6 +14,7 @@
 import { Counter, Latency } from '../process/program/metrics.ts'
 import type { ProcessServices } from '../process/program/processServices.ts'
 import { maxTimerMs } from '../process/program/units.ts'
+import type { LivePlaces } from './placement/competition.ts'
 import type { ClientAccount } from '../version/accounts.ts'
 import { type GatewayRoute, RouteKind } from '../version/gatewayTables.ts'
 import type { CallerResponse, CallerRequest } from './callerExchange.ts'
@@ -80,6 +81,8 @@
   origin: StreamOrigin | undefined
   /** Records of the servers that wrote the relayed events, as they were when the request was sent to each; in order. */
   readonly writers: BackendServerRecord[]
+  /** Places at the backend servers that the request may take before it has run. */
+  readonly places: LivePlaces
   /** Whether the request resumes a stream that an earlier attempt of the caller received in part. */
   readonly isResumption: boolean
   readonly traits: RequestTraits
--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -8,6 +8,7 @@
 import type { RemoteLoadEstimate } from '../process/fleet/remoteLoads.ts'
 import { LogEvents } from '../process/program/logEvents.ts'
 import { Counter } from '../process/program/metrics.ts'
+import type { ClientAccount } from '../version/accounts.ts'
 import { chooseTarget, matchRoute, RouteKind } from '../version/gatewayTables.ts'
 import { type CallerResponse, type CallerRequest, drainingRetryAfterMs, GatewayRefusal } from './callerExchange.ts'
 import { identifyCaller } from './callerIdentity.ts'
@@ -16,11 +17,9 @@
 import { canContinue, decideResumption, isResumption, mayContinue } from './streamContinuation.ts'
 import { acquirePermit } from './requestPermit.ts'
 import { createRequestTraits, listTraits } from './requestTraits.ts'
+import { decidePlaces, type LivePlaces, maxQueuedPerServer, ordinaryPlaces } from './placement/competition.ts'
 import { chooseServer, chooseServerByPrefix, type ServerCandidate } from './placement/serverChoice.ts'
 
-/** Live requests that may queue at a backend server beyond its slots; with 8 slots and responses of about 0.7 s, each waits about 90 ms. */
-const maxQueuedPerServer = 2
-
 /** Share of the objective of the route within which a request that finds no free slot is refused, so that the refusal comes early. */
 const earlyRefusalShare = 0.2
 
@@ -55,7 +54,10 @@
   if (identified.isErr()) return sendRefusal(services, request, response, identified.error, undefined)
   const account = identified.value
   const quota = view.accountQuotas.admit(account)
-  if (!quota.isAdmitted) return sendRefusal(services, request, response, GatewayRefusal.QuotaExceeded, undefined, quota.retryMs)
+  if (!quota.isAdmitted) {
+    services.metrics.count(Counter.QuotaRefusals, account?.name ?? '')
+    return sendRefusal(services, request, response, GatewayRefusal.QuotaExceeded, undefined, quota.retryMs)
+  }
   const progress: ForwardingProgress = {
     request,
     account,
@@ -64,6 +66,7 @@
     service: chooseTarget(route, random.next()),
     origin: undefined,
     writers: [],
+    places: choosePlaces(account, services),
     isResumption: isResumption(request, route),
     traits: createRequestTraits(request),
     deadlineAt: Math.min(request.deadlineAt, request.receivedAt + route.timeoutMs),
@@ -103,6 +106,11 @@
   return view.tablesOutdatedMs === undefined ? GatewayRefusal.NoRoute : GatewayRefusal.NotReady
 }
 
+function choosePlaces (account: ClientAccount | undefined, { view, random }: ForwardingServices): LivePlaces {
+  if (account === undefined) return ordinaryPlaces
+  return decidePlaces({ priority: account.priority, position: random.next(), ...view.accountQuotas.getLevel(account) })
+}
+
 // Returns whether an attempt may be made; if not, the response has ended.
 async function prepareResumption (progress: ForwardingProgress, services: ForwardingServices): Promise<boolean> {
   const { request, route } = progress
@@ -204,8 +212,9 @@
 
 // A request that has already run or begun to respond waits for a free slot until its deadline; a new one is refused early, so that its caller
 // can try another gateway. A resumption waits for longer, since the servers of its version are the same everywhere.
-function computeWaitDeadline ({ request, route, deadlineAt, runs, isResponseStarted, isResumption }: ForwardingProgress): number {
+function computeWaitDeadline ({ request, route, deadlineAt, runs, isResponseStarted, isResumption, places }: ForwardingProgress): number {
   if (runs > 0 || isResponseStarted) return deadlineAt
+  if (!places.mayWait && !isResumption) return request.receivedAt
   return Math.min(deadlineAt, request.receivedAt + route.objectiveMs * (isResumption ? 1 : earlyRefusalShare))
 }
 
@@ -228,21 +237,26 @@
     }
     // Every server with a free slot has refused the request once; another round may find one that has capacity again.
     avoided.clear()
-    if (clock.now() + recheckIntervalMs > waitDeadlineAt) return undefined
+    if (clock.now() + recheckIntervalMs > waitDeadlineAt) {
+      if (progress.places.isBeyondShare) services.metrics.count(Counter.ShareRefusals, progress.account?.name ?? '')
+      return undefined
+    }
+    services.metrics.count(Counter.Waits, progress.account?.name ?? '')
     await view.changed.wait(recheckIntervalMs, request.disconnectSignal)
   }
   return undefined
 }
 
-function listCandidates ({ service, origin }: ForwardingProgress, remoteLoad: RemoteLoadEstimate, services: ForwardingServices): ServerCandidate[] {
+function listCandidates ({ service, origin, runs, isResponseStarted, isResumption, places }: ForwardingProgress, remoteLoad: RemoteLoadEstimate, services: ForwardingServices): ServerCandidate[] {
   const { view } = services
   const candidates: ServerCandidate[] = []
+  const maxQueued = runs > 0 || isResponseStarted || isResumption ? maxQueuedPerServer : places.maxQueued
   for (const server of view.listReadyServers(service)) {
     if (!canContinue(origin, server) || view.requestLimits.isExcluded(server.id)) continue
     const remote = remoteLoad.getLoad(server.id)
     const live = remote.live + (view.live.get(server.id) ?? 0)
     // Batch items yield to live requests, so only live requests count towards the limit.
-    if (live >= server.slots + maxQueuedPerServer) continue
+    if (live >= server.slots + maxQueued) continue
     candidates.push({
       server,
       load: live + remote.batch,
@@ -301,6 +315,7 @@
     requestId: request.id,
     inputs: {
       route: route.name,
+      ...(progress.account === undefined ? {} : { account: progress.account.name, isBeyondShare: progress.places.isBeyondShare }),
       version: view.tables?.version ?? 0,
       knowledgeAgeMs: Math.round(clock.now() - view.lastContactAt),
       server: server?.id ?? '',
--- /dev/null
+++ b/src/request/placement/competition.ts
@@ -0,0 +1,106 @@
+/**
+ * Decides which client accounts give way when the places at the backend servers are short: which live requests may queue and wait, and in
+ * which order items start.
+ *
+ * Load pattern: an account that sends several times its usual rate, or a loss of servers, fills the servers. Whoever sends the most then finds
+ * the most of the places that become free, and requests of the other accounts are refused in proportion to the traffic of the busy one. An
+ * account's share is in proportion to its limit. The requests within the share compete as before; those beyond it get free slots only and are
+ * refused at once without one, so that the queue places are left to the other accounts. Priorities come before shares.
+ * @module
+ */
+import { type ItemUrgency, orderByUrgency } from './batchPlan.ts'
+
+/** Live requests that may queue at a backend server beyond its slots; with 8 slots and responses of about 0.7 s, each waits about 90 ms. */
+export const maxQueuedPerServer = 2
+
+/** Use of a limit, as a multiple of the mean of all accounts, up to which an account is within its share: traffic comes in waves. */
+const shareTolerance = 1.25
+
+/** Use of the limits of accounts, as shares of the limits. */
+export interface AccountLevel {
+  /** Use of the account's limit by all hosts; undefined if it is not known to be high. */
+  readonly level: number | undefined
+  /** Use of the limits of all accounts together; undefined if it is not known. */
+  readonly meanLevel: number | undefined
+}
+
+/** Live request that competes for a place. */
+export interface LiveCompetitor extends AccountLevel {
+  /** Priority of its account, 0 being the highest; undefined for a request without an account or with one that has no priority. */
+  readonly priority: number | undefined
+  /** Number from 0 to 1 that is distributed evenly over the requests of the account. */
+  readonly position: number
+}
+
+/** Places that a live request may take. */
+export interface LivePlaces {
+  /** Live requests of all hosts that may queue at a server before this request, beyond the slots of the server. */
+  readonly maxQueued: number
+  /** Whether it may wait for a place. */
+  readonly mayWait: boolean
+  /** Whether it exceeds the share of its account. */
+  readonly isBeyondShare: boolean
+}
+
+/** Places of a request whose account does not matter. */
+export const ordinaryPlaces: LivePlaces = { maxQueued: maxQueuedPerServer, mayWait: true, isBeyondShare: false }
+
+const excessPlaces: LivePlaces = { maxQueued: 0, mayWait: false, isBeyondShare: true }
+
+/**
+ * Decides on the places of a live request.
+ * @param competitor - the request
+ * @returns the places that it may take
+ */
+export function decidePlaces ({ priority = 0, level, meanLevel, position }: LiveCompetitor): LivePlaces {
+  const sharePart = level === undefined || meanLevel === undefined || level <= 0 ? 1 : meanLevel * shareTolerance / level
+  if (position >= sharePart) return excessPlaces
+  // Each lower priority leaves a queue place at every server to the higher ones.
+  return priority === 0 ? ordinaryPlaces : { ...ordinaryPlaces, maxQueued: Math.max(0, maxQueuedPerServer - priority) }
+}
+
+/** Item that competes for a slot. */
+export interface ItemCompetitor extends ItemUrgency {
+  /** Client account of its job; undefined if it has none. */
+  readonly account: string | undefined
+  /** Priority of the account, or else of the route, 0 being the highest. */
+  readonly priority: number
+}
+
+/** Items that run already. */
+export interface RunningItems {
+  /** Number of running items by account. */
+  readonly byAccount: ReadonlyMap<string, number>
+  /** Slots that items use or may use. */
+  readonly slots: number
+}
+
+/**
+ * Orders waiting items: by priority; items that can still be on time before the late ones; items within the share of their account before
+ * those beyond it; then by urgency. The slots are shared evenly by the accounts that have items. Without any account, only urgency counts.
+ * @param items - the waiting items
+ * @param running - the running items
+ * @returns the items, those to start first at the beginning
+ */
+export function orderByCompetition (items: readonly ItemCompetitor[], { byAccount, slots }: RunningItems): ItemCompetitor[] {
+  const urgent = orderByUrgency(items) as ItemCompetitor[]
+  const accounts = new Set(byAccount.keys())
+  for (const { account } of items) if (account !== undefined) accounts.add(account)
+  if (accounts.size === 0) return urgent
+  const share = Math.max(1, slots / accounts.size)
+  const taken = new Map(byAccount)
+  const ranked: Array<{ readonly item: ItemCompetitor, readonly isLate: boolean, readonly isBeyondShare: boolean }> = []
+  // Items of a higher priority take the share of their account first.
+  for (const item of sortByPriority(urgent)) {
+    const count = item.account === undefined ? 0 : taken.get(item.account) ?? 0
+    if (item.account !== undefined) taken.set(item.account, count + 1)
+    ranked.push({ item, isLate: item.dueInMs <= item.remainingMs, isBeyondShare: count + 1 > share })
+  }
+  // The sort is stable, so equal ranks keep the order by urgency.
+  ranked.sort((left, right) => left.item.priority - right.item.priority || Number(left.isLate) - Number(right.isLate) || Number(left.isBeyondShare) - Number(right.isBeyondShare))
+  return ranked.map(({ item }) => item)
+}
+
+function sortByPriority (items: readonly ItemCompetitor[]): ItemCompetitor[] {
+  return [...items].sort((left, right) => left.priority - right.priority)
+}
--- a/test/accountQuotas.test.ts
+++ b/test/accountQuotas.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import { createAccountQuotas, defaultQuotaBounds } from '../src/process/accounts/accountQuotas.ts'
 import { createAccountUseSums } from '../src/process/accounts/accountUseSums.ts'
+import { createSilentLogger } from '../src/process/program/logger.ts'
 import { createSeededRandom } from '../src/process/program/random.ts'
 import { createWindowLimit } from '../src/request/placement/accountQuota.ts'
 import type { ClientAccount } from '../src/version/accounts.ts'
@@ -94,8 +95,8 @@
   // Guards against a retry time at which the same request is refused again although nobody else has sent any.
   it('names a time after which a request is admitted', () => {
     const clock = new FakeClock()
-    const quotas = createAccountQuotas(clock, () => defaultQuotaBounds, 'g-1')
-    quotas.applyTotals({}, {}, 1)
+    const quotas = createAccountQuotas(clock, createSilentLogger(), () => defaultQuotaBounds, 'g-1')
+    quotas.applyTotals({ accountUse: {}, gateways: 1 }, {})
     let decision = quotas.admit(account)
     for (let sent = 0; decision.isAdmitted && sent < 1_000; sent++) {
       clock.jump(1)
@@ -104,15 +105,15 @@
     expect(decision.isAdmitted).to.equal(false)
     expect(decision.retryMs).to.be.within(1, defaultQuotaBounds.windowMs)
     clock.jump(decision.retryMs)
-    quotas.applyTotals({}, quotas.describeUse(), 1)
+    quotas.applyTotals({ accountUse: {}, gateways: 1 }, quotas.describeUse())
     expect(quotas.admit(account).isAdmitted).to.equal(true)
   })
 
   // Guards against quota that is used up by requests that no server received.
   it('does not count an admission that was taken back', () => {
     const clock = new FakeClock()
-    const quotas = createAccountQuotas(clock, () => defaultQuotaBounds, 'g-1')
-    quotas.applyTotals({}, {}, 1)
+    const quotas = createAccountQuotas(clock, createSilentLogger(), () => defaultQuotaBounds, 'g-1')
+    quotas.applyTotals({ accountUse: {}, gateways: 1 }, {})
     for (let sent = 0; sent < 200; sent++) {
       expect(quotas.admit(account).isAdmitted, `request ${sent}`).to.equal(true)
       quotas.release(account)
@@ -123,25 +124,25 @@
   // Guards against a leader that forgets what a restarted or lost host has admitted in the window.
   it('keeps the use of a restarted host for a window, and that of a lost one for two', () => {
     const sums = createAccountUseSums()
-    const list = (now: number): unknown => sums.listNearLimit([{ ...account, ratePerSecond: 1 }], defaultQuotaBounds, now)
+    const list = (now: number): unknown => sums.describe([{ ...account, ratePerSecond: 1 }], defaultQuotaBounds, now)
     sums.record('restarted', { a: [30, 3, 1, 2] })
     sums.record('lost', { a: [20, 2] })
-    expect(list(0)).to.deep.equal({ a: [50, 5, 1, 2] })
+    expect(list(0)).to.deep.equal({ accountUse: { a: [50, 5, 1, 2] }, gateways: 2, accountLevel: 10 })
     sums.retire('restarted', true, 0)
     sums.retire('lost', false, 0)
-    expect([list(4_900), sums.reporters]).to.deep.equal([{ a: [50] }, 1])
-    expect([list(5_100), sums.reporters]).to.deep.equal([{ a: [20] }, 1])
-    expect([list(10_100), sums.reporters]).to.deep.equal([{}, 0])
+    expect(list(4_900)).to.deep.equal({ accountUse: { a: [50] }, gateways: 1, accountLevel: 10 })
+    expect(list(5_100)).to.deep.equal({ accountUse: { a: [20] }, gateways: 1, accountLevel: 4 })
+    expect(list(10_100)).to.deep.equal({ accountUse: {}, gateways: 0, accountLevel: 0 })
   })
 
   // Guards against sums of a new leader that lack most hosts: each host would take the limit for unused.
   it('keeps the sums of the previous leader until most gateways have reported to the new one', () => {
     const clock = new FakeClock()
-    const quotas = createAccountQuotas(clock, () => defaultQuotaBounds, 'g-1')
-    quotas.applyTotals({ a: [60] }, {}, 10)
-    quotas.applyTotals({}, {}, 2)
+    const quotas = createAccountQuotas(clock, createSilentLogger(), () => defaultQuotaBounds, 'g-1')
+    quotas.applyTotals({ accountUse: { a: [60] }, gateways: 10 }, {})
+    quotas.applyTotals({ accountUse: {}, gateways: 2 }, {})
     expect(quotas.admit(account).isAdmitted).to.equal(false)
-    quotas.applyTotals({}, {}, 9)
+    quotas.applyTotals({ accountUse: {}, gateways: 9 }, {})
     expect(quotas.admit(account).isAdmitted).to.equal(true)
   })
 })
--- a/test/support/quotaReplay.ts
+++ b/test/support/quotaReplay.ts
@@ -6,6 +6,7 @@
 import { type AccountQuotas, type AccountUse, createAccountQuotas, defaultQuotaBounds } from '../../src/process/accounts/accountQuotas.ts'
 import { FleetRole, type FleetWatchRequest } from '../../src/process/fleet/fleetMessages.ts'
 import { createHostSessions } from '../../src/process/fleet/hostSessions.ts'
+import { createSilentLogger } from '../../src/process/program/logger.ts'
 import type { Random } from '../../src/process/program/random.ts'
 import { createWindowLimit } from '../../src/request/placement/accountQuota.ts'
 import type { ClientAccount } from '../../src/version/accounts.ts'
@@ -74,7 +75,7 @@
   const reportMs = Math.max(40, replay.hosts * 2.5)
   const maxChangeMs = Math.max(500 - reportMs, 1.5 * reportMs)
   let bytes = 0
-  const createQuotas = (index: number): AccountQuotas => createAccountQuotas(clock, () => defaultQuotaBounds, `g-${index}`)
+  const createQuotas = (index: number): AccountQuotas => createAccountQuotas(clock, createSilentLogger(), () => defaultQuotaBounds, `g-${index}`)
   const hosts: SimulatedHost[] = Array.from({ length: replay.hosts }, (_, index) => ({ index, quotas: createQuotas(index), start: 0, nextReportAt: random.next() * reportMs }))
   for (const account of replay.accounts) outcomes.set(account.name, { admittedAt: [], inside: 0, refusedInside: 0, exactAt: [], shortfall: 0 })
 
@@ -111,11 +112,10 @@
     const holder = `g-${host.index}/${host.start}`
     sessions.renew(createPoll(`g-${host.index}`, holder), 0, clock.now())
     sessions.report({ holder, live: {}, suspects: [], accountUse: use })
-    const totals = sessions.accountUse.listNearLimit(replay.accounts.map(describe), defaultQuotaBounds, clock.now())
-    const gateways = sessions.accountUse.reporters
+    const totals = sessions.accountUse.describe(replay.accounts.map(describe), defaultQuotaBounds, clock.now())
     const { quotas } = host
-    bytes += JSON.stringify({ accountUse: totals, gateways }).length
-    pending.push({ at: clock.now() + messageMs, run: () => { quotas.applyTotals(totals, use, gateways) } })
+    bytes += JSON.stringify(totals).length
+    pending.push({ at: clock.now() + messageMs, run: () => { quotas.applyTotals(totals, use) } })
   }
 
   function runStep (from: number): void {
