Merge quotas and competition of client accounts

Measured: type check, linter; keyLease 9, jobAccounts 9, clientAccounts 19, accountQuotas 28 tests pass. Changes to tests were read before the merge.

--- a/src/process/accounts/accountQuotas.ts
+++ b/src/process/accounts/accountQuotas.ts
@@ -3,10 +3,46 @@
  * process; the hosts exchange what they have admitted within the load reports.
  * @module
  */
+import { createHash } from 'node:crypto'
+import { type AccountCount, type AccountSums, assumeUnlisted, createWindowLimit, decideQuota, type QuotaBounds, type WindowLimit } from '../../request/placement/accountQuota.ts'
+import type { AccountLevel } from '../../request/placement/competition.ts'
 import type { ClientAccount } from '../../version/accounts.ts'
+import type { Clock } from '../program/clock.ts'
+import { LogEvents } from '../program/logEvents.ts'
+import type { Logger } from '../program/logger.ts'
+import type { AccountTotals } from './accountUseSums.ts'
+import { createRequestLog, type RequestLog } from './requestLog.ts'
 
-/** Requests that a host has admitted in the latest window, by name of the account. */
-export type AccountUse = Readonly<Record<string, number>>
+/** Tolerances of a host whose settings name none. */
+export const defaultQuotaBounds: QuotaBounds = { windowMs: 5_000, overshootShare: 0.1, overshootRequests: 20 }
+
+/** Minimum interval between two reports of use, in milliseconds. */
+const minReportIntervalMs = 100
+
+/** Interval between two reports of use for each account in a report and its response, in milliseconds; bounds the bytes for them. */
+const reportIntervalPerAccountMs = 4
+
+/** Interval between sums that a host assumes before it knows one, in milliseconds. */
+const assumedIntervalMs = 1_000
+
+/** Share of the gateways known before that sums must contain; with fewer, the leader is new and lacks reports. */
+const minReporterShare = 0.6
+
+/** Time after which sums of fewer gateways are believed, in milliseconds: hosts contact a new leader within a second and report soon after. */
+const believedAfterMs = 3_000
+
+/** Weight of the latest interval in the moving average of the intervals between sums. */
+const intervalSmoothingFactor = 0.3
+
+/** Difference of two consecutive numbers of an evenly distributed sequence from 0 to 1: the golden ratio. */
+const sequenceStep = 0.618_033_988_75
+
+/**
+ * Requests by name of the account: those admitted in the latest window, those of them that are recent, those that
+ * leave the window next, and those refused recently. Zeros at the
+ * end are left out.
+ */
+export type AccountUse = Readonly<Record<string, readonly number[]>>
 
 /** Decision on one request. */
 export interface QuotaDecision {
@@ -23,27 +59,176 @@
    * @returns whether it may run
    */
   admit (account: ClientAccount | undefined): QuotaDecision
-  /** Returns what this host has admitted, for the next load report; undefined without any limited account. */
+  /**
+   * Takes back the latest admission of an account: the request was not sent to a server.
+   * @param account - the account; undefined if the request needed none
+   */
+  release (account: ClientAccount | undefined): void
+  /** Returns what this host has admitted, for the next load report; undefined if it was reported just now. */
   describeUse (): AccountUse | undefined
   /**
    * Applies the sums of all hosts in the response to a load report.
-   * @param use - requests by account; undefined from a leader that names none
+   * @param totals - the sums; nothing happens if the response has none
    * @param reported - what this host had reported
-   * @param gateways - number of gateways
    */
-  applyTotals (use: AccountUse | undefined, reported: AccountUse | undefined, gateways: number): void
+  applyTotals (totals: AccountTotals, reported: AccountUse | undefined): void
+  /**
+   * Returns how much of its limit an account uses, for the decision who gives way when places are short.
+   * @param account - the account; undefined if the request needs none
+   * @returns the level of the account and that of all
+   */
+  getLevel (account: ClientAccount | undefined): AccountLevel
 }
 
 const admitted: QuotaDecision = { isAdmitted: true, retryMs: 0 }
 
+/** Requests of one account at this host. */
+interface AccountState {
+  readonly requests: RequestLog
+  /** Monotonic time of the latest refusal, in milliseconds. */
+  refusedAt: number
+  /** Position in the evenly distributed sequence that selects the requests to admit. */
+  position: number
+  /** Rounding of this host's part of the limit, from 0 to 1. */
+  readonly rounding: number
+}
+
 /**
  * Creates quotas without any use.
+ * @param clock - source of time
+ * @param logger - receives an event when the limit of an account begins to be used up
+ * @param bounds - returns the tolerances
+ * @param host - differs between hosts, so that their roundings do
  * @returns the quotas
  */
-export function createAccountQuotas (): AccountQuotas {
+export function createAccountQuotas (clock: Clock, logger: Logger, bounds: () => QuotaBounds, host: string): AccountQuotas {
+  const states = new Map<string, AccountState>()
+  let sums: AccountUse = {}
+  let previousSums: AccountUse = {}
+  let reportedUse: AccountUse = {}
+  // Gateways whose use the sums contain.
+  let gateways: number | undefined
+  let receivedAt = -Infinity
+  // Times at which the host described its use: the latest, and the one that the sums contain.
+  let describedAt = -Infinity
+  let reportedAt = -Infinity
+  let intervalMs: number | undefined
+  let meanLevel: number | undefined
+  let incompleteSince = Infinity
+  let nextReportAt = -Infinity
+
+  function findState (name: string): AccountState {
+    const known = states.get(name)
+    if (known !== undefined) return known
+    const rounding = computeRounding(name, host)
+    const state: AccountState = { requests: createRequestLog(), refusedAt: -Infinity, position: rounding, rounding }
+    states.set(name, state)
+    return state
+  }
+
+  function previousDemand (name: string): number | undefined {
+    const numbers = previousSums[name]
+    if (numbers === undefined) return undefined
+    const { recent, refused } = readCount(numbers)
+    return recent + refused
+  }
+
+  function findSums (name: string, limit: WindowLimit, { requests }: AccountState): AccountSums | undefined {
+    if (receivedAt === -Infinity) return undefined
+    const entry = sums[name]
+    return {
+      count: entry === undefined ? assumeUnlisted(limit) : readCount(entry),
+      // The sums that are assumed may contain requests of this host; which ones is not known.
+      reported: entry === undefined ? noCount : readCount(reportedUse[name] ?? []),
+      previousDemand: previousDemand(name),
+      ownSince: requests.countAfter(reportedAt),
+      ageMs: clock.now() - receivedAt,
+      intervalMs: intervalMs ?? assumedIntervalMs
+    }
+  }
+
   return {
-    admit: () => admitted,
-    describeUse: () => undefined,
-    applyTotals () {}
+    admit (account) {
+      if (account === undefined || account.ratePerSecond <= 0) return admitted
+      const now = clock.now()
+      const state = findState(account.name)
+      const own = state.requests.count(now, bounds().windowMs)
+      const limit = createWindowLimit(account.ratePerSecond, account.burst, bounds())
+      const accountSums = findSums(account.name, limit, state)
+      const { admittedShare, retryMs } = decideQuota({ own, sums: accountSums, gateways, rounding: state.rounding }, limit, bounds())
+      state.position = (state.position + sequenceStep) % 1
+      const isAdmitted = state.position < admittedShare
+      state.requests.add(now, isAdmitted)
+      if (isAdmitted) return admitted
+      // One event for each time that the account is limited: with an event for each request, a busy account would fill the log.
+      if (now - state.refusedAt > bounds().windowMs) {
+        logger.write(LogEvents.accountLimited, { detail: account.name, value: Math.round(limit.limit), inputs: { used: accountSums?.count.admitted ?? -1, own: own.admitted, ageMs: Math.round(accountSums?.ageMs ?? -1), admittedShare, gateways: gateways ?? 0 } })
+      }
+      state.refusedAt = now
+      return { isAdmitted, retryMs }
+    },
+    release (account) {
+      if (account !== undefined) states.get(account.name)?.requests.removeLatest()
+    },
+    describeUse () {
+      const now = clock.now()
+      if (now < nextReportAt) return undefined
+      const use: Record<string, number[]> = {}
+      describedAt = now
+      for (const [name, { requests, refusedAt }] of states) {
+        const count = requests.count(now, bounds().windowMs)
+        if (count.admitted > 0 || count.refused > 0) use[name] = describeCount(count)
+        else if (now - refusedAt > bounds().windowMs) states.delete(name)
+      }
+      nextReportAt = now + Math.max(minReportIntervalMs, reportIntervalPerAccountMs * (Object.keys(use).length + Object.keys(sums).length))
+      return use
+    },
+    applyTotals ({ accountUse: use, gateways: newGateways, accountLevel }, reported) {
+      if (use === undefined || newGateways === undefined) return
+      const now = clock.now()
+      const isComplete = newGateways >= (gateways ?? 0) * minReporterShare
+      incompleteSince = isComplete ? Infinity : Math.min(incompleteSince, now)
+      if (now - incompleteSince < believedAfterMs && !isComplete) return
+      incompleteSince = Infinity
+      if (receivedAt !== -Infinity) intervalMs = (intervalMs ?? now - receivedAt) * (1 - intervalSmoothingFactor) + (now - receivedAt) * intervalSmoothingFactor
+      previousSums = sums
+      sums = use
+      meanLevel = accountLevel
+      reportedUse = reported ?? {}
+      gateways = newGateways
+      receivedAt = now
+      reportedAt = describedAt
+    },
+    getLevel (account) {
+      const used = account === undefined ? undefined : sums[account.name]?.[0]
+      if (account === undefined || account.ratePerSecond <= 0 || used === undefined) return { level: undefined, meanLevel }
+      return { level: used / createWindowLimit(account.ratePerSecond, account.burst, bounds()).limit, meanLevel }
+    }
   }
 }
+
+const noCount = readCount([])
+
+/**
+ * Reads the counts of an account in a message.
+ * @param numbers - the numbers; missing ones are 0
+ * @returns the counts
+ */
+export function readCount ([admitted = 0, recent = 0, ending = 0, refused = 0]: readonly number[]): AccountCount {
+  return { admitted, recent, ending, refused }
+}
+
+/**
+ * Describes the counts of an account for a message.
+ * @param count - the counts
+ * @returns the numbers, without zeros at the end
+ */
+export function describeCount ({ admitted, recent, ending, refused }: AccountCount): number[] {
+  if (refused > 0) return [admitted, recent, ending, refused]
+  if (ending > 0) return [admitted, recent, ending]
+  return recent > 0 ? [admitted, recent] : [admitted]
+}
+
+function computeRounding (account: string, host: string): number {
+  return createHash('sha256').update(`${host}\n${account}`).digest().readUInt32BE(0) / 2 ** 32
+}
--- a/src/process/fleet/fleetLeader.ts
+++ b/src/process/fleet/fleetLeader.ts
@@ -4,6 +4,8 @@
  * @module
  */
 import { err, ok, type Result } from 'neverthrow'
+import type { QuotaBounds } from '../../request/placement/accountQuota.ts'
+import { defaultQuotaBounds } from '../accounts/accountQuotas.ts'
 import { type Condition, createCondition } from '../program/condition.ts'
 import type { ControlState } from '../state/controlState.ts'
 import { createFailure, type Failure, FailureReason, Step } from '../program/failure.ts'
@@ -49,6 +51,8 @@
   readonly getRegion: (availabilityZone: string) => string | undefined
   /** Time after an election within which every backend server and host contacts the new leader, in milliseconds. */
   readonly settleMs: number
+  /** Tolerances of the quotas of client accounts; undefined for the usual ones. */
+  readonly quotaBounds?: QuotaBounds | undefined
 }
 
 /** The fleet's coordinator on the leading control host. */
@@ -330,7 +334,8 @@
       if (sessions.report(report)) changed.notify()
       confirmations.notify()
       quarantine.recordOutputs(report.outputs ?? [])
-      return ok({ loads: listLoads(), suspects: [...sessions.getLoadSums().suspects.keys()], intervalMs: getReportIntervalMs() })
+      const accountTotals = report.accountUse === undefined ? {} : sessions.accountUse.describe(state.publication?.tables.accounts, inputs.quotaBounds ?? defaultQuotaBounds, clock.now())
+      return ok({ loads: listLoads(), suspects: [...sessions.getLoadSums().suspects.keys()], intervalMs: getReportIntervalMs(), ...accountTotals })
     },
     async reportCrash (report) {
       if (!isLeading()) return err(createNotLeaderFailure(Step.Report))
--- a/src/process/fleet/fleetMessages.ts
+++ b/src/process/fleet/fleetMessages.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import type { AccountUse } from '../accounts/accountQuotas.ts'
+import type { AccountTotals } from '../accounts/accountUseSums.ts'
 import type { GatewayTables } from '../../version/gatewayTables.ts'
 import type { EncodedTables } from '../../connection/tablesCodec.ts'
 import type { Trait } from '../../request/requestTraits.ts'
@@ -197,7 +198,7 @@
   readonly suspects: readonly string[]
   /** Outputs with suspect traits since the last accepted report. */
   readonly outputs?: readonly TraitOutput[] | undefined
-  /** Requests of limited client accounts that the host has admitted in the latest window; undefined if there are none. */
+  /** Requests of limited client accounts at the host; undefined if they are as last reported. */
   readonly accountUse?: AccountUse | undefined
 }
 
@@ -210,13 +211,9 @@
 }
 
 /** The response to a load report. */
-export interface LoadTotals {
+export interface LoadTotals extends AccountTotals {
   readonly loads: Readonly<Record<string, ServerLoad>>
   readonly suspects: readonly string[]
   /** Minimum time until the next report, in milliseconds; grows with the number of hosts. */
   readonly intervalMs: number
-  /** Requests of limited client accounts that all hosts have admitted in the latest window; undefined if there are none. */
-  readonly accountUse?: AccountUse | undefined
-  /** Number of gateways with a session; undefined from a leader of an earlier version of the program. */
-  readonly gateways?: number | undefined
 }
--- a/src/process/fleet/fleetView.ts
+++ b/src/process/fleet/fleetView.ts
@@ -7,7 +7,8 @@
 import { type Condition, createCondition } from '../program/condition.ts'
 import { LogEvents } from '../program/logEvents.ts'
 import type { Logger } from '../program/logger.ts'
-import { type AccountQuotas, createAccountQuotas } from '../accounts/accountQuotas.ts'
+import type { QuotaBounds } from '../../request/placement/accountQuota.ts'
+import { type AccountQuotas, createAccountQuotas, defaultQuotaBounds } from '../accounts/accountQuotas.ts'
 import { createKeyLease } from '../accounts/keyLease.ts'
 import { type AccountIndex, createAccountIndex } from '../../version/accounts.ts'
 import { createRouteIndex, type GatewayTables, type RouteIndex } from '../../version/gatewayTables.ts'
@@ -30,6 +31,19 @@
 /** Weight of the latest run in the moving average of failed runs; about the last ten runs contribute. */
 const failureSmoothingFactor = 0.1
 
+/** Settings of client accounts at a host. */
+export interface AccountSettings {
+  /** Name of this host. */
+  readonly host: string
+  /** Returns the duration of the lease for keys, in milliseconds; 0 for no lease. */
+  readonly keyLeaseMs: () => number
+  /** Returns the tolerances of the limits of accounts. */
+  readonly quotaBounds: () => QuotaBounds
+}
+
+/** Settings of a host whose settings file names none of them. */
+export const defaultAccountSettings: AccountSettings = { host: '', keyLeaseMs: () => 0, quotaBounds: () => defaultQuotaBounds }
+
 /** A host's local view of the fleet. */
 export interface FleetView {
   readonly tables: GatewayTables | undefined
@@ -148,10 +162,10 @@
  * @param clock - source of time
  * @param logger - receives log events
  * @param seeds - returns the internal addresses of the control hosts in the settings
- * @param keyLeaseMs - returns the duration of the lease for keys, in milliseconds; 0 for no lease
+ * @param accountSettings - settings of client accounts
  * @returns the view
  */
-export function createFleetView (clock: Clock, logger: Logger, seeds: () => readonly string[], keyLeaseMs: () => number = () => 0): FleetView {
+export function createFleetView (clock: Clock, logger: Logger, seeds: () => readonly string[], accountSettings: AccountSettings = defaultAccountSettings): FleetView {
   const servers = new Map<string, BackendServerRecord>()
   // Servers listed by the current leader; all others are deleted once every server has had time to contact that leader.
   const listedServers = new Set<string>()
@@ -172,8 +186,8 @@
   let missingVersions: ReadonlyArray<{ readonly version: number, readonly knownSince: number }> = []
   let routes: RouteIndex = new Map()
   let accounts: AccountIndex | undefined
-  const accountQuotas = createAccountQuotas()
-  const keyLease = createKeyLease(clock, keyLeaseMs)
+  const accountQuotas = createAccountQuotas(clock, logger, accountSettings.quotaBounds, accountSettings.host)
+  const keyLease = createKeyLease(clock, accountSettings.keyLeaseMs)
   let hosts: readonly FleetHost[] = []
   let reportedControlHosts: readonly string[] = []
   let streamKeepers: readonly string[] = []
--- a/test/jobAccounts.test.ts
+++ b/test/jobAccounts.test.ts
@@ -6,7 +6,7 @@
 import { createBackendServerHttp } from '../platform/backendServerHttp.ts'
 import { decodeFrames, encodeFrame, encodeRecord } from '../src/process/log/recordCodec.ts'
 import { getKeyLeaseMs } from '../src/process/accounts/keyLease.ts'
-import { createFleetView, type FleetView } from '../src/process/fleet/fleetView.ts'
+import { createFleetView, defaultAccountSettings, type FleetView } from '../src/process/fleet/fleetView.ts'
 import { createGatewayDrain } from '../src/process/fleet/gatewayDrain.ts'
 import { createSilentLogger } from '../src/process/program/logger.ts'
 import { Counter, createMetrics } from '../src/process/program/metrics.ts'
@@ -40,7 +40,7 @@
     clock = new FakeClock()
     state = createControlState()
     version = 0
-    view = createFleetView(clock, createSilentLogger(), () => [], () => getKeyLeaseMs(5_000))
+    view = createFleetView(clock, createSilentLogger(), () => [], { ...defaultAccountSettings, keyLeaseMs: () => getKeyLeaseMs(5_000) })
     services = {
       view,
       clock,
--- a/test/keyLease.test.ts
+++ b/test/keyLease.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check'
 import { ResultAsync } from 'neverthrow'
 import { createKeyLease, getKeyLeaseMs } from '../src/process/accounts/keyLease.ts'
-import { createFleetView, type FleetView } from '../src/process/fleet/fleetView.ts'
+import { createFleetView, defaultAccountSettings, type FleetView } from '../src/process/fleet/fleetView.ts'
 import { createTablesConfirmations, type TablesConfirmations } from '../src/process/fleet/tablesConfirmation.ts'
 import { createFailure, type Failure, FailureReason, Step } from '../src/process/program/failure.ts'
 import { createSilentLogger } from '../src/process/program/logger.ts'
@@ -65,7 +65,7 @@
 
   beforeEach(async () => {
     clock = new FakeClock()
-    view = createFleetView(clock, createSilentLogger(), () => [], () => getKeyLeaseMs(revocationMs))
+    view = createFleetView(clock, createSilentLogger(), () => [], { ...defaultAccountSettings, keyLeaseMs: () => getKeyLeaseMs(revocationMs) })
     leader = new TestLeader(clock, 'a/1')
     leader.version = 1
     await clock.advance(1_000)
