Choice of a backend server by its pace

Change: the front end decodes the load figures of servers, bounded and counted. Gateways sample the reported slowdown and the time between events of the streams that they relay, and send the samples with their load reports; the leader combines them into a pace for each server, which it sends back with the loads where it differs from 1 by a fifth. The part of the load that a request waits for counts with the pace. Without a reported slowdown nothing changes.

--- a/src/process/fleet/fleetLeader.ts
+++ b/src/process/fleet/fleetLeader.ts
@@ -18,6 +18,8 @@
   type ServerCrashReport, type ServerCrashVerdict, type ServerLoad, type TrialRequest
 } from './fleetMessages.ts'
 import { createFleetUpdates } from './fleetUpdates.ts'
+import { decodePaceSample } from './paceSamples.ts'
+import { createServerPaces } from '../../request/placement/serverPace.ts'
 import type { ServerStart } from './leavingServers.ts'
 import { createHostConfirmations } from './hostConfirmations.ts'
 import { createHostSessions, sessionTimeoutMs } from './hostSessions.ts'
@@ -138,6 +140,12 @@
    * @returns its live requests as last reported by all hosts, and its batch items
    */
   getLoad (id: string): ServerLoad
+  /**
+   * Returns the pace of a backend server.
+   * @param id - id of the backend server
+   * @returns the duration of work as a multiple of the mean of its service; 1 as long as no difference is certain
+   */
+  getPace (id: string): number
   /**
    * Checks whether any host reports a recent failed connection to a backend server.
    * @param id - id of the backend server
@@ -160,6 +168,7 @@
   const batch = new Map<string, number>()
   const quarantine = createTraitQuarantine({ replica, state, clock, logger, lifecycle, changed: () => updateAvailable.notify() })
   const permits = createRequestPermits(clock)
+  const paces = createServerPaces()
   let term = -1
   // Monotonic time at which the current leadership began, in milliseconds.
   let leaderSince = 0
@@ -178,6 +187,7 @@
     leaderSince = clock.now()
     sessions.clear()
     batch.clear()
+    paces.retain(() => false)
     registry.clear()
     for (const record of inputs.knownServers()) registry.seed(record, leaderSince)
     quarantine.beginTerm()
@@ -234,9 +244,17 @@
   function listLoads (): Record<string, ServerLoad> {
     const loads: Record<string, ServerLoad> = {}
     for (const id of [...sessions.getLoadSums().live.keys(), ...batch.keys()]) loads[id] = getLoad(id)
+    for (const [id, pace] of paces.list(clock.now())) loads[id] = { ...getLoad(id), pace }
     return loads
   }
 
+  function recordPaces ({ paces: samples }: LoadReport): void {
+    for (const [id, sample] of Object.entries(samples ?? {})) {
+      const service = registry.find(id)?.service
+      if (service !== undefined) paces.record(id, service, decodePaceSample(sample), clock.now())
+    }
+  }
+
   // Every host must know that the server leaves: the information has to survive the loss of this leader, and no host may
   // send the server a request after its call has succeeded.
   async function waitForLeaveConfirmation (id: string): Promise<Result<boolean, Failure>> {
@@ -292,7 +310,9 @@
       if (!isLeading()) continue
       removeExpired(dueAt)
       quarantine.sweep()
-      permits.retain(id => registry.find(id)?.phase !== ServerPhase.Gone && registry.find(id) !== undefined)
+      const isPresent = (id: string): boolean => registry.find(id)?.phase !== ServerPhase.Gone && registry.find(id) !== undefined
+      permits.retain(isPresent)
+      paces.retain(isPresent)
     }
   })
   runContained(inputs, async signal => {
@@ -323,6 +343,7 @@
     report (report) {
       if (!isLeading()) return err(createNotLeaderFailure(Step.Report))
       if (sessions.report(report)) changed.notify()
+      recordPaces(report)
       confirmations.notify()
       quarantine.recordOutputs(report.outputs ?? [])
       return ok({ loads: listLoads(), suspects: [...sessions.getLoadSums().suspects.keys()], intervalMs: getReportIntervalMs() })
@@ -372,6 +393,7 @@
     listReadyServers: () => registry.listChangesSince(0).filter(record => record.phase === ServerPhase.Ready),
     findServer: id => registry.find(id),
     getLoad,
+    getPace: id => paces.get(id, clock.now()),
     isSuspect: id => sessions.getLoadSums().suspects.has(id)
   }
 }
--- a/src/process/fleet/fleetMessages.ts
+++ b/src/process/fleet/fleetMessages.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import type { AccountUse } from '../accounts/accountQuotas.ts'
+import type { EncodedPaceSamples } from './paceSamples.ts'
 import type { GatewayTables } from '../../version/gatewayTables.ts'
 import type { EncodedTables } from '../../connection/tablesCodec.ts'
 import type { Trait } from '../../request/requestTraits.ts'
@@ -197,6 +198,8 @@
   readonly suspects: readonly string[]
   /** Outputs with suspect traits since the last accepted report. */
   readonly outputs?: readonly TraitOutput[] | undefined
+  /** What responses have shown of the pace of some servers since the last report; undefined if no server reports a slowdown. */
+  readonly paces?: EncodedPaceSamples | undefined
   /** Requests of limited client accounts that the host has admitted in the latest window; undefined if there are none. */
   readonly accountUse?: AccountUse | undefined
 }
@@ -207,6 +210,8 @@
   readonly live: number
   /** Number of batch items. */
   readonly batch: number
+  /** Duration of work as a multiple of the mean of the service; undefined where it differs by less than a fifth. */
+  readonly pace?: number | undefined
 }
 
 /** The response to a load report. */
--- a/src/process/fleet/fleetView.ts
+++ b/src/process/fleet/fleetView.ts
@@ -13,6 +13,7 @@
 import { type BackendServerRecord, isNewer, keepSoftwareVersion, ServerPhase } from './backendServerRegistry.ts'
 import { createQuarantineView, type QuarantineView } from './quarantineView.ts'
 import { createLeavingServers, type LeavingServers } from './leavingServers.ts'
+import { createPaceSamples, type PaceSamples } from './paceSamples.ts'
 import { createRemoteLoads, type RemoteLoads } from './remoteLoads.ts'
 import { createRequestLimits, type RequestLimits } from './requestLimits.ts'
 import type { FleetHost, FleetUpdate, FleetWatchRequest, LoadTotals } from './fleetMessages.ts'
@@ -108,6 +109,14 @@
   findServer (id: string): BackendServerRecord | undefined
   /** Load of the servers caused by other hosts. */
   readonly remoteLoads: Pick<RemoteLoads, 'get' | 'estimate' | 'recordDuration'>
+  /** What responses have shown of the pace of servers since the last load report. */
+  readonly paceSamples: PaceSamples
+  /**
+   * Returns the pace of a server.
+   * @param id - id of the server
+   * @returns the duration of work as a multiple of the mean of its service; 1 as long as no difference is known
+   */
+  getPace (id: string): number
   /** Live requests of this host in flight, by server. */
   readonly live: ReadonlyMap<string, number>
   /**
@@ -156,6 +165,7 @@
   // Monotonic time at which the suspicion of this host ends, in milliseconds, by server.
   const localSuspects = new Map<string, number>()
   const remoteLoads = createRemoteLoads(clock)
+  const paceSamples = createPaceSamples()
   const failureRates = new Map<string, number>()
   let reportedSuspects: ReadonlySet<string> = new Set()
   const quarantine = createQuarantineView(clock)
@@ -245,6 +255,8 @@
     requestLimits,
     leavingServers,
     remoteLoads,
+    paceSamples,
+    getPace: id => remoteLoads.getPace(id),
     changed,
     loadChanged,
     live,
--- a/src/process/fleet/remoteLoads.ts
+++ b/src/process/fleet/remoteLoads.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import { createLivePeak, type LivePeak } from '../../request/placement/livePeak.ts'
+import { fadePace } from '../../request/placement/serverPace.ts'
 import { estimateLoad } from '../../request/placement/staleLoad.ts'
 import type { Clock } from '../program/clock.ts'
 import type { LoadTotals, ServerLoad } from './fleetMessages.ts'
@@ -29,6 +30,12 @@
 export interface RemoteLoads {
   /** Returns the load of a server as of the last sums. */
   get (id: string): ServerLoad
+  /**
+   * Returns the pace of a server as of the last sums, which fades with their age.
+   * @param id - id of the server
+   * @returns the duration of work as a multiple of the mean of its service; 1 as long as no difference is known
+   */
+  getPace (id: string): number
   /**
    * Applies new sums.
    * @param totals - load of all hosts together
@@ -54,6 +61,7 @@
  */
 export function createRemoteLoads (clock: Clock): RemoteLoads {
   const loads = new Map<string, ServerLoad>()
+  const paces = new Map<string, number>()
   const peaks = new Map<string, LivePeak>()
   let appliedAt = -Infinity
   let intervalMs = 0
@@ -75,10 +83,13 @@
 
   return {
     get: id => loads.get(id) ?? noLoad,
+    getPace: id => fadePace(paces.get(id) ?? 1, clock.now() - appliedAt),
     apply (totals, reported, findService) {
       loads.clear()
+      paces.clear()
       for (const [id, load] of Object.entries(totals.loads)) {
         loads.set(id, { live: Math.max(0, load.live - (reported.get(id) ?? 0)), batch: load.batch })
+        if (load.pace !== undefined) paces.set(id, load.pace)
       }
       appliedAt = clock.now()
       intervalMs = totals.intervalMs
--- a/src/process/program/metrics.ts
+++ b/src/process/program/metrics.ts
@@ -20,6 +20,8 @@
   AttemptFailures: 'jaychute_attempt_failures_total',
   BrokenAttempts: 'jaychute_broken_attempts_total',
   ServerConnections: 'jaychute_server_connections_total',
+  /** Load figures in responses of backend servers, by what could be read of them. */
+  ServerLoads: 'jaychute_server_loads_total',
   Items: 'jaychute_items_total',
   Yields: 'jaychute_batch_yields_total',
   RestartedItems: 'jaychute_restarted_items_total',
--- a/src/request/forwardedAttempt.ts
+++ b/src/request/forwardedAttempt.ts
@@ -20,6 +20,7 @@
 import { createEventSplitter, isEventStream, removeContentLength } from './eventStream.ts'
 import { createIdleTimeout, type IdleTimeout } from './idleTimeout.ts'
 import { isReplaced } from './streamContinuation.ts'
+import { createStreamPace } from './streamPace.ts'
 import type { RequestTraits } from './requestTraits.ts'
 
 /** Timeout for the headers and first event of a response while another server may still run the request, in latency objectives of the route. */
@@ -164,6 +165,7 @@
     view.clearSuspect(server.id)
     view.requestLimits.record(server.id, sent.value.requestLimit, sentAt)
     view.leavingServers.record(server, sent.value.isLeaving)
+    view.paceSamples.recordLoad(server.id, sent.value.load)
     return await relayResponse(progress, server, sent.value, idleTimeout, services)
   } catch (error) {
     reportFailedAttempt(progress, server, toFailure(error, { step: Step.ReadResponse, peer: server.address }), services)
@@ -283,6 +285,7 @@
 async function relayEvents (progress: ForwardingProgress, server: BackendServerRecord, received: ExecutedResponse, idleTimeout: IdleTimeout, services: ForwardingServices): Promise<ForwardedAttemptEnd> {
   const { answer: response, route } = progress
   const splitter = createEventSplitter()
+  const pace = createStreamPace()
   const isResumed = progress.isResponseStarted
   const isContinuation = progress.origin !== undefined
   let isAwaitingResumption = isResumed
@@ -302,6 +305,8 @@
       eventChunks.push(event.bytes)
     }
     if (eventChunks.length === 0) continue
+    const arrivedAt = services.clock.now()
+    pace.recordEvents(eventChunks.length, arrivedAt)
     if (isOtherVersion) revokeOrigin(progress, services)
     else if (progress.origin === undefined) recordOrigin(progress, server, services)
     if (!progress.hasOutput) {
@@ -317,8 +322,11 @@
     }
     startResponse(progress, received, removeContentLength(received.headers))
     await response.write(eventChunks.length === 1 ? eventChunks[0] as Buffer : Buffer.concat(eventChunks))
+    pace.recordWrite(services.clock.now() - arrivedAt)
     idleTimeout.restart(Math.max(minIdleTimeoutMs, route.pauseMs * eventPauseTimeoutFactor))
   }
+  const eventMs = pace.getEventMs()
+  if (received.load?.slowdown !== undefined && eventMs !== undefined) services.view.paceSamples.recordStream(server.id, eventMs)
   if (splitter.pendingBytes > 0) {
     throw createFailure(FailureReason.Incomplete, { step: Step.ReadResponse, peer: server.address }, 'the stream ended in the middle of an event')
   }
--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -241,6 +241,7 @@
       server,
       load: live + remote.batch,
       live,
+      pace: view.getPace(server.id),
       isSuspect: view.isSuspect(server.id),
       isLimited: view.requestLimits.find(server.id) !== undefined,
       failureRate: view.getFailureRate(server.id),
--- a/src/request/placement/serverChoice.ts
+++ b/src/request/placement/serverChoice.ts
@@ -45,6 +45,8 @@
   readonly load: number
   /** Live requests among them. */
   readonly live: number
+  /** Duration of work on the server, as a multiple of the mean of its service; undefined if no difference is known. */
+  readonly pace?: number | undefined
   /** Whether this host or another one suspects the server after a recent connection failure or time-out. */
   readonly isSuspect: boolean
   /** Whether the server names a request limit. */
@@ -58,10 +60,13 @@
 interface ScoredServer {
   readonly server: BackendServerRecord
   readonly score: number
+  /** Requests that raise the score by 1. */
+  readonly share: number
 }
 
 /**
- * Chooses a candidate by its score, which is the load plus penalties for distance and failures. Without unseen requests the
+ * Chooses a candidate by its score, which is the load plus penalties for distance and failures. Where servers differ in pace, the
+ * part of the load that the request has to wait for counts with the pace. Without unseen requests the
  * lowest score wins. Otherwise the scores are filled up to one level with the unseen requests, as the other hosts would place
  * them, and the choice is random with the shares in which they were needed.
  * @param candidates - the servers that can take the request
@@ -74,13 +79,13 @@
   const scored: ScoredServer[] = []
   for (const candidate of candidates) {
     if (avoided.has(candidate.server.id)) continue
-    scored.push({ server: candidate.server, score: computeScore(candidate) + random() * zonePenalty / 2 })
+    scored.push({ server: candidate.server, score: computeScore(candidate) + random() * zonePenalty / 2, share: 1 / (candidate.pace ?? 1) })
   }
   scored.sort((left, right) => left.score - right.score)
   const level = findLevel(scored, unseenRequests)
   let remaining = random() * unseenRequests
-  for (const { server, score } of scored) {
-    remaining -= level - score
+  for (const { server, score, share } of scored) {
+    remaining -= (level - score) * share
     if (remaining < 0) return server
   }
   return scored[0]?.server
@@ -107,16 +112,18 @@
 function findLevel (scored: readonly ScoredServer[], amount: number): number {
   let sum = 0
   let count = 0
-  for (const { score } of scored) {
+  for (const { score, share } of scored) {
     if (count > 0 && score * count - sum >= amount) break
-    sum += score
-    count++
+    sum += score * share
+    count += share
   }
   return count === 0 ? 0 : (sum + amount) / count
 }
 
-function computeScore ({ load, isSuspect, isLimited, failureRate, isSameZone, isSameRegion }: ServerCandidate): number {
+function computeScore ({ server, load, pace = 1, isSuspect, isLimited, failureRate, isSameZone, isSameRegion }: ServerCandidate): number {
   const distancePenalty = isSameZone ? 0 : isSameRegion ? zonePenalty : regionPenalty
   const failurePenalty = failureRate > failureTolerance ? failureRate * maxFailurePenalty : 0
-  return load + distancePenalty + failurePenalty + (isLimited ? limitPenalty : 0) + (isSuspect ? suspectPenalty : 0)
+  // The request waits until those beyond the free slots have ended, and then for its own first event; both take longer at a slow server.
+  const queued = Math.max(0, load + 1 - server.slots)
+  return load + (queued + 1) * (pace - 1) + distancePenalty + failurePenalty + (isLimited ? limitPenalty : 0) + (isSuspect ? suspectPenalty : 0)
 }
--- a/test/support/loadReplay.ts
+++ b/test/support/loadReplay.ts
@@ -7,9 +7,11 @@
 import { orderByUrgency, planBatch } from '../../src/request/placement/batchPlan.ts'
 import { planLive } from '../../src/request/placement/plannedLive.ts'
 import { chooseServer, type ServerCandidate } from '../../src/request/placement/serverChoice.ts'
+import { createServerPaces } from '../../src/request/placement/serverPace.ts'
 import { estimateLoad } from '../../src/request/placement/staleLoad.ts'
 import { createSeededRandom } from '../../src/process/program/random.ts'
 import { recordOf } from './fakeFleet.ts'
+import { createReplaySpeeds, type SpeedSettings } from './replaySpeeds.ts'
 
 /** How hosts choose a server. */
 export const Placement = {
@@ -37,6 +39,10 @@
   readonly placement: Placement
   /** Whether the plan of items follows the sums as the product does; otherwise it follows the sum of each server, however old. */
   readonly plansByMean: boolean
+  /** Speeds of the servers; all are alike and steady if it is undefined. */
+  readonly speeds?: SpeedSettings | undefined
+  /** Whether hosts choose by the pace of servers. */
+  readonly usesPace?: boolean | undefined
 }
 
 /** What the callers and the servers saw. */
@@ -45,6 +51,8 @@
   readonly liveInTime: number
   /** Share of the items that were done when they were due. */
   readonly itemsInTime: number
+  /** 99th percentile of the time to the first output, in milliseconds; a request that is given up counts with the time that callers wait. */
+  readonly firstOutputMs99: number
   /** Arrivals of live requests at servers, for each request. */
   readonly arrivalsPerRequest: number
   /** Interruptions of items, for each item. */
@@ -53,12 +61,16 @@
 
 const slots = 8
 const maxQueued = 12
-/** Live requests beyond the slots that a host plans for on a server, as in the gateway. */
-const plannedQueue = 2
 const liveMs = 740
 const itemMs = 5_500
 const firstOutputMs = 60
+/** Live requests beyond the slots that a host plans for on a server, as in the gateway. */
+const plannedQueue = 2
 const objectiveMs = 303
+/** Time for which callers wait for the first output, in milliseconds. */
+const patienceMs = 5_000
+const eventsPerRequest = 20
+const service = 's'
 const dueMs = 18_000
 const itemsPerJob = 10
 const planIntervalMs = 200
@@ -89,7 +101,7 @@
 
 interface Work { readonly request: Request | undefined, readonly item: Item | undefined, readonly run: number }
 
-interface Host { readonly own: number[], sums: readonly number[], batch: readonly number[], sumsAt: number, readonly peak: LivePeak }
+interface Host { readonly own: number[], sums: readonly number[], batch: readonly number[], sumsAt: number, readonly peak: LivePeak, paces: ReadonlyMap<string, number>, samples: Array<{ readonly server: string, readonly slowdown: number | undefined, readonly eventMs: number | undefined }> }
 
 /**
  * Replays a load.
@@ -106,7 +118,10 @@
   const records = Array.from({ length: serverCount }, (_, server) => recordOf(`s-${server}`))
   const running: Work[][] = records.map(() => [])
   const queues: Work[][] = records.map(() => [])
-  const hosts: Host[] = Array.from({ length: hostCount }, () => ({ own: zeros(), sums: zeros(), batch: zeros(), sumsAt: 0, peak: createLivePeak() }))
+  const hosts: Host[] = Array.from({ length: hostCount }, () => ({ own: zeros(), sums: zeros(), batch: zeros(), sumsAt: 0, peak: createLivePeak(), paces: new Map(), samples: [] }))
+  const speeds = settings.speeds === undefined ? undefined : createReplaySpeeds(settings.speeds, serverCount, durationMs, settings.seed)
+  const paces = createServerPaces()
+  const firstOutputs: number[] = []
   const reported: number[][] = hosts.map(zeros)
   const sums = zeros()
   const items: Item[] = []
@@ -145,8 +160,9 @@
     const candidates: ServerCandidate[] = []
     for (const [server, record] of records.entries()) {
       const live = (host.own[server] ?? 0) + (remote[server] ?? 0) * estimate.remainingShare
+      const pace = settings.usesPace === true ? host.paces.get(record.id) ?? 1 : 1
       if (live >= slots + plannedQueue) continue
-      candidates.push({ server: record, load: live + (host.batch[server] ?? 0), live, isSuspect: false, isLimited: false, failureRate: 0, isSameZone: true, isSameRegion: true })
+      candidates.push({ server: record, load: live + (host.batch[server] ?? 0), live, pace, isSuspect: false, isLimited: false, failureRate: 0, isSameZone: true, isSameRegion: true })
     }
     if (settings.placement === Placement.Random) {
       const open = candidates.filter(({ server }) => !request.avoided.has(server.id))
@@ -162,6 +178,7 @@
     if (server === undefined) {
       request.avoided.clear()
       if (now - request.arrivedAt < objectiveMs / 5) schedule(20, () => place(request))
+      else firstOutputs.push(patienceMs)
       return
     }
     const host = hosts[request.host] as Host
@@ -172,6 +189,7 @@
       host.own[server] = (host.own[server] ?? 0) - 1
       request.avoided.add(`s-${server}`)
       if (++request.attempts < maxAttempts) place(request)
+      else firstOutputs.push(patienceMs)
     })
   }
 
@@ -189,16 +207,21 @@
     running[server]?.push(work)
     const { request, item, run } = work
     if (request !== undefined) {
-      if (now + firstOutputMs - request.arrivedAt <= objectiveMs) counts.liveInTime++
-      schedule(liveMs * (0.7 + 0.6 * random.next()), () => {
-        const host = hosts[request.host] as Host
+      const firstMs = now + takeTime(server, firstOutputMs) - request.arrivedAt
+      firstOutputs.push(firstMs)
+      if (firstMs <= objectiveMs) counts.liveInTime++
+      const host = hosts[request.host] as Host
+      const runMs = takeTime(server, liveMs * (0.7 + 0.6 * random.next()))
+      if (speeds !== undefined) host.samples.push({ server: `s-${server}`, slowdown: speeds.report(server, now), eventMs: undefined })
+      schedule(runMs, () => {
+        if (speeds !== undefined) host.samples.push({ server: `s-${server}`, slowdown: undefined, eventMs: runMs / eventsPerRequest })
         host.own[server] = (host.own[server] ?? 0) - 1
         finish(server, work)
       })
     }
     if (item === undefined) return
     item.startedAt = now
-    schedule(item.remainingMs, () => {
+    schedule(takeTime(server, item.remainingMs), () => {
       if (item.runs !== run || item.server !== server) return
       if (now <= item.dueAt) counts.itemsInTime++
       items.splice(items.indexOf(item), 1)
@@ -206,6 +229,10 @@
     })
   }
 
+  function takeTime (server: number, workMs: number): number {
+    return speeds?.takeTime(server, now, workMs) ?? workMs
+  }
+
   function finish (server: number, work: Work): void {
     const works = running[server] as Work[]
     works.splice(works.indexOf(work), 1)
@@ -218,7 +245,7 @@
     if (server === undefined) return
     counts.interruptions++
     const work = running[server]?.find(other => other.item === item)
-    item.remainingMs -= Math.max(0, Math.min(item.remainingMs, now - item.startedAt) - lostProgressMs)
+    item.remainingMs -= Math.max(0, Math.min(item.remainingMs, speeds?.countWork(server, item.startedAt, now) ?? now - item.startedAt) - lostProgressMs)
     item.server = undefined
     item.runs++
     if (work !== undefined) finish(server, work)
@@ -263,13 +290,16 @@
   function report (index: number): void {
     const host = hosts[index] as Host
     const own = [...host.own]
+    const samples = host.samples.splice(0)
     schedule(transitMs, () => {
+      for (const { server, ...sample } of samples) paces.record(server, service, sample, now)
+      const currentPaces = paces.list(now)
       for (const [server, count] of own.entries()) sums[server] = (sums[server] ?? 0) + count - (reported[index]?.[server] ?? 0)
       reported[index] = own
       const current = [...sums]
       const batch = batchCounts()
       schedule(transitMs, () => {
-        Object.assign(host, { sums: current, batch, sumsAt: now - transitMs })
+        Object.assign(host, { sums: current, batch, sumsAt: now - transitMs, paces: currentPaces })
         host.peak.record(current.reduce((sum, count) => sum + count, 0), now)
       })
     })
@@ -304,6 +334,7 @@
   return {
     liveInTime: counts.liveInTime / counts.live,
     itemsInTime: owedItems === 0 ? 1 : Math.min(1, counts.itemsInTime / owedItems),
+    firstOutputMs99: firstOutputs.sort((left, right) => left - right)[Math.floor(firstOutputs.length * 0.99)] ?? 0,
     arrivalsPerRequest: counts.arrivals / counts.live,
     interruptionsPerItem: counts.items === 0 ? 0 : counts.interruptions / counts.items
   }
