Likely cost of requests and memory of servers in the choice

Change: the cost of a request is the usual length of its route, moved by the declared length as far as such declarations have proved right, and the prompt beyond its shared part. Where servers report a slowdown, the load counts the cost in place of the number of requests. Hosts report only servers with much more work than requests, in bounded bytes. A server whose memory, as its service states it, would be exceeded gets no further request.

--- a/src/process/fleet/fleetLeader.ts
+++ b/src/process/fleet/fleetLeader.ts
@@ -23,6 +23,7 @@
 import type { ServerStart } from './leavingServers.ts'
 import { createHostConfirmations } from './hostConfirmations.ts'
 import { createHostSessions, sessionTimeoutMs } from './hostSessions.ts'
+import { listServerLoads } from './serverLoads.ts'
 import { createRequestPermits, type RequestPermits } from './requestPermits.ts'
 import { createTraitQuarantine, type TraitQuarantine } from './traitQuarantine.ts'
 
@@ -241,13 +242,6 @@
     return Math.max(minReportIntervalMs, sessions.size * millisecondsPerSecond / maxReportsPerSecond)
   }
 
-  function listLoads (): Record<string, ServerLoad> {
-    const loads: Record<string, ServerLoad> = {}
-    for (const id of [...sessions.getLoadSums().live.keys(), ...batch.keys()]) loads[id] = getLoad(id)
-    for (const [id, pace] of paces.list(clock.now())) loads[id] = { ...getLoad(id), pace }
-    return loads
-  }
-
   function recordPaces ({ paces: samples }: LoadReport): void {
     for (const [id, sample] of Object.entries(samples ?? {})) {
       const service = registry.find(id)?.service
@@ -346,7 +340,7 @@
       recordPaces(report)
       confirmations.notify()
       quarantine.recordOutputs(report.outputs ?? [])
-      return ok({ loads: listLoads(), suspects: [...sessions.getLoadSums().suspects.keys()], intervalMs: getReportIntervalMs() })
+      return ok({ loads: listServerLoads(sessions.getLoadSums(), batch, paces.list(clock.now())), suspects: [...sessions.getLoadSums().suspects.keys()], intervalMs: getReportIntervalMs() })
     },
     async reportCrash (report) {
       if (!isLeading()) return err(createNotLeaderFailure(Step.Report))
--- a/src/process/fleet/fleetMessages.ts
+++ b/src/process/fleet/fleetMessages.ts
@@ -4,6 +4,7 @@
  */
 import type { AccountUse } from '../accounts/accountQuotas.ts'
 import type { EncodedPaceSamples } from './paceSamples.ts'
+import type { ReportedWorks } from './serverWork.ts'
 import type { GatewayTables } from '../../version/gatewayTables.ts'
 import type { EncodedTables } from '../../connection/tablesCodec.ts'
 import type { Trait } from '../../request/requestTraits.ts'
@@ -200,6 +201,8 @@
   readonly outputs?: readonly TraitOutput[] | undefined
   /** What responses have shown of the pace of some servers since the last report; undefined if no server reports a slowdown. */
   readonly paces?: EncodedPaceSamples | undefined
+  /** Servers on which the requests of the host are much more work than their number says; undefined without any. */
+  readonly work?: ReportedWorks | undefined
   /** Requests of limited client accounts that the host has admitted in the latest window; undefined if there are none. */
   readonly accountUse?: AccountUse | undefined
 }
@@ -212,6 +215,10 @@
   readonly batch: number
   /** Duration of work as a multiple of the mean of the service; undefined where it differs by less than a fifth. */
   readonly pace?: number | undefined
+  /** Work of the live requests beyond their number, in usual requests; undefined for none. */
+  readonly extraWork?: number | undefined
+  /** Tokens that live requests of hosts with many tokens hold on the server; undefined without any. */
+  readonly tokens?: number | undefined
 }
 
 /** The response to a load report. */
--- a/src/process/fleet/fleetView.ts
+++ b/src/process/fleet/fleetView.ts
@@ -9,11 +9,13 @@
 import type { Logger } from '../program/logger.ts'
 import { type AccountQuotas, createAccountQuotas } from '../accounts/accountQuotas.ts'
 import { type AccountIndex, createAccountIndex } from '../../version/accounts.ts'
-import { createRouteIndex, type GatewayTables, type RouteIndex } from '../../version/gatewayTables.ts'
+import { createRouteIndex, type GatewayTables, type RouteIndex, type Service } from '../../version/gatewayTables.ts'
 import { type BackendServerRecord, isNewer, keepSoftwareVersion, ServerPhase } from './backendServerRegistry.ts'
 import { createQuarantineView, type QuarantineView } from './quarantineView.ts'
 import { createLeavingServers, type LeavingServers } from './leavingServers.ts'
 import { createPaceSamples, type PaceSamples } from './paceSamples.ts'
+import { createCostEstimator, type CostEstimator } from '../../request/placement/requestCost.ts'
+import { createServerWork, type ReportedWorks, type ServerWork } from './serverWork.ts'
 import { createRemoteLoads, type RemoteLoads } from './remoteLoads.ts'
 import { createRequestLimits, type RequestLimits } from './requestLimits.ts'
 import type { FleetHost, FleetUpdate, FleetWatchRequest, LoadTotals } from './fleetMessages.ts'
@@ -91,10 +93,13 @@
    * Applies the response to a load report.
    * @param totals - load of all hosts together
    * @param reported - live requests in the report that `totals` responds to, by server; subtracted from the totals
+   * @param work - work in that report; subtracted too
    */
-  applyLoads (totals: LoadTotals, reported: ReadonlyMap<string, number>): void
+  applyLoads (totals: LoadTotals, reported: ReadonlyMap<string, number>, work?: ReportedWorks): void
   /** Lists the backend servers of a service that accept new requests. */
   listReadyServers (service: string): BackendServerRecord[]
+  /** Finds a service in the tables. */
+  findService (name: string): Service | undefined
   /**
    * Checks whether a server accepts new requests.
    * @param server - record of the server, which may have changed since
@@ -111,6 +116,10 @@
   readonly remoteLoads: Pick<RemoteLoads, 'get' | 'estimate' | 'recordDuration'>
   /** What responses have shown of the pace of servers since the last load report. */
   readonly paceSamples: PaceSamples
+  /** Work that live requests of this host are for servers. */
+  readonly serverWork: ServerWork
+  /** Likely cost of requests, learned from those that this host has relayed. */
+  readonly costs: CostEstimator
   /**
    * Returns the pace of a server.
    * @param id - id of the server
@@ -166,6 +175,8 @@
   const localSuspects = new Map<string, number>()
   const remoteLoads = createRemoteLoads(clock)
   const paceSamples = createPaceSamples()
+  const serverWork = createServerWork()
+  const costs = createCostEstimator()
   const failureRates = new Map<string, number>()
   let reportedSuspects: ReadonlySet<string> = new Set()
   const quarantine = createQuarantineView(clock)
@@ -256,6 +267,8 @@
     leavingServers,
     remoteLoads,
     paceSamples,
+    serverWork,
+    costs,
     getPace: id => remoteLoads.getPace(id),
     changed,
     loadChanged,
@@ -285,8 +298,8 @@
     },
     applyTables,
     recordTablesVersion,
-    applyLoads (totals, reported) {
-      remoteLoads.apply(totals, reported, id => servers.get(id)?.service)
+    applyLoads (totals, reported, work) {
+      remoteLoads.apply(totals, reported, id => servers.get(id)?.service, work)
       reportedSuspects = new Set(totals.suspects)
     },
     listReadyServers (service) {
@@ -296,6 +309,7 @@
       }
       return ready
     },
+    findService: name => tables?.services.find(service => service.name === name),
     isReady ({ id, startedAt }) {
       const record = servers.get(id)
       return record?.startedAt === startedAt && record.phase === ServerPhase.Ready && !leavingServers.has(record)
--- a/src/process/fleet/hostSessions.ts
+++ b/src/process/fleet/hostSessions.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import { maxTablesOutdatedMs } from './fleetView.ts'
+import type { ReportedWorks } from './serverWork.ts'
 import { type FleetHost, fleetLongPollMs, FleetRole, type FleetWatchRequest, type LiveCounts, type LoadReport } from './fleetMessages.ts'
 
 /** Time without contact after which a session expires, in milliseconds: two long polls of full length and a lost one. */
@@ -13,6 +14,10 @@
   readonly live: ReadonlyMap<string, number>
   /** Number of hosts that suspect a server, by its id. */
   readonly suspects: ReadonlyMap<string, number>
+  /** Work of the live requests beyond their number, in usual requests, by server. */
+  readonly extraWork: ReadonlyMap<string, number>
+  /** Tokens that live requests hold, as far as hosts have reported them, by server. */
+  readonly tokens: ReadonlyMap<string, number>
 }
 
 /** A session that expired. */
@@ -80,6 +85,7 @@
   lastContactAt: number
   live: LiveCounts
   suspects: readonly string[]
+  work: ReportedWorks
   /** Registry revision that the host has applied; -1 if it has none of this leader. */
   confirmedRevision: number
   /** Version of the tables by which the host serves. */
@@ -98,6 +104,8 @@
   // Changed by the difference of each report: with many hosts, adding up all of them for each report takes too much time.
   const liveSums = new Map<string, number>()
   const suspectCounts = new Map<string, number>()
+  const extraWork = new Map<string, number>()
+  const tokenSums = new Map<string, number>()
 
   // A restarted process has a new holder, so the session of the previous process is removed.
   function removePreviousSession (host: FleetHost): void {
@@ -106,9 +114,13 @@
     }
   }
 
-  function addLoad ({ live, suspects }: Pick<Session, 'live' | 'suspects'>, sign: 1 | -1): void {
+  function addLoad ({ live, suspects, work }: Pick<Session, 'live' | 'suspects' | 'work'>, sign: 1 | -1): void {
     for (const [id, count] of Object.entries(live)) addCount(liveSums, id, sign * count)
     for (const id of suspects) addCount(suspectCounts, id, sign)
+    for (const [id, [extra, tokens]] of Object.entries(work)) {
+      addCount(extraWork, id, sign * extra)
+      addCount(tokenSums, id, sign * tokens)
+    }
   }
 
   function remove (holder: string, session: Session): void {
@@ -128,6 +140,7 @@
         lastContactAt: now,
         live: known?.live ?? {},
         suspects: known?.suspects ?? [],
+        work: known?.work ?? {},
         confirmedRevision,
         tablesVersion: Math.max(tablesVersion, known?.tablesVersion ?? 0),
         knownVersions: addKnownVersion(known?.knownVersions ?? [], tablesVersion, knownTablesVersion ?? 0, now)
@@ -138,12 +151,13 @@
       const session = sessions.get(holder)
       if (session !== undefined) session.lastContactAt = now
     },
-    report ({ holder, live, suspects, tablesVersion }) {
+    report ({ holder, live, suspects, work, tablesVersion }) {
       const session = sessions.get(holder)
       if (session === undefined) return false
       addLoad(session, -1)
       session.live = live
       session.suspects = suspects
+      session.work = work ?? {}
       addLoad(session, 1)
       session.tablesVersion = Math.max(session.tablesVersion, tablesVersion ?? 0)
       return true
@@ -160,7 +174,7 @@
       return expired
     },
     list: () => [...sessions.values()].map(session => session.host),
-    getLoadSums: () => ({ live: liveSums, suspects: suspectCounts }),
+    getLoadSums: () => ({ live: liveSums, suspects: suspectCounts, extraWork, tokens: tokenSums }),
     findUnconfirmed (requiredRevision) {
       for (const { host, confirmedRevision } of sessions.values()) {
         if (confirmedRevision < requiredRevision) return host
@@ -179,6 +193,8 @@
       sessions.clear()
       liveSums.clear()
       suspectCounts.clear()
+      extraWork.clear()
+      tokenSums.clear()
       revision++
     }
   }
--- a/src/process/fleet/paceSamples.ts
+++ b/src/process/fleet/paceSamples.ts
@@ -30,14 +30,22 @@
   streams: number
 }
 
+/** A server that has responded. */
+export interface ReportingServer {
+  readonly id: string
+  readonly service: string
+}
+
 /** The samples. */
 export interface PaceSamples {
   /**
    * Records the load that a server has reported.
-   * @param id - id of the server
+   * @param server - the server
    * @param load - the load; undefined if it reports none
    */
-  recordLoad (id: string, load: ReportedLoad | undefined): void
+  recordLoad (server: ReportingServer, load: ReportedLoad | undefined): void
+  /** Checks whether any server of a service has reported a slowdown to this host. */
+  isReported (service: string): boolean
   /**
    * Records the pace of a stream.
    * @param id - id of the server
@@ -57,6 +65,7 @@
  */
 export function createPaceSamples (): PaceSamples {
   const sumsByServer = new Map<string, SampleSums>()
+  const reportingServices = new Set<string>()
 
   function findSums (id: string): SampleSums | undefined {
     const known = sumsByServer.get(id)
@@ -67,8 +76,10 @@
   }
 
   return {
-    recordLoad (id, load) {
+    isReported: service => reportingServices.has(service),
+    recordLoad ({ id, service }, load) {
       if (load?.slowdown === undefined) return
+      reportingServices.add(service)
       const sums = findSums(id)
       if (sums === undefined) return
       sums.slowdown += load.slowdown
--- a/src/process/fleet/remoteLoads.ts
+++ b/src/process/fleet/remoteLoads.ts
@@ -7,6 +7,7 @@
 import { estimateLoad } from '../../request/placement/staleLoad.ts'
 import type { Clock } from '../program/clock.ts'
 import type { LoadTotals, ServerLoad } from './fleetMessages.ts'
+import type { ReportedWorks } from './serverWork.ts'
 
 /** Duration of a request until the first one has ended, in milliseconds. */
 const initialRequestMs = 500
@@ -14,6 +15,12 @@
 /** Weight of the latest request in the moving average of durations. */
 const durationSmoothingFactor = 0.1
 
+/** Load of other hosts on one server. */
+export interface RemoteLoad extends ServerLoad {
+  readonly extraWork: number
+  readonly tokens: number
+}
+
 /** Load of other hosts on the servers of a service, estimated for now. */
 export interface RemoteLoadEstimate {
   /** Requests that other hosts have placed on the servers since the sums were made. */
@@ -23,7 +30,7 @@
    * @param id - id of the server
    * @returns its requests in the sums, without those that have probably ended
    */
-  getLoad (id: string): ServerLoad
+  getLoad (id: string): RemoteLoad
 }
 
 /** Load caused by other hosts. */
@@ -41,8 +48,9 @@
    * @param totals - load of all hosts together
    * @param reported - live requests of this host in the sums, by server
    * @param findService - returns the service of a server; undefined if the server is not known
+   * @param work - work of this host in the sums
    */
-  apply (totals: LoadTotals, reported: ReadonlyMap<string, number>, findService: (id: string) => string | undefined): void
+  apply (totals: LoadTotals, reported: ReadonlyMap<string, number>, findService: (id: string) => string | undefined, work?: ReportedWorks): void
   /**
    * Records how long a request took at its server.
    * @param durationMs - the duration, in milliseconds
@@ -84,11 +92,17 @@
   return {
     get: id => loads.get(id) ?? noLoad,
     getPace: id => fadePace(paces.get(id) ?? 1, clock.now() - appliedAt),
-    apply (totals, reported, findService) {
+    apply (totals, reported, findService, work = {}) {
       loads.clear()
       paces.clear()
       for (const [id, load] of Object.entries(totals.loads)) {
-        loads.set(id, { live: Math.max(0, load.live - (reported.get(id) ?? 0)), batch: load.batch })
+        const own = work[id] ?? [0, 0]
+        loads.set(id, {
+          live: Math.max(0, load.live - (reported.get(id) ?? 0)),
+          batch: load.batch,
+          ...load.extraWork === undefined ? {} : { extraWork: Math.max(0, load.extraWork - own[0]) },
+          ...load.tokens === undefined ? {} : { tokens: Math.max(0, load.tokens - own[1]) }
+        })
         if (load.pace !== undefined) paces.set(id, load.pace)
       }
       appliedAt = clock.now()
@@ -109,8 +123,8 @@
       return {
         unseenRequests,
         getLoad (id) {
-          const { live, batch } = loads.get(id) ?? noLoad
-          return { live: live * remainingShare, batch }
+          const { live, batch, extraWork = 0, tokens = 0 } = loads.get(id) ?? noLoad
+          return { live: live * remainingShare, batch, extraWork: extraWork * remainingShare, tokens }
         }
       }
     }
--- a/src/request/callerExchange.ts
+++ b/src/request/callerExchange.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import type { OpaqueRequest } from '../connection/opaqueRequest.ts'
+import type { DeclaredWork } from './placement/requestCost.ts'
 
 /** Reason for which the gateway responds with a refusal of its own. */
 export const GatewayRefusal = {
@@ -48,6 +49,8 @@
   readonly credential?: string | undefined
   /** Id of the caller's attempt that received the first event of the stream that this request resumes; undefined if it names none. */
   readonly resumes?: string | undefined
+  /** What the caller says of the work for the request; undefined if it says nothing. */
+  readonly declaredWork?: DeclaredWork | undefined
   /** Ids of the parts at the start of the prompt that other requests may have too, in order; empty when they are unknown. */
   readonly sharedPromptParts: readonly string[]
   /** Tokens of the shared parts together. */
--- a/src/request/forwardedAttempt.ts
+++ b/src/request/forwardedAttempt.ts
@@ -84,6 +84,8 @@
   /** Whether the request resumes a stream that an earlier attempt of the caller received in part. */
   readonly isResumption: boolean
   readonly traits: RequestTraits
+  /** Events relayed so far. */
+  events: number
   /** Monotonic time at which the request is given up, in milliseconds. */
   readonly deadlineAt: number
   /** Whether the request may run again after an attempt that may have run. */
@@ -165,7 +167,7 @@
     view.clearSuspect(server.id)
     view.requestLimits.record(server.id, sent.value.requestLimit, sentAt)
     view.leavingServers.record(server, sent.value.isLeaving)
-    view.paceSamples.recordLoad(server.id, sent.value.load)
+    view.paceSamples.recordLoad(server, sent.value.load)
     return await relayResponse(progress, server, sent.value, idleTimeout, services)
   } catch (error) {
     reportFailedAttempt(progress, server, toFailure(error, { step: Step.ReadResponse, peer: server.address }), services)
@@ -307,6 +309,7 @@
     if (eventChunks.length === 0) continue
     const arrivedAt = services.clock.now()
     pace.recordEvents(eventChunks.length, arrivedAt)
+    progress.events += eventChunks.length
     if (isOtherVersion) revokeOrigin(progress, services)
     else if (progress.origin === undefined) recordOrigin(progress, server, services)
     if (!progress.hasOutput) {
--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -16,6 +16,7 @@
 import { canContinue, decideResumption, isResumption, mayContinue } from './streamContinuation.ts'
 import { acquirePermit } from './requestPermit.ts'
 import { createRequestTraits, listTraits } from './requestTraits.ts'
+import { type CostedRequest, fitsMemory, type RequestCost } from './placement/requestCost.ts'
 import { chooseServer, chooseServerByPrefix, type ServerCandidate } from './placement/serverChoice.ts'
 
 /** Live requests that may queue at a backend server beyond its slots; with 8 slots and responses of about 0.7 s, each waits about 90 ms. */
@@ -66,6 +67,7 @@
     writers: [],
     isResumption: isResumption(request, route),
     traits: createRequestTraits(request),
+    events: 0,
     deadlineAt: Math.min(request.deadlineAt, request.receivedAt + route.timeoutMs),
     isRetryable: route.kind === RouteKind.Safe || (route.kind === RouteKind.Streaming && route.resumable),
     hasResumePoint: true,
@@ -159,16 +161,28 @@
   services.metrics.count(Counter.Attempts, progress.route.kind)
   if (services.view.requestLimits.find(server.id) !== undefined) services.metrics.count(Counter.LimitedRequests, 'live')
   services.view.adjustLiveCount(server.id, 1)
+  const removeWork = services.view.serverWork.add(server.id, estimateCost(progress, services.view))
   const startedAt = services.clock.now()
   try {
     const end = await runForwardedAttempt(progress, server, services)
     if (end === ForwardedAttemptEnd.Complete) services.view.remoteLoads.recordDuration(services.clock.now() - startedAt)
     return end
   } finally {
+    removeWork()
     services.view.adjustLiveCount(server.id, -1)
   }
 }
 
+// Without figures of the servers, requests count as one each.
+function estimateCost (progress: ForwardingProgress, view: FleetView): RequestCost {
+  const cost = view.costs.estimate(describeCost(progress))
+  return view.paceSamples.isReported(progress.service) ? cost : { ...cost, work: 1 }
+}
+
+function describeCost ({ request, route, service }: ForwardingProgress): CostedRequest {
+  return { route: route.name, service, declared: request.declaredWork, sharedTokens: request.sharedPromptTokens }
+}
+
 // An attempt that was aborted by the caller or the quarantine, or never ran, does not count for or against the server.
 function recordRun ({ request, status, traits }: ForwardingProgress, server: BackendServerRecord, end: ForwardedAttemptEnd, { view }: ForwardingServices): void {
   if (end === ForwardedAttemptEnd.Complete) return view.recordRun(server.id, status < minServerErrorStatus)
@@ -179,7 +193,11 @@
 // Returns whether another attempt is to be made; if not, the response has ended.
 function concludeAttempt (progress: ForwardingProgress, server: BackendServerRecord, end: ForwardedAttemptEnd, services: ForwardingServices): boolean {
   const { request, route } = progress
-  if (end === ForwardedAttemptEnd.Complete) return completeResponse(progress, services)
+  if (end === ForwardedAttemptEnd.Complete) {
+    // The length of a resumed stream is that of its rest.
+    if (progress.events > 0 && !progress.isResumption) services.view.costs.record(describeCost(progress), progress.events)
+    return completeResponse(progress, services)
+  }
   if (request.disconnectSignal.aborted) return abortAfterDisconnect(progress, services)
   if (progress.isTimedOut || services.clock.now() >= progress.deadlineAt) return giveUp(progress, services, GatewayRefusal.TimedOut)
   const problem = request.remainder?.problem
@@ -212,9 +230,10 @@
     verifyOrigin(progress, services)
     if (!mayContinue(progress.origin, progress.service, view)) return undefined
     const remoteLoad = view.remoteLoads.estimate(progress.service)
-    const candidates = listCandidates(progress, remoteLoad, services)
+    const cost = estimateCost(progress, view)
+    const candidates = listCandidates(progress, remoteLoad, cost, services)
     const prefix = { parts: request.sharedPromptParts, tokens: request.sharedPromptTokens }
-    const server = chooseServerByPrefix(candidates, avoided, prefix) ?? chooseServer(candidates, avoided, () => random.next(), remoteLoad.unseenRequests)
+    const server = chooseServerByPrefix(candidates, avoided, prefix) ?? chooseServer(candidates, avoided, () => random.next(), remoteLoad.unseenRequests, cost.work)
     if (server !== undefined) {
       if (await acquirePermit(server.id, services)) return server
       // The limit of the server is used up; it is no candidate for a while.
@@ -228,8 +247,10 @@
   return undefined
 }
 
-function listCandidates ({ service, origin }: ForwardingProgress, remoteLoad: RemoteLoadEstimate, services: ForwardingServices): ServerCandidate[] {
+function listCandidates ({ service, origin }: ForwardingProgress, remoteLoad: RemoteLoadEstimate, { tokens }: RequestCost, services: ForwardingServices): ServerCandidate[] {
   const { view } = services
+  const capacity = view.findService(service)?.memoryTokens ?? 0
+  const meanTokens = view.costs.getMeanTokens(service)
   const candidates: ServerCandidate[] = []
   for (const server of view.listReadyServers(service)) {
     if (!canContinue(origin, server) || view.requestLimits.isExcluded(server.id)) continue
@@ -237,9 +258,11 @@
     const live = remote.live + (view.live.get(server.id) ?? 0)
     // Batch items yield to live requests, so only live requests count towards the limit.
     if (live >= server.slots + maxQueuedPerServer) continue
+    const held = view.serverWork.getTokens(server.id) + Math.max(remote.tokens, (remote.live + remote.batch) * meanTokens)
+    if (!fitsMemory({ capacity, held }, tokens)) continue
     candidates.push({
       server,
-      load: live + remote.batch,
+      load: Math.max(0, live + remote.batch + view.serverWork.getExtra(server.id) + remote.extraWork),
       live,
       pace: view.getPace(server.id),
       isSuspect: view.isSuspect(server.id),
--- a/src/request/placement/serverChoice.ts
+++ b/src/request/placement/serverChoice.ts
@@ -73,13 +73,14 @@
  * @param avoided - ids of servers to skip, since they have refused the request or failed it
  * @param random - returns a random number from 0 to below 1
  * @param unseenRequests - requests that other hosts have placed since the loads were summed up
+ * @param work - likely work of the request, in usual requests; it takes longer at a slow server too
  * @returns the server, or undefined when every candidate is skipped
  */
-export function chooseServer (candidates: readonly ServerCandidate[], avoided: ReadonlySet<string>, random: () => number, unseenRequests = 0): BackendServerRecord | undefined {
+export function chooseServer (candidates: readonly ServerCandidate[], avoided: ReadonlySet<string>, random: () => number, unseenRequests = 0, work = 1): BackendServerRecord | undefined {
   const scored: ScoredServer[] = []
   for (const candidate of candidates) {
     if (avoided.has(candidate.server.id)) continue
-    scored.push({ server: candidate.server, score: computeScore(candidate) + random() * zonePenalty / 2, share: 1 / (candidate.pace ?? 1) })
+    scored.push({ server: candidate.server, score: computeScore(candidate, work) + random() * zonePenalty / 2, share: 1 / (candidate.pace ?? 1) })
   }
   scored.sort((left, right) => left.score - right.score)
   const level = findLevel(scored, unseenRequests)
@@ -120,10 +121,10 @@
   return count === 0 ? 0 : (sum + amount) / count
 }
 
-function computeScore ({ server, load, pace = 1, isSuspect, isLimited, failureRate, isSameZone, isSameRegion }: ServerCandidate): number {
+function computeScore ({ server, load, pace = 1, isSuspect, isLimited, failureRate, isSameZone, isSameRegion }: ServerCandidate, work: number): number {
   const distancePenalty = isSameZone ? 0 : isSameRegion ? zonePenalty : regionPenalty
   const failurePenalty = failureRate > failureTolerance ? failureRate * maxFailurePenalty : 0
   // The request waits until those beyond the free slots have ended, and then for its own first event; both take longer at a slow server.
   const queued = Math.max(0, load + 1 - server.slots)
-  return load + (queued + 1) * (pace - 1) + distancePenalty + failurePenalty + (isLimited ? limitPenalty : 0) + (isSuspect ? suspectPenalty : 0)
+  return load + (queued + work) * (pace - 1) + distancePenalty + failurePenalty + (isLimited ? limitPenalty : 0) + (isSuspect ? suspectPenalty : 0)
 }
--- a/src/version/gatewayTables.ts
+++ b/src/version/gatewayTables.ts
@@ -51,6 +51,8 @@
   readonly name: string
   /** Number of requests that one backend server runs concurrently. */
   readonly slots: number
+  /** Tokens that the requests on one backend server may hold in its memory together; undefined if the service states none. */
+  readonly memoryTokens?: number | undefined
 }
 
 /** Limits on the size and duration of requests of callers. */
--- /dev/null
+++ b/test/requestCost.test.ts
@@ -0,0 +1,89 @@
+import { expect } from 'chai'
+import { decodeConfiguration } from '../platform/configuration.ts'
+import { decodeDeclaredWork } from '../platform/declaredWork.ts'
+import { createHostSessions } from '../src/process/fleet/hostSessions.ts'
+import { listServerLoads } from '../src/process/fleet/serverLoads.ts'
+import { createServerWork } from '../src/process/fleet/serverWork.ts'
+import { createSeededRandom } from '../src/process/program/random.ts'
+import { type CostedRequest, createCostEstimator, fitsMemory } from '../src/request/placement/requestCost.ts'
+import { runForwardedRequest } from '../src/request/forwardedRequest.ts'
+import { forwardingServicesOf, RecordedResponse, requestOf, routeOf, ScriptedServers, tablesOf } from './support/fakeFleet.ts'
+
+function requestWith (hintedTokens: number | undefined, promptTokens = 450): CostedRequest {
+  return { route: 'r', service: 's', declared: { promptTokens, maxOutputTokens: 400, hintedTokens }, sharedTokens: 200 }
+}
+
+describe('likely cost of a request', () => {
+  // Failure: a request with ten times the output of another counted as one, like the other.
+  it('follows the hints of callers as far as they have proved right', () => {
+    const seed = 31
+    const random = createSeededRandom(seed)
+    for (const isRight of [true, false]) {
+      const costs = createCostEstimator()
+      for (let request = 0; request < 600; request++) {
+        const hint = request % 2 === 0 ? 20 : 200
+        costs.record(requestWith(hint), isRight ? hint * (0.8 + 0.4 * random.next()) : 110 * (0.8 + 0.4 * random.next()))
+      }
+      const [short, long] = [costs.estimate(requestWith(20)).work, costs.estimate(requestWith(200)).work]
+      if (isRight) expect(long / short, `seed ${seed}`).to.be.above(4)
+      else expect(long / short, `seed ${seed}, hints that say nothing`).to.be.within(0.7, 1.4)
+    }
+  })
+
+  it('is one usual request without any experience, and bounded whatever callers declare', () => {
+    const costs = createCostEstimator()
+    expect(costs.estimate({ ...requestWith(undefined), declared: undefined })).to.deep.equal({ work: 1, tokens: 0 })
+    for (let request = 0; request < 50; request++) costs.record(requestWith(20), 20)
+    expect(costs.estimate(requestWith(undefined, 999_999_999)).work).to.equal(8)
+    expect(costs.getMeanTokens('s')).to.be.closeTo(470, 1)
+  })
+
+  it('reads what a caller declares, and nothing that is no number of tokens', () => {
+    const decode = (tokens: string, hint?: string): unknown => decodeDeclaredWork(name => name === 'x-token-usage' ? tokens : hint)
+    expect(decode('1460,80', '60')).to.deep.equal({ promptTokens: 1460, maxOutputTokens: 80, hintedTokens: 60 })
+    expect(decode('1460,80', '1e9')).to.deep.equal({ promptTokens: 1460, maxOutputTokens: 80, hintedTokens: undefined })
+    expect(decode('1460,80', '5000')).to.deep.include({ hintedTokens: 80 })
+    for (const odd of ['', '5', '-1,5', 'a,b', '99999999999,1']) expect(decode(odd), odd).to.equal(undefined)
+  })
+})
+
+describe('work on a server', () => {
+  // Guards against reports that grow with the requests, and against work that remains after their end.
+  it('is reported only where it is much more than the number of requests, and added up over the hosts', () => {
+    const work = createServerWork()
+    const removals = [work.add('a', { work: 1, tokens: 400 }), work.add('b', { work: 3, tokens: 500 }), work.add('c', { work: 1, tokens: 9_000 })]
+    expect(work.describe()).to.deep.equal({ b: [2, 500], c: [0, 9_000] })
+    const sessions = createHostSessions()
+    for (const holder of ['h', 'i']) {
+      sessions.renew({ host: { name: holder, holder, role: 'gateway', availabilityZone: 'z', region: 'r', callerAddress: undefined, ready: true }, leadership: '', tablesVersion: 0, serversRevision: 0, hostsRevision: 0, isSettled: true }, 0, 0)
+      sessions.report({ holder, live: { b: 1 }, suspects: [], work: work.describe() })
+    }
+    expect(listServerLoads(sessions.getLoadSums(), new Map([['a', 1]]), new Map([['a', 1.7]]))).to.deep.equal({
+      a: { live: 0, batch: 1, pace: 1.7 }, b: { live: 2, batch: 0, extraWork: 4, tokens: 1_000 }
+    })
+    for (const remove of removals) remove()
+    expect([work.describe(), work.getExtra('b'), work.getTokens('c')]).to.deep.equal([undefined, 0, 0])
+    sessions.expire(Infinity)
+    expect(sessions.getLoadSums().extraWork.size + sessions.getLoadSums().tokens.size).to.equal(0)
+  })
+
+  // Failure: a server whose memory was exceeded crashed, with all the requests that it ran.
+  it('stays within the memory of the server, and any request may go to an empty one', async () => {
+    expect(fitsMemory({ capacity: 1_000, held: 500 }, 400)).to.equal(true)
+    expect(fitsMemory({ capacity: 1_000, held: 501 }, 400)).to.equal(false)
+    expect(fitsMemory({ capacity: 0, held: 1e9 }, 1e9), 'no memory stated').to.equal(true)
+    expect(fitsMemory({ capacity: 1_000, held: 0 }, 5_000)).to.equal(true)
+    const servers = new ScriptedServers([{ does: 'answer', pieces: ['id: 0\ndata: a\n\n'] }])
+    const route = routeOf()
+    const services = forwardingServicesOf(servers, [route], { tables: { ...tablesOf(1, [route]), services: [{ name: 's', slots: 8, memoryTokens: 10_000 }] } })
+    for (const id of ['i-1', 'i-3']) services.view.serverWork.add(id, { work: 1, tokens: 8_000 })
+    await runForwardedRequest(requestOf({ declaredWork: { promptTokens: 3_000, maxOutputTokens: 100, hintedTokens: undefined } }).request, new RecordedResponse(), services)
+    expect(servers.arrivals.map(({ server }) => server)).to.deep.equal(['i-2'])
+  })
+
+  it('is bounded by the memory in the services table', () => {
+    const document = { version: 1, routes: [], services: [{ name: 's', engine: { slots: 8, kv_capacity: 72_000 } }, { name: 't' }], limits: { header_bytes: 1, max_body_bytes: 1, header_timeout_ms: 1, idle_timeout_ms: 1 } }
+    const services = decodeConfiguration(JSON.stringify(document))._unsafeUnwrap().tables.services
+    expect(services.map(({ memoryTokens }) => memoryTokens)).to.deep.equal([72_000, undefined])
+  })
+})
--- a/test/serverPace.test.ts
+++ b/test/serverPace.test.ts
@@ -73,10 +73,11 @@
 
   it('reports a bounded number of servers at a time, as means, and reads reports of any shape', () => {
     const samples = createPaceSamples()
-    for (let server = 0; server < 2_000; server++) samples.recordLoad(`i-${server}`, { running: 1, waiting: 0, slots: 8, slowdown: 1 })
-    samples.recordLoad('i-0', { running: 1, waiting: 0, slots: 8, slowdown: 2 })
+    for (let server = 0; server < 2_000; server++) samples.recordLoad({ id: `i-${server}`, service: 's' }, { running: 1, waiting: 0, slots: 8, slowdown: 1 })
+    samples.recordLoad({ id: 'i-0', service: 's' }, { running: 1, waiting: 0, slots: 8, slowdown: 2 })
     samples.recordStream('i-0', 30)
-    samples.recordLoad('unmeasured', { running: 1, waiting: 0, slots: 8, slowdown: undefined })
+    samples.recordLoad({ id: 'unmeasured', service: 't' }, { running: 1, waiting: 0, slots: 8, slowdown: undefined })
+    expect([samples.isReported('s'), samples.isReported('t')]).to.deep.equal([true, false])
     const first = samples.take() ?? {}
     expect(Object.keys(first)).to.have.length(16)
     expect(decodePaceSample(first['i-0'])).to.deep.equal({ slowdown: 1.5, eventMs: 30 })
