Merge cost of requests and pace of servers

Measured: type check, linter; serverPace 15, requestCost 6, loadPlacement 8, accountQuotas 28, keyLease 9 tests pass.

--- a/src/connection/fleetWatch.ts
+++ b/src/connection/fleetWatch.ts
@@ -76,10 +76,20 @@
     const reported = new Map(view.live)
     const outputs = view.quarantine.listOutputs()
     const accountUse = view.accounts === undefined ? undefined : view.accountQuotas.describeUse()
-    const totals = await client.reportLoad({ holder: describe().holder, tablesVersion: view.tables?.version ?? 0, live: Object.fromEntries(reported), suspects: view.listLocalSuspects(), outputs, accountUse })
+    const work = view.serverWork.describe()
+    const totals = await client.reportLoad({
+      holder: describe().holder,
+      tablesVersion: view.tables?.version ?? 0,
+      live: Object.fromEntries(reported),
+      suspects: view.listLocalSuspects(),
+      outputs,
+      accountUse,
+      paces: view.paceSamples.take(),
+      work
+    })
     // Without a response the last totals remain valid; the watch task logs an unreachable leader.
     if (totals.isOk()) {
-      view.applyLoads(totals.value, reported)
+      view.applyLoads(totals.value, reported, work)
       view.accountQuotas.applyTotals(totals.value, accountUse)
       view.quarantine.confirmOutputs(outputs)
     }
--- a/src/process/fleet/fleetLeader.ts
+++ b/src/process/fleet/fleetLeader.ts
@@ -20,9 +20,12 @@
   type ServerCrashReport, type ServerCrashVerdict, type ServerLoad, type TrialRequest
 } from './fleetMessages.ts'
 import { createFleetUpdates } from './fleetUpdates.ts'
+import { decodePaceSample } from './paceSamples.ts'
+import { createServerPaces } from '../../request/placement/serverPace.ts'
 import type { ServerStart } from './leavingServers.ts'
 import { createHostConfirmations } from './hostConfirmations.ts'
 import { createHostSessions, sessionTimeoutMs } from './hostSessions.ts'
+import { listServerLoads } from './serverLoads.ts'
 import { createTablesConfirmations } from './tablesConfirmation.ts'
 import { createRequestPermits, type RequestPermits } from './requestPermits.ts'
 import { createTraitQuarantine, type TraitQuarantine } from './traitQuarantine.ts'
@@ -143,6 +146,12 @@
    * @returns its live requests as last reported by all hosts, and its batch items
    */
   getLoad (id: string): ServerLoad
+  /**
+   * Returns the pace of a backend server.
+   * @param id - id of the backend server
+   * @returns the duration of work as a multiple of the mean of its service; 1 as long as no difference is certain
+   */
+  getPace (id: string): number
   /**
    * Checks whether any host reports a recent failed connection to a backend server.
    * @param id - id of the backend server
@@ -165,6 +174,7 @@
   const batch = new Map<string, number>()
   const quarantine = createTraitQuarantine({ replica, state, clock, logger, lifecycle, changed: () => updateAvailable.notify() })
   const permits = createRequestPermits(clock)
+  const paces = createServerPaces()
   let term = -1
   // Monotonic time at which the current leadership began, in milliseconds.
   let leaderSince = 0
@@ -183,6 +193,7 @@
     leaderSince = clock.now()
     sessions.clear()
     batch.clear()
+    paces.retain(() => false)
     registry.clear()
     for (const record of inputs.knownServers()) registry.seed(record, leaderSince)
     quarantine.beginTerm()
@@ -239,10 +250,11 @@
     return Math.max(minReportIntervalMs, sessions.size * millisecondsPerSecond / maxReportsPerSecond)
   }
 
-  function listLoads (): Record<string, ServerLoad> {
-    const loads: Record<string, ServerLoad> = {}
-    for (const id of [...sessions.getLoadSums().live.keys(), ...batch.keys()]) loads[id] = getLoad(id)
-    return loads
+  function recordPaces ({ paces: samples }: LoadReport): void {
+    for (const [id, sample] of Object.entries(samples ?? {})) {
+      const service = registry.find(id)?.service
+      if (service !== undefined) paces.record(id, service, decodePaceSample(sample), clock.now())
+    }
   }
 
   // Every host must know that the server leaves: the information has to survive the loss of this leader, and no host may
@@ -300,7 +312,9 @@
       if (!isLeading()) continue
       removeExpired(dueAt)
       quarantine.sweep()
-      permits.retain(id => registry.find(id)?.phase !== ServerPhase.Gone && registry.find(id) !== undefined)
+      const isPresent = (id: string): boolean => registry.find(id)?.phase !== ServerPhase.Gone && registry.find(id) !== undefined
+      permits.retain(isPresent)
+      paces.retain(isPresent)
     }
   })
   runContained(inputs, signal => tablesConfirmations.run(signal))
@@ -332,10 +346,12 @@
     report (report) {
       if (!isLeading()) return err(createNotLeaderFailure(Step.Report))
       if (sessions.report(report)) changed.notify()
+      recordPaces(report)
       confirmations.notify()
       quarantine.recordOutputs(report.outputs ?? [])
       const accountTotals = report.accountUse === undefined ? {} : sessions.accountUse.describe(state.publication?.tables.accounts, inputs.quotaBounds ?? defaultQuotaBounds, clock.now())
-      return ok({ loads: listLoads(), suspects: [...sessions.getLoadSums().suspects.keys()], intervalMs: getReportIntervalMs(), ...accountTotals })
+      const sums = sessions.getLoadSums()
+      return ok({ loads: listServerLoads(sums, batch, paces.list(clock.now())), suspects: [...sums.suspects.keys()], intervalMs: getReportIntervalMs(), ...accountTotals })
     },
     async reportCrash (report) {
       if (!isLeading()) return err(createNotLeaderFailure(Step.Report))
@@ -382,6 +398,7 @@
     listReadyServers: () => registry.listChangesSince(0).filter(record => record.phase === ServerPhase.Ready),
     findServer: id => registry.find(id),
     getLoad,
+    getPace: id => paces.get(id, clock.now()),
     isSuspect: id => sessions.getLoadSums().suspects.has(id)
   }
 }
--- a/src/process/fleet/fleetMessages.ts
+++ b/src/process/fleet/fleetMessages.ts
@@ -4,6 +4,8 @@
  */
 import type { AccountUse } from '../accounts/accountQuotas.ts'
 import type { AccountTotals } from '../accounts/accountUseSums.ts'
+import type { EncodedPaceSamples } from './paceSamples.ts'
+import type { ReportedWorks } from './serverWork.ts'
 import type { GatewayTables } from '../../version/gatewayTables.ts'
 import type { EncodedTables } from '../../connection/tablesCodec.ts'
 import type { Trait } from '../../request/requestTraits.ts'
@@ -198,6 +200,10 @@
   readonly suspects: readonly string[]
   /** Outputs with suspect traits since the last accepted report. */
   readonly outputs?: readonly TraitOutput[] | undefined
+  /** What responses have shown of the pace of some servers since the last report; undefined if no server reports a slowdown. */
+  readonly paces?: EncodedPaceSamples | undefined
+  /** Servers on which the requests of the host are much more work than their number says; undefined without any. */
+  readonly work?: ReportedWorks | undefined
   /** Requests of limited client accounts at the host; undefined if they are as last reported. */
   readonly accountUse?: AccountUse | undefined
 }
@@ -208,6 +214,12 @@
   readonly live: number
   /** Number of batch items. */
   readonly batch: number
+  /** Duration of work as a multiple of the mean of the service; undefined where it differs by less than a fifth. */
+  readonly pace?: number | undefined
+  /** Work of the live requests beyond their number, in usual requests; undefined for none. */
+  readonly extraWork?: number | undefined
+  /** Tokens that live requests of hosts with many tokens hold on the server; undefined without any. */
+  readonly tokens?: number | undefined
 }
 
 /** The response to a load report. */
--- a/src/process/fleet/hostSessions.ts
+++ b/src/process/fleet/hostSessions.ts
@@ -4,6 +4,7 @@
  */
 import { type AccountUseSums, createAccountUseSums } from '../accounts/accountUseSums.ts'
 import { maxTablesOutdatedMs } from './fleetView.ts'
+import type { ReportedWorks } from './serverWork.ts'
 import { type FleetHost, fleetLongPollMs, FleetRole, type FleetWatchRequest, type LiveCounts, type LoadReport } from './fleetMessages.ts'
 
 /** Time without contact after which a session expires, in milliseconds: two long polls of full length and a lost one. */
@@ -14,6 +15,10 @@
   readonly live: ReadonlyMap<string, number>
   /** Number of hosts that suspect a server, by its id. */
   readonly suspects: ReadonlyMap<string, number>
+  /** Work of the live requests beyond their number, in usual requests, by server. */
+  readonly extraWork: ReadonlyMap<string, number>
+  /** Tokens that live requests hold, as far as hosts have reported them, by server. */
+  readonly tokens: ReadonlyMap<string, number>
 }
 
 /** A session that expired. */
@@ -83,6 +88,7 @@
   lastContactAt: number
   live: LiveCounts
   suspects: readonly string[]
+  work: ReportedWorks
   /** Registry revision that the host has applied; -1 if it has none of this leader. */
   confirmedRevision: number
   /** Version of the tables by which the host serves. */
@@ -102,6 +108,8 @@
   const liveSums = new Map<string, number>()
   const suspectCounts = new Map<string, number>()
   const accountUse = createAccountUseSums()
+  const extraWork = new Map<string, number>()
+  const tokenSums = new Map<string, number>()
 
   // A restarted process has a new holder, so the session of the previous process is removed.
   function removePreviousSession (host: FleetHost, now: number): void {
@@ -113,9 +121,13 @@
     }
   }
 
-  function addLoad ({ live, suspects }: Pick<Session, 'live' | 'suspects'>, sign: 1 | -1): void {
+  function addLoad ({ live, suspects, work }: Pick<Session, 'live' | 'suspects' | 'work'>, sign: 1 | -1): void {
     for (const [id, count] of Object.entries(live)) addCount(liveSums, id, sign * count)
     for (const id of suspects) addCount(suspectCounts, id, sign)
+    for (const [id, [extra, tokens]] of Object.entries(work)) {
+      addCount(extraWork, id, sign * extra)
+      addCount(tokenSums, id, sign * tokens)
+    }
   }
 
   function remove (holder: string, session: Session): void {
@@ -135,6 +147,7 @@
         lastContactAt: now,
         live: known?.live ?? {},
         suspects: known?.suspects ?? [],
+        work: known?.work ?? {},
         confirmedRevision,
         tablesVersion: Math.max(tablesVersion, known?.tablesVersion ?? 0),
         knownVersions: addKnownVersion(known?.knownVersions ?? [], tablesVersion, knownTablesVersion ?? 0, now)
@@ -145,12 +158,13 @@
       const session = sessions.get(holder)
       if (session !== undefined) session.lastContactAt = now
     },
-    report ({ holder, live, suspects, tablesVersion, accountUse: use }) {
+    report ({ holder, live, suspects, work, tablesVersion, accountUse: use }) {
       const session = sessions.get(holder)
       if (session === undefined) return false
       addLoad(session, -1)
       session.live = live
       session.suspects = suspects
+      session.work = work ?? {}
       addLoad(session, 1)
       if (use !== undefined) accountUse.record(holder, use)
       session.tablesVersion = Math.max(session.tablesVersion, tablesVersion ?? 0)
@@ -170,7 +184,7 @@
     },
     list: () => [...sessions.values()].map(session => session.host),
     accountUse,
-    getLoadSums: () => ({ live: liveSums, suspects: suspectCounts }),
+    getLoadSums: () => ({ live: liveSums, suspects: suspectCounts, extraWork, tokens: tokenSums }),
     findUnconfirmed (requiredRevision) {
       for (const { host, confirmedRevision } of sessions.values()) {
         if (confirmedRevision < requiredRevision) return host
@@ -190,6 +204,8 @@
       liveSums.clear()
       suspectCounts.clear()
       accountUse.clear()
+      extraWork.clear()
+      tokenSums.clear()
       revision++
     }
   }
