Competition of accounts: order of items, requests beyond a share

Cause: items of an account with many urgent jobs took all slots; a busy account was recognized only once its window was full; requests beyond a share filled all free slots. Change: the batch runner orders items by priority, lateness, share and urgency once jobs have accounts. The level of an account contains its latest rate. Requests beyond a share leave a tenth of all places free.

--- a/src/process/accounts/accountQuotas.ts
+++ b/src/process/accounts/accountQuotas.ts
@@ -5,7 +5,7 @@
  */
 import { createHash } from 'node:crypto'
 import { type AccountCount, type AccountSums, assumeUnlisted, createWindowLimit, decideQuota, type QuotaBounds, type WindowLimit } from '../../request/placement/accountQuota.ts'
-import type { AccountLevel } from '../../request/placement/competition.ts'
+import { type AccountLevel, computeLevel } from '../../request/placement/competition.ts'
 import type { ClientAccount } from '../../version/accounts.ts'
 import type { Clock } from '../program/clock.ts'
 import { LogEvents } from '../program/logEvents.ts'
@@ -200,9 +200,10 @@
       reportedAt = describedAt
     },
     getLevel (account) {
-      const used = account === undefined ? undefined : sums[account.name]?.[0]
+      const used = account === undefined ? undefined : sums[account.name]
       if (account === undefined || account.ratePerSecond <= 0 || used === undefined) return { level: undefined, meanLevel }
-      return { level: used / createWindowLimit(account.ratePerSecond, account.burst, bounds()).limit, meanLevel }
+      const { limit } = createWindowLimit(account.ratePerSecond, account.burst, bounds())
+      return { level: computeLevel(readCount(used), limit, bounds().windowMs), meanLevel }
     }
   }
 }
--- a/src/process/fleet/batchRunner.ts
+++ b/src/process/fleet/batchRunner.ts
@@ -28,6 +28,7 @@
 import type { FleetLeader } from './fleetLeader.ts'
 import { createItemEndRecorder, ItemEndCause, logItemEnd } from './itemEndRecorder.ts'
 import { createItemDurationEstimator } from './itemDurationEstimator.ts'
+import { createItemCompetition } from './itemCompetition.ts'
 import { determineResumption } from './itemResumption.ts'
 import { countSavedEvents, createItemKey, createOpenItems, delayStartAfterInterruption, delayStartAfterFailure, type OpenItem } from './openItems.ts'
 import { logOpenItems } from './openItemStates.ts'
@@ -122,6 +123,7 @@
   const backoffs = createServerBackoffs(clock)
   const queueReport = createReportQueue()
   const routes = createBatchRoutes(state)
+  const competition = createItemCompetition({ state, routes, items })
   const reportServices: RunReportServices = { items, replica, getAttempts: ({ record }) => routes.find(record)?.attempts ?? 1, handleEnd, release: assignments.release }
   let term = -1
   let synchronizedIndex = -1
@@ -174,7 +176,7 @@
     // Ordering the waiting items is the larger part of a plan, and mostly there is no free slot.
     checkOutputSize()
     const canStart = assignments.canStart() && [...plannedByService.values()].some(servers => servers.some(hasFreeSlot))
-    const startableByService = canStart ? groupStartableByService() : new Map<string, StartableItems>()
+    const startableByService = canStart ? groupStartableByService(plannedByService.values()) : new Map<string, StartableItems>()
     for (const [service, servers] of plannedByService) {
       const startable = startableByService.get(service)
       const { starts, interruptions } = planBatch(servers, startable?.keys ?? [], startable?.resumptions)
@@ -198,10 +200,10 @@
   }
 
   // Returns the items that may be started, by service.
-  function groupStartableByService (): Map<string, StartableItems> {
+  function groupStartableByService (servers: Iterable<readonly PlannedServer[]>): Map<string, StartableItems> {
     const startableByService = new Map<string, StartableItems>()
     const now = clock.now()
-    for (const { key } of orderByUrgency(describeUrgency(items.startable(now)))) {
+    for (const { key } of competition.order(describeUrgency(items.startable(now)), servers)) {
       const entry = items.find(key)
       if (entry === undefined || (isOutputFull && countSavedEvents(entry) === 0)) continue
       const route = routes.find(entry.record)
--- /dev/null
+++ b/src/process/fleet/itemCompetition.ts
@@ -0,0 +1,80 @@
+/**
+ * Order of the waiting items of jobs that belong to client accounts.
+ * @module
+ */
+import type { ItemUrgency, PlannedServer } from '../../request/placement/batchPlan.ts'
+import { type ItemCompetitor, orderByCompetition } from '../../request/placement/competition.ts'
+import type { GatewayTables } from '../../version/gatewayTables.ts'
+import type { ControlState } from '../state/controlState.ts'
+import type { BatchRoutes } from './batchRoutes.ts'
+import type { OpenItems } from './openItems.ts'
+
+/** Priority of an item whose route is not known; it is not started. */
+const unknownPriority = 0
+
+/** Dependencies of the order. */
+export interface ItemCompetitionInputs {
+  readonly state: Pick<ControlState, 'publication'>
+  readonly routes: BatchRoutes
+  readonly items: Pick<OpenItems, 'find' | 'running'>
+}
+
+/** Order of waiting items. */
+export interface ItemCompetition {
+  /**
+   * Orders waiting items.
+   * @param waiting - the items
+   * @param servers - the servers on which items may run
+   * @returns the items, those to start first at the beginning
+   */
+  order (waiting: readonly ItemUrgency[], servers: Iterable<readonly PlannedServer[]>): ItemUrgency[]
+}
+
+/**
+ * Creates the order.
+ * @param inputs - dependencies
+ * @returns the order
+ */
+export function createItemCompetition ({ state, routes, items }: ItemCompetitionInputs): ItemCompetition {
+  let tables: GatewayTables | undefined
+  let priorities: ReadonlyMap<string, number> = new Map()
+
+  function updatePriorities (): void {
+    if (tables === state.publication?.tables) return
+    tables = state.publication?.tables
+    const updated = new Map<string, number>()
+    for (const { name, priority } of tables?.accounts ?? []) if (priority !== undefined) updated.set(name, priority)
+    priorities = updated
+  }
+
+  function describe (urgency: ItemUrgency): ItemCompetitor {
+    const record = items.find(urgency.key)?.record
+    const account = record?.submission.account
+    const accountPriority = account === undefined ? undefined : priorities.get(account)
+    return { ...urgency, account, priority: accountPriority ?? (record === undefined ? undefined : routes.find(record)?.priority) ?? unknownPriority }
+  }
+
+  function countRunning (): Map<string, number> {
+    const running = new Map<string, number>()
+    for (const { record } of items.running()) {
+      const { account } = record.submission
+      if (account !== undefined) running.set(account, (running.get(account) ?? 0) + 1)
+    }
+    return running
+  }
+
+  return {
+    order (waiting, servers) {
+      updatePriorities()
+      return orderByCompetition(waiting.map(describe), { byAccount: countRunning(), slots: countSlots(servers) })
+    }
+  }
+}
+
+function countSlots (serversByService: Iterable<readonly PlannedServer[]>): number {
+  let slots = 0
+  for (const servers of serversByService) {
+    for (const server of servers) slots += Math.max(0, server.slots - server.live)
+  }
+  return slots
+}
--- a/src/process/jobs/submission.ts
+++ b/src/process/jobs/submission.ts
@@ -25,6 +25,8 @@
   readonly acceptedAt: number
   /** Wall-clock time from which items may be abandoned, in milliseconds since the epoch; Infinity for never. */
   readonly giveUpAt: number
+  /** Name of the client account that the job belongs to; undefined if it belongs to none, as in a log of a version without accounts. */
+  readonly account?: string | undefined
 }
 
 /** A job as submitted. */
--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -17,7 +17,7 @@
 import { canContinue, decideResumption, isResumption, mayContinue } from './streamContinuation.ts'
 import { acquirePermit } from './requestPermit.ts'
 import { createRequestTraits, listTraits } from './requestTraits.ts'
-import { decidePlaces, type LivePlaces, maxQueuedPerServer, ordinaryPlaces } from './placement/competition.ts'
+import { decidePlaces, hasRoom, type LivePlaces, maxQueuedPerServer, ordinaryPlaces } from './placement/competition.ts'
 import { chooseServer, chooseServerByPrefix, type ServerCandidate } from './placement/serverChoice.ts'
 
 /** Share of the objective of the route within which a request that finds no free slot is refused, so that the refusal comes early. */
@@ -250,12 +250,15 @@
 function listCandidates ({ service, origin, runs, isResponseStarted, isResumption, places }: ForwardingProgress, remoteLoad: RemoteLoadEstimate, services: ForwardingServices): ServerCandidate[] {
   const { view } = services
   const candidates: ServerCandidate[] = []
-  const maxQueued = runs > 0 || isResponseStarted || isResumption ? maxQueuedPerServer : places.maxQueued
+  const { maxQueued, reservedShare } = runs > 0 || isResponseStarted || isResumption ? ordinaryPlaces : places
+  const sums = { places: 0, live: 0 }
   for (const server of view.listReadyServers(service)) {
     if (!canContinue(origin, server) || view.requestLimits.isExcluded(server.id)) continue
     const remote = remoteLoad.getLoad(server.id)
     const live = remote.live + (view.live.get(server.id) ?? 0)
     // Batch items yield to live requests, so only live requests count towards the limit.
+    sums.places += server.slots + maxQueuedPerServer
+    sums.live += live
     if (live >= server.slots + maxQueued) continue
     candidates.push({
       server,
@@ -268,7 +271,7 @@
       isSameRegion: services.getRegion(server.availabilityZone) === services.region
     })
   }
-  return candidates
+  return hasRoom({ reservedShare }, sums) ? candidates : []
 }
 
 // This function, `abortAfterDisconnect` and `giveUp` end the response and return false: no further attempt is to be made.
--- a/src/request/placement/competition.ts
+++ b/src/request/placement/competition.ts
@@ -4,10 +4,11 @@
  *
  * Load pattern: an account that sends several times its usual rate, or a loss of servers, fills the servers. Whoever sends the most then finds
  * the most of the places that become free, and requests of the other accounts are refused in proportion to the traffic of the busy one. An
- * account's share is in proportion to its limit. The requests within the share compete as before; those beyond it get free slots only and are
- * refused at once without one, so that the queue places are left to the other accounts. Priorities come before shares.
+ * account's share is in proportion to its limit. The requests within the share compete as before; those beyond it leave a part of all places free and are
+ * refused at once where that is not possible, so that the others find places. Priorities come before shares.
  * @module
  */
+import { type AccountCount, recentMs } from './accountQuota.ts'
 import { type ItemUrgency, orderByUrgency } from './batchPlan.ts'
 
 /** Live requests that may queue at a backend server beyond its slots; with 8 slots and responses of about 0.7 s, each waits about 90 ms. */
@@ -16,6 +17,12 @@
 /** Use of a limit, as a multiple of the mean of all accounts, up to which an account is within its share: traffic comes in waves. */
 const shareTolerance = 1.25
 
+/** Share of the places at all servers that requests beyond the share of their account leave free: somewhat more than random arrivals take at once. */
+const reservedShare = 0.1
+
+/** Weight of the latest rate of an account against its rate in the window: a busy account must be recognized before it has filled its window. */
+const recentWeight = 0.5
+
 /** Use of the limits of accounts, as shares of the limits. */
 export interface AccountLevel {
   /** Use of the account's limit by all hosts; undefined if it is not known to be high. */
@@ -36,6 +43,8 @@
 export interface LivePlaces {
   /** Live requests of all hosts that may queue at a server before this request, beyond the slots of the server. */
   readonly maxQueued: number
+  /** Share of the places at all servers of the service that it leaves free. */
+  readonly reservedShare: number
   /** Whether it may wait for a place. */
   readonly mayWait: boolean
   /** Whether it exceeds the share of its account. */
@@ -43,9 +52,21 @@
 }
 
 /** Places of a request whose account does not matter. */
-export const ordinaryPlaces: LivePlaces = { maxQueued: maxQueuedPerServer, mayWait: true, isBeyondShare: false }
+export const ordinaryPlaces: LivePlaces = { maxQueued: maxQueuedPerServer, reservedShare: 0, mayWait: true, isBeyondShare: false }
+
+const excessPlaces: LivePlaces = { maxQueued: maxQueuedPerServer, reservedShare, mayWait: false, isBeyondShare: true }
 
-const excessPlaces: LivePlaces = { maxQueued: 0, mayWait: false, isBeyondShare: true }
+/**
+ * Computes how much of its limit an account uses.
+ * @param count - its requests, at all hosts
+ * @param limit - its limit in a window
+ * @param windowMs - length of the window, in milliseconds
+ * @returns the use as a share of the limit
+ */
+export function computeLevel ({ admitted, recent }: Pick<AccountCount, 'admitted' | 'recent'>, limit: number, windowMs: number): number {
+  const latest = recent * windowMs / recentMs
+  return limit <= 0 ? 0 : (admitted + latest * recentWeight) / (1 + recentWeight) / limit
+}
 
 /**
  * Decides on the places of a live request.
@@ -53,12 +74,31 @@
  * @returns the places that it may take
  */
 export function decidePlaces ({ priority = 0, level, meanLevel, position }: LiveCompetitor): LivePlaces {
-  const sharePart = level === undefined || meanLevel === undefined || level <= 0 ? 1 : meanLevel * shareTolerance / level
+  const isWithinShare = level === undefined || meanLevel === undefined || level <= meanLevel * shareTolerance
+  const sharePart = isWithinShare ? 1 : meanLevel / level
   if (position >= sharePart) return excessPlaces
   // Each lower priority leaves a queue place at every server to the higher ones.
   return priority === 0 ? ordinaryPlaces : { ...ordinaryPlaces, maxQueued: Math.max(0, maxQueuedPerServer - priority) }
 }
 
+/** Places at all servers of a service. */
+export interface PlaceSums {
+  /** Slots and queue places. */
+  readonly places: number
+  /** Live requests of all hosts. */
+  readonly live: number
+}
+
+/**
+ * Checks whether a request leaves as many places free as it has to.
+ * @param request - the places of the request
+ * @param sums - places of the service
+ * @returns whether it may take a place
+ */
+export function hasRoom (request: Pick<LivePlaces, 'reservedShare'>, { places, live }: PlaceSums): boolean {
+  return request.reservedShare === 0 || live + 1 <= places * (1 - request.reservedShare)
+}
+
 /** Item that competes for a slot. */
 export interface ItemCompetitor extends ItemUrgency {
   /** Client account of its job; undefined if it has none. */
@@ -86,6 +126,7 @@
   const urgent = orderByUrgency(items) as ItemCompetitor[]
   const accounts = new Set(byAccount.keys())
   for (const { account } of items) if (account !== undefined) accounts.add(account)
+  // Without accounts, route priorities do not count either: a route never lets another one's items become late.
   if (accounts.size === 0) return urgent
   const share = Math.max(1, slots / accounts.size)
   const taken = new Map(byAccount)
