--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -17,7 +17,7 @@
 import { canContinue, decideResumption, isResumption, mayContinue } from './streamContinuation.ts'
 import { acquirePermit } from './requestPermit.ts'
 import { createRequestTraits, listTraits } from './requestTraits.ts'
-import { decidePlaces, type LivePlaces, maxQueuedPerServer, ordinaryPlaces } from './placement/competition.ts'
+import { decidePlaces, hasRoom, type LivePlaces, maxQueuedPerServer, ordinaryPlaces } from './placement/competition.ts'
 import { type CostedRequest, fitsMemory, type RequestCost } from './placement/requestCost.ts'
 import { chooseServer, chooseServerByPrefix, type ServerCandidate } from './placement/serverChoice.ts'
 
@@ -275,12 +275,15 @@
   const capacity = view.findService(service)?.memoryTokens ?? 0
   const meanTokens = view.costs.getMeanTokens(service)
   const candidates: ServerCandidate[] = []
-  const maxQueued = runs > 0 || isResponseStarted || isResumption ? maxQueuedPerServer : places.maxQueued
+  const { maxQueued, reservedShare } = runs > 0 || isResponseStarted || isResumption ? ordinaryPlaces : places
+  const sums = { places: 0, live: 0 }
   for (const server of view.listReadyServers(service)) {
     if (!canContinue(origin, server) || view.requestLimits.isExcluded(server.id)) continue
     const remote = remoteLoad.getLoad(server.id)
     const live = remote.live + (view.live.get(server.id) ?? 0)
     // Batch items yield to live requests, so only live requests count towards the limit.
+    sums.places += server.slots + maxQueuedPerServer
+    sums.live += live
     if (live >= server.slots + maxQueued) continue
     const held = view.serverWork.getTokens(server.id) + Math.max(remote.tokens, (remote.live + remote.batch) * meanTokens)
     if (!fitsMemory({ capacity, held }, tokens)) continue
@@ -296,7 +299,7 @@
       isSameRegion: services.getRegion(server.availabilityZone) === services.region
     })
   }
-  return candidates
+  return hasRoom({ reservedShare }, sums) ? candidates : []
 }
 
 // This function, `abortAfterDisconnect` and `giveUp` end the response and return false: no further attempt is to be made.
