Directory: overloaded gateways are left out

Change: a gateway measures the share of the time for which its event loop is busy, or its timers are late. If the mean over five seconds reaches four fifths, its polls say so, until the mean is below a half; control hosts leave it out of their answers while at least half of the near gateways, and two, have room. Events 118 and 119.

--- a/src/process/fleet/fleetDaemon.ts
+++ b/src/process/fleet/fleetDaemon.ts
@@ -21,6 +21,7 @@
 import { containUncaughtErrors, runContained } from '../program/unexpectedErrors.ts'
 import { type FleetHost, FleetRole } from './fleetMessages.ts'
 import { listControlHosts, type FleetSettings } from './fleetSettings.ts'
+import { createHostOverload } from '../../request/placement/hostOverload.ts'
 import { createFleetView, type FleetView } from './fleetView.ts'
 
 /** Content type of the Prometheus text exposition format. */
@@ -74,6 +75,7 @@
   const view = createFleetView(clock, logger, () => listControlHosts(settings))
   const control = createControlClient({ controlHosts: () => view.controlHosts, readTarget: ReadTarget.Nearest, clients, clock, random, metrics, signal: lifecycle.signal })
   const readiness = { isReady: false }
+  const overload = createHostOverload()
   const holder = randomUUID()
   const describe = (): FleetHost => ({
     name: settings.host,
@@ -83,15 +85,23 @@
     region: settings.region,
     callerAddress: settings.callerAddress,
     internalAddress: settings.role === FleetRole.Gateway ? undefined : `${settings.address}:${settings.controlPort}`,
-    ready: readiness.isReady
+    ready: readiness.isReady,
+    isOverloaded: settings.role === FleetRole.Gateway && overload.isOverloaded ? true : undefined
   })
+  function recordBusy (busyShare: number, durationMs: number): void {
+    const wasOverloaded = overload.isOverloaded
+    overload.record(busyShare, durationMs)
+    if (settings.role !== FleetRole.Gateway || overload.isOverloaded === wasOverloaded) return
+    logger.write(overload.isOverloaded ? LogEvents.gatewayOverloaded : LogEvents.gatewayRelieved)
+  }
+
   const taskInputs: FleetTaskInputs = { view, client: control, describe, clock, random, logger, metrics }
   const services = { lifecycle, clock, logger, metrics }
   containUncaughtErrors(process, services)
   runContained(services, signal => runFleetWatch(taskInputs, signal))
   runContained(services, signal => runLimitReports(taskInputs, signal))
   runContained(services, signal => runCrashReports(taskInputs, signal))
-  lifecycle.run(signal => runProcessMonitor({ clock, logger, metrics }, signal))
+  lifecycle.run(signal => runProcessMonitor({ clock, logger, metrics }, signal, recordBusy))
   logger.write(LogEvents.processStarted, { detail: settings.role, inputs: { holder, seeds: settings.seeds.join(' '), form: settings.form } })
   return { settings, lifecycle, logger, metrics, clock, random, clients, control, view, readiness, describe }
 }
--- a/src/process/fleet/fleetMessages.ts
+++ b/src/process/fleet/fleetMessages.ts
@@ -35,6 +35,8 @@
   readonly internalAddress?: string | undefined
   /** Whether callers may be directed to this host. */
   readonly ready: boolean
+  /** Whether a gateway has been busy for most of the time for seconds; undefined at other hosts, and while it is not. */
+  readonly isOverloaded?: true | undefined
 }
 
 /** A long poll of a host. */
--- a/src/process/fleet/hostSessions.ts
+++ b/src/process/fleet/hostSessions.ts
@@ -30,7 +30,7 @@
 /** The sessions. */
 export interface HostSessions {
   readonly size: number
-  /** Incremented when a host is added, expires, or changes its readiness, and by `clear`. */
+  /** Incremented when a host is added, expires, or changes its readiness or overload, and by `clear`. */
   readonly revision: number
   /**
    * Creates or renews the session of a host that polls. A new session replaces that of the host's previous process.
@@ -134,7 +134,7 @@
     renew ({ host, tablesVersion, knownTablesVersion }, confirmedRevision, now) {
       const known = sessions.get(host.holder)
       if (known === undefined) removePreviousSession(host)
-      if (known?.host.ready !== host.ready) revision++
+      if (known?.host.ready !== host.ready || known.host.isOverloaded !== host.isOverloaded) revision++
       sessions.set(host.holder, {
         host,
         lastContactAt: now,
--- a/src/process/program/logEvents.ts
+++ b/src/process/program/logEvents.ts
@@ -32,6 +32,8 @@
   linesDropped: { number: 106, level: Level.Warn, text: 'log lines dropped: rate or buffer limit exceeded', action: 'Metrics are not affected; raise the log level if it repeats.' },
   eventLoopDelayed: { number: 107, level: Level.Warn, text: 'event loop delayed: timers ran late', action: 'Check the CPU time and memory of the host; a paused or suspended process writes this event too.' },
   resourcesUsed: { number: 108, level: Level.Info, text: 'resources used by the process since the last such event', action: noAction },
+  gatewayOverloaded: { number: 118, level: Level.Warn, text: 'gateway has been busy for most of the time for seconds; callers are directed to others', action: 'Add gateways, or processor time for this one, if it repeats.' },
+  gatewayRelieved: { number: 119, level: Level.Info, text: 'gateway is no longer overloaded', action: noAction },
   unexpectedError: { number: 109, level: Level.Error, text: 'unexpected error; the request, run or task has ended, the process continues', action: 'Report the error with its stack.' },
   folderMovedAside: { number: 213, level: Level.Error, text: 'damaged data folder moved aside; joining under a new identity', action: 'Check the disk.' },
   logLoaded: { number: 200, level: Level.Info, text: 'log loaded from the data folder', action: noAction },
--- a/src/process/program/processMonitor.ts
+++ b/src/process/program/processMonitor.ts
@@ -21,9 +21,11 @@
  * Monitors the process until the signal aborts.
  * @param services - services of the process
  * @param signal - ends the task
+ * @param recordBusy - called with the share of the time for which the process was busy, and with the time in milliseconds
  * @returns a promise that resolves when the task has ended
  */
-export async function runProcessMonitor ({ clock, logger, metrics }: Omit<ProcessServices, 'lifecycle' | 'random'>, signal: AbortSignal): Promise<void> {
+export async function runProcessMonitor ({ clock, logger, metrics }: Omit<ProcessServices, 'lifecycle' | 'random'>, signal: AbortSignal, recordBusy: (busyShare: number, durationMs: number) => void = () => {}): Promise<void> {
+  let utilization = performance.eventLoopUtilization()
   let reportedAt = clock.now()
   let longestDelayMs = 0
   let cpuAtReport = process.cpuUsage()
@@ -35,6 +37,11 @@
     const now = clock.now()
     const delayMs = Math.max(0, now - dueAt)
     metrics.record(Latency.EventLoopDelay, delayMs)
+    const utilizationBefore = utilization
+    utilization = performance.eventLoopUtilization()
+    // A process that is kept from running is as busy as one that runs: its timers are late either way.
+    const busyShare = Math.max(performance.eventLoopUtilization(utilization, utilizationBefore).utilization, delayMs / (measurementIntervalMs + delayMs))
+    recordBusy(busyShare, measurementIntervalMs + delayMs)
     longestDelayMs = Math.max(longestDelayMs, delayMs)
     if (delayMs >= reportedDelayMs) logger.write(LogEvents.eventLoopDelayed, { value: Math.round(delayMs), inputs: describeMemory() })
     if (now - reportedAt < resourceReportIntervalMs) continue
--- a/src/request/gatewayChoice.ts
+++ b/src/request/gatewayChoice.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import { type FleetHost, FleetRole } from '../process/fleet/fleetMessages.ts'
+import { leaveOutOverloaded } from './placement/hostOverload.ts'
 
 /** How long callers may cache an address response, in milliseconds; a draining gateway keeps listening for several times as long. */
 export const addressKeepMs = 1_000
@@ -15,7 +16,7 @@
 
 /**
  * Chooses the gateways for a caller: those in its availability zone, or those in its region, or all, whichever of these is
- * the first to have enough ready gateways.
+ * the first to have enough ready gateways. Overloaded ones are left out while enough others remain.
  * @param hosts - the hosts of the fleet
  * @param availabilityZone - availability zone of the caller
  * @param region - region of the caller
@@ -30,7 +31,7 @@
   ]) {
     const near = ready.filter(isNear)
     if (near.length < minGateways && near.length < ready.length) continue
-    return near.slice(0, maxGateways).map(host => host.callerAddress ?? '')
+    return leaveOutOverloaded(near, minGateways).slice(0, maxGateways).map(host => host.callerAddress ?? '')
   }
   return []
 }
