Plan of items: start and interrupt them by the course of the live waves

Cause: the plan left room for the mean of the live requests and a fifth more. Change: the leader follows the live requests of each service (liveWaves.ts). Where they come in waves, an item is started if there is room over its whole run by the course that is expected (itemStarts.ts), or if it is late otherwise; as many are interrupted as the beginning wave needs, none that is about to end (itemRoom.ts, itemInterruptions.ts). Without waves the plan is as before. Items due at about the same time are ordered by their remaining run time. Hosts report how long their live requests take.

--- a/src/connection/fleetWatch.ts
+++ b/src/connection/fleetWatch.ts
@@ -74,7 +74,7 @@
     const nextChange = view.loadChanged.wait(view.live.size > 0 ? intervalMs * busyReportFactor : idleReportIntervalMs, signal)
     const reported = new Map(view.live)
     const outputs = view.quarantine.listOutputs()
-    const totals = await client.reportLoad({ holder: describe().holder, tablesVersion: view.tables?.version ?? 0, live: Object.fromEntries(reported), suspects: view.listLocalSuspects(), outputs })
+    const totals = await client.reportLoad({ holder: describe().holder, tablesVersion: view.tables?.version ?? 0, live: Object.fromEntries(reported), requestMs: view.remoteLoads.requestMs, suspects: view.listLocalSuspects(), outputs })
     // Without a response the last totals remain valid; the watch task logs an unreachable leader.
     if (totals.isOk()) {
       view.applyLoads(totals.value, reported)
--- a/src/process/fleet/fleetView.ts
+++ b/src/process/fleet/fleetView.ts
@@ -107,7 +107,7 @@
   /** Finds a backend server, whatever its phase. */
   findServer (id: string): BackendServerRecord | undefined
   /** Load of the servers caused by other hosts. */
-  readonly remoteLoads: Pick<RemoteLoads, 'get' | 'estimate' | 'recordDuration'>
+  readonly remoteLoads: Pick<RemoteLoads, 'get' | 'estimate' | 'recordDuration' | 'requestMs'>
   /** Live requests of this host in flight, by server. */
   readonly live: ReadonlyMap<string, number>
   /**
--- /dev/null
+++ b/src/process/fleet/servicePlanner.ts
@@ -0,0 +1,153 @@
+/**
+ * Plans the items of one service at the leader: collects what is known of its servers, live requests and items, and applies the rules of
+ * `src/request/placement/` to it. The recent course of live requests is the only state; a new leader collects it anew.
+ * @module
+ */
+import { type BatchPlan, type ItemUrgency, orderByUrgency, planBatch, type PlannedServer, type Resumption } from '../../request/placement/batchPlan.ts'
+import { endingMs, type OccupiedServer, planInterruptions } from '../../request/placement/itemInterruptions.ts'
+import { countExcessItems } from '../../request/placement/itemRoom.ts'
+import { selectStarts } from '../../request/placement/itemStarts.ts'
+import { createLiveWaves, type LiveCourse, type LiveWaves } from '../../request/placement/liveWaves.ts'
+import { followLive, planLive } from '../../request/placement/plannedLive.ts'
+import type { Clock } from '../program/clock.ts'
+import type { BackendServerRecord } from './backendServerRegistry.ts'
+import type { BatchRoutes } from './batchRoutes.ts'
+import type { FleetLeader } from './fleetLeader.ts'
+import type { ItemDurationEstimator } from './itemDurationEstimator.ts'
+import { countSavedEvents, type OpenItem } from './openItems.ts'
+import type { ServerBackoffs } from './serverBackoffs.ts'
+
+/** Duration of a live request that is assumed before any was reported, in milliseconds. */
+const initialRequestMs = 700
+
+/** Dependencies of the planner. */
+export interface ServicePlannerInputs {
+  readonly fleet: Pick<FleetLeader, 'getLoad' | 'isSuspect' | 'permits' | 'reportIntervalMs' | 'requestMs'>
+  readonly routes: Pick<BatchRoutes, 'find' | 'findLiveObjectiveMs'>
+  readonly backoffs: Pick<ServerBackoffs, 'isBackingOff'>
+  readonly durationEstimator: ItemDurationEstimator
+  readonly clock: Clock
+}
+
+/** What is known of a service at the time of a plan. */
+export interface ServiceSituation {
+  readonly service: string
+  /** The ready servers, with room for live requests that arrive before the next plan has an effect. */
+  readonly servers: readonly PlannedServer[]
+  /** The ready servers, with the live requests and items in flight. */
+  readonly occupied: readonly OccupiedServer[]
+  readonly course: LiveCourse
+}
+
+/** Waiting items of a service. */
+export interface WaitingItems {
+  /** The items, the most urgent first. */
+  readonly entries: readonly OpenItem[]
+  /** Those that may resume from their saved events, by key. */
+  readonly resumptions: ReadonlyMap<string, Resumption>
+}
+
+/** Plans the items of services. */
+export interface ServicePlanner {
+  /**
+   * Describes the due times and remaining run times of items.
+   * @param entries - the items
+   * @returns their urgency, in the same order
+   */
+  describeUrgency (entries: readonly OpenItem[]): ItemUrgency[]
+  /**
+   * Collects what is known of a service.
+   * @param service - name of the service
+   * @param servers - its ready servers
+   * @param running - the items in flight, by server
+   * @returns the situation
+   */
+  describe (service: string, servers: readonly BackendServerRecord[], running: ReadonlyMap<string, readonly OpenItem[]>): ServiceSituation
+  /**
+   * Plans the items of a service.
+   * @param situation - what is known of the service
+   * @param waiting - its waiting items; undefined if none may be started
+   * @returns the items to start and to interrupt
+   */
+  plan (situation: ServiceSituation, waiting: WaitingItems | undefined): BatchPlan
+  /** Forgets the course of live requests. */
+  clear (): void
+}
+
+/**
+ * Creates a planner that knows nothing of earlier live requests.
+ * @param inputs - dependencies of the planner
+ * @returns the planner
+ */
+export function createServicePlanner (inputs: ServicePlannerInputs): ServicePlanner {
+  const { fleet, routes, backoffs, durationEstimator, clock } = inputs
+  const waves = new Map<string, LiveWaves>()
+
+  function recordLive (service: string, live: readonly number[]): LiveCourse {
+    const known = waves.get(service) ?? createLiveWaves()
+    waves.set(service, known)
+    let sum = 0
+    for (const count of live) sum += count
+    return known.record(sum, clock.now())
+  }
+
+  function describeUrgency (entries: readonly OpenItem[]): ItemUrgency[] {
+    const now = clock.wallTime()
+    return entries.map(entry => ({
+      key: entry.key,
+      dueInMs: entry.record.submission.acceptedAt + (routes.find(entry.record)?.dueMs ?? 0) - now,
+      remainingMs: estimateRemainingMs(entry)
+    }))
+  }
+
+  // Events are saved only every few seconds, so a run in progress is judged by its duration as well.
+  function estimateRemainingMs (entry: OpenItem): number {
+    const bySavedEvents = durationEstimator.estimateRemainingMs(countSavedEvents(entry))
+    const { run } = entry
+    if (run?.startedAt === undefined || run.startEvents === undefined) return bySavedEvents
+    return Math.max(0, Math.min(bySavedEvents, durationEstimator.estimateRemainingMs(run.startEvents) - (clock.now() - run.startedAt)))
+  }
+
+  function describeServer ({ id, slots, softwareVersion }: BackendServerRecord, live: number, items: readonly ItemUrgency[]): PlannedServer {
+    // The order counts only when items have to be interrupted.
+    const ordered = live + items.length > slots ? orderByUrgency(items) : items
+    return {
+      id,
+      slots,
+      live,
+      items: ordered.map(item => item.key),
+      canStartItems: !backoffs.isBackingOff(id) && !fleet.isSuspect(id),
+      maxStarts: fleet.permits.countItemPermits(id),
+      softwareVersion
+    }
+  }
+
+  return {
+    describeUrgency,
+    describe (service, servers, running) {
+      const live = servers.map(({ id }) => fleet.getLoad(id).live)
+      const planned = planLive(live, fleet.reportIntervalMs)
+      const followed = followLive(live, fleet.reportIntervalMs)
+      const occupied = servers.map(({ id, slots }, position) => ({ id, slots, live: followed[position] ?? 0, items: describeUrgency(running.get(id) ?? []) }))
+      return {
+        service,
+        servers: servers.map((server, position) => describeServer(server, planned[position] ?? 0, occupied[position]?.items ?? [])),
+        occupied,
+        course: recordLive(service, live)
+      }
+    },
+    plan ({ service, servers, occupied, course }, waiting) {
+      const urgencies = describeUrgency(waiting?.entries ?? [])
+      if (!course.hasWaves) return planBatch(servers, urgencies.map(({ key }) => key), waiting?.resumptions)
+      const traffic = { requestMs: fleet.requestMs, objectiveMs: routes.findLiveObjectiveMs(service) }
+      const runningMs = occupied.flatMap(({ items }) => items.map(({ remainingMs }) => remainingMs))
+      let slots = 0
+      for (const server of occupied) slots += server.slots
+      const selected = selectStarts({ waiting: urgencies, runningMs, slots, course, requestMs: fleet.requestMs ?? initialRequestMs })
+      const staying = runningMs.filter(remainingMs => remainingMs > endingMs)
+      const { starts } = planBatch(servers, selected.map(({ key }) => key), waiting?.resumptions)
+      return { starts, interruptions: planInterruptions(occupied, countExcessItems({ ...traffic, ...course, slots, items: staying.length }), traffic) }
+    },
+    clear: () => waves.clear()
+  }
+}
--- a/src/request/placement/batchPlan.ts
+++ b/src/request/placement/batchPlan.ts
@@ -3,6 +3,9 @@
  * @module
  */
 
+/** Difference of the due times of items up to which they count as equally urgent, in milliseconds; a small part of the run time of an item. */
+const equalUrgencyMs = 1_000
+
 /** Backend server with the load that the plan takes into account. */
 export interface PlannedServer {
   readonly id: string
@@ -17,6 +20,8 @@
   readonly maxStarts: number
   /** Version of the server's software; undefined if it is not known. */
   readonly softwareVersion?: string | undefined
+  /** Speed of the server as a multiple of the usual one; undefined if it is not known. */
+  readonly pace?: number | undefined
 }
 
 /**
@@ -47,7 +52,8 @@
 
 /**
  * Orders items by urgency: items that can still be on time come first, by due time and then by remaining run time. Items
- * that will be late in any case come last, since they would otherwise delay all items behind them.
+ * that will be late in any case come last, since they would otherwise delay all items behind them. Items that are due at about the same
+ * time are equally urgent; the one that ends first makes room for the others.
  * @param items - the items
  * @returns the items, the most urgent first
  */
@@ -55,10 +61,14 @@
   const isOnTime = (item: ItemUrgency): boolean => item.dueInMs > item.remainingMs
   return [...items].sort((left, right) => {
     if (isOnTime(left) !== isOnTime(right)) return isOnTime(left) ? -1 : 1
-    return left.dueInMs - right.dueInMs || left.remainingMs - right.remainingMs
+    return toUrgency(left) - toUrgency(right) || left.remainingMs - right.remainingMs || left.dueInMs - right.dueInMs
   })
 }
 
+function toUrgency ({ dueInMs }: ItemUrgency): number {
+  return Math.floor(dueInMs / equalUrgencyMs)
+}
+
 /** Software version at which an item may resume from its saved progress. */
 export interface Resumption {
   readonly softwareVersion: string
@@ -80,9 +90,11 @@
   // Servers without a free slot are not listed, so that an item that waits for one costs no search.
   const freeSlotsByVersion = new Map<string, Map<string, number>>()
   const versions = new Map<string, string>()
+  const paces = new Map<string, number>()
   for (const server of servers) {
     const { id, softwareVersion } = server
     const freeSlots = server.slots - server.live - server.items.length
+    if (server.pace !== undefined) paces.set(id, server.pace)
     const excessItems = Math.min(-freeSlots, server.items.length)
     if (excessItems > 0) interruptions.push(...server.items.slice(server.items.length - excessItems))
     if (softwareVersion !== undefined) {
@@ -102,8 +114,8 @@
 
   function chooseServer (resumption: Resumption | undefined): string | undefined {
     const ofVersion = resumption === undefined ? undefined : freeSlotsByVersion.get(resumption.softwareVersion)
-    if (resumption === undefined || ofVersion === undefined) return findServerWithMostFreeSlots(freeSlotsByServer)
-    return findServerWithMostFreeSlots(ofVersion) ?? (resumption.canWait ? undefined : findServerWithMostFreeSlots(freeSlotsByServer))
+    if (resumption === undefined || ofVersion === undefined) return findServerForItem(freeSlotsByServer, paces)
+    return findServerForItem(ofVersion, paces) ?? (resumption.canWait ? undefined : findServerForItem(freeSlotsByServer, paces))
   }
 
   const starts: Array<{ server: string, item: string }> = []
@@ -117,13 +129,15 @@
   return { starts, interruptions }
 }
 
-function findServerWithMostFreeSlots (freeSlotsByServer: ReadonlyMap<string, number>): string | undefined {
+// Free slots count for more on a faster server.
+function findServerForItem (freeSlotsByServer: ReadonlyMap<string, number>, paces: ReadonlyMap<string, number>): string | undefined {
   let best: string | undefined
-  let mostFreeSlots = 0
+  let mostRoom = 0
   for (const [server, freeSlots] of freeSlotsByServer) {
-    if (freeSlots <= mostFreeSlots) continue
+    const room = freeSlots * (paces.get(server) ?? 1)
+    if (room <= mostRoom) continue
     best = server
-    mostFreeSlots = freeSlots
+    mostRoom = room
   }
   return best
 }
