--- a/test/loadPlacement.test.ts
+++ b/test/loadPlacement.test.ts
@@ -4,7 +4,7 @@
 import { estimateLoad } from '../src/request/placement/staleLoad.ts'
 import { createSeededRandom } from '../src/process/program/random.ts'
 import { recordOf } from './support/fakeFleet.ts'
-import { type LoadReplayResult, type LoadReplaySettings, Placement, replayLoad } from './support/loadReplay.ts'
+import { Placement, replayMean } from './support/loadReplay.ts'
 
 /** Waves of traffic as on the large deployment: 0.377 and 1.84 times the mean by turns, every 3.5 s. */
 const waves = { durationMs: 45_000, waves: [0.377, 1.84], waveMs: 3_500 }
@@ -20,12 +20,6 @@
 
 const seeds = [1, 2, 3, 4, 5, 6]
 
-function replayMean (settings: Omit<LoadReplaySettings, 'seed'>): LoadReplayResult {
-  const results = seeds.map(seed => replayLoad({ ...settings, seed }))
-  const mean = (name: keyof LoadReplayResult): number => results.reduce((sum, result) => sum + result[name], 0) / results.length
-  return { liveInTime: mean('liveInTime'), itemsInTime: mean('itemsInTime'), firstOutputMs99: mean('firstOutputMs99'), arrivalsPerRequest: mean('arrivalsPerRequest'), interruptionsPerItem: mean('interruptionsPerItem') }
-}
-
 function createCandidate (id: string, load: number): ServerCandidate {
   return { server: recordOf(id), load, live: load, isSuspect: false, isLimited: false, failureRate: 0, isSameZone: true, isSameRegion: true }
 }
@@ -40,9 +34,9 @@
     // each request arrived twice and half of the requests were late.
     it(`serves more live requests in time than the lowest load or chance, with few refusals, at ${size.hosts} hosts`, function () {
       this.timeout(60_000)
-      const estimated = replayMean({ ...waves, ...size, placement: Placement.Estimated, plansByMean: true })
-      const lowest = replayMean({ ...waves, ...size, placement: Placement.LowestLoad, plansByMean: true })
-      const random = replayMean({ ...waves, ...size, placement: Placement.Random, plansByMean: true })
+      const estimated = replayMean({ ...waves, ...size, placement: Placement.Estimated, plansByMean: true }, seeds)
+      const lowest = replayMean({ ...waves, ...size, placement: Placement.LowestLoad, plansByMean: true }, seeds)
+      const random = replayMean({ ...waves, ...size, placement: Placement.Random, plansByMean: true }, seeds)
       const text = JSON.stringify({ estimated, lowest, random, seeds })
       expect(estimated.liveInTime, text).to.be.at.least(lowest.liveInTime - noise).and.at.least(random.liveInTime - noise)
       // With fresh sums the lowest load is as good; with old ones it is what failed.
@@ -57,8 +51,8 @@
   it('interrupts fewer items, and none later, when reports are too rare for single servers', function () {
     this.timeout(60_000)
     const size = { hosts: 200, servers: 52, liveRate: 242, itemRate: 25, placement: Placement.Estimated }
-    const byMean = replayMean({ ...waves, ...size, plansByMean: true })
-    const bySums = replayMean({ ...waves, ...size, plansByMean: false })
+    const byMean = replayMean({ ...waves, ...size, plansByMean: true }, seeds)
+    const bySums = replayMean({ ...waves, ...size, plansByMean: false }, seeds)
     const text = JSON.stringify({ byMean, bySums, seeds })
     expect(byMean.interruptionsPerItem, text).to.be.below(bySums.interruptionsPerItem)
     expect(byMean.liveInTime, text).to.be.at.least(bySums.liveInTime)
--- a/test/serverPace.test.ts
+++ b/test/serverPace.test.ts
@@ -9,7 +9,7 @@
 import { createStreamPace } from '../src/request/streamPace.ts'
 import { FakeClock } from './support/fakeClock.ts'
 import { recordOf } from './support/fakeFleet.ts'
-import { type LoadReplayResult, Placement, replayLoad } from './support/loadReplay.ts'
+import { Placement, replayLoad, replayMean } from './support/loadReplay.ts'
 
 const seeds = [1, 2, 3, 4]
 
@@ -140,12 +140,6 @@
   const load = { durationMs: 30_000, waves: [0.377, 1.84], waveMs: 3_500, placement: Placement.Estimated, plansByMean: true }
   const uneven = { speeds: [0.7, 0.7, 1.7], spellFactor: 2.5, spellMs: 1_500, calmMs: 6_000, unseenShare: 0.4 }
 
-  function replayMean (settings: Omit<Parameters<typeof replayLoad>[0], 'seed'>): LoadReplayResult {
-    const results = seeds.map(seed => replayLoad({ ...settings, seed }))
-    const mean = (name: keyof LoadReplayResult): number => results.reduce((sum, result) => sum + result[name], 0) / results.length
-    return { liveInTime: mean('liveInTime'), itemsInTime: mean('itemsInTime'), firstOutputMs99: mean('firstOutputMs99'), arrivalsPerRequest: mean('arrivalsPerRequest'), interruptionsPerItem: mean('interruptionsPerItem') }
-  }
-
   for (const size of [
     { hosts: 12, servers: 8, liveRate: 38, itemRate: 4 },
     { hosts: 80, servers: 40, liveRate: 186, itemRate: 19 },
@@ -154,8 +148,8 @@
     // Failure: the first events of the slowest requests waited in the queues of slow servers while fast ones had room.
     it(`shortens the longest waits for the first event, and completes no fewer items in time, at ${size.hosts} hosts`, function () {
       this.timeout(60_000)
-      const byPace = replayMean({ ...load, ...size, speeds: uneven, usesPace: true })
-      const byLoad = replayMean({ ...load, ...size, speeds: uneven, usesPace: false })
+      const byPace = replayMean({ ...load, ...size, speeds: uneven, usesPace: true }, seeds)
+      const byLoad = replayMean({ ...load, ...size, speeds: uneven, usesPace: false }, seeds)
       const text = JSON.stringify({ byPace, byLoad, seeds })
       expect(byPace.firstOutputMs99, text).to.be.below(byLoad.firstOutputMs99)
       expect(byPace.liveInTime, text).to.be.above(byLoad.liveInTime)
