--- a/test/support/fleetProcesses.ts
+++ b/test/support/fleetProcesses.ts
@@ -165,9 +165,10 @@
  * @param gatewayCount - number of gateways
  * @param gatewaySettings - further settings of the gateways
  * @param nodeFlags - flags of Node.js for all processes
+ * @param gatewayNodeFlags - flags of Node.js for gateways instead
  * @returns the fleet, without tables
  */
-export async function startFleet (serverCount = 2, gatewayCount = 2, gatewaySettings: Readonly<Record<string, unknown>> = {}, nodeFlags: readonly string[] = []): Promise<Fleet> {
+export async function startFleet (serverCount = 2, gatewayCount = 2, gatewaySettings: Readonly<Record<string, unknown>> = {}, nodeFlags: readonly string[] = [], gatewayNodeFlags = nodeFlags): Promise<Fleet> {
   const folder = await mkdtemp(join(tmpdir(), 'jaychute-fleet-'))
   // Control hosts share their ports and differ in their loopback addresses.
   const ports = (await reserveAddresses(4)).map(address => Number(address.split(':')[1]))
@@ -181,10 +182,10 @@
   const commonSettings = { availabilityZone: 'z1', region: 'r1', regions: { z1: 'r1' }, seeds: seeds.join(','), controlPort, heartbeatMs }
   let isFirstStart = true
 
-  async function startHost (settings: Readonly<Record<string, unknown>>): Promise<Program> {
+  async function startHost (settings: Readonly<Record<string, unknown>>, flags = nodeFlags): Promise<Program> {
     const file = join(folder, `${String(settings['host'])}.json`)
     await writeFile(file, JSON.stringify({ ...commonSettings, ...settings }))
-    return startProgram(String(settings['host']), 'src/daemons/jaychuteHost.js', ['--settings-file', file], nodeFlags)
+    return startProgram(String(settings['host']), 'src/daemons/jaychuteHost.js', ['--settings-file', file], flags)
   }
 
   const fleet: Fleet = {
@@ -257,7 +258,7 @@
   }
 
   async function startGateways (): Promise<void> {
-    for (const [index, address] of fleet.gateways.entries()) gatewayPrograms.push(await startHost({ role: 'gateway', host: `gateway-${index}`, callerAddress: address, ...gatewaySettings }))
+    for (const [index, address] of fleet.gateways.entries()) gatewayPrograms.push(await startHost({ role: 'gateway', host: `gateway-${index}`, callerAddress: address, ...gatewaySettings }, gatewayNodeFlags))
   }
 
   let sequence = 0
