Gateway: one budget of bytes for what it holds for callers

Cause: bodies, their chunks and unread answers were kept without a sum over connections. Each chunk of a body was an object of about 400 bytes, which the parser also read ahead of a paused reader; pieces that were not needed any more stayed until the collector had seen 64 MiB of them; a job of legal size could become objects of ten times its size.

Change: uploads, copies made for decoding, arriving heads and unread answers count to one budget, by default a quarter of the heap. Counters jaychute_given_way_total and jaychute_closed_connections_total, events 110 and 111, settings maxClientMemoryMb and maxCallerConnections.

A job of empty items (added here) ended the old process by SIGABRT.

--- a/src/connection/opaqueRequest.ts
+++ b/src/connection/opaqueRequest.ts
@@ -14,7 +14,9 @@
   /** The body is longer than the limit. */
   TooLarge: 'too large',
   /** The caller sent no data within the timeout. */
-  Stalled: 'stalled'
+  Stalled: 'stalled',
+  /** The process was short of memory, and the body had to give way. */
+  GaveWay: 'gave way'
 } as const
 export type BodyProblem = typeof BodyProblem[keyof typeof BodyProblem]
 
--- a/src/process/fleet/fleetSettings.ts
+++ b/src/process/fleet/fleetSettings.ts
@@ -35,6 +35,8 @@
   heartbeatMs: durationMs.default(1_200).describe('time between two heartbeats of a backend server, in milliseconds'),
   graceSeconds: z.coerce.number().min(0).default(8).describe('time from SIGTERM to the end of the process, in seconds'),
   statusKeepSeconds: z.coerce.number().min(0).default(120).describe('time for which jobs can be read after their submission, in seconds'),
+  maxClientMemoryMb: z.coerce.number().min(1).optional().describe('memory that is held for requests and answers of callers at once, in MB (gateway); by default a quarter of the heap'),
+  maxCallerConnections: z.coerce.number().int().min(1).optional().describe('connections of callers at once (gateway); by default by the descriptors and the heap of the process'),
   logLevel: z.enum(Level).default(Level.Info).describe('debug, info, warn or error')
 })
 
--- a/src/process/fleet/gatewayDaemon.ts
+++ b/src/process/fleet/gatewayDaemon.ts
@@ -13,10 +13,12 @@
 import type { CallerService } from '../../request/callerService.ts'
 import type { ForwardingServices } from '../../request/forwardedAttempt.ts'
 import { runForwardedRequest } from '../../request/forwardedRequest.ts'
+import { identifyCaller } from '../../request/callerIdentity.ts'
 import { endJob, type GatewayJobServices, readItemBody, readJobResults, submitJob } from '../../request/gatewayJobs.ts'
 import { matchRoute, RouteKind } from '../../version/gatewayTables.ts'
 import type { Failure } from '../program/failure.ts'
 import { listen, serveApi } from '../program/servers.ts'
+import { createCallerResources } from './callerResources.ts'
 import { createFleetDaemon, createFleetHostBase, type FleetDaemon, type FleetHostBase, serveMetrics } from './fleetDaemon.ts'
 import type { FleetSettings } from './fleetSettings.ts'
 import { createGatewayDrain, drainGateway, type GatewayDrain } from './gatewayDrain.ts'
@@ -52,7 +54,7 @@
     logger,
     metrics
   }
-  const server = createCallerServer(createCallerService(base, forwarding, drain))
+  const server = createCallerServer(createCallerService(base, forwarding, drain), createCallerResources(base))
   openRequests.watch(server)
   const listening = await listen(settings.callerAddress ?? '', server, lifecycle)
   if (listening.isErr()) return err(listening.error)
@@ -89,6 +91,7 @@
     limits: () => view.tables?.limits,
     isJob: (host, path) => matchRoute(view.routes, host, path)?.kind === RouteKind.Batch,
     now: () => clock.now(),
+    findAccount: credential => identifyCaller(credential, true, view).unwrapOr(undefined)?.name,
     forward: (request, response) => runForwardedRequest(request, response, forwarding),
     submit: job => submitJob(job, jobs),
     results: (job, after, waitMs) => readJobResults(job, after, waitMs, jobs),
--- a/src/process/program/logEvents.ts
+++ b/src/process/program/logEvents.ts
@@ -33,6 +33,8 @@
   eventLoopDelayed: { number: 107, level: Level.Warn, text: 'event loop delayed: timers ran late', action: 'Check the CPU time and memory of the host; a paused or suspended process writes this event too.' },
   resourcesUsed: { number: 108, level: Level.Info, text: 'resources used by the process since the last such event', action: noAction },
   unexpectedError: { number: 109, level: Level.Error, text: 'unexpected error; the request, run or task has ended, the process continues', action: 'Report the error with its stack.' },
+  clientMemoryUsed: { number: 110, level: Level.Warn, text: 'memory for clients used up; uploads or unread answers had to give way', action: 'Look for clients with many large uploads that do not end; see "Clients that are not trusted" in docs/operations.md.' },
+  callerConnectionsClosed: { number: 111, level: Level.Warn, text: 'connections of callers closed at a limit', action: 'Look for clients with many connections; see "Clients that are not trusted" in docs/operations.md.' },
   folderMovedAside: { number: 213, level: Level.Error, text: 'damaged data folder moved aside; joining under a new identity', action: 'Check the disk.' },
   logLoaded: { number: 200, level: Level.Info, text: 'log loaded from the data folder', action: noAction },
   tornRecordTruncated: { number: 201, level: Level.Warn, text: 'incomplete last record of the log truncated', action: noAction },
--- a/src/process/program/metrics.ts
+++ b/src/process/program/metrics.ts
@@ -36,6 +36,10 @@
   ReplacedConnections: 'jaychute_replaced_connections_total',
   BatchPlans: 'jaychute_batch_plans_total',
   BatchPlanning: 'jaychute_batch_planning_microseconds_total',
+  /** Uploads and answers that had to give way when the memory for clients was used up, by what was held. */
+  GivenWay: 'jaychute_given_way_total',
+  /** Connections of callers that were closed at a limit, by limit. */
+  ClosedConnections: 'jaychute_closed_connections_total',
   UnexpectedErrors: 'jaychute_unexpected_errors_total',
   Syncs: 'jaychute_log_syncs_total',
   DiskFull: 'jaychute_disk_full_total',
--- a/src/process/program/processMonitor.ts
+++ b/src/process/program/processMonitor.ts
@@ -5,6 +5,7 @@
 import { LogEvents } from './logEvents.ts'
 import { Counter, Latency, type Metrics, microsecondsPerMillisecond } from './metrics.ts'
 import type { ProcessServices } from './processServices.ts'
+import { bytesPerMebibyte } from './units.ts'
 
 /** Interval between two measurements, in milliseconds. */
 const measurementIntervalMs = 200
@@ -15,8 +16,6 @@
 /** Interval between two reports of the resources used, in milliseconds. */
 const resourceReportIntervalMs = 5_000
 
-const bytesPerMebibyte = 1024 * 1024
-
 /**
  * Monitors the process until the signal aborts.
  * @param services - services of the process
--- a/src/request/callerService.ts
+++ b/src/request/callerService.ts
@@ -20,6 +20,12 @@
    * @returns whether the matching route is a batch route
    */
   isJob (host: string, path: string): boolean
+  /**
+   * Finds the client account of a caller, to which the memory that its requests hold is counted.
+   * @param credential - the key as the caller sent it; undefined if it sent none
+   * @returns name of the account, or undefined if it is not known
+   */
+  findAccount?: (credential: string | undefined) => string | undefined
   /** Monotonic time, in milliseconds. */
   now (): number
   /**
--- a/test/untrustedClientProcesses.test.ts
+++ b/test/untrustedClientProcesses.test.ts
@@ -30,6 +30,9 @@
 const largeChunk = Buffer.from(`10000\r\n${'a'.repeat(0x10000)}\r\n`)
 const plain = Buffer.alloc(16_384, 'a')
 
+/** A body of the largest size whose values take many times its size once they are decoded. */
+const manyItems = Buffer.from(`{"items":[${'{},'.repeat(Math.floor((bodyBytes - 20) / 3))}{}]}`.padEnd(bodyBytes))
+
 function writeHead (path: string, framing: string): string {
   return `POST ${path} HTTP/1.1\r\nhost: a.example\r\nx-request-id: crowd\r\n${framing}\r\n\r\n`
 }
@@ -50,6 +53,7 @@
   'bodies announced far over the limit': { connections: 60, head: writeHead(job, 'content-length: 1073741824'), block: plain, bytes: 2 * bodyBytes, isReading: true },
   'job bodies sent far over the limit': { connections: 60, head: writeHead(job, chunked), block: largeChunk, bytes: 2 * bodyBytes, isReading: true },
   'live bodies sent far over the limit': { connections: 60, head: writeHead(live, chunked), block: largeChunk, bytes: 2 * bodyBytes, isReading: true },
+  'jobs of many empty items': { connections: 8, head: writeHead(job, announced), block: manyItems, bytes: bodyBytes, isReading: true },
   'heads without end': { connections: 800, head: `GET ${live} HTTP/1.1\r\nhost: a.example\r\nx: `, block: plain, bytes: 60_000, isReading: true },
   'many connections': { connections: 1_500, head: '', block: plain, bytes: 0, isReading: true }
 }
@@ -107,6 +111,16 @@
     })
   }
 
+  // Failure: accepted jobs lay in the memory of each control host, as many as fit the limit of tokens.
+  it('stays within its memory and answers others: jobs of the largest size', async () => {
+    const items = [{ id: 'i', path: '/batch/x', headers: {}, body: Buffer.alloc(3_100_000).toString('base64'), tokens: 1 }]
+    const body = JSON.stringify({ items })
+    for (const index of Array.from({ length: 60 }).keys()) await fleet.call('POST', job, { 'x-request-id': `large-${index}` }, body).catch(() => undefined)
+    expectBounded()
+    await answerOrdinaryRequest()
+    expectBounded()
+  })
+
   // Failure: answers that nobody reads lay in the memory of the gateway, as many as were asked for.
   it('stays within its memory and answers others: answers that are not read', async () => {
     // No executor runs, so the item keeps its body.
