--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -11,10 +11,10 @@
 const folder = process.argv[5]
 let failedRuns = 0
 for (let seed = firstSeed; seed < firstSeed + count; seed++) {
-  const { violations, faults, jobs, statuses, begun, takenUp, acknowledgedVersion, crashes, outputs } = await runSoak(seed, seconds * 1_000)
+  const { violations, faults, jobs, statuses, begun, takenUp, keyedRuns, acknowledgedVersion, crashes, outputs } = await runSoak(seed, seconds * 1_000)
   const live = [...statuses].sort(([left], [right]) => left - right).map(([status, requests]) => `${status}: ${requests}`).join(', ')
   console.log(`seed ${seed}: ${violations.length} violations; ${faults.length} faults, ${jobs} jobs, version ${acknowledgedVersion}, ${crashes} crashes by requests, live requests ${live}`)
-  console.log(`  streams begun: ${begun}; taken up: ${takenUp.total}, ${takenUp.continued} went on, ${takenUp.refused} refused; of ${takenUp.withServers} with two servers of their version, ${takenUp.continuedWithServers} went on`)
+  console.log(`  requests with keys that ran: ${keyedRuns}; streams begun: ${begun}; taken up: ${takenUp.total}, ${takenUp.continued} went on, ${takenUp.refused} refused; of ${takenUp.withServers} with two servers of their version, ${takenUp.continuedWithServers} went on`)
   if (violations.length === 0) continue
   failedRuns++
   for (const violation of violations) console.log(`  ${violation}`)
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -7,8 +7,9 @@
 import { eventually } from '../../scripts/processes.ts'
 import { createSeededRandom } from '../../src/process/program/random.ts'
 import {
-  itemAttempts, type OperatorState, publish, readResults, readVersion, runJobOwner, runPublisher, runReader, sendCrashingRequests, type SoakContext, type SoakJob
+  callTimeoutMs, itemAttempts, type OperatorState, publish, readResults, readVersion, runJobOwner, runPublisher, runReader, sendCrashingRequests, type SoakContext, type SoakJob
 } from './soakClients.ts'
+import { findAccountViolations, runKeyedCallers } from './soakAccounts.ts'
 import { type InjectedFault, injectFaults, injectReloads } from './soakFaults.ts'
 import { heartbeatMs, type SoakFleet, type SoakHost, startSoakFleet } from './soakFleet.ts'
 import { injectReleases, softwareVersions } from './soakReleases.ts'
@@ -55,6 +56,8 @@
   /** Live requests of which the first try brought an event. */
   readonly begun: number
   readonly takenUp: TakenUpStreams
+  /** Requests with keys that servers began to run. */
+  readonly keyedRuns: number
   readonly acknowledgedVersion: number
   /** Crashes of servers by requests. */
   readonly crashes: number
@@ -73,7 +76,7 @@
   const fleet = await startSoakFleet()
   const stopped = new AbortController()
   const context: SoakContext = { fleet, random: createSeededRandom(seed), violations: [], signal: stopped.signal }
-  const state: OperatorState = { acknowledgedVersion: 0, sentVersion: 1 }
+  const state: OperatorState = { acknowledgedVersion: 0, sentVersion: 1, withdrawal: { acknowledgedAt: Infinity } }
   const heartbeats = startHeartbeats(fleet, servers)
   try {
     await eventually('the first version acknowledged', startTimeoutMs, async () => {
@@ -83,6 +86,7 @@
     const publisher = runPublisher(context, state)
     const reader = runReader(context, state)
     const callers = runLiveCallers(context, servers, createSeededRandom(seed + 4))
+    const keyedCallers = runKeyedCallers({ gateways: fleet.gateways, violations: context.violations, signal: stopped.signal, callTimeoutMs })
     const owner = runJobOwner(context)
     const faultsEnded = new AbortController()
     setTimeout(() => faultsEnded.abort(), durationMs).unref()
@@ -102,7 +106,10 @@
     await completeJobs(context, jobs)
     await checkFinalVersion(context, state)
     checkRuns(context, servers)
-    return { seed, violations: context.violations, faults, jobs: jobs.length, statuses, begun, takenUp, acknowledgedVersion: state.acknowledgedVersion, crashes: countCrashes(servers), outputs: new Map(fleet.hosts.map(host => [host.name, host.output()])) }
+    const keyedRequests = await keyedCallers
+    context.violations.push(...findAccountViolations(servers, keyedRequests, state.withdrawal))
+    const keyedRuns = new Set(servers.flatMap(server => server.runs).filter(({ id }) => keyedRequests.has(id)).map(({ id }) => id)).size
+    return { seed, violations: context.violations, faults, jobs: jobs.length, statuses, begun, takenUp, keyedRuns, acknowledgedVersion: state.acknowledgedVersion, crashes: countCrashes(servers), outputs: new Map(fleet.hosts.map(host => [host.name, host.output()])) }
   } finally {
     clearInterval(heartbeats)
     await fleet.close()
--- a/test/soak/soakClients.ts
+++ b/test/soak/soakClients.ts
@@ -7,6 +7,7 @@
 import type { Random } from '../../src/process/program/random.ts'
 import type { SoakFleet } from './soakFleet.ts'
 import { areInSequence, decodeOutput, describeMixedVersions } from './soakEvents.ts'
+import { isKeyedJob, jobKeys, keyedPath, type KeyWithdrawal, listTenants, recordAcknowledgement } from './soakAccounts.ts'
 import { crashingPart, failingPath } from './soakServers.ts'
 
 /** Time for which callers and operators wait for an answer, in milliseconds. */
@@ -49,6 +50,7 @@
 export interface OperatorState {
   acknowledgedVersion: number
   sentVersion: number
+  readonly withdrawal: KeyWithdrawal
 }
 
 /** Result of a call. */
@@ -69,17 +71,17 @@
     const id = `job-${number++}`
     const items = Array.from({ length: itemsPerJob }, (_, index) => `${id}-${index}`)
     const body = JSON.stringify({
-      items: items.map((item, index) => ({ id: item, path: number % 3 === 0 && index === 0 ? failingPath : '/batch/x', headers: {}, body: Buffer.from(item).toString('base64'), tokens: 50 }))
+      items: items.map((item, index) => ({ id: item, path: number % 3 === 0 && index === 0 ? failingPath : '/batch/x', headers: { 'x-tenant': 'forged' }, body: Buffer.from(item).toString('base64'), tokens: 50 }))
     })
-    if (await submit(context, id, body)) jobs.push({ id, items, results: [], isComplete: false })
+    if (await submit(context, id, body, isKeyedJob(id) ? jobKeys.submission : undefined)) jobs.push({ id, items, results: [], isComplete: false })
     await pause(jobIntervalMs)
   }
   return jobs
 }
 
-async function submit (context: SoakContext, id: string, body: string): Promise<boolean> {
+async function submit (context: SoakContext, id: string, body: string, key: string | undefined): Promise<boolean> {
   for (let attempt = 0; attempt < submitAttempts; attempt++) {
-    const answer = await call(`http://${chooseGateway(context)}/batch/j`, { id, body })
+    const answer = await call(`http://${chooseGateway(context)}/batch/j`, { id, body, key })
     if (answer.status === 202) return true
     if (answer.status >= 400 && answer.status < 500 && answer.status !== 429) context.violations.push(`${id}: a proper job was refused with ${answer.status}`)
     await pause(readIntervalMs)
@@ -94,7 +96,7 @@
  */
 export async function readResults (context: SoakContext, job: SoakJob): Promise<void> {
   const after = context.random.below(job.results.length + 1)
-  const answer = await call(`http://${chooseGateway(context)}/v1/lots/${job.id}?after=${after}`, { id: '', method: 'GET' })
+  const answer = await call(`http://${chooseGateway(context)}/v1/lots/${job.id}?after=${after}`, { id: '', method: 'GET', key: isKeyedJob(job.id) ? jobKeys.reads : undefined })
   if (answer.status === 404) context.violations.push(`${job.id}: 404 for an acknowledged job`)
   if (answer.status !== 200) return
   const page = JSON.parse(answer.text) as { readonly total: number, readonly results: ReadonlyArray<{ readonly id: string, readonly state: string, readonly output: string }> }
@@ -164,6 +166,7 @@
     const answer = await call(`http://${chooseControl(context)}/v1/config`, { id: '', method: 'PUT', body })
     if (answer.status === 200) {
       state.acknowledgedVersion = Math.max(state.acknowledgedVersion, version)
+      recordAcknowledgement(state.withdrawal, version)
       return
     }
     if (answer.status >= 400 && answer.status < 500) {
@@ -203,15 +206,17 @@
 }
 
 function createConfiguration (version: number): object {
-  const route = { host: 'a.example', timeout_ms: 5_000, slo_ms: 300, service: 's', max_attempts: itemAttempts }
+  const route = { host: 'a.example', timeout_ms: 5_000, slo_ms: 300, service: 's', max_attempts: itemAttempts, public: true }
   return {
     version,
     routes: [
       { ...route, name: 'live', path_prefix: '/live/', kind: 'streaming', resumable: true, gap_target_ms: 250 },
       ...Array.from({ length: version }, (_, index) => ({ ...route, name: `version-${index + 1}`, path_prefix: versionPathOf(index + 1), kind: 'streaming' })),
+      { ...route, name: 'keyed', path_prefix: keyedPath, kind: 'streaming', public: false },
       { ...route, name: 'batch', path_prefix: '/batch/', kind: 'batch', max_queued: 1_000_000, run_target_ms: 10_000, max_wait_s: 600 }
     ],
     services: [{ name: 's', engine: { slots: 4 } }],
+    tenants: listTenants(version),
     limits: { header_bytes: 16_384, max_body_bytes: 4_194_304, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 }
   }
 }
@@ -237,9 +242,9 @@
   }
 }
 
-async function call (url: string, options: { readonly id: string, readonly parts?: string, readonly method?: 'GET' | 'PUT' | 'POST', readonly body?: string }): Promise<Answer> {
+async function call (url: string, options: { readonly id: string, readonly parts?: string, readonly method?: 'GET' | 'PUT' | 'POST', readonly body?: string, readonly key?: string | undefined }): Promise<Answer> {
   try {
-    const headers = { host: 'a.example', 'x-request-id': options.id, 'x-deadline-ms': String(callTimeoutMs), ...(options.parts === undefined ? {} : { 'x-prefix-hash': options.parts }) }
+    const headers = { host: 'a.example', 'x-request-id': options.id, 'x-deadline-ms': String(callTimeoutMs), ...(options.parts === undefined ? {} : { 'x-prefix-hash': options.parts }), ...(options.key === undefined ? {} : { 'x-credential': options.key }) }
     const response = await request(url, {
       method: options.method ?? 'POST', headers, body: options.body ?? null, headersTimeout: callTimeoutMs, bodyTimeout: callTimeoutMs
     })
--- a/test/soak/soakFleet.ts
+++ b/test/soak/soakFleet.ts
@@ -7,6 +7,7 @@
 import { join } from 'node:path'
 import { type Program, reserveAddresses, startProgram } from '../../scripts/processes.ts'
 import type { FleetRole } from '../../src/process/fleet/fleetMessages.ts'
+import { revocationMs } from './soakAccounts.ts'
 
 /** Interval of the heartbeats of backend servers, in milliseconds. */
 export const heartbeatMs = 400
@@ -53,7 +54,7 @@
   const controls = controlIps.map(ip => `${ip}:${operatorPort}`)
   const gateways = await reserveAddresses(2)
   const commonSettings = {
-    availabilityZone: 'z1', region: 'r1', regions: { z1: 'r1' }, seeds: controls.join(','), controlPort, heartbeatMs, graceSeconds: 4
+    availabilityZone: 'z1', region: 'r1', regions: { z1: 'r1' }, seeds: controls.join(','), controlPort, heartbeatMs, graceSeconds: 4, revocationMs
   }
 
   function createHost (role: FleetRole, name: string, settings: Readonly<Record<string, unknown>>): SoakHost {
--- a/test/soak/soakServers.ts
+++ b/test/soak/soakServers.ts
@@ -30,6 +30,10 @@
   /** Id of the last event that the request named; undefined for a run from the start. */
   readonly resumedAfter: number | undefined
   readonly at: number
+  /** Client account that the request named. */
+  readonly account: string | undefined
+  /** Whether the request carried a key. */
+  readonly hasKey: boolean
 }
 
 /** A backend server. */
@@ -79,7 +83,7 @@
     request.once('end', () => {
       if (request.headers['x-expect-instance'] !== id) return response.writeHead(421, { 'x-not-executed': '1' }).end()
       const lastEvent = request.headers['last-event-id']
-      const run = { id: String(request.headers['x-request-id']), path: request.url ?? '', resumedAfter: lastEvent === undefined ? undefined : Number(lastEvent), at: performance.now() }
+      const run = { id: String(request.headers['x-request-id']), path: request.url ?? '', resumedAfter: lastEvent === undefined ? undefined : Number(lastEvent), at: performance.now(), account: request.headers['x-tenant']?.toString(), hasKey: request.headers['x-credential'] !== undefined }
       runs.push(run)
       if (String(request.headers['x-prefix-hash'] ?? '').includes(`${crashingPart}:`)) return crashByRequest()
       if (run.path.startsWith(failingPath)) response.writeHead(500, { 'x-server-stamp': id }).end()
