A key sent on a public route is judged, or refused as not ready

Cause: past its lease a gateway named the account of a key on public routes, which may have been withdrawn; a key that its outdated tables lack was taken for none, so that a job submitted with it would have been open to every caller. Change: such requests get 503; those without a key are served as before. A test covers the age of the tables at the leader.

--- a/src/request/callerIdentity.ts
+++ b/src/request/callerIdentity.ts
@@ -11,17 +11,20 @@
 export type KnownAccounts = Pick<FleetView, 'accounts' | 'canServeAccounts' | 'tablesOutdatedMs'>
 
 /**
- * Finds the account of a caller.
+ * Finds the account of a caller. A key that is sent is judged or refused as not ready, also on a public route: a job that is taken for one
+ * without an account would be open to everyone.
  * @param credential - the key as the caller sent it; undefined if it sent none
  * @param isPublic - whether requests of the route need no key
  * @param known - what the gateway knows
- * @returns the account, undefined if none is needed, or the refusal: `Unauthorized` only if the tables are known to be the newest
+ * @returns the account, undefined if there is none and none is needed, or the refusal: `Unauthorized` only if the tables are not known to
+ *   be outdated, and `NotReady` otherwise
  */
 export function identifyCaller (credential: string | undefined, isPublic: boolean, known: KnownAccounts): Result<ClientAccount | undefined, GatewayRefusal> {
   if (known.accounts === undefined) return ok(undefined)
-  const account = credential === undefined ? undefined : known.accounts.get(digestKey(credential))
-  if (isPublic) return ok(account)
+  if (credential === undefined && isPublic) return ok(undefined)
   if (!known.canServeAccounts) return err(GatewayRefusal.NotReady)
+  const account = credential === undefined ? undefined : known.accounts.get(digestKey(credential))
   if (account !== undefined) return ok(account)
-  return err(known.tablesOutdatedMs === undefined ? GatewayRefusal.Unauthorized : GatewayRefusal.NotReady)
+  if (known.tablesOutdatedMs !== undefined) return err(GatewayRefusal.NotReady)
+  return isPublic ? ok(undefined) : err(GatewayRefusal.Unauthorized)
 }
--- a/test/keyLease.test.ts
+++ b/test/keyLease.test.ts
@@ -1,11 +1,19 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
-import { ResultAsync } from 'neverthrow'
+import { okAsync, ResultAsync } from 'neverthrow'
 import { createKeyLease, getKeyLeaseMs } from '../src/process/accounts/keyLease.ts'
+import { createFleetLeader } from '../src/process/fleet/fleetLeader.ts'
+import type { FleetHost } from '../src/process/fleet/fleetMessages.ts'
 import { createFleetView, type FleetView } from '../src/process/fleet/fleetView.ts'
 import { createTablesConfirmations, type TablesConfirmations } from '../src/process/fleet/tablesConfirmation.ts'
+import { type Replica, ReplicaRole } from '../src/process/log/replica.ts'
+import { createCondition } from '../src/process/program/condition.ts'
 import { createFailure, type Failure, FailureReason, Step } from '../src/process/program/failure.ts'
+import { createLifecycle } from '../src/process/program/lifecycle.ts'
 import { createSilentLogger } from '../src/process/program/logger.ts'
+import { createMetrics } from '../src/process/program/metrics.ts'
+import { CommandKind } from '../src/process/state/commands.ts'
+import { applyCommand, createControlState } from '../src/process/state/controlState.ts'
 import { GatewayRefusal } from '../src/request/callerExchange.ts'
 import { identifyCaller } from '../src/request/callerIdentity.ts'
 import { type ClientAccount, digestKey } from '../src/version/accounts.ts'
@@ -129,6 +137,18 @@
     expect(decide()).to.equal(GatewayRefusal.NotReady)
   })
 
+  // Guards against a request that runs for an account that may have lost the key, or a job that is open to everyone since the host could
+  // not judge the key; and against callers without a key who are refused on a public route.
+  it('is needed on a public route by callers that send a key, and by them alone', () => {
+    leader.answer(clock.now(), view, accountTablesOf(1, [key]))
+    const decideAll = (): unknown[] => [key, 'other', undefined].map(sent => identifyCaller(sent, true, view).match(account => account?.name ?? 'nobody', refusal => refusal))
+    expect(decideAll()).to.deep.equal(['north', 'nobody', 'nobody'])
+    view.recordTablesVersion(2)
+    expect(decideAll()).to.deep.equal(['north', GatewayRefusal.NotReady, 'nobody'])
+    clock.jump(revocationMs)
+    expect(decideAll()).to.deep.equal([GatewayRefusal.NotReady, GatewayRefusal.NotReady, 'nobody'])
+  })
+
   // Guards against refusals where no bound of time is configured, and where requests need no key.
   it('is not needed without a bound or without accounts', () => {
     const unbounded = createFleetView(clock, createSilentLogger(), () => [])
@@ -201,3 +221,40 @@
     expect(leader.confirmations.getAgeMs()).to.be.within(before + 900, before + 1_300)
   })
 })
+
+describe('age of the tables at the leader', () => {
+  // Guards against a leader that vouches for its tables before it has confirmed its leadership, or by what it knew in an earlier term.
+  it('is named in responses from the first confirmation of the term on, and only with accounts', async () => {
+    const clock = new FakeClock()
+    const lifecycle = createLifecycle()
+    const state = createControlState()
+    const publish = (tables: GatewayTables): unknown => applyCommand(state, { kind: CommandKind.Publish, publication: { tables, document: '', digest: String(tables.version) } })
+    const replicaState = { identity: 'a', address: '10.0.0.9:1', leaderAddress: undefined, members: [], changed: createCondition(clock), role: ReplicaRole.Leader, term: 1, commitIndex: 1, termStartIndex: 1 }
+    let confirmations = 0
+    const confirmRead = (): ResultAsync<number, Failure> => {
+      confirmations++
+      return okAsync(1)
+    }
+    const replica = { state: replicaState, confirmRead } as unknown as Replica
+    const fleet = createFleetLeader({ replica, state, clock, logger: createSilentLogger(), metrics: createMetrics(), lifecycle, knownServers: () => [], getRegion: () => undefined, heartbeatTimeoutMs: 5_000, settleMs: 0 })
+    const host: FleetHost = { name: 'g-1', holder: 'g-1', role: 'gateway', availabilityZone: 'z1', region: 'r1', callerAddress: 'g-1:1', ready: true }
+    const poll = async (): Promise<number | undefined> => {
+      const update = fleet.watch({ host, leadership: '', tablesVersion: 0, fetchesTables: true, serversRevision: 0, hostsRevision: -1, isSettled: false })
+      await clock.advance(20)
+      return (await update)._unsafeUnwrap().tablesAgeMs
+    }
+    publish(tablesOf(1, []))
+    await clock.advance(1_000)
+    expect([await poll(), confirmations], 'without accounts').to.deep.equal([undefined, 0])
+    publish(accountTablesOf(2, [key]))
+    await clock.advance(400)
+    expect(await poll(), 'with accounts').to.be.within(0, 400)
+    replicaState.term = 2
+    expect(await poll(), 'in a new term').to.equal(undefined)
+    await clock.advance(400)
+    expect(await poll(), 'in a new term, confirmed').to.be.within(0, 400)
+    const closed = lifecycle.close()
+    await clock.advance(1_000)
+    await closed
+  })
+})
