Quotas: a shorter approach to the target, known part of unlisted sums

Cause: with slow reports ordinary waves were refused; a host counted its own requests twice for accounts whose sums are not distributed. Change: the target is approached within 600 ms at most; the sums assumed for an unlisted account contain what this host reported.

--- a/src/process/accounts/accountQuotas.ts
+++ b/src/process/accounts/accountQuotas.ts
@@ -138,8 +138,7 @@
     const entry = sums[name]
     return {
       count: entry === undefined ? assumeUnlisted(limit) : readCount(entry),
-      // The sums that are assumed may contain requests of this host; which ones is not known.
-      reported: entry === undefined ? noCount : readCount(reportedUse[name] ?? []),
+      reported: readCount(reportedUse[name] ?? []),
       previousDemand: previousDemand(name),
       ownSince: requests.countAfter(reportedAt),
       ageMs: clock.now() - receivedAt,
@@ -208,8 +207,6 @@
   }
 }
 
-const noCount = readCount([])
-
 /**
  * Reads the counts of an account in a message.
  * @param numbers - the numbers; missing ones are 0
--- a/src/request/placement/accountQuota.ts
+++ b/src/request/placement/accountQuota.ts
@@ -29,6 +29,9 @@
 /** Shortest time in which the target is approached, in milliseconds. */
 const minApproachMs = 300
 
+/** Longest such time, in milliseconds: with a longer one, ordinary waves are refused. */
+const maxApproachMs = 600
+
 /** Share of the target from which the sums of an account are distributed. Below it, one window cannot reach the target before the next sums. */
 const listedShare = 0.6
 
@@ -179,7 +182,7 @@
   const used = own.admitted + Math.max(0, others.admitted + othersGrowth)
   const endingPerMs = (others.ending + own.ending) / endingMs
   const demandPerMs = (others.recent + others.refused + own.recent + own.refused) / recentMs
-  const approachMs = Math.max(minApproachMs, intervalMs * approachFactor)
+  const approachMs = Math.min(maxApproachMs, Math.max(minApproachMs, intervalMs * approachFactor))
   const admittedPerMs = endingPerMs + (target - used) / approachMs
   const admittedShare = admittedPerMs >= demandPerMs ? 1 : Math.max(0, admittedPerMs / demandPerMs)
   const excess = used + 1 - target
