--- a/src/request/placement/accountQuota.ts
+++ b/src/request/placement/accountQuota.ts
@@ -21,11 +21,14 @@
 export const endingMs = 500
 
 /** Part of the tolerated overshoot up to which the hosts aim; the remainder covers what they see too late. */
-const targetShare = 0.2
+const targetShare = 0.1
 
 /** Factor of the delay of the sums in which the target is approached: a shorter time makes the hosts overreact to old sums. */
 const approachFactor = 1.5
 
+/** Time from which a rate is not extended by its random part, in milliseconds: a single request is no rate that lasts a second. */
+const steadyMs = 1_000
+
 /** Shortest time in which the target is approached, in milliseconds. */
 const minApproachMs = 300
 
@@ -174,11 +177,12 @@
   // The reports in the sums are half an interval old on average.
   const delayMs = ageMs + intervalMs / 2
   const demand = count.recent + count.refused
+  const noise = Math.sqrt(demand) * Math.min(1, delayMs / steadyMs)
   // The counts follow a rise over an interval and `recentMs`. Its slope tells where it leads before they have got there.
-  const risePerMs = previousDemand === undefined ? 0 : Math.max(0, demand - previousDemand) / Math.max(1, intervalMs)
+  const risePerMs = previousDemand === undefined ? 0 : Math.max(0, demand - noise - previousDemand) / Math.max(1, intervalMs)
   const rise = risePerMs * (delayMs + recentMs / 2)
   const admittedBefore = count.refused > 0 ? count.recent / demand : 1
-  const othersGrowth = ((others.recent + rise * admittedBefore / 2) / recentMs - others.ending / endingMs) * delayMs
+  const othersGrowth = ((Math.max(0, others.recent - noise) + rise * admittedBefore / 2) / recentMs - others.ending / endingMs) * delayMs
   const used = own.admitted + Math.max(0, others.admitted + othersGrowth)
   const endingPerMs = (others.ending + own.ending) / endingMs
   const demandPerMs = (others.recent + others.refused + own.recent + own.refused) / recentMs
