Idle connections to backend servers are preferred among equal servers

Change: if the chosen server has no idle connection, a server with one is taken whose score is no more than a quarter of a request above it. Only for services whose servers report a slowdown.

--- a/src/connection/backendServerClient.ts
+++ b/src/connection/backendServerClient.ts
@@ -101,6 +101,15 @@
    * @returns what the connection shows
    */
   abstract probe (target: BackendServerTarget): Promise<ServerReachability>
+  /**
+   * Checks whether a request needs no new connection.
+   * @param _target - the server
+   * @param _isRepeatable - whether the request may run again
+   * @returns whether an idle connection is open; never, for a client that keeps none
+   */
+  hasIdleConnection (_target: BackendServerTarget, _isRepeatable: boolean): boolean {
+    return false
+  }
 }
 
 /**
--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -247,9 +247,10 @@
   return undefined
 }
 
-function listCandidates ({ service, origin }: ForwardingProgress, remoteLoad: RemoteLoadEstimate, { tokens }: RequestCost, services: ForwardingServices): ServerCandidate[] {
+function listCandidates ({ service, origin, isRetryable }: ForwardingProgress, remoteLoad: RemoteLoadEstimate, { tokens }: RequestCost, services: ForwardingServices): ServerCandidate[] {
   const { view } = services
   const capacity = view.findService(service)?.memoryTokens ?? 0
+  const hasFigures = view.paceSamples.isReported(service)
   const meanTokens = view.costs.getMeanTokens(service)
   const candidates: ServerCandidate[] = []
   for (const server of view.listReadyServers(service)) {
@@ -265,6 +266,7 @@
       load: Math.max(0, live + remote.batch + view.serverWork.getExtra(server.id) + remote.extraWork),
       live,
       pace: view.getPace(server.id),
+      hasConnection: hasFigures && services.client.hasIdleConnection(server, isRetryable),
       isSuspect: view.isSuspect(server.id),
       isLimited: view.requestLimits.find(server.id) !== undefined,
       failureRate: view.getFailureRate(server.id),
--- a/src/request/placement/serverChoice.ts
+++ b/src/request/placement/serverChoice.ts
@@ -18,6 +18,9 @@
  */
 const limitPenalty = 6
 
+/** Difference of scores up to which a server with an idle connection is preferred, in requests of load; a new connection costs both ends time. */
+const connectionTolerance = 0.25
+
 /** Score added to a server with recent connection failures, in requests of load; such a server is a last resort. */
 const suspectPenalty = 100
 
@@ -47,6 +50,8 @@
   readonly live: number
   /** Duration of work on the server, as a multiple of the mean of its service; undefined if no difference is known. */
   readonly pace?: number | undefined
+  /** Whether the host has an idle connection to the server. */
+  readonly hasConnection?: boolean | undefined
   /** Whether this host or another one suspects the server after a recent connection failure or time-out. */
   readonly isSuspect: boolean
   /** Whether the server names a request limit. */
@@ -59,6 +64,7 @@
 
 interface ScoredServer {
   readonly server: BackendServerRecord
+  readonly hasConnection: boolean
   readonly score: number
   /** Requests that raise the score by 1. */
   readonly share: number
@@ -80,16 +86,16 @@
   const scored: ScoredServer[] = []
   for (const candidate of candidates) {
     if (avoided.has(candidate.server.id)) continue
-    scored.push({ server: candidate.server, score: computeScore(candidate, work) + random() * zonePenalty / 2, share: 1 / (candidate.pace ?? 1) })
+    scored.push({ server: candidate.server, hasConnection: candidate.hasConnection === true, score: computeScore(candidate, work) + random() * zonePenalty / 2, share: 1 / (candidate.pace ?? 1) })
   }
   scored.sort((left, right) => left.score - right.score)
   const level = findLevel(scored, unseenRequests)
   let remaining = random() * unseenRequests
-  for (const { server, score, share } of scored) {
-    remaining -= (level - score) * share
-    if (remaining < 0) return server
+  for (const drawn of scored) {
+    remaining -= (level - drawn.score) * drawn.share
+    if (remaining < 0) return preferConnection(drawn, scored)
   }
-  return scored[0]?.server
+  return scored[0] === undefined ? undefined : preferConnection(scored[0], scored)
 }
 
 /**
@@ -109,6 +115,16 @@
   return chooseByPrefix(sound, parts.join(','))?.server
 }
 
+// Each host has connections to other servers, so this preference does not lead several hosts to the same one.
+function preferConnection (drawn: ScoredServer, scored: readonly ScoredServer[]): BackendServerRecord {
+  if (drawn.hasConnection) return drawn.server
+  for (const { server, score, hasConnection } of scored) {
+    if (score > drawn.score + connectionTolerance) break
+    if (hasConnection) return server
+  }
+  return drawn.server
+}
+
 // Returns the score that the servers below it have once the amount is shared out among them.
 function findLevel (scored: readonly ScoredServer[], amount: number): number {
   let sum = 0
--- a/test/serverConnections.test.ts
+++ b/test/serverConnections.test.ts
@@ -148,6 +148,18 @@
     expect(sockets).to.have.length(1)
   })
 
+  // Guards against a preference for servers to which there is no connection, or one that the request may not use.
+  it('are reported while they are idle, and only for requests that may use them', async () => {
+    const target = { address, id: 's' }
+    expect(client.hasIdleConnection(target, true)).to.equal(false)
+    await send('a')
+    await settle()
+    expect([client.hasIdleConnection(target, true), client.hasIdleConnection(target, false)]).to.deep.equal([true, true])
+    sockets[0]?.destroy()
+    await settle()
+    expect(client.hasIdleConnection(target, true)).to.equal(false)
+  })
+
   // The late refusal of the first attempt has the id of the second one, which runs.
   it('do not carry another attempt of a request that they have carried', async () => {
     respond = (socket, head) => socket.write(`HTTP/1.1 503 Busy\r\nX-Request-Id: ${idOf(head)}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n`)
--- a/test/serverPace.test.ts
+++ b/test/serverPace.test.ts
@@ -136,6 +136,17 @@
   })
 })
 
+describe('choice by idle connections', () => {
+  // Failure: three of five requests opened a new connection, while the host had idle ones to servers that were as good.
+  it('prefers a server with one among about equal ones, and no other', () => {
+    const choose = (...candidates: ServerCandidate[]): string | undefined => chooseServer(candidates, new Set(), () => 0.5)?.id
+    const connected = (load: number): ServerCandidate => ({ ...candidateOf('connected', load), hasConnection: true })
+    expect(choose(candidateOf('other', 2), connected(2.2))).to.equal('connected')
+    expect(choose(candidateOf('other', 2), connected(3))).to.equal('other')
+    expect(choose({ ...candidateOf('first', 2), hasConnection: true }, connected(1.9))).to.equal('connected')
+  })
+})
+
 describe('placement on servers that differ in speed', () => {
   const load = { durationMs: 30_000, waves: [0.377, 1.84], waveMs: 3_500, placement: Placement.Estimated, plansByMean: true }
   const uneven = { speeds: [0.7, 0.7, 1.7], spellFactor: 2.5, spellMs: 1_500, calmMs: 6_000, unseenShare: 0.4 }
