Cost of requests counts for those that wait, not for the load

Idle slots beside long requests were left free. Change: the requests beyond the free slots count with the mean work of the requests on the server; those with a slot count as one each.

--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -16,7 +16,7 @@
 import { canContinue, decideResumption, isResumption, mayContinue } from './streamContinuation.ts'
 import { acquirePermit } from './requestPermit.ts'
 import { createRequestTraits, listTraits } from './requestTraits.ts'
-import { type CostedRequest, fitsMemory, type RequestCost } from './placement/requestCost.ts'
+import { computeMeanWork, type CostedRequest, fitsMemory, type RequestCost } from './placement/requestCost.ts'
 import { chooseServer, chooseServerByPrefix, type ServerCandidate } from './placement/serverChoice.ts'
 
 /** Live requests that may queue at a backend server beyond its slots; with 8 slots and responses of about 0.7 s, each waits about 90 ms. */
@@ -263,9 +263,10 @@
     if (!fitsMemory({ capacity, held }, tokens)) continue
     candidates.push({
       server,
-      load: Math.max(0, live + remote.batch + view.serverWork.getExtra(server.id) + remote.extraWork),
+      load: live + remote.batch,
       live,
       pace: view.getPace(server.id),
+      meanWork: hasFigures ? computeMeanWork(live, view.serverWork.getExtra(server.id) + remote.extraWork) : 1,
       hasConnection: hasFigures && services.client.hasIdleConnection(server, isRetryable),
       isSuspect: view.isSuspect(server.id),
       isLimited: view.requestLimits.find(server.id) !== undefined,
--- a/src/request/placement/requestCost.ts
+++ b/src/request/placement/requestCost.ts
@@ -2,8 +2,8 @@
  * The work that a request is likely to be for a backend server, and the memory that it is likely to hold there.
  *
  * Load pattern: requests that look alike cost servers very different amounts of work. A stream occupies a slot for as long as its
- * output, which callers only estimate: right at the median, and often far off. Counted as one each, a few long requests overload
- * a server that looks as idle as the others. So the length is the usual one of the route, and a caller's estimate moves it as far as such estimates
+ * output, which callers only estimate: right at the median, and often far off. A request in the queue behind long ones waits for
+ * longer than the number of requests says. So the length is the usual one of the route, and a caller's estimate moves it as far as such estimates
  * have proved right.
  */
 
@@ -135,6 +135,16 @@
   }
 }
 
+/**
+ * Computes the mean work of the requests on a server: a queue behind long requests moves slowly.
+ * @param requests - number of the requests
+ * @param extraWork - their work beyond that number, in usual requests
+ * @returns the mean, in usual requests
+ */
+export function computeMeanWork (requests: number, extraWork: number): number {
+  return Math.min(maxWork, Math.max(minWork, 1 + extraWork / Math.max(1, requests)))
+}
+
 /** Memory of a server, in tokens. */
 export interface ServerMemory {
   /** Memory that the service states; 0 if it states none. */
--- a/src/request/placement/serverChoice.ts
+++ b/src/request/placement/serverChoice.ts
@@ -50,6 +50,8 @@
   readonly live: number
   /** Duration of work on the server, as a multiple of the mean of its service; undefined if no difference is known. */
   readonly pace?: number | undefined
+  /** Mean work of the requests on the server, in usual requests; undefined if no difference is known. */
+  readonly meanWork?: number | undefined
   /** Whether the host has an idle connection to the server. */
   readonly hasConnection?: boolean | undefined
   /** Whether this host or another one suspects the server after a recent connection failure or time-out. */
@@ -137,10 +139,11 @@
   return count === 0 ? 0 : (sum + amount) / count
 }
 
-function computeScore ({ server, load, pace = 1, isSuspect, isLimited, failureRate, isSameZone, isSameRegion }: ServerCandidate, work: number): number {
+function computeScore ({ server, load, pace = 1, meanWork = 1, isSuspect, isLimited, failureRate, isSameZone, isSameRegion }: ServerCandidate, work: number): number {
   const distancePenalty = isSameZone ? 0 : isSameRegion ? zonePenalty : regionPenalty
   const failurePenalty = failureRate > failureTolerance ? failureRate * maxFailurePenalty : 0
-  // The request waits until those beyond the free slots have ended, and then for its own first event; both take longer at a slow server.
+  // The request waits until those beyond the free slots have ended, and then for its own first event; both take longer at a slow server. The work
+  // of the requests that have a slot counts for nothing more than their slots: weighted by it, idle slots are left free beside long requests.
   const queued = Math.max(0, load + 1 - server.slots)
-  return load + (queued + work) * (pace - 1) + distancePenalty + failurePenalty + (isLimited ? limitPenalty : 0) + (isSuspect ? suspectPenalty : 0)
+  return load + queued * (pace * meanWork - 1) + work * (pace - 1) + distancePenalty + failurePenalty + (isLimited ? limitPenalty : 0) + (isSuspect ? suspectPenalty : 0)
 }
--- a/test/requestCost.test.ts
+++ b/test/requestCost.test.ts
@@ -5,9 +5,11 @@
 import { listServerLoads } from '../src/process/fleet/serverLoads.ts'
 import { createServerWork } from '../src/process/fleet/serverWork.ts'
 import { createSeededRandom } from '../src/process/program/random.ts'
-import { type CostedRequest, createCostEstimator, fitsMemory } from '../src/request/placement/requestCost.ts'
+import { chooseServer, type ServerCandidate } from '../src/request/placement/serverChoice.ts'
+import { computeMeanWork, type CostedRequest, createCostEstimator, fitsMemory } from '../src/request/placement/requestCost.ts'
 import { runForwardedRequest } from '../src/request/forwardedRequest.ts'
-import { forwardingServicesOf, RecordedResponse, requestOf, routeOf, ScriptedServers, tablesOf } from './support/fakeFleet.ts'
+import { forwardingServicesOf, RecordedResponse, requestOf, routeOf, ScriptedServers, recordOf, tablesOf } from './support/fakeFleet.ts'
+import { Placement, replayLoad } from './support/loadReplay.ts'
 
 function requestWith (hintedTokens: number | undefined, promptTokens = 450): CostedRequest {
   return { route: 'r', service: 's', declared: { promptTokens, maxOutputTokens: 400, hintedTokens }, sharedTokens: 200 }
@@ -87,3 +89,27 @@
     expect(services.map(({ memoryTokens }) => memoryTokens)).to.deep.equal([72_000, undefined])
   })
 })
+
+describe('choice by cost', () => {
+  // Failure: the first event waited behind a queue of long requests while a queue of the same length moved faster.
+  it('avoids a queue of long requests, and no free slot beside them', () => {
+    const candidateOf = (id: string, load: number, meanWork: number): ServerCandidate => ({ server: recordOf(id), load, live: load, meanWork, isSuspect: false, isLimited: false, failureRate: 0, isSameZone: true, isSameRegion: true })
+    const choose = (...candidates: ServerCandidate[]): string | undefined => chooseServer(candidates, new Set(), () => 0.5)?.id
+    expect(choose(candidateOf('long', 9, 3), candidateOf('usual', 9.5, 1))).to.equal('usual')
+    expect(choose(candidateOf('long', 5, 3), candidateOf('usual', 6, 1))).to.equal('long')
+    expect([computeMeanWork(4, 8), computeMeanWork(0, 1e9), computeMeanWork(4, -4)]).to.deep.equal([3, 8, 0.25])
+  })
+
+  // Failure of a first version, which weighted the whole load by the work: idle slots beside long requests were left free, and the
+  // share of live requests in time fell from 0.98 to 0.94.
+  it('serves no fewer live requests in time than the choice by number, whatever hints are worth', function () {
+    this.timeout(60_000)
+    const load = { durationMs: 30_000, waves: [0.377, 1.84], waveMs: 3_500, hosts: 80, servers: 40, liveRate: 140, itemRate: 14, placement: Placement.Estimated, plansByMean: true }
+    const seeds = [1, 2, 3, 4]
+    for (const hintSpread of [1.5, 4]) {
+      const mean = (usesCost: boolean): number => seeds.reduce((sum, seed) => sum + replayLoad({ ...load, seed, lengths: { spread: 3, hintSpread }, usesCost }).liveInTime, 0) / seeds.length
+      const [byCost, byNumber] = [mean(true), mean(false)]
+      expect(byCost, JSON.stringify({ byCost, byNumber, hintSpread, seeds })).to.be.at.least(byNumber - 0.02)
+    }
+  })
+})
--- a/test/support/loadReplay.ts
+++ b/test/support/loadReplay.ts
@@ -7,8 +7,10 @@
 import { orderByUrgency, planBatch } from '../../src/request/placement/batchPlan.ts'
 import { planLive } from '../../src/request/placement/plannedLive.ts'
 import { chooseServer, type ServerCandidate } from '../../src/request/placement/serverChoice.ts'
+import { computeMeanWork, createCostEstimator, type CostEstimator, type CostedRequest } from '../../src/request/placement/requestCost.ts'
 import { createServerPaces } from '../../src/request/placement/serverPace.ts'
 import { estimateLoad } from '../../src/request/placement/staleLoad.ts'
+import { createServerWork, type ReportedWorks, type ServerWork } from '../../src/process/fleet/serverWork.ts'
 import { createSeededRandom } from '../../src/process/program/random.ts'
 import { recordOf } from './fakeFleet.ts'
 import { createReplaySpeeds, type SpeedSettings } from './replaySpeeds.ts'
@@ -41,6 +43,10 @@
   readonly plansByMean: boolean
   /** Speeds of the servers; all are alike and steady if it is undefined. */
   readonly speeds?: SpeedSettings | undefined
+  /** Spread of the lengths of live requests, and of what callers estimate of them, as factors of one standard deviation; all are alike if it is undefined. */
+  readonly lengths?: { readonly spread: number, readonly hintSpread: number } | undefined
+  /** Whether hosts choose by the likely cost of requests. */
+  readonly usesCost?: boolean | undefined
   /** Whether hosts choose by the pace of servers. */
   readonly usesPace?: boolean | undefined
 }
@@ -94,6 +100,10 @@
 
 interface Request {
   readonly host: number
+  /** Length as a multiple of the usual one. */
+  readonly length: number
+  readonly costed: CostedRequest
+  removeWork: () => void
   readonly arrivedAt: number
   readonly avoided: Set<string>
   attempts: number
@@ -101,7 +111,7 @@
 
 interface Work { readonly request: Request | undefined, readonly item: Item | undefined, readonly run: number }
 
-interface Host { readonly own: number[], sums: readonly number[], batch: readonly number[], sumsAt: number, readonly peak: LivePeak, paces: ReadonlyMap<string, number>, samples: Array<{ readonly server: string, readonly slowdown: number | undefined, readonly eventMs: number | undefined }> }
+interface Host { readonly own: number[], sums: readonly number[], batch: readonly number[], sumsAt: number, readonly peak: LivePeak, paces: ReadonlyMap<string, number>, samples: Array<{ readonly server: string, readonly slowdown: number | undefined, readonly eventMs: number | undefined }>, readonly costs: CostEstimator, readonly work: ServerWork, extraWork: ReadonlyMap<string, number> }
 
 /**
  * Replays a load.
@@ -118,7 +128,8 @@
   const records = Array.from({ length: serverCount }, (_, server) => recordOf(`s-${server}`))
   const running: Work[][] = records.map(() => [])
   const queues: Work[][] = records.map(() => [])
-  const hosts: Host[] = Array.from({ length: hostCount }, () => ({ own: zeros(), sums: zeros(), batch: zeros(), sumsAt: 0, peak: createLivePeak(), paces: new Map(), samples: [] }))
+  const hosts: Host[] = Array.from({ length: hostCount }, () => ({ own: zeros(), sums: zeros(), batch: zeros(), sumsAt: 0, peak: createLivePeak(), paces: new Map(), samples: [], costs: createCostEstimator(), work: createServerWork(), extraWork: new Map() }))
+  const reportedWork = new Map<number, ReportedWorks>()
   const speeds = settings.speeds === undefined ? undefined : createReplaySpeeds(settings.speeds, serverCount, durationMs, settings.seed)
   const paces = createServerPaces()
   const firstOutputs: number[] = []
@@ -151,6 +162,19 @@
     return batch
   }
 
+  // A normal distribution of the logarithm, with a mean of 1.
+  function drawFactor (spread: number): number {
+    const normal = Math.sqrt(-2 * Math.log(1 - random.next())) * Math.cos(2 * Math.PI * random.next())
+    return Math.exp(Math.log(spread) * normal - Math.log(spread) ** 2 / 2)
+  }
+
+  function createRequest (): Request {
+    const { lengths } = settings
+    const length = lengths === undefined ? 1 : drawFactor(lengths.spread)
+    const hintedTokens = lengths === undefined ? undefined : Math.round(eventsPerRequest * length * drawFactor(lengths.hintSpread))
+    return { host: random.below(hostCount), length, costed: { route: 'r', service, declared: { promptTokens: 450, maxOutputTokens: 400, hintedTokens }, sharedTokens: 200 }, removeWork () {}, arrivedAt: now, avoided: new Set(), attempts: 0 }
+  }
+
   function choose (request: Request): number | undefined {
     const host = hosts[request.host] as Host
     const remote = host.sums.map((sum, server) => Math.max(0, sum - (reported[request.host]?.[server] ?? 0)))
@@ -162,14 +186,14 @@
       const live = (host.own[server] ?? 0) + (remote[server] ?? 0) * estimate.remainingShare
       const pace = settings.usesPace === true ? host.paces.get(record.id) ?? 1 : 1
       if (live >= slots + plannedQueue) continue
-      candidates.push({ server: record, load: live + (host.batch[server] ?? 0), live, pace, isSuspect: false, isLimited: false, failureRate: 0, isSameZone: true, isSameRegion: true })
+      candidates.push({ server: record, load: live + (host.batch[server] ?? 0), meanWork: settings.usesCost === true ? computeMeanWork(live, host.work.getExtra(record.id) + (host.extraWork.get(record.id) ?? 0) * estimate.remainingShare) : 1, live, pace, isSuspect: false, isLimited: false, failureRate: 0, isSameZone: true, isSameRegion: true })
     }
     if (settings.placement === Placement.Random) {
       const open = candidates.filter(({ server }) => !request.avoided.has(server.id))
       const drawn = open[random.below(Math.max(1, open.length))]
       return drawn === undefined ? undefined : records.indexOf(drawn.server)
     }
-    const chosen = chooseServer(candidates, request.avoided, () => random.next(), estimate.unseenRequests)
+    const chosen = chooseServer(candidates, request.avoided, () => random.next(), estimate.unseenRequests, settings.usesCost === true ? host.costs.estimate(request.costed).work : 1)
     return chosen === undefined ? undefined : records.indexOf(chosen)
   }
 
@@ -183,10 +207,12 @@
     }
     const host = hosts[request.host] as Host
     host.own[server] = (host.own[server] ?? 0) + 1
+    request.removeWork = host.work.add(`s-${server}`, host.costs.estimate(request.costed))
     schedule(1, () => {
       counts.arrivals++
       if (accept(server, { request, item: undefined, run: 0 })) return
       host.own[server] = (host.own[server] ?? 0) - 1
+      request.removeWork()
       request.avoided.add(`s-${server}`)
       if (++request.attempts < maxAttempts) place(request)
       else firstOutputs.push(patienceMs)
@@ -211,11 +237,13 @@
       firstOutputs.push(firstMs)
       if (firstMs <= objectiveMs) counts.liveInTime++
       const host = hosts[request.host] as Host
-      const runMs = takeTime(server, liveMs * (0.7 + 0.6 * random.next()))
+      const runMs = takeTime(server, liveMs * request.length * (0.7 + 0.6 * random.next()))
       if (speeds !== undefined) host.samples.push({ server: `s-${server}`, slowdown: speeds.report(server, now), eventMs: undefined })
       schedule(runMs, () => {
         if (speeds !== undefined) host.samples.push({ server: `s-${server}`, slowdown: undefined, eventMs: runMs / eventsPerRequest })
         host.own[server] = (host.own[server] ?? 0) - 1
+        request.removeWork()
+        host.costs.record(request.costed, eventsPerRequest * request.length)
         finish(server, work)
       })
     }
@@ -291,15 +319,22 @@
     const host = hosts[index] as Host
     const own = [...host.own]
     const samples = host.samples.splice(0)
+    const ownWork = host.work.describe() ?? {}
     schedule(transitMs, () => {
       for (const { server, ...sample } of samples) paces.record(server, service, sample, now)
       const currentPaces = paces.list(now)
       for (const [server, count] of own.entries()) sums[server] = (sums[server] ?? 0) + count - (reported[index]?.[server] ?? 0)
       reported[index] = own
+      reportedWork.set(index, ownWork)
+      const extraWork = new Map<string, number>()
+      for (const [other, works] of reportedWork) {
+        if (other === index) continue
+        for (const [id, [extra]] of Object.entries(works)) extraWork.set(id, (extraWork.get(id) ?? 0) + extra)
+      }
       const current = [...sums]
       const batch = batchCounts()
       schedule(transitMs, () => {
-        Object.assign(host, { sums: current, batch, sumsAt: now - transitMs, paces: currentPaces })
+        Object.assign(host, { sums: current, batch, sumsAt: now - transitMs, paces: currentPaces, extraWork })
         host.peak.record(current.reduce((sum, count) => sum + count, 0), now)
       })
     })
@@ -309,7 +344,7 @@
   function arriveLive (): void {
     const factor = settings.waves[Math.floor(now / settings.waveMs) % settings.waves.length] ?? 1
     counts.live++
-    place({ host: random.below(hostCount), arrivedAt: now, avoided: new Set(), attempts: 0 })
+    place(createRequest())
     schedule(exponential(settings.liveRate * factor / 1_000), arriveLive)
   }
 
