--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -18,7 +18,7 @@
 import { acquirePermit } from './requestPermit.ts'
 import { createRequestTraits, listTraits } from './requestTraits.ts'
 import { decidePlaces, hasRoom, type LivePlaces, maxQueuedPerServer, ordinaryPlaces } from './placement/competition.ts'
-import { type CostedRequest, fitsMemory, type RequestCost } from './placement/requestCost.ts'
+import { computeMeanWork, type CostedRequest, fitsMemory, type RequestCost } from './placement/requestCost.ts'
 import { chooseServer, chooseServerByPrefix, type ServerCandidate } from './placement/serverChoice.ts'
 
 /** Share of the objective of the route within which a request that finds no free slot is refused, so that the refusal comes early. */
@@ -270,9 +270,10 @@
 }
 
 function listCandidates (progress: ForwardingProgress, remoteLoad: RemoteLoadEstimate, { tokens }: RequestCost, services: ForwardingServices): ServerCandidate[] {
-  const { service, origin, runs, isResponseStarted, isResumption, places } = progress
+  const { service, origin, isRetryable, runs, isResponseStarted, isResumption, places } = progress
   const { view } = services
   const capacity = view.findService(service)?.memoryTokens ?? 0
+  const hasFigures = view.paceSamples.isReported(service)
   const meanTokens = view.costs.getMeanTokens(service)
   const candidates: ServerCandidate[] = []
   const { maxQueued, reservedShare } = runs > 0 || isResponseStarted || isResumption ? ordinaryPlaces : places
@@ -289,9 +290,11 @@
     if (!fitsMemory({ capacity, held }, tokens)) continue
     candidates.push({
       server,
-      load: Math.max(0, live + remote.batch + view.serverWork.getExtra(server.id) + remote.extraWork),
+      load: live + remote.batch,
       live,
       pace: view.getPace(server.id),
+      meanWork: hasFigures ? computeMeanWork(live, view.serverWork.getExtra(server.id) + remote.extraWork) : 1,
+      hasConnection: hasFigures && services.client.hasIdleConnection(server, isRetryable),
       isSuspect: view.isSuspect(server.id),
       isLimited: view.requestLimits.find(server.id) !== undefined,
       failureRate: view.getFailureRate(server.id),
--- a/src/request/placement/serverChoice.ts
+++ b/src/request/placement/serverChoice.ts
@@ -18,6 +18,9 @@
  */
 const limitPenalty = 6
 
+/** Difference of scores up to which a server with an idle connection is preferred, in requests of load; a new connection costs both ends time. */
+const connectionTolerance = 0.25
+
 /** Score added to a server with recent connection failures, in requests of load; such a server is a last resort. */
 const suspectPenalty = 100
 
@@ -47,6 +50,10 @@
   readonly live: number
   /** Duration of work on the server, as a multiple of the mean of its service; undefined if no difference is known. */
   readonly pace?: number | undefined
+  /** Mean work of the requests on the server, in usual requests; undefined if no difference is known. */
+  readonly meanWork?: number | undefined
+  /** Whether the host has an idle connection to the server. */
+  readonly hasConnection?: boolean | undefined
   /** Whether this host or another one suspects the server after a recent connection failure or time-out. */
   readonly isSuspect: boolean
   /** Whether the server names a request limit. */
@@ -59,6 +66,7 @@
 
 interface ScoredServer {
   readonly server: BackendServerRecord
+  readonly hasConnection: boolean
   readonly score: number
   /** Requests that raise the score by 1. */
   readonly share: number
@@ -80,16 +88,16 @@
   const scored: ScoredServer[] = []
   for (const candidate of candidates) {
     if (avoided.has(candidate.server.id)) continue
-    scored.push({ server: candidate.server, score: computeScore(candidate, work) + random() * zonePenalty / 2, share: 1 / (candidate.pace ?? 1) })
+    scored.push({ server: candidate.server, hasConnection: candidate.hasConnection === true, score: computeScore(candidate, work) + random() * zonePenalty / 2, share: 1 / (candidate.pace ?? 1) })
   }
   scored.sort((left, right) => left.score - right.score)
   const level = findLevel(scored, unseenRequests)
   let remaining = random() * unseenRequests
-  for (const { server, score, share } of scored) {
-    remaining -= (level - score) * share
-    if (remaining < 0) return server
+  for (const drawn of scored) {
+    remaining -= (level - drawn.score) * drawn.share
+    if (remaining < 0) return preferConnection(drawn, scored)
   }
-  return scored[0]?.server
+  return scored[0] === undefined ? undefined : preferConnection(scored[0], scored)
 }
 
 /**
@@ -109,6 +117,16 @@
   return chooseByPrefix(sound, parts.join(','))?.server
 }
 
+// Each host has connections to other servers, so this preference does not lead several hosts to the same one.
+function preferConnection (drawn: ScoredServer, scored: readonly ScoredServer[]): BackendServerRecord {
+  if (drawn.hasConnection) return drawn.server
+  for (const { server, score, hasConnection } of scored) {
+    if (score > drawn.score + connectionTolerance) break
+    if (hasConnection) return server
+  }
+  return drawn.server
+}
+
 // Returns the score that the servers below it have once the amount is shared out among them.
 function findLevel (scored: readonly ScoredServer[], amount: number): number {
   let sum = 0
@@ -121,10 +139,11 @@
   return count === 0 ? 0 : (sum + amount) / count
 }
 
-function computeScore ({ server, load, pace = 1, isSuspect, isLimited, failureRate, isSameZone, isSameRegion }: ServerCandidate, work: number): number {
+function computeScore ({ server, load, pace = 1, meanWork = 1, isSuspect, isLimited, failureRate, isSameZone, isSameRegion }: ServerCandidate, work: number): number {
   const distancePenalty = isSameZone ? 0 : isSameRegion ? zonePenalty : regionPenalty
   const failurePenalty = failureRate > failureTolerance ? failureRate * maxFailurePenalty : 0
-  // The request waits until those beyond the free slots have ended, and then for its own first event; both take longer at a slow server.
+  // The request waits until those beyond the free slots have ended, and then for its own first event; both take longer at a slow server. The work
+  // of the requests that have a slot counts for nothing more than their slots: weighted by it, idle slots are left free beside long requests.
   const queued = Math.max(0, load + 1 - server.slots)
-  return load + (queued + work) * (pace - 1) + distancePenalty + failurePenalty + (isLimited ? limitPenalty : 0) + (isSuspect ? suspectPenalty : 0)
+  return load + queued * (pace * meanWork - 1) + work * (pace - 1) + distancePenalty + failurePenalty + (isLimited ? limitPenalty : 0) + (isSuspect ? suspectPenalty : 0)
 }
