--- a/src/process/fleet/servicePlanner.ts
+++ b/src/process/fleet/servicePlanner.ts
@@ -3,10 +3,9 @@
  * `src/request/placement/` to it. The recent course of live requests is the only state; a new leader collects it anew.
  * @module
  */
-import { type BatchPlan, type ItemUrgency, orderByUrgency, planBatch, type PlannedServer, type Resumption } from '../../request/placement/batchPlan.ts'
-import { endingMs, type OccupiedServer, planInterruptions } from '../../request/placement/itemInterruptions.ts'
-import { countExcessItems } from '../../request/placement/itemRoom.ts'
-import { selectStarts } from '../../request/placement/itemStarts.ts'
+import { type BatchPlan, type ItemUrgency, orderByUrgency, type PlannedServer, type Resumption } from '../../request/placement/batchPlan.ts'
+import type { OccupiedServer } from '../../request/placement/itemInterruptions.ts'
+import { planItems } from '../../request/placement/itemPlan.ts'
 import { createLiveWaves, type LiveCourse, type LiveWaves } from '../../request/placement/liveWaves.ts'
 import { followLive, planLive } from '../../request/placement/plannedLive.ts'
 import type { Clock } from '../program/clock.ts'
@@ -17,9 +16,6 @@
 import { countSavedEvents, type OpenItem } from './openItems.ts'
 import type { ServerBackoffs } from './serverBackoffs.ts'
 
-/** Duration of a live request that is assumed before any was reported, in milliseconds. */
-const initialRequestMs = 700
-
 /** Dependencies of the planner. */
 export interface ServicePlannerInputs {
   readonly fleet: Pick<FleetLeader, 'getLoad' | 'isSuspect' | 'permits' | 'reportIntervalMs' | 'requestMs'>
@@ -136,18 +132,13 @@
         course: recordLive(service, live)
       }
     },
-    plan ({ service, servers, occupied, course }, waiting) {
-      const urgencies = describeUrgency(waiting?.entries ?? [])
-      if (!course.hasWaves) return planBatch(servers, urgencies.map(({ key }) => key), waiting?.resumptions)
-      const traffic = { requestMs: fleet.requestMs, objectiveMs: routes.findLiveObjectiveMs(service) }
-      const runningMs = occupied.flatMap(({ items }) => items.map(({ remainingMs }) => remainingMs))
-      let slots = 0
-      for (const server of occupied) slots += server.slots
-      const selected = selectStarts({ waiting: urgencies, runningMs, slots, course, requestMs: fleet.requestMs ?? initialRequestMs })
-      const staying = runningMs.filter(remainingMs => remainingMs > endingMs)
-      const { starts } = planBatch(servers, selected.map(({ key }) => key), waiting?.resumptions)
-      return { starts, interruptions: planInterruptions(occupied, countExcessItems({ ...traffic, ...course, slots, items: staying.length }), traffic) }
-    },
+    plan: ({ service, ...situation }, waiting) => planItems({
+      ...situation,
+      waiting: describeUrgency(waiting?.entries ?? []),
+      resumptions: waiting?.resumptions,
+      requestMs: fleet.requestMs,
+      objectiveMs: routes.findLiveObjectiveMs(service)
+    }),
     clear: () => waves.clear()
   }
 }
--- a/src/request/placement/itemStarts.ts
+++ b/src/request/placement/itemStarts.ts
@@ -17,10 +17,10 @@
 const steps = 24
 
 /** Run times that an item that is started in time has left until it is due; one of them makes up for an interruption. */
-const reservedRuns = 1.5
+const reservedRuns = 2
 
 /** Time until the next wave below which no item is started that it is going to interrupt, in milliseconds. */
-const minTroughRunMs = 1_000
+const minTroughRunMs = 400
 
 /** Items of a service, and the live requests beside them. */
 export interface ItemQueue {
--- a/test/support/loadReplay.ts
+++ b/test/support/loadReplay.ts
@@ -6,9 +6,7 @@
 import { createLivePeak, type LivePeak } from '../../src/request/placement/livePeak.ts'
 import { type BatchPlan, type ItemUrgency, orderByUrgency, planBatch } from '../../src/request/placement/batchPlan.ts'
 import { createLiveWaves } from '../../src/request/placement/liveWaves.ts'
-import { endingMs, planInterruptions } from '../../src/request/placement/itemInterruptions.ts'
-import { countExcessItems } from '../../src/request/placement/itemRoom.ts'
-import { selectStarts } from '../../src/request/placement/itemStarts.ts'
+import { planItems } from '../../src/request/placement/itemPlan.ts'
 import { followLive, planLive } from '../../src/request/placement/plannedLive.ts'
 import { chooseServer, type ServerCandidate } from '../../src/request/placement/serverChoice.ts'
 import { estimateLoad } from '../../src/request/placement/staleLoad.ts'
@@ -251,23 +249,25 @@
     else queues[server]?.splice(queues[server]?.findIndex(other => other.item === item) ?? 0, 1)
   }
 
-  // The order of rules as in the batch runner of the product.
-  function planKept (): { starts: BatchPlan['starts'], interruptions: readonly string[] } {
-    const live = sums.reduce((sum, count) => sum + count, 0)
-    const course = waves.record(live, now)
-    const traffic = { requestMs: liveMs, objectiveMs }
-    const urgencyOf = (item: Item): ItemUrgency => ({ key: item.key, dueInMs: item.dueAt - now, remainingMs: item.server === undefined ? item.remainingMs : Math.max(0, item.remainingMs - Math.max(0, now - item.startedAt)) })
+  // Estimates of remaining run times are exact here; in the product they follow from the average of earlier items.
+  function describeUrgency (item: Item): ItemUrgency {
+    const ranMs = item.server === undefined ? 0 : Math.max(0, now - item.startedAt)
+    return { key: item.key, dueInMs: item.dueAt - now, remainingMs: Math.max(0, item.remainingMs - ranMs) }
+  }
+
+  function planKept (): BatchPlan {
+    const planned = planLive(sums, reportIntervalMs)
+    const followed = followLive(sums, reportIntervalMs)
     const running = items.filter(item => item.server !== undefined && !item.isInterrupted)
-    const excess = countExcessItems({ ...traffic, ...course, slots: slots * serverCount, items: running.filter(item => urgencyOf(item).remainingMs > endingMs).length })
-    const current = followLive(sums, reportIntervalMs)
-    const occupied = records.map((record, server) => ({ id: record.id, slots, live: current[server] ?? 0, items: running.filter(item => item.server === server).map(urgencyOf) }))
-    const waiting = orderByUrgency(items.filter(item => item.server === undefined).map(urgencyOf))
-    const selected = selectStarts({ waiting, runningMs: running.map(item => urgencyOf(item).remainingMs), slots: slots * serverCount, course, requestMs: liveMs })
-    const plannedLive = planLive(sums, reportIntervalMs)
-    const planned = occupied.map(({ id, items }, server) => ({ id, slots, live: plannedLive[server] ?? 0, items: orderByUrgency(items).map(({ key }) => key), canStartItems: true, maxStarts: Infinity }))
-    if (!course.hasWaves) return planBatch(planned, waiting.map(({ key }) => key))
-    const { starts } = planBatch(planned, selected.map(({ key }) => key))
-    return { starts, interruptions: planInterruptions(occupied, excess, traffic) }
+    const occupied = records.map(({ id }, server) => ({ id, slots, live: followed[server] ?? 0, items: running.filter(item => item.server === server).map(describeUrgency) }))
+    return planItems({
+      servers: occupied.map(({ id, items }, server) => ({ id, slots, live: planned[server] ?? 0, items: orderByUrgency(items).map(({ key }) => key), canStartItems: true, maxStarts: Infinity })),
+      occupied,
+      course: waves.record(sums.reduce((sum, count) => sum + count, 0), now),
+      waiting: orderByUrgency(items.filter(item => item.server === undefined).map(describeUrgency)),
+      requestMs: liveMs,
+      objectiveMs
+    })
   }
 
   function plan (): void {
