--- a/src/process/fleet/servicePlanner.ts
+++ b/src/process/fleet/servicePlanner.ts
@@ -5,6 +5,7 @@
  */
 import { type BatchPlan, type ItemUrgency, orderByUrgency, type PlannedServer, type Resumption } from '../../request/placement/batchPlan.ts'
 import type { OccupiedServer } from '../../request/placement/itemInterruptions.ts'
+import { createItemOverload, type ItemOverload } from '../../request/placement/itemOverload.ts'
 import { planItems } from '../../request/placement/itemPlan.ts'
 import { createLiveWaves, type LiveCourse, type LiveWaves } from '../../request/placement/liveWaves.ts'
 import { followLive, planLive } from '../../request/placement/plannedLive.ts'
@@ -66,7 +67,7 @@
    * @returns the items to start and to interrupt
    */
   plan (situation: ServiceSituation, waiting: WaitingItems | undefined): BatchPlan
-  /** Forgets the course of live requests. */
+  /** Forgets the course of live requests and overloads. */
   clear (): void
 }
 
@@ -78,6 +79,7 @@
 export function createServicePlanner (inputs: ServicePlannerInputs): ServicePlanner {
   const { fleet, routes, backoffs, durationEstimator, clock } = inputs
   const waves = new Map<string, LiveWaves>()
+  const overloads = new Map<string, ItemOverload>()
 
   function recordLive (service: string, live: readonly number[]): LiveCourse {
     const known = waves.get(service) ?? createLiveWaves()
@@ -87,6 +89,12 @@
     return known.record(sum, clock.now())
   }
 
+  function findOverload (service: string): ItemOverload {
+    const known = overloads.get(service) ?? createItemOverload()
+    overloads.set(service, known)
+    return known
+  }
+
   function describeUrgency (entries: readonly OpenItem[]): ItemUrgency[] {
     const now = clock.wallTime()
     return entries.map(entry => ({
@@ -134,11 +142,16 @@
     },
     plan: ({ service, ...situation }, waiting) => planItems({
       ...situation,
+      overload: findOverload(service),
+      now: clock.now(),
       waiting: describeUrgency(waiting?.entries ?? []),
       resumptions: waiting?.resumptions,
       requestMs: fleet.requestMs,
       objectiveMs: routes.findLiveObjectiveMs(service)
     }),
-    clear: () => waves.clear()
+    clear () {
+      waves.clear()
+      overloads.clear()
+    }
   }
 }
--- a/src/request/placement/batchPlan.ts
+++ b/src/request/placement/batchPlan.ts
@@ -3,9 +3,6 @@
  * @module
  */
 
-/** Difference of the due times of items up to which they count as equally urgent, in milliseconds; a small part of the run time of an item. */
-const equalUrgencyMs = 1_000
-
 /** Backend server with the load that the plan takes into account. */
 export interface PlannedServer {
   readonly id: string
@@ -52,8 +49,7 @@
 
 /**
  * Orders items by urgency: items that can still be on time come first, by due time and then by remaining run time. Items
- * that will be late in any case come last, since they would otherwise delay all items behind them. Items that are due at about the same
- * time are equally urgent; the one that ends first makes room for the others.
+ * that will be late in any case come last, since they would otherwise delay all items behind them.
  * @param items - the items
  * @returns the items, the most urgent first
  */
@@ -61,14 +57,10 @@
   const isOnTime = (item: ItemUrgency): boolean => item.dueInMs > item.remainingMs
   return [...items].sort((left, right) => {
     if (isOnTime(left) !== isOnTime(right)) return isOnTime(left) ? -1 : 1
-    return toUrgency(left) - toUrgency(right) || left.remainingMs - right.remainingMs || left.dueInMs - right.dueInMs
+    return left.dueInMs - right.dueInMs || left.remainingMs - right.remainingMs
   })
 }
 
-function toUrgency ({ dueInMs }: ItemUrgency): number {
-  return Math.floor(dueInMs / equalUrgencyMs)
-}
-
 /** Software version at which an item may resume from its saved progress. */
 export interface Resumption {
   readonly softwareVersion: string
--- a/src/request/placement/itemPlan.ts
+++ b/src/request/placement/itemPlan.ts
@@ -6,6 +6,7 @@
  */
 import { type BatchPlan, type ItemUrgency, planBatch, type PlannedServer, type Resumption } from './batchPlan.ts'
 import { endingMs, type OccupiedServer, planInterruptions } from './itemInterruptions.ts'
+import type { ItemOverload } from './itemOverload.ts'
 import { countExcessItems } from './itemRoom.ts'
 import { selectStarts } from './itemStarts.ts'
 import type { LiveCourse } from './liveWaves.ts'
@@ -25,6 +26,10 @@
   readonly waiting: readonly ItemUrgency[]
   /** Items that may resume, by key. */
   readonly resumptions?: ReadonlyMap<string, Resumption> | undefined
+  /** Overload of the service so far. */
+  readonly overload: ItemOverload
+  /** Monotonic time, in milliseconds. */
+  readonly now: number
   /** Usual duration of a live request, in milliseconds; undefined if it is not known. */
   readonly requestMs: number | undefined
   /** Shortest latency objective of the live routes to the service, in milliseconds; undefined if there are none. */
@@ -36,11 +41,12 @@
  * @param inputs - servers, items and live requests of the service
  * @returns the items to start and to interrupt
  */
-export function planItems ({ servers, occupied, course, waiting, resumptions, requestMs, objectiveMs }: ItemPlanInputs): BatchPlan {
-  if (!course.hasWaves) return planBatch(servers, waiting.map(({ key }) => key), resumptions)
+export function planItems ({ servers, occupied, course, waiting, resumptions, overload, now, requestMs, objectiveMs }: ItemPlanInputs): BatchPlan {
   const runningMs = occupied.flatMap(({ items }) => items.map(({ remainingMs }) => remainingMs))
   let slots = 0
   for (const server of occupied) slots += server.slots
+  const isOverloaded = overload.record({ waiting, runningMs, places: slots - course.peak }, now)
+  if (!course.hasWaves || isOverloaded) return planBatch(servers, waiting.map(({ key }) => key), resumptions)
   const selected = selectStarts({ waiting, runningMs, slots, course, requestMs: requestMs ?? initialRequestMs })
   const staying = runningMs.filter(remainingMs => remainingMs > endingMs).length
   const excess = countExcessItems({ ...course, slots, items: staying, requestMs, objectiveMs })
--- a/src/request/placement/itemStarts.ts
+++ b/src/request/placement/itemStarts.ts
@@ -17,7 +17,7 @@
 const steps = 24
 
 /** Run times that an item that is started in time has left until it is due; one of them makes up for an interruption. */
-const reservedRuns = 2
+const reservedRuns = 3
 
 /** Time until the next wave below which no item is started that it is going to interrupt, in milliseconds. */
 const minTroughRunMs = 400
--- a/test/support/loadReplay.ts
+++ b/test/support/loadReplay.ts
@@ -6,6 +6,7 @@
 import { createLivePeak, type LivePeak } from '../../src/request/placement/livePeak.ts'
 import { type BatchPlan, type ItemUrgency, orderByUrgency, planBatch } from '../../src/request/placement/batchPlan.ts'
 import { createLiveWaves } from '../../src/request/placement/liveWaves.ts'
+import { createItemOverload } from '../../src/request/placement/itemOverload.ts'
 import { planItems } from '../../src/request/placement/itemPlan.ts'
 import { followLive, planLive } from '../../src/request/placement/plannedLive.ts'
 import { chooseServer, type ServerCandidate } from '../../src/request/placement/serverChoice.ts'
@@ -126,6 +127,7 @@
   const sums = zeros()
   const items: Item[] = []
   const waves = createLiveWaves()
+  const overload = createItemOverload()
   const reportIntervalMs = Math.max(minReportIntervalMs, hostCount * 1_000 / reportsPerSecond)
   const counts = { live: 0, liveInTime: 0, arrivals: 0, items: 0, itemsInTime: 0, interruptions: 0 }
   const itemTimes: number[] = []
@@ -265,6 +267,8 @@
       occupied,
       course: waves.record(sums.reduce((sum, count) => sum + count, 0), now),
       waiting: orderByUrgency(items.filter(item => item.server === undefined).map(describeUrgency)),
+      overload,
+      now,
       requestMs: liveMs,
       objectiveMs
     })
