Plan of items: remaining run times of long and slow items

Cause: before the first item had ended, and for each item with more events than the average, the remaining run time was 0. A run on a slow server reached 0 as well. Such items counted as about to end: they were never interrupted, and took no room in the plan under waves. Change: the duration of a run counts for the time in which events are not saved yet, an item with more events than usual needs a quarter of the usual run time, and without any estimate the plan follows the load of each server.

--- a/src/process/fleet/servicePlanner.ts
+++ b/src/process/fleet/servicePlanner.ts
@@ -17,6 +17,12 @@
 import { countSavedEvents, type OpenItem } from './openItems.ts'
 import type { ServerBackoffs } from './serverBackoffs.ts'
 
+/** Longest time for which the events of a run are not saved yet, in milliseconds: the interval of reports and their way through the log. */
+const maxUnsavedMs = 2_000
+
+/** Remaining run time of an item that has more events than usual, as a share of the usual run time. */
+const longItemShare = 0.25
+
 /** Dependencies of the planner. */
 export interface ServicePlannerInputs {
   readonly fleet: Pick<FleetLeader, 'getLoad' | 'isSuspect' | 'permits' | 'reportIntervalMs' | 'requestMs'>
@@ -81,12 +87,14 @@
   const waves = new Map<string, LiveWaves>()
   const overloads = new Map<string, ItemOverload>()
 
-  function recordLive (service: string, live: readonly number[]): LiveCourse {
+  // Nothing can be foreseen before the run time of items is known.
+  function recordCourse (service: string, live: readonly number[]): LiveCourse {
     const known = waves.get(service) ?? createLiveWaves()
     waves.set(service, known)
     let sum = 0
     for (const count of live) sum += count
-    return known.record(sum, clock.now())
+    const course = known.record(sum, clock.now())
+    return { ...course, hasWaves: course.hasWaves && durationEstimator.usualMs > 0 }
   }
 
   function findOverload (service: string): ItemOverload {
@@ -104,12 +112,15 @@
     }))
   }
 
-  // Events are saved only every few seconds, so a run in progress is judged by its duration as well.
+  // Events are saved some time after they arrive, so the duration of a run in progress tells more, within that time. A run on a slow server
+  // takes longer, and an item with more events than usual is not about to end.
   function estimateRemainingMs (entry: OpenItem): number {
     const bySavedEvents = durationEstimator.estimateRemainingMs(countSavedEvents(entry))
     const { run } = entry
     if (run?.startedAt === undefined || run.startEvents === undefined) return bySavedEvents
-    return Math.max(0, Math.min(bySavedEvents, durationEstimator.estimateRemainingMs(run.startEvents) - (clock.now() - run.startedAt)))
+    if (bySavedEvents === 0) return durationEstimator.usualMs * longItemShare
+    const byDuration = durationEstimator.estimateRemainingMs(run.startEvents) - (clock.now() - run.startedAt)
+    return Math.max(0, bySavedEvents - maxUnsavedMs, Math.min(bySavedEvents, byDuration))
   }
 
   function describeServer ({ id, slots, softwareVersion }: BackendServerRecord, live: number, items: readonly ItemUrgency[]): PlannedServer {
@@ -137,7 +148,7 @@
         service,
         servers: servers.map((server, position) => describeServer(server, planned[position] ?? 0, occupied[position]?.items ?? [])),
         occupied,
-        course: recordLive(service, live)
+        course: recordCourse(service, live)
       }
     },
     plan: ({ service, ...situation }, waiting) => planItems({
