Quotas: bursts at one host within the limit

Cause: a host took an account whose sums are not distributed to use 0.6 of the target elsewhere, so a burst at one host got 3 of a limit of 5. Change: such an account is limited by the tolerated maximum until its sums are distributed.

--- a/src/process/accounts/accountQuotas.ts
+++ b/src/process/accounts/accountQuotas.ts
@@ -138,6 +138,7 @@
     const entry = sums[name]
     return {
       count: entry === undefined ? assumeUnlisted(limit) : readCount(entry),
+      isListed: entry !== undefined,
       reported: readCount(reportedUse[name] ?? []),
       previousDemand: previousDemand(name),
       ownSince: requests.countAfter(reportedAt),
--- a/src/request/placement/accountQuota.ts
+++ b/src/request/placement/accountQuota.ts
@@ -87,6 +87,8 @@
 /** Sums of the counts of all hosts. */
 export interface AccountSums {
   readonly count: AccountCount
+  /** Whether the leader has distributed the sums; otherwise they are the largest that the account may have had. */
+  readonly isListed: boolean
   /** What the deciding host had contributed. */
   readonly reported: AccountCount
   /** Requests, admitted and refused, in `recentMs` as of the sums before; undefined if they were not distributed. */
@@ -167,7 +169,9 @@
   return ageMs > Math.max(minOutdatedMs, intervalMs * outdatedIntervals)
 }
 
-function approachTarget (own: AccountCount, { count, reported, previousDemand, ageMs, intervalMs }: AccountSums, { target }: WindowLimit, { windowMs }: QuotaBounds): QuotaShare {
+function approachTarget (own: AccountCount, { count, isListed, reported, previousDemand, ageMs, intervalMs }: AccountSums, { target: usualTarget, maximum }: WindowLimit, { windowMs }: QuotaBounds): QuotaShare {
+  // Sums that are assumed are mostly too high. Up to the maximum the host relies on the next sums, which list an account that comes near.
+  const target = isListed ? usualTarget : maximum
   const others = {
     admitted: Math.max(0, count.admitted - reported.admitted),
     recent: Math.max(0, count.recent - reported.recent),
