Quotas: parts of a host without sums follow its use

Cause: without the leader each host had an even part of what was left; with all callers of an account at one host, it refused most of them. Change: half of the room is divided evenly, half by what each host had of the last sums. A replay with four hosts for each account; a test of the order of items by the tables.

--- a/src/request/placement/accountQuota.ts
+++ b/src/request/placement/accountQuota.ts
@@ -47,6 +47,9 @@
 /** Shortest time after which sums are outdated, in milliseconds. */
 const minOutdatedMs = 600
 
+/** Weight of a host's part of the last sums against an even part: the callers of an account may use a few hosts only. */
+const usedShareWeight = 0.5
+
 /** Number of gateways that a host assumes before its first sums. */
 const assumedGateways = 100
 
@@ -199,7 +202,8 @@
 }
 
 function decideAlone ({ own, sums, gateways = assumedGateways, rounding }: AccountKnowledge, { maximum }: WindowLimit, { windowMs }: QuotaBounds): QuotaShare {
-  const part = (sums === undefined ? maximum : estimateRoom(sums, maximum, windowMs)) / Math.max(1, gateways)
+  const evenShare = 1 / Math.max(1, gateways)
+  const part = sums === undefined ? maximum * evenShare : estimateRoom(sums, maximum, windowMs) * (evenShare * (1 - usedShareWeight) + usedShareWeight * computeUsedShare(sums, evenShare))
   // The roundings of all hosts must not add up. But while the sums may still hold, a host with a part of less than one request does not refuse
   // the only one that it gets in a window.
   const isOneAdmitted = sums === undefined || sums.ageMs <= windowMs
@@ -208,6 +212,10 @@
   return { admittedShare: admittedBefore < allowed ? 1 : 0, retryMs: windowMs / Math.max(1, own.admitted) }
 }
 
+function computeUsedShare ({ count, reported }: AccountSums, evenShare: number): number {
+  return count.admitted > 0 ? Math.min(1, reported.admitted / count.admitted) : evenShare
+}
+
 // Returns how many requests all hosts may have admitted since the sums: what was left then, and what has left the window since.
 function estimateRoom ({ count, ageMs, intervalMs }: AccountSums, maximum: number, windowMs: number): number {
   const growth = Math.max(0, (count.recent / recentMs - count.ending / endingMs) * intervalMs / 2)
--- a/test/accountQuotas.test.ts
+++ b/test/accountQuotas.test.ts
@@ -24,7 +24,7 @@
 /** Use of accounts in reports and responses that a host may send and receive, in bytes per second. */
 const maxBytesPerSecond = 5_000
 
-interface Scenario extends Pick<QuotaReplay, 'isReached' | 'leaderStarts' | 'isRestarted'> {
+interface Scenario extends Pick<QuotaReplay, 'hostsPerAccount' | 'isReached' | 'leaderStarts' | 'isRestarted'> {
   readonly name: string
   readonly isHot: boolean
   /** Share to which the limit of the observed account is lowered at `hotFromMs`. */
@@ -42,6 +42,8 @@
   { name: 'with hosts cut off', isHot: true, isReached: (host, at) => host % 8 !== 0 || !isWithin(at, 7_000, 12_000), maxShortfall: 0.01 },
   // A host that has refused nothing for seconds without sums could not have kept the limit of an account that became busy meanwhile.
   { name: 'without a leader for 3 s', isHot: false, isReached: (_host, at) => !isWithin(at, 7_500, 10_500), leaderStarts: [10_500], maxShortfall: 0.015, maxHosts: 80 },
+  // Guards against a host that gets an even part although it serves all callers of an account.
+  { name: 'with four hosts for each account, without a leader for 3 s', isHot: false, hostsPerAccount: 4, isReached: (_host, at) => !isWithin(at, 7_500, 10_500), leaderStarts: [10_500], maxShortfall: 0.015, maxHosts: 80 },
   { name: 'with a lowered limit', isHot: false, lowered: 0.4, maxShortfall: 0.01 },
   { name: 'with restarted hosts', isHot: true, isRestarted: (host, from, until) => host % 8 === 0 && isWithin(9_000, from, until), maxShortfall: 0.02 }
 ]
--- a/test/competition.test.ts
+++ b/test/competition.test.ts
@@ -1,7 +1,11 @@
 import { expect } from 'chai'
+import { createItemCompetition } from '../src/process/fleet/itemCompetition.ts'
+import type { OpenItem } from '../src/process/fleet/openItems.ts'
 import { createSeededRandom, type Random } from '../src/process/program/random.ts'
 import { recentMs } from '../src/request/placement/accountQuota.ts'
+import type { PlannedServer } from '../src/request/placement/batchPlan.ts'
 import { computeLevel, decidePlaces, hasRoom, type ItemCompetitor, type LivePlaces, maxQueuedPerServer, orderByCompetition, ordinaryPlaces } from '../src/request/placement/competition.ts'
+import { routeOf, tablesOf } from './support/fakeFleet.ts'
 
 /** Limit of an account as a multiple of its usual rate. */
 const limitFactor = 1.6
@@ -172,6 +176,21 @@
     expect(order(items, {}, 30)).to.equal('b1 c1 a2 a1')
   })
 
+  // Guards against the priority of a route that counts although the account has one, and against running items that do not count.
+  it('takes priorities and running items from the tables and the open items', () => {
+    const openItemOf = (account: string): OpenItem => ({ record: { submission: { account } } }) as unknown as OpenItem
+    const open = new Map([['a1', openItemOf('a')], ['b1', openItemOf('b')], ['c1', openItemOf('c')], ['c2', openItemOf('c')]])
+    const accounts = [{ name: 'b', keys: [], priority: 0, ratePerSecond: 0, burst: 0 }]
+    const order = createItemCompetition({
+      state: { publication: { tables: { ...tablesOf(1, []), accounts }, document: '', digest: '' } },
+      routes: { hasTables: true, update () {}, find: () => routeOf({ priority: 2 }) },
+      items: { find: key => open.get(key), running: () => [openItemOf('c'), openItemOf('c')] }
+    })
+    const server: PlannedServer = { id: 'i-1', slots: 8, live: 2, items: [], canStartItems: true, maxStarts: 8 }
+    const waiting = ['c1', 'c2', 'a1', 'b1'].map((key, position) => ({ key, dueInMs: 5_000 + position, remainingMs: 10 }))
+    expect(order.order(waiting, [[server]]).map(({ key }) => key)).to.deep.equal(['b1', 'a1', 'c1', 'c2'])
+  })
+
   // Guards against a change of the order without accounts.
   it('orders items without accounts by urgency alone', () => {
     expect(order([itemOf('x', undefined, 9_000, 0), itemOf('y', undefined, 2_000, 2), itemOf('z', undefined, 500, 0)], {}, 4)).to.equal('y x z')
--- a/test/support/quotaReplay.ts
+++ b/test/support/quotaReplay.ts
@@ -43,6 +43,8 @@
   rateOf (account: ClientAccount, at: number): number
   /** Returns the account as a host knows it at a time; by default it does not change. */
   describe? (account: ClientAccount, at: number): ClientAccount
+  /** Number of hosts that the callers of each account use; all by default. */
+  readonly hostsPerAccount?: number
   /** Returns whether a host reaches the leader. */
   isReached? (host: number, at: number): boolean
   /** Times at which the leader loses its state, and another one begins. */
@@ -85,7 +87,8 @@
 
   function arrive (account: ClientAccount): void {
     const outcome = outcomes.get(account.name) as AccountOutcome
-    const host = hosts[random.below(hosts.length)] as SimulatedHost
+    const first = replay.hostsPerAccount === undefined ? 0 : replay.accounts.indexOf(account) * replay.hostsPerAccount
+    const host = hosts[(first + random.below(replay.hostsPerAccount ?? hosts.length)) % hosts.length] as SimulatedHost
     const known = describe(account)
     const { limit } = createWindowLimit(known.ratePerSecond, known.burst, defaultQuotaBounds)
     const isInside = countInWindow(outcome.admittedAt, clock.now()) + 1 <= limit
