Control hosts: bound the bytes of accepted items, and free encoded messages

Cause: accepted jobs were limited by tokens and by the space for results, not by the size of their items: 60 jobs of 4 MiB took 332 MiB at each control host. Each answer with the body of an item left a buffer of 4 MiB to the collector, which waits for 64 MiB of them.

Change: the leader accepts a job only if all open items take at most 12 MiB; otherwise the caller gets 503, as for results. The buffer of an encoded message from 256 KiB on is freed when its frame has been copied.

--- a/src/connection/frames.ts
+++ b/src/connection/frames.ts
@@ -7,6 +7,7 @@
 import { promisify } from 'node:util'
 import { constants, gunzip, gunzipSync, gzip, gzipSync, type ZlibOptions } from 'node:zlib'
 import { Packr } from 'msgpackr'
+import { releaseBytes } from '../process/program/releaseBytes.ts'
 
 /** Minimum length of a body that is compressed, in bytes. */
 export const compressionThresholdBytes = 4_096
@@ -20,6 +21,12 @@
 /** Offset of the encoding in a header, in bytes. */
 const encodingOffset = 4
 
+/** Size from which the buffer of an encoded message is freed at once, in bytes: a job or the body of an item takes megabytes. */
+const releasedMessageBytes = 256 * 1024
+
+/** First size of the encoder's buffer, in bytes; it grows with the messages. */
+const encoderBytes = 64 * 1024
+
 const BodyEncoding = { Plain: 0, Gzip: 1 } as const
 
 // Bodies are copied, since a view of one body would keep the whole message in memory.
@@ -72,12 +79,22 @@
  */
 export function encodeMessage (message: unknown, thresholdBytes: number): Buffer | Promise<Buffer> {
   const plain = codec.pack(message)
-  if (plain.length < thresholdBytes) return createFrame(plain, BodyEncoding.Plain)
+  // The encoder takes a new buffer, so that nobody uses this one when it is freed.
+  if (plain.length >= releasedMessageBytes) codec.useBuffer(Buffer.allocUnsafeSlow(encoderBytes))
+  if (plain.length < thresholdBytes) return createFrameAndRelease(plain, plain, BodyEncoding.Plain)
   const compressed = compress(plain)
-  if (compressed instanceof Promise) return compressed.then(body => createFrame(body, BodyEncoding.Gzip))
+  if (compressed instanceof Promise) return compressed.then(body => createFrameAndRelease(body, plain, BodyEncoding.Gzip))
   return createFrame(compressed, BodyEncoding.Gzip)
 }
 
+// The frame is a copy. A message at the start of a buffer has it for itself; before another one, results of other encoders may lie that are
+// still in use, because all encoders share their buffer.
+function createFrameAndRelease (body: Buffer, plain: Buffer, encoding: number): Buffer {
+  const frame = createFrame(body, encoding)
+  if (plain.length >= releasedMessageBytes && plain.byteOffset === 0) releaseBytes(new Uint8Array(plain.buffer))
+  return frame
+}
+
 function createFrame (body: Buffer, encoding: number): Buffer {
   const frame = Buffer.allocUnsafe(headerBytes + body.length)
   frame.writeUInt32LE(body.length, 0)
--- a/src/process/jobs/outputSpace.ts
+++ b/src/process/jobs/outputSpace.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import { Ending } from '../state/commands.ts'
+import type { SubmittedItem } from './submission.ts'
 import type { Submissions } from './submissions.ts'
 
 /**
@@ -23,6 +24,41 @@
  */
 const minResultBytes = 6 * 1024
 
+/**
+ * Size of all open items up to which jobs are accepted, in bytes: beside the largest output, two snapshots fit on the disk. With as many open
+ * items as there is space for results, an item has 4 KiB.
+ */
+export const maxItemBytes = 12 * 1024 * 1024
+
+/** Size of an open item beside its texts and its body, in bytes. */
+const bytesPerItem = 512
+
+/**
+ * Returns the size of items that are kept until they have run.
+ * @param items - the items
+ * @returns the approximate size, in bytes
+ */
+export function countItemBytes (items: Iterable<SubmittedItem>): number {
+  let bytes = 0
+  for (const { id, path, headers, body } of items) {
+    bytes += bytesPerItem + id.length + path.length + body.length
+    for (const [name, value] of Object.entries(headers)) bytes += name.length + value.length
+  }
+  return bytes
+}
+
+/**
+ * Checks whether the items of new jobs can be kept beside the open ones.
+ * @param submissions - the accepted jobs
+ * @param newBytes - size of the items of the new job, and of those that are being accepted
+ * @returns whether the job may be accepted
+ */
+export function hasItemSpace (submissions: Submissions, newBytes: number): boolean {
+  let bytes = newBytes
+  for (const { open } of submissions.jobs.values()) bytes += countItemBytes(open.values())
+  return bytes <= maxItemBytes
+}
+
 /**
  * Returns the size of all results and saved progress.
  * @param submissions - the accepted jobs
--- a/src/process/state/controlHost.ts
+++ b/src/process/state/controlHost.ts
@@ -12,7 +12,7 @@
 import { answerQuery, applyCommand, type ControlState, createControlState } from './controlState.ts'
 import { createFailure, type Failure, FailureReason, Step } from '../program/failure.ts'
 import { type Query, QueryKind, type QueryResponse } from './queries.ts'
-import { hasOutputSpace } from '../jobs/outputSpace.ts'
+import { countItemBytes, hasItemSpace, hasOutputSpace } from '../jobs/outputSpace.ts'
 import { findOutcomeOfRepetition, isSubmissionClosed } from '../jobs/submissions.ts'
 import { createIdleUploads } from '../jobs/idleUploads.ts'
 import { createIdleClaims, type IdleClaims } from '../jobs/idleClaims.ts'
@@ -128,6 +128,7 @@
   const undecidedCommands = new Map<string, ResultAsync<Outcome, Failure>>()
   // Items of the submissions among them.
   let undecidedItems = 0
+  let undecidedItemBytes = 0
 
   async function execute (command: Command): Promise<Result<Outcome, Failure>> {
     if (replica.state.role !== ReplicaRole.Leader) return err(createNotLeaderFailure(replica, Step.Execute))
@@ -162,13 +163,17 @@
     if (pending !== undefined) return await pending
     // An accepted item must be run and its result kept, so a job is accepted only with space for its results.
     const newItems = command.kind === CommandKind.Submit ? command.submission.items.length : 0
+    const newItemBytes = command.kind === CommandKind.Submit ? countItemBytes(command.submission.items) : 0
     if (newItems > 0 && !hasOutputSpace(state.submissions, undecidedItems + newItems)) return err(createNoOutputSpaceFailure(replica))
+    if (newItems > 0 && !hasItemSpace(state.submissions, undecidedItemBytes + newItemBytes)) return err(createNoOutputSpaceFailure(replica))
     undecidedItems += newItems
+    undecidedItemBytes += newItemBytes
     const proposed = replica.propose(addTimestamp(command, clock))
     undecidedCommands.set(key, proposed)
     const outcome = await proposed
     undecidedCommands.delete(key)
     undecidedItems -= newItems
+    undecidedItemBytes -= newItemBytes
     return outcome
   }
 
@@ -324,7 +329,7 @@
 }
 
 function createNoOutputSpaceFailure (replica: Replica): Failure {
-  return createFailure(FailureReason.Rejected, { step: Step.Propose, peer: replica.state.address }, 'there is no space for the results of the job')
+  return createFailure(FailureReason.Rejected, { step: Step.Propose, peer: replica.state.address }, 'there is no space for the items of the job or for their results')
 }
 
 function isRepeatable (command: Command): command is RepeatableCommand {
--- a/test/untrustedClientProcesses.test.ts
+++ b/test/untrustedClientProcesses.test.ts
@@ -119,6 +119,8 @@
     expectBounded()
     await answerOrdinaryRequest()
     expectBounded()
+    // Ended jobs leave their space to the next test.
+    for (const index of Array.from({ length: 60 }).keys()) await fleet.call('DELETE', `/v1/lots/large-${index}`)
   })
 
   // Failure: answers that nobody reads lay in the memory of the gateway, as many as were asked for.
