--- a/test/competition.test.ts
+++ b/test/competition.test.ts
@@ -183,7 +183,7 @@
     const accounts = [{ name: 'b', keys: [], priority: 0, ratePerSecond: 0, burst: 0 }]
     const order = createItemCompetition({
       state: { publication: { tables: { ...tablesOf(1, []), accounts }, document: '', digest: '' } },
-      routes: { hasTables: true, update () {}, find: () => routeOf({ priority: 2 }) },
+      routes: { hasTables: true, update () {}, find: () => routeOf({ priority: 2 }), findLiveObjectiveMs: () => undefined },
       items: { find: key => open.get(key), running: () => [openItemOf('c'), openItemOf('c')] }
     })
     const server: PlannedServer = { id: 'i-1', slots: 8, live: 2, items: [], canStartItems: true, maxStarts: 8 }
