Priorities of client accounts are relative to those in the tables

An account of priority 1 left a queue place at every server although no account had priority 0, and an account without a priority counted as the highest instead of having that of its route. Requests now leave places only to higher priorities that live requests of the accounts in the tables may have.

Before: 2 of 4 requests without a higher priority beside them were refused in the new test; now none.

--- a/src/process/fleet/fleetView.ts
+++ b/src/process/fleet/fleetView.ts
@@ -11,7 +11,7 @@
 import { type AccountQuotas, createAccountQuotas, defaultQuotaBounds } from '../accounts/accountQuotas.ts'
 import { createKeyLease } from '../accounts/keyLease.ts'
 import { type AccountIndex, createAccountIndex } from '../../version/accounts.ts'
-import { createRouteIndex, type GatewayTables, type RouteIndex, type Service } from '../../version/gatewayTables.ts'
+import { createRouteIndex, type GatewayTables, listLivePriorities, type RouteIndex, type Service } from '../../version/gatewayTables.ts'
 import { type BackendServerRecord, isNewer, keepSoftwareVersion, ServerPhase } from './backendServerRegistry.ts'
 import { createQuarantineView, type QuarantineView } from './quarantineView.ts'
 import { createLeavingServers, type LeavingServers } from './leavingServers.ts'
@@ -61,6 +61,8 @@
   readonly accounts: AccountIndex | undefined
   /** Whether the accounts are recent enough to accept keys by them. */
   readonly canServeAccounts: boolean
+  /** Priorities that live requests of the accounts may have; empty without accounts. */
+  readonly livePriorities: readonly number[]
   /** Quotas of the accounts at this host. */
   readonly accountQuotas: AccountQuotas
   /** Hosts of the fleet; only control hosts receive them. */
@@ -207,6 +209,7 @@
   let missingVersions: ReadonlyArray<{ readonly version: number, readonly knownSince: number }> = []
   let routes: RouteIndex = new Map()
   let accounts: AccountIndex | undefined
+  let livePriorities: readonly number[] = []
   const accountQuotas = createAccountQuotas(clock, logger, accountSettings.quotaBounds, accountSettings.host)
   const keyLease = createKeyLease(clock, accountSettings.keyLeaseMs)
   let hosts: readonly FleetHost[] = []
@@ -236,6 +239,7 @@
     tables = newTables
     routes = createRouteIndex(newTables)
     accounts = createAccountIndex(newTables.accounts)
+    livePriorities = listLivePriorities(newTables)
     recordTablesVersion(newTables.version)
     const delayMs = getOutdatedMs() ?? 0
     missingVersions = missingVersions.filter(({ version }) => version > newTables.version)
@@ -273,6 +277,7 @@
     get tablesOutdatedMs () { return getOutdatedMs() },
     get canServe () { return tables !== undefined && (getOutdatedMs() ?? 0) <= maxTablesOutdatedMs },
     get accounts () { return accounts },
+    get livePriorities () { return livePriorities },
     get canServeAccounts () { return accounts === undefined || keyLease.isHeld(tables?.version ?? 0) },
     accountQuotas,
     get hosts () { return hosts },
--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -9,7 +9,7 @@
 import { LogEvents } from '../process/program/logEvents.ts'
 import { Counter } from '../process/program/metrics.ts'
 import type { ClientAccount } from '../version/accounts.ts'
-import { chooseTarget, matchRoute, RouteKind } from '../version/gatewayTables.ts'
+import { chooseTarget, type GatewayRoute, matchRoute, RouteKind } from '../version/gatewayTables.ts'
 import { type CallerResponse, type CallerRequest, drainingRetryAfterMs, GatewayRefusal } from './callerExchange.ts'
 import { identifyCaller } from './callerIdentity.ts'
 import { ForwardedAttemptEnd, type ForwardingServices, isBodyReplayable, type ForwardingProgress, runForwardedAttempt, minServerErrorStatus, verifyOrigin } from './forwardedAttempt.ts'
@@ -70,7 +70,7 @@
     service: chooseTarget(route, random.next()),
     origin: undefined,
     writers: [],
-    places: choosePlaces(account, services),
+    places: choosePlaces(account, route, services),
     isResumption: isResumption(request, route),
     traits: createRequestTraits(request),
     events: 0,
@@ -111,9 +111,11 @@
   return view.tablesOutdatedMs === undefined ? GatewayRefusal.NoRoute : GatewayRefusal.NotReady
 }
 
-function choosePlaces (account: ClientAccount | undefined, { view, random }: ForwardingServices): LivePlaces {
+function choosePlaces (account: ClientAccount | undefined, route: GatewayRoute, { view, random }: ForwardingServices): LivePlaces {
   if (account === undefined) return ordinaryPlaces
-  return decidePlaces({ priority: account.priority, position: random.next(), ...view.accountQuotas.getLevel(account) })
+  const priority = account.priority ?? route.priority
+  const higherPriorities = view.livePriorities.filter(other => other < priority).length
+  return decidePlaces({ higherPriorities, position: random.next(), ...view.accountQuotas.getLevel(account) })
 }
 
 // Returns whether an attempt may be made; if not, the response has ended.
--- a/src/request/placement/competition.ts
+++ b/src/request/placement/competition.ts
@@ -33,8 +33,8 @@
 
 /** Live request that competes for a place. */
 export interface LiveCompetitor extends AccountLevel {
-  /** Priority of its account, 0 being the highest; undefined for a request without an account or with one that has no priority. */
-  readonly priority: number | undefined
+  /** Number of higher priorities that requests of other accounts may have. */
+  readonly higherPriorities: number
   /** Number from 0 to 1 that is distributed evenly over the requests of the account. */
   readonly position: number
 }
@@ -73,12 +73,12 @@
  * @param competitor - the request
  * @returns the places that it may take
  */
-export function decidePlaces ({ priority = 0, level, meanLevel, position }: LiveCompetitor): LivePlaces {
+export function decidePlaces ({ higherPriorities, level, meanLevel, position }: LiveCompetitor): LivePlaces {
   const isWithinShare = level === undefined || meanLevel === undefined || level <= meanLevel * shareTolerance
   const sharePart = isWithinShare ? 1 : meanLevel / level
   if (position >= sharePart) return excessPlaces
-  // Each lower priority leaves a queue place at every server to the higher ones.
-  return priority === 0 ? ordinaryPlaces : { ...ordinaryPlaces, maxQueued: Math.max(0, maxQueuedPerServer - priority) }
+  // A queue place at every server is left to each higher priority. Priorities are relative: where all are equal, all places are used.
+  return higherPriorities === 0 ? ordinaryPlaces : { ...ordinaryPlaces, maxQueued: Math.max(0, maxQueuedPerServer - higherPriorities) }
 }
 
 /** Places at all servers of a service. */
--- a/src/version/gatewayTables.ts
+++ b/src/version/gatewayTables.ts
@@ -161,6 +161,19 @@
   return undefined
 }
 
+/**
+ * Lists the priorities that live requests of client accounts may have: those of the accounts, and of the routes for accounts without one.
+ * @param tables - the tables
+ * @returns the priorities, each once
+ */
+export function listLivePriorities ({ accounts = [], routes }: GatewayTables): number[] {
+  const priorities = new Set<number>()
+  for (const { priority } of accounts) if (priority !== undefined) priorities.add(priority)
+  if (accounts.every(({ priority }) => priority !== undefined)) return [...priorities]
+  for (const { kind, priority } of routes) if (kind !== RouteKind.Batch) priorities.add(priority)
+  return [...priorities]
+}
+
 /**
  * Lists the routes of a host name.
  * @param index - the routes
--- a/test/competition.test.ts
+++ b/test/competition.test.ts
@@ -2,6 +2,9 @@
 import { createSeededRandom, type Random } from '../src/process/program/random.ts'
 import { recentMs } from '../src/request/placement/accountQuota.ts'
 import { computeLevel, decidePlaces, hasRoom, type ItemCompetitor, type LivePlaces, maxQueuedPerServer, orderByCompetition, ordinaryPlaces } from '../src/request/placement/competition.ts'
+import { runForwardedRequest } from '../src/request/forwardedRequest.ts'
+import { type ClientAccount, digestKey } from '../src/version/accounts.ts'
+import { forwardingServicesOf, RecordedResponse, requestOf, routeOf, ScriptedServers, tablesOf } from './support/fakeFleet.ts'
 
 /** Limit of an account as a multiple of its usual rate. */
 const limitFactor = 1.6
@@ -30,7 +33,7 @@
 
 type Decision = (competitor: Competitor, meanLevel: number, random: Random, now: number) => LivePlaces
 
-const decideByShare: Decision = ({ times, usual }, meanLevel, random, now) => decidePlaces({ priority: undefined, position: random.next(), level: computeLevel(countKnown(times, now), levelOf(usual), windowMs), meanLevel })
+const decideByShare: Decision = ({ times, usual }, meanLevel, random, now) => decidePlaces({ higherPriorities: 0, position: random.next(), level: computeLevel(countKnown(times, now), levelOf(usual), windowMs), meanLevel })
 const decideAsBefore: Decision = () => ordinaryPlaces
 
 // Hosts know the sums with a delay.
@@ -144,17 +147,42 @@
   // Guards against requests that wait although they get nothing, and against a change for those who have no account.
   it('holds no request beyond the share of its account, and leaves the others as they were', () => {
     const level = { level: 1.5, meanLevel: 0.5 }
-    expect(decidePlaces({ priority: undefined, position: 0.9, ...level })).to.deep.equal({ maxQueued: 2, reservedShare: 0.1, mayWait: false, isBeyondShare: true })
-    expect(decidePlaces({ priority: undefined, position: 0.2, ...level })).to.deep.equal(ordinaryPlaces)
-    expect(decidePlaces({ priority: undefined, position: 0.9, level: undefined, meanLevel: undefined })).to.deep.equal(ordinaryPlaces)
+    expect(decidePlaces({ higherPriorities: 0, position: 0.9, ...level })).to.deep.equal({ maxQueued: 2, reservedShare: 0.1, mayWait: false, isBeyondShare: true })
+    expect(decidePlaces({ higherPriorities: 0, position: 0.2, ...level })).to.deep.equal(ordinaryPlaces)
+    expect(decidePlaces({ higherPriorities: 0, position: 0.9, level: undefined, meanLevel: undefined })).to.deep.equal(ordinaryPlaces)
   })
 
   // Guards against an account of low priority that takes the last places from one of a high priority.
   it('leaves queue places to the accounts of a higher priority', () => {
-    const placesOf = (priority: number): number => decidePlaces({ priority, position: 0, level: undefined, meanLevel: undefined }).maxQueued
+    const placesOf = (higherPriorities: number): number => decidePlaces({ higherPriorities, position: 0, level: undefined, meanLevel: undefined }).maxQueued
     expect([0, 1, 2, 9].map(placesOf)).to.deep.equal([2, 1, 0, 0])
   })
 
+  // Failure: where all accounts had priority 1, every request left a queue place to nobody, and was refused while servers had room.
+  it('lets a request leave queue places only to higher priorities that the tables have', async () => {
+    const accountOf = (name: string, priority: number | undefined): ClientAccount => ({ name, keys: [digestKey(name)], priority, ratePerSecond: 0, burst: 0 })
+    const send = async (routePriority: number, ...accounts: readonly ClientAccount[]): Promise<number> => {
+      const servers = new ScriptedServers([{ does: 'answer', pieces: ['data: x\n\n'] }])
+      const services = forwardingServicesOf(servers, [], { tables: { ...tablesOf(1, [routeOf({ priority: routePriority })]), accounts } })
+      for (const id of ['i-1', 'i-2', 'i-3']) {
+        for (let live = 0; live <= slots; live++) services.view.adjustLiveCount(id, 1)
+      }
+      await runForwardedRequest(requestOf({ credential: 'north' }).request, new RecordedResponse(), services)
+      return servers.arrivals.length
+    }
+    expect([
+      await send(0, accountOf('north', 1)),
+      await send(0, accountOf('north', 1), accountOf('south', 1)),
+      await send(1, accountOf('north', undefined), accountOf('south', 1)),
+      await send(0, accountOf('north', 0), accountOf('south', 1))
+    ], 'nobody has a higher priority').to.deep.equal([1, 1, 1, 1])
+    expect([
+      await send(0, accountOf('north', 1), accountOf('south', 0)),
+      await send(0, accountOf('north', 1), accountOf('south', undefined)),
+      await send(1, accountOf('north', undefined), accountOf('south', 0))
+    ], 'another account has').to.deep.equal([0, 0, 0])
+  })
+
   const itemOf = (key: string, account: string | undefined, dueInMs: number, priority = 1): ItemCompetitor => ({ key, account, dueInMs, remainingMs: 1_000, priority })
   const order = (items: readonly ItemCompetitor[], running: Readonly<Record<string, number>>, itemSlots: number): string =>
     orderByCompetition(items, { byAccount: new Map(Object.entries(running)), slots: itemSlots }).map(({ key }) => key).join(' ')
