Quotas take back the admission of the request itself, whatever the account's name

Taking back an admission removed the latest one of the account. If that one had run, the window counted it too short a time, and a request that was admitted without a limit took back one that counts. Admissions now carry their time. An error in the course of a request no longer takes its admission back, since a server may have run it.

Requests of an account named like a property of all objects (constructor) failed with a TypeError as soon as sums had arrived: sums are kept in maps now.

--- a/src/process/accounts/accountQuotas.ts
+++ b/src/process/accounts/accountQuotas.ts
@@ -49,6 +49,8 @@
   readonly isAdmitted: boolean
   /** Time after which a further request is likely to be admitted, in milliseconds; 0 for an admitted one. */
   readonly retryMs: number
+  /** Monotonic time at which the request was counted, in milliseconds; undefined if it was refused or has no limit. */
+  readonly countedAt?: number
 }
 
 /** The quotas at a gateway. */
@@ -60,10 +62,11 @@
    */
   admit (account: ClientAccount | undefined): QuotaDecision
   /**
-   * Takes back the latest admission of an account: the request was not sent to a server.
+   * Takes back an admission: no server has run the request.
    * @param account - the account; undefined if the request needed none
+   * @param decision - the admission
    */
-  release (account: ClientAccount | undefined): void
+  release (account: ClientAccount | undefined, decision: QuotaDecision): void
   /** Returns what this host has admitted, for the next load report; undefined if it was reported just now. */
   describeUse (): AccountUse | undefined
   /**
@@ -80,7 +83,10 @@
   getLevel (account: ClientAccount | undefined): AccountLevel
 }
 
-const admitted: QuotaDecision = { isAdmitted: true, retryMs: 0 }
+const unlimited: QuotaDecision = { isAdmitted: true, retryMs: 0 }
+
+/** Counts by name of the account. */
+type AccountCounts = ReadonlyMap<string, AccountCount>
 
 /** Requests of one account at this host. */
 interface AccountState {
@@ -103,9 +109,10 @@
  */
 export function createAccountQuotas (clock: Clock, logger: Logger, bounds: () => QuotaBounds, host: string): AccountQuotas {
   const states = new Map<string, AccountState>()
-  let sums: AccountUse = {}
-  let previousSums: AccountUse = {}
-  let reportedUse: AccountUse = {}
+  // By name of the account. Not the objects of the messages: these have further properties, and names are the operator's choice.
+  let sums: AccountCounts = new Map()
+  let previousSums: AccountCounts = new Map()
+  let reportedUse: AccountCounts = new Map()
   // Gateways whose use the sums contain.
   let gateways: number | undefined
   let receivedAt = -Infinity
@@ -127,18 +134,15 @@
   }
 
   function previousDemand (name: string): number | undefined {
-    const numbers = previousSums[name]
-    if (numbers === undefined) return undefined
-    const { recent, refused } = readCount(numbers)
-    return recent + refused
+    const count = previousSums.get(name)
+    return count === undefined ? undefined : count.recent + count.refused
   }
 
   function findSums (name: string, limit: WindowLimit, { requests }: AccountState): AccountSums | undefined {
     if (receivedAt === -Infinity) return undefined
-    const entry = sums[name]
     return {
-      count: entry === undefined ? assumeUnlisted(limit) : readCount(entry),
-      reported: readCount(reportedUse[name] ?? []),
+      count: sums.get(name) ?? assumeUnlisted(limit),
+      reported: reportedUse.get(name) ?? readCount([]),
       previousDemand: previousDemand(name),
       ownSince: requests.countAfter(reportedAt),
       ageMs: clock.now() - receivedAt,
@@ -148,7 +152,7 @@
 
   return {
     admit (account) {
-      if (account === undefined || account.ratePerSecond <= 0) return admitted
+      if (account === undefined || account.ratePerSecond <= 0) return unlimited
       const now = clock.now()
       const state = findState(account.name)
       const own = state.requests.count(now, bounds().windowMs)
@@ -158,7 +162,7 @@
       state.position = (state.position + sequenceStep) % 1
       const isAdmitted = state.position < admittedShare
       state.requests.add(now, isAdmitted)
-      if (isAdmitted) return admitted
+      if (isAdmitted) return { isAdmitted, retryMs: 0, countedAt: now }
       // One event for each time that the account is limited: with an event for each request, a busy account would fill the log.
       if (now - state.refusedAt > bounds().windowMs) {
         logger.write(LogEvents.accountLimited, { detail: account.name, value: Math.round(limit.limit), inputs: { used: accountSums?.count.admitted ?? -1, own: own.admitted, ageMs: Math.round(accountSums?.ageMs ?? -1), admittedShare, gateways: gateways ?? 0 } })
@@ -166,21 +170,21 @@
       state.refusedAt = now
       return { isAdmitted, retryMs }
     },
-    release (account) {
-      if (account !== undefined) states.get(account.name)?.requests.removeLatest()
+    release (account, { countedAt }) {
+      if (account !== undefined && countedAt !== undefined) states.get(account.name)?.requests.remove(countedAt)
     },
     describeUse () {
       const now = clock.now()
       if (now < nextReportAt) return undefined
-      const use: Record<string, number[]> = {}
+      const use = new Map<string, number[]>()
       describedAt = now
       for (const [name, { requests, refusedAt }] of states) {
         const count = requests.count(now, bounds().windowMs)
-        if (count.admitted > 0 || count.refused > 0) use[name] = describeCount(count)
+        if (count.admitted > 0 || count.refused > 0) use.set(name, describeCount(count))
         else if (now - refusedAt > bounds().windowMs) states.delete(name)
       }
-      nextReportAt = now + Math.max(minReportIntervalMs, reportIntervalPerAccountMs * (Object.keys(use).length + Object.keys(sums).length))
-      return use
+      nextReportAt = now + Math.max(minReportIntervalMs, reportIntervalPerAccountMs * (use.size + sums.size))
+      return Object.fromEntries(use)
     },
     applyTotals ({ accountUse: use, gateways: newGateways, accountLevel }, reported) {
       if (use === undefined || newGateways === undefined) return
@@ -191,22 +195,26 @@
       incompleteSince = Infinity
       if (receivedAt !== -Infinity) intervalMs = (intervalMs ?? now - receivedAt) * (1 - intervalSmoothingFactor) + (now - receivedAt) * intervalSmoothingFactor
       previousSums = sums
-      sums = use
+      sums = readCounts(use)
       meanLevel = accountLevel
-      reportedUse = reported ?? {}
+      reportedUse = readCounts(reported ?? {})
       gateways = newGateways
       receivedAt = now
       reportedAt = describedAt
     },
     getLevel (account) {
-      const used = account === undefined ? undefined : sums[account.name]
+      const used = account === undefined ? undefined : sums.get(account.name)
       if (account === undefined || account.ratePerSecond <= 0 || used === undefined) return { level: undefined, meanLevel }
       const { limit } = createWindowLimit(account.ratePerSecond, account.burst, bounds())
-      return { level: computeLevel(readCount(used), limit, bounds().windowMs), meanLevel }
+      return { level: computeLevel(used, limit, bounds().windowMs), meanLevel }
     }
   }
 }
 
+function readCounts (use: AccountUse): AccountCounts {
+  return new Map(Object.entries(use).map(([name, numbers]) => [name, readCount(numbers)]))
+}
+
 /**
  * Reads the counts of an account in a message.
  * @param numbers - the numbers; missing ones are 0
--- a/src/process/accounts/accountUseSums.ts
+++ b/src/process/accounts/accountUseSums.ts
@@ -96,7 +96,7 @@
   }
 
   function select (accounts: readonly ClientAccount[], bounds: QuotaBounds): AccountTotals {
-    const near: Record<string, readonly number[]> = {}
+    const near = new Map<string, readonly number[]>()
     let used = 0
     let limits = 0
     for (const { name, ratePerSecond, burst } of accounts) {
@@ -106,9 +106,9 @@
       const count = sums.get(name)
       if (count === undefined) continue
       used += count.admitted
-      if (isNearLimit(count, limit)) near[name] = describeCount(count)
+      if (isNearLimit(count, limit)) near.set(name, describeCount(count))
     }
-    return { accountUse: near, gateways: countReporters(), accountLevel: limits === 0 ? undefined : Number((used / limits).toFixed(levelDigits)) }
+    return { accountUse: Object.fromEntries(near), gateways: countReporters(), accountLevel: limits === 0 ? undefined : Number((used / limits).toFixed(levelDigits)) }
   }
 
   function countReporters (): number {
--- a/src/process/accounts/requestLog.ts
+++ b/src/process/accounts/requestLog.ts
@@ -12,8 +12,11 @@
    * @param isAdmitted - whether it is admitted
    */
   add (now: number, isAdmitted: boolean): void
-  /** Removes the latest admitted request. */
-  removeLatest (): void
+  /**
+   * Removes an admitted request, if it is still in the log.
+   * @param time - time at which it was added, in milliseconds
+   */
+  remove (time: number): void
   /**
    * Counts the requests.
    * @param now - monotonic time in milliseconds, not before that of an earlier call
@@ -41,8 +44,9 @@
       if (isAdmitted) admittedAt.push(now)
       else refusedAt.push(now)
     },
-    removeLatest () {
-      admittedAt.pop()
+    remove (time) {
+      const index = admittedAt.lastIndexOf(time)
+      if (index >= 0) admittedAt.splice(index, 1)
     },
     count (now, windowMs) {
       discardUntil(admittedAt, now - windowMs)
--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -94,12 +94,13 @@
     isEndCertain: true,
     server: undefined
   }
-  try {
-    if (progress.isResumption && !await prepareResumption(progress, services)) return
-    while (await makeAttempt(progress, services)) services.metrics.count(Counter.Retries, route.kind)
-  } finally {
-    if (!progress.mayHaveRun) view.accountQuotas.release(account)
-  }
+  await runAttempts(progress, services)
+  if (!progress.mayHaveRun) view.accountQuotas.release(account, quota)
+}
+
+async function runAttempts (progress: ForwardingProgress, services: ForwardingServices): Promise<void> {
+  if (progress.isResumption && !await prepareResumption(progress, services)) return
+  while (await makeAttempt(progress, services)) services.metrics.count(Counter.Retries, progress.route.kind)
 }
 
 /**
--- a/test/accountQuotas.test.ts
+++ b/test/accountQuotas.test.ts
@@ -124,12 +124,47 @@
     const quotas = createAccountQuotas(clock, createSilentLogger(), () => defaultQuotaBounds, 'g-1')
     quotas.applyTotals({ accountUse: {}, gateways: 1 }, {})
     for (let sent = 0; sent < 200; sent++) {
-      expect(quotas.admit(account).isAdmitted, `request ${sent}`).to.equal(true)
-      quotas.release(account)
+      const decision = quotas.admit(account)
+      expect(decision.isAdmitted, `request ${sent}`).to.equal(true)
+      quotas.release(account, decision)
     }
     expect(quotas.describeUse()).to.deep.equal({})
   })
 
+  // Failure: taking back an admission removed the latest one of the account, whose request ran, so that the window had too few.
+  it('takes back the admission of the request, not a later one', () => {
+    const clock = new FakeClock()
+    const quotas = createAccountQuotas(clock, createSilentLogger(), () => defaultQuotaBounds, 'g-1')
+    quotas.applyTotals({ accountUse: {}, gateways: 1 }, {})
+    const refused = quotas.admit(account)
+    clock.jump(1_000)
+    expect(quotas.admit(account).isAdmitted).to.equal(true)
+    quotas.release(account, refused)
+    clock.jump(defaultQuotaBounds.windowMs - 800)
+    expect(quotas.describeUse()).to.deep.equal({ a: [1] })
+  })
+
+  // Failure: an admission of a request without a limit took one back that was counted since the account has a limit.
+  it('takes nothing back for a request that was not counted', () => {
+    const quotas = createAccountQuotas(new FakeClock(), createSilentLogger(), () => defaultQuotaBounds, 'g-1')
+    const unlimited = { ...account, ratePerSecond: 0 }
+    const admitted = quotas.admit(unlimited)
+    quotas.admit(account)
+    quotas.release(unlimited, admitted)
+    expect(quotas.describeUse()).to.deep.equal({ a: [1, 1] })
+  })
+
+  // Failure: the sums of an account with the name of a property of all objects were a function, and the request failed.
+  it('counts accounts whatever their names are', () => {
+    const quotas = createAccountQuotas(new FakeClock(), createSilentLogger(), () => defaultQuotaBounds, 'g-1')
+    quotas.applyTotals({ accountUse: {}, gateways: 1 }, {})
+    for (const name of ['constructor', 'toString', 'valueOf']) {
+      const named = { ...account, name }
+      expect(quotas.admit(named).isAdmitted, name).to.equal(true)
+      expect(quotas.getLevel(named).level, name).to.equal(undefined)
+    }
+  })
+
   // Guards against a leader that forgets what a restarted or lost host has admitted in the window.
   it('keeps the use of a restarted host for a window, and that of a lost one for two', () => {
     const sums = createAccountUseSums()
