A key is called unknown only by tables that are the newest for certain

A gateway that had lost the leader answered 401 for a key that had been added meanwhile, until its lease ended; 401 ends the attempts of a caller. The leader acknowledges a version without the gateways that it has not heard of for the timeout of a session, so a gateway now answers 503 once its last confirmation is that old.

Test of the lease: failed before, passes. test/support/fakeFleet.ts confirms the tables that it applies, as a leader does.

--- a/bench/accounts.ts
+++ b/bench/accounts.ts
@@ -50,7 +50,7 @@
 const bytes = measureHeapBytes() - before
 
 function measureLookUpUs (choose: (index: number) => string): number {
-  const known = { accounts, canServeAccounts: true, tablesOutdatedMs: undefined }
+  const known = { accounts, canServeAccounts: true, hasNewestAccounts: true }
   const credentials = Array.from({ length: 1_000 }, (_, index) => choose(index))
   let found = 0
   const lookUp = (count: number): void => {
--- a/src/process/accounts/keyLease.ts
+++ b/src/process/accounts/keyLease.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Clock } from '../program/clock.ts'
+import { fleetLongPollMs } from '../fleet/fleetMessages.ts'
 
 /**
  * Duration of the lease as a share of the time within which withdrawals have to be in effect. The rest covers steady clocks that run at
@@ -11,6 +12,12 @@
  */
 const leaseShare = 0.9
 
+/**
+ * Age of a confirmation up to which a key may be called unknown, in milliseconds. The leader acknowledges a version only once each host
+ * has it that was in contact for this long (`sessionTimeoutMs`), so until then no later version was acknowledged.
+ */
+const newestMs = 3 * fleetLongPollMs
+
 /**
  * Computes the duration of the lease.
  * @param revocationMs - time from the acknowledgement of a version within which the keys that it withdraws have to be refused everywhere, in
@@ -43,6 +50,12 @@
    * @returns whether the lease holds, or there is none
    */
   isHeld (version: number): boolean
+  /**
+   * Checks whether a key that the tables lack is unknown for certain.
+   * @param version - version of the tables that this host has
+   * @returns whether no later version can have been acknowledged to an operator
+   */
+  isNewest (version: number): boolean
 }
 
 /**
@@ -56,24 +69,25 @@
   // host is still fetching count once it has them.
   const newestAt = new Map<number, number>()
 
+  function isConfirmed (version: number, maxAgeMs: number): boolean {
+    const expired = clock.now() - maxAgeMs
+    for (const [known, time] of newestAt) {
+      if (known <= version && time > expired) return true
+    }
+    return false
+  }
+
   return {
     record ({ version, sentAt, ageMs }) {
       // The answer was made after the poll was sent, so that the statement is younger than this if anything.
       const confirmedAt = sentAt - ageMs
       if (confirmedAt > (newestAt.get(version) ?? -Infinity)) newestAt.set(version, confirmedAt)
-      const expired = clock.now() - leaseMs()
+      const expired = clock.now() - Math.max(leaseMs(), newestMs)
       for (const [known, time] of newestAt) {
         if (time <= expired) newestAt.delete(known)
       }
     },
-    isHeld (version) {
-      const duration = leaseMs()
-      if (duration === 0) return true
-      const expired = clock.now() - duration
-      for (const [known, time] of newestAt) {
-        if (known <= version && time > expired) return true
-      }
-      return false
-    }
+    isHeld: version => leaseMs() === 0 || isConfirmed(version, leaseMs()),
+    isNewest: version => isConfirmed(version, newestMs)
   }
 }
--- a/src/process/fleet/fleetView.ts
+++ b/src/process/fleet/fleetView.ts
@@ -61,6 +61,8 @@
   readonly accounts: AccountIndex | undefined
   /** Whether the accounts are recent enough to accept keys by them. */
   readonly canServeAccounts: boolean
+  /** Whether a key that the accounts lack is unknown for certain: no later version can have been acknowledged. */
+  readonly hasNewestAccounts: boolean
   /** Priorities that live requests of the accounts may have; empty without accounts. */
   readonly livePriorities: readonly number[]
   /** Quotas of the accounts at this host. */
@@ -279,6 +281,7 @@
     get accounts () { return accounts },
     get livePriorities () { return livePriorities },
     get canServeAccounts () { return accounts === undefined || keyLease.isHeld(tables?.version ?? 0) },
+    get hasNewestAccounts () { return missingVersions.length === 0 && keyLease.isNewest(tables?.version ?? 0) },
     accountQuotas,
     get hosts () { return hosts },
     get controlHosts () { return [...new Set([...reportedControlHosts, ...seeds()])] },
--- a/src/request/callerIdentity.ts
+++ b/src/request/callerIdentity.ts
@@ -8,7 +8,7 @@
 import { GatewayRefusal } from './callerExchange.ts'
 
 /** What a gateway knows of the accounts. */
-export type KnownAccounts = Pick<FleetView, 'accounts' | 'canServeAccounts' | 'tablesOutdatedMs'>
+export type KnownAccounts = Pick<FleetView, 'accounts' | 'canServeAccounts' | 'hasNewestAccounts'>
 
 /**
  * Finds the account of a caller. A key that is sent is judged or refused as not ready, also on a public route: a job that is taken for one
@@ -16,8 +16,8 @@
  * @param credential - the key as the caller sent it; undefined if it sent none
  * @param isPublic - whether requests of the route need no key
  * @param known - what the gateway knows
- * @returns the account, undefined if there is none and none is needed, or the refusal: `Unauthorized` only if the tables are not known to
- *   be outdated, and `NotReady` otherwise
+ * @returns the account, undefined if there is none and none is needed, or the refusal: `Unauthorized`, which ends the attempts of
+ *   the caller, only if the key is unknown for certain, and `NotReady` otherwise
  */
 export function identifyCaller (credential: string | undefined, isPublic: boolean, known: KnownAccounts): Result<ClientAccount | undefined, GatewayRefusal> {
   if (known.accounts === undefined) return ok(undefined)
@@ -25,6 +25,6 @@
   if (!known.canServeAccounts) return err(GatewayRefusal.NotReady)
   const account = credential === undefined ? undefined : known.accounts.get(digestKey(credential))
   if (account !== undefined) return ok(account)
-  if (known.tablesOutdatedMs !== undefined) return err(GatewayRefusal.NotReady)
+  if (!known.hasNewestAccounts) return err(GatewayRefusal.NotReady)
   return isPublic ? ok(undefined) : err(GatewayRefusal.Unauthorized)
 }
--- a/test/keyLease.test.ts
+++ b/test/keyLease.test.ts
@@ -4,6 +4,7 @@
 import { createKeyLease, getKeyLeaseMs } from '../src/process/accounts/keyLease.ts'
 import { createFleetLeader } from '../src/process/fleet/fleetLeader.ts'
 import type { FleetHost } from '../src/process/fleet/fleetMessages.ts'
+import { sessionTimeoutMs } from '../src/process/fleet/hostSessions.ts'
 import { createFleetView, defaultAccountSettings, type FleetView } from '../src/process/fleet/fleetView.ts'
 import { type Replica, ReplicaRole } from '../src/process/log/replica.ts'
 import { createCondition } from '../src/process/program/condition.ts'
@@ -76,6 +77,21 @@
     expect([decide(), decide('k-2')]).to.deep.equal([GatewayRefusal.Unauthorized, 'north'])
   })
 
+  // Failure: a host that had lost the leader called a key unknown that had been added meanwhile, which ends the attempts of its caller. The
+  // leader acknowledges a version without a host that it has not heard of for the time of a session.
+  it('calls no key unknown once a version that has it may have been acknowledged', () => {
+    const decideAll = (): string[] => [decide(), decide('other'), decide('other', true)]
+    confirm(1, 100)
+    clock.jump(sessionTimeoutMs - 101)
+    expect(decideAll()).to.deep.equal(['north', GatewayRefusal.Unauthorized, 'nobody'])
+    clock.jump(1)
+    expect(decideAll()).to.deep.equal(['north', GatewayRefusal.NotReady, GatewayRefusal.NotReady])
+    confirm(2, 0)
+    expect(decideAll(), 'while newer tables are known').to.deep.equal(['north', GatewayRefusal.NotReady, GatewayRefusal.NotReady])
+    view.applyTables(accountTablesOf(2))
+    expect(decideAll()).to.deep.equal(['north', GatewayRefusal.Unauthorized, 'nobody'])
+  })
+
   // Guards against a request that runs for an account that may have lost the key, or a job that is open to everyone since the host could
   // not judge the key; and against callers without a key who are refused on a public route.
   it('is needed on a public route by callers that send a key, and by them alone', () => {
--- a/test/support/fakeFleet.ts
+++ b/test/support/fakeFleet.ts
@@ -263,7 +263,8 @@
   const clock = createSystemClock()
   const logger = createSilentLogger()
   const view = createFleetView(clock, logger, () => [])
-  view.applyUpdate(fleetUpdateOf({ tables: tablesOf(1, routes), ...update }))
+  const tables = update.tables ?? tablesOf(1, routes)
+  view.applyUpdate(fleetUpdateOf({ tables, tablesVersion: tables.version, tablesAgeMs: 0, ...update }), clock.now())
   const control = { reportCrash: async () => ok({ isBlocked: false }), acquireTrial: async () => ok(true), acquirePermit: async () => ok({ isGranted: true, retryMs: 0 }) }
   const random = createSystemRandom()
   const metrics = createMetrics()
