Hosts that may lack the first accounts serve only jobs without an account

A gateway whose tables had no accounts, and which knew of newer tables, let every caller read and end the jobs of accounts, without a bound in time. It answers 503 for them now, as a host without tables does.

--- a/src/request/gatewayJobs.ts
+++ b/src/request/gatewayJobs.ts
@@ -107,7 +107,7 @@
   const pollMs = Math.min(waitMs, longPollMs, Math.floor(timeLeftMs - readTimeoutMs))
   const response = await services.control.read({ kind: QueryKind.SubmissionResults, job, after, waitMs: pollMs, caller: caller.value }, readTimeoutMs + pollMs)
   if (response.isErr() || response.value.kind !== QueryKind.SubmissionResults) return refuseRead(job, response.isErr() ? response.error.reason : '', services)
-  if (response.value.isForeign === true && services.view.tables === undefined) return refuseRead(job, '', services)
+  if (response.value.isForeign === true && mayLackAccounts(services.view)) return refuseRead(job, '', services)
   return ok(response.value.page)
 }
 
@@ -125,7 +125,7 @@
   if (getTimeLeftMs(services) < readTimeoutMs) return refuseRead(job, '', services, GatewayRefusal.Draining)
   const response = await services.control.read({ kind: QueryKind.SubmittedBody, job, item, caller: caller.value }, readTimeoutMs)
   if (response.isErr() || response.value.kind !== QueryKind.SubmittedBody) return refuseRead(job, response.isErr() ? response.error.reason : '', services)
-  if (response.value.isForeign === true && services.view.tables === undefined) return refuseRead(job, '', services)
+  if (response.value.isForeign === true && mayLackAccounts(services.view)) return refuseRead(job, '', services)
   return ok(response.value.body)
 }
 
@@ -148,21 +148,25 @@
   if (getTimeLeftMs(services) < commandTimeoutMs) return refuseRead(job, '', services, GatewayRefusal.Draining)
   const outcome = await services.control.execute({ kind: CommandKind.EndSubmission, job, ...(caller.value === undefined ? {} : { caller: caller.value }) }, commandTimeoutMs)
   if (outcome.isErr()) return err(GatewayRefusal.Failed)
-  if (outcome.value.kind === OutcomeKind.Conflict && services.view.tables === undefined) return refuseRead(job, '', services)
+  if (outcome.value.kind === OutcomeKind.Conflict && mayLackAccounts(services.view)) return refuseRead(job, '', services)
   services.logger.write(LogEvents.submissionEnded, { requestId: job, reason: outcome.value.kind })
   return ok(outcome.value.kind !== OutcomeKind.NotFound && outcome.value.kind !== OutcomeKind.Conflict)
 }
 
-// Returns undefined if jobs need no key. Without tables this host does not know which key belongs to which account, so that it may only
-// serve jobs without one.
+// Returns undefined if jobs need no key. A host that may lack accounts does not know which key belongs to which account, so that it may
+// only serve jobs without one.
 function identifyJobCaller ({ host, credential }: JobAccess, { view }: GatewayJobServices): Result<JobCaller | undefined, GatewayRefusal> {
-  if (view.tables === undefined) return ok({})
+  if (mayLackAccounts(view)) return ok({})
   if (view.accounts === undefined) return ok(undefined)
   if (!view.canServe) return err(GatewayRefusal.NotReady)
   const isPublic = listRoutes(view.routes, host).some(route => route.kind === RouteKind.Batch && route.isPublic === true)
   return identifyCaller(credential, isPublic, view).map(account => account === undefined ? {} : { account: account.name })
 }
 
+function mayLackAccounts ({ tables, accounts, tablesOutdatedMs }: FleetView): boolean {
+  return tables === undefined || (accounts === undefined && tablesOutdatedMs !== undefined)
+}
+
 // Returns the time within which a call must end, in milliseconds; Infinity unless the gateway is draining.
 function getTimeLeftMs ({ drain, clock }: GatewayJobServices): number {
   return drain.lastEndAt - clock.now()
--- a/test/jobAccounts.test.ts
+++ b/test/jobAccounts.test.ts
@@ -144,6 +144,20 @@
   })
 
   // Guards against a withdrawn key that a host out of touch still accepts for jobs.
+  // Failure: a host whose tables had no accounts let everyone read and end jobs of accounts while it knew of newer tables.
+  it('are refused as not ready by a host that may lack the first accounts, which serves jobs without an account', async () => {
+    publish(undefined)
+    await submit('open')
+    publish(accounts)
+    await submit('j', 'n-1')
+    view = createFleetView(clock, createSilentLogger(), () => [])
+    services = { ...services, view }
+    view.applyTables(tablesOf(1, [routeOf({ kind: RouteKind.Batch, pathPrefix: '/batch/' })]))
+    view.recordTablesVersion(2)
+    expect(await access('j', 'n-1')).to.deep.equal(refusedAs(GatewayRefusal.NotReady))
+    expect(await access('open')).to.deep.equal(served)
+  })
+
   it('are refused as not ready past the lease for keys', async () => {
     publish(accounts)
     await submit('j', 'n-1')
