Requests beyond the share of their account: free slots, and places of higher priorities

They were refused while slots were free at servers with more than 18 slots, since a tenth of all places is then more than the queue places. And they took the queue places that requests within the share leave to higher priorities.

Measured: the new test and the extended one of test/competition.test.ts failed before (32 slots: refused with a free slot; 2 queue places in place of 1) and pass.

--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -280,12 +280,13 @@
   const meanTokens = view.costs.getMeanTokens(service)
   const candidates: ServerCandidate[] = []
   const { maxQueued, reservedShare } = runs > 0 || isResponseStarted || isResumption ? ordinaryPlaces : places
-  const sums = { places: 0, live: 0 }
+  const sums = { slots: 0, places: 0, live: 0 }
   for (const server of view.listReadyServers(service)) {
     if (!canContinue(origin, server) || view.requestLimits.isExcluded(server.id)) continue
     const remote = remoteLoad.getLoad(server.id)
     const live = remote.live + (view.live.get(server.id) ?? 0)
     // Batch items yield to live requests, so only live requests count towards the limit.
+    sums.slots += server.slots
     sums.places += server.slots + maxQueuedPerServer
     sums.live += live
     if (live >= server.slots + maxQueued) continue
--- a/src/request/placement/competition.ts
+++ b/src/request/placement/competition.ts
@@ -76,13 +76,14 @@
 export function decidePlaces ({ higherPriorities, level, meanLevel, position }: LiveCompetitor): LivePlaces {
   const isWithinShare = level === undefined || meanLevel === undefined || level <= meanLevel * shareTolerance
   const sharePart = isWithinShare ? 1 : meanLevel / level
-  if (position >= sharePart) return excessPlaces
   // A queue place at every server is left to each higher priority. Priorities are relative: where all are equal, all places are used.
-  return higherPriorities === 0 ? ordinaryPlaces : { ...ordinaryPlaces, maxQueued: Math.max(0, maxQueuedPerServer - higherPriorities) }
+  const maxQueued = Math.max(0, maxQueuedPerServer - higherPriorities)
+  return { ...(position >= sharePart ? excessPlaces : ordinaryPlaces), maxQueued }
 }
 
 /** Places at all servers of a service. */
 export interface PlaceSums {
+  readonly slots: number
   /** Slots and queue places. */
   readonly places: number
   /** Live requests of all hosts. */
@@ -90,13 +91,13 @@
 }
 
 /**
- * Checks whether a request leaves as many places free as it has to.
+ * Checks whether a request leaves as many places free as it has to: of the queue places alone, since nobody waits while slots are free.
  * @param request - the places of the request
  * @param sums - places of the service
  * @returns whether it may take a place
  */
-export function hasRoom (request: Pick<LivePlaces, 'reservedShare'>, { places, live }: PlaceSums): boolean {
-  return request.reservedShare === 0 || live + 1 <= places * (1 - request.reservedShare)
+export function hasRoom (request: Pick<LivePlaces, 'reservedShare'>, { slots, places, live }: PlaceSums): boolean {
+  return request.reservedShare === 0 || live + 1 <= Math.max(slots, places * (1 - request.reservedShare))
 }
 
 /** Item that competes for a slot. */
--- a/test/competition.test.ts
+++ b/test/competition.test.ts
@@ -75,7 +75,7 @@
     // Requests that wait check the servers again in no order of their own.
     for (const entry of shuffle(waiting, random)) {
       const best = ends.reduce((least, server) => server.length < least.length ? server : least)
-      const sums = { places: ends.length * (slots + maxQueuedPerServer), live: ends.reduce((total, server) => total + server.length, 0) }
+      const sums = { slots: ends.length * slots, places: ends.length * (slots + maxQueuedPerServer), live: ends.reduce((total, server) => total + server.length, 0) }
       if (best.length < slots + entry.places.maxQueued && hasRoom(entry.places, sums)) {
         best.push(now + 700)
         entry.competitor.times.push(now)
@@ -156,6 +156,8 @@
   it('leaves queue places to the accounts of a higher priority', () => {
     const placesOf = (higherPriorities: number): number => decidePlaces({ higherPriorities, position: 0, level: undefined, meanLevel: undefined }).maxQueued
     expect([0, 1, 2, 9].map(placesOf)).to.deep.equal([2, 1, 0, 0])
+    const beyondShare = { position: 0.9, level: 1.5, meanLevel: 0.5 }
+    expect(decidePlaces({ higherPriorities: 1, ...beyondShare }), 'beyond the share').to.include({ maxQueued: 1, isBeyondShare: true })
   })
 
   // Failure: where all accounts had priority 1, every request left a queue place to nobody, and was refused while servers had room.
@@ -183,6 +185,15 @@
     ], 'another account has').to.deep.equal([0, 0, 0])
   })
 
+  // Failure: requests beyond the share of their account were refused at servers with many slots of which a tenth was free.
+  it('refuses no request beyond the share of its account while slots are free', () => {
+    for (const slotsOfServer of [1, 8, 32, 100]) {
+      const sumsOf = (live: number): { slots: number, places: number, live: number } => ({ slots: slotsOfServer * 10, places: (slotsOfServer + maxQueuedPerServer) * 10, live })
+      expect(hasRoom({ reservedShare: 0.1 }, sumsOf(slotsOfServer * 10 - 1)), `${slotsOfServer} slots`).to.equal(true)
+      expect(hasRoom({ reservedShare: 0.1 }, sumsOf((slotsOfServer + maxQueuedPerServer) * 10 - 1)), `${slotsOfServer} slots`).to.equal(false)
+    }
+  })
+
   const itemOf = (key: string, account: string | undefined, dueInMs: number, priority = 1): ItemCompetitor => ({ key, account, dueInMs, remainingMs: 1_000, priority })
   const order = (items: readonly ItemCompetitor[], running: Readonly<Record<string, number>>, itemSlots: number): string =>
     orderByCompetition(items, { byAccount: new Map(Object.entries(running)), slots: itemSlots }).map(({ key }) => key).join(' ')
