Sums of the use of accounts go only to hosts whose use they contain

A new leader answered the report of a gateway without a session with sums that lacked its use. The gateway subtracted its use from them, and so took the others to have used less than they had. It keeps its last sums now until it has a session.

--- a/src/process/fleet/fleetLeader.ts
+++ b/src/process/fleet/fleetLeader.ts
@@ -353,12 +353,14 @@
     },
     report (report) {
       if (!isLeading()) return err(createNotLeaderFailure(Step.Report))
-      if (sessions.report(report)) changed.notify()
+      const hasSession = sessions.report(report)
+      if (hasSession) changed.notify()
       recordPaces(report)
       if (report.requestMs !== undefined) requestMs = (requestMs ?? report.requestMs) * (1 - requestMsWeight) + report.requestMs * requestMsWeight
       confirmations.notify()
       quarantine.recordOutputs(report.outputs ?? [])
-      const accountTotals = report.accountUse === undefined ? {} : sessions.accountUse.describe(state.publication?.tables.accounts, inputs.quotaBounds ?? defaultQuotaBounds, clock.now())
+      // A host subtracts its own use from the sums, so they must contain it.
+      const accountTotals = report.accountUse === undefined || !hasSession ? {} : sessions.accountUse.describe(state.publication?.tables.accounts, inputs.quotaBounds ?? defaultQuotaBounds, clock.now())
       const sums = sessions.getLoadSums()
       return ok({ loads: listServerLoads(sums, batch, paces.list(clock.now())), suspects: [...sums.suspects.keys()], intervalMs: getReportIntervalMs(), ...accountTotals })
     },
--- a/test/fleetLeader.test.ts
+++ b/test/fleetLeader.test.ts
@@ -1,7 +1,8 @@
 import { expect } from 'chai'
 import { Clock, createSystemClock } from '../src/process/program/clock.ts'
 import { createCondition } from '../src/process/program/condition.ts'
-import { createControlState } from '../src/process/state/controlState.ts'
+import { CommandKind } from '../src/process/state/commands.ts'
+import { applyCommand, createControlState } from '../src/process/state/controlState.ts'
 import { type BackendServerRecord, type Heartbeat, ServerPhase } from '../src/process/fleet/backendServerRegistry.ts'
 import { createFleetLeader, type FleetLeader } from '../src/process/fleet/fleetLeader.ts'
 import type { FleetHost, FleetUpdate, FleetRole, FleetWatchRequest, LoadReport } from '../src/process/fleet/fleetMessages.ts'
@@ -172,6 +173,17 @@
     expect(fleet.getLoad('i-1').live).to.equal(3)
   })
 
+  // Failure: a new leader answered a gateway whose session it did not have yet with sums that lacked its use; the gateway subtracted it.
+  it('names sums of the use of accounts only to gateways whose use they contain', async () => {
+    const accounts = [{ name: 'a', keys: [], priority: undefined, ratePerSecond: 1, burst: 0 }]
+    applyCommand(state, { kind: CommandKind.Publish, publication: { tables: { ...tablesOf(1, []), accounts }, document: '', digest: '' } })
+    const report = { holder: 'g-1', live: {}, suspects: [], accountUse: { a: [9, 1] } }
+    expect(fleet.report(report)._unsafeUnwrap()).not.to.have.any.keys('accountUse', 'gateways')
+    await fleet.watch(firstPoll(hostOf('g-1')))
+    expect(fleet.report(report)._unsafeUnwrap()).to.deep.include({ accountUse: { a: [9, 1] }, gateways: 1 })
+    state.publication = undefined
+  })
+
   // Guards against sums that drift from the reports when hosts report again, restart or are lost.
   it('keeps the sums of all reports equal to their total', () => {
     const seed = 3
