Test of ended jobs ends the job once its runs have arrived

It ended the job right after its submission and then counted arrivals at the servers. Runs that were on their way may arrive after that: 6 in place of 2 were seen once on a busy machine. The test now waits until a run is in each of the 4 slots, and ends the job while the other 4 items wait; the check is the same. No change of the product.

--- a/test/fleetProcesses.test.ts
+++ b/test/fleetProcesses.test.ts
@@ -4,6 +4,9 @@
 
 const timeoutMs = 15_000
 
+/** Slots of each server. */
+const slots = 2
+
 function jobBodyOf (count: number): string {
   const items = Array.from({ length: count }, (_, index) => (
     { id: `item-${index}`, path: '/batch/x', headers: { 'X-Model': 'm' }, body: Buffer.from(`body ${index}`).toString('base64'), tokens: 50 }))
@@ -74,15 +77,19 @@
 
   // Guards against items that run after the end of their job was acknowledged.
   it('returns the body of an item without a result, and runs no item of a job that was ended', async () => {
+    const countRuns = (): number => fleet.servers.flatMap(server => server.ran).length
+    const ranAtFirst = countRuns()
     for (const server of fleet.servers) server.events = 500
     expect((await fleet.call('POST', '/batch/j', { 'x-request-id': 'ended' }, jobBodyOf(8))).status).to.equal(202)
+    // Runs that are on their way when the job ends may still arrive, so it ends once all slots are taken. Half of its items wait then.
+    await eventually('a run in each slot', timeoutMs, async () => countRuns() - ranAtFirst === fleet.servers.length * slots ? true : undefined)
     expect((await fleet.call('GET', '/v1/items/ended?id=item-7')).text).to.equal('body 7')
     for (const gateway of [0, 1]) expect((await fleet.call('DELETE', '/v1/lots/ended', {}, undefined, gateway)).status).to.equal(200)
     for (const server of fleet.servers) server.events = 5
-    const ranBefore = fleet.servers.flatMap(server => server.ran).length
+    const ranBefore = countRuns()
     expect((await fleet.call('POST', '/batch/j', { 'x-request-id': 'after' }, jobBodyOf(2))).status).to.equal(202)
     await readAllResults('after', 2)
-    expect(fleet.servers.flatMap(server => server.ran).length - ranBefore).to.equal(2)
+    expect(countRuns() - ranBefore).to.equal(2)
   })
 
   // Failure: after the leader was killed, acknowledged jobs or tables were lost or read in an older state.
