--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -9,7 +9,7 @@
 import { LogEvents } from '../process/program/logEvents.ts'
 import { Counter } from '../process/program/metrics.ts'
 import type { ClientAccount } from '../version/accounts.ts'
-import { chooseTarget, matchRoute, RouteKind } from '../version/gatewayTables.ts'
+import { chooseTarget, type GatewayRoute, matchRoute, RouteKind } from '../version/gatewayTables.ts'
 import { type CallerResponse, type CallerRequest, drainingRetryAfterMs, GatewayRefusal } from './callerExchange.ts'
 import { identifyCaller } from './callerIdentity.ts'
 import { ForwardedAttemptEnd, type ForwardingServices, isBodyReplayable, type ForwardingProgress, runForwardedAttempt, minServerErrorStatus, verifyOrigin } from './forwardedAttempt.ts'
@@ -70,7 +70,7 @@
     service: chooseTarget(route, random.next()),
     origin: undefined,
     writers: [],
-    places: choosePlaces(account, services),
+    places: choosePlaces(account, route, services),
     isResumption: isResumption(request, route),
     traits: createRequestTraits(request),
     events: 0,
@@ -94,12 +94,13 @@
     isEndCertain: true,
     server: undefined
   }
-  try {
-    if (progress.isResumption && !await prepareResumption(progress, services)) return
-    while (await makeAttempt(progress, services)) services.metrics.count(Counter.Retries, route.kind)
-  } finally {
-    if (!progress.mayHaveRun) view.accountQuotas.release(account)
-  }
+  await runAttempts(progress, services)
+  if (!progress.mayHaveRun) view.accountQuotas.release(account, quota)
+}
+
+async function runAttempts (progress: ForwardingProgress, services: ForwardingServices): Promise<void> {
+  if (progress.isResumption && !await prepareResumption(progress, services)) return
+  while (await makeAttempt(progress, services)) services.metrics.count(Counter.Retries, progress.route.kind)
 }
 
 /**
@@ -111,9 +112,11 @@
   return view.tablesOutdatedMs === undefined ? GatewayRefusal.NoRoute : GatewayRefusal.NotReady
 }
 
-function choosePlaces (account: ClientAccount | undefined, { view, random }: ForwardingServices): LivePlaces {
+function choosePlaces (account: ClientAccount | undefined, route: GatewayRoute, { view, random }: ForwardingServices): LivePlaces {
   if (account === undefined) return ordinaryPlaces
-  return decidePlaces({ priority: account.priority, position: random.next(), ...view.accountQuotas.getLevel(account) })
+  const priority = account.priority ?? route.priority
+  const higherPriorities = view.livePriorities.filter(other => other < priority).length
+  return decidePlaces({ higherPriorities, position: random.next(), ...view.accountQuotas.getLevel(account) })
 }
 
 // Returns whether an attempt may be made; if not, the response has ended.
@@ -277,12 +280,13 @@
   const meanTokens = view.costs.getMeanTokens(service)
   const candidates: ServerCandidate[] = []
   const { maxQueued, reservedShare } = runs > 0 || isResponseStarted || isResumption ? ordinaryPlaces : places
-  const sums = { places: 0, live: 0 }
+  const sums = { slots: 0, places: 0, live: 0 }
   for (const server of view.listReadyServers(service)) {
     if (!canContinue(origin, server) || view.requestLimits.isExcluded(server.id)) continue
     const remote = remoteLoad.getLoad(server.id)
     const live = remote.live + (view.live.get(server.id) ?? 0)
     // Batch items yield to live requests, so only live requests count towards the limit.
+    sums.slots += server.slots
     sums.places += server.slots + maxQueuedPerServer
     sums.live += live
     if (live >= server.slots + maxQueued) continue
--- a/src/request/placement/competition.ts
+++ b/src/request/placement/competition.ts
@@ -33,8 +33,8 @@
 
 /** Live request that competes for a place. */
 export interface LiveCompetitor extends AccountLevel {
-  /** Priority of its account, 0 being the highest; undefined for a request without an account or with one that has no priority. */
-  readonly priority: number | undefined
+  /** Number of higher priorities that requests of other accounts may have. */
+  readonly higherPriorities: number
   /** Number from 0 to 1 that is distributed evenly over the requests of the account. */
   readonly position: number
 }
@@ -57,15 +57,19 @@
 const excessPlaces: LivePlaces = { maxQueued: maxQueuedPerServer, reservedShare, mayWait: false, isBeyondShare: true }
 
 /**
- * Computes how much of its limit an account uses.
+ * Computes how much of its limit an account uses. Most accounts have less than one request in `recentMs`, so that the latest rate counts only
+ * where it differs from the window by more than chance.
  * @param count - its requests, at all hosts
  * @param limit - its limit in a window
  * @param windowMs - length of the window, in milliseconds
  * @returns the use as a share of the limit
  */
 export function computeLevel ({ admitted, recent }: Pick<AccountCount, 'admitted' | 'recent'>, limit: number, windowMs: number): number {
-  const latest = recent * windowMs / recentMs
-  return limit <= 0 ? 0 : (admitted + latest * recentWeight) / (1 + recentWeight) / limit
+  if (limit <= 0) return 0
+  const noise = Math.sqrt(Math.max(1, recent))
+  const rise = Math.max(0, (recent - noise) * windowMs / recentMs - admitted)
+  const fall = Math.max(0, admitted - (recent + noise) * windowMs / recentMs)
+  return (admitted + (rise - fall) * recentWeight / (1 + recentWeight)) / limit
 }
 
 /**
@@ -73,16 +77,17 @@
  * @param competitor - the request
  * @returns the places that it may take
  */
-export function decidePlaces ({ priority = 0, level, meanLevel, position }: LiveCompetitor): LivePlaces {
+export function decidePlaces ({ higherPriorities, level, meanLevel, position }: LiveCompetitor): LivePlaces {
   const isWithinShare = level === undefined || meanLevel === undefined || level <= meanLevel * shareTolerance
   const sharePart = isWithinShare ? 1 : meanLevel / level
-  if (position >= sharePart) return excessPlaces
-  // Each lower priority leaves a queue place at every server to the higher ones.
-  return priority === 0 ? ordinaryPlaces : { ...ordinaryPlaces, maxQueued: Math.max(0, maxQueuedPerServer - priority) }
+  // A queue place at every server is left to each higher priority. Priorities are relative: where all are equal, all places are used.
+  const maxQueued = Math.max(0, maxQueuedPerServer - higherPriorities)
+  return { ...(position >= sharePart ? excessPlaces : ordinaryPlaces), maxQueued }
 }
 
 /** Places at all servers of a service. */
 export interface PlaceSums {
+  readonly slots: number
   /** Slots and queue places. */
   readonly places: number
   /** Live requests of all hosts. */
@@ -90,13 +95,13 @@
 }
 
 /**
- * Checks whether a request leaves as many places free as it has to.
+ * Checks whether a request leaves as many places free as it has to: of the queue places alone, since nobody waits while slots are free.
  * @param request - the places of the request
  * @param sums - places of the service
  * @returns whether it may take a place
  */
-export function hasRoom (request: Pick<LivePlaces, 'reservedShare'>, { places, live }: PlaceSums): boolean {
-  return request.reservedShare === 0 || live + 1 <= places * (1 - request.reservedShare)
+export function hasRoom (request: Pick<LivePlaces, 'reservedShare'>, { slots, places, live }: PlaceSums): boolean {
+  return request.reservedShare === 0 || live + 1 <= Math.max(slots, places * (1 - request.reservedShare))
 }
 
 /** Item that competes for a slot. */
@@ -116,8 +121,10 @@
 }
 
 /**
- * Orders waiting items: by priority; items that can still be on time before the late ones; items within the share of their account before
- * those beyond it; then by urgency. The slots are shared evenly by the accounts that have items. Without any account, only urgency counts.
+ * Orders waiting items. While all of them can be on time by urgency alone, that is their order: to put back the items of an account would make them
+ * late and help nobody. Otherwise they are ordered by priority; items that can still be on time before the late ones; items within the share of
+ * their account before those beyond it; then by urgency. The slots are shared evenly by the accounts that have items. Without any account,
+ * only urgency counts.
  * @param items - the waiting items
  * @param running - the running items
  * @returns the items, those to start first at the beginning
@@ -127,7 +134,7 @@
   const accounts = new Set(byAccount.keys())
   for (const { account } of items) if (account !== undefined) accounts.add(account)
   // Without accounts, route priorities do not count either: a route never lets another one's items become late.
-  if (accounts.size === 0) return urgent
+  if (accounts.size === 0 || canAllBeOnTime(urgent, { byAccount, slots })) return urgent
   const share = Math.max(1, slots / accounts.size)
   const taken = new Map(byAccount)
   const ranked: Array<{ readonly item: ItemCompetitor, readonly isLate: boolean, readonly isBeyondShare: boolean }> = []
@@ -142,6 +149,21 @@
   return ranked.map(({ item }) => item)
 }
 
+// Each item waits until those before it have passed through the slots, and for half of the usual run time of the running ones on average.
+function canAllBeOnTime (urgent: readonly ItemCompetitor[], { byAccount, slots }: RunningItems): boolean {
+  if (slots === 0) return urgent.length === 0
+  let totalMs = 0
+  for (const { remainingMs } of urgent) totalMs += remainingMs
+  let running = 0
+  for (const count of byAccount.values()) running += count
+  let waitMs = running / slots * totalMs / Math.max(1, urgent.length) / 2
+  for (const { dueInMs, remainingMs } of urgent) {
+    if (waitMs + remainingMs > dueInMs) return false
+    waitMs += remainingMs / slots
+  }
+  return true
+}
+
 function sortByPriority (items: readonly ItemCompetitor[]): ItemCompetitor[] {
   return [...items].sort((left, right) => left.priority - right.priority)
 }
