Gateway: end what waits on a closed connection, and free received messages

Cause: a response behind an earlier one on its connection emits no event when the connection closes, so its bytes, counters and open request stayed for ever. A message between hosts left its decompressed buffer to the collector.

Change: the end of an exchange is the close of its response or of its connection. Buffers of messages that were decompressed in the thread pool are freed once they are unpacked, which copies.

--- a/src/connection/frames.ts
+++ b/src/connection/frames.ts
@@ -144,13 +144,20 @@
 function deliverMessage (socket: Socket, body: Buffer, encoding: number, receive: (message: unknown) => void): void {
   try {
     const plain = encoding === BodyEncoding.Plain ? body : decompress(body)
-    if (plain instanceof Promise) plain.then(bytes => receive(codec.unpack(bytes))).catch((error: Error) => socket.destroy(error))
+    if (plain instanceof Promise) plain.then(bytes => receive(unpackAndRelease(bytes))).catch((error: Error) => socket.destroy(error))
     else receive(codec.unpack(plain))
   } catch (error) {
     socket.destroy(error as Error)
   }
 }
 
+// The message is a copy.
+function unpackAndRelease (bytes: Buffer): unknown {
+  const message: unknown = codec.unpack(bytes)
+  releaseBytes(bytes)
+  return message
+}
+
 /**
  * Writes a frame. Frames written in the same turn of the event loop are sent in one system call.
  * @param socket - the connection
--- a/src/connection/openRequests.ts
+++ b/src/connection/openRequests.ts
@@ -5,6 +5,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import { createCondition } from '../process/program/condition.ts'
+import { whenEnded } from './exchangeEnd.ts'
 
 /** Maximum interval between two checks, in milliseconds. */
 const maxCheckIntervalMs = 1_000
@@ -47,6 +48,8 @@
       servers.add(server)
       // Must run before the other listeners, since they may write the headers at once.
       server.prependListener('request', ({ socket }: IncomingMessage, response: ServerResponse) => {
+        // A listener before this one has closed the connection.
+        if (socket.destroyed) return
         open.add(response)
         const previous = latest.get(socket)
         latest.set(socket, response)
@@ -54,7 +57,7 @@
           if (previous?.headersSent === false) previous.shouldKeepAlive = true
           response.shouldKeepAlive = false
         }
-        response.once('close', () => {
+        whenEnded(socket, response, () => {
           open.delete(response)
           changed.notify()
         })
--- a/test/untrustedClientProcesses.test.ts
+++ b/test/untrustedClientProcesses.test.ts
@@ -30,6 +30,9 @@
 const largeChunk = Buffer.from(`10000\r\n${'a'.repeat(0x10000)}\r\n`)
 const plain = Buffer.alloc(16_384, 'a')
 
+/** A request that waits for a while. */
+const poll = Buffer.from('GET /v1/lots/none HTTP/1.1\r\nhost: a.example\r\nx-wait-ms: 1000\r\n\r\n')
+
 /** A body of the largest size whose values take many times its size once they are decoded. */
 const manyItems = Buffer.from(`{"items":[${'{},'.repeat(Math.floor((bodyBytes - 20) / 3))}{}]}`.padEnd(bodyBytes))
 
@@ -55,6 +58,7 @@
   'live bodies sent far over the limit': { connections: 60, head: writeHead(live, chunked), block: largeChunk, bytes: 2 * bodyBytes, isReading: true },
   'jobs of many empty items': { connections: 8, head: writeHead(job, announced), block: manyItems, bytes: bodyBytes, isReading: true },
   'heads without end': { connections: 800, head: `GET ${live} HTTP/1.1\r\nhost: a.example\r\nx: `, block: plain, bytes: 60_000, isReading: true },
+  'requests that do not wait for answers': { connections: 100, head: '', block: poll, bytes: 1_000 * poll.length, isReading: true },
   'many connections': { connections: 1_500, head: '', block: plain, bytes: 0, isReading: true }
 }
 
