Items are planned as before; shares order them only under overload

Faster servers count for more when an item is placed. Shares and priorities of accounts order items only while not all that are not late yet can be on time, by the slots that live requests leave on average over 6 s.

--- a/src/connection/fleetWatch.ts
+++ b/src/connection/fleetWatch.ts
@@ -81,7 +81,6 @@
       holder: describe().holder,
       tablesVersion: view.tables?.version ?? 0,
       live: Object.fromEntries(reported),
-      requestMs: view.remoteLoads.requestMs,
       suspects: view.listLocalSuspects(),
       outputs,
       accountUse,
--- a/src/process/fleet/batchRoutes.ts
+++ b/src/process/fleet/batchRoutes.ts
@@ -18,12 +18,6 @@
    * @returns the route, or undefined when the tables have none for it
    */
   find (record: SubmissionRecord): GatewayRoute | undefined
-  /**
-   * Finds the shortest latency objective of the live routes to a service.
-   * @param service - the service
-   * @returns the objective, in milliseconds; undefined if no live route with an objective leads there
-   */
-  findLiveObjectiveMs (service: string): number | undefined
 }
 
 /**
@@ -34,7 +28,6 @@
 export function createBatchRoutes (state: Pick<ControlState, 'publication'>): BatchRoutes {
   let routes: RouteIndex = new Map()
   let version = -1
-  let liveObjectives = new Map<string, number>()
   let routesByJob = new WeakMap<SubmissionRecord, { readonly route: GatewayRoute | undefined }>()
   return {
     get hasTables () { return version > 0 },
@@ -43,10 +36,8 @@
       if (tables === undefined || tables.version === version) return
       routes = createRouteIndex(tables)
       version = tables.version
-      liveObjectives = collectLiveObjectives(tables.routes)
       routesByJob = new WeakMap()
     },
-    findLiveObjectiveMs: service => liveObjectives.get(service),
     find (record) {
       const known = routesByJob.get(record)
       if (known !== undefined) return known.route
@@ -57,12 +48,3 @@
     }
   }
 }
-
-function collectLiveObjectives (routes: readonly GatewayRoute[]): Map<string, number> {
-  const objectives = new Map<string, number>()
-  for (const { kind, objectiveMs, targets } of routes) {
-    if (kind === RouteKind.Batch || objectiveMs <= 0) continue
-    for (const { service } of targets) objectives.set(service, Math.min(objectives.get(service) ?? Infinity, objectiveMs))
-  }
-  return objectives
-}
--- a/src/process/fleet/batchRunner.ts
+++ b/src/process/fleet/batchRunner.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import { err, type Result } from 'neverthrow'
-import { hasFreeSlot, type PlannedServer, type Resumption } from '../../request/placement/batchPlan.ts'
+import { hasFreeSlot, type ItemUrgency, orderByUrgency, planBatch, type PlannedServer, type Resumption } from '../../request/placement/batchPlan.ts'
+import { planLive } from '../../request/placement/plannedLive.ts'
 import { listPartTraits, type Trait } from '../../request/requestTraits.ts'
 import { RunEnd } from '../../request/submittedItemRun.ts'
 import { chooseTarget } from '../../version/gatewayTables.ts'
@@ -23,10 +24,11 @@
 import { isSubmissionClosed } from '../jobs/submissions.ts'
 import { assertNever } from '../program/assert.ts'
 import { createBatchRoutes } from './batchRoutes.ts'
+import type { BackendServerRecord } from './backendServerRegistry.ts'
 import type { FleetLeader } from './fleetLeader.ts'
 import { createItemEndRecorder, ItemEndCause, logItemEnd } from './itemEndRecorder.ts'
-import { createItemDurationEstimator } from './itemDurationEstimator.ts'
 import { createItemCompetition } from './itemCompetition.ts'
+import { createItemDurationEstimator } from './itemDurationEstimator.ts'
 import { determineResumption } from './itemResumption.ts'
 import { countSavedEvents, createItemKey, createOpenItems, delayStartAfterInterruption, delayStartAfterFailure, type OpenItem } from './openItems.ts'
 import { logOpenItems } from './openItemStates.ts'
@@ -34,7 +36,6 @@
 import type { RunPoll, RunReports, RunUpdate } from './runMessages.ts'
 import { createReportQueue, type CurrentReport, recordRunReports, type RunReportServices } from './runReports.ts'
 import { createServerBackoffs } from './serverBackoffs.ts'
-import { createServicePlanner } from './servicePlanner.ts'
 
 /** Longest interval between two plans, in milliseconds. */
 const maxPlanIntervalMs = 200
@@ -83,8 +84,8 @@
 
 /** Items of a service that may be started. */
 interface StartableItems {
-  /** The items, the most urgent first. */
-  readonly entries: OpenItem[]
+  /** Their keys, the most urgent first. */
+  readonly keys: string[]
   /** Those that may resume from their saved events, by key. */
   readonly resumptions: Map<string, Resumption>
 }
@@ -122,8 +123,7 @@
   const backoffs = createServerBackoffs(clock)
   const queueReport = createReportQueue()
   const routes = createBatchRoutes(state)
-  const competition = createItemCompetition({ state, routes, items })
-  const planner = createServicePlanner({ ...inputs, routes, backoffs, durationEstimator })
+  const competition = createItemCompetition({ state, routes, items, clock })
   const reportServices: RunReportServices = { items, replica, getAttempts: ({ record }) => routes.find(record)?.attempts ?? 1, handleEnd, release: assignments.release }
   let term = -1
   let synchronizedIndex = -1
@@ -137,7 +137,6 @@
       items.clear()
       synchronizedIndex = -1
       backoffs.clear()
-      planner.clear()
       assignments.beginTerm(fleet.getLeadership())
     }
     if (synchronizedIndex === replica.state.appliedIndex) return true
@@ -172,13 +171,15 @@
   function plan (): void {
     const running = groupBy(items.running(), entry => entry.run?.server ?? '')
     const serversByService = groupBy(fleet.listReadyServers(), server => server.service)
-    const situations = [...serversByService].map(([service, servers]) => planner.describe(service, servers, running))
+    const plannedByService = new Map<string, PlannedServer[]>()
+    for (const [service, servers] of serversByService) plannedByService.set(service, describeServers(servers, running))
     // Ordering the waiting items is the larger part of a plan, and mostly there is no free slot.
     checkOutputSize()
-    const canStart = assignments.canStart() && situations.some(({ servers }) => servers.some(hasFreeSlot))
-    const startableByService = canStart ? groupStartableByService(situations.map(({ servers }) => servers)) : new Map<string, StartableItems>()
-    for (const situation of situations) {
-      const { starts, interruptions } = planner.plan(situation, startableByService.get(situation.service))
+    const canStart = assignments.canStart() && [...plannedByService.values()].some(servers => servers.some(hasFreeSlot))
+    const startableByService = canStart ? groupStartableByService(plannedByService.values()) : new Map<string, StartableItems>()
+    for (const [service, servers] of plannedByService) {
+      const startable = startableByService.get(service)
+      const { starts, interruptions } = planBatch(servers, startable?.keys ?? [], startable?.resumptions)
       for (const key of interruptions) interrupt(items.find(key))
       for (const { server, item } of starts) start(item, server)
     }
@@ -202,7 +203,7 @@
   function groupStartableByService (servers: Iterable<readonly PlannedServer[]>): Map<string, StartableItems> {
     const startableByService = new Map<string, StartableItems>()
     const now = clock.now()
-    for (const { key } of competition.order(planner.describeUrgency(items.startable(now)), servers)) {
+    for (const { key } of competition.order(describeUrgency(items.startable(now)), servers)) {
       const entry = items.find(key)
       if (entry === undefined || (isOutputFull && countSavedEvents(entry) === 0)) continue
       const route = routes.find(entry.record)
@@ -214,8 +215,8 @@
       // It stays open until the quarantine ends, or until it is given up.
       if (fleet.quarantine.isBlocked(listTraitsOf(entry))) continue
       const service = chooseTarget(route, random.next())
-      const startable: StartableItems = startableByService.get(service) ?? { entries: [], resumptions: new Map() }
-      startable.entries.push(entry)
+      const startable: StartableItems = startableByService.get(service) ?? { keys: [], resumptions: new Map() }
+      startable.keys.push(key)
       const resumption = determineResumption(entry, now)
       if (resumption !== undefined) startable.resumptions.set(key, resumption)
       startableByService.set(service, startable)
@@ -223,6 +224,35 @@
     return startableByService
   }
 
+  function describeServers (servers: readonly BackendServerRecord[], running: ReadonlyMap<string, readonly OpenItem[]>): PlannedServer[] {
+    const plannedLive = planLive(servers.map(({ id }) => fleet.getLoad(id).live), fleet.reportIntervalMs)
+    return servers.map((server, position) => describeServer(server, plannedLive[position] ?? 0, running.get(server.id) ?? []))
+  }
+
+  function describeServer ({ id, slots, softwareVersion }: BackendServerRecord, live: number, running: readonly OpenItem[]): PlannedServer {
+    // The order counts only when items have to be interrupted.
+    const ordered = live + running.length > slots ? orderByUrgency(describeUrgency(running)) : running
+    return {
+      id,
+      slots,
+      live,
+      items: ordered.map(item => item.key),
+      canStartItems: !backoffs.isBackingOff(id) && !fleet.isSuspect(id),
+      maxStarts: fleet.permits.countItemPermits(id),
+      speed: 1 / fleet.getPace(id),
+      softwareVersion
+    }
+  }
+
+  function describeUrgency (entries: readonly OpenItem[]): ItemUrgency[] {
+    const now = clock.wallTime()
+    return entries.map(entry => ({
+      key: entry.key,
+      dueInMs: entry.record.submission.acceptedAt + (routes.find(entry.record)?.dueMs ?? 0) - now,
+      remainingMs: durationEstimator.estimateRemainingMs(countSavedEvents(entry))
+    }))
+  }
+
   function interrupt (entry: OpenItem | undefined): void {
     if (entry?.run === undefined || entry.run.isInterrupted) return
     metrics.count(Counter.Yields, 'gateway')
--- a/src/process/fleet/fleetLeader.ts
+++ b/src/process/fleet/fleetLeader.ts
@@ -30,9 +30,6 @@
 import { createRequestPermits, type RequestPermits } from './requestPermits.ts'
 import { createTraitQuarantine, type TraitQuarantine } from './traitQuarantine.ts'
 
-/** Weight of one report in the usual duration of live requests. */
-const requestMsWeight = 0.02
-
 /** Interval between checks for expired sessions and backend servers, in milliseconds. */
 const sweepIntervalMs = 250
 
@@ -135,8 +132,6 @@
   withdraw (id: string): Promise<Result<boolean, Failure>>
   /** Interval between two load reports of a host, in milliseconds; it grows with the number of hosts. */
   readonly reportIntervalMs: number
-  /** Usual duration of live requests as the hosts report it, in milliseconds; undefined if none has. */
-  readonly requestMs: number | undefined
   /** Lists the backend servers that accept new requests. */
   listReadyServers (): BackendServerRecord[]
   /**
@@ -247,8 +242,6 @@
     if (hasUpdate(request)) await clock.sleep(updateDelayMs, lifecycle.signal)
   }
 
-  let requestMs: number | undefined
-
   function getLoad (id: string): ServerLoad {
     return { live: sessions.getLoadSums().live.get(id) ?? 0, batch: batch.get(id) ?? 0 }
   }
@@ -340,7 +333,6 @@
     isLeading,
     getLeadership,
     get reportIntervalMs () { return getReportIntervalMs() },
-    get requestMs () { return requestMs },
     publish: () => updateAvailable.notify(),
     async watch (request) {
       if (!isLeading()) return err(createNotLeaderFailure(Step.Watch))
@@ -356,7 +348,6 @@
       const hasSession = sessions.report(report)
       if (hasSession) changed.notify()
       recordPaces(report)
-      if (report.requestMs !== undefined) requestMs = (requestMs ?? report.requestMs) * (1 - requestMsWeight) + report.requestMs * requestMsWeight
       confirmations.notify()
       quarantine.recordOutputs(report.outputs ?? [])
       // A host subtracts its own use from the sums, so they must contain it.
--- a/src/process/fleet/fleetMessages.ts
+++ b/src/process/fleet/fleetMessages.ts
@@ -198,8 +198,6 @@
   /** Version of the tables by which the host serves. */
   readonly tablesVersion?: number | undefined
   readonly live: LiveCounts
-  /** Usual duration of the live requests of the host, in milliseconds; undefined before the first one, or from a host of a version that did not tell it. */
-  readonly requestMs?: number | undefined
   /** Backend servers to which a connection failed recently. */
   readonly suspects: readonly string[]
   /** Outputs with suspect traits since the last accepted report. */
--- a/src/process/fleet/itemCompetition.ts
+++ b/src/process/fleet/itemCompetition.ts
@@ -5,6 +5,7 @@
 import type { ItemUrgency, PlannedServer } from '../../request/placement/batchPlan.ts'
 import { type ItemCompetitor, orderByCompetition } from '../../request/placement/competition.ts'
 import type { GatewayTables } from '../../version/gatewayTables.ts'
+import type { Clock } from '../program/clock.ts'
 import type { ControlState } from '../state/controlState.ts'
 import type { BatchRoutes } from './batchRoutes.ts'
 import type { OpenItems } from './openItems.ts'
@@ -12,8 +13,12 @@
 /** Priority of an item whose route is not known; it is not started. */
 const unknownPriority = 0
 
+/** Time over which the slots for items are averaged, in milliseconds; longer than a wave of live requests. */
+const smoothingMs = 6_000
+
 /** Dependencies of the order. */
 export interface ItemCompetitionInputs {
+  readonly clock: Clock
   readonly state: Pick<ControlState, 'publication'>
   readonly routes: BatchRoutes
   readonly items: Pick<OpenItems, 'find' | 'running'>
@@ -35,9 +40,11 @@
  * @param inputs - dependencies
  * @returns the order
  */
-export function createItemCompetition ({ state, routes, items }: ItemCompetitionInputs): ItemCompetition {
+export function createItemCompetition ({ state, routes, items, clock }: ItemCompetitionInputs): ItemCompetition {
   let tables: GatewayTables | undefined
   let priorities: ReadonlyMap<string, number> = new Map()
+  let meanSlots: number | undefined
+  let averagedAt = 0
 
   function updatePriorities (): void {
     if (tables === state.publication?.tables) return
@@ -63,10 +70,18 @@
     return running
   }
 
+  // Slots of the moment say little, since live requests come in waves.
+  function averageSlots (slots: number): number {
+    const now = clock.now()
+    meanSlots = meanSlots === undefined ? slots : meanSlots + (slots - meanSlots) * (1 - Math.exp((averagedAt - now) / smoothingMs))
+    averagedAt = now
+    return meanSlots
+  }
+
   return {
     order (waiting, servers) {
       updatePriorities()
-      return orderByCompetition(waiting.map(describe), { byAccount: countRunning(), slots: countSlots(servers) })
+      return orderByCompetition(waiting.map(describe), { byAccount: countRunning(), slots: averageSlots(countSlots(servers)) })
     }
   }
 }
--- a/src/process/fleet/itemDurationEstimator.ts
+++ b/src/process/fleet/itemDurationEstimator.ts
@@ -20,8 +20,6 @@
    * @returns the estimate, in milliseconds; 0 before the first sample
    */
   estimateRemainingMs (events: number): number
-  /** Usual run time of an item, in milliseconds; 0 before the first sample. */
-  readonly usualMs: number
 }
 
 /**
@@ -38,7 +36,6 @@
       averageEvents += (events - averageEvents) * weight
       averageEventMs += (runTimeMs / events - averageEventMs) * weight
     },
-    get usualMs () { return averageEvents * averageEventMs },
     estimateRemainingMs: events => Math.max(0, averageEvents - events) * averageEventMs
   }
 }
--- a/src/process/fleet/openItems.ts
+++ b/src/process/fleet/openItems.ts
@@ -25,9 +25,6 @@
   readonly server: string
   /** Identifies the process start of the executor. */
   readonly executor: string
-  /** Monotonic time at which the run was started, in milliseconds, and the saved events by then; undefined for an adopted run. */
-  readonly startedAt?: number
-  readonly startEvents?: number
   /** Version of the server's software when the run was started; undefined if it is not known. */
   readonly softwareVersion: string | undefined
   /** Whether output of the item was reported, in this run or an earlier one that it continues. */
--- a/src/process/fleet/remoteLoads.ts
+++ b/src/process/fleet/remoteLoads.ts
@@ -56,8 +56,6 @@
    * @param durationMs - the duration, in milliseconds
    */
   recordDuration (durationMs: number): void
-  /** Usual duration of a request, in milliseconds; undefined before the first one. */
-  readonly requestMs: number | undefined
   /** Estimates the current load of the servers of a service. */
   estimate (service: string): RemoteLoadEstimate
 }
@@ -76,7 +74,6 @@
   let appliedAt = -Infinity
   let intervalMs = 0
   let meanDurationMs = initialRequestMs
-  let hasDuration = false
   let meanSquareDuration = initialRequestMs * initialRequestMs
 
   function recordPeaks (findService: (id: string) => string | undefined): void {
@@ -112,9 +109,7 @@
       intervalMs = totals.intervalMs
       recordPeaks(findService)
     },
-    get requestMs () { return hasDuration ? Math.round(meanDurationMs) : undefined },
     recordDuration (durationMs) {
-      hasDuration = true
       meanDurationMs += (durationMs - meanDurationMs) * durationSmoothingFactor
       meanSquareDuration += (durationMs * durationMs - meanSquareDuration) * durationSmoothingFactor
     },
--- a/src/process/fleet/runAssignments.ts
+++ b/src/process/fleet/runAssignments.ts
@@ -166,7 +166,7 @@
       const { softwareVersion } = server
       const restartCause = findRestartCause(entry, server)
       const savedEvents = restartCause === undefined ? countSavedEvents(entry) : 0
-      entry.run = { id: run, server: server.id, executor: executor.holder, softwareVersion, startedAt: clock.now(), startEvents: savedEvents, hasOutput: savedEvents > 0, hasDelivered: false, isInterrupted: false }
+      entry.run = { id: run, server: server.id, executor: executor.holder, softwareVersion, hasOutput: savedEvents > 0, hasDelivered: false, isInterrupted: false }
       if (restartCause !== undefined) {
         entry.runTimeMs = 0
         metrics.count(Counter.RestartedItems, restartCause)
--- a/src/request/placement/batchPlan.ts
+++ b/src/request/placement/batchPlan.ts
@@ -18,7 +18,7 @@
   /** Version of the server's software; undefined if it is not known. */
   readonly softwareVersion?: string | undefined
   /** Speed of the server as a multiple of the usual one; undefined if it is not known. */
-  readonly pace?: number | undefined
+  readonly speed?: number | undefined
 }
 
 /**
@@ -82,11 +82,11 @@
   // Servers without a free slot are not listed, so that an item that waits for one costs no search.
   const freeSlotsByVersion = new Map<string, Map<string, number>>()
   const versions = new Map<string, string>()
-  const paces = new Map<string, number>()
+  const speeds = new Map<string, number>()
   for (const server of servers) {
     const { id, softwareVersion } = server
     const freeSlots = server.slots - server.live - server.items.length
-    if (server.pace !== undefined) paces.set(id, server.pace)
+    if (server.speed !== undefined) speeds.set(id, server.speed)
     const excessItems = Math.min(-freeSlots, server.items.length)
     if (excessItems > 0) interruptions.push(...server.items.slice(server.items.length - excessItems))
     if (softwareVersion !== undefined) {
@@ -106,8 +106,8 @@
 
   function chooseServer (resumption: Resumption | undefined): string | undefined {
     const ofVersion = resumption === undefined ? undefined : freeSlotsByVersion.get(resumption.softwareVersion)
-    if (resumption === undefined || ofVersion === undefined) return findServerForItem(freeSlotsByServer, paces)
-    return findServerForItem(ofVersion, paces) ?? (resumption.canWait ? undefined : findServerForItem(freeSlotsByServer, paces))
+    if (resumption === undefined || ofVersion === undefined) return findServerForItem(freeSlotsByServer, speeds)
+    return findServerForItem(ofVersion, speeds) ?? (resumption.canWait ? undefined : findServerForItem(freeSlotsByServer, speeds))
   }
 
   const starts: Array<{ server: string, item: string }> = []
@@ -122,11 +122,11 @@
 }
 
 // Free slots count for more on a faster server.
-function findServerForItem (freeSlotsByServer: ReadonlyMap<string, number>, paces: ReadonlyMap<string, number>): string | undefined {
+function findServerForItem (freeSlotsByServer: ReadonlyMap<string, number>, speeds: ReadonlyMap<string, number>): string | undefined {
   let best: string | undefined
   let mostRoom = 0
   for (const [server, freeSlots] of freeSlotsByServer) {
-    const room = freeSlots * (paces.get(server) ?? 1)
+    const room = freeSlots * (speeds.get(server) ?? 1)
     if (room <= mostRoom) continue
     best = server
     mostRoom = room
--- a/src/request/placement/competition.ts
+++ b/src/request/placement/competition.ts
@@ -116,12 +116,12 @@
 export interface RunningItems {
   /** Number of running items by account. */
   readonly byAccount: ReadonlyMap<string, number>
-  /** Slots that items use or may use. */
+  /** Slots that live requests leave to items on average: those of the moment say little, since the traffic comes in waves. */
   readonly slots: number
 }
 
 /**
- * Orders waiting items. While all of them can be on time by urgency alone, that is their order: to put back the items of an account would make them
+ * Orders waiting items. While all of them but the late ones can be on time by urgency alone, that is their order: to put back the items of an account would make them
  * late and help nobody. Otherwise they are ordered by priority; items that can still be on time before the late ones; items within the share of
  * their account before those beyond it; then by urgency. The slots are shared evenly by the accounts that have items. Without any account,
  * only urgency counts.
@@ -158,6 +158,8 @@
   for (const count of byAccount.values()) running += count
   let waitMs = running / slots * totalMs / Math.max(1, urgent.length) / 2
   for (const { dueInMs, remainingMs } of urgent) {
+    // It waits behind all others, and no order brings it back in time.
+    if (remainingMs >= dueInMs) continue
     if (waitMs + remainingMs > dueInMs) return false
     waitMs += remainingMs / slots
   }
--- a/src/request/placement/plannedLive.ts
+++ b/src/request/placement/plannedLive.ts
@@ -21,24 +21,10 @@
  * @returns the live requests to leave slots for, of each server
  */
 export function planLive (live: readonly number[], reportIntervalMs: number): number[] {
-  const room = computeMean(live) * headroomShare
-  return followLive(live, reportIntervalMs).map(count => Math.round(count + room))
-}
-
-/**
- * Computes the live requests that are in flight on each server by what the reports can tell.
- * @param live - reported live requests of each server of a service
- * @param reportIntervalMs - interval between two reports of a host, in milliseconds
- * @returns the live requests of each server; the mean of all if reports are too rare for single servers
- */
-export function followLive (live: readonly number[], reportIntervalMs: number): readonly number[] {
-  if (reportIntervalMs <= maxFollowedIntervalMs) return live
-  const mean = computeMean(live)
-  return live.map(() => mean)
-}
-
-function computeMean (live: readonly number[]): number {
+  if (live.length === 0) return []
   let sum = 0
   for (const count of live) sum += count
-  return live.length === 0 ? 0 : sum / live.length
+  const mean = sum / live.length
+  const isFollowed = reportIntervalMs <= maxFollowedIntervalMs
+  return live.map(count => Math.round((isFollowed ? count : mean) + mean * headroomShare))
 }
--- a/test/batchRunner.test.ts
+++ b/test/batchRunner.test.ts
@@ -87,6 +87,7 @@
       reportIntervalMs: 40,
       getLoad: () => ({ live, batch: 0 }),
       isSuspect: () => false,
+      getPace: () => 1,
       quarantine: { isEmpty: false, isBlocked: (traits: readonly string[]) => traits.some(trait => blocked.has(trait)), recordOutputs () {}, acquireTrial: () => true },
       permits: { countItemPermits: () => Infinity, takeItemPermit () {} }
     } as unknown as FleetLeader
--- a/test/itemSoftwareVersions.test.ts
+++ b/test/itemSoftwareVersions.test.ts
@@ -92,6 +92,7 @@
       reportIntervalMs: 40,
       getLoad: (id: string) => ({ live: live.get(id) ?? 0, batch: 0 }),
       isSuspect: () => false,
+      getPace: () => 1,
       quarantine: { isEmpty: true, isBlocked: () => false, recordOutputs () {}, acquireTrial: () => true },
       permits: { countItemPermits: () => Infinity, takeItemPermit () {} }
     } as unknown as FleetLeader
