Candidates for a live request and the parts of their scores in functions of their own

Cause: an explanation of where a request would go has to run the code that live requests run, and listCandidates and the score were private to the task of a request and to the choice.

--- a/src/request/callerIdentity.ts
+++ b/src/request/callerIdentity.ts
@@ -20,10 +20,22 @@
  *   the caller, only if the key is unknown for certain, and `NotReady` otherwise
  */
 export function identifyCaller (credential: string | undefined, isPublic: boolean, known: KnownAccounts): Result<ClientAccount | undefined, GatewayRefusal> {
+  return judgeAccount(credential !== undefined, () => credential === undefined ? undefined : known.accounts?.get(digestKey(credential)), isPublic, known)
+}
+
+/**
+ * Judges a caller whose key, if it sent one, was looked up.
+ * @param hasKey - whether the caller sent a key
+ * @param find - returns the account that holds the key; undefined if none does
+ * @param isPublic - whether requests of the route need no key
+ * @param known - what the gateway knows
+ * @returns as `identifyCaller`
+ */
+export function judgeAccount (hasKey: boolean, find: () => ClientAccount | undefined, isPublic: boolean, known: KnownAccounts): Result<ClientAccount | undefined, GatewayRefusal> {
   if (known.accounts === undefined) return ok(undefined)
-  if (credential === undefined && isPublic) return ok(undefined)
+  if (!hasKey && isPublic) return ok(undefined)
   if (!known.canServeAccounts) return err(GatewayRefusal.NotReady)
-  const account = credential === undefined ? undefined : known.accounts.get(digestKey(credential))
+  const account = find()
   if (account !== undefined) return ok(account)
   if (!known.hasNewestAccounts) return err(GatewayRefusal.NotReady)
   return isPublic ? ok(undefined) : err(GatewayRefusal.Unauthorized)
--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -5,7 +5,6 @@
 import { BodyProblem } from '../connection/opaqueRequest.ts'
 import type { BackendServerRecord } from '../process/fleet/backendServerRegistry.ts'
 import type { FleetView } from '../process/fleet/fleetView.ts'
-import type { RemoteLoadEstimate } from '../process/fleet/remoteLoads.ts'
 import { LogEvents } from '../process/program/logEvents.ts'
 import { Counter } from '../process/program/metrics.ts'
 import type { ClientAccount } from '../version/accounts.ts'
@@ -17,9 +16,10 @@
 import { canContinue, decideResumption, isResumption, mayContinue } from './streamContinuation.ts'
 import { acquirePermit } from './requestPermit.ts'
 import { createRequestTraits, listTraits } from './requestTraits.ts'
-import { decidePlaces, hasRoom, type LivePlaces, maxQueuedPerServer, ordinaryPlaces } from './placement/competition.ts'
-import { computeMeanWork, type CostedRequest, fitsMemory, type RequestCost } from './placement/requestCost.ts'
-import { chooseServer, chooseServerByPrefix, type ServerCandidate } from './placement/serverChoice.ts'
+import { decidePlaces, type LivePlaces, ordinaryPlaces } from './placement/competition.ts'
+import type { CostedRequest, RequestCost } from './placement/requestCost.ts'
+import { chooseServer, chooseServerByPrefix } from './placement/serverChoice.ts'
+import { type CandidateSearch, estimateServiceCost, isRetryableRoute, listCandidates } from './serverCandidates.ts'
 
 /** Share of the objective of the route within which a request that finds no free slot is refused, so that the refusal comes early. */
 const earlyRefusalShare = 0.2
@@ -75,7 +75,7 @@
     traits: createRequestTraits(request),
     events: 0,
     deadlineAt: Math.min(request.deadlineAt, request.receivedAt + route.timeoutMs),
-    isRetryable: route.kind === RouteKind.Safe || (route.kind === RouteKind.Streaming && route.resumable),
+    isRetryable: isRetryableRoute(route),
     hasResumePoint: true,
     runs: 0,
     mayHaveRun: false,
@@ -112,7 +112,14 @@
   return view.tablesOutdatedMs === undefined ? GatewayRefusal.NoRoute : GatewayRefusal.NotReady
 }
 
-function choosePlaces (account: ClientAccount | undefined, route: GatewayRoute, { view, random }: ForwardingServices): LivePlaces {
+/**
+ * Chooses the places that a new request may take.
+ * @param account - its client account; undefined if it needs none
+ * @param route - its route
+ * @param services - the view of the fleet, and the random numbers
+ * @returns the places
+ */
+export function choosePlaces (account: ClientAccount | undefined, route: GatewayRoute, { view, random }: Pick<ForwardingServices, 'view' | 'random'>): LivePlaces {
   if (account === undefined) return ordinaryPlaces
   const priority = account.priority ?? route.priority
   const higherPriorities = view.livePriorities.filter(other => other < priority).length
@@ -193,10 +200,8 @@
   }
 }
 
-// Without figures of the servers, requests count as one each.
 function estimateCost (progress: ForwardingProgress, view: FleetView): RequestCost {
-  const cost = view.costs.estimate(describeCost(progress))
-  return view.paceSamples.isReported(progress.service) ? cost : { ...cost, work: 1 }
+  return estimateServiceCost(describeCost(progress), view)
 }
 
 function describeCost ({ request, route, service }: ForwardingProgress): CostedRequest {
@@ -238,8 +243,22 @@
 // can try another gateway. A resumption waits for longer, since the servers of its version are the same everywhere.
 function computeWaitDeadline ({ request, route, deadlineAt, runs, isResponseStarted, isResumption, places }: ForwardingProgress): number {
   if (runs > 0 || isResponseStarted) return deadlineAt
-  if (!places.mayWait && !isResumption) return request.receivedAt
-  return Math.min(deadlineAt, request.receivedAt + route.objectiveMs * (isResumption ? 1 : earlyRefusalShare))
+  return Math.min(deadlineAt, request.receivedAt + (isResumption ? route.objectiveMs : getWaitMs(route, places)))
+}
+
+/**
+ * Returns how long a new request waits for a free slot before it is refused.
+ * @param route - its route
+ * @param places - the places that it may take
+ * @returns the time, in milliseconds
+ */
+export function getWaitMs ({ objectiveMs }: GatewayRoute, { mayWait }: LivePlaces): number {
+  return mayWait ? objectiveMs * earlyRefusalShare : 0
+}
+
+// A request that has run, or resumes, competes with nobody for its places.
+function describeSearch ({ service, origin, isRetryable, runs, isResponseStarted, isResumption, places }: ForwardingProgress, { tokens }: RequestCost): CandidateSearch {
+  return { service, origin, isRetryable, tokens, places: runs > 0 || isResponseStarted || isResumption ? ordinaryPlaces : places }
 }
 
 async function findServer (progress: ForwardingProgress, services: ForwardingServices): Promise<BackendServerRecord | undefined> {
@@ -252,7 +271,7 @@
     if (!mayContinue(progress.origin, progress.service, view)) return undefined
     const remoteLoad = view.remoteLoads.estimate(progress.service)
     const cost = estimateCost(progress, view)
-    const candidates = listCandidates(progress, remoteLoad, cost, services)
+    const candidates = listCandidates(describeSearch(progress, cost), remoteLoad, services)
     const prefix = { parts: request.sharedPromptParts, tokens: request.sharedPromptTokens }
     const server = chooseServerByPrefix(candidates, avoided, prefix) ?? chooseServer(candidates, avoided, () => random.next(), remoteLoad.unseenRequests, cost.work)
     if (server !== undefined) {
@@ -272,43 +291,6 @@
   return undefined
 }
 
-function listCandidates (progress: ForwardingProgress, remoteLoad: RemoteLoadEstimate, { tokens }: RequestCost, services: ForwardingServices): ServerCandidate[] {
-  const { service, origin, isRetryable, runs, isResponseStarted, isResumption, places } = progress
-  const { view } = services
-  const capacity = view.findService(service)?.memoryTokens ?? 0
-  const hasFigures = view.paceSamples.isReported(service)
-  const meanTokens = view.costs.getMeanTokens(service)
-  const candidates: ServerCandidate[] = []
-  const { maxQueued, reservedShare } = runs > 0 || isResponseStarted || isResumption ? ordinaryPlaces : places
-  const sums = { slots: 0, places: 0, live: 0 }
-  for (const server of view.listReadyServers(service)) {
-    if (!canContinue(origin, server) || view.requestLimits.isExcluded(server.id)) continue
-    const remote = remoteLoad.getLoad(server.id)
-    const live = remote.live + (view.live.get(server.id) ?? 0)
-    // Batch items yield to live requests, so only live requests count towards the limit.
-    sums.slots += server.slots
-    sums.places += server.slots + maxQueuedPerServer
-    sums.live += live
-    if (live >= server.slots + maxQueued) continue
-    const held = view.serverWork.getTokens(server.id) + Math.max(remote.tokens, (remote.live + remote.batch) * meanTokens)
-    if (!fitsMemory({ capacity, held }, tokens)) continue
-    candidates.push({
-      server,
-      load: live + remote.batch,
-      live,
-      pace: view.getPace(server.id),
-      meanWork: hasFigures ? computeMeanWork(live, view.serverWork.getExtra(server.id) + remote.extraWork) : 1,
-      hasConnection: hasFigures && services.client.hasIdleConnection(server, isRetryable),
-      isSuspect: view.isSuspect(server.id),
-      isLimited: view.requestLimits.find(server.id) !== undefined,
-      failureRate: view.getFailureRate(server.id),
-      isSameZone: server.availabilityZone === services.availabilityZone,
-      isSameRegion: services.getRegion(server.availabilityZone) === services.region
-    })
-  }
-  return hasRoom({ reservedShare }, sums) ? candidates : []
-}
-
 // This function, `abortAfterDisconnect` and `giveUp` end the response and return false: no further attempt is to be made.
 function completeResponse (progress: ForwardingProgress, services: ForwardingServices): boolean {
   progress.answer.end()
--- a/src/request/placement/serverChoice.ts
+++ b/src/request/placement/serverChoice.ts
@@ -62,11 +62,29 @@
   readonly failureRate: number
   readonly isSameZone: boolean
   readonly isSameRegion: boolean
+  /** Tokens that the requests on the server hold in its memory; undefined if they are not known. */
+  readonly heldTokens?: number | undefined
 }
 
+/** Parts of the score of a server, in requests of load. The lowest sum is the best. */
+export interface ScoreParts {
+  /** Requests and items in flight. */
+  readonly load: number
+  /** What the requests in the queue take longer, or less long, than usual ones at a server of mean pace. */
+  readonly queue: number
+  /** What the request itself takes longer, or less long, at the pace of the server. */
+  readonly pace: number
+  readonly distance: number
+  readonly failures: number
+  readonly limited: number
+  readonly suspect: number
+}
+
+/** Server with its score. */
 interface ScoredServer {
   readonly server: BackendServerRecord
   readonly hasConnection: boolean
+  /** Sum of the parts and of a random part that separates equal servers. */
   readonly score: number
   /** Requests that raise the score by 1. */
   readonly share: number
@@ -88,7 +106,8 @@
   const scored: ScoredServer[] = []
   for (const candidate of candidates) {
     if (avoided.has(candidate.server.id)) continue
-    scored.push({ server: candidate.server, hasConnection: candidate.hasConnection === true, score: computeScore(candidate, work) + random() * zonePenalty / 2, share: 1 / (candidate.pace ?? 1) })
+    const score = sumScore(computeScoreParts(candidate, work)) + random() * zonePenalty / 2
+    scored.push({ server: candidate.server, hasConnection: candidate.hasConnection === true, score, share: 1 / (candidate.pace ?? 1) })
   }
   scored.sort((left, right) => left.score - right.score)
   const level = findLevel(scored, unseenRequests)
@@ -139,11 +158,32 @@
   return count === 0 ? 0 : (sum + amount) / count
 }
 
-function computeScore ({ server, load, pace = 1, meanWork = 1, isSuspect, isLimited, failureRate, isSameZone, isSameRegion }: ServerCandidate, work: number): number {
-  const distancePenalty = isSameZone ? 0 : isSameRegion ? zonePenalty : regionPenalty
-  const failurePenalty = failureRate > failureTolerance ? failureRate * maxFailurePenalty : 0
+/**
+ * Computes the parts of the score of a server.
+ * @param candidate - the server
+ * @param work - likely work of the request, in usual requests
+ * @returns the parts
+ */
+export function computeScoreParts ({ server, load, pace = 1, meanWork = 1, isSuspect, isLimited, failureRate, isSameZone, isSameRegion }: ServerCandidate, work: number): ScoreParts {
   // The request waits until those beyond the free slots have ended, and then for its own first event; both take longer at a slow server. The work
   // of the requests that have a slot counts for nothing more than their slots: weighted by it, idle slots are left free beside long requests.
   const queued = Math.max(0, load + 1 - server.slots)
-  return load + queued * (pace * meanWork - 1) + work * (pace - 1) + distancePenalty + failurePenalty + (isLimited ? limitPenalty : 0) + (isSuspect ? suspectPenalty : 0)
+  return {
+    load,
+    queue: queued * (pace * meanWork - 1),
+    pace: work * (pace - 1),
+    distance: isSameZone ? 0 : isSameRegion ? zonePenalty : regionPenalty,
+    failures: failureRate > failureTolerance ? failureRate * maxFailurePenalty : 0,
+    limited: isLimited ? limitPenalty : 0,
+    suspect: isSuspect ? suspectPenalty : 0
+  }
+}
+
+/**
+ * Adds up the parts of a score.
+ * @param parts - the parts
+ * @returns the score, in requests of load
+ */
+export function sumScore ({ load, queue, pace, distance, failures, limited, suspect }: ScoreParts): number {
+  return load + queue + pace + distance + failures + limited + suspect
 }
