Explanation of where a request or a job would go now, and the command jaychute explain

Cause: operators wish for a command that says where a given request or job would go now, and why, without sending it.

Change: explainPlacement runs the decisions of a live request (route, account, quota, places, candidates, scores, choice) on the state of one gateway, and counts nothing: AccountQuotas.preview decides as admit without counting. The waiting tokens of a job route are read from a control host with a new query, which hosts of earlier versions fail: the explanation then says that they are not known. A gateway serves it as GET /explain at its metrics address; parameters other than host, path and account are refused. `jaychute explain` prints a table or JSON and exits with 0, 1 or 2.

--- a/src/process/accounts/accountQuotas.ts
+++ b/src/process/accounts/accountQuotas.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { createHash } from 'node:crypto'
-import { type AccountCount, type AccountSums, assumeUnlisted, createWindowLimit, decideQuota, type QuotaBounds, type WindowLimit } from '../../request/placement/accountQuota.ts'
+import { type AccountCount, type AccountSums, assumeUnlisted, createWindowLimit, decideQuota, type QuotaBounds, type QuotaShare, type WindowLimit } from '../../request/placement/accountQuota.ts'
 import { type AccountLevel, computeLevel } from '../../request/placement/competition.ts'
 import type { ClientAccount } from '../../version/accounts.ts'
 import type { Clock } from '../program/clock.ts'
@@ -53,6 +53,18 @@
   readonly countedAt?: number
 }
 
+/** Decision on a request that is not counted. */
+export interface QuotaPreview extends QuotaDecision {
+  /** Share of the requests of the account that this host admits at present, from 0 to 1. */
+  readonly admittedShare: number
+  /** Requests that the account may send in a window. */
+  readonly limit: number
+  /** Requests of all hosts that were admitted in the latest window, as of the last sums; undefined before the first ones. */
+  readonly used: number | undefined
+  /** Age of these sums, in milliseconds; undefined before the first ones. */
+  readonly ageMs: number | undefined
+}
+
 /** The quotas at a gateway. */
 export interface AccountQuotas {
   /**
@@ -61,6 +73,12 @@
    * @returns whether it may run
    */
   admit (account: ClientAccount | undefined): QuotaDecision
+  /**
+   * Decides on a live request as `admit` would, and counts nothing.
+   * @param account - the account
+   * @returns the decision and what it goes by; undefined if the account has no limit
+   */
+  preview (account: ClientAccount): QuotaPreview | undefined
   /**
    * Takes back an admission: no server has run the request.
    * @param account - the account; undefined if the request needed none
@@ -99,6 +117,14 @@
   readonly rounding: number
 }
 
+interface AccountDecision extends QuotaShare {
+  readonly own: AccountCount
+  readonly limit: WindowLimit
+  readonly accountSums: AccountSums | undefined
+  readonly position: number
+  readonly isAdmitted: boolean
+}
+
 /**
  * Creates quotas without any use.
  * @param clock - source of time
@@ -124,15 +150,28 @@
   let incompleteSince = Infinity
   let nextReportAt = -Infinity
 
+  function createState (name: string): AccountState {
+    const rounding = computeRounding(name, host)
+    return { requests: createRequestLog(), refusedAt: -Infinity, position: rounding, rounding }
+  }
+
   function findState (name: string): AccountState {
     const known = states.get(name)
     if (known !== undefined) return known
-    const rounding = computeRounding(name, host)
-    const state: AccountState = { requests: createRequestLog(), refusedAt: -Infinity, position: rounding, rounding }
+    const state = createState(name)
     states.set(name, state)
     return state
   }
 
+  function decide ({ name, ratePerSecond, burst }: ClientAccount, state: AccountState, now: number): AccountDecision {
+    const own = state.requests.count(now, bounds().windowMs)
+    const limit = createWindowLimit(ratePerSecond, burst, bounds())
+    const accountSums = findSums(name, limit, state)
+    const share = decideQuota({ own, sums: accountSums, gateways, rounding: state.rounding }, limit, bounds())
+    const position = (state.position + sequenceStep) % 1
+    return { own, limit, accountSums, ...share, position, isAdmitted: position < share.admittedShare }
+  }
+
   function previousDemand (name: string): number | undefined {
     const count = previousSums.get(name)
     return count === undefined ? undefined : count.recent + count.refused
@@ -156,12 +195,8 @@
       if (account === undefined || account.ratePerSecond <= 0) return unlimited
       const now = clock.now()
       const state = findState(account.name)
-      const own = state.requests.count(now, bounds().windowMs)
-      const limit = createWindowLimit(account.ratePerSecond, account.burst, bounds())
-      const accountSums = findSums(account.name, limit, state)
-      const { admittedShare, retryMs } = decideQuota({ own, sums: accountSums, gateways, rounding: state.rounding }, limit, bounds())
-      state.position = (state.position + sequenceStep) % 1
-      const isAdmitted = state.position < admittedShare
+      const { own, limit, accountSums, admittedShare, retryMs, position, isAdmitted } = decide(account, state, now)
+      state.position = position
       state.requests.add(now, isAdmitted)
       if (isAdmitted) return { isAdmitted, retryMs: 0, countedAt: now }
       // One event for each time that the account is limited: with an event for each request, a busy account would fill the log.
@@ -171,6 +206,11 @@
       state.refusedAt = now
       return { isAdmitted, retryMs }
     },
+    preview (account) {
+      if (account.ratePerSecond <= 0) return undefined
+      const { limit, accountSums, admittedShare, retryMs, isAdmitted } = decide(account, states.get(account.name) ?? createState(account.name), clock.now())
+      return { isAdmitted, admittedShare, retryMs: isAdmitted ? 0 : retryMs, limit: limit.limit, used: accountSums?.count.admitted, ageMs: accountSums?.ageMs }
+    },
     release (account, { countedAt }) {
       if (account !== undefined && countedAt !== undefined) states.get(account.name)?.requests.remove(countedAt)
     },
--- a/src/process/entry/operatorCommands.ts
+++ b/src/process/entry/operatorCommands.ts
@@ -21,6 +21,8 @@
   readonly key?: string | undefined
   readonly route?: string | undefined
   readonly due?: string | undefined
+  readonly host?: string | undefined
+  readonly path?: string | undefined
 }
 
 /** Output of a command. */
@@ -61,7 +63,12 @@
   }
 }
 
-function createUsageFailure (text: string): Failure {
+/**
+ * Creates the failure of a command that is used wrongly.
+ * @param text - what is wrong
+ * @returns the failure
+ */
+export function createUsageFailure (text: string): Failure {
   return createFailure(FailureReason.Invalid, { step: Step.Settings }, text)
 }
 
--- a/src/process/fleet/fleetDaemon.ts
+++ b/src/process/fleet/fleetDaemon.ts
@@ -110,13 +110,14 @@
 }
 
 /**
- * Serves the metrics if the settings name an address for them.
+ * Serves the metrics, and what else operators read at that address, if the settings name an address for them.
  * @param base - services of the host
+ * @param api - further routes
  * @returns a promise that resolves when the server listens or has failed to
  */
-export async function serveMetrics ({ settings, metrics, lifecycle, logger }: FleetHostBase): Promise<void> {
+export async function serveMetrics ({ settings, metrics, lifecycle, logger }: FleetHostBase, api: Hono = new Hono()): Promise<void> {
   if (settings.metricsAddress === undefined) return
-  const api = new Hono().get('/metrics', context => context.text(metrics.format(), 200, { 'content-type': metricsContentType }))
+  api.get('/metrics', context => context.text(metrics.format(), 200, { 'content-type': metricsContentType }))
   const served = await serveApi(settings.metricsAddress, api, lifecycle)
   // A host keeps running without metrics; the log line gives the reason.
   if (served.isErr()) logger.write(LogEvents.settingsRefused, { failure: served.error })
--- a/src/process/fleet/fleetView.ts
+++ b/src/process/fleet/fleetView.ts
@@ -133,7 +133,7 @@
   /** Finds a backend server, whatever its phase. */
   findServer (id: string): BackendServerRecord | undefined
   /** Load of the servers caused by other hosts. */
-  readonly remoteLoads: Pick<RemoteLoads, 'get' | 'estimate' | 'recordDuration' | 'requestMs'>
+  readonly remoteLoads: Pick<RemoteLoads, 'get' | 'estimate' | 'recordDuration' | 'requestMs' | 'ageMs'>
   /** What responses have shown of the pace of servers since the last load report. */
   readonly paceSamples: PaceSamples
   /** Work that live requests of this host are for servers. */
--- a/src/process/fleet/gatewayDaemon.ts
+++ b/src/process/fleet/gatewayDaemon.ts
@@ -12,6 +12,7 @@
 import { createReadinessApi } from '../../../platform/controlHttp.ts'
 import type { CallerService } from '../../request/callerService.ts'
 import type { ForwardingServices } from '../../request/forwardedAttempt.ts'
+import { createExplanationApi } from '../../request/explanationApi.ts'
 import { runForwardedRequest } from '../../request/forwardedRequest.ts'
 import { identifyCaller } from '../../request/callerIdentity.ts'
 import { endJob, type GatewayJobServices, readItemBody, readJobResults, submitJob } from '../../request/gatewayJobs.ts'
@@ -62,7 +63,7 @@
     const served = await serveApi(settings.readinessAddress, createReadinessApi(() => readiness.isReady), lifecycle)
     if (served.isErr()) return err(served.error)
   }
-  await serveMetrics(base)
+  await serveMetrics(base, createExplanationApi({ ...forwarding, control }))
   runContained(base, async signal => {
     while (!signal.aborted) {
       readiness.isReady = view.canServe && !drain.isDraining
--- a/src/process/fleet/remoteLoads.ts
+++ b/src/process/fleet/remoteLoads.ts
@@ -58,6 +58,8 @@
   recordDuration (durationMs: number): void
   /** Usual duration of a request, in milliseconds; undefined before the first one. */
   readonly requestMs: number | undefined
+  /** Time since the last sums were received, in milliseconds; Infinity before the first ones. */
+  readonly ageMs: number
   /** Estimates the current load of the servers of a service. */
   estimate (service: string): RemoteLoadEstimate
 }
@@ -113,6 +115,7 @@
       recordPeaks(findService)
     },
     get requestMs () { return hasDuration ? Math.round(meanDurationMs) : undefined },
+    get ageMs () { return clock.now() - appliedAt },
     recordDuration (durationMs) {
       hasDuration = true
       meanDurationMs += (durationMs - meanDurationMs) * durationSmoothingFactor
--- a/src/process/jobs/submissions.ts
+++ b/src/process/jobs/submissions.ts
@@ -92,8 +92,7 @@
   const { submission, tokenLimit, time, giveUpMs } = command
   let tokens = 0
   for (const item of submission.items) tokens += item.tokens
-  const key = createRouteKey(submission)
-  const waiting = state.waitingTokens.get(key) ?? 0
+  const waiting = countWaitingTokens(state, submission)
   if (tokenLimit > 0 && waiting + tokens > tokenLimit) {
     return { kind: OutcomeKind.Limit, text: `${waiting} tokens wait on route ${submission.route}, ${tokens} more exceed ${tokenLimit}` }
   }
@@ -301,8 +300,21 @@
   return countCharacters(progress.get(item)?.data ?? [])
 }
 
+/** Jobs whose waiting tokens are counted together. */
+export type TokenCountKey = Pick<SubmissionHeader, 'host' | 'pathPrefix' | 'account'>
+
+/**
+ * Counts the tokens of waiting items.
+ * @param state - the jobs
+ * @param key - the jobs to count
+ * @returns the tokens to which those of a new job are added before they are compared with the limit of the route
+ */
+export function countWaitingTokens (state: Submissions, key: TokenCountKey): number {
+  return state.waitingTokens.get(createRouteKey(key)) ?? 0
+}
+
 // The limit counts for each client account.
-function createRouteKey (submission: SubmissionHeader): string {
+function createRouteKey (submission: TokenCountKey): string {
   const route = `${submission.host} ${submission.pathPrefix}`
   return submission.account === undefined ? route : `${route}\n${submission.account}`
 }
--- a/src/process/state/controlState.ts
+++ b/src/process/state/controlState.ts
@@ -18,7 +18,7 @@
 import { type QuarantinedTraits, updateQuarantine } from './quarantinedTraits.ts'
 import { JobPhase, type Query, QueryKind, type QueryResponse } from './queries.ts'
 import { canAccessJob } from '../jobs/submission.ts'
-import { createSubmissions, endSubmission, finishItems, purgeSubmissions, readResults, recordFailures, saveProgress, type Submissions, submit } from '../jobs/submissions.ts'
+import { countWaitingTokens, createSubmissions, endSubmission, finishItems, purgeSubmissions, readResults, recordFailures, saveProgress, type Submissions, submit } from '../jobs/submissions.ts'
 import { appendItems, discardUpload, openUpload } from '../jobs/uploads.ts'
 
 /** The complete durable state. */
@@ -100,6 +100,7 @@
       if (record !== undefined && !canAccessJob(record.submission, query.caller)) return { kind: query.kind, isForeign: true }
       return { kind: query.kind, body: record?.ended === true ? undefined : record?.open.get(query.item)?.body }
     }
+    case QueryKind.WaitingTokens: return { kind: query.kind, tokens: countWaitingTokens(state.submissions, query) }
     default: return assertNever(query)
   }
 }
--- a/src/process/state/queries.ts
+++ b/src/process/state/queries.ts
@@ -18,7 +18,8 @@
   Results: 'results',
   Publication: 'publication',
   SubmissionResults: 'submission results',
-  SubmittedBody: 'submitted body'
+  SubmittedBody: 'submitted body',
+  WaitingTokens: 'waiting tokens'
 } as const
 export type QueryKind = typeof QueryKind[keyof typeof QueryKind]
 
@@ -36,6 +37,8 @@
    */
   | { readonly kind: typeof QueryKind.SubmissionResults, readonly job: string, readonly after: number, readonly waitMs: number, readonly caller?: JobCaller | undefined }
   | { readonly kind: typeof QueryKind.SubmittedBody, readonly job: string, readonly item: string, readonly caller?: JobCaller | undefined }
+  /** Tokens of the waiting items of a route, and of a client account if one is named. Hosts of earlier versions fail the call. */
+  | { readonly kind: typeof QueryKind.WaitingTokens, readonly host: string, readonly pathPrefix: string, readonly account?: string | undefined }
 
 /** Query of a kind. */
 export type QueryOf<Kind extends QueryKind> = Extract<Query, { readonly kind: Kind }>
@@ -80,3 +83,4 @@
   /** `isForeign` is set if the job exists, but the caller may not read it. */
   | { readonly kind: typeof QueryKind.SubmissionResults, readonly page?: ResultPage | undefined, readonly isForeign?: boolean | undefined }
   | { readonly kind: typeof QueryKind.SubmittedBody, readonly body?: Uint8Array | undefined, readonly isForeign?: boolean | undefined }
+  | { readonly kind: typeof QueryKind.WaitingTokens, readonly tokens: number }
--- a/src/request/gatewayJobs.ts
+++ b/src/request/gatewayJobs.ts
@@ -21,10 +21,10 @@
 import { refuseUnknownRoute } from './forwardedRequest.ts'
 
 /** Timeout of a submission or of the end of a job, in milliseconds; the caller retries it after that. */
-const commandTimeoutMs = 3_000
+export const commandTimeoutMs = 3_000
 
 /** Timeout of a read without its long poll, in milliseconds. */
-const readTimeoutMs = 1_200
+export const readTimeoutMs = 1_200
 
 /** Dependencies of jobs at the gateway. */
 export interface GatewayJobServices extends Pick<ProcessServices, 'clock' | 'logger' | 'metrics'> {
