--- a/test/placementExplanation.test.ts
+++ b/test/placementExplanation.test.ts
@@ -140,6 +140,15 @@
     expect(explain()).to.include({ refusal: GatewayRefusal.NotReady, route: undefined })
   })
 
+  // Guards against a permit that is taken for a request that is not sent, and against work for a gateway that is about to end.
+  it('says that a permit would be needed, and that a draining gateway refuses', async () => {
+    const { view, services, explain } = play({ servers: [recordOf('i-1')], tables: tables({ routes: [routeOf(), routeOf({ name: 'b', pathPrefix: '/b/', kind: RouteKind.Batch })] }) })
+    view.requestLimits.record('i-1', 5, 0)
+    expect(explain().servers).to.include({ chosen: 'i-1', needsPermit: true })
+    const draining = { ...services, drain: { lastEndAt: 1_000 } }
+    for (const path of ['/p/1', '/b/1']) expect((await answerPlacement({ ...question, path }, draining))._unsafeUnwrap()).to.include({ refusal: GatewayRefusal.Draining, job: undefined })
+  })
+
   // Guards against a job that is said to be accepted beyond the limit of its route, or refused while the use is not known.
   for (const [tokens, acceptedTokens, refusal] of [[40, 60, undefined], [100, 0, GatewayRefusal.QuotaExceeded], [undefined, undefined, undefined]] as const) {
     it(`of a job has a refusal of ${refusal ?? 'none'} with ${tokens ?? 'an unknown number of'} waiting tokens`, async () => {
