--- a/src/process/fleet/remoteLoads.ts
+++ b/src/process/fleet/remoteLoads.ts
@@ -56,6 +56,8 @@
    * @param durationMs - the duration, in milliseconds
    */
   recordDuration (durationMs: number): void
+  /** Time since the last sums were received, in milliseconds; Infinity before the first ones. */
+  readonly ageMs: number
   /** Estimates the current load of the servers of a service. */
   estimate (service: string): RemoteLoadEstimate
 }
@@ -109,6 +111,7 @@
       intervalMs = totals.intervalMs
       recordPeaks(findService)
     },
+    get ageMs () { return clock.now() - appliedAt },
     recordDuration (durationMs) {
       meanDurationMs += (durationMs - meanDurationMs) * durationSmoothingFactor
       meanSquareDuration += (durationMs * durationMs - meanSquareDuration) * durationSmoothingFactor
