Order of items: no look at jobs where the tables have no accounts

Each plan looked up the job, the route and the runs of all waiting items in fleets without accounts as well, only to order them by urgency alone.

Measured: the new test of test/competition.test.ts failed before and passes.

--- a/src/process/fleet/itemCompetition.ts
+++ b/src/process/fleet/itemCompetition.ts
@@ -2,7 +2,7 @@
  * Order of the waiting items of jobs that belong to client accounts.
  * @module
  */
-import type { ItemUrgency, PlannedServer } from '../../request/placement/batchPlan.ts'
+import { type ItemUrgency, orderByUrgency, type PlannedServer } from '../../request/placement/batchPlan.ts'
 import { type ItemCompetitor, orderByCompetition } from '../../request/placement/competition.ts'
 import type { GatewayTables } from '../../version/gatewayTables.ts'
 import type { ControlState } from '../state/controlState.ts'
@@ -22,7 +22,7 @@
 /** Order of waiting items. */
 export interface ItemCompetition {
   /**
-   * Orders waiting items.
+   * Orders waiting items. Without accounts in the tables, only urgency counts.
    * @param waiting - the items
    * @param servers - the servers on which items may run
    * @returns the items, those to start first at the beginning
@@ -66,6 +66,7 @@
   return {
     order (waiting, servers) {
       updatePriorities()
+      if (tables?.accounts === undefined) return orderByUrgency(waiting)
       return orderByCompetition(waiting.map(describe), { byAccount: countRunning(), slots: countSlots(servers) })
     }
   }
--- a/test/competition.test.ts
+++ b/test/competition.test.ts
@@ -1,4 +1,6 @@
 import { expect } from 'chai'
+import type { BatchRoutes } from '../src/process/fleet/batchRoutes.ts'
+import { createItemCompetition } from '../src/process/fleet/itemCompetition.ts'
 import { createSeededRandom, type Random } from '../src/process/program/random.ts'
 import { recentMs } from '../src/request/placement/accountQuota.ts'
 import { computeLevel, decidePlaces, hasRoom, type ItemCompetitor, type LivePlaces, maxQueuedPerServer, orderByCompetition, ordinaryPlaces } from '../src/request/placement/competition.ts'
@@ -219,6 +221,14 @@
     expect(order(items, {}, 30)).to.equal('b1 c1 a2 a1')
   })
 
+  // Failure: each plan looked for the account, the route and the run of every waiting item in fleets without accounts as well.
+  it('does not look at the jobs of items where the tables have no accounts', () => {
+    const unused = (): never => { throw new Error('not needed without accounts') }
+    const inputs = { state: { publication: { tables: tablesOf(1, []), document: '', digest: '' } }, routes: { find: unused } as unknown as BatchRoutes, items: { find: unused, running: unused } }
+    const ordered = createItemCompetition(inputs).order([itemOf('x', undefined, 9_000), itemOf('y', undefined, 2_000)], [])
+    expect(ordered.map(({ key }) => key)).to.deep.equal(['y', 'x'])
+  })
+
   // Guards against a change of the order without accounts.
   it('orders items without accounts by urgency alone', () => {
     expect(order([itemOf('x', undefined, 9_000, 0), itemOf('y', undefined, 2_000, 2), itemOf('z', undefined, 500, 0)], {}, 4)).to.equal('y x z')
