Level of all accounts: those without requests in the window do not lower it

The limits of idle accounts counted, so that with many of them every account in use was taken to exceed its share, and its requests found no queue places where these are short.

--- a/src/process/accounts/accountUseSums.ts
+++ b/src/process/accounts/accountUseSums.ts
@@ -19,7 +19,7 @@
   readonly accountUse?: AccountUse | undefined
   /** Number of gateways whose use the leader has; undefined where `accountUse` is. */
   readonly gateways?: number | undefined
-  /** Use of all limited accounts together, as a share of their limits; undefined where `accountUse` is. */
+  /** Use of the limited accounts with requests in the window together, as a share of their limits; undefined where `accountUse` is. */
   readonly accountLevel?: number | undefined
 }
 
@@ -101,14 +101,14 @@
     let limits = 0
     for (const { name, ratePerSecond, burst } of accounts) {
       if (ratePerSecond <= 0) continue
-      const limit = createWindowLimit(ratePerSecond, burst, bounds)
-      limits += limit.limit
       const count = sums.get(name)
       if (count === undefined) continue
+      const limit = createWindowLimit(ratePerSecond, burst, bounds)
       used += count.admitted
+      limits += limit.limit
       if (isNearLimit(count, limit)) near.set(name, describeCount(count))
     }
-    return { accountUse: Object.fromEntries(near), gateways: countReporters(), accountLevel: limits === 0 ? undefined : Number((used / limits).toFixed(levelDigits)) }
+    return { accountUse: Object.fromEntries(near), gateways: countReporters(), accountLevel: limits === 0 ? 0 : Number((used / limits).toFixed(levelDigits)) }
   }
 
   function countReporters (): number {
--- a/test/accountQuotas.test.ts
+++ b/test/accountQuotas.test.ts
@@ -179,6 +179,14 @@
     expect(list(10_100)).to.deep.equal({ accountUse: {}, gateways: 0, accountLevel: 0 })
   })
 
+  // Failure: limits of accounts that send nothing lowered the level of all, and every account in use seemed to exceed its share.
+  it('name the level of the accounts in use, whatever the number of the others', () => {
+    const sums = createAccountUseSums()
+    sums.record('g-1', { a: [10], b: [15] })
+    const accounts = Array.from('abcdefghij', name => ({ ...account, name }))
+    expect(sums.describe(accounts, defaultQuotaBounds, 0).accountLevel).to.equal(25 / 40)
+  })
+
   // Guards against sums of a new leader that lack most hosts: each host would take the limit for unused.
   it('keeps the sums of the previous leader until most gateways have reported to the new one', () => {
     const clock = new FakeClock()
