Items of jobs with similar ids are kept apart

The key of an open item joined the ids of its job and of the item by a space, which both may contain: an item "b c" of job "a" took the place of item "c" of job "a b", also of another account, which was then never run.

Measured: the new test of test/jobAccounts.test.ts found 2 of 3 items before, and passes.

--- a/src/process/fleet/openItems.ts
+++ b/src/process/fleet/openItems.ts
@@ -40,7 +40,7 @@
 
 /** An item without a result. */
 export interface OpenItem {
-  /** Id of the job and id of the item, separated by a space. */
+  /** Identifies the item; see `createItemKey`. */
   readonly key: string
   readonly record: SubmissionRecord
   readonly item: SubmittedItem
@@ -63,7 +63,7 @@
 export interface OpenItems {
   /**
    * Finds an item.
-   * @param key - id of the job and id of the item, separated by a space
+   * @param key - key of the item; see `createItemKey`
    * @returns the item, or undefined when it is not open
    */
   find (key: string): OpenItem | undefined
@@ -137,10 +137,10 @@
 /**
  * Creates the key of an item.
  * @param reference - job and item
- * @returns id of the job and id of the item, separated by a space
+ * @returns id of the job, with a line feed in place of each space, and id of the item, separated by a space; ids have no line feeds
  */
 export function createItemKey ({ job, item }: ItemReference): string {
-  return `${job} ${item}`
+  return `${job.replaceAll(' ', '\n')} ${item}`
 }
 
 /**
--- a/test/jobAccounts.test.ts
+++ b/test/jobAccounts.test.ts
@@ -7,6 +7,7 @@
 import { decodeFrames, encodeFrame, encodeRecord } from '../src/process/log/recordCodec.ts'
 import { getKeyLeaseMs } from '../src/process/accounts/keyLease.ts'
 import { createFleetView, defaultAccountSettings, type FleetView } from '../src/process/fleet/fleetView.ts'
+import { createOpenItems } from '../src/process/fleet/openItems.ts'
 import { createGatewayDrain } from '../src/process/fleet/gatewayDrain.ts'
 import { createSilentLogger } from '../src/process/program/logger.ts'
 import { Counter, createMetrics } from '../src/process/program/metrics.ts'
@@ -175,6 +176,17 @@
     expect((await readJobResults('j', 0, 0, accessOf(), services)).map(page => page?.results.length)).to.deep.equal(ok(1))
   })
 
+  // Failure: ids contain spaces, so that an item of one job took the place of an item of another account's job, which was never run.
+  it('keep their items apart from those of jobs with similar ids', () => {
+    for (const [id, itemId] of [['a b', 'c'], ['a', 'b c'], ['a\u00a0b', 'c']] as const) {
+      const submission = { id, host: 'a.example', route: 'r', pathPrefix: '/batch/', acceptedAt: 0, giveUpAt: 0, account: `of ${id}`, items: [{ ...item, id: itemId }] }
+      applyCommand(state, { kind: CommandKind.Submit, submission, tokenLimit: 0, giveUpMs: 0, time: 0 })
+    }
+    const items = createOpenItems()
+    items.synchronize(state.submissions)
+    expect(items.list().map(({ record }) => record.submission.id)).to.have.members(['a b', 'a', 'a\u00a0b'])
+  })
+
   // Guards against items that run for the account that their headers name.
   it('run their items with the name of the account', async () => {
     const seen: IncomingHttpHeaders[] = []
