Stand-in servers of process tests send the events that are due, also when timers are late

They sent one event each time that a timer fired. On a busy machine these fire late, so that the responses of the test of planned stops (115 events, 2.3 s) outlasted the time limit of their caller (3 s), and the gateway cut them as it should: two cut answers were seen once. No change of the product.

--- a/test/support/fleetProcesses.ts
+++ b/test/support/fleetProcesses.ts
@@ -112,10 +112,12 @@
     response.writeHead(200, { 'content-type': 'text/event-stream', 'x-server-stamp': `stamp-${id}`, 'x-request-id': requestId, ...(requestLimit === undefined ? {} : { 'server-limit': String(requestLimit) }), ...(isLeaving ? { 'Server-Leaving': '1' } : {}) })
     let next = firstEventId
     if (streamServer.endlessEventBytes !== undefined) return floodEvents(response, next, 'a'.repeat(streamServer.endlessEventBytes))
+    const startedAt = performance.now()
     const timer = setInterval(() => {
       const events = Number.isNaN(requestedEvents) ? streamServer.events : requestedEvents
-      if (next < events) response.write(`id: ${next}\ndata: e${next}\n\n`)
-      next++
+      // Timers fire late on a busy machine; without the events that are due, a response would outlast its time limit there.
+      const due = firstEventId + Math.max(1, Math.trunc((performance.now() - startedAt) / eventIntervalMs))
+      for (; next < Math.min(events, due); next++) response.write(`id: ${next}\ndata: e${next}\n\n`)
       if (next < events) return
       clearInterval(timer)
       response.end()
