--- /dev/null
+++ b/test/pipelinedRequests.test.ts
@@ -0,0 +1,97 @@
+import { expect } from 'chai'
+import { once } from 'node:events'
+import { type AddressInfo, connect, type Socket } from 'node:net'
+import { createCallerServer } from '../platform/callerHttp.ts'
+import { eventually } from '../scripts/processes.ts'
+import { createMemoryBudget, type MemoryBudget } from '../src/process/program/memoryBudget.ts'
+import { type CallerRequest, type CallerResponse, GatewayRefusal } from '../src/request/callerExchange.ts'
+
+const timeoutMs = 5_000
+
+/** Requests that a caller sends on one connection without waiting for their answers. */
+const pipelined = 16
+
+/** Length of a body and of an answer that does not fit the buffer of a response. */
+const bodyBytes = 100_000
+
+describe('pipelined requests of a caller that disconnects', () => {
+  const closers: Array<() => void> = []
+  afterEach(() => {
+    for (const close of closers.splice(0)) close()
+  })
+
+  interface Gateway {
+    readonly port: number
+    readonly budget: MemoryBudget
+  }
+
+  async function startGateway (forward: (request: CallerRequest, response: CallerResponse) => Promise<void>, maxConnections: number): Promise<Gateway> {
+    const budget = createMemoryBudget({ limitBytes: 32 * 1024 * 1024, now: () => performance.now() })
+    const server = createCallerServer({
+      limits: () => ({ headerBytes: 16_384, bodyBytes: 4_000_000, headerMs: 3_000, idleMs: 15_000 }),
+      isJob: () => false,
+      hasAccounts: () => false,
+      now: () => performance.now(),
+      forward,
+      submit: () => expect.fail(),
+      results: () => expect.fail(),
+      body: () => expect.fail(),
+      end: () => expect.fail(),
+      reportError () {}
+    }, { budget, maxConnections })
+    server.listen(0, '127.0.0.1')
+    await once(server, 'listening')
+    closers.push(() => server.close())
+    return { port: (server.address() as AddressInfo).port, budget }
+  }
+
+  function send (port: number, count: number, length: number): Socket {
+    const caller = connect(port, '127.0.0.1')
+    caller.on('error', () => {})
+    closers.push(() => caller.destroy())
+    for (let request = 0; request < count; request++) caller.write(`POST /p HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: q-${request}\r\nContent-Length: ${length}\r\n\r\n${'x'.repeat(length)}`)
+    return caller
+  }
+
+  // Failure: the requests behind the first one kept their bytes, their places at servers and their writes for good.
+  it('ends all of them, and holds nothing for them', async () => {
+    let [started, disconnected, ended] = [0, 0, 0]
+    const { port, budget } = await startGateway(async ({ disconnectSignal }, response) => {
+      started++
+      disconnectSignal.addEventListener('abort', () => { disconnected++ })
+      // The server reads no further requests while a response waits for its reader.
+      await eventually('the other requests', timeoutMs, () => started === pipelined ? true : undefined)
+      response.start(200, [], true)
+      while (!disconnectSignal.aborted) await response.write(Buffer.alloc(bodyBytes))
+      ended++
+    }, 100)
+    const caller = send(port, pipelined, bodyBytes)
+    await eventually('the requests', timeoutMs, () => started === pipelined ? true : undefined)
+    caller.resetAndDestroy()
+    await eventually('their end', timeoutMs, () => ended === pipelined ? true : undefined)
+    expect({ disconnected, usedBytes: budget.usedBytes }).to.deep.equal({ disconnected: pipelined, usedBytes: 0 })
+  })
+
+  // Failure: requests that had ended counted as open, and later connections with two requests at once were closed.
+  it('counts none of them as open afterwards', async () => {
+    const maxConnections = 8
+    let [started, ended] = [0, 0]
+    const { port } = await startGateway(async ({ disconnectSignal }, response) => {
+      started++
+      if (started > 2 * maxConnections) return response.refuse(GatewayRefusal.Failed)
+      if (!disconnectSignal.aborted) await once(disconnectSignal, 'abort')
+      ended++
+    }, maxConnections)
+    for (const count of [maxConnections, maxConnections]) {
+      const before = started
+      const caller = send(port, count, 0)
+      await eventually('the requests', timeoutMs, () => started === before + count ? true : undefined)
+      caller.resetAndDestroy()
+      await eventually('their end', timeoutMs, () => ended === before + count ? true : undefined)
+    }
+    const caller = send(port, 2, 0)
+    let text = ''
+    caller.on('data', data => { text += data.toString() })
+    await eventually('both answers', timeoutMs, () => text.split('HTTP/1.1 502').length === 3 ? true : undefined)
+  })
+})
