Memory of servers counts only beside figures, and not beyond what a slot may hold

The memory of a service is stated on all deployments, so servers that preempt requests and share parts of prompts could be left out as full where nothing told of their load. Sums of a lost leader kept their tokens for good, while their requests faded. One request that declared 999,999,999 tokens raised the mean of a gateway to more than the memory of a server, so that it refused all further requests.

The check applies to services whose servers report a slowdown; tokens in sums fade with their requests; the mean for requests of other hosts is bounded by the memory over the slots. Three new tests in test/requestCost.test.ts fail before the change. The existing test of the bound now reports a slowdown first, with the same expectation.

--- a/src/process/fleet/remoteLoads.ts
+++ b/src/process/fleet/remoteLoads.ts
@@ -129,7 +129,7 @@
         unseenRequests,
         getLoad (id) {
           const { live, batch, extraWork = 0, tokens = 0 } = loads.get(id) ?? noLoad
-          return { live: live * remainingShare, batch, extraWork: extraWork * remainingShare, tokens }
+          return { live: live * remainingShare, batch, extraWork: extraWork * remainingShare, tokens: tokens * remainingShare }
         }
       }
     }
--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -275,8 +275,8 @@
 function listCandidates (progress: ForwardingProgress, remoteLoad: RemoteLoadEstimate, { tokens }: RequestCost, services: ForwardingServices): ServerCandidate[] {
   const { service, origin, isRetryable, runs, isResponseStarted, isResumption, places } = progress
   const { view } = services
-  const capacity = view.findService(service)?.memoryTokens ?? 0
   const hasFigures = view.paceSamples.isReported(service)
+  const capacity = hasFigures ? view.findService(service)?.memoryTokens ?? 0 : 0
   const meanTokens = view.costs.getMeanTokens(service)
   const candidates: ServerCandidate[] = []
   const { maxQueued, reservedShare } = runs > 0 || isResponseStarted || isResumption ? ordinaryPlaces : places
@@ -290,7 +290,8 @@
     sums.places += server.slots + maxQueuedPerServer
     sums.live += live
     if (live >= server.slots + maxQueued) continue
-    const held = view.serverWork.getTokens(server.id) + Math.max(remote.tokens, (remote.live + remote.batch) * meanTokens)
+    // A mean above the share of a slot comes from callers that declare too much.
+    const held = view.serverWork.getTokens(server.id) + Math.max(remote.tokens, (remote.live + remote.batch) * Math.min(meanTokens, capacity / server.slots))
     if (!fitsMemory({ capacity, held }, tokens)) continue
     candidates.push({
       server,
--- a/test/requestCost.test.ts
+++ b/test/requestCost.test.ts
@@ -1,13 +1,16 @@
 import { expect } from 'chai'
+import type { ReportedLoad } from '../src/connection/backendServerClient.ts'
 import { decodeConfiguration } from '../platform/configuration.ts'
 import { decodeDeclaredWork } from '../platform/declaredWork.ts'
 import { createHostSessions } from '../src/process/fleet/hostSessions.ts'
 import { listServerLoads } from '../src/process/fleet/serverLoads.ts'
+import { createRemoteLoads } from '../src/process/fleet/remoteLoads.ts'
 import { createServerWork } from '../src/process/fleet/serverWork.ts'
 import { createSeededRandom } from '../src/process/program/random.ts'
 import { chooseServer, type ServerCandidate } from '../src/request/placement/serverChoice.ts'
-import { computeMeanWork, type CostedRequest, createCostEstimator, fitsMemory } from '../src/request/placement/requestCost.ts'
+import { computeMeanWork, type CostedRequest, type DeclaredWork, createCostEstimator, fitsMemory } from '../src/request/placement/requestCost.ts'
 import { runForwardedRequest } from '../src/request/forwardedRequest.ts'
+import { FakeClock } from './support/fakeClock.ts'
 import { forwardingServicesOf, RecordedResponse, requestOf, routeOf, ScriptedServers, recordOf, tablesOf } from './support/fakeFleet.ts'
 import { Placement, replayLoad } from './support/loadReplay.ts'
 
@@ -79,10 +82,56 @@
     const route = routeOf()
     const services = forwardingServicesOf(servers, [route], { tables: { ...tablesOf(1, [route]), services: [{ name: 's', slots: 8, memoryTokens: 10_000 }] } })
     for (const id of ['i-1', 'i-3']) services.view.serverWork.add(id, { work: 1, tokens: 8_000 })
+    services.view.paceSamples.recordLoad({ id: 'i-1', service: 's' }, { running: 0, waiting: 0, slots: 8, slowdown: 1 })
     await runForwardedRequest(requestOf({ declaredWork: { promptTokens: 3_000, maxOutputTokens: 100, hintedTokens: undefined } }).request, new RecordedResponse(), services)
     expect(servers.arrivals.map(({ server }) => server)).to.deep.equal(['i-2'])
   })
 
+  function servicesWith (memoryTokens: number, servers: ScriptedServers): ReturnType<typeof forwardingServicesOf> {
+    const route = routeOf()
+    return forwardingServicesOf(servers, [route], { tables: { ...tablesOf(1, [route]), services: [{ name: 's', slots: 8, memoryTokens }] } })
+  }
+
+  async function countArrivals (services: ReturnType<typeof forwardingServicesOf>, servers: ScriptedServers, declaredWork: DeclaredWork): Promise<number> {
+    await runForwardedRequest(requestOf({ declaredWork }).request, new RecordedResponse(), services)
+    return servers.arrivals.length
+  }
+
+  const usualWork: DeclaredWork = { promptTokens: 450, maxOutputTokens: 20, hintedTokens: undefined }
+  const reported: ReportedLoad = { running: 0, waiting: 0, slots: 8, slowdown: 1 }
+
+  // Failure: engines that share the parts of prompts and preempt requests were left out by sums that count the parts for each request.
+  it('counts only where servers report a slowdown', async () => {
+    for (const hasFigures of [false, true]) {
+      const servers = new ScriptedServers([{ does: 'answer', pieces: ['id: 0\ndata: a\n\n'] }])
+      const services = servicesWith(10_000, servers)
+      for (const id of ['i-1', 'i-2', 'i-3']) services.view.serverWork.add(id, { work: 1, tokens: 9_500 })
+      if (hasFigures) services.view.paceSamples.recordLoad({ id: 'i-1', service: 's' }, reported)
+      expect(await countArrivals(services, servers, usualWork), String(hasFigures)).to.equal(hasFigures ? 0 : 1)
+    }
+  })
+
+  // Failure: sums of a lost leader left servers out for good, though the requests in them had ended.
+  it('is held by fewer requests the older the sums are', () => {
+    const clock = new FakeClock()
+    const loads = createRemoteLoads(clock)
+    loads.apply({ loads: { a: { live: 4, batch: 0, tokens: 60_000 } }, suspects: [], intervalMs: 50 }, new Map(), () => 's')
+    clock.jump(20_000)
+    expect(loads.estimate('s').getLoad('a').tokens).to.be.below(1)
+  })
+
+  // Failure: one request that declared 999,999,999 tokens raised the mean so far that every server with load was left out for good.
+  it('is not used up by what a single caller declares', async () => {
+    const absurd: DeclaredWork = { promptTokens: 999_999_999, maxOutputTokens: 1, hintedTokens: undefined }
+    const servers = new ScriptedServers([{ does: 'answer', pieces: ['id: 0\ndata: a\n\n'] }, { does: 'answer', pieces: ['id: 0\ndata: a\n\n'] }])
+    const services = servicesWith(72_000, servers)
+    services.view.paceSamples.recordLoad({ id: 'i-1', service: 's' }, reported)
+    expect(await countArrivals(services, servers, absurd)).to.equal(1)
+    const load = { live: 2, batch: 1 }
+    services.view.applyLoads({ loads: { 'i-1': load, 'i-2': load, 'i-3': load }, suspects: [], intervalMs: 50 }, new Map())
+    expect(await countArrivals(services, servers, usualWork)).to.equal(2)
+  })
+
   it('is bounded by the memory in the services table', () => {
     const document = { version: 1, routes: [], services: [{ name: 's', engine: { slots: 8, kv_capacity: 72_000 } }, { name: 't' }], limits: { header_bytes: 1, max_body_bytes: 1, header_timeout_ms: 1, idle_timeout_ms: 1 } }
     const services = decodeConfiguration(JSON.stringify(document))._unsafeUnwrap().tables.services
