Plan by the load of servers interrupts items in the order of their saved events again

The estimate by the duration of a run, made for waves, also changed which item a server over its slots loses where live traffic is steady. The plan for waves keeps that estimate. Waiting items are described once for each plan and not twice.

--- a/src/process/fleet/batchRunner.ts
+++ b/src/process/fleet/batchRunner.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { err, type Result } from 'neverthrow'
-import { hasFreeSlot, type PlannedServer, type Resumption } from '../../request/placement/batchPlan.ts'
+import { hasFreeSlot, type ItemUrgency, type PlannedServer, type Resumption } from '../../request/placement/batchPlan.ts'
 import { listPartTraits, type Trait } from '../../request/requestTraits.ts'
 import { RunEnd } from '../../request/submittedItemRun.ts'
 import { chooseTarget } from '../../version/gatewayTables.ts'
@@ -84,7 +84,7 @@
 /** Items of a service that may be started. */
 interface StartableItems {
   /** The items, the most urgent first. */
-  readonly entries: OpenItem[]
+  readonly items: ItemUrgency[]
   /** Those that may resume from their saved events, by key. */
   readonly resumptions: Map<string, Resumption>
 }
@@ -202,8 +202,8 @@
   function groupStartableByService (servers: Iterable<readonly PlannedServer[]>): Map<string, StartableItems> {
     const startableByService = new Map<string, StartableItems>()
     const now = clock.now()
-    for (const { key } of competition.order(planner.describeUrgency(items.startable(now)), servers)) {
-      const entry = items.find(key)
+    for (const urgency of competition.order(planner.describeUrgency(items.startable(now)), servers)) {
+      const entry = items.find(urgency.key)
       if (entry === undefined || (isOutputFull && countSavedEvents(entry) === 0)) continue
       const route = routes.find(entry.record)
       if (route === undefined) {
@@ -214,10 +214,10 @@
       // It stays open until the quarantine ends, or until it is given up.
       if (fleet.quarantine.isBlocked(listTraitsOf(entry))) continue
       const service = chooseTarget(route, random.next())
-      const startable: StartableItems = startableByService.get(service) ?? { entries: [], resumptions: new Map() }
-      startable.entries.push(entry)
+      const startable: StartableItems = startableByService.get(service) ?? { items: [], resumptions: new Map() }
+      startable.items.push(urgency)
       const resumption = determineResumption(entry, now)
-      if (resumption !== undefined) startable.resumptions.set(key, resumption)
+      if (resumption !== undefined) startable.resumptions.set(urgency.key, resumption)
       startableByService.set(service, startable)
     }
     return startableByService
--- a/src/process/fleet/servicePlanner.ts
+++ b/src/process/fleet/servicePlanner.ts
@@ -45,7 +45,7 @@
 /** Waiting items of a service. */
 export interface WaitingItems {
   /** The items, the most urgent first. */
-  readonly entries: readonly OpenItem[]
+  readonly items: readonly ItemUrgency[]
   /** Those that may resume from their saved events, by key. */
   readonly resumptions: ReadonlyMap<string, Resumption>
 }
@@ -103,19 +103,23 @@
     return known
   }
 
-  function describeUrgency (entries: readonly OpenItem[]): ItemUrgency[] {
+  function describeUrgency (entries: readonly OpenItem[], estimateMs: (entry: OpenItem) => number = estimateRemainingMs): ItemUrgency[] {
     const now = clock.wallTime()
     return entries.map(entry => ({
       key: entry.key,
       dueInMs: entry.record.submission.acceptedAt + (routes.find(entry.record)?.dueMs ?? 0) - now,
-      remainingMs: estimateRemainingMs(entry)
+      remainingMs: estimateMs(entry)
     }))
   }
 
+  function estimateBySavedEvents (entry: OpenItem): number {
+    return durationEstimator.estimateRemainingMs(countSavedEvents(entry))
+  }
+
   // Events are saved some time after they arrive, so the duration of a run in progress tells more, within that time. A run on a slow server
   // takes longer, and an item with more events than usual is not about to end.
   function estimateRemainingMs (entry: OpenItem): number {
-    const bySavedEvents = durationEstimator.estimateRemainingMs(countSavedEvents(entry))
+    const bySavedEvents = estimateBySavedEvents(entry)
     const { run } = entry
     if (run?.startedAt === undefined || run.startEvents === undefined) return bySavedEvents
     if (bySavedEvents === 0) return durationEstimator.usualMs * longItemShare
@@ -123,9 +127,9 @@
     return Math.max(0, bySavedEvents - maxUnsavedMs, Math.min(bySavedEvents, byDuration))
   }
 
-  function describeServer ({ id, slots, softwareVersion }: BackendServerRecord, live: number, items: readonly ItemUrgency[]): PlannedServer {
-    // The order counts only when items have to be interrupted.
-    const ordered = live + items.length > slots ? orderByUrgency(items) : items
+  function describeServer ({ id, slots, softwareVersion }: BackendServerRecord, live: number, running: readonly OpenItem[]): PlannedServer {
+    // The order counts only when items have to be interrupted, and only in the plan by the load of each server, which goes by saved events.
+    const ordered = live + running.length > slots ? orderByUrgency(describeUrgency(running, estimateBySavedEvents)) : running
     return {
       id,
       slots,
@@ -138,7 +142,7 @@
   }
 
   return {
-    describeUrgency,
+    describeUrgency: entries => describeUrgency(entries),
     describe (service, servers, running) {
       const live = servers.map(({ id }) => fleet.getLoad(id).live)
       const planned = planLive(live, fleet.reportIntervalMs)
@@ -146,7 +150,7 @@
       const occupied = servers.map(({ id, slots }, position) => ({ id, slots, live: followed[position] ?? 0, items: describeUrgency(running.get(id) ?? []) }))
       return {
         service,
-        servers: servers.map((server, position) => describeServer(server, planned[position] ?? 0, occupied[position]?.items ?? [])),
+        servers: servers.map((server, position) => describeServer(server, planned[position] ?? 0, running.get(server.id) ?? [])),
         occupied,
         course: recordCourse(service, live)
       }
@@ -155,7 +159,7 @@
       ...situation,
       overload: findOverload(service),
       now: clock.now(),
-      waiting: describeUrgency(waiting?.entries ?? []),
+      waiting: waiting?.items ?? [],
       resumptions: waiting?.resumptions,
       requestMs: fleet.requestMs,
       objectiveMs: routes.findLiveObjectiveMs(service)
