Memory budget: nothing gives way to the one job that is decoded beyond it

A job of 4 MiB takes 20 MiB while it is decoded, more than the whole budget of a gateway with 72 MB of heap. The budget made every upload and every unread answer of more than 16 KiB give way to it, and refused new ones until the job was submitted, although that job is granted beyond the budget anyway. Jobs that can never fit beside another one no longer make others give way either, and those that wait behind a job whose wait has ended are looked at again.

New test in test/memoryBudget.test.ts: an upload that grows beside such a job was refused before and is kept now.

--- a/src/process/program/memoryBudget.ts
+++ b/src/process/program/memoryBudget.ts
@@ -69,8 +69,8 @@
    */
   open (description: HoldingDescription): MemoryHolding
   /**
-   * Waits for space for copies of a message, in the order of the calls. The first call is served in any case, so that each message is
-   * decoded in the end; the others when their bytes fit.
+   * Waits for space for copies of a message, in the order of the calls. The first one is served in any case and beyond the limit, so that
+   * each message is decoded in the end and nothing gives way to it; the others when their bytes fit.
    * @param bytes - size of the copies
    * @param timeoutMs - longest wait, in milliseconds
    * @returns the holding, to be closed by the caller; undefined on timeout
@@ -120,6 +120,12 @@
   const waiters: Waiter[] = []
   let usedBytes = 0
   let decodings = 0
+  // The message that is decoded beyond the limit.
+  let extra: Holding | undefined
+
+  function exceedsLimit (neededBytes: number): boolean {
+    return usedBytes - (extra?.bytes ?? 0) + neededBytes > limitBytes
+  }
 
   function add (holding: Holding, bytes: number): void {
     holding.bytes += bytes
@@ -153,8 +159,9 @@
   }
 
   function makeSpace (neededBytes: number): void {
-    const isFull = (): boolean => usedBytes + neededBytes > limitBytes
-    for (let holding = isFull() ? findFirstToGiveWay() : undefined; holding !== undefined; holding = isFull() ? findFirstToGiveWay() : undefined) {
+    while (exceedsLimit(neededBytes)) {
+      const holding = findFirstToGiveWay()
+      if (holding === undefined) return
       dismiss(holding)
     }
   }
@@ -170,6 +177,7 @@
   function remove (holding: Holding): void {
     if (!holdings.delete(holding)) return
     add(holding, -holding.bytes)
+    if (extra === holding) extra = undefined
     if (holding.description.kind === HoldingKind.Decoding) decodings--
     grantWaiting()
   }
@@ -186,15 +194,20 @@
   }
 
   function openDecoding (bytes: number): MemoryHolding {
-    decodings++
-    const holding = open({ kind: HoldingKind.Decoding })
-    holding.resize(bytes)
-    return holding
+    const holding = addHolding({ kind: HoldingKind.Decoding })
+    if (decodings++ === 0) extra = holding
+    const decoding = control(holding)
+    decoding.resize(bytes)
+    return decoding
   }
 
-  function open (description: HoldingDescription): MemoryHolding {
+  function addHolding (description: HoldingDescription): Holding {
     const holding: Holding = { description, openedAt: now(), bytes: 0, isProtected: false, hasGivenWay: false }
     holdings.add(holding)
+    return holding
+  }
+
+  function control (holding: Holding): MemoryHolding {
     return {
       get bytes () { return holding.bytes },
       get hasGivenWay () { return holding.hasGivenWay },
@@ -221,14 +234,17 @@
   return {
     limitBytes,
     get usedBytes () { return usedBytes },
-    open,
+    open: description => control(addHolding(description)),
     async reserve (bytes, timeoutMs) {
       if (waiters.length === 0) {
-        makeSpace(bytes)
+        if (decodings > 0 && bytes <= limitBytes) makeSpace(bytes)
         if (canDecode(bytes)) return openDecoding(bytes)
       }
       return await new Promise(resolve => {
-        const timer = setTimeout(() => waiter.grant(undefined), timeoutMs)
+        const timer = setTimeout(() => {
+          waiter.grant(undefined)
+          grantWaiting()
+        }, timeoutMs)
         const waiter: Waiter = {
           bytes,
           grant (holding) {
--- a/test/memoryBudget.test.ts
+++ b/test/memoryBudget.test.ts
@@ -74,6 +74,17 @@
     first?.close()
     expect((await second)?.bytes).to.equal(largeBytes)
   })
+
+  // Failure: while one job of the largest size was decoded, every other upload of more than an ordinary request was refused, in calm.
+  it('lets nothing give way to the message that is decoded beyond the budget', async () => {
+    const upload = hold('upload', largeBytes)
+    const first = await budget.reserve(limitBytes * 1.2, 1_000)
+    expect(upload.resize(2 * largeBytes)).to.equal(true)
+    expect(await budget.reserve(limitBytes * 1.2, 0), 'a second one that can never fit').to.equal(undefined)
+    expect({ gaveWay, bytes: first?.bytes }).to.deep.equal({ gaveWay: [], bytes: limitBytes * 1.2 })
+    hold('late', limitBytes)
+    expect(gaveWay, 'the budget for the others').to.deep.equal(['late'])
+  })
 })
 
 describe('byte collector', () => {
