Load reports carry tokens only for services whose servers report a slowdown

Nobody reads them elsewhere, and with large prompts each host named up to 32 servers in each report, and the leader all of them in each reply. New test in test/requestCost.test.ts: [[0, 20020]] in a report before, nothing now.

--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -193,10 +193,9 @@
   }
 }
 
-// Without figures of the servers, requests count as one each.
+// Without figures of the servers, requests count as one each, and their memory is not counted.
 function estimateCost (progress: ForwardingProgress, view: FleetView): RequestCost {
-  const cost = view.costs.estimate(describeCost(progress))
-  return view.paceSamples.isReported(progress.service) ? cost : { ...cost, work: 1 }
+  return view.paceSamples.isReported(progress.service) ? view.costs.estimate(describeCost(progress)) : { work: 1, tokens: 0 }
 }
 
 function describeCost ({ request, route, service }: ForwardingProgress): CostedRequest {
--- a/test/requestCost.test.ts
+++ b/test/requestCost.test.ts
@@ -6,6 +6,7 @@
 import { listServerLoads } from '../src/process/fleet/serverLoads.ts'
 import { createRemoteLoads } from '../src/process/fleet/remoteLoads.ts'
 import { createServerWork } from '../src/process/fleet/serverWork.ts'
+import { eventually } from '../scripts/processes.ts'
 import { createSeededRandom } from '../src/process/program/random.ts'
 import { chooseServer, type ServerCandidate } from '../src/request/placement/serverChoice.ts'
 import { computeMeanWork, type CostedRequest, type DeclaredWork, createCostEstimator, fitsMemory } from '../src/request/placement/requestCost.ts'
@@ -111,6 +112,21 @@
     }
   })
 
+  // Failure: the load reports of hosts and the sums of the leader carried tokens that nobody reads, several times a second.
+  it('is not reported where servers report no slowdown', async () => {
+    for (const hasFigures of [false, true]) {
+      const servers = new ScriptedServers([{ does: 'hang' }])
+      const services = servicesWith(72_000, servers)
+      if (hasFigures) services.view.paceSamples.recordLoad({ id: 'i-1', service: 's' }, reported)
+      const { request, disconnect } = requestOf({ declaredWork: { ...usualWork, promptTokens: 20_000 } })
+      const ended = runForwardedRequest(request, new RecordedResponse(), services)
+      await eventually('the request', 1_000, () => servers.arrivals[0])
+      expect(Object.values(services.view.serverWork.describe() ?? {})).to.deep.equal(hasFigures ? [[0, 20_020]] : [])
+      disconnect()
+      await ended
+    }
+  })
+
   // Failure: sums of a lost leader left servers out for good, though the requests in them had ended.
   it('is held by fewer requests the older the sums are', () => {
     const clock = new FakeClock()
