--- a/test/pipelinedRequests.test.ts
+++ b/test/callerConnections.test.ts
@@ -3,7 +3,7 @@
 import { type AddressInfo, connect, type Socket } from 'node:net'
 import { createCallerServer } from '../platform/callerHttp.ts'
 import { eventually } from '../scripts/processes.ts'
-import { createMemoryBudget, type MemoryBudget } from '../src/process/program/memoryBudget.ts'
+import { createMemoryBudget, type MemoryBudget, sparedBytes } from '../src/process/program/memoryBudget.ts'
 import { type CallerRequest, type CallerResponse, GatewayRefusal } from '../src/request/callerExchange.ts'
 
 const timeoutMs = 5_000
@@ -14,7 +14,7 @@
 /** Length of a body and of an answer that does not fit the buffer of a response. */
 const bodyBytes = 100_000
 
-describe('pipelined requests of a caller that disconnects', () => {
+describe('connections of callers', () => {
   const closers: Array<() => void> = []
   afterEach(() => {
     for (const close of closers.splice(0)) close()
@@ -54,7 +54,7 @@
   }
 
   // Failure: the requests behind the first one kept their bytes, their places at servers and their writes for good.
-  it('ends all of them, and holds nothing for them', async () => {
+  it('end all pipelined requests, and hold nothing for them', async () => {
     let [started, disconnected, ended] = [0, 0, 0]
     const { port, budget } = await startGateway(async ({ disconnectSignal }, response) => {
       started++
@@ -73,7 +73,7 @@
   })
 
   // Failure: requests that had ended counted as open, and later connections with two requests at once were closed.
-  it('counts none of them as open afterwards', async () => {
+  it('count no pipelined request as open afterwards', async () => {
     const maxConnections = 8
     let [started, ended] = [0, 0]
     const { port } = await startGateway(async ({ disconnectSignal }, response) => {
@@ -94,4 +94,33 @@
     caller.on('data', data => { text += data.toString() })
     await eventually('both answers', timeoutMs, () => text.split('HTTP/1.1 502').length === 3 ? true : undefined)
   })
+
+  // Failure: the rest of a body that nobody keeps counted as a head of megabytes, and the uploads of others were refused for it.
+  it('hold nothing of a body whose answer has ended before it', async () => {
+    const { port, budget } = await startGateway(async ({ remainder }, response) => {
+      const rest = remainder?.consume()[Symbol.asyncIterator]()
+      await rest?.next()
+      await rest?.return?.()
+      response.start(200, ['content-length', '2'], true)
+      await response.write(Buffer.from('ok'))
+      response.end()
+    }, 100)
+    const caller = connect(port, '127.0.0.1')
+    closers.push(() => caller.destroy())
+    let text = ''
+    caller.on('data', data => { text += data.toString() })
+    caller.write(`POST /p HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: q\r\nContent-Length: 3000000\r\n\r\n${'x'.repeat(1_000_000)}`)
+    await eventually('the answer', timeoutMs, () => text.endsWith('ok') ? true : undefined)
+    caller.write('x'.repeat(1_500_000))
+    let mostBytes = 0
+    const watchedUntil = performance.now() + 800
+    while (performance.now() < watchedUntil) {
+      await new Promise(resolve => setTimeout(resolve, 20))
+      mostBytes = Math.max(mostBytes, budget.usedBytes)
+    }
+    expect(mostBytes).to.be.below(sparedBytes)
+    // The connection is still in use.
+    caller.write(`${'x'.repeat(500_000)}POST /p HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: r\r\nContent-Length: 0\r\n\r\n`)
+    await eventually('the second answer', timeoutMs, () => text.split('HTTP/1.1 200').length === 3 ? true : undefined)
+  })
 })
