--- a/src/request/serverCandidates.ts
+++ b/src/request/serverCandidates.ts
@@ -62,14 +62,13 @@
 }
 
 /**
- * Estimates the cost of a request. Without figures of the servers, requests count as one each.
+ * Estimates the cost of a request. Without figures of the servers, requests count as one each, and their memory is not counted.
  * @param request - the request
  * @param view - the view of the fleet
  * @returns the cost
  */
 export function estimateServiceCost (request: CostedRequest, { costs, paceSamples }: Pick<FleetView, 'costs' | 'paceSamples'>): RequestCost {
-  const cost = costs.estimate(request)
-  return paceSamples.isReported(request.service) ? cost : { ...cost, work: 1 }
+  return paceSamples.isReported(request.service) ? costs.estimate(request) : { work: 1, tokens: 0 }
 }
 
 /**
@@ -83,8 +82,8 @@
 export function listCandidates (search: CandidateSearch, remoteLoad: RemoteLoadEstimate, services: CandidateServices, excluded?: ExcludedServer[]): ServerCandidate[] {
   const { service, origin, isRetryable, tokens, places: { maxQueued, reservedShare } } = search
   const { view } = services
-  const capacity = view.findService(service)?.memoryTokens ?? 0
   const hasFigures = view.paceSamples.isReported(service)
+  const capacity = hasFigures ? view.findService(service)?.memoryTokens ?? 0 : 0
   const meanTokens = view.costs.getMeanTokens(service)
   const candidates: ServerCandidate[] = []
   const sums = { slots: 0, places: 0, live: 0 }
@@ -107,7 +106,8 @@
       excluded?.push({ server, reason: ExclusionReason.Full })
       continue
     }
-    const heldTokens = view.serverWork.getTokens(server.id) + Math.max(remote.tokens, (remote.live + remote.batch) * meanTokens)
+    // A mean above the share of a slot comes from callers that declare too much.
+    const heldTokens = view.serverWork.getTokens(server.id) + Math.max(remote.tokens, (remote.live + remote.batch) * Math.min(meanTokens, capacity / server.slots))
     if (!fitsMemory({ capacity, held: heldTokens }, tokens)) {
       excluded?.push({ server, reason: ExclusionReason.MemoryFull })
       continue
