--- a/test/placementExplanation.test.ts
+++ b/test/placementExplanation.test.ts
@@ -93,6 +93,8 @@
     view.requestLimits.record('limited', 5, 0)
     view.requestLimits.exclude('limited', 1_000)
     for (const change of Array.from({ length: 10 }, () => 1 as const)) view.adjustLiveCount('full', change)
+    // Memory counts only for services whose servers report figures.
+    view.paceSamples.recordLoad(recordOf('memory'), { running: 1, waiting: 0, slots: 8, slowdown: 1 })
     view.serverWork.add('memory', { work: 1, tokens: 950 })
     const { servers, refusal } = explain()
     expect(refusal).to.equal(undefined)
