--- a/src/process/program/memoryBudget.ts
+++ b/src/process/program/memoryBudget.ts
@@ -24,6 +24,9 @@
  */
 const heapShare = 1 / 4
 
+/** Share of the limit that is left to all others while a message is decoded beyond the limit: some uploads of the largest size. */
+const sharedWithExtra = 1 / 2
+
 /** Size up to which a holding is kept in any case, in bytes: an ordinary request, of which there are no more than connections. */
 export const sparedBytes = 16 * 1024
 
@@ -69,8 +72,8 @@
    */
   open (description: HoldingDescription): MemoryHolding
   /**
-   * Waits for space for copies of a message, in the order of the calls. The first one is served in any case and beyond the limit, so that
-   * each message is decoded in the end and nothing gives way to it; the others when their bytes fit.
+   * Waits for space for copies of a message, in the order of the calls. The first one is served in any case and perhaps beyond the limit, so
+   * that each message is decoded in the end and half of the limit is left to the others; the next ones when their bytes fit.
    * @param bytes - size of the copies
    * @param timeoutMs - longest wait, in milliseconds
    * @returns the holding, to be closed by the caller; undefined on timeout
@@ -124,7 +127,8 @@
   let extra: Holding | undefined
 
   function exceedsLimit (neededBytes: number): boolean {
-    return usedBytes - (extra?.bytes ?? 0) + neededBytes > limitBytes
+    const extraBytes = extra?.bytes ?? 0
+    return usedBytes - extraBytes + neededBytes > limitBytes - Math.min(extraBytes, limitBytes * (1 - sharedWithExtra))
   }
 
   function add (holding: Holding, bytes: number): void {
--- a/test/memoryBudget.test.ts
+++ b/test/memoryBudget.test.ts
@@ -76,7 +76,7 @@
   })
 
   // Failure: while one job of the largest size was decoded, every other upload of more than an ordinary request was refused, in calm.
-  it('lets nothing give way to the message that is decoded beyond the budget', async () => {
+  it('leaves half of the budget to others while a message is decoded beyond it', async () => {
     const upload = hold('upload', largeBytes)
     const first = await budget.reserve(limitBytes * 1.2, 1_000)
     expect(upload.resize(2 * largeBytes)).to.equal(true)
