Items: accounts compete only while a quarter of the items would become late

Cause: near saturation a few items are late by urgency alone, and the order by accounts then made more of them late. Change: accounts compete once urgency alone makes more than a quarter of the waiting items late; items that are late in any case come last whatever their priority.

--- a/src/request/placement/competition.ts
+++ b/src/request/placement/competition.ts
@@ -23,6 +23,9 @@
 /** Weight of the latest rate of an account against its rate in the window: a busy account must be recognized before it has filled its window. */
 const recentWeight = 0.5
 
+/** Share of the waiting items that may become late by urgency alone before accounts compete for slots. Near saturation a few always do. */
+const maxLateShare = 0.25
+
 /** Use of the limits of accounts, as shares of the limits. */
 export interface AccountLevel {
   /** Use of the account's limit by all hosts; undefined if it is not known to be high. */
@@ -121,10 +124,10 @@
 }
 
 /**
- * Orders waiting items. While all of them but the late ones can be on time by urgency alone, that is their order: to put back the items of an account would make them
- * late and help nobody. Otherwise they are ordered by priority; items that can still be on time before the late ones; items within the share of
- * their account before those beyond it; then by urgency. The slots are shared evenly by the accounts that have items. Without any account,
- * only urgency counts.
+ * Orders waiting items. While nearly all of them that are not late yet can be on time by urgency alone, that is their order: to put back the items
+ * of an account would make more of them late than it helps. Otherwise items that can still be on time come before the late ones; then the
+ * higher priority; then items within the share of their account before those beyond it; then urgency counts. The slots are shared evenly by the
+ * accounts that have items. Without any account, only urgency counts.
  * @param items - the waiting items
  * @param running - the running items
  * @returns the items, those to start first at the beginning
@@ -134,7 +137,7 @@
   const accounts = new Set(byAccount.keys())
   for (const { account } of items) if (account !== undefined) accounts.add(account)
   // Without accounts, route priorities do not count either: a route never lets another one's items become late.
-  if (accounts.size === 0 || canAllBeOnTime(urgent, { byAccount, slots })) return urgent
+  if (accounts.size === 0 || countLateByUrgency(urgent, { byAccount, slots }) <= urgent.length * maxLateShare) return urgent
   const share = Math.max(1, slots / accounts.size)
   const taken = new Map(byAccount)
   const ranked: Array<{ readonly item: ItemCompetitor, readonly isLate: boolean, readonly isBeyondShare: boolean }> = []
@@ -145,25 +148,26 @@
     ranked.push({ item, isLate: item.dueInMs <= item.remainingMs, isBeyondShare: count + 1 > share })
   }
   // The sort is stable, so equal ranks keep the order by urgency.
-  ranked.sort((left, right) => left.item.priority - right.item.priority || Number(left.isLate) - Number(right.isLate) || Number(left.isBeyondShare) - Number(right.isBeyondShare))
+  ranked.sort((left, right) => Number(left.isLate) - Number(right.isLate) || left.item.priority - right.item.priority || Number(left.isBeyondShare) - Number(right.isBeyondShare))
   return ranked.map(({ item }) => item)
 }
 
 // Each item waits until those before it have passed through the slots, and for half of the usual run time of the running ones on average.
-function canAllBeOnTime (urgent: readonly ItemCompetitor[], { byAccount, slots }: RunningItems): boolean {
-  if (slots === 0) return urgent.length === 0
+function countLateByUrgency (urgent: readonly ItemCompetitor[], { byAccount, slots }: RunningItems): number {
+  if (slots === 0) return urgent.length
   let totalMs = 0
   for (const { remainingMs } of urgent) totalMs += remainingMs
   let running = 0
   for (const count of byAccount.values()) running += count
   let waitMs = running / slots * totalMs / Math.max(1, urgent.length) / 2
+  let late = 0
   for (const { dueInMs, remainingMs } of urgent) {
-    // It waits behind all others, and no order brings it back in time.
+    // An item that is late already waits behind all others, and no order brings it back in time.
     if (remainingMs >= dueInMs) continue
-    if (waitMs + remainingMs > dueInMs) return false
+    if (waitMs + remainingMs > dueInMs) late++
     waitMs += remainingMs / slots
   }
-  return true
+  return late
 }
 
 function sortByPriority (items: readonly ItemCompetitor[]): ItemCompetitor[] {
