Memory budget: give way to a job decoded beyond the budget, as before

Takes back the two changes of the budget for jobs that are decoded beyond it.

Open: while a job of about 3.6 MB or more is decoded, other uploads and unread answers of more than 16 KiB give way to it, in calm as well.

--- a/src/process/program/memoryBudget.ts
+++ b/src/process/program/memoryBudget.ts
@@ -24,9 +24,6 @@
  */
 const heapShare = 1 / 4
 
-/** Share of the limit that is left to all others while a message is decoded beyond the limit: some uploads of the largest size. */
-const sharedWithExtra = 1 / 2
-
 /** Size up to which a holding is kept in any case, in bytes: an ordinary request, of which there are no more than connections. */
 export const sparedBytes = 16 * 1024
 
@@ -72,8 +69,8 @@
    */
   open (description: HoldingDescription): MemoryHolding
   /**
-   * Waits for space for copies of a message, in the order of the calls. The first one is served in any case and perhaps beyond the limit, so
-   * that each message is decoded in the end and half of the limit is left to the others; the next ones when their bytes fit.
+   * Waits for space for copies of a message, in the order of the calls. The first call is served in any case, so that each message is
+   * decoded in the end; the others when their bytes fit.
    * @param bytes - size of the copies
    * @param timeoutMs - longest wait, in milliseconds
    * @returns the holding, to be closed by the caller; undefined on timeout
@@ -123,13 +120,6 @@
   const waiters: Waiter[] = []
   let usedBytes = 0
   let decodings = 0
-  // The message that is decoded beyond the limit.
-  let extra: Holding | undefined
-
-  function exceedsLimit (neededBytes: number): boolean {
-    const extraBytes = extra?.bytes ?? 0
-    return usedBytes - extraBytes + neededBytes > limitBytes - Math.min(extraBytes, limitBytes * (1 - sharedWithExtra))
-  }
 
   function add (holding: Holding, bytes: number): void {
     holding.bytes += bytes
@@ -163,9 +153,8 @@
   }
 
   function makeSpace (neededBytes: number): void {
-    while (exceedsLimit(neededBytes)) {
-      const holding = findFirstToGiveWay()
-      if (holding === undefined) return
+    const isFull = (): boolean => usedBytes + neededBytes > limitBytes
+    for (let holding = isFull() ? findFirstToGiveWay() : undefined; holding !== undefined; holding = isFull() ? findFirstToGiveWay() : undefined) {
       dismiss(holding)
     }
   }
@@ -181,7 +170,6 @@
   function remove (holding: Holding): void {
     if (!holdings.delete(holding)) return
     add(holding, -holding.bytes)
-    if (extra === holding) extra = undefined
     if (holding.description.kind === HoldingKind.Decoding) decodings--
     grantWaiting()
   }
@@ -198,20 +186,15 @@
   }
 
   function openDecoding (bytes: number): MemoryHolding {
-    const holding = addHolding({ kind: HoldingKind.Decoding })
-    if (decodings++ === 0) extra = holding
-    const decoding = control(holding)
-    decoding.resize(bytes)
-    return decoding
+    decodings++
+    const holding = open({ kind: HoldingKind.Decoding })
+    holding.resize(bytes)
+    return holding
   }
 
-  function addHolding (description: HoldingDescription): Holding {
+  function open (description: HoldingDescription): MemoryHolding {
     const holding: Holding = { description, openedAt: now(), bytes: 0, isProtected: false, hasGivenWay: false }
     holdings.add(holding)
-    return holding
-  }
-
-  function control (holding: Holding): MemoryHolding {
     return {
       get bytes () { return holding.bytes },
       get hasGivenWay () { return holding.hasGivenWay },
@@ -238,17 +221,14 @@
   return {
     limitBytes,
     get usedBytes () { return usedBytes },
-    open: description => control(addHolding(description)),
+    open,
     async reserve (bytes, timeoutMs) {
       if (waiters.length === 0) {
-        if (decodings > 0 && bytes <= limitBytes) makeSpace(bytes)
+        makeSpace(bytes)
         if (canDecode(bytes)) return openDecoding(bytes)
       }
       return await new Promise(resolve => {
-        const timer = setTimeout(() => {
-          waiter.grant(undefined)
-          grantWaiting()
-        }, timeoutMs)
+        const timer = setTimeout(() => waiter.grant(undefined), timeoutMs)
         const waiter: Waiter = {
           bytes,
           grant (holding) {
