--- a/src/connection/opaqueRequest.ts
+++ b/src/connection/opaqueRequest.ts
@@ -49,6 +49,6 @@
   readonly remainder: BodyRemainder | undefined
   /** Id of the event after which a stream resumes; undefined for a stream from the start. */
   readonly resumeAfter: number | undefined
-  /** Name of the client account that backend servers are told; undefined if the request belongs to none. */
+  /** Name of the client account that backend servers receive; undefined if the request belongs to none. */
   readonly account?: string | undefined
 }
--- a/src/request/placement/hostOverload.ts
+++ b/src/request/placement/hostOverload.ts
@@ -1,5 +1,5 @@
 /**
- * Whether a gateway is overloaded, and which gateways to leave out of what callers are told.
+ * Whether a gateway is overloaded, and which gateways to leave out of the answers to callers.
  *
  * Load pattern: callers choose among the gateways of their zone at random, and these have a third of the processor of others. At the
  * same number of requests the smaller ones are the first to be busy all the time, and each of their requests waits. Traffic comes in waves of
