--- a/review/support-2/fleet.mjs
+++ b/review/support-2/fleet.mjs
@@ -12,6 +12,12 @@
 
 const root = fileURLToPath(new URL('../..', import.meta.url))
 
+// A case that could not run has not shown anything.
+process.on('uncaughtException', error => {
+  console.error(error)
+  process.exit(2)
+})
+
 /** Availability zones and their regions. */
 export const regions = { 'zone-a': 'region-1', 'zone-b': 'region-1', 'zone-c': 'region-2' }
 const zones = Object.keys(regions)
