Reads with bodies: chunks of one byte keep all others waiting

Seen by callers: with 200 connections that send GET with a body in chunks of one byte, requests at the same process waited over 30 s: at the directory and the operators' address of a control host, and at the callers' address of an entry host of jaychuted.

Cause: the body of a GET was read without a limit and without being kept. If the response ended first, the HTTP server discarded the rest itself; those chunks were not counted, so the bound of parsed chunks in a turn of the event loop did not apply to them either.

Change: the body of a request whose route reads none is received up to 256 KiB, where a chunk counts as at least 64 bytes; then the connection is closed. It is read by ClientMessage from the start, so that its chunks count. No route of these addresses has a GET with a body, so no client inside the limits meets this.

--- a/src/connection/clientMessage.ts
+++ b/src/connection/clientMessage.ts
@@ -25,7 +25,8 @@
   private readonly waiting: ByteCollector = createByteCollector()
   private isWanted = false
   private isHandingOver = false
-  private isUnused = false
+  /** Bytes of the body that may still be read without being kept; undefined as long as it has a reader. */
+  private discardableBytes: number | undefined
   private chunks = 0
   private bytes = 0
 
@@ -50,10 +51,15 @@
     return this.chunks >= minCountedChunks && this.bytes < this.chunks * minMeanChunkBytes
   }
 
-  /** Reads the rest of the body without keeping it, so that the response reaches the caller. */
-  discardRest (): void {
-    this.isUnused = true
+  /**
+   * Reads the rest of the body without keeping it, so that the response reaches the caller.
+   * @param maxBytes - bytes after which the connection is closed; a chunk counts as at least 64 bytes, since it takes time however short it is
+   */
+  discardRest (maxBytes = Infinity): void {
+    this.discardableBytes = maxBytes
     this.waiting.discard()
+    // Without a read before the response ends, the HTTP server discards the rest itself, past the limits.
+    this.read(0)
     this.resume()
   }
 
@@ -70,8 +76,10 @@
     countParsedChunk()
     this.chunks++
     this.bytes += chunk.length
-    if (this.isUnused) {
+    if (this.discardableBytes !== undefined) {
+      this.discardableBytes -= Math.max(chunk.length, minMeanChunkBytes)
       releaseBytes(chunk)
+      if (this.discardableBytes < 0) this.socket.destroy()
       return true
     }
     this.waiting.add(chunk)
--- a/src/process/program/servers.ts
+++ b/src/process/program/servers.ts
@@ -14,6 +14,9 @@
 /** Longest time until a request has arrived completely, in milliseconds. */
 const requestTimeoutMs = 300_000
 
+/** Longest body of a request whose route reads none, in bytes. */
+const maxUnreadBodyBytes = 256 * 1024
+
 /**
  * Serves the routes of a Hono application.
  * @param address - IP address and port
@@ -26,7 +29,7 @@
   const respond = getRequestListener((request, exchange) => api.fetch(request, { ...exchange, resources }))
   const server = createClientServer(resources, (request, response) => {
     // No route reads a body with these methods.
-    if (request.method === 'GET' || request.method === 'HEAD') request.discardRest()
+    if (request.method === 'GET' || request.method === 'HEAD') request.discardRest(maxUnreadBodyBytes)
     respond(request, response).catch(() => response.destroy())
   })
   server.requestTimeout = requestTimeoutMs
--- a/test/untrustedEntryClients.test.ts
+++ b/test/untrustedEntryClients.test.ts
@@ -50,6 +50,7 @@
   'live requests that do not end, in large chunks': planChunkedBodies(800, live, largeChunk, 3),
   'live requests in chunks of one byte': planChunkedBodies(200, live, tinyChunk, tinyChunks),
   'live requests far over the limit': planChunkedBodies(60, live, largeChunk, 128),
+  'reads with bodies in chunks of one byte': planChunkedBodies(200, { method: 'GET', path: '/v1/addresses' }, tinyChunk, tinyChunks),
   'announcements that do not end': planAnnouncedBodies(60, announcement, jobBytes),
   ...planBodilessCrowds({ method: 'GET', path: '/v1/addresses' })
 }
--- a/test/untrustedOperatorClients.test.ts
+++ b/test/untrustedOperatorClients.test.ts
@@ -25,11 +25,15 @@
 
 const configuration: CrowdRequest = { method: 'PUT', path: '/v1/config' }
 const heartbeat: CrowdRequest = { method: 'PUT', path: '/v1/instances/i-9' }
+const reading: CrowdRequest = { method: 'GET', path: '/v1/config' }
 const lookup: CrowdRequest = { method: 'GET', path: '/v1/resolve' }
 
 /** A configuration whose values take many times its size once they are decoded. */
 const manyRoutes = Buffer.from(`{"version":9,"routes":[${'{},'.repeat(Math.floor((bodyBytes - 40) / 3))}{}]}`.padEnd(bodyBytes))
 
+/** Connections that send a body with a request that has none. */
+const unexpectedBodies = 200
+
 const operatorCrowds: Readonly<Record<string, CrowdPlan>> = {
   'configurations far over the limit': planChunkedBodies(60, configuration, largeChunk, chunksOverLimit),
   'configurations announced far over the limit': planAnnouncedBodies(60, configuration, 1_073_741_824, 2 * bodyBytes),
@@ -38,12 +42,14 @@
   'configurations in chunks of one byte': planChunkedBodies(20, configuration, tinyChunk, tinyChunks),
   'configurations of many empty routes': { ...planAnnouncedBodies(8, configuration, bodyBytes, bodyBytes), block: manyRoutes },
   'heartbeats that do not end': planAnnouncedBodies(800, heartbeat, 60_000),
-  ...planBodilessCrowds({ method: 'GET', path: '/v1/config' })
+  'reads with bodies in chunks of one byte': planChunkedBodies(unexpectedBodies, reading, tinyChunk, tinyChunks),
+  ...planBodilessCrowds(reading)
 }
 
 const directoryCrowds: Readonly<Record<string, CrowdPlan>> = {
   'bodies that nobody expects': planAnnouncedBodies(60, lookup, bodyBytes),
   'bodies that nobody expects, in chunks of one byte': planChunkedBodies(20, lookup, tinyChunk, tinyChunks),
+  'many bodies that nobody expects, in chunks of one byte': planChunkedBodies(unexpectedBodies, lookup, tinyChunk, tinyChunks),
   ...planBodilessCrowds(lookup)
 }
 
