Control host: many readers of a configuration fill its memory

Seen by operators: 200 connections that read a configuration of 1.5 MB at once made a control host hold 393,351,168 bytes, and those that waited for their answers all got 503.

Cause: each read was packed, compressed, sent to the own process, decompressed and encoded again, and each response held a copy of the text until its reader had taken it.

Change: reads of the configuration at a control host are made one at a time. Those that arrive during one share the next, which begins after them, so that each still sees what was acknowledged before it (shareRead). Their responses share the bytes, which the connection refers to without copying them.

--- a/src/process/fleet/controlDaemon.ts
+++ b/src/process/fleet/controlDaemon.ts
@@ -19,6 +19,7 @@
 import { QueryKind } from '../state/queries.ts'
 import { divideConnections } from '../program/clientResources.ts'
 import { serveApi } from '../program/servers.ts'
+import { shareRead } from '../program/sharedRead.ts'
 import { moveAside } from '../log/moveAside.ts'
 import { createBatchRunner, type BatchRunner } from './batchRunner.ts'
 import { type ControlService, PublicationResult, RetirementResult } from './controlService.ts'
@@ -173,6 +174,11 @@
     return PublicationResult.Accepted
   }
 
+  async function readPublication (): Promise<Result<Buffer<ArrayBuffer> | undefined, Failure>> {
+    const response = await control.read({ kind: QueryKind.Publication }, publishTimeoutMs)
+    return response.map(value => value.kind === QueryKind.Publication && value.document !== undefined ? Buffer.from(value.document) : undefined)
+  }
+
   return {
     addressKeepMs,
     async publish (publication) {
@@ -192,10 +198,7 @@
     logRefusedPublication (problems) {
       logger.write(LogEvents.publicationRefused, { reason: problems.map(problem => `${problem.place}: ${problem.text}`).slice(0, 3).join('; ') })
     },
-    async publication () {
-      const response = await control.read({ kind: QueryKind.Publication }, publishTimeoutMs)
-      return response.map(value => value.kind === QueryKind.Publication ? value.document : undefined)
-    },
+    publication: shareRead(readPublication),
     async receiveHeartbeat (heartbeat) {
       const problem = findHeartbeatProblem(heartbeat, { wallTime: clock.wallTime(), services: state.publication?.tables.services, servers: view.listServers() })
       if (problem === undefined) return await control.forwardHeartbeat(heartbeat, heartbeatForwardTimeoutMs)
--- a/src/process/fleet/controlService.ts
+++ b/src/process/fleet/controlService.ts
@@ -31,10 +31,10 @@
    */
   logRefusedPublication (problems: readonly Problem[]): void
   /**
-   * Reads the latest published document.
-   * @returns the document, undefined before the first publication, or the failure of the read
+   * Reads the latest published document. Calls that wait at the same time share the bytes.
+   * @returns the document in UTF-8, undefined before the first publication, or the failure of the read
    */
-  publication (): Promise<Result<string | undefined, Failure>>
+  publication (): Promise<Result<Buffer<ArrayBuffer> | undefined, Failure>>
   /**
    * Forwards a heartbeat to the leader, unless it can't be one of a backend server.
    * @param heartbeat - the heartbeat
--- a/test/untrustedOperatorClients.test.ts
+++ b/test/untrustedOperatorClients.test.ts
@@ -106,6 +106,23 @@
     })
   }
 
+  // Failure: answers that nobody reads lay in the memory of the control host, as many as were asked for.
+  it('stay within its memory, and orders are executed: configurations that are not read', async () => {
+    const address = fleet.operatorAddresses[0] ?? ''
+    const url = `http://${address}/v1/config`
+    const published = await (await fetch(url)).json() as { routes: object[] }
+    const routes = Array.from({ length: 8_000 }, (_, index) => ({ ...published.routes[0], name: `route-${index}`, path_prefix: `/route-${index}/` }))
+    const body = JSON.stringify({ ...published, version: 2, routes: [...published.routes, ...routes] })
+    await eventually('an acknowledged configuration', timeoutMs, async () => (await fetch(url, { method: 'PUT', body })).status === 200 ? true : undefined)
+    const crowd = openCrowd(address, { ...planAnnouncedBodies(200, reading, 0, 0), isReading: false })
+    crowds.push(crowd)
+    await crowd.settle()
+    expectBounded(fleet.controlPrograms.values(), bounds)
+    await answerAt(address, '/v1/config')
+    expect(await publish(3)).to.equal(200)
+    expectBounded(fleet.controlPrograms.values(), bounds)
+  })
+
   // Failure: what was acknowledged before a crowd is gone or older after the end of the host that the crowd met.
   it('keep accepted jobs and orders when a host ends in a crowd and comes back into it', async () => {
     const [operatorAddress = '', directoryAddress = ''] = [fleet.operatorAddresses[0], fleet.directoryAddresses[0]]
