Jobs of jaychuted: complete jobs fill the control hosts

Seen by callers: 60 complete jobs of 4 MiB, one after another, made a control host hold 628,641,792 bytes. The bound of open uploads does not count sealed jobs, so a client can end all control hosts with jobs that are each within the limits; they keep their items on disk and read them again at the next start.

Cause: nothing bounded the items of sealed jobs until they have run. Items that wait in a cancelled job kept their inputs for good.

A cancelled job drops the inputs of its waiting items.

Not changed: records of items that have ended, and of those that wait in cancelled jobs, are kept for good, some 450 bytes each.

--- a/src/process/entry/daemon.ts
+++ b/src/process/entry/daemon.ts
@@ -76,6 +76,7 @@
       controlHosts: settings.controlHosts,
       voters: settings.voters,
       maxOpenUploadBytes: settings.maxOpenUploadMb === undefined ? undefined : settings.maxOpenUploadMb * bytesPerMebibyte,
+      maxOpenJobBytes: settings.maxOpenJobMb === undefined ? undefined : settings.maxOpenJobMb * bytesPerMebibyte,
       storage,
       transport: createTrpcTransport(clients),
       clock,
--- a/src/process/jobs/grants.ts
+++ b/src/process/jobs/grants.ts
@@ -6,7 +6,7 @@
 import {
   type CommandOf, type Completion, done, Ending, type Grant, type GrantReference, type Holder, type Outcome, OutcomeKind, type RequeuedItem
 } from '../state/commands.ts'
-import { addHeldItem, countEnding, type Jobs, removeHeldItem } from './jobRecords.ts'
+import { addHeldItem, countEnding, type Jobs, releaseInput, removeHeldItem } from './jobRecords.ts'
 import { ItemPhase, type Job, type JobItem } from './job.ts'
 import { adjustInFlight, chooseJob, rescheduleJob } from './jobSchedule.ts'
 
@@ -163,7 +163,7 @@
   item.ending = completion.ending
   item.result = completion.result
   item.partial = ''
-  item.item = { ...item.item, input: '' }
+  releaseInput(state, item)
   countEnding(job, completion.ending)
 }
 
@@ -193,6 +193,7 @@
   item.phase = ItemPhase.Waiting
   item.partial = requeued.partial
   item.offset = requeued.offset
+  if (job.cancelled) releaseInput(state, item)
   job.waiting.requeue(item.item.priority, requeued.position)
   rescheduleJob(state.schedule, job)
 }
--- a/src/process/jobs/jobCommands.ts
+++ b/src/process/jobs/jobCommands.ts
@@ -3,8 +3,8 @@
  * @module
  */
 import { type CommandOf, done, notFound, type Outcome, OutcomeKind } from '../state/commands.ts'
-import { createJobIdentity, createJobItem, type Jobs, type Upload } from './jobRecords.ts'
-import type { Job } from './job.ts'
+import { countOpenItems, createJobIdentity, createJobItem, type Jobs, releaseInput, type Upload } from './jobRecords.ts'
+import { ItemPhase, type Job } from './job.ts'
 import { rescheduleJob } from './jobSchedule.ts'
 import { createWaitingItems } from './waitingItems.ts'
 
@@ -31,12 +31,13 @@
   const job = createJob(state, upload, command.digest)
   state.jobs.set(job.id, job)
   state.byKey.set(createJobIdentity(job.account, job.key), job.id)
+  countOpenItems(state, job)
   rescheduleJob(state.schedule, job)
   return { kind: OutcomeKind.Job, job: job.id }
 }
 
 /**
- * Cancels a job. Its waiting items are no longer granted. Granted items remain assigned to their holders, so that control
+ * Cancels a job. Its waiting items are no longer granted, and their inputs are dropped. Granted items remain assigned to their holders, so that control
  * can determine which holders have to stop, and completions that the holders report are still recorded. Existing results
  * are retained.
  * @param state - all jobs
@@ -46,7 +47,11 @@
 export function cancelJob (state: Jobs, command: CommandOf<'cancel job'>): Outcome {
   const job = state.jobs.get(command.job)
   if (job === undefined) return notFound
+  if (job.cancelled) return done
   job.cancelled = true
+  for (const item of job.items) {
+    if (item.phase === ItemPhase.Waiting) releaseInput(state, item)
+  }
   rescheduleJob(state.schedule, job)
   return done
 }
--- a/src/process/jobs/jobRecords.ts
+++ b/src/process/jobs/jobRecords.ts
@@ -40,6 +40,8 @@
   readonly schedule: Schedule
   /** Number of the last grant. */
   grants: number
+  /** Size of the items of sealed jobs that have not ended, except for those that wait in cancelled jobs, in bytes. */
+  openItemBytes: number
 }
 
 /**
@@ -48,7 +50,7 @@
  */
 export function createJobs (): Jobs {
   return {
-    jobs: new Map(), byKey: new Map(), uploads: new Map(), lastClaims: new Map(), held: new Map(), schedule: createSchedule(), grants: 0
+    jobs: new Map(), byKey: new Map(), uploads: new Map(), lastClaims: new Map(), held: new Map(), schedule: createSchedule(), grants: 0, openItemBytes: 0
   }
 }
 
@@ -71,6 +73,41 @@
   return { item, phase: ItemPhase.Waiting, grant: 0, holder: undefined, attempts: 0, partial: '', offset: 0, ending: undefined, result: '' }
 }
 
+/** Size of an item beside its texts, in bytes. */
+const bytesPerItem = 256
+
+/**
+ * Returns the size of items.
+ * @param items - the items
+ * @returns the approximate size, in bytes
+ */
+export function countItemBytes (items: Iterable<Item>): number {
+  let bytes = 0
+  for (const { name, input } of items) bytes += bytesPerItem + name.length + input.length
+  return bytes
+}
+
+/**
+ * Adds the items of a sealed job that may still run to the size of open items.
+ * @param state - all jobs
+ * @param job - the job, which is new
+ */
+export function countOpenItems (state: Jobs, job: Job): void {
+  for (const { item, ending, phase } of job.items) {
+    if (ending === undefined && !(job.cancelled && phase === ItemPhase.Waiting)) state.openItemBytes += countItemBytes([item])
+  }
+}
+
+/**
+ * Drops the input of an item that will not run any more.
+ * @param state - all jobs
+ * @param entry - the item
+ */
+export function releaseInput (state: Jobs, entry: JobItem): void {
+  state.openItemBytes -= countItemBytes([entry.item])
+  entry.item = { ...entry.item, input: '' }
+}
+
 /**
  * Records that a holder holds an item.
  * @param state - all jobs
--- a/src/process/jobs/uploadSpace.ts
+++ b/src/process/jobs/uploadSpace.ts
@@ -3,14 +3,13 @@
  * @module
  */
 import { getHeapStatistics } from 'node:v8'
-import type { Item } from '../state/commands.ts'
-import type { Upload } from './jobRecords.ts'
+import { countItemBytes, type Upload } from './jobRecords.ts'
 
 /** Share of the heap's limit that open uploads take by default. */
 const heapShare = 1 / 4
 
-/** Size of an item beside its texts, in bytes. */
-const bytesPerItem = 256
+/** Share of the heap's limit that the items of all jobs take by default until they have run. */
+const jobHeapShare = 1 / 2
 
 /** Time without a chunk after which an upload gives way to others, in milliseconds: callers send the next chunk at once. */
 const yieldAfterMs = 2_000
@@ -48,14 +47,25 @@
 }
 
 /**
- * Returns the size of items.
- * @param items - the items
- * @returns the approximate size, in bytes
+ * Computes the default limit of the size of all items that have not run.
+ * @returns the limit, in bytes
+ */
+export function computeOpenJobLimit (): number {
+  return Math.floor(getHeapStatistics().heap_size_limit * jobHeapShare)
+}
+
+/**
+ * Checks whether further items can be kept beside those of sealed jobs until they have run. A job that is alone always has space.
+ * @param openItemBytes - size of the items of sealed jobs that have not run, in bytes
+ * @param uploads - all open uploads
+ * @param newBytes - size of the further items, in bytes
+ * @param limitBytes - limit of the size of all items that have not run, in bytes
+ * @returns whether there is space
  */
-export function countUploadedBytes (items: Iterable<Item>): number {
-  let bytes = 0
-  for (const { name, input } of items) bytes += bytesPerItem + name.length + input.length
-  return bytes
+export function hasJobSpace (openItemBytes: number, uploads: Iterable<Upload>, newBytes: number, limitBytes: number): boolean {
+  let bytes = openItemBytes + newBytes
+  for (const upload of uploads) bytes += countItems(upload)
+  return openItemBytes === 0 || bytes <= limitBytes
 }
 
 /**
@@ -90,7 +100,7 @@
   const counted = countedItems.get(upload) ?? { items: 0, bytes: 0 }
   countedItems.set(upload, counted)
   if (counted.items < upload.items.length) {
-    counted.bytes += countUploadedBytes(upload.items.slice(counted.items))
+    counted.bytes += countItemBytes(upload.items.slice(counted.items))
     counted.items = upload.items.length
   }
   return counted.bytes
--- a/src/process/program/logEvents.ts
+++ b/src/process/program/logEvents.ts
@@ -106,6 +106,7 @@
   outputSpaceFound: { number: 629, level: Level.Info, text: 'results and saved progress of jobs are below their maximum size again', action: noAction },
   openItems: { number: 630, level: Level.Info, text: 'batch items without a result, by what they wait for', action: 'No action needed while the items named as the oldest change.' },
   itemEndDropped: { number: 631, level: Level.Warn, text: 'end of a batch item added no result, because its saved progress differs; the item runs again', action: 'Report the event if it repeats for an item.' },
+  jobSpaceUsed: { number: 633, level: Level.Warn, text: 'jobs are refused, because the items of accepted jobs that have not run take all of their space', action: 'No action needed while items run. Check the backend servers, look for clients with many large jobs, or raise --max-open-job-mb.' },
   uploadDiscarded: { number: 632, level: Level.Warn, text: 'job that is being uploaded discarded, because it has received nothing for a while and others need its space', action: 'No action needed: its caller uploads it again. Look for clients with many uploads that do not end, or raise --max-open-upload-mb.' },
   publicationAccepted: { number: 310, level: Level.Info, text: 'published tables accepted', action: noAction },
   publicationUnconfirmed: { number: 312, level: Level.Info, text: 'published tables committed, but not confirmed by every gateway yet', action: 'No action needed: the operator publishes the same tables again, and event 310 follows. Check the named gateway if it repeats.' },
--- a/src/process/program/settings.ts
+++ b/src/process/program/settings.ts
@@ -37,6 +37,8 @@
     .describe('connections of callers at once; by default by the descriptors and the heap of the process'),
   maxOpenUploadMb: z.coerce.number().min(1).optional()
     .describe('size of all jobs that are being uploaded, in MB (control); by default a quarter of the heap'),
+  maxOpenJobMb: z.coerce.number().min(1).optional()
+    .describe('size of the items of all jobs that have not run, in MB (control); by default half of the heap'),
   logLevel: z.enum(Level).default(Level.Info).describe('debug, info, warn or error')
 })
 
--- a/src/process/state/commands.ts
+++ b/src/process/state/commands.ts
@@ -152,6 +152,7 @@
   Applied: 'applied',
   Conflict: 'conflict',
   Limit: 'limit',
+  Full: 'full',
   Invalid: 'invalid',
   NotFound: 'not found',
   Job: 'job',
@@ -167,6 +168,7 @@
   | { readonly kind: typeof OutcomeKind.Applied, readonly version: number }
   | { readonly kind: typeof OutcomeKind.Conflict, readonly text: string, readonly version?: number, readonly changes?: readonly Change[] }
   | { readonly kind: typeof OutcomeKind.Limit, readonly text: string }
+  | { readonly kind: typeof OutcomeKind.Full, readonly text: string }
   | { readonly kind: typeof OutcomeKind.Invalid, readonly problems: readonly Problem[] }
   | { readonly kind: typeof OutcomeKind.NotFound }
   | { readonly kind: typeof OutcomeKind.Job, readonly job: string }
--- a/src/process/state/stateSnapshot.ts
+++ b/src/process/state/stateSnapshot.ts
@@ -8,7 +8,7 @@
 import { chunk, type ChunkLimits, countCharacters } from '../program/chunk.ts'
 import type { Ending, Item } from './commands.ts'
 import { type ControlState, createControlState } from './controlState.ts'
-import { addHeldItem, countEnding, createJobIdentity, createJobItem, type Jobs, type LastClaim, type Upload } from '../jobs/jobRecords.ts'
+import { addHeldItem, countEnding, countOpenItems, createJobIdentity, createJobItem, type Jobs, type LastClaim, type Upload } from '../jobs/jobRecords.ts'
 import { ItemPhase, type Job, type JobHeader, type JobItem } from '../jobs/job.ts'
 import { adjustInFlight, rescheduleJob } from '../jobs/jobSchedule.ts'
 import type { Lease } from './leases.ts'
@@ -248,6 +248,7 @@
     job.inFlight++
     addHeldItem(jobs, item.holder, { job: job.id, position, grant: item.grant })
   }
+  countOpenItems(jobs, job)
   rescheduleJob(jobs.schedule, job)
   if (job.inFlight > 0) adjustInFlight(jobs.schedule, job.account, job.inFlight)
 }
--- a/src/request/jobUpload.ts
+++ b/src/request/jobUpload.ts
@@ -37,7 +37,7 @@
 /** Timeout of a command to control over all its attempts, in milliseconds. */
 const commandTimeoutMs = 15_000
 
-/** Retry delay suggested to a caller with too many open uploads, in milliseconds. */
+/** Retry delay suggested to a caller whose job has no space, in milliseconds. */
 const uploadRetryAfterMs = 5_000
 
 const itemSchema = z.strictObject({
@@ -71,6 +71,7 @@
   const opened = await executeCommand(control, { kind: CommandKind.OpenUpload, upload, ...description, time: 0 })
   if (opened.isErr()) return err(opened.error)
   if (opened.value.kind === OutcomeKind.Limit) return err(createRefusal(RefusalReason.AccountLimit, opened.value.text, uploadRetryAfterMs))
+  if (opened.value.kind === OutcomeKind.Full) return err(createRefusal(RefusalReason.Overloaded, opened.value.text, uploadRetryAfterMs))
   const sent = await uploadItems(upload, description.route, body, control)
   if (sent.isErr()) {
     await control.execute({ kind: CommandKind.DiscardUpload, upload })
@@ -101,6 +102,7 @@
     if (items.length === 0) return ok(undefined)
     const sent = await executeCommand(control, { kind: CommandKind.AppendItems, upload, sequence, items, time: 0 })
     if (sent.isErr()) return err(sent.error)
+    if (sent.value.kind === OutcomeKind.Full) return err(createRefusal(RefusalReason.Overloaded, sent.value.text, uploadRetryAfterMs))
     if (sent.value.kind !== OutcomeKind.Done) return err(createRefusal(RefusalReason.ControlUnavailable, 'the upload was discarded'))
     sequence++
     items = []
--- a/test/untrustedEntryClients.test.ts
+++ b/test/untrustedEntryClients.test.ts
@@ -23,6 +23,9 @@
 /** Size of all jobs that are being uploaded, in MB. */
 const maxOpenUploadMb = 16
 
+/** Size of the items of all jobs that have not run, in MB. */
+const maxOpenJobMb = 16
+
 /** Length of an upload of a job that stops short of its end, in bytes. */
 const jobBytes = 4_194_304
 
@@ -38,7 +41,8 @@
 
 /** Items of a job, one a line. */
 const item = `${JSON.stringify({ name: 'i', input: 'a'.repeat(1_000) })}\n`
-const items = Buffer.from(item.repeat(Math.ceil(jobBytes / item.length)))
+const completeItems = item.repeat(Math.ceil(jobBytes / item.length))
+const items = Buffer.from(completeItems)
 
 const crowds: Readonly<Record<string, CrowdPlan>> = {
   'a job without a line break': planChunkedBodies(1, job, largeChunk, endlessLineChunks),
@@ -65,7 +69,7 @@
       controlHosts: 3,
       entryHosts: 1,
       entryNodeFlags,
-      controlFlags: ['--max-open-upload-mb', String(maxOpenUploadMb)],
+      controlFlags: ['--max-open-upload-mb', String(maxOpenUploadMb), '--max-open-job-mb', String(maxOpenJobMb)],
       entryFlags: ['--max-caller-connections', String(maxCallerConnections), '--max-client-memory-mb', String(maxClientMemoryMb)]
     })
     entryHost = fleet.entryHosts[0] ?? expect.fail('the fleet has no entry host')
@@ -87,6 +91,14 @@
       (await sendRequest(entryHost, 10).catch(() => undefined))?.status === 200 ? true : undefined)
   }
 
+  async function putJob (account: string, key: string, body: string): Promise<number> {
+    const response = await fetch(`http://${entryHost.callerAddress}/v1/jobs/${key}?route=assist`, {
+      method: 'PUT', headers: { 'content-type': 'application/x-ndjson', 'jaychute-account': account }, body
+    })
+    await response.text()
+    return response.status
+  }
+
   // Failure: an entry host kept unfinished lines of jobs and all bytes of live requests, and limited neither connections nor their requests.
   for (const [name, plan] of Object.entries(crowds)) {
     it(`stays within its memory and answers others: ${name}`, async () => {
@@ -100,6 +112,19 @@
     })
   }
 
+  // Failure: control hosts kept the items of all sealed jobs, as many as were uploaded, and ended.
+  it('keeps control hosts within their memory: complete jobs of many items', async () => {
+    const statuses = new Set<number>()
+    for (const index of Array.from({ length: 60 }).keys()) {
+      statuses.add(await putJob(`account-${index}`, 'whole', completeItems))
+    }
+    expectBounded(listPrograms(), bounds)
+    expect([...statuses].filter(status => status !== 201 && status !== 429 && status !== 503), 'other statuses').to.deep.equal([])
+    expect(statuses, 'a job that fits is accepted').to.include(201)
+    await answerOrdinaryRequest()
+    expectBounded(listPrograms(), bounds)
+  })
+
   // Failure: a bound against crowds that also refuses what the limits allow.
   it('serves the longest line of a job and the longest live request in calm', async () => {
     expect(await submit(fleet, 'full', 1, 10)).to.not.equal('')
--- a/test/uploadSpace.test.ts
+++ b/test/uploadSpace.test.ts
@@ -1,9 +1,9 @@
 import { expect } from 'chai'
-import type { Upload } from '../src/process/jobs/jobRecords.ts'
-import { countUploadedBytes, decideUploadSpace, UploadSpaceKind } from '../src/process/jobs/uploadSpace.ts'
+import { countItemBytes, type Upload } from '../src/process/jobs/jobRecords.ts'
+import { decideUploadSpace, hasJobSpace, UploadSpaceKind } from '../src/process/jobs/uploadSpace.ts'
 
 const item = { name: 'i', input: 'a'.repeat(1_000), maxTokens: 1, priority: 0 } as const
-const itemBytes = countUploadedBytes([item])
+const itemBytes = countItemBytes([item])
 const limitBytes = 10 * itemBytes
 
 describe('space for jobs that are being uploaded', () => {
@@ -38,4 +38,12 @@
     growing.items.push(item, item, item)
     expect(decide(uploads, 'b')).to.equal(UploadSpaceKind.Full)
   })
+
+  // Failure: sealed jobs take memory without a limit, or a job that is alone is refused because of its size.
+  it('is limited by the items of sealed jobs until they have run', () => {
+    expect(hasJobSpace(0, [upload('a', 50)], itemBytes, limitBytes)).to.equal(true)
+    expect(hasJobSpace(5 * itemBytes, [upload('a', 4)], itemBytes, limitBytes)).to.equal(true)
+    expect(hasJobSpace(5 * itemBytes, [upload('a', 4), upload('b', 1)], itemBytes, limitBytes)).to.equal(false)
+    expect(hasJobSpace(11 * itemBytes, [], 0, limitBytes)).to.equal(false)
+  })
 })
