jaychuted: slow clients keep a host from ending

Seen by operators: an entry host that was told to stop (SIGTERM) with ten clients that had begun the upload of a job was still running 45 s later. With a byte every few seconds a client holds it for as long as it likes, and so does one that reads results slowly.

Cause: the shutdown waits for all requests in flight without a limit. Live requests have a deadline; uploads of jobs and reads of results have none.

Then the connections that are left are closed (event 112). An upload that is cut has not become a job; its caller sends it again under its key.

--- a/src/process/entry/daemon.ts
+++ b/src/process/entry/daemon.ts
@@ -36,6 +36,9 @@
 /** Content type of the Prometheus text exposition format. */
 const metricsContentType = 'text/plain; version=0.0.4; charset=utf-8'
 
+/** Default of the longest wait for requests in flight at shutdown, in milliseconds, unless a route has a later deadline. */
+const defaultMaxDrainMs = 600_000
+
 /** A running daemon. */
 export interface Daemon extends RunningDaemon {
   /** Undefined for the role entry. */
@@ -122,14 +125,24 @@
     async drain () {
       logger.write(LogEvents.processDraining)
       openRequests.closeAfterResponses()
-      await Promise.all([services.controlHost?.replica.resign(), entryHost?.drain()])
+      const limit = AbortSignal.any([lifecycle.signal, AbortSignal.timeout(findDrainLimit(settings, entryHost))])
+      await Promise.all([services.controlHost?.replica.resign(), entryHost?.drain(limit)])
       openRequests.stopListening()
-      await openRequests.ended(lifecycle.signal)
+      await openRequests.ended(limit)
+      if (openRequests.count > 0) logger.write(LogEvents.drainLimited, { inputs: { openRequests: openRequests.count } })
       await lifecycle.close()
     }
   })
 }
 
+// A live request ends by its deadline. Uploads and reads of results take as long as their clients like.
+function findDrainLimit ({ maxDrainMs }: Settings, entryHost: RunningEntryHost | undefined): number {
+  if (maxDrainMs !== undefined) return maxDrainMs
+  let limitMs = defaultMaxDrainMs
+  for (const { deadlineMs } of entryHost?.version.configuration.routes ?? []) limitMs = Math.max(limitMs, deadlineMs)
+  return limitMs
+}
+
 // Exports every counter from the start: one that appears with its first event cannot be distinguished from a missing one until
 // then, and a rate computed from it does not include that event.
 function initializeCounters (metrics: Metrics): void {
--- a/src/process/entry/entryHost.ts
+++ b/src/process/entry/entryHost.ts
@@ -70,9 +70,10 @@
   /**
    * Shuts down gracefully: removes this host from address responses, refuses new requests once callers' cached addresses
    * have expired, and waits for requests and batch items in flight.
-   * @returns a promise that resolves when no request and no item is running
+   * @param limit - ends the wait for requests early
+   * @returns a promise that resolves when no item is running, and no request unless the limit has aborted
    */
-  drain (): Promise<void>
+  drain (limit?: AbortSignal): Promise<void>
 }
 
 /**
@@ -214,12 +215,12 @@
     await completions.sent(AbortSignal.any([lifecycle.signal, AbortSignal.timeout(sessionTimeoutMs)]))
   }
 
-  async function drain (): Promise<void> {
+  async function drain (limit = lifecycle.signal): Promise<void> {
     isDraining = true
     const batchEnded = endBatch()
     await Promise.all([stream.report(), clock.sleep(settings.addressKeepMs, lifecycle.signal)])
     isRefusingRequests = true
-    await Promise.all([batchEnded, openRequests.ended(lifecycle.signal)])
+    await Promise.all([batchEnded, openRequests.ended(limit)])
     // An item whose end is not recorded runs again, or ends as unknown if it has started.
     await runs.waitUntilIdle()
     await completions.sent(lifecycle.signal)
--- a/src/process/program/logEvents.ts
+++ b/src/process/program/logEvents.ts
@@ -25,6 +25,7 @@
 export const LogEvents = {
   processStarted: { number: 100, level: Level.Info, text: 'process started', action: noAction },
   processDraining: { number: 101, level: Level.Info, text: 'shutdown requested; draining', action: noAction },
+  drainLimited: { number: 112, level: Level.Warn, text: 'shutdown does not wait any longer for requests in flight; their connections are closed', action: 'Look for clients that send or read very slowly, or raise --max-drain-ms.' },
   processEnded: { number: 102, level: Level.Info, text: 'process ended', action: noAction },
   processFailed: { number: 103, level: Level.Error, text: 'process ended because of a failure', action: 'Read the failure; restart the process.' },
   settingsRefused: { number: 104, level: Level.Error, text: 'setting rejected', action: 'Correct the setting.' },
--- a/src/process/program/settings.ts
+++ b/src/process/program/settings.ts
@@ -7,6 +7,7 @@
 import { isAddress } from './address.ts'
 import { type Failure, FailureReason, Step } from './failure.ts'
 import { Level } from './logEvents.ts'
+import { maxTimerMs } from './units.ts'
 
 /** Role of a process. */
 export const Role = { Entry: 'entry', Control: 'control', Both: 'both' } as const
@@ -39,6 +40,8 @@
     .describe('size of all jobs that are being uploaded, in MB (control); by default a quarter of the heap'),
   maxOpenJobMb: z.coerce.number().min(1).optional()
     .describe('size of the items of all jobs that have not run, in MB (control); by default half of the heap'),
+  maxDrainMs: z.coerce.number().int().min(0).max(maxTimerMs).optional()
+    .describe('longest wait for requests in flight at shutdown, in milliseconds; by default 600000 or the longest deadline of a route'),
   logLevel: z.enum(Level).default(Level.Info).describe('debug, info, warn or error')
 })
 
--- a/test/support/callerCrowd.ts
+++ b/test/support/callerCrowd.ts
@@ -25,6 +25,8 @@
   readonly bytes: number
   /** Size of the writes, in bytes. */
   readonly pieceBytes?: number
+  /** Time between two writes, in milliseconds; none by default. */
+  readonly pauseMs?: number
   /** Whether the connections read what is sent to them. */
   readonly isReading: boolean
 }
@@ -59,6 +61,7 @@
       const piece = blocks.subarray(start, start + Math.min(pieceBytes, plan.bytes - sent))
       if (!await send(socket, piece)) return
       sent += piece.length
+      if (plan.pauseMs !== undefined) await new Promise(resolve => setTimeout(resolve, plan.pauseMs))
     }
   }
 
--- a/test/untrustedEntryClients.test.ts
+++ b/test/untrustedEntryClients.test.ts
@@ -20,6 +20,9 @@
 /** Memory that the entry host may hold for clients, in MB. */
 const maxClientMemoryMb = 8
 
+/** Longest time for which the entry host waits for its clients when it stops, in milliseconds. */
+const maxDrainMs = 5_000
+
 /** Size of all jobs that are being uploaded, in MB. */
 const maxOpenUploadMb = 16
 
@@ -70,7 +73,7 @@
       entryHosts: 1,
       entryNodeFlags,
       controlFlags: ['--max-open-upload-mb', String(maxOpenUploadMb), '--max-open-job-mb', String(maxOpenJobMb)],
-      entryFlags: ['--max-caller-connections', String(maxCallerConnections), '--max-client-memory-mb', String(maxClientMemoryMb)]
+      entryFlags: ['--max-caller-connections', String(maxCallerConnections), '--max-client-memory-mb', String(maxClientMemoryMb), '--max-drain-ms', String(maxDrainMs)]
     })
     entryHost = fleet.entryHosts[0] ?? expect.fail('the fleet has no entry host')
     await configureRoute(fleet)
@@ -125,6 +128,16 @@
     expectBounded(listPrograms(), bounds)
   })
 
+  // Failure: a host that was told to stop waited for as long as a client sent a byte from time to time.
+  it('ends when it is told to, whatever its clients do', async () => {
+    crowd = openCrowd(entryHost.callerAddress, { ...planAnnouncedBodies(20, job, jobBytes), pieceBytes: 1, pauseMs: 1_000 })
+    await answerOrdinaryRequest()
+    const { program } = entryHost
+    program.child.kill('SIGTERM')
+    const code = await eventually('the end of the entry host', timeoutMs, () => program.child.exitCode ?? program.child.signalCode ?? undefined)
+    expect(code, program.errors().slice(-500)).to.equal(0)
+  })
+
   // Failure: a bound against crowds that also refuses what the limits allow.
   it('serves the longest line of a job and the longest live request in calm', async () => {
     expect(await submit(fleet, 'full', 1, 10)).to.not.equal('')
