Jobs of jaychuted: reads of lists and results at once end the entry host

Seen by callers: 200 connections that each ask 15 times for a list of 1,000 jobs (590 KB) and do not read the answers ended the entry host (SIGABRT, heap), or kept an ordinary read of the list waiting for over 30 s.

Cause: any number of pages was read from control at once, up to 16 for each connection. Each page is there as a message, as objects and as text; the readers had given up long before their turn came.

Change: an API reads four pages of results or jobs at once. Others wait for at most 2 s and are then refused as overloaded (503, Retry-After 1 s). A read takes a few milliseconds, so ordinary readers do not meet this.

--- a/src/request/jobApi.ts
+++ b/src/request/jobApi.ts
@@ -4,6 +4,7 @@
  */
 import { type Context, Hono } from 'hono'
 import { stream } from 'hono/streaming'
+import limitConcurrency from 'p-limit'
 import * as z from 'zod'
 import type { ControlClient } from '../connection/controlClient.ts'
 import { CommandKind, OutcomeKind } from '../process/state/commands.ts'
@@ -18,6 +19,15 @@
 /** Maximum number of results or jobs on one page. */
 const maxPageSize = 1_000
 
+/** Pages that are read at once. Each takes memory in several forms on its way from control to the client. */
+const maxPageReads = 4
+
+/** Longest time for which the read of a page waits for others, in milliseconds; then the client tries another host. */
+const pageReadWaitMs = 2_000
+
+/** Retry delay suggested when too many pages are read, in milliseconds. */
+const pageRetryAfterMs = 1_000
+
 /** Default time until a job is due, in milliseconds. */
 const defaultDueMs = 12 * 3_600_000
 
@@ -50,6 +60,7 @@
 export function createJobApi (inputs: JobApiInputs): Hono {
   const { control, errors, getAccount, ensureRequestId } = inputs
   const api = new Hono()
+  const limitPageReads = limitConcurrency(maxPageReads)
 
   function sendRefusal (context: Context, refusal: Refusal): Response {
     return errors.send(context, ensureRequestId(context), refusal)
@@ -66,6 +77,13 @@
     return response.value as Extract<QueryResponse, { kind: Kind }>
   }
 
+  async function readPageOrRefuse<Kind extends typeof QueryKind.Jobs | typeof QueryKind.Results> (context: Context, query: Extract<Query, { kind: Kind }>): Promise<Extract<QueryResponse, { kind: Kind }> | Response> {
+    const giveUpAt = performance.now() + pageReadWaitMs
+    return await limitPageReads(async () => performance.now() < giveUpAt
+      ? await readOrRefuse(context, query)
+      : sendRefusal(context, createRefusal(RefusalReason.Overloaded, 'too many pages are read at this host', pageRetryAfterMs)))
+  }
+
   async function findJob (context: Context, job: string): Promise<JobStatus | Response> {
     const response = await readOrRefuse(context, { kind: QueryKind.Job, job, account: getAccountFilter(context) })
     if (response instanceof Response) return response
@@ -92,7 +110,7 @@
   })
 
   api.get('/', async context => {
-    const response = await readOrRefuse(context, { kind: QueryKind.Jobs, account: getAccountFilter(context), after: context.req.query('after') ?? '', limit: maxPageSize })
+    const response = await readPageOrRefuse(context, { kind: QueryKind.Jobs, account: getAccountFilter(context), after: context.req.query('after') ?? '', limit: maxPageSize })
     if (response instanceof Response) return response
     return context.json({ jobs: response.jobs })
   })
@@ -116,7 +134,7 @@
     const page = pageSchema.safeParse(context.req.query())
     if (!page.success) return sendRefusal(context, createRefusal(RefusalReason.InvalidRequest, 'after and limit are whole numbers'))
     const account = getAccountFilter(context)
-    const response = await readOrRefuse(context, { kind: QueryKind.Results, job: id, account, ...page.data })
+    const response = await readPageOrRefuse(context, { kind: QueryKind.Results, job: id, account, ...page.data })
     if (response instanceof Response) return response
     if (response.results === undefined) return sendRefusal(context, createRefusal(RefusalReason.NotFound, `there is no job ${id}`))
     if (context.req.header('accept') !== ndjsonContentType) return context.json({ results: response.results, finished: response.finished })
@@ -125,7 +143,8 @@
       let results: readonly ItemResult[] = response.results ?? []
       while (results.length > 0) {
         for (const result of results) await output.write(`${JSON.stringify(result)}\n`)
-        const next = await control.read({ kind: QueryKind.Results, job: id, account, after: results.at(-1)?.position ?? -1, limit: maxPageSize })
+        const after = results.at(-1)?.position ?? -1
+        const next = await limitPageReads(async () => await control.read({ kind: QueryKind.Results, job: id, account, after, limit: maxPageSize }))
         // Throwing aborts the connection, so that the caller can detect a truncated list.
         if (next.isErr()) throw next.error
         results = next.value.kind === QueryKind.Results ? next.value.results ?? [] : []
--- a/test/support/crowdPlans.ts
+++ b/test/support/crowdPlans.ts
@@ -72,3 +72,15 @@
     'many connections': { connections: 1_500, head: '', block: plainBlock, bytes: 0, isReading: true }
   }
 }
+
+/**
+ * Plans requests whose answers nobody reads.
+ * @param connections - number of connections
+ * @param request - the request
+ * @param requests - number of requests on each connection
+ * @returns the plan
+ */
+export function planUnreadAnswers (connections: number, request: CrowdRequest, requests: number): CrowdPlan {
+  const block = Buffer.from(writeHead(request))
+  return { connections, head: '', block, bytes: requests * block.length, isReading: false }
+}
--- a/test/untrustedEntryClients.test.ts
+++ b/test/untrustedEntryClients.test.ts
@@ -4,7 +4,7 @@
 import { eventually, type Program } from '../scripts/processes.ts'
 import { expectBounded, type ProcessBounds } from './support/boundedProcesses.ts'
 import { type Crowd, type CrowdPlan, openCrowd } from './support/callerCrowd.ts'
-import { type CrowdRequest, largeChunk, planAnnouncedBodies, planBodilessCrowds, planChunkedBodies, tinyChunk, tinyChunks } from './support/crowdPlans.ts'
+import { type CrowdRequest, largeChunk, planAnnouncedBodies, planBodilessCrowds, planChunkedBodies, planUnreadAnswers, tinyChunk, tinyChunks } from './support/crowdPlans.ts'
 
 const timeoutMs = 30_000
 
@@ -128,6 +128,20 @@
     expectBounded(listPrograms(), bounds)
   })
 
+  // Failure: answers that nobody reads lay in the memory of the entry host, as many as were asked for.
+  it('stays within its memory and answers others: lists of jobs that are not read', async () => {
+    for (const index of Array.from({ length: 1_000 }).keys()) expect(await putJob('rothar', `${index}-${'k'.repeat(400)}`, item)).to.equal(201)
+    const fields = { 'jaychute-account': 'rothar' }
+    crowd = openCrowd(entryHost.callerAddress, planUnreadAnswers(200, { method: 'GET', path: '/v1/jobs', fields: ['jaychute-account: rothar'] }, 15))
+    await crowd.settle()
+    // Its turn comes after those of the crowd.
+    await eventually('a list of jobs', timeoutMs, async () =>
+      (await fetch(`http://${entryHost.callerAddress}/v1/jobs`, { headers: fields }).then(async response => [response.status, (await response.text()).length]).catch(() => []))[0] === 200 ? true : undefined)
+    expectBounded(listPrograms(), bounds)
+    await answerOrdinaryRequest()
+    expectBounded(listPrograms(), bounds)
+  })
+
   // Failure: a host that was told to stop waited for as long as a client sent a byte from time to time.
   it('ends when it is told to, whatever its clients do', async () => {
     crowd = openCrowd(entryHost.callerAddress, { ...planAnnouncedBodies(20, job, jobBytes), pieceBytes: 1, pauseMs: 1_000 })
