Answers that are not read at the addresses beside the gateway's count to no budget

Seen by callers: 60 connections that ask every 500 ms for a list of jobs (590 KB), 15 times, and never read the answers kept an ordinary read of the list at an entry host of jaychuted waiting for over 30 s.

Cause: unread bytes counted to the memory for clients only in the responses of gateways to callers. At all other addresses they lay in the heap, as many as were asked for.

--- a/src/connection/clientServer.ts
+++ b/src/connection/clientServer.ts
@@ -3,11 +3,12 @@
  * bytes that are held for them.
  * @module
  */
-import { createServer, type Server, type ServerResponse } from 'node:http'
+import { createServer, type Server } from 'node:http'
 import { computeMemoryBudgetBytes, createMemoryBudget, type MemoryBudget } from '../process/program/memoryBudget.ts'
 import { type CloseReason, computeMaxConnections, limitConnections } from './clientConnections.ts'
 import { ClientMessage } from './clientMessage.ts'
 import { limitReads } from './clientReads.ts'
+import { ClientResponse } from './clientResponse.ts'
 import { createFragmentedUploads, type FragmentedUploads } from './fragmentedUploads.ts'
 
 /** Longest head that the parser reads, in bytes. */
@@ -30,7 +31,7 @@
 /** What a server passes to the routes of an API with each request. An API that is called without a server gets none of it. */
 export interface ClientExchange {
   readonly incoming: ClientMessage
-  readonly outgoing: ServerResponse
+  readonly outgoing: ClientResponse
   readonly resources: ClientResources
 }
 
@@ -49,11 +50,12 @@
  * @param serve - serves a request
  * @returns the server
  */
-export function createClientServer (resources: ClientResources, serve: (request: ClientMessage, response: ServerResponse) => void): Server {
-  const options = { IncomingMessage: ClientMessage, maxHeaderSize: maxHeadBytes, requestTimeout: 0, connectionsCheckingInterval: headTimeoutCheckMs, noDelay: true }
+export function createClientServer (resources: ClientResources, serve: (request: ClientMessage, response: ClientResponse) => void): Server {
+  const options = { IncomingMessage: ClientMessage, ServerResponse: ClientResponse, maxHeaderSize: maxHeadBytes, requestTimeout: 0, connectionsCheckingInterval: headTimeoutCheckMs, noDelay: true }
   const server: Server = createServer(options, (request, response) => {
     // The rest of what was read together with a request that closed the connection.
     if (request.socket.destroyed) return
+    response.limitUnread(resources.budget)
     serve(request, response)
   })
   limitReads(server)
--- a/test/untrustedEntryClients.test.ts
+++ b/test/untrustedEntryClients.test.ts
@@ -62,6 +62,13 @@
   ...planBodilessCrowds({ method: 'GET', path: '/v1/addresses' })
 }
 
+const list: CrowdRequest = { method: 'GET', path: '/v1/jobs', fields: ['jaychute-account: rothar'] }
+const listsAtOnce = planUnreadAnswers(200, list, 15)
+const unreadLists: Readonly<Record<string, CrowdPlan>> = {
+  'lists of jobs that are not read': listsAtOnce,
+  'lists of jobs that are not read, one after another': { ...planUnreadAnswers(60, list, 15), pieceBytes: listsAtOnce.block.length, pauseMs: 500 }
+}
+
 describe('clients that are not trusted at an entry host', () => {
   let fleet: Fleet
   let entryHost: FleetHost
@@ -129,18 +136,20 @@
   })
 
   // Failure: answers that nobody reads lay in the memory of the entry host, as many as were asked for.
-  it('stays within its memory and answers others: lists of jobs that are not read', async () => {
-    for (const index of Array.from({ length: 1_000 }).keys()) expect(await putJob('rothar', `${index}-${'k'.repeat(400)}`, item)).to.equal(201)
-    const fields = { 'jaychute-account': 'rothar' }
-    crowd = openCrowd(entryHost.callerAddress, planUnreadAnswers(200, { method: 'GET', path: '/v1/jobs', fields: ['jaychute-account: rothar'] }, 15))
-    await crowd.settle()
-    // Its turn comes after those of the crowd.
-    await eventually('a list of jobs', timeoutMs, async () =>
-      (await fetch(`http://${entryHost.callerAddress}/v1/jobs`, { headers: fields }).then(async response => [response.status, (await response.text()).length]).catch(() => []))[0] === 200 ? true : undefined)
-    expectBounded(listPrograms(), bounds)
-    await answerOrdinaryRequest()
-    expectBounded(listPrograms(), bounds)
-  })
+  for (const [name, plan] of Object.entries(unreadLists)) {
+    it(`stays within its memory and answers others: ${name}`, async () => {
+      for (const index of Array.from({ length: 1_000 }).keys()) expect(await putJob('rothar', `${index}-${'k'.repeat(400)}`, item)).to.equal(201)
+      const fields = { 'jaychute-account': 'rothar' }
+      crowd = openCrowd(entryHost.callerAddress, plan)
+      await crowd.settle()
+      // Its turn comes after those of the crowd.
+      await eventually('a list of jobs', timeoutMs, async () =>
+        (await fetch(`http://${entryHost.callerAddress}/v1/jobs`, { headers: fields }).then(async response => [response.status, (await response.text()).length]).catch(() => []))[0] === 200 ? true : undefined)
+      expectBounded(listPrograms(), bounds)
+      await answerOrdinaryRequest()
+      expectBounded(listPrograms(), bounds)
+    })
+  }
 
   // Failure: a host that was told to stop waited for as long as a client sent a byte from time to time.
   it('ends when it is told to, whatever its clients do', async () => {
