--- a/src/process/state/controlHost.ts
+++ b/src/process/state/controlHost.ts
@@ -11,19 +11,16 @@
 import { findOutcomeWithoutChange } from './publications.ts'
 import { answerQuery, applyCommand, type ControlState, createControlState } from './controlState.ts'
 import { createFailure, type Failure, FailureReason, Step } from '../program/failure.ts'
-import { LogEvents } from '../program/logEvents.ts'
-import { Counter } from '../program/metrics.ts'
 import { type Query, QueryKind, type QueryOf, type QueryResponse } from './queries.ts'
-import { countItemBytes as countSubmittedItemBytes, hasItemSpace, hasOutputSpace } from '../jobs/outputSpace.ts'
-import { countItemBytes, createJobIdentity, type Upload } from '../jobs/jobRecords.ts'
+import { countItemBytes, hasItemSpace, hasOutputSpace } from '../jobs/outputSpace.ts'
 import { canAccessJob } from '../jobs/submission.ts'
 import { findOutcomeOfRepetition, isSubmissionClosed } from '../jobs/submissions.ts'
-import { computeOpenJobLimit, computeOpenUploadLimit, decideUploadSpace, hasJobSpace, type UploadSpace, UploadSpaceKind } from '../jobs/uploadSpace.ts'
 import { createIdleUploads } from '../jobs/idleUploads.ts'
 import { createIdleClaims, type IdleClaims } from '../jobs/idleClaims.ts'
 import { createReplica, type Replica, type ReplicaInputs, ReplicaRole } from '../log/replica.ts'
 import { createSessions, type Sessions, sessionTimeoutMs } from './sessions.ts'
 import { exportState, importState } from './stateSnapshot.ts'
+import { createUploadAdmission, type UploadLimits } from './uploadAdmission.ts'
 import { longPollMs, type WatchRequest, type WatchResponse } from './watchMessages.ts'
 import { runBootstrap } from '../log/bootstrap.ts'
 
@@ -42,30 +39,17 @@
 ])
 
 /** Dependencies and settings of a control host. */
-export interface ControlHostInputs extends Omit<ReplicaInputs, 'apply' | 'exportChunks' | 'importChunks'> {
+export interface ControlHostInputs extends Omit<ReplicaInputs, 'apply' | 'exportChunks' | 'importChunks'>, UploadLimits {
   /** Internal addresses of the control hosts to bootstrap the group with or to join. */
   readonly controlHosts: readonly string[]
   /** Whether this host may create the first membership; default true. */
   readonly canBootstrap?: boolean
   /** Whether the results of jobs are kept compressed, also in snapshots; false by default. */
   readonly compressesResults?: boolean
-  /** Limit of the size of all jobs that are being uploaded, in bytes; by default a quarter of the heap. */
-  readonly maxOpenUploadBytes?: number | undefined
-  /** Limit of the size of the items of all jobs that have not run, in bytes; by default half of the heap. */
-  readonly maxOpenJobBytes?: number | undefined
   /** Called with each command after it was applied. */
   readonly applied?: (command: Command) => void
 }
 
-/** Label under which discarded uploads are counted. */
-const openUploadLabel = 'open upload'
-
-/** Share of the space for jobs that has to be free when an upload is opened: what can't be kept would only pass through the log. */
-const openingReserveShare = 1 / 4
-
-/** Outcome of an upload whose items can't be kept. */
-const fullOutcome: Outcome = { kind: OutcomeKind.Full, text: 'the items of accepted jobs that have not run take all of their space' }
-
 /** Longest time for which a submission waits until a new leader has applied the entries of earlier terms, in milliseconds. */
 const termStartTimeoutMs = 500
 
@@ -153,11 +137,7 @@
   // Items of the submissions among them.
   let undecidedItems = 0
   let undecidedItemBytes = 0
-  const maxOpenUploadBytes = inputs.maxOpenUploadBytes ?? computeOpenUploadLimit()
-  const maxOpenJobBytes = inputs.maxOpenJobBytes ?? computeOpenJobLimit()
-  let isJobSpaceUsed = false
-  // Chunks of uploads that are not decided yet.
-  let undecidedUploadBytes = 0
+  const uploadAdmission = createUploadAdmission({ ...inputs, replica, jobs: () => state.jobs, idleUploads })
 
   async function execute (command: Command): Promise<Result<Outcome, Failure>> {
     if (replica.state.role !== ReplicaRole.Leader) return err(createNotLeaderFailure(replica, Step.Execute))
@@ -180,8 +160,8 @@
       if (repeated !== undefined) return command.kind === CommandKind.Publish ? (await replica.confirmRead()).map(() => repeated) : ok(repeated)
       return await proposeOnce(command)
     }
-    if (command.kind === CommandKind.OpenUpload && !canKeepItems(command, maxOpenJobBytes * openingReserveShare)) return ok(fullOutcome)
-    if (command.kind === CommandKind.AppendItems) return await appendToUpload(command)
+    if (command.kind === CommandKind.OpenUpload) return await uploadAdmission.open(command)
+    if (command.kind === CommandKind.AppendItems) return await uploadAdmission.append(command)
     const outcome = await replica.propose(addTimestamp(command, clock))
     if (outcome.isErr() || command.kind !== CommandKind.CancelJob) return outcome
     const confirmation = await waitUntilJobStopped(command.job, replica.state.appliedIndex)
@@ -194,7 +174,7 @@
     if (pending !== undefined) return await pending
     // An accepted item must be run and its result kept, so a job is accepted only with space for its results.
     const newItems = command.kind === CommandKind.Submit ? command.submission.items.length : 0
-    const newItemBytes = command.kind === CommandKind.Submit ? countSubmittedItemBytes(command.submission.items) : 0
+    const newItemBytes = command.kind === CommandKind.Submit ? countItemBytes(command.submission.items) : 0
     if (newItems > 0 && !hasOutputSpace(state.submissions, undecidedItems + newItems)) return err(createNoOutputSpaceFailure(replica))
     if (newItems > 0 && !hasItemSpace(state.submissions, undecidedItemBytes + newItemBytes)) return err(createNoOutputSpaceFailure(replica))
     undecidedItems += newItems
@@ -208,37 +188,6 @@
     return outcome
   }
 
-  async function appendToUpload (command: CommandOf<'append items'>): Promise<Result<Outcome, Failure>> {
-    const bytes = countItemBytes(command.items)
-    const upload = state.jobs.uploads.get(command.upload)
-    if (upload !== undefined && !canKeepItems(upload, bytes)) return ok(fullOutcome)
-    const decide = (): UploadSpace => decideUploadSpace(
-      state.jobs.uploads.values(), { upload: command.upload, bytes: bytes + undecidedUploadBytes }, maxOpenUploadBytes, upload => idleUploads.getIdleMs(upload, clock.now())
-    )
-    for (let space = decide(); space.kind !== UploadSpaceKind.Fits; space = decide()) {
-      if (space.kind === UploadSpaceKind.Full) return err(createFailure(FailureReason.Rejected, { step: Step.Propose, peer: replica.state.address }, 'there is no space for further items of jobs that are being uploaded'))
-      const { id, account, nextSequence } = space.upload
-      inputs.metrics.count(Counter.GivenWay, openUploadLabel)
-      inputs.logger.write(LogEvents.uploadDiscarded, { detail: id, inputs: { account, maxOpenUploadBytes } })
-      const discarded = await replica.propose({ kind: CommandKind.DiscardUpload, upload: id, sequence: nextSequence })
-      if (discarded.isErr()) return discarded
-    }
-    undecidedUploadBytes += bytes
-    const outcome = await replica.propose(addTimestamp(command, clock))
-    undecidedUploadBytes -= bytes
-    return outcome
-  }
-
-  // A job that is sent again adds no items.
-  function canKeepItems ({ account, key }: Pick<Upload, 'account' | 'key'>, bytes: number): boolean {
-    if (state.jobs.byKey.has(createJobIdentity(account, key))) return true
-    const hasSpace = hasJobSpace(state.jobs.openItemBytes, state.jobs.uploads.values(), bytes + undecidedUploadBytes, maxOpenJobBytes)
-    if (!hasSpace && !isJobSpaceUsed) inputs.logger.write(LogEvents.jobSpaceUsed, { inputs: { openItemBytes: state.jobs.openItemBytes, maxOpenJobBytes } })
-    // Half of the space has to be free before the event is logged again.
-    isJobSpaceUsed = !hasSpace || (isJobSpaceUsed && state.jobs.openItemBytes > maxOpenJobBytes / 2)
-    return hasSpace
-  }
-
   // Returns whether this replica leads and has applied all entries of earlier terms.
   async function waitForTermStart (): Promise<boolean> {
     const deadline = clock.now() + termStartTimeoutMs
