Leader: encoded entries keep the entries alive

Seen by callers: while 60 clients upload jobs of 4 MiB piece by piece a control host held 210,341,888 and 210,411,520 bytes (bound 200,000,000).

Cause: the encoder keeps encodings of 4 MiB for followers that are behind, in a map whose keys are the entries. Items compress well, so the entries that it keeps alive are many times larger.

--- a/test/logReplication.test.ts
+++ b/test/logReplication.test.ts
@@ -1,4 +1,6 @@
 import { expect } from 'chai'
+import { setFlagsFromString } from 'node:v8'
+import { runInNewContext } from 'node:vm'
 import { heartbeatMs, minElectionTimeoutMs } from '../src/process/log/election.ts'
 import { createEntryEncoder } from '../src/connection/entryCodec.ts'
 import { isCompactionDue } from '../src/process/log/compaction.ts'
@@ -142,4 +144,23 @@
     expect(first[0]?.bytes).to.be.instanceOf(Uint8Array)
     expect(second[0]?.bytes).to.equal(first[0]?.bytes)
   })
+
+  // Failure: a leader ran out of memory, because the encodings that it keeps kept their entries alive, of many times their size.
+  it('keeps encodings, but not the entries', async () => {
+    const encoder = createEntryEncoder()
+    async function encode (index: number): Promise<WeakRef<Entry>> {
+      const entry = createSubmission(index)
+      await encoder.encode([entry])
+      return new WeakRef(entry)
+    }
+    const references = [await encode(1), await encode(2)]
+    await new Promise(resolve => setImmediate(resolve))
+    setFlagsFromString('--expose-gc')
+    const collectGarbage: unknown = runInNewContext('gc')
+    if (typeof collectGarbage !== 'function') return expect.fail('there is no gc')
+    collectGarbage()
+    for (const reference of references) expect(reference.deref() === undefined, 'the entry is collected').to.equal(true)
+    expect(encoder.findSize(createSubmission(1))).to.be.greaterThan(0)
+    expect(encoder.findSize({ ...createSubmission(1), term: 2 }), 'an entry of another term').to.equal(undefined)
+  })
 })
