--- a/src/connection/clientResponse.ts
+++ b/src/connection/clientResponse.ts
@@ -13,7 +13,9 @@
 export class ClientResponse<Request extends IncomingMessage = IncomingMessage> extends ServerResponse<Request> {
   /** Client account to which the unread bytes count; undefined if it is not known. */
   account: string | undefined
+  /** Undefined for a response of which nothing is counted. */
   private budget: MemoryBudget | undefined
+  /** Undefined until there are more unread bytes than are always kept. */
   private unread: MemoryHolding | undefined
 
   /**
--- a/src/process/jobs/jobCommands.ts
+++ b/src/process/jobs/jobCommands.ts
@@ -37,9 +37,9 @@
 }
 
 /**
- * Cancels a job. Its waiting items are no longer granted, and their inputs are dropped. Granted items remain assigned to their holders, so that control
- * can determine which holders have to stop, and completions that the holders report are still recorded. Existing results
- * are retained.
+ * Cancels a job. Its waiting items are no longer granted, and their inputs are dropped. Granted items remain assigned to
+ * their holders, so that control can determine which holders have to stop, and completions that the holders report are
+ * still recorded. Existing results are retained.
  * @param state - all jobs
  * @param command - the command
  * @returns done, or not found
