Leader: a withdrawal of a server that a new leader did not know was acknowledged and forgotten

Cause: for an id without a record the leader changed nothing, and every host confirmed that unchanged revision. A heartbeat that the network had held was then the first one of an unknown server. Gateways had known the start, but had deleted its record when the list of the new leader was complete.

With the rule off in a scratch copy the replay of all orders of seven events prints "late heartbeat, change of leader, restart of the control hosts, withdrawal: expected [ 100 ] to not include 100".

Why the fix works: the leader registers the withdrawal, by the record that the calling host has or, if it has none, by its time, before which the server started. Hosts confirm the record before the acknowledgement; those that know the start, also of a deleted record, keep it as leaving and report it, and the leader takes it in place of the time. The record passes to the next leader with the views, and the hosts report the start again when one lists it as ready. A later start has a later start time and is served at once.

Related paths: a server without a start time was excluded for ever by a host that had seen it leave; it is forgotten after 60 s now.

--- a/src/process/fleet/backendServerRegistry.ts
+++ b/src/process/fleet/backendServerRegistry.ts
@@ -30,10 +30,15 @@
 /** A registered backend server. */
 export interface BackendServerRecord extends Heartbeat {
   readonly phase: ServerPhase
+  /** Whether the server was withdrawn without any known start; `startedAt` is then the time of the withdrawal, before which it started. */
+  readonly isStartUnknown?: true | undefined
   /** Revision of the registry at which this record last changed. */
   readonly revision: number
 }
 
+/** What a record holds apart from the state of the registry. */
+type RegisteredContent = Heartbeat & Pick<BackendServerRecord, 'isStartUnknown'>
+
 interface RegistryEntry {
   record: BackendServerRecord
   /** Monotonic time of the last heartbeat, in milliseconds. */
@@ -41,7 +46,7 @@
 }
 
 /** Retention time of the record of a removed server, in milliseconds, so that a late heartbeat does not register it again. */
-const goneRetentionMs = 60_000
+export const goneRetentionMs = 60_000
 
 /** The registry of backend servers. */
 export interface BackendServerRegistry {
@@ -66,6 +71,14 @@
    * @param now - monotonic time in milliseconds
    */
   withdraw (record: BackendServerRecord, now: number): void
+  /**
+   * Records the withdrawal of a server of which only the id is known, or its start as well.
+   * @param id - id of the server
+   * @param startedAt - time of day at which it started, or of the withdrawal if the start is not known, in milliseconds
+   * @param isStartUnknown - whether the start is not known
+   * @param now - monotonic time in milliseconds
+   */
+  withdrawUnregistered (id: string, startedAt: number, isStartUnknown: boolean, now: number): void
   /**
    * Marks servers without a heartbeat within the time limit as gone, and deletes records whose retention time is over.
    * @param now - monotonic time in milliseconds
@@ -97,7 +110,7 @@
   const entries = new Map<string, RegistryEntry>()
   let revision = 0
 
-  function upsert (heartbeat: Heartbeat, phase: ServerPhase, now: number): void {
+  function upsert (heartbeat: RegisteredContent, phase: ServerPhase, now: number): void {
     const known = entries.get(heartbeat.id)
     if (known !== undefined && known.record.phase === phase && hasSameContent(known.record, heartbeat)) {
       known.record = { ...known.record, sequence: heartbeat.sequence }
@@ -126,7 +139,12 @@
     withdraw (record, now) {
       // The server may still send heartbeats while it completes its requests; the infinite sequence number makes every
       // heartbeat of this start older than the withdrawal.
-      upsert({ ...record, leaving: true, sequence: Infinity }, ServerPhase.Leaving, now)
+      const isRemoved = record.leaving && record.phase === ServerPhase.Gone
+      upsert({ ...record, leaving: true, sequence: Infinity }, isRemoved ? ServerPhase.Gone : ServerPhase.Leaving, now)
+    },
+    withdrawUnregistered (id, startedAt, isStartUnknown, now) {
+      const record = { id, service: '', address: '', availabilityZone: '', slots: 0, leaving: true, startedAt, sequence: Infinity }
+      upsert(isStartUnknown ? { ...record, isStartUnknown } : record, ServerPhase.Gone, now)
     },
     expire (now) {
       const expired: BackendServerRecord[] = []
@@ -185,7 +203,7 @@
   return { ...heartbeat, softwareVersion: known.softwareVersion }
 }
 
-function hasSameContent (left: Heartbeat, right: Heartbeat): boolean {
+function hasSameContent (left: RegisteredContent, right: RegisteredContent): boolean {
   return left.service === right.service && left.address === right.address && left.slots === right.slots &&
-    left.startedAt === right.startedAt && left.availabilityZone === right.availabilityZone && left.softwareVersion === right.softwareVersion
+    left.startedAt === right.startedAt && left.isStartUnknown === right.isStartUnknown && left.availabilityZone === right.availabilityZone && left.softwareVersion === right.softwareVersion
 }
--- a/src/process/fleet/fleetLeader.ts
+++ b/src/process/fleet/fleetLeader.ts
@@ -26,7 +26,7 @@
 import { createHostConfirmations } from './hostConfirmations.ts'
 import { createHostSessions, sessionTimeoutMs } from './hostSessions.ts'
 import { listServerLoads } from './serverLoads.ts'
-import { applyWithdrawal } from './serverWithdrawal.ts'
+import { applyLeavingReport, applyWithdrawal } from './serverWithdrawal.ts'
 import { createTablesConfirmations } from './tablesConfirmation.ts'
 import { createRequestPermits, type RequestPermits } from './requestPermits.ts'
 import { createTraitQuarantine, type TraitQuarantine } from './traitQuarantine.ts'
@@ -285,11 +285,9 @@
 
   // A server may say so in its responses before it reports it in a heartbeat, or without ever doing so.
   function withdrawLeaving (leaving: readonly ServerStart[]): void {
-    for (const { id, startedAt } of leaving) {
-      const record = registry.find(id)
-      if (record?.phase !== ServerPhase.Ready || record.startedAt !== startedAt) continue
-      registry.withdraw(record, clock.now())
-      handleChange(id, record)
+    for (const start of leaving) {
+      const record = registry.find(start.id)
+      if (applyLeavingReport(registry, start, clock.now())) handleChange(start.id, record)
     }
   }
 
@@ -395,7 +393,7 @@
       if (!isLeading()) return err(createNotLeaderFailure(Step.Heartbeat))
       const { id, server } = withdrawal
       const previous = registry.find(id)
-      if (!applyWithdrawal(registry, withdrawal, clock.now())) {
+      if (!applyWithdrawal(registry, withdrawal, { monotonic: clock.now(), wall: clock.wallTime() })) {
         logger.write(LogEvents.withdrawalIgnored, { detail: id, inputs: { registered: previous?.startedAt ?? 0, named: server?.startedAt ?? 0 } })
         return err(createFailure(FailureReason.Unconfirmed, { step: Step.Heartbeat }, 'the withdrawal does not name the registered start of the server'))
       }
--- a/src/process/fleet/fleetView.ts
+++ b/src/process/fleet/fleetView.ts
@@ -13,8 +13,9 @@
 import { type AccountIndex, createAccountIndex } from '../../version/accounts.ts'
 import { createRouteIndex, type GatewayTables, listLivePriorities, type RouteIndex, type Service } from '../../version/gatewayTables.ts'
 import { type BackendServerRecord, isNewer, keepSoftwareVersion, ServerPhase } from './backendServerRegistry.ts'
+import { completeWithdrawn } from './serverWithdrawal.ts'
 import { createQuarantineView, type QuarantineView } from './quarantineView.ts'
-import { createLeavingServers, type LeavingServers } from './leavingServers.ts'
+import { createLeavingServers, type LeavingServers, maxLeavingServers } from './leavingServers.ts'
 import { createPaceSamples, type PaceSamples } from './paceSamples.ts'
 import { createCostEstimator, type CostEstimator } from '../../request/placement/requestCost.ts'
 import { createServerWork, type ReportedWorks, type ServerWork } from './serverWork.ts'
@@ -191,6 +192,8 @@
   const servers = new Map<string, BackendServerRecord>()
   // Servers listed by the current leader; all others are deleted once every server has had time to contact that leader.
   const listedServers = new Set<string>()
+  // The latest start of servers that were deleted, by id, the one deleted first at the front.
+  const removedStarts = new Map<string, number>()
   const live = new Map<string, number>()
   // Monotonic time at which the suspicion of this host ends, in milliseconds, by server.
   const localSuspects = new Map<string, number>()
@@ -255,9 +258,11 @@
     if (!isSameLeadership) listedServers.clear()
     // A new leader may lack updates that its predecessor received, for example that a server is leaving, until every server has contacted it.
     const mayLackUpdates = !isSameLeadership || !isSettled
-    for (const record of update.servers) {
+    for (const listed of update.servers) {
+      const known = servers.get(listed.id)
+      const record = completeWithdrawn(listed, known, removedStarts.get(listed.id))
       leavingServers.applyRecord(record)
-      const known = servers.get(record.id)
+      if (listed.isStartUnknown === true && record.isStartUnknown !== true) leavingServers.reportWithdrawn(record)
       const isKept = mayLackUpdates && known !== undefined && isOutdated(record, known)
       // A ready server whose present start the leader has not listed by the time that its list is complete has stopped.
       if (isKept && known.phase === ServerPhase.Ready && known.startedAt > record.startedAt) listedServers.delete(record.id)
@@ -265,10 +270,20 @@
       if (!isKept) servers.set(record.id, keepSoftwareVersion(record, known))
     }
     if (!update.isComplete || (isSameLeadership && isSettled)) return
-    for (const id of servers.keys()) {
+    for (const [id, { startedAt, isStartUnknown }] of servers) {
       if (listedServers.has(id)) continue
       servers.delete(id)
       failureRates.delete(id)
+      if (isStartUnknown !== true) recordRemovedStart(id, startedAt)
+    }
+  }
+
+  function recordRemovedStart (removedId: string, startedAt: number): void {
+    removedStarts.delete(removedId)
+    removedStarts.set(removedId, startedAt)
+    for (const id of removedStarts.keys()) {
+      if (removedStarts.size <= maxLeavingServers) return
+      removedStarts.delete(id)
     }
   }
 
--- a/src/process/fleet/leavingServers.ts
+++ b/src/process/fleet/leavingServers.ts
@@ -7,7 +7,7 @@
 import { type Condition, createCondition } from '../program/condition.ts'
 import { LogEvents } from '../program/logEvents.ts'
 import type { Logger } from '../program/logger.ts'
-import { type BackendServerRecord, ServerPhase } from './backendServerRegistry.ts'
+import { type BackendServerRecord, goneRetentionMs, ServerPhase } from './backendServerRegistry.ts'
 
 /**
  * Maximum number of servers that are remembered; the oldest are removed first. The fleet to design for has 4,200 servers, so a
@@ -23,6 +23,13 @@
   readonly startedAt: number
 }
 
+/** The latest start of a server that leaves. */
+interface LeavingStart {
+  readonly startedAt: number
+  /** Monotonic time until which it is remembered, in milliseconds. */
+  readonly until: number
+}
+
 /** Leaving servers, as far as this host knows from responses. */
 export interface LeavingServers {
   /** Notified when there are servers to report to the leader. */
@@ -44,6 +51,11 @@
    * @param record - the record
    */
   applyRecord (record: BackendServerRecord): void
+  /**
+   * Reports the start of a withdrawn server to the leader, which does not know it.
+   * @param start - the start
+   */
+  reportWithdrawn (start: ServerStart): void
   /** Lists the servers that the leader does not know to be leaving. */
   listUnreported (): ServerStart[]
   /**
@@ -60,27 +72,31 @@
  * @returns the set
  */
 export function createLeavingServers (clock: Clock, logger: Logger): LeavingServers {
-  // Start times by id, the one learned first at the front.
-  const startTimes = new Map<string, number>()
+  // By id, the one learned first at the front.
+  const latestStarts = new Map<string, LeavingStart>()
   const unreported = new Map<string, ServerStart>()
   const changed = createCondition(clock)
 
   function has ({ id, startedAt }: ServerStart): boolean {
-    const leftAt = startTimes.get(id)
-    return leftAt !== undefined && startedAt <= leftAt
+    const latest = latestStarts.get(id)
+    return latest !== undefined && startedAt <= latest.startedAt && clock.now() < latest.until
   }
 
   function removeOldest (): void {
-    for (const id of startTimes.keys()) {
-      if (startTimes.size <= maxLeavingServers) return
-      startTimes.delete(id)
+    for (const id of latestStarts.keys()) {
+      if (latestStarts.size <= maxLeavingServers) return
+      latestStarts.delete(id)
       unreported.delete(id)
     }
   }
 
-  function add ({ id, startedAt }: ServerStart): void {
-    startTimes.delete(id)
-    startTimes.set(id, startedAt)
+  // A start that is not known for certain can't be told from a later one for ever.
+  function add ({ id, startedAt, isStartUnknown }: ServerStart & Pick<BackendServerRecord, 'isStartUnknown'>): void {
+    const isCertain = startedAt > 0 && isStartUnknown !== true
+    const latest = latestStarts.get(id)
+    if (latest?.until === Infinity && startedAt <= latest.startedAt) return
+    latestStarts.delete(id)
+    latestStarts.set(id, { startedAt, until: isCertain ? Infinity : clock.now() + goneRetentionMs })
     removeOldest()
   }
 
@@ -100,9 +116,10 @@
     },
     applyRecord (record) {
       // A server that only missed its heartbeats may return.
-      if (record.leaving && record.phase !== ServerPhase.Ready && !has(record)) add(record)
+      if (record.leaving && record.phase !== ServerPhase.Ready) add(record)
       if (record.phase === ServerPhase.Ready && has(record)) scheduleReport(record)
     },
+    reportWithdrawn: scheduleReport,
     listUnreported: () => [...unreported.values()],
     confirm (reported) {
       for (const start of reported) {
