Leader: encoded entries kept the entries alive until it ran out of memory

Cause: the encoder keeps 4 MiB of compressed encodings for followers that are behind, in a map whose keys were the entries. Some 200 encodings of 14 to 30 KB kept as many documents and decoded tables alive, about 0.5 MB each.

Why the fix works: encodings are found by index and term, which identify an entry in every log, so the map keeps what it counts. No order of events was found in which two entries share index and term.

--- a/src/connection/entryCodec.ts
+++ b/src/connection/entryCodec.ts
@@ -44,19 +44,31 @@
  * @returns the encoder
  */
 export function createEntryEncoder (): EntryEncoder {
-  const encodedEntries = new Map<Entry, EncodedEntry>()
+  // By index, since a map of the entries would keep each of them alive, and an entry may be many times as large as its encoding. Index and term
+  // identify an entry in every log.
+  const encodedEntries = new Map<number, EncodedEntry>()
   // Large entries are compressed in the thread pool; the tasks of all followers ask for a new entry meanwhile.
   const encodings = new Map<Entry, Promise<EncodedEntry>>()
   let keptBytes = 0
 
-  function keep (entry: Entry, encoded: EncodedEntry): void {
-    if (encodedEntries.has(entry)) return
-    encodedEntries.set(entry, encoded)
+  function find ({ index, term }: Entry): EncodedEntry | undefined {
+    const encoded = encodedEntries.get(index)
+    return encoded?.term === term ? encoded : undefined
+  }
+
+  function remove (index: number): void {
+    keptBytes -= encodedEntries.get(index)?.bytes.length ?? 0
+    encodedEntries.delete(index)
+  }
+
+  function keep (encoded: EncodedEntry): void {
+    // An entry of an earlier term may have had the index.
+    remove(encoded.index)
+    encodedEntries.set(encoded.index, encoded)
     keptBytes += encoded.bytes.length
-    for (const [oldest, { bytes }] of encodedEntries) {
-      if (keptBytes <= maxKeptBytes || oldest === entry) return
-      encodedEntries.delete(oldest)
-      keptBytes -= bytes.length
+    for (const oldest of encodedEntries.keys()) {
+      if (keptBytes <= maxKeptBytes || oldest === encoded.index) return
+      remove(oldest)
     }
   }
 
@@ -65,7 +77,7 @@
     encodings.set(entry, encoding)
     try {
       const encoded = await encoding
-      keep(entry, encoded)
+      keep(encoded)
       return encoded
     } finally {
       encodings.delete(entry)
@@ -75,10 +87,10 @@
   return {
     async encode (entries) {
       const encoded: EncodedEntry[] = []
-      for (const entry of entries) encoded.push(encodedEntries.get(entry) ?? await encodeOnce(entry))
+      for (const entry of entries) encoded.push(find(entry) ?? await encodeOnce(entry))
       return encoded
     },
-    findSize: entry => encodedEntries.get(entry)?.bytes.length
+    findSize: entry => find(entry)?.bytes.length
   }
 }
 
