Leader: tables that wait for a majority had no bound

What callers would see: an operator that sends versions faster than they are committed, for example while a disk stalls, fills the memory of the leader, since each order is sent again after a second and only jobs counted against a limit.

Nothing that was acknowledged is affected: a rejected command is not appended.

Evidence: the new test of logSafety holds all syncs and proposes 60 versions of 0.4 MB. With the rule off it prints "expected to be within..17577216"; with it the versions that were taken are committed once the disks work, and later ones are taken again.

Measured: logSafety passes (4 tests by name; the whole file passed before the test was added). uname -m: x86_64.

--- a/src/process/log/replicaProposals.ts
+++ b/src/process/log/replicaProposals.ts
@@ -25,8 +25,16 @@
  */
 export const maxPendingJobBytes = 4 * 1024 * 1024
 
-/** Commands whose size is that of the bodies of new jobs. */
-const jobCommands: ReadonlySet<CommandKind> = new Set([CommandKind.Submit, CommandKind.AppendItems])
+/**
+ * Maximum size of the pending proposals with which new tables are accepted, in bytes. Their entries stay in memory until they are committed, and
+ * an operator sends a version again when its acknowledgement is late.
+ */
+export const maxPendingTablesBytes = 16 * 1024 * 1024
+
+/** Maximum size of the pending proposals with which a command is accepted, in bytes, by the kinds of commands that can be large. */
+const maxPendingBytes: Partial<Record<CommandKind, number>> = {
+  [CommandKind.Submit]: maxPendingJobBytes, [CommandKind.AppendItems]: maxPendingJobBytes, [CommandKind.Publish]: maxPendingTablesBytes
+}
 
 /** Time within which the leadership must be confirmed for a read, in milliseconds. */
 const confirmReadTimeoutMs = 1_000
@@ -42,7 +50,7 @@
   const { clock, metrics } = inputs
   if (!inputs.storage.hasSpace) return err(createDiskFullFailure(state, Step.Propose))
   if (!checkLeadership(core)) return err(createNotLeaderFailure(state, Step.Propose))
-  if (proposals.size >= maxPendingProposals || (jobCommands.has(command.kind) && proposals.bytes >= maxPendingJobBytes)) {
+  if (proposals.size >= maxPendingProposals || proposals.bytes >= (maxPendingBytes[command.kind] ?? Infinity)) {
     return err(createFailure(FailureReason.Rejected, { step: Step.Propose, peer: state.address }, `${proposals.size} commands of ${proposals.bytes} bytes are waiting already`))
   }
   const startedAt = clock.now()
--- a/test/logSafety.test.ts
+++ b/test/logSafety.test.ts
@@ -6,7 +6,7 @@
 import { appendEntry } from '../src/process/log/replicaLeadership.ts'
 import { countEntryBytes, lastIndexOf, lastTermOf, membersIndexOf, termAt } from '../src/process/log/replicaLog.ts'
 import type { AppendRequest, VoteRequest } from '../src/process/log/replicaMessages.ts'
-import { maxPendingJobBytes, maxPendingProposals } from '../src/process/log/replicaProposals.ts'
+import { maxPendingJobBytes, maxPendingProposals, maxPendingTablesBytes } from '../src/process/log/replicaProposals.ts'
 import { createCore, type ReplicaInputs } from '../src/process/log/replicaState.ts'
 import { type Entry, PayloadKind, Standing } from '../src/process/log/storage.ts'
 import { maxElectionTimeoutMs, minElectionTimeoutMs } from '../src/process/log/election.ts'
@@ -14,6 +14,7 @@
 import { type Command, CommandKind } from '../src/process/state/commands.ts'
 import { createSeededRandom } from '../src/process/program/random.ts'
 import { FakeClock, runPendingTasks } from './support/fakeClock.ts'
+import { tablesOf } from './support/fakeFleet.ts'
 import { commandNamed, startTestLog, type TestHost, type TestLog } from './support/testLog.ts'
 
 const addresses = ['a:1', 'b:1', 'c:1']
@@ -261,6 +262,30 @@
     expect(canChangeMembers({ ...state, role: ReplicaRole.Follower })).to.equal(false)
   })
 
+  // Guards against a leader that runs out of memory while an operator sends versions faster than they are committed (Fault, review/8).
+  it('bounds the size of the tables that wait for a majority, and takes tables again once it has one', async () => {
+    const { leader } = await startWithFollower(31)
+    const { state } = leader.replica
+    const documentBytes = 400_000
+    const createPublish = (version: number): Command => ({ kind: CommandKind.Publish, publication: { tables: tablesOf(version, []), document: 'x'.repeat(documentBytes), digest: '' } })
+    const outcomes: Array<Failure | undefined> = []
+    const propose = (version: number): void => { leader.replica.propose(createPublish(version)).match(() => { outcomes.push(undefined) }, failure => { outcomes.push(failure) }) }
+    for (const host of log.hosts) host.storage.hold()
+    for (let version = 1; version <= 60; version++) propose(version)
+    const waiting = state.entries.filter(entry => entry.index > state.commitIndex).reduce((sum, entry) => sum + countEntryBytes(entry), 0)
+    expect(waiting).to.be.within(maxPendingTablesBytes, maxPendingTablesBytes + 2 * documentBytes)
+    await log.clock.advance(10)
+    expect(outcomes.map(failure => failure?.reason)).to.deep.equal(Array.from({ length: outcomes.length }, () => FailureReason.Rejected))
+    expect(outcomes.length).to.be.greaterThan(0)
+    const { length } = outcomes
+    for (const host of log.hosts) host.storage.release()
+    await log.waitUntil('the commit of the versions that were taken', 4_000, () => outcomes.length === 60)
+    expect(outcomes.slice(length).every(failure => failure === undefined)).to.equal(true)
+    propose(61)
+    await log.waitUntil('a further version', 2_000, () => outcomes.length === 61)
+    expect(outcomes.at(-1)).to.equal(undefined)
+  })
+
   // While no sync completes, pending commands would grow in memory without limit.
   it('refuses commands over the limit of pending ones without appending them', async () => {
     const { leader } = await startWithFollower(30)
