Quotas: a new leader forgot what hosts that have ended had admitted

Cause: a host forgets its admissions when it restarts, and only the leader keeps them, in memory, for a window. A new leader adds up the reports of running processes, so the account gets what the ended ones had admitted a second time.

Why the fix works: hosts name the last sums of the earlier leader and their own part of them to a new one, before they use its sums. What no host has accounted for is what ended hosts, or hosts not heard from, had admitted; it counts in full for a third of a window and then decreases.

--- a/src/connection/fleetWatch.ts
+++ b/src/connection/fleetWatch.ts
@@ -76,6 +76,7 @@
     const reported = new Map(view.live)
     const outputs = view.quarantine.listOutputs()
     const accountUse = view.accounts === undefined ? undefined : view.accountQuotas.describeUse()
+    const earlierUse = accountUse === undefined ? undefined : view.accountQuotas.describeEarlierUse()
     const work = view.serverWork.describe()
     const totals = await client.reportLoad({
       holder: describe().holder,
@@ -84,13 +85,14 @@
       suspects: view.listLocalSuspects(),
       outputs,
       accountUse,
+      earlierUse,
       paces: view.paceSamples.take(),
       work
     })
     // Without a response the last totals remain valid; the watch task logs an unreachable leader.
     if (totals.isOk()) {
       view.applyLoads(totals.value, reported, work)
-      view.accountQuotas.applyTotals(totals.value, accountUse)
+      view.accountQuotas.applyTotals(totals.value, accountUse, earlierUse)
       view.quarantine.confirmOutputs(outputs)
     }
     intervalMs = totals.isOk() ? totals.value.intervalMs : idleReportIntervalMs
--- a/src/process/accounts/accountQuotas.ts
+++ b/src/process/accounts/accountQuotas.ts
@@ -10,7 +10,7 @@
 import type { Clock } from '../program/clock.ts'
 import { LogEvents } from '../program/logEvents.ts'
 import type { Logger } from '../program/logger.ts'
-import type { AccountTotals } from './accountUseSums.ts'
+import type { AccountTotals, EarlierUse } from './accountUseSums.ts'
 import { createRequestLog, type RequestLog } from './requestLog.ts'
 
 /** Tolerances of a host whose settings name none. */
@@ -87,12 +87,15 @@
   release (account: ClientAccount | undefined, decision: QuotaDecision): void
   /** Returns what this host has admitted, for the next load report; undefined if it was reported just now. */
   describeUse (): AccountUse | undefined
+  /** Returns the last sums of an earlier leader for the next report to a new one; undefined without any that are recent. */
+  describeEarlierUse (): EarlierUse | undefined
   /**
    * Applies the sums of all hosts in the response to a load report.
    * @param totals - the sums; nothing happens if the response has none
    * @param reported - what this host had reported
+   * @param earlierUse - the sums of an earlier leader that this host had reported
    */
-  applyTotals (totals: AccountTotals, reported: AccountUse | undefined): void
+  applyTotals (totals: AccountTotals, reported: AccountUse | undefined, earlierUse?: EarlierUse): void
   /**
    * Returns how much of its limit an account uses, for the decision who gives way when places are short.
    * @param account - the account; undefined if the request needs none
@@ -106,6 +109,15 @@
 /** Counts by name of the account. */
 type AccountCounts = ReadonlyMap<string, AccountCount>
 
+/** Sums as they were received, with what this host had contributed. */
+interface ReceivedSums {
+  readonly leadership: string
+  readonly sums: AccountCounts
+  readonly reportedUse: AccountCounts
+  /** Monotonic time at which they were received, in milliseconds. */
+  readonly receivedAt: number
+}
+
 /** Requests of one account at this host. */
 interface AccountState {
   readonly requests: RequestLog
@@ -149,6 +161,9 @@
   let meanLevel: number | undefined
   let incompleteSince = Infinity
   let nextReportAt = -Infinity
+  // The leadership of the last sums.
+  let leadership: string | undefined
+  let earlier: ReceivedSums | undefined
 
   function createState (name: string): AccountState {
     const rounding = computeRounding(name, host)
@@ -227,9 +242,24 @@
       nextReportAt = now + Math.max(minReportIntervalMs, reportIntervalPerAccountMs * (use.size + sums.size))
       return Object.fromEntries(use)
     },
-    applyTotals ({ accountUse: use, gateways: newGateways, accountLevel }, reported) {
+    describeEarlierUse () {
+      const now = clock.now()
+      // The next report may reach another leader.
+      if (leadership !== undefined && now - receivedAt > (intervalMs ?? assumedIntervalMs)) earlier = { leadership, sums, reportedUse, receivedAt }
+      if (earlier === undefined || now - earlier.receivedAt >= bounds().windowMs) return undefined
+      const use = new Map<string, readonly [number, number]>()
+      for (const [name, { admitted }] of earlier.sums) use.set(name, [admitted, earlier.reportedUse.get(name)?.admitted ?? 0])
+      return { leadership: earlier.leadership, ageMs: now - earlier.receivedAt, use: Object.fromEntries(use) }
+    },
+    applyTotals ({ accountUse: use, gateways: newGateways, accountLevel, leadership: newLeadership }, reported, earlierUse) {
       if (use === undefined || newGateways === undefined) return
       const now = clock.now()
+      // The sums of a new leader lack what its predecessor knew until this host has reported that.
+      if (leadership !== undefined && newLeadership !== leadership && earlierUse === undefined && now - receivedAt < bounds().windowMs) {
+        earlier = { leadership, sums, reportedUse, receivedAt }
+        return
+      }
+      earlier = undefined
       const isComplete = newGateways >= (gateways ?? 0) * minReporterShare
       incompleteSince = isComplete ? Infinity : Math.min(incompleteSince, now)
       if (now - incompleteSince < believedAfterMs && !isComplete) return
@@ -240,6 +270,7 @@
       meanLevel = accountLevel
       reportedUse = readCounts(reported ?? {})
       gateways = newGateways
+      leadership = newLeadership
       receivedAt = now
       reportedAt = describedAt
     },
--- a/src/process/accounts/accountUseSums.ts
+++ b/src/process/accounts/accountUseSums.ts
@@ -13,6 +13,9 @@
 /** Windows for which the use of a host without contact counts: the host may continue to accept as many requests for as long as it accepts keys. */
 const lostHostWindows = 2
 
+/** Share of the window, at its end, in which requests from before this leader are taken to leave it evenly. */
+const earlierDecayShare = 2 / 3
+
 /** Sums in the response to a load report. */
 export interface AccountTotals {
   /** Use of the accounts near their limits, by all hosts; undefined if the report had none. */
@@ -21,6 +24,18 @@
   readonly gateways?: number | undefined
   /** Use of the limited accounts with requests in the window together, as a share of their limits; undefined where `accountUse` is. */
   readonly accountLevel?: number | undefined
+  /** Identifies the leadership under which the sums were made; undefined for a leader of an earlier version of the program. */
+  readonly leadership?: string | undefined
+}
+
+/** The last sums of an earlier leader, as a host knows them. */
+export interface EarlierUse {
+  /** The leadership under which they were made. */
+  readonly leadership: string
+  /** Time since the host received them, in milliseconds. */
+  readonly ageMs: number
+  /** Requests admitted in the window by name of the account: by all hosts, and by this host as it had reported. */
+  readonly use: Readonly<Record<string, readonly [total: number, own: number]>>
 }
 
 /** Decimal places of the level in messages. */
@@ -34,6 +49,15 @@
    * @param use - what the host reports
    */
   record (holder: string, use: AccountUse): void
+  /**
+   * Adds the last sums of an earlier leader. The part of them that no reporting host has admitted counts for one window: it is that of hosts
+   * that have ended, or have not contacted this leader yet.
+   * @param holder - identifies the host's process start
+   * @param earlier - the sums; only the first ones of a host count
+   * @param windowMs - length of the window, in milliseconds
+   * @param now - monotonic time in milliseconds
+   */
+  recordEarlier (holder: string, earlier: EarlierUse, windowMs: number, now: number): void
   /**
    * Keeps the use of a host that reports no more until it has left the window.
    * @param holder - identifies the host's process start
@@ -53,6 +77,16 @@
   clear (): void
 }
 
+/** Requests of an account before this leader. */
+interface EarlierCount {
+  /** The largest sums that a host has named. */
+  total: number
+  /** What the hosts that have named sums had admitted. */
+  known: number
+  /** Monotonic time at which the requests have left the window, in milliseconds. */
+  until: number
+}
+
 interface RetiredUse {
   readonly since: number
   readonly windows: number
@@ -67,6 +101,8 @@
   const retired = new Map<string, RetiredUse>()
   // Changed by the difference of each report, as the sums of the load are.
   const sums = new Map<string, AccountCount>()
+  const earlierCounts = new Map<string, EarlierCount>()
+  const earlierHolders = new Set<string>()
   let selection: AccountTotals = {}
   let selectedAt = -Infinity
 
@@ -95,14 +131,23 @@
     }
   }
 
-  function select (accounts: readonly ClientAccount[], bounds: QuotaBounds): AccountTotals {
+  // Requests admitted before this leader by hosts that have not reported their use to it.
+  function countUnreported (name: string, windowMs: number, now: number): number {
+    const earlier = earlierCounts.get(name)
+    if (earlier === undefined || now >= earlier.until) return 0
+    return Math.ceil(Math.max(0, earlier.total - earlier.known) * Math.min(1, (earlier.until - now) / (windowMs * earlierDecayShare)))
+  }
+
+  function select (accounts: readonly ClientAccount[], bounds: QuotaBounds, now: number): AccountTotals {
     const near = new Map<string, readonly number[]>()
     let used = 0
     let limits = 0
     for (const { name, ratePerSecond, burst } of accounts) {
       if (ratePerSecond <= 0) continue
-      const count = sums.get(name)
-      if (count === undefined) continue
+      const unreported = countUnreported(name, bounds.windowMs, now)
+      const reported = sums.get(name)
+      if (reported === undefined && unreported === 0) continue
+      const count = { ...reported ?? readCount([]), admitted: unreported + (reported?.admitted ?? 0) }
       const limit = createWindowLimit(ratePerSecond, burst, bounds)
       used += count.admitted
       limits += limit.limit
@@ -122,6 +167,17 @@
       retired.delete(holder)
       replace(holder, use)
     },
+    recordEarlier (holder, { ageMs, use }, windowMs, now) {
+      if (earlierHolders.has(holder)) return
+      earlierHolders.add(holder)
+      for (const [name, [total, own]] of Object.entries(use)) {
+        const earlier = earlierCounts.get(name) ?? { total: 0, known: 0, until: -Infinity }
+        earlier.total = Math.max(earlier.total, total)
+        earlier.known += own
+        earlier.until = Math.max(earlier.until, now + windowMs - ageMs)
+        earlierCounts.set(name, earlier)
+      }
+    },
     retire (holder, isRestarted, now) {
       const use = useByHolder.get(holder)
       if (use === undefined) return
@@ -134,13 +190,15 @@
       if (now - selectedAt < selectionIntervalMs) return selection
       removeExpired(bounds.windowMs, now)
       selectedAt = now
-      selection = select(accounts, bounds)
+      selection = select(accounts, bounds, now)
       return selection
     },
     clear () {
       useByHolder.clear()
       retired.clear()
       sums.clear()
+      earlierCounts.clear()
+      earlierHolders.clear()
       selection = {}
       selectedAt = -Infinity
     }
--- a/src/process/fleet/fleetLeader.ts
+++ b/src/process/fleet/fleetLeader.ts
@@ -6,6 +6,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import type { QuotaBounds } from '../../request/placement/accountQuota.ts'
 import { defaultQuotaBounds } from '../accounts/accountQuotas.ts'
+import type { AccountTotals } from '../accounts/accountUseSums.ts'
 import { type Condition, createCondition } from '../program/condition.ts'
 import type { ControlState } from '../state/controlState.ts'
 import { createFailure, type Failure, FailureReason, Step } from '../program/failure.ts'
@@ -251,6 +252,12 @@
     return Math.max(minReportIntervalMs, sessions.size * millisecondsPerSecond / maxReportsPerSecond)
   }
 
+  function describeAccountUse ({ holder, earlierUse }: LoadReport): AccountTotals {
+    const bounds = inputs.quotaBounds ?? defaultQuotaBounds
+    if (earlierUse !== undefined && earlierUse.leadership !== getLeadership()) sessions.accountUse.recordEarlier(holder, earlierUse, bounds.windowMs, clock.now())
+    return { ...sessions.accountUse.describe(state.publication?.tables.accounts, bounds, clock.now()), leadership: getLeadership() }
+  }
+
   function recordPaces ({ paces: samples }: LoadReport): void {
     for (const [id, sample] of Object.entries(samples ?? {})) {
       const service = registry.find(id)?.service
@@ -350,7 +357,7 @@
       confirmations.notify()
       quarantine.recordOutputs(report.outputs ?? [])
       // A host subtracts its own use from the sums, so they must contain it.
-      const accountTotals = report.accountUse === undefined || !hasSession ? {} : sessions.accountUse.describe(state.publication?.tables.accounts, inputs.quotaBounds ?? defaultQuotaBounds, clock.now())
+      const accountTotals = report.accountUse === undefined || !hasSession ? {} : describeAccountUse(report)
       const sums = sessions.getLoadSums()
       return ok({ loads: listServerLoads(sums, batch, paces.list(clock.now())), suspects: [...sums.suspects.keys()], intervalMs: getReportIntervalMs(), ...accountTotals })
     },
--- a/src/process/fleet/fleetMessages.ts
+++ b/src/process/fleet/fleetMessages.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import type { AccountUse } from '../accounts/accountQuotas.ts'
-import type { AccountTotals } from '../accounts/accountUseSums.ts'
+import type { AccountTotals, EarlierUse } from '../accounts/accountUseSums.ts'
 import type { EncodedPaceSamples } from './paceSamples.ts'
 import type { ReportedWorks } from './serverWork.ts'
 import type { GatewayTables } from '../../version/gatewayTables.ts'
@@ -217,6 +217,8 @@
   readonly work?: ReportedWorks | undefined
   /** Requests of limited client accounts at the host; undefined if they are as last reported. */
   readonly accountUse?: AccountUse | undefined
+  /** The last sums of an earlier leader; undefined if they are outdated, or of this leader. */
+  readonly earlierUse?: EarlierUse | undefined
 }
 
 /** Requests in flight on one backend server. */
--- a/test/accountQuotas.test.ts
+++ b/test/accountQuotas.test.ts
@@ -109,6 +109,58 @@
     }
   }
 
+  describe('when two things fail at once', () => {
+    const hosts = 28
+    const accounts = createAccounts(30, 90)
+    const isFirstHalf = (host: number): boolean => host % 2 === 0
+
+    function findExcess (seed: number, faults: Pick<QuotaReplay, 'isReached' | 'leaderStarts' | 'isRestarted'>): number {
+      const { outcomes } = playQuotas({
+        hosts,
+        accounts,
+        durationMs: 24_000,
+        random: createSeededRandom(seed),
+        rateOf: ({ name }, at) => (accounts.find(account => account.name === name)?.usual ?? 0) * (name === 'account-0' && isWithin(at, hotFromMs, hotUntilMs) ? hotFactor : waveAt(at)),
+        ...faults
+      })
+      let excess = -Infinity
+      for (const account of accounts) {
+        const { maximum } = createWindowLimit(account.ratePerSecond, 0, defaultQuotaBounds)
+        excess = Math.max(excess, findLargestWindow(outcomes.get(account.name) ?? expect.fail(account.name)) - maximum)
+      }
+      return excess
+    }
+
+    // Failure (QUOTA): the leader that had counted the requests of ended hosts was lost together with these hosts. The new one knew only what the
+    // running hosts had admitted, and a busy account got its limit again.
+    for (const seed of [1, 2, 3]) {
+      it(`keep all windows within the limit when half of the hosts restart as a new leader begins, seed ${seed}`, () => {
+        expect(findExcess(seed, { leaderStarts: [11_000], isRestarted: (host, from, until) => isFirstHalf(host) && isWithin(11_000, from, until) })).to.be.at.most(0)
+      })
+      it(`keep all windows within the limit when hosts restart one by one and the leader changes three times, seed ${seed}`, () => {
+        expect(findExcess(seed, { leaderStarts: [9_000, 10_500, 12_000], isRestarted: (host, from, until) => isWithin(hotFromMs + 200 + host * 300, from, until) })).to.be.at.most(0)
+      })
+    }
+
+    // Guards against hosts that admit by sums that are too old to show how busy an account has become.
+    for (const seed of [1, 2, 3, 4]) {
+      it(`keep all windows within the limit when an account becomes busy as the leader is lost, seed ${seed}`, () => {
+        expect(findExcess(seed, { leaderStarts: [11_100], isReached: (_host, at) => !isWithin(at, 8_100, 11_100) })).to.be.at.most(0)
+      })
+    }
+    it('keep all windows within the limit when an account becomes busy, seed 4', () => {
+      expect(findExcess(4, {})).to.be.at.most(0)
+    })
+
+    // Guards against hosts that know less than what was admitted: those that were cut off, and those that have all restarted.
+    it('keep all windows within the limit when half of the hosts are cut off as a new leader begins, seed 1', () => {
+      expect(findExcess(1, { leaderStarts: [10_000], isReached: (host, at) => !isFirstHalf(host) || !isWithin(at, 9_500, 16_000) })).to.be.at.most(0)
+    })
+    it('keep all windows within the limit when all hosts restart as a new leader begins, seed 1', () => {
+      expect(findExcess(1, { leaderStarts: [11_000], isRestarted: (_host, from, until) => isWithin(11_000, from, until) })).to.be.at.most(0)
+    })
+  })
+
   const account: ClientAccount = { name: 'a', keys: [], priority: undefined, ratePerSecond: 4, burst: 0 }
 
   // Guards against a retry time at which the same request is refused again although nobody else has sent any.
--- a/test/support/quotaReplay.ts
+++ b/test/support/quotaReplay.ts
@@ -5,6 +5,7 @@
  */
 import { type AccountQuotas, type AccountUse, createAccountQuotas, defaultQuotaBounds } from '../../src/process/accounts/accountQuotas.ts'
 import { FleetRole, type FleetWatchRequest } from '../../src/process/fleet/fleetMessages.ts'
+import type { EarlierUse } from '../../src/process/accounts/accountUseSums.ts'
 import { createHostSessions } from '../../src/process/fleet/hostSessions.ts'
 import { createSilentLogger } from '../../src/process/program/logger.ts'
 import type { Random } from '../../src/process/program/random.ts'
@@ -69,6 +70,7 @@
   const clock = new FakeClock()
   const sessions = createHostSessions()
   const outcomes = new Map<string, AccountOutcome>()
+  let leadership = 0
   const pending: Array<{ at: number, run: () => void }> = []
   const reportMs = Math.max(40, replay.hosts * 2.5)
   const maxChangeMs = Math.max(500 - reportMs, 1.5 * reportMs)
@@ -94,23 +96,25 @@
 
   function report (host: SimulatedHost): void {
     const use = host.quotas.describeUse()
+    const earlierUse = host.quotas.describeEarlierUse()
     // As the task of load reports: an interval, and then until the next request begins or ends.
     const changesPerMs = 2 * replay.accounts.reduce((sum, account) => sum + replay.rateOf(account, clock.now()), 0) / replay.hosts / 1_000
     host.nextReportAt = clock.now() + 2 * messageMs + reportMs + Math.min(maxChangeMs, drawExponential(random) / changesPerMs)
     if (use === undefined) return
-    bytes += JSON.stringify({ accountUse: use }).length
-    pending.push({ at: clock.now() + messageMs, run: () => receive(host, use) })
+    bytes += JSON.stringify({ accountUse: use, earlierUse }).length
+    pending.push({ at: clock.now() + messageMs, run: () => receive(host, use, earlierUse) })
   }
 
-  function receive (host: SimulatedHost, use: AccountUse): void {
+  function receive (host: SimulatedHost, use: AccountUse, earlierUse: EarlierUse | undefined): void {
     if (replay.isReached?.(host.index, clock.now()) === false) return
     const holder = `g-${host.index}/${host.start}`
     sessions.renew(createPoll(`g-${host.index}`, holder), 0, clock.now())
     sessions.report({ holder, live: {}, suspects: [], accountUse: use })
-    const totals = sessions.accountUse.describe(replay.accounts.map(describe), defaultQuotaBounds, clock.now())
+    if (earlierUse !== undefined && earlierUse.leadership !== String(leadership)) sessions.accountUse.recordEarlier(holder, earlierUse, windowMs, clock.now())
+    const totals = { ...sessions.accountUse.describe(replay.accounts.map(describe), defaultQuotaBounds, clock.now()), leadership: String(leadership) }
     const { quotas } = host
     bytes += JSON.stringify(totals).length
-    pending.push({ at: clock.now() + messageMs, run: () => { quotas.applyTotals(totals, use) } })
+    pending.push({ at: clock.now() + messageMs, run: () => { quotas.applyTotals(totals, use, earlierUse) } })
   }
 
   function runStep (from: number): void {
@@ -118,6 +122,7 @@
     for (const at of replay.leaderStarts ?? []) {
       if (at < from || at >= clock.now()) continue
       sessions.clear()
+      leadership++
     }
     for (const host of hosts) {
       if (replay.isRestarted?.(host.index, from, clock.now()) !== true) continue
