Quotas: hosts admitted by old sums for 0.6 s when the leader was lost

What callers see (QUOTA): a customer that becomes busy in the moment in which the leader is lost gets more than its limit.

Cause: sums count as outdated after 2.5 intervals, 0.6 s at the least. Until then each host admits what the last sums seem to leave, and no host sees that all others do so too.

Why the fix works: once the next sums are late (1.75 usual intervals) a host admits no more than its part of what was left, and the parts of all hosts add up to the maximum. A shorter time refuses more inside the limit: with 1.5 intervals one more test of accountQuotas fails, without any delay 30 more do.

--- a/src/request/placement/accountQuota.ts
+++ b/src/request/placement/accountQuota.ts
@@ -41,6 +41,9 @@
 /** Time for which the latest rate is taken to last when the leader selects the sums to distribute, in milliseconds. */
 const listedAheadMs = 1_000
 
+/** Usual intervals after which the next sums are late, and a host keeps to its part beside the rate that they allow. */
+const lateIntervals = 1.75
+
 /** Usual intervals after which sums are outdated: a report was lost, or the leader is. */
 const outdatedIntervals = 2.5
 
@@ -165,6 +168,8 @@
 export function decideQuota (knowledge: AccountKnowledge, limit: WindowLimit, bounds: QuotaBounds): QuotaShare {
   const { sums } = knowledge
   if (sums === undefined || areOutdated(sums)) return decideAlone(knowledge, limit, bounds)
+  // These may be the last sums for a while. They don't show that all hosts admit more than before; each keeping to its part bounds the total.
+  if (sums.ageMs > sums.intervalMs * lateIntervals && sums.ownSince >= countAllowed(knowledge, limit, bounds)) return { admittedShare: 0, retryMs: sums.intervalMs }
   return approachTarget(knowledge.own, sums, limit, bounds)
 }
 
@@ -201,15 +206,20 @@
   return { admittedShare, retryMs: Math.min(windowMs, retryMs) }
 }
 
-function decideAlone ({ own, sums, gateways = assumedGateways, rounding }: AccountKnowledge, { maximum }: WindowLimit, { windowMs }: QuotaBounds): QuotaShare {
+function decideAlone (knowledge: AccountKnowledge, limit: WindowLimit, bounds: QuotaBounds): QuotaShare {
+  const { own, sums } = knowledge
+  const admittedBefore = sums === undefined ? own.admitted : sums.ownSince
+  return { admittedShare: admittedBefore < countAllowed(knowledge, limit, bounds) ? 1 : 0, retryMs: bounds.windowMs / Math.max(1, own.admitted) }
+}
+
+// Returns how many requests a host may admit since the last sums, or in a window without any, so that all hosts stay within the maximum.
+function countAllowed ({ sums, gateways = assumedGateways, rounding }: AccountKnowledge, { maximum }: WindowLimit, { windowMs }: QuotaBounds): number {
   const evenShare = 1 / Math.max(1, gateways)
   const part = sums === undefined ? maximum * evenShare : estimateRoom(sums, maximum, windowMs) * (evenShare * (1 - usedShareWeight) + usedShareWeight * computeUsedShare(sums, evenShare))
   // The roundings of all hosts must not add up. But while the sums may still hold, a host with a part of less than one request does not refuse
   // the only one that it gets in a window.
   const isOneAdmitted = sums === undefined || sums.ageMs <= windowMs
-  const allowed = Math.max(isOneAdmitted ? 1 : 0, Math.floor(part + rounding))
-  const admittedBefore = sums === undefined ? own.admitted : sums.ownSince
-  return { admittedShare: admittedBefore < allowed ? 1 : 0, retryMs: windowMs / Math.max(1, own.admitted) }
+  return Math.max(isOneAdmitted ? 1 : 0, Math.floor(part + rounding))
 }
 
 function computeUsedShare ({ count, reported }: AccountSums, evenShare: number): number {
