Withdrawals as a newcomer reads them; the latest start that hosts report counts

The starts of removed servers have a module of their own, the record of a withdrawal without a registered server has a predicate in place of a comparison, and comments say what the fields mean. One change of behaviour: a leader that has registered a withdrawal by its time takes the latest of the starts that hosts report, not the first; a host that was out of touch may know an earlier one (test: "applies to the latest start that hosts report").

--- a/src/process/fleet/backendServerRegistry.ts
+++ b/src/process/fleet/backendServerRegistry.ts
@@ -72,7 +72,8 @@
    */
   withdraw (record: BackendServerRecord, now: number): void
   /**
-   * Records the withdrawal of a server of which only the id is known, or its start as well.
+   * Records the withdrawal of a server of which nothing but the id is known, and perhaps the start. Its record is that of a removed server,
+   * without an address.
    * @param id - id of the server
    * @param startedAt - time of day at which it started, or of the withdrawal if the start is not known, in milliseconds
    * @param isStartUnknown - whether the start is not known
--- a/src/process/fleet/fleetMessages.ts
+++ b/src/process/fleet/fleetMessages.ts
@@ -142,9 +142,9 @@
 /** Tells the leader that a backend server leaves. */
 export interface Withdrawal {
   readonly id: string
-  /** Whether `server` names the start that is withdrawn; undefined at hosts of an earlier version of the program. */
+  /** Whether the host that received the call tells which start it knows; undefined at hosts of an earlier version of the program. */
   readonly namesStart?: true | undefined
-  /** The server as the host knows it that received the call; undefined if it knows none. */
+  /** The server as that host knows it; undefined if it knows none. */
   readonly server?: BackendServerRecord | undefined
 }
 
--- a/src/process/fleet/fleetView.ts
+++ b/src/process/fleet/fleetView.ts
@@ -15,11 +15,12 @@
 import { type BackendServerRecord, isNewer, keepSoftwareVersion, ServerPhase } from './backendServerRegistry.ts'
 import { completeWithdrawn } from './serverWithdrawal.ts'
 import { createQuarantineView, type QuarantineView } from './quarantineView.ts'
-import { createLeavingServers, type LeavingServers, maxLeavingServers } from './leavingServers.ts'
+import { createLeavingServers, type LeavingServers } from './leavingServers.ts'
 import { createPaceSamples, type PaceSamples } from './paceSamples.ts'
 import { createCostEstimator, type CostEstimator } from '../../request/placement/requestCost.ts'
 import { createServerWork, type ReportedWorks, type ServerWork } from './serverWork.ts'
 import { createRemoteLoads, type RemoteLoads } from './remoteLoads.ts'
+import { createRemovedStarts } from './removedStarts.ts'
 import { createRequestLimits, type RequestLimits } from './requestLimits.ts'
 import type { FleetHost, FleetUpdate, FleetWatchRequest, LoadTotals } from './fleetMessages.ts'
 
@@ -192,8 +193,7 @@
   const servers = new Map<string, BackendServerRecord>()
   // Servers listed by the current leader; all others are deleted once every server has had time to contact that leader.
   const listedServers = new Set<string>()
-  // The latest start of servers that were deleted, by id, the one deleted first at the front.
-  const removedStarts = new Map<string, number>()
+  const removedStarts = createRemovedStarts()
   const live = new Map<string, number>()
   // Monotonic time at which the suspicion of this host ends, in milliseconds, by server.
   const localSuspects = new Map<string, number>()
@@ -260,7 +260,7 @@
     const mayLackUpdates = !isSameLeadership || !isSettled
     for (const listed of update.servers) {
       const known = servers.get(listed.id)
-      const record = completeWithdrawn(listed, known, removedStarts.get(listed.id))
+      const record = completeWithdrawn(listed, known, removedStarts.find(listed.id))
       leavingServers.applyRecord(record)
       if (listed.isStartUnknown === true && record.isStartUnknown !== true) leavingServers.reportWithdrawn(record)
       const isKept = mayLackUpdates && known !== undefined && isOutdated(record, known)
@@ -274,16 +274,7 @@
       if (listedServers.has(id)) continue
       servers.delete(id)
       failureRates.delete(id)
-      if (isStartUnknown !== true) recordRemovedStart(id, startedAt)
-    }
-  }
-
-  function recordRemovedStart (removedId: string, startedAt: number): void {
-    removedStarts.delete(removedId)
-    removedStarts.set(removedId, startedAt)
-    for (const id of removedStarts.keys()) {
-      if (removedStarts.size <= maxLeavingServers) return
-      removedStarts.delete(id)
+      if (isStartUnknown !== true) removedStarts.record(id, startedAt)
     }
   }
 
--- a/src/process/fleet/serverWithdrawal.ts
+++ b/src/process/fleet/serverWithdrawal.ts
@@ -7,9 +7,11 @@
 import type { Withdrawal } from './fleetMessages.ts'
 import type { ServerStart } from './leavingServers.ts'
 
-/** The time at which a withdrawal arrives at the leader, by both clocks, in milliseconds. */
+/** When a withdrawal arrives at the leader. */
 export interface ArrivalTime {
+  /** Monotonic time, in milliseconds. */
   readonly monotonic: number
+  /** Time of day, in milliseconds. */
   readonly wall: number
 }
 
@@ -17,7 +19,7 @@
  * Applies a withdrawal to the leader's registry.
  * @param registry - the registry
  * @param withdrawal - the server, with its start as far as the calling host knows it
- * @param time - the present time
+ * @param time - time of its arrival
  * @returns false if it is not certain which start is meant, and the registry is unchanged
  */
 export function applyWithdrawal (registry: BackendServerRegistry, { id, namesStart, server }: Withdrawal, time: ArrivalTime): boolean {
@@ -46,6 +48,11 @@
   return record !== undefined && record.isStartUnknown !== true
 }
 
+// Whether the leader has registered the withdrawal of a server only, and knows nothing else of it.
+function isUnregistered ({ address }: BackendServerRecord): boolean {
+  return address === ''
+}
+
 /**
  * Applies a host's report that one start of a server leaves to the leader's registry.
  * @param registry - the registry
@@ -56,7 +63,8 @@
 export function applyLeavingReport (registry: BackendServerRegistry, { id, startedAt }: ServerStart, now: number): boolean {
   const record = registry.find(id)
   if (record === undefined) return false
-  if (record.isStartUnknown === true) {
+  // Hosts may know different starts of a server that the leader does not know; the latest one counts.
+  if (record.isStartUnknown === true || (isUnregistered(record) && startedAt > record.startedAt)) {
     registry.withdrawUnregistered(id, startedAt, false, now)
     return true
   }
@@ -74,7 +82,7 @@
  * @returns the record with the start, or the listed one if it is complete or the host knows no start
  */
 export function completeWithdrawn (listed: BackendServerRecord, known: BackendServerRecord | undefined, removedStart: number | undefined): BackendServerRecord {
-  if (listed.address !== '') return listed
+  if (!isUnregistered(listed)) return listed
   if (hasKnownStart(known) && (listed.isStartUnknown === true || known.startedAt === listed.startedAt)) {
     return { ...known, leaving: true, sequence: Infinity, phase: known.phase === ServerPhase.Gone ? ServerPhase.Gone : ServerPhase.Leaving, revision: listed.revision }
   }
--- a/test/serverWithdrawals.test.ts
+++ b/test/serverWithdrawals.test.ts
@@ -219,6 +219,16 @@
     expect(core.listReadyStarts()).to.deep.equal([300])
   })
 
+  // Guards against requests to the latest start when a host that was out of touch knows only an earlier one, and reports it first.
+  it('applies to the latest start that hosts report', () => {
+    const registry = createBackendServerRegistry(() => 1_000)
+    applyWithdrawal(registry, { id, namesStart: true }, time)
+    for (const startedAt of [100, 200, 100]) applyLeavingReport(registry, { id, startedAt }, 1)
+    expect(registry.find(id)?.startedAt).to.equal(200)
+    expect(registry.receive(heartbeatOf(200, 9), 2)).to.equal(false)
+    expect(registry.receive(heartbeatOf(300), 3)).to.equal(true)
+  })
+
   // Guards against a server without a start time that is excluded for ever after it has started again.
   it('is forgotten after a while when the server reports no start', async () => {
     const clock = new FakeClock()
