--- a/src/process/fleet/leavingServers.ts
+++ b/src/process/fleet/leavingServers.ts
@@ -90,7 +90,7 @@
     }
   }
 
-  // A later start of a server can't be told from one that is not known for certain, so that one is forgotten after a while.
+  // A later start of a server can't be distinguished from one that is not certain, so that one is forgotten after a while.
   function add ({ id, startedAt, isStartUnknown }: ServerStart & Pick<BackendServerRecord, 'isStartUnknown'>): void {
     const isCertain = startedAt > 0 && isStartUnknown !== true
     const latest = latestStarts.get(id)
