Quotas: the log tells what admissions and refusals of a busy account were based on

Event 507 has, for each host and account near its limit, at most once a second, the admissions and refusals, the use and the age of the sums that they were based on, and the range of the times that refusals named. Event 501 of a refusal has the time that was named.

No decision changes. Lint, types, test/accountForwarding.test.ts and test/logEvents.test.ts pass; the whole suite was not run. uname -m: x86_64.

--- a/src/process/accounts/accountQuotas.ts
+++ b/src/process/accounts/accountQuotas.ts
@@ -11,6 +11,7 @@
 import { LogEvents } from '../program/logEvents.ts'
 import type { Logger } from '../program/logger.ts'
 import type { AccountTotals, EarlierUse } from './accountUseSums.ts'
+import { type AdmissionSummary, createAdmissionSummary } from './admissionSummary.ts'
 import { createRequestLog, type RequestLog } from './requestLog.ts'
 
 /** Tolerances of a host whose settings name none. */
@@ -121,6 +122,7 @@
 /** Requests of one account at this host. */
 interface AccountState {
   readonly requests: RequestLog
+  readonly summary: AdmissionSummary
   /** Monotonic time of the latest refusal, in milliseconds. */
   refusedAt: number
   /** Position in the evenly distributed sequence that selects the requests to admit. */
@@ -167,7 +169,7 @@
 
   function createState (name: string): AccountState {
     const rounding = computeRounding(name, host)
-    return { requests: createRequestLog(), refusedAt: -Infinity, position: rounding, rounding }
+    return { requests: createRequestLog(), summary: createAdmissionSummary(), refusedAt: -Infinity, position: rounding, rounding }
   }
 
   function findState (name: string): AccountState {
@@ -213,6 +215,7 @@
       const { own, limit, accountSums, admittedShare, retryMs, position, isAdmitted } = decide(account, state, now)
       state.position = position
       state.requests.add(now, isAdmitted)
+      state.summary.add(now, { isAdmitted, used: accountSums?.count.admitted, ageMs: accountSums?.ageMs, retryMs: isAdmitted ? 0 : retryMs, limit: limit.limit })
       if (isAdmitted) return { isAdmitted, retryMs: 0, countedAt: now }
       // One event for each time that the account is limited: with an event for each request, a busy account would fill the log.
       if (now - state.refusedAt > bounds().windowMs) {
@@ -234,7 +237,9 @@
       if (now < nextReportAt) return undefined
       const use = new Map<string, number[]>()
       describedAt = now
-      for (const [name, { requests, refusedAt }] of states) {
+      for (const [name, { requests, summary, refusedAt }] of states) {
+        const figures = summary.take(now)
+        if (figures !== undefined) logger.write(LogEvents.accountAdmissions, { detail: name, value: figures.admitted, inputs: { ...figures } })
         const count = requests.count(now, bounds().windowMs)
         if (count.admitted > 0 || count.refused > 0) use.set(name, describeCount(count))
         else if (now - refusedAt > bounds().windowMs) states.delete(name)
--- a/src/process/program/logEvents.ts
+++ b/src/process/program/logEvents.ts
@@ -87,6 +87,7 @@
   callerDisconnected: { number: 504, level: Level.Info, text: 'caller disconnected before the end of the response', action: noAction },
   resumptionRefused: { number: 505, level: Level.Info, text: 'resumption of a stream by its caller refused', action: 'See the reason in docs/operations.md.' },
   accountLimited: { number: 506, level: Level.Info, text: 'limit of a client account used up; this host refuses a part of its requests', action: 'See the use and the limit. Raise the limit if the account is entitled to more.' },
+  accountAdmissions: { number: 507, level: Level.Info, text: 'decisions of this host on the requests of a client account near its limit, at most once a second', action: 'To find the fullest window of an account, add up its admissions over all hosts. See docs/operations.md.' },
   backendServerCrashed: { number: 510, level: Level.Warn, text: 'backend server crashed with requests in flight', action: 'Check the backend server if it repeats.' },
   requestQuarantined: { number: 511, level: Level.Error, text: 'request quarantined because it crashes backend servers', action: 'Find the request by its fingerprint and its earlier failed attempts; correct it at the caller.' },
   traitQuarantined: { number: 512, level: Level.Error, text: 'requests with a trait quarantined because backend servers crash under them', action: 'Find the requests by the trait and by event 500; correct them at the caller.' },
--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -323,10 +323,12 @@
   const baseMs = refusal === GatewayRefusal.NotReady && !services.view.canServeAccounts ? leaseRetryAfterBaseMs : retryAfterBaseMs
   const jitteredRetryAfterMs = baseMs + services.random.next() * baseMs
   const blockedMs = progress === undefined ? undefined : services.view.quarantine.getBlockedMs(progress.traits)
+  const retryAfterMs = refusal === GatewayRefusal.Draining ? drainingRetryAfterMs : Math.max(jitteredRetryAfterMs, blockedMs ?? 0, retryMs)
   if (lastingRefusals.has(refusal)) response.refuse(refusal)
-  else response.refuse(refusal, refusal === GatewayRefusal.Draining ? drainingRetryAfterMs : Math.max(jitteredRetryAfterMs, blockedMs ?? 0, retryMs))
+  else response.refuse(refusal, retryAfterMs)
   services.metrics.count(Counter.Refusals, refusal)
-  const described = progress === undefined ? { requestId: request.id, inputs: { version: services.view.tables?.version ?? 0 } } : describeProgress(progress, services)
+  const retryInputs = { version: services.view.tables?.version ?? 0, retryAfterMs: Math.round(retryAfterMs) }
+  const described = progress === undefined ? { requestId: request.id, inputs: retryInputs } : describeProgress(progress, services)
   services.logger.write(LogEvents.requestRefused, { ...described, reason: refusal })
 }
 
