--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -18,15 +18,13 @@
 import { createRequestTraits, listTraits } from './requestTraits.ts'
 import { decidePlaces, type LivePlaces, ordinaryPlaces } from './placement/competition.ts'
 import type { CostedRequest, RequestCost } from './placement/requestCost.ts'
+import { chooseReturnMs, returnBaseMs } from './placement/returnTime.ts'
 import { chooseServer, chooseServerByPrefix } from './placement/serverChoice.ts'
 import { type CandidateSearch, estimateServiceCost, isRetryableRoute, listCandidates } from './serverCandidates.ts'
 
 /** Share of the objective of the route within which a request that finds no free slot is refused, so that the refusal comes early. */
 const earlyRefusalShare = 0.2
 
-/** Retry delay suggested to a refused caller, in milliseconds; a random jitter of up to the same length is added. */
-const retryAfterBaseMs = 700
-
 /** The same for a caller that this host refuses without its lease for keys, in milliseconds; another gateway may have one. */
 const leaseRetryAfterBaseMs = 100
 
@@ -320,10 +318,9 @@
 }
 
 function sendRefusal (services: ForwardingServices, request: CallerRequest, response: CallerResponse, refusal: GatewayRefusal, progress: ForwardingProgress | undefined, retryMs = 0): void {
-  const baseMs = refusal === GatewayRefusal.NotReady && !services.view.canServeAccounts ? leaseRetryAfterBaseMs : retryAfterBaseMs
-  const jitteredRetryAfterMs = baseMs + services.random.next() * baseMs
+  const baseMs = refusal === GatewayRefusal.NotReady && !services.view.canServeAccounts ? leaseRetryAfterBaseMs : returnBaseMs
   const blockedMs = progress === undefined ? undefined : services.view.quarantine.getBlockedMs(progress.traits)
-  const retryAfterMs = refusal === GatewayRefusal.Draining ? drainingRetryAfterMs : Math.max(jitteredRetryAfterMs, blockedMs ?? 0, retryMs)
+  const retryAfterMs = refusal === GatewayRefusal.Draining ? drainingRetryAfterMs : chooseReturnMs(baseMs, services.random.next(), Math.max(blockedMs ?? 0, retryMs))
   if (lastingRefusals.has(refusal)) response.refuse(refusal)
   else response.refuse(refusal, retryAfterMs)
   services.metrics.count(Counter.Refusals, refusal)
--- a/test/accountQuotas.test.ts
+++ b/test/accountQuotas.test.ts
@@ -6,13 +6,12 @@
 import { createWindowLimit } from '../src/request/placement/accountQuota.ts'
 import type { ClientAccount } from '../src/version/accounts.ts'
 import { FakeClock } from './support/fakeClock.ts'
+import { createAccounts, isWithin, waveAt } from './support/quotaAccounts.ts'
 import { findLargestWindow, playQuotas, type QuotaReplay } from './support/quotaReplay.ts'
 
 const hotFromMs = 8_000
 const hotUntilMs = 14_000
 const hotFactor = 7
-/** Limit of each account as a multiple of its usual rate. */
-const limitFactor = 1.6
 
 /** Accounts of which a few are large, with the requests per second of all, and the positions by size of those that become busy. */
 const sites = [
@@ -33,7 +32,6 @@
   readonly lowered?: number
 }
 
-const isWithin = (at: number, from: number, until: number): boolean => at >= from && at < until
 const scenarios: readonly Scenario[] = [
   { name: 'in calm traffic', isHot: false },
   { name: 'with one busy account', isHot: true },
@@ -46,20 +44,6 @@
   { name: 'with restarted hosts', isHot: true, isRestarted: (host, from, until) => host % 8 === 0 && isWithin(9_000, from, until) }
 ]
 
-function createAccounts (count: number, perSecond: number): ReadonlyArray<ClientAccount & { readonly usual: number }> {
-  const weights = Array.from({ length: count }, (_, position) => (position + 1) ** -1.2)
-  const sum = weights.reduce((total, weight) => total + weight)
-  return weights.map((weight, position) => {
-    const usual = perSecond * weight / sum
-    return { name: `account-${position}`, keys: [], priority: undefined, usual, ratePerSecond: usual * limitFactor, burst: 0 }
-  })
-}
-
-// Traffic comes in waves of 3 s, of 0.38 and 1.84 of the mean.
-function waveAt (at: number): number {
-  return (Math.floor(at / 3_000) % 2 === 0 ? 0.38 : 1.84) / 1.11
-}
-
 describe('quotas of client accounts', () => {
   for (const { hosts, accounts: count, perSecond, positions } of sites) {
     for (const position of positions) {
--- a/test/support/quotaReplay.ts
+++ b/test/support/quotaReplay.ts
@@ -10,6 +10,7 @@
 import { createSilentLogger } from '../../src/process/program/logger.ts'
 import type { Random } from '../../src/process/program/random.ts'
 import { createWindowLimit } from '../../src/request/placement/accountQuota.ts'
+import { chooseReturnMs, returnBaseMs } from '../../src/request/placement/returnTime.ts'
 import type { ClientAccount } from '../../src/version/accounts.ts'
 import { FakeClock } from './fakeClock.ts'
 
@@ -19,6 +20,8 @@
 const messageMs = 20
 /** Time before the first request, in milliseconds: hosts report before they serve. */
 const startMs = 3_000
+/** Share of its time for which a caller waits before it tries again. */
+const maxWaitShare = 1 / 3
 const { windowMs } = defaultQuotaBounds
 
 /** Admitted requests of an account, beside those of an exact limiter. */
@@ -46,6 +49,10 @@
   isReached? (host: number, at: number): boolean
   /** Times at which the leader loses its state, and another one begins. */
   readonly leaderStarts?: readonly number[]
+  /** Interval between two reports of a host, in milliseconds; by default that of a fleet without other work. */
+  readonly reportMs?: number
+  /** Time that a caller has for its request, in milliseconds; a refused one tries once more within it. By default callers don't return. */
+  readonly callerTimeMs?: number
   /** Returns whether a host restarts within the step that ends at a time. */
   isRestarted? (host: number, from: number, until: number): boolean
 }
@@ -72,7 +79,7 @@
   const outcomes = new Map<string, AccountOutcome>()
   let leadership = 0
   const pending: Array<{ at: number, run: () => void }> = []
-  const reportMs = Math.max(40, replay.hosts * 2.5)
+  const reportMs = replay.reportMs ?? Math.max(40, replay.hosts * 2.5)
   const maxChangeMs = Math.max(500 - reportMs, 1.5 * reportMs)
   let bytes = 0
   const createQuotas = (index: number): AccountQuotas => createAccountQuotas(clock, createSilentLogger(), () => defaultQuotaBounds, `g-${index}`)
@@ -83,17 +90,24 @@
     return replay.describe?.(account, clock.now()) ?? account
   }
 
-  function arrive (account: ClientAccount): void {
+  function arrive (account: ClientAccount, isReturn = false): void {
     const outcome = outcomes.get(account.name) as AccountOutcome
     const first = replay.hostsPerAccount === undefined ? 0 : replay.accounts.indexOf(account) * replay.hostsPerAccount
     const host = hosts[(first + random.below(replay.hostsPerAccount ?? hosts.length)) % hosts.length] as SimulatedHost
     const known = describe(account)
     const { limit } = createWindowLimit(known.ratePerSecond, known.burst, defaultQuotaBounds)
-    if (host.quotas.admit(known).isAdmitted) outcome.admittedAt.push(clock.now())
+    const { isAdmitted, retryMs } = host.quotas.admit(known)
+    if (isAdmitted) outcome.admittedAt.push(clock.now())
+    else if (!isReturn && replay.callerTimeMs !== undefined) scheduleReturn(account, retryMs, replay.callerTimeMs)
     if (countInWindow(outcome.exactAt, clock.now()) + 1 <= limit) outcome.exactAt.push(clock.now())
     outcome.shortfall = Math.max(outcome.shortfall, outcome.exactAt.length - outcome.admittedAt.length)
   }
 
+  function scheduleReturn (account: ClientAccount, retryMs: number, callerTimeMs: number): void {
+    const returnMs = Math.min(chooseReturnMs(returnBaseMs, random.next(), retryMs), callerTimeMs * maxWaitShare)
+    pending.push({ at: clock.now() + returnMs, run: () => { arrive(account, true) } })
+  }
+
   function report (host: SimulatedHost): void {
     const use = host.quotas.describeUse()
     const earlierUse = host.quotas.describeEarlierUse()
