--- a/bench/quotaMargins.ts
+++ b/bench/quotaMargins.ts
@@ -12,8 +12,9 @@
     for (const scenario of busyScenarios) {
       const results = Array.from({ length: seeds }, (_, index) => replayBusyAccount(fleet, position, scenario, index + 1))
       const fullest = results.map(({ windows: [first] }) => `${first?.largest ?? 0}/${Math.floor(first?.maximum ?? 0)}`)
+      const asked = results.map(({ askedPerSecond }) => askedPerSecond.toFixed(0))
       const refused = results.map(({ shortfall }) => (shortfall * 100).toFixed(1))
-      process.stdout.write(`${fleet.hosts} hosts, account ${position}, ${scenario.name}: fullest ${fullest.join(' ')}; refused within the limit ${refused.join(' ')} in 100\n`)
+      process.stdout.write(`${fleet.hosts} hosts, account ${position}, ${scenario.name}: fullest ${fullest.join(' ')}; refused within the limit ${refused.join(' ')} in 100; asked ${asked.join(' ')} per second\n`)
     }
   }
 }
--- a/src/connection/controlClient.ts
+++ b/src/connection/controlClient.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { err, type Result } from 'neverthrow'
+import type { AllotmentRequest, AllotmentResponse } from '../process/accounts/accountQuotas.ts'
 import type { Clock } from '../process/program/clock.ts'
 import { type Command, CommandKind, type Outcome, OutcomeKind } from '../process/state/commands.ts'
 import { createFailure, type Failure, FailureReason, Step } from '../process/program/failure.ts'
@@ -164,6 +165,12 @@
    * @returns whether it may, or a failure
    */
   acquirePermit (permit: PermitRequest): Promise<Result<PermitResponse, Failure>>
+  /**
+   * Asks for an allotment of a client account; it is not retried.
+   * @param request - the account, and what this host has admitted
+   * @returns the allotment, or a failure
+   */
+  acquireAllotment (request: AllotmentRequest): Promise<Result<AllotmentResponse, Failure>>
   /**
    * Sends one long poll of an executor; it is not retried.
    * @param poll - the runs of the executor
@@ -382,6 +389,8 @@
       client.fleet.reportLimits.mutate(report, { signal: abort })),
     acquirePermit: async permit => await clients.callReply<PermitResponse>(leader, TrafficClass.Live, Step.Report, permissionTimeoutMs, (client, abort) =>
       client.fleet.acquirePermit.mutate(permit, { signal: abort })),
+    acquireAllotment: async request => await clients.callReply<AllotmentResponse>(leader, TrafficClass.Live, Step.Report, permissionTimeoutMs, (client, abort) =>
+      client.fleet.acquireAllotment.mutate(request, { signal: abort })),
     pollRuns: poll => callOnce(address => clients.callReply<RunUpdate>(address, TrafficClass.Batch, Step.Dispatch, fleetLongPollMs + callTimeoutMs, (client, abort) =>
       client.fleet.pollRuns.mutate(poll, { signal: abort }))),
     reportRuns: reports => callOnce(address => clients.callReply<void>(address, TrafficClass.Batch, Step.Report, callTimeoutMs, (client, abort) =>
--- a/src/connection/fleetWatch.ts
+++ b/src/connection/fleetWatch.ts
@@ -85,6 +85,7 @@
       suspects: view.listLocalSuspects(),
       outputs,
       accountUse,
+      accountUseSequence: accountUse === undefined ? undefined : view.accountQuotas.sequence,
       earlierUse,
       paces: view.paceSamples.take(),
       work
@@ -94,6 +95,8 @@
       view.applyLoads(totals.value, reported, work)
       view.accountQuotas.applyTotals(totals.value, accountUse, earlierUse)
       view.quarantine.confirmOutputs(outputs)
+    } else if (accountUse !== undefined) {
+      view.accountQuotas.cancelReport()
     }
     intervalMs = totals.isOk() ? totals.value.intervalMs : idleReportIntervalMs
     await clock.sleep(intervalMs, signal)
--- a/src/connection/internalRouter.ts
+++ b/src/connection/internalRouter.ts
@@ -5,6 +5,7 @@
 import { initTRPC } from '@trpc/server'
 import { err, ok } from 'neverthrow'
 import * as z from 'zod'
+import type { AllotmentRequest } from '../process/accounts/accountQuotas.ts'
 import type { Command } from '../process/state/commands.ts'
 import type { ControlHost } from '../process/state/controlHost.ts'
 import type { FleetLeader } from '../process/fleet/fleetLeader.ts'
@@ -135,6 +136,8 @@
         services.fleetLeader === undefined ? createMissingRoleReply(Step.Report) : toReply(services.fleetLeader.reportLimits(input))),
       acquirePermit: procedure.input(objectSchema<PermitRequest>()).mutation(({ input }) =>
         services.fleetLeader === undefined ? createMissingRoleReply(Step.Report) : toReply(services.fleetLeader.acquirePermit(input))),
+      acquireAllotment: procedure.input(objectSchema<AllotmentRequest>()).mutation(({ input }) =>
+        services.fleetLeader === undefined ? createMissingRoleReply(Step.Report) : toReply(services.fleetLeader.acquireAllotment(input))),
       pollRuns: procedure.input(objectSchema<RunPoll>()).mutation(async ({ input }) =>
         services.batchRunner === undefined ? createMissingRoleReply(Step.Dispatch) : toReply(await services.batchRunner.poll(input))),
       reportRuns: procedure.input(objectSchema<RunReports>()).mutation(async ({ input }) =>
--- a/src/process/accounts/accountQuotas.ts
+++ b/src/process/accounts/accountQuotas.ts
@@ -8,6 +8,7 @@
 import { type AccountLevel, computeLevel } from '../../request/placement/competition.ts'
 import type { ClientAccount } from '../../version/accounts.ts'
 import type { Clock } from '../program/clock.ts'
+import { type Condition, createCondition } from '../program/condition.ts'
 import { LogEvents } from '../program/logEvents.ts'
 import type { Logger } from '../program/logger.ts'
 import type { AccountTotals, EarlierUse } from './accountUseSums.ts'
@@ -40,8 +41,8 @@
 
 /**
  * Requests by name of the account: those admitted in the latest window, those of them that are recent, those that
- * leave the window next, and those refused recently. Zeros at the
- * end are left out.
+ * leave the window next, those refused recently, and those that allotments allow in a window. Zeros at the
+ * end are left out, and the last number if it is that of the admitted ones.
  */
 export type AccountUse = Readonly<Record<string, readonly number[]>>
 
@@ -52,6 +53,28 @@
   readonly retryMs: number
   /** Monotonic time at which the request was counted, in milliseconds; undefined if it was refused or has no limit. */
   readonly countedAt?: number
+  /** Whether the leader is to be asked first; the request is then neither admitted nor refused. */
+  readonly isUndecided?: boolean
+}
+
+/** Asks the leader for an allotment. */
+export interface AllotmentRequest {
+  /** Identifies the host's process start. */
+  readonly holder: string
+  /** Increases with each report of use and each request for an allotment. */
+  readonly sequence: number
+  /** Name of the account. */
+  readonly account: string
+  /** What the host has admitted, as in a report. */
+  readonly use: readonly number[]
+  /** Number of requests that wait for the answer. */
+  readonly wanted: number
+}
+
+/** The response to such a request. */
+export interface AllotmentResponse {
+  /** Requests that the host may have admitted in any window; undefined if the account has no limit, or the request came too late. */
+  readonly allotment: number | undefined
 }
 
 /** Decision on a request that is not counted. */
@@ -71,9 +94,28 @@
   /**
    * Decides on a live request, and counts it if it is admitted.
    * @param account - the account; undefined if the request needs none
+   * @param mayWait - whether the request can wait for an answer of the leader; otherwise it is decided in any case
    * @returns whether it may run
    */
-  admit (account: ClientAccount | undefined): QuotaDecision
+  admit (account: ClientAccount | undefined, mayWait?: boolean): QuotaDecision
+  /** Notified when an exchange with the leader has ended. */
+  readonly exchanged: Condition
+  /**
+   * Begins to ask the leader for an allotment.
+   * @param account - the account
+   * @returns the request; undefined while another exchange may change what the host has of the account
+   */
+  describeRequest (account: ClientAccount): AllotmentRequest | undefined
+  /**
+   * Ends a request for an allotment.
+   * @param request - the request
+   * @param response - the response; undefined if there was none
+   */
+  applyAllotment (request: AllotmentRequest, response: AllotmentResponse | undefined): void
+  /** Ends a report without a response. */
+  cancelReport (): void
+  /** Number of the latest report of use or request for an allotment. */
+  readonly sequence: number
   /**
    * Decides on a live request as `admit` would, and counts nothing.
    * @param account - the account
@@ -125,6 +167,10 @@
   readonly summary: AdmissionSummary
   /** Monotonic time of the latest refusal, in milliseconds. */
   refusedAt: number
+  /** Whether the leader is being asked for an allotment. */
+  isAsking: boolean
+  /** Monotonic time at which the leader last had nothing to allot, in milliseconds. */
+  deniedAt: number
   /** Position in the evenly distributed sequence that selects the requests to admit. */
   position: number
   /** Rounding of this host's part of the limit, from 0 to 1. */
@@ -145,9 +191,10 @@
  * @param logger - receives an event when the limit of an account begins to be used up
  * @param bounds - returns the tolerances
  * @param host - differs between hosts, so that their roundings do
+ * @param holder - identifies this process start to the leader
  * @returns the quotas
  */
-export function createAccountQuotas (clock: Clock, logger: Logger, bounds: () => QuotaBounds, host: string): AccountQuotas {
+export function createAccountQuotas (clock: Clock, logger: Logger, bounds: () => QuotaBounds, host: string, holder = host): AccountQuotas {
   const states = new Map<string, AccountState>()
   // By name of the account. Not the objects of the messages: these have further properties, and names are the operator's choice.
   let sums: AccountCounts = new Map()
@@ -166,10 +213,19 @@
   // The leadership of the last sums.
   let leadership: string | undefined
   let earlier: ReceivedSums | undefined
+  // Whether the leader names allotments; one of an earlier version of the program does not.
+  let isAllotting = false
+  // By name of the account.
+  let allotments = new Map<string, number>()
+  // Monotonic time at which a call to the leader has last ended without an answer, in milliseconds.
+  let unansweredAt = -Infinity
+  let isReporting = false
+  let sequence = 0
+  const exchanged = createCondition()
 
   function createState (name: string): AccountState {
     const rounding = computeRounding(name, host)
-    return { requests: createRequestLog(), summary: createAdmissionSummary(), refusedAt: -Infinity, position: rounding, rounding }
+    return { requests: createRequestLog(), summary: createAdmissionSummary(), refusedAt: -Infinity, isAsking: false, deniedAt: -Infinity, position: rounding, rounding }
   }
 
   function findState (name: string): AccountState {
@@ -181,7 +237,7 @@
   }
 
   function decide ({ name, ratePerSecond, burst }: ClientAccount, state: AccountState, now: number): AccountDecision {
-    const own = state.requests.count(now, bounds().windowMs)
+    const own = describeOwn(name, state, now)
     const limit = createWindowLimit(ratePerSecond, burst, bounds())
     const accountSums = findSums(name, limit, state)
     const share = decideQuota({ own, sums: accountSums, gateways, rounding: state.rounding }, limit, bounds())
@@ -203,16 +259,42 @@
       previousDemand: previousDemand(name),
       ownSince: requests.countAfter(reportedAt),
       ageMs: clock.now() - receivedAt,
-      intervalMs: intervalMs ?? assumedIntervalMs
+      intervalMs: intervalMs ?? assumedIntervalMs,
+      isUnanswered: unansweredAt >= receivedAt,
+      isAllotting,
+      allotment: findAllotment(name)
     }
   }
 
+  // A leader that lists an account without an allotment for this host allots nothing.
+  function findAllotment (name: string): number | undefined {
+    return allotments.get(name) ?? (sums.has(name) ? 0 : undefined)
+  }
+
+  function describeOwn (name: string, { requests }: AccountState, now: number): AccountCount {
+    const count = requests.count(now, bounds().windowMs)
+    return { ...count, committed: Math.max(count.admitted, allotments.get(name) ?? 0) }
+  }
+
+  function endReport (): void {
+    isReporting = false
+    exchanged.notify()
+  }
+
+  // The response is no longer valid for requests that came to know of a denial since the sums.
+  function canAsk ({ deniedAt }: AccountState): boolean {
+    return deniedAt < receivedAt
+  }
+
   return {
-    admit (account) {
+    exchanged,
+    get sequence () { return sequence },
+    admit (account, mayWait = false) {
       if (account === undefined || account.ratePerSecond <= 0) return unlimited
       const now = clock.now()
       const state = findState(account.name)
-      const { own, limit, accountSums, admittedShare, retryMs, position, isAdmitted } = decide(account, state, now)
+      const { own, limit, accountSums, admittedShare, retryMs, mayAsk, position, isAdmitted } = decide(account, state, now)
+      if (!isAdmitted && mayWait && mayAsk && canAsk(state)) return { isAdmitted, retryMs, isUndecided: true }
       state.position = position
       state.requests.add(now, isAdmitted)
       state.summary.add(now, { isAdmitted, used: accountSums?.count.admitted, ageMs: accountSums?.ageMs, retryMs: isAdmitted ? 0 : retryMs, limit: limit.limit })
@@ -232,16 +314,40 @@
     release (account, { countedAt }) {
       if (account !== undefined && countedAt !== undefined) states.get(account.name)?.requests.remove(countedAt)
     },
+    describeRequest (account) {
+      const state = findState(account.name)
+      if (isReporting || state.isAsking) return undefined
+      state.isAsking = true
+      sequence++
+      return { holder, sequence, account: account.name, use: describeCount(describeOwn(account.name, state, clock.now())), wanted: 1 }
+    },
+    applyAllotment ({ account }, response) {
+      const state = findState(account)
+      const now = clock.now()
+      state.isAsking = false
+      if (response === undefined) unansweredAt = now
+      if (response?.allotment !== undefined) allotments.set(account, response.allotment)
+      if (state.requests.count(now, bounds().windowMs).admitted >= (response?.allotment ?? 0)) state.deniedAt = now
+      exchanged.notify()
+    },
+    cancelReport () {
+      unansweredAt = clock.now()
+      endReport()
+    },
     describeUse () {
       const now = clock.now()
-      if (now < nextReportAt) return undefined
+      // A report beside a request for an allotment would reach the leader without what it has just named.
+      if (now < nextReportAt || [...states.values()].some(({ isAsking }) => isAsking)) return undefined
       const use = new Map<string, number[]>()
       describedAt = now
-      for (const [name, { requests, summary, refusedAt }] of states) {
+      isReporting = true
+      sequence++
+      for (const [name, state] of states) {
+        const { summary, refusedAt } = state
         const figures = summary.take(now)
         if (figures !== undefined) logger.write(LogEvents.accountAdmissions, { detail: name, value: figures.admitted, inputs: { ...figures } })
-        const count = requests.count(now, bounds().windowMs)
-        if (count.admitted > 0 || count.refused > 0) use.set(name, describeCount(count))
+        const count = describeOwn(name, state, now)
+        if (count.committed > 0 || count.refused > 0) use.set(name, describeCount(count))
         else if (now - refusedAt > bounds().windowMs) states.delete(name)
       }
       nextReportAt = now + Math.max(minReportIntervalMs, reportIntervalPerAccountMs * (use.size + sums.size))
@@ -253,10 +359,11 @@
       if (leadership !== undefined && now - receivedAt > (intervalMs ?? assumedIntervalMs)) earlier = { leadership, sums, reportedUse, receivedAt }
       if (earlier === undefined || now - earlier.receivedAt >= bounds().windowMs) return undefined
       const use = new Map<string, readonly [number, number]>()
-      for (const [name, { admitted }] of earlier.sums) use.set(name, [admitted, earlier.reportedUse.get(name)?.admitted ?? 0])
+      for (const [name, { committed }] of earlier.sums) use.set(name, [committed, earlier.reportedUse.get(name)?.committed ?? 0])
       return { leadership: earlier.leadership, ageMs: now - earlier.receivedAt, use: Object.fromEntries(use) }
     },
-    applyTotals ({ accountUse: use, gateways: newGateways, accountLevel, leadership: newLeadership }, reported, earlierUse) {
+    applyTotals ({ accountUse: use, gateways: newGateways, accountLevel, leadership: newLeadership, allotments: newAllotments }, reported, earlierUse) {
+      if (reported !== undefined) endReport()
       if (use === undefined || newGateways === undefined) return
       const now = clock.now()
       // The sums of a new leader lack what its predecessor knew until this host has reported that.
@@ -278,6 +385,8 @@
       leadership = newLeadership
       receivedAt = now
       reportedAt = describedAt
+      isAllotting = newAllotments !== undefined
+      allotments = new Map(Object.entries(newAllotments ?? {}))
     },
     getLevel (account) {
       const used = account === undefined ? undefined : sums.get(account.name)
@@ -297,8 +406,8 @@
  * @param numbers - the numbers; missing ones are 0
  * @returns the counts
  */
-export function readCount ([admitted = 0, recent = 0, ending = 0, refused = 0]: readonly number[]): AccountCount {
-  return { admitted, recent, ending, refused }
+export function readCount ([admitted = 0, recent = 0, ending = 0, refused = 0, committed = 0]: readonly number[]): AccountCount {
+  return { admitted, recent, ending, refused, committed: Math.max(admitted, committed) }
 }
 
 /**
@@ -306,7 +415,8 @@
  * @param count - the counts
  * @returns the numbers, without zeros at the end
  */
-export function describeCount ({ admitted, recent, ending, refused }: AccountCount): number[] {
+export function describeCount ({ admitted, recent, ending, refused, committed }: AccountCount): number[] {
+  if (committed > admitted) return [admitted, recent, ending, refused, committed]
   if (refused > 0) return [admitted, recent, ending, refused]
   if (ending > 0) return [admitted, recent, ending]
   return recent > 0 ? [admitted, recent] : [admitted]
--- a/src/process/accounts/accountUseSums.ts
+++ b/src/process/accounts/accountUseSums.ts
@@ -3,9 +3,10 @@
  * reports.
  * @module
  */
-import { type AccountCount, createWindowLimit, isNearLimit, type QuotaBounds } from '../../request/placement/accountQuota.ts'
+import { decideAllotment } from '../../request/placement/accountAllotment.ts'
+import { type AccountCount, computeUnboundPart, createWindowLimit, isNearLimit, type QuotaBounds } from '../../request/placement/accountQuota.ts'
 import type { ClientAccount } from '../../version/accounts.ts'
-import { type AccountUse, describeCount, readCount } from './accountQuotas.ts'
+import { type AccountUse, type AllotmentRequest, describeCount, readCount } from './accountQuotas.ts'
 
 /** Minimum interval between two selections of the accounts near their limits, in milliseconds. With hundreds of hosts, a report arrives every few milliseconds. */
 const selectionIntervalMs = 40
@@ -13,8 +14,11 @@
 /** Windows for which the use of a host without contact counts: the host may continue to accept as many requests for as long as it accepts keys. */
 const lostHostWindows = 2
 
-/** Share of the window, at its end, in which requests from before this leader are taken to leave it evenly. */
-const earlierDecayShare = 2 / 3
+/**
+ * Time from the first report to a leader until it describes sums, in milliseconds: until then, it lacks what most hosts have admitted, and hosts keep
+ * to what the leader before has named.
+ */
+const settlingMs = 600
 
 /** Sums in the response to a load report. */
 export interface AccountTotals {
@@ -24,6 +28,8 @@
   readonly gateways?: number | undefined
   /** Use of the limited accounts with requests in the window together, as a share of their limits; undefined where `accountUse` is. */
   readonly accountLevel?: number | undefined
+  /** Requests that the reporting host may have admitted in any window, by name of the account; 0 for the others in `accountUse`, none for the others. Undefined for a leader of an earlier version of the program. */
+  readonly allotments?: Readonly<Record<string, number>> | undefined
   /** Identifies the leadership under which the sums were made; undefined for a leader of an earlier version of the program. */
   readonly leadership?: string | undefined
 }
@@ -38,6 +44,9 @@
   readonly use: Readonly<Record<string, readonly [total: number, own: number]>>
 }
 
+/** Share of the part of a host without an allotment up to which a host gives its allotment back. */
+const unboundUseShare = 0.5
+
 /** Decimal places of the level in messages. */
 const levelDigits = 3
 
@@ -47,8 +56,9 @@
    * Replaces the use of a host.
    * @param holder - identifies the host's process start
    * @param use - what the host reports
+   * @param sequence - number of the report; an outdated one is ignored
    */
-  record (holder: string, use: AccountUse): void
+  record (holder: string, use: AccountUse, sequence?: number): void
   /**
    * Adds the last sums of an earlier leader. The part of them that no reporting host has admitted counts for one window: it is that of hosts
    * that have ended, or have not contacted this leader yet.
@@ -73,6 +83,24 @@
    * @returns the sums of the accounts near their limits
    */
   describe (accounts: readonly ClientAccount[] | undefined, bounds: QuotaBounds, now: number): AccountTotals
+  /**
+   * Names the allotments of a host for the accounts near their limits.
+   * @param holder - identifies the host's process start
+   * @param accounts - accounts of the tables in force
+   * @param bounds - tolerances
+   * @param now - monotonic time in milliseconds
+   * @returns the allotments by name of the account; undefined while the leader is new and lacks reports
+   */
+  allot (holder: string, accounts: readonly ClientAccount[], bounds: QuotaBounds, now: number): Readonly<Record<string, number>> | undefined
+  /**
+   * Names the allotment for which a host asks.
+   * @param request - the request of the host
+   * @param account - the account
+   * @param bounds - tolerances
+   * @param now - monotonic time in milliseconds
+   * @returns the allotment; undefined if the host is unknown, or has reported since
+   */
+  allotRequested (request: AllotmentRequest, account: ClientAccount, bounds: QuotaBounds, now: number): number | undefined
   /** Removes everything. */
   clear (): void
 }
@@ -87,6 +115,13 @@
   until: number
 }
 
+/** Requests of an account at the hosts with an allotment. */
+interface BoundUse {
+  readonly holders: Set<string>
+  /** Requests that may be in a window at most. */
+  committed: number
+}
+
 interface RetiredUse {
   readonly since: number
   readonly windows: number
@@ -103,24 +138,36 @@
   const sums = new Map<string, AccountCount>()
   const earlierCounts = new Map<string, EarlierCount>()
   const earlierHolders = new Set<string>()
+  // Hosts with an allotment by name of the account.
+  const boundUse = new Map<string, BoundUse>()
+  const sequences = new Map<string, number>()
+  let settledAt = Infinity
   let selection: AccountTotals = {}
   let selectedAt = -Infinity
 
-  function add (use: AccountUse, sign: 1 | -1): void {
+  function add (holder: string, use: AccountUse, sign: 1 | -1): void {
     for (const [name, numbers] of Object.entries(use)) {
       const sum = sums.get(name) ?? readCount([])
-      const { admitted, recent, ending, refused } = readCount(numbers)
-      const changed = { admitted: sum.admitted + sign * admitted, recent: sum.recent + sign * recent, ending: sum.ending + sign * ending, refused: sum.refused + sign * refused }
-      if (changed.admitted > 0 || changed.refused > 0) sums.set(name, changed)
+      const { admitted, recent, ending, refused, committed } = readCount(numbers)
+      const changed = {
+        admitted: sum.admitted + sign * admitted,
+        recent: sum.recent + sign * recent,
+        ending: sum.ending + sign * ending,
+        refused: sum.refused + sign * refused,
+        committed: sum.committed + sign * committed
+      }
+      const bound = boundUse.get(name)
+      if (bound?.holders.has(holder) === true) bound.committed += sign * committed
+      if (changed.committed > 0 || changed.refused > 0) sums.set(name, changed)
       else sums.delete(name)
     }
   }
 
   function replace (holder: string, use: AccountUse | undefined): void {
-    add(useByHolder.get(holder) ?? {}, -1)
+    add(holder, useByHolder.get(holder) ?? {}, -1)
     if (use === undefined) useByHolder.delete(holder)
     else useByHolder.set(holder, use)
-    add(use ?? {}, 1)
+    add(holder, use ?? {}, 1)
   }
 
   function removeExpired (windowMs: number, now: number): void {
@@ -132,10 +179,10 @@
   }
 
   // Requests admitted before this leader by hosts that have not reported their use to it.
-  function countUnreported (name: string, windowMs: number, now: number): number {
+  function countUnreported (name: string, now: number): number {
     const earlier = earlierCounts.get(name)
     if (earlier === undefined || now >= earlier.until) return 0
-    return Math.ceil(Math.max(0, earlier.total - earlier.known) * Math.min(1, (earlier.until - now) / (windowMs * earlierDecayShare)))
+    return Math.max(0, earlier.total - earlier.known)
   }
 
   function select (accounts: readonly ClientAccount[], bounds: QuotaBounds, now: number): AccountTotals {
@@ -144,10 +191,11 @@
     let limits = 0
     for (const { name, ratePerSecond, burst } of accounts) {
       if (ratePerSecond <= 0) continue
-      const unreported = countUnreported(name, bounds.windowMs, now)
+      const unreported = countUnreported(name, now)
       const reported = sums.get(name)
       if (reported === undefined && unreported === 0) continue
-      const count = { ...reported ?? readCount([]), admitted: unreported + (reported?.admitted ?? 0) }
+      const known = reported ?? readCount([])
+      const count = { ...known, admitted: unreported + known.admitted, committed: unreported + known.committed }
       const limit = createWindowLimit(ratePerSecond, burst, bounds)
       used += count.admitted
       limits += limit.limit
@@ -162,11 +210,88 @@
     return useByHolder.size - restarted
   }
 
+  function replaceCount (holder: string, name: string, count: AccountCount): void {
+    replace(holder, { ...useByHolder.get(holder), [name]: describeCount(count) })
+  }
+
+  function countOwn (holder: string, name: string): AccountCount {
+    return readCount(useByHolder.get(holder)?.[name] ?? [])
+  }
+
+  function bind (holder: string, name: string): BoundUse {
+    const bound = boundUse.get(name) ?? { holders: new Set<string>(), committed: 0 }
+    boundUse.set(name, bound)
+    if (bound.holders.has(holder)) return bound
+    bound.holders.add(holder)
+    bound.committed += countOwn(holder, name).committed
+    return bound
+  }
+
+  function unbind (holder: string, name: string): void {
+    const bound = boundUse.get(name)
+    if (bound?.holders.delete(holder) !== true) return
+    bound.committed -= countOwn(holder, name).committed
+    if (bound.holders.size === 0) boundUse.delete(name)
+  }
+
+  // Far from the limit, a host that needs no more than the part of one without an allotment gets along with it.
+  function needsAllotment (holder: string, { name, ratePerSecond, burst }: ClientAccount, near: AccountUse, bounds: QuotaBounds): boolean {
+    if (Object.hasOwn(near, name)) return true
+    if (boundUse.get(name)?.holders.has(holder) !== true) return false
+    return countOwn(holder, name).admitted > computeUnboundPart(createWindowLimit(ratePerSecond, burst, bounds), countReporters()) * unboundUseShare
+  }
+
+  function allotAccount (holder: string, { name, ratePerSecond, burst }: ClientAccount, wanted: number, bounds: QuotaBounds, now: number): number {
+    const own = countOwn(holder, name)
+    const bound = bind(holder, name)
+    const hosts = countReporters()
+    const allotment = decideAllotment({
+      own,
+      total: sums.get(name) ?? own,
+      unreported: countUnreported(name, now),
+      bound,
+      unboundHosts: Math.max(0, hosts - bound.holders.size),
+      hosts,
+      wanted,
+      limit: createWindowLimit(ratePerSecond, burst, bounds),
+      windowMs: bounds.windowMs
+    })
+    // Until the host names what it has, it may have either.
+    if (allotment > own.committed) replaceCount(holder, name, { ...own, committed: allotment })
+    return allotment
+  }
+
   return {
-    record (holder, use) {
+    record (holder, use, sequence) {
+      if (sequence !== undefined) {
+        if (sequence < (sequences.get(holder) ?? 0)) return
+        sequences.set(holder, sequence)
+      }
       retired.delete(holder)
       replace(holder, use)
     },
+    allot (holder, accounts, bounds, now) {
+      settledAt = Math.min(settledAt, now + settlingMs)
+      if (now < settledAt) return undefined
+      const { accountUse: near = {} } = selection
+      const allotments = new Map<string, number>()
+      for (const account of accounts) {
+        if (account.ratePerSecond <= 0) continue
+        if (!needsAllotment(holder, account, near, bounds)) {
+          unbind(holder, account.name)
+          continue
+        }
+        const allotment = allotAccount(holder, account, 0, bounds, now)
+        if (allotment > 0) allotments.set(account.name, allotment)
+      }
+      return Object.fromEntries(allotments)
+    },
+    allotRequested ({ holder, sequence, use, wanted }, account, bounds, now) {
+      if (!useByHolder.has(holder) || retired.has(holder) || now < settledAt || sequence < (sequences.get(holder) ?? 0)) return undefined
+      sequences.set(holder, sequence)
+      replaceCount(holder, account.name, readCount(use))
+      return allotAccount(holder, account, wanted, bounds, now)
+    },
     recordEarlier (holder, { ageMs, use }, windowMs, now) {
       if (earlierHolders.has(holder)) return
       earlierHolders.add(holder)
@@ -181,9 +306,11 @@
     retire (holder, isRestarted, now) {
       const use = useByHolder.get(holder)
       if (use === undefined) return
+      sequences.delete(holder)
+      for (const name of [...boundUse.keys()]) unbind(holder, name)
       retired.set(holder, { since: now, windows: isRestarted ? 1 : lostHostWindows })
       // What it sent most recently says nothing about what comes next.
-      replace(holder, Object.fromEntries(Object.entries(use).map(([name, numbers]) => [name, [readCount(numbers).admitted]])))
+      replace(holder, Object.fromEntries(Object.entries(use).map(([name, numbers]) => [name, describeCount({ ...readCount([]), admitted: readCount(numbers).admitted, committed: readCount(numbers).committed })])))
     },
     describe (accounts, bounds, now) {
       if (accounts === undefined) return {}
@@ -199,6 +326,9 @@
       sums.clear()
       earlierCounts.clear()
       earlierHolders.clear()
+      boundUse.clear()
+      sequences.clear()
+      settledAt = Infinity
       selection = {}
       selectedAt = -Infinity
     }
--- a/src/process/accounts/requestLog.ts
+++ b/src/process/accounts/requestLog.ts
@@ -4,6 +4,9 @@
  */
 import { type AccountCount, endingMs, recentMs } from '../../request/placement/accountQuota.ts'
 
+/** Requests as the log counts them; it knows no allotment. */
+export type RequestCount = Omit<AccountCount, 'committed'>
+
 /** Times of requests; those older than a window are discarded. */
 export interface RequestLog {
   /**
@@ -23,7 +26,7 @@
    * @param windowMs - length of the window, in milliseconds
    * @returns the requests in the window that ends now
    */
-  count (now: number, windowMs: number): AccountCount
+  count (now: number, windowMs: number): RequestCount
   /**
    * Counts the admitted requests after a time within the latest window.
    * @param time - monotonic time in milliseconds
--- a/src/process/fleet/fleetDaemon.ts
+++ b/src/process/fleet/fleetDaemon.ts
@@ -77,13 +77,13 @@
   const clock = createSystemClock()
   const random = createSystemRandom()
   const clients = createInternalClients(lifecycle, compressionThresholdBytes, metrics)
+  const holder = randomUUID()
   const view = createFleetView(clock, logger, () => listControlHosts(settings), {
-    host: settings.host, keyLeaseMs: () => getKeyLeaseMs(settings.revocationMs), quotaBounds: () => readQuotaBounds(settings)
+    host: settings.host, holder, keyLeaseMs: () => getKeyLeaseMs(settings.revocationMs), quotaBounds: () => readQuotaBounds(settings)
   })
   const control = createControlClient({ controlHosts: () => view.controlHosts, readTarget: ReadTarget.Nearest, clients, clock, random, metrics, signal: lifecycle.signal })
   const readiness = { isReady: false }
   const overload = createHostOverload()
-  const holder = randomUUID()
   const describe = (): FleetHost => ({
     name: settings.host,
     holder,
--- a/src/process/fleet/fleetLeader.ts
+++ b/src/process/fleet/fleetLeader.ts
@@ -5,7 +5,7 @@
  */
 import { err, ok, type Result } from 'neverthrow'
 import type { QuotaBounds } from '../../request/placement/accountQuota.ts'
-import { defaultQuotaBounds } from '../accounts/accountQuotas.ts'
+import { type AllotmentRequest, type AllotmentResponse, defaultQuotaBounds } from '../accounts/accountQuotas.ts'
 import type { AccountTotals } from '../accounts/accountUseSums.ts'
 import { type Condition, createCondition } from '../program/condition.ts'
 import type { ControlState } from '../state/controlState.ts'
@@ -106,6 +106,12 @@
    * @returns whether it may be sent, or a `NotLeader` failure
    */
   acquirePermit (request: PermitRequest): Result<PermitResponse, Failure>
+  /**
+   * Names the allotment of a client account for which a host asks.
+   * @param request - the host, the account and what the host has admitted
+   * @returns the allotment, or a failure when this host is not the leader
+   */
+  acquireAllotment (request: AllotmentRequest): Result<AllotmentResponse, Failure>
   /**
    * Asks whether a request with traits on trial may be sent.
    * @param request - the traits of the request
@@ -255,7 +261,12 @@
   function describeAccountUse ({ holder, earlierUse }: LoadReport): AccountTotals {
     const bounds = inputs.quotaBounds ?? defaultQuotaBounds
     if (earlierUse !== undefined && earlierUse.leadership !== getLeadership()) sessions.accountUse.recordEarlier(holder, earlierUse, bounds.windowMs, clock.now())
-    return { ...sessions.accountUse.describe(state.publication?.tables.accounts, bounds, clock.now()), leadership: getLeadership() }
+    const accounts = state.publication?.tables.accounts
+    const totals = sessions.accountUse.describe(accounts, bounds, clock.now())
+    if (accounts === undefined) return {}
+    const allotments = sessions.accountUse.allot(holder, accounts, bounds, clock.now())
+    if (allotments === undefined) return {}
+    return { ...totals, allotments, leadership: getLeadership() }
   }
 
   function recordPaces ({ paces: samples }: LoadReport): void {
@@ -379,6 +390,12 @@
       if (permits.revision !== revision) updateAvailable.notify()
       return ok(response)
     },
+    acquireAllotment (request) {
+      if (!isLeading()) return err(createNotLeaderFailure(Step.Report))
+      const account = state.publication?.tables.accounts?.find(({ name }) => name === request.account)
+      const hasLimit = account !== undefined && account.ratePerSecond > 0
+      return ok({ allotment: hasLimit ? sessions.accountUse.allotRequested(request, account, inputs.quotaBounds ?? defaultQuotaBounds, clock.now()) : undefined })
+    },
     acquireTrial ({ traits }) {
       return isLeading() ? ok(quarantine.acquireTrial(traits)) : err(createNotLeaderFailure(Step.Report))
     },
--- a/src/process/fleet/fleetMessages.ts
+++ b/src/process/fleet/fleetMessages.ts
@@ -217,6 +217,8 @@
   readonly work?: ReportedWorks | undefined
   /** Requests of limited client accounts at the host; undefined if they are as last reported. */
   readonly accountUse?: AccountUse | undefined
+  /** Number of this report of the use of accounts; undefined without one, and from hosts of earlier versions of the program. */
+  readonly accountUseSequence?: number | undefined
   /** The last sums of an earlier leader; undefined if they are outdated, or of this leader. */
   readonly earlierUse?: EarlierUse | undefined
 }
--- a/src/process/fleet/fleetView.ts
+++ b/src/process/fleet/fleetView.ts
@@ -40,6 +40,8 @@
 export interface AccountSettings {
   /** Name of this host. */
   readonly host: string
+  /** Identifies this process start. */
+  readonly holder: string
   /** Returns the duration of the lease for keys, in milliseconds; 0 for no lease. */
   readonly keyLeaseMs: () => number
   /** Returns the tolerances of the limits of accounts. */
@@ -47,7 +49,7 @@
 }
 
 /** Settings of a host whose settings file names none of them. */
-export const defaultAccountSettings: AccountSettings = { host: '', keyLeaseMs: () => 0, quotaBounds: () => defaultQuotaBounds }
+export const defaultAccountSettings: AccountSettings = { host: '', holder: '', keyLeaseMs: () => 0, quotaBounds: () => defaultQuotaBounds }
 
 /** A host's local view of the fleet. */
 export interface FleetView {
@@ -215,7 +217,7 @@
   let routes: RouteIndex = new Map()
   let accounts: AccountIndex | undefined
   let livePriorities: readonly number[] = []
-  const accountQuotas = createAccountQuotas(clock, logger, accountSettings.quotaBounds, accountSettings.host)
+  const accountQuotas = createAccountQuotas(clock, logger, accountSettings.quotaBounds, accountSettings.host, accountSettings.holder)
   const keyLease = createKeyLease(clock, accountSettings.keyLeaseMs)
   let hosts: readonly FleetHost[] = []
   let reportedControlHosts: readonly string[] = []
--- a/src/process/fleet/hostSessions.ts
+++ b/src/process/fleet/hostSessions.ts
@@ -158,7 +158,7 @@
       const session = sessions.get(holder)
       if (session !== undefined) session.lastContactAt = now
     },
-    report ({ holder, live, suspects, work, tablesVersion, accountUse: use }) {
+    report ({ holder, live, suspects, work, tablesVersion, accountUse: use, accountUseSequence }) {
       const session = sessions.get(holder)
       if (session === undefined) return false
       addLoad(session, -1)
@@ -166,7 +166,7 @@
       session.suspects = suspects
       session.work = work ?? {}
       addLoad(session, 1)
-      if (use !== undefined) accountUse.record(holder, use)
+      if (use !== undefined) accountUse.record(holder, use, accountUseSequence)
       session.tablesVersion = Math.max(session.tablesVersion, tablesVersion ?? 0)
       return true
     },
--- a/src/process/program/metrics.ts
+++ b/src/process/program/metrics.ts
@@ -10,6 +10,8 @@
   Refusals: 'jaychute_refusals_total',
   /** Requests refused since the limit of their client account was used up, by account. */
   QuotaRefusals: 'jaychute_quota_refusals_total',
+  /** Requests to the leader for an allotment of a client account, by outcome. */
+  AllotmentRequests: 'jaychute_allotment_requests_total',
   /** Requests beyond the share of their client account that found no free slot, by account. */
   ShareRefusals: 'jaychute_share_refusals_total',
   /** Rounds of waiting for a place at a backend server, by client account; empty without one. */
--- a/src/request/forwardedAttempt.ts
+++ b/src/request/forwardedAttempt.ts
@@ -45,7 +45,7 @@
   readonly drain: Pick<GatewayDrain, 'lastEndAt'>
   readonly client: BackendServerClient
   readonly origins: StreamOrigins
-  readonly control: Pick<FleetClient, 'reportCrash' | 'acquireTrial' | 'acquirePermit'>
+  readonly control: Pick<FleetClient, 'reportCrash' | 'acquireTrial' | 'acquirePermit' | 'acquireAllotment'>
   readonly availabilityZone: string
   /** Returns the region of an availability zone; undefined when the settings do not name it. */
   readonly getRegion: (availabilityZone: string) => string | undefined
--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -15,6 +15,7 @@
 import { reportCrash } from './crashReport.ts'
 import { canContinue, decideResumption, isResumption, mayContinue } from './streamContinuation.ts'
 import { acquirePermit } from './requestPermit.ts'
+import { admitByQuota } from './quotaAdmission.ts'
 import { createRequestTraits, listTraits } from './requestTraits.ts'
 import { decidePlaces, type LivePlaces, ordinaryPlaces } from './placement/competition.ts'
 import type { CostedRequest, RequestCost } from './placement/requestCost.ts'
@@ -55,7 +56,7 @@
   const identified = identifyCaller(request.credential, route.isPublic === true, view)
   if (identified.isErr()) return sendRefusal(services, request, response, identified.error, undefined)
   const account = identified.value
-  const quota = view.accountQuotas.admit(account)
+  const quota = await admitByQuota(account, request.disconnectSignal, services)
   if (!quota.isAdmitted) {
     services.metrics.count(Counter.QuotaRefusals, account?.name ?? '')
     return sendRefusal(services, request, response, GatewayRefusal.QuotaExceeded, undefined, quota.retryMs)
--- a/src/request/placement/accountQuota.ts
+++ b/src/request/placement/accountQuota.ts
@@ -9,6 +9,9 @@
  * all of them would do so at once, for as long as the sums are old. So they admit the share of the requests that brings the sum near to a
  * target between the limit and the tolerated maximum.
  *
+ * Near the limit, the leader names each host an allotment, the requests that it may have admitted in any window. The host then needs no estimate.
+ * Until it has one, it admits a part of what an account may use before the leader lists it, and asks for more.
+ *
  * Without recent sums nothing tells a host what the others admit. It then keeps to its own part of the tolerated maximum: what it used as of
  * the last sums is not known to be typical, so each host has the same part.
  * @module
@@ -35,6 +38,9 @@
 /** Longest such time, in milliseconds: with a longer one, ordinary waves are refused. */
 const maxApproachMs = 600
 
+/** Part of the tolerated overshoot that is allotted to hosts; the remainder covers the time from the admission of a request until it is sent. */
+const allottedOvershootShare = 0.6
+
 /** Share of the target from which the sums of an account are distributed. Below it, one window cannot reach the target before the next sums. */
 const listedShare = 0.6
 
@@ -50,6 +56,9 @@
 /** Shortest time after which sums are outdated, in milliseconds. */
 const minOutdatedMs = 600
 
+/** Share of the maximum that hosts without an allotment may have admitted together in a window. */
+const unboundShare = 0.5
+
 /** Weight of a host's part of the last sums against an even part: the callers of an account may use a few hosts only. */
 const usedShareWeight = 0.5
 
@@ -74,6 +83,8 @@
   readonly limit: number
   /** Requests at which the hosts aim when the account sends more. */
   readonly target: number
+  /** Requests that the allotments of all hosts add up to at most. */
+  readonly allotted: number
   /** Requests that no window may exceed. */
   readonly maximum: number
 }
@@ -88,6 +99,8 @@
   readonly ending: number
   /** Requests refused in the latest `recentMs` since the limit was used up. */
   readonly refused: number
+  /** Requests that may be in a window at most: those admitted, and those that allotments allow beyond. */
+  readonly committed: number
 }
 
 /** Sums of the counts of all hosts. */
@@ -105,6 +118,12 @@
   readonly ownSince: number
   /** Usual time between two receptions of sums, in milliseconds. */
   readonly intervalMs: number
+  /** Whether a request to the leader has remained without an answer since the sums. */
+  readonly isUnanswered: boolean
+  /** Whether the leader names allotments. */
+  readonly isAllotting: boolean
+  /** Requests that the host may have admitted in any window; undefined if the leader has named no allotment. */
+  readonly allotment: number | undefined
 }
 
 /** What a host knows of an account. */
@@ -124,6 +143,8 @@
   readonly admittedShare: number
   /** Time after which a further request is likely to be admitted, in milliseconds. */
   readonly retryMs: number
+  /** Whether the leader may allot more to a host that asks. */
+  readonly mayAsk: boolean
 }
 
 /**
@@ -136,7 +157,7 @@
 export function createWindowLimit (ratePerSecond: number, burst: number, { windowMs, overshootShare, overshootRequests }: QuotaBounds): WindowLimit {
   const limit = ratePerSecond * windowMs / millisecondsPerSecond + burst
   const overshoot = limit * overshootShare + overshootRequests
-  return { limit, target: limit + overshoot * targetShare, maximum: limit + overshoot }
+  return { limit, target: limit + overshoot * targetShare, allotted: limit + overshoot * allottedOvershootShare, maximum: limit + overshoot }
 }
 
 /**
@@ -155,7 +176,7 @@
  * @returns the sums
  */
 export function assumeUnlisted ({ target }: WindowLimit): AccountCount {
-  return { admitted: target * listedShare, recent: 0, ending: 0, refused: 0 }
+  return { admitted: target * listedShare, recent: 0, ending: 0, refused: 0, committed: target * listedShare }
 }
 
 /**
@@ -167,9 +188,10 @@
  */
 export function decideQuota (knowledge: AccountKnowledge, limit: WindowLimit, bounds: QuotaBounds): QuotaShare {
   const { sums } = knowledge
+  if (sums?.isAllotting === true) return sums.allotment === undefined ? decideUnbound(knowledge, sums, limit, bounds) : decideByAllotment(knowledge, sums.allotment, sums, limit, bounds)
   if (sums === undefined || areOutdated(sums)) return decideAlone(knowledge, limit, bounds)
   // These may be the last sums for a while. They don't show that all hosts admit more than before; each keeping to its part bounds the total.
-  if (sums.ageMs > sums.intervalMs * lateIntervals && sums.ownSince >= countAllowed(knowledge, limit, bounds)) return { admittedShare: 0, retryMs: sums.intervalMs }
+  if (sums.ageMs > sums.intervalMs * lateIntervals && sums.ownSince >= countAllowed(knowledge, limit, bounds)) return { admittedShare: 0, retryMs: sums.intervalMs, mayAsk: false }
   return approachTarget(knowledge.own, sums, limit, bounds)
 }
 
@@ -177,6 +199,46 @@
   return ageMs > Math.max(minOutdatedMs, intervalMs * outdatedIntervals)
 }
 
+function decideByAllotment (knowledge: AccountKnowledge, allotment: number, sums: AccountSums, limit: WindowLimit, { windowMs }: QuotaBounds): QuotaShare {
+  const { own } = knowledge
+  const late = isLate(sums)
+  // What was allotted may be given to others once the leader counts the host as lost.
+  const isAdmitted = own.admitted < allotment + (late ? computeLatePart(knowledge, sums, limit) : 0) && sums.ageMs <= windowMs
+  return { admittedShare: isAdmitted ? 1 : 0, retryMs: Math.min(windowMs, endingMs / Math.max(1, own.ending)), mayAsk: !late }
+}
+
+// Without a leader, the hosts divide what was left at the last sums, unless the account was at its limit then. A host without a part does not refuse the
+// only request that it gets in a window.
+function computeLatePart ({ gateways = assumedGateways, rounding }: AccountKnowledge, sums: AccountSums, { limit, target }: WindowLimit): number {
+  const { admitted, committed, refused } = sums.count
+  if (refused > 0 || admitted >= limit) return 0
+  const room = areOutdated(sums) ? Math.max(0, target - committed) : 0
+  return Math.max(1, Math.floor(room * computePartShare(sums, gateways) + rounding))
+}
+
+// The parts of hosts without an allotment are fixed, so that the leader can count them before it has their reports. A host whose callers need more asks.
+function decideUnbound (knowledge: AccountKnowledge, sums: AccountSums, limit: WindowLimit, bounds: QuotaBounds): QuotaShare {
+  const { own, gateways = assumedGateways, rounding } = knowledge
+  if (own.admitted < Math.max(1, Math.floor(computeUnboundPart(limit, gateways) + rounding))) return { admittedShare: 1, retryMs: 0, mayAsk: false }
+  // Without a leader, the hosts divide what it may allot.
+  const isAdmitted = areOutdated(sums) && own.admitted < Math.max(1, Math.floor(limit.target * computePartShare(sums, gateways) + rounding))
+  return { admittedShare: isAdmitted ? 1 : 0, retryMs: bounds.windowMs / Math.max(1, own.admitted), mayAsk: !isLate(sums) }
+}
+
+/**
+ * Returns how many requests a host without an allotment may have admitted in a window.
+ * @param limit - limit of the account
+ * @param gateways - number of hosts
+ * @returns the number; each host rounds it to at least one request
+ */
+export function computeUnboundPart ({ maximum }: WindowLimit, gateways: number): number {
+  return maximum * unboundShare / Math.max(1, gateways)
+}
+
+function isLate ({ isUnanswered, ageMs, intervalMs }: AccountSums): boolean {
+  return isUnanswered || ageMs > intervalMs * lateIntervals
+}
+
 function approachTarget (own: AccountCount, { count, isListed, reported, previousDemand, ageMs, intervalMs }: AccountSums, { target: usualTarget, maximum }: WindowLimit, { windowMs }: QuotaBounds): QuotaShare {
   // Sums that are assumed are mostly too high. Up to the maximum the host relies on the next sums, which list an account that comes near.
   const target = isListed ? usualTarget : maximum
@@ -203,27 +265,29 @@
   const admittedShare = admittedPerMs >= demandPerMs ? 1 : Math.max(0, admittedPerMs / demandPerMs)
   const excess = used + 1 - target
   const retryMs = excess > 0 ? excess / Math.max(endingPerMs, 1 / windowMs) : 1 / Math.max(admittedPerMs, 1 / windowMs)
-  return { admittedShare, retryMs: Math.min(windowMs, retryMs) }
+  return { admittedShare, retryMs: Math.min(windowMs, retryMs), mayAsk: false }
 }
 
 function decideAlone (knowledge: AccountKnowledge, limit: WindowLimit, bounds: QuotaBounds): QuotaShare {
   const { own, sums } = knowledge
   const admittedBefore = sums === undefined ? own.admitted : sums.ownSince
-  return { admittedShare: admittedBefore < countAllowed(knowledge, limit, bounds) ? 1 : 0, retryMs: bounds.windowMs / Math.max(1, own.admitted) }
+  return { admittedShare: admittedBefore < countAllowed(knowledge, limit, bounds) ? 1 : 0, retryMs: bounds.windowMs / Math.max(1, own.admitted), mayAsk: false }
 }
 
 // Returns how many requests a host may admit since the last sums, or in a window without any, so that all hosts stay within the maximum.
-function countAllowed ({ sums, gateways = assumedGateways, rounding }: AccountKnowledge, { maximum }: WindowLimit, { windowMs }: QuotaBounds): number {
-  const evenShare = 1 / Math.max(1, gateways)
-  const part = sums === undefined ? maximum * evenShare : estimateRoom(sums, maximum, windowMs) * (evenShare * (1 - usedShareWeight) + usedShareWeight * computeUsedShare(sums, evenShare))
+function countAllowed ({ sums, gateways = assumedGateways, rounding }: AccountKnowledge, limit: WindowLimit, { windowMs }: QuotaBounds): number {
+  const part = sums === undefined ? computeUnboundPart(limit, gateways) : estimateRoom(sums, limit.maximum, windowMs) * computePartShare(sums, gateways)
   // The roundings of all hosts must not add up. But while the sums may still hold, a host with a part of less than one request does not refuse
   // the only one that it gets in a window.
   const isOneAdmitted = sums === undefined || sums.ageMs <= windowMs
   return Math.max(isOneAdmitted ? 1 : 0, Math.floor(part + rounding))
 }
 
-function computeUsedShare ({ count, reported }: AccountSums, evenShare: number): number {
-  return count.admitted > 0 ? Math.min(1, reported.admitted / count.admitted) : evenShare
+// Returns a host's share of what all hosts may admit without a leader.
+function computePartShare ({ count, reported }: AccountSums, gateways: number): number {
+  const evenShare = 1 / Math.max(1, gateways)
+  const usedShare = count.admitted > 0 ? Math.min(1, reported.admitted / count.admitted) : evenShare
+  return evenShare * (1 - usedShareWeight) + usedShare * usedShareWeight
 }
 
 // Returns how many requests all hosts may have admitted since the sums: what was left then, and what has left the window since.
--- a/test/fleetLeader.test.ts
+++ b/test/fleetLeader.test.ts
@@ -43,6 +43,7 @@
 describe('fleet leader', () => {
   let lifecycle: Lifecycle
   let fleet: FleetLeader
+  let clock: ShiftedClock
   const leadership = { role: ReplicaRole.Leader as ReplicaRole, term: 1, commitIndex: 5, termStartIndex: 5 }
   const state = createControlState()
 
@@ -54,7 +55,7 @@
     leadership.role = ReplicaRole.Leader
     leadership.term = 1
     leadership.commitIndex = 5
-    const clock = new ShiftedClock()
+    clock = new ShiftedClock()
     const replicaState = { identity: 'a', address: '10.0.0.9:1', leaderAddress: undefined, members: [{ identity: 'a', address: '10.0.0.9:1', availabilityZone: 'z1', voter: true }], changed: createCondition(clock), get role () { return leadership.role }, get term () { return leadership.term }, get commitIndex () { return leadership.commitIndex }, get termStartIndex () { return leadership.termStartIndex } }
     const replica = { state: replicaState } as unknown as Replica
     fleet = createFleetLeader({ replica, state, clock, logger: createSilentLogger(), metrics: createMetrics(), lifecycle, knownServers: () => knownServers, getRegion: () => undefined, heartbeatTimeoutMs: 5_000, settleMs })
@@ -180,6 +181,9 @@
     const report = { holder: 'g-1', live: {}, suspects: [], accountUse: { a: [9, 1] } }
     expect(fleet.report(report)._unsafeUnwrap()).not.to.have.any.keys('accountUse', 'gateways')
     await fleet.watch(firstPoll(hostOf('g-1')))
+    // A leader that is new lacks the reports of most hosts.
+    expect(fleet.report(report)._unsafeUnwrap()).not.to.have.any.keys('accountUse', 'gateways', 'allotments')
+    clock.shiftMs += 1_000
     expect(fleet.report(report)._unsafeUnwrap()).to.deep.include({ accountUse: { a: [9, 1] }, gateways: 1 })
     state.publication = undefined
   })
--- a/test/support/busyAccount.ts
+++ b/test/support/busyAccount.ts
@@ -36,6 +36,8 @@
   readonly windows: ReadonlyArray<{ readonly name: string, readonly largest: number, readonly maximum: number }>
   /** Requests that an exact limiter would have admitted earlier, as a share of all that it admits. */
   readonly shortfall: number
+  /** Requests for allotments, a second and fleet. */
+  readonly askedPerSecond: number
 }
 
 export const busyFleets: readonly BusyFleet[] = [
@@ -52,7 +54,7 @@
 /** Replays an account that is busy from 8 s on. */
 export function replayBusyAccount ({ hosts, accounts: count, perSecond, reportMs }: BusyFleet, position: number, { name: _name, ...faults }: BusyScenario, seed: number): BusyResult {
   const accounts = createAccounts(count, perSecond)
-  const { outcomes } = playQuotas({
+  const { outcomes, askedPerSecond } = playQuotas({
     hosts,
     accounts,
     reportMs,
@@ -71,5 +73,9 @@
     exact += outcome.exactAt.length
     shortfall += outcome.shortfall
   }
-  return { windows: windows.sort((left, right) => right.largest - right.maximum - left.largest + left.maximum), shortfall: shortfall / exact }
+  if (process.env.TRACE !== undefined) {
+    const rows = [...outcomes].filter(([, o]) => o.shortfall > 2).sort((a, b) => b[1].shortfall - a[1].shortfall).slice(0, 6).map(([n, o]) => `${n}: ${o.shortfall} of ${o.exactAt.length}`)
+    process.stdout.write('   ' + rows.join(', ') + '\n')
+  }
+  return { windows: windows.sort((left, right) => right.largest - right.maximum - left.largest + left.maximum), shortfall: shortfall / exact, askedPerSecond }
 }
--- a/test/support/fakeFleet.ts
+++ b/test/support/fakeFleet.ts
@@ -265,7 +265,7 @@
   const view = createFleetView(clock, logger, () => [])
   const tables = update.tables ?? tablesOf(1, routes)
   view.applyUpdate(fleetUpdateOf({ tables, tablesVersion: tables.version, tablesAgeMs: 0, ...update }), clock.now())
-  const control = { reportCrash: async () => ok({ isBlocked: false }), acquireTrial: async () => ok(true), acquirePermit: async () => ok({ isGranted: true, retryMs: 0 }) }
+  const control = { reportCrash: async () => ok({ isBlocked: false }), acquireTrial: async () => ok(true), acquirePermit: async () => ok({ isGranted: true, retryMs: 0 }), acquireAllotment: async () => ok({ allotment: undefined }) }
   const random = createSystemRandom()
   const metrics = createMetrics()
   const origins = createStreamOrigins({ view, client: keepers, clock, random, logger, metrics })
--- a/test/support/quotaReplay.ts
+++ b/test/support/quotaReplay.ts
@@ -20,6 +20,10 @@
 const messageMs = 20
 /** Time before the first request, in milliseconds: hosts report before they serve. */
 const startMs = 3_000
+/** Time until a call without an answer ends, in milliseconds. */
+const exchangeTimeoutMs = 200
+/** Exchanges with the leader for which a request waits. */
+const maxExchanges = 2
 /** Share of its time for which a caller waits before it tries again. */
 const maxWaitShare = 1 / 3
 const { windowMs } = defaultQuotaBounds
@@ -29,7 +33,9 @@
   readonly admittedAt: number[]
   /** Times of the requests that an exact limiter would have admitted. */
   readonly exactAt: number[]
-  /** Largest number of requests by which the exact limiter was ahead. */
+  /** Requests that wait for an answer of the leader. */
+  waiting: number
+  /** Largest number of requests by which the exact limiter was ahead; those that wait are not refused. */
   shortfall: number
 }
 
@@ -69,6 +75,8 @@
   readonly outcomes: ReadonlyMap<string, AccountOutcome>
   /** Bytes of the use of accounts in reports and responses, encoded as JSON, a second and host. */
   readonly bytesPerSecond: number
+  /** Requests for allotments, a second and fleet. */
+  readonly askedPerSecond: number
 }
 
 /** Plays a replay from its start to its end. */
@@ -82,9 +90,10 @@
   const reportMs = replay.reportMs ?? Math.max(40, replay.hosts * 2.5)
   const maxChangeMs = Math.max(500 - reportMs, 1.5 * reportMs)
   let bytes = 0
-  const createQuotas = (index: number): AccountQuotas => createAccountQuotas(clock, createSilentLogger(), () => defaultQuotaBounds, `g-${index}`)
+  let asked = 0
+  const createQuotas = (index: number, start = 0): AccountQuotas => createAccountQuotas(clock, createSilentLogger(), () => defaultQuotaBounds, `g-${index}`, `g-${index}/${start}`)
   const hosts: SimulatedHost[] = Array.from({ length: replay.hosts }, (_, index) => ({ index, quotas: createQuotas(index), start: 0, nextReportAt: random.next() * reportMs }))
-  for (const account of replay.accounts) outcomes.set(account.name, { admittedAt: [], exactAt: [], shortfall: 0 })
+  for (const account of replay.accounts) outcomes.set(account.name, { admittedAt: [], exactAt: [], waiting: 0, shortfall: 0 })
 
   function describe (account: ClientAccount): ClientAccount {
     return replay.describe?.(account, clock.now()) ?? account
@@ -96,11 +105,49 @@
     const host = hosts[(first + random.below(replay.hostsPerAccount ?? hosts.length)) % hosts.length] as SimulatedHost
     const known = describe(account)
     const { limit } = createWindowLimit(known.ratePerSecond, known.burst, defaultQuotaBounds)
-    const { isAdmitted, retryMs } = host.quotas.admit(known)
-    if (isAdmitted) outcome.admittedAt.push(clock.now())
-    else if (!isReturn && replay.callerTimeMs !== undefined) scheduleReturn(account, retryMs, replay.callerTimeMs)
+    admit(host, account, isReturn, maxExchanges)
     if (countInWindow(outcome.exactAt, clock.now()) + 1 <= limit) outcome.exactAt.push(clock.now())
-    outcome.shortfall = Math.max(outcome.shortfall, outcome.exactAt.length - outcome.admittedAt.length)
+    outcome.shortfall = Math.max(outcome.shortfall, outcome.exactAt.length - outcome.admittedAt.length - outcome.waiting)
+  }
+
+  // As the admission of the product, without its tasks.
+  function admit (host: SimulatedHost, account: ClientAccount, isReturn: boolean, exchanges: number): void {
+    const { quotas } = host
+    const known = describe(account)
+    const { isAdmitted, isUndecided, retryMs } = quotas.admit(known, exchanges > 0)
+    if (isAdmitted) (outcomes.get(account.name) as AccountOutcome).admittedAt.push(clock.now())
+    else if (isUndecided === true) waitForExchange(host, account, isReturn, exchanges - 1)
+    else if (!isReturn && replay.callerTimeMs !== undefined) scheduleReturn(account, retryMs, replay.callerTimeMs)
+  }
+
+  function waitForExchange (host: SimulatedHost, account: ClientAccount, isReturn: boolean, exchanges: number): void {
+    const { quotas, start } = host
+    const outcome = outcomes.get(account.name) as AccountOutcome
+    outcome.waiting++
+    const decideAgain = (): void => {
+      outcome.waiting--
+      if (host.start === start) admit(host, account, isReturn, exchanges)
+    }
+    const request = quotas.describeRequest(describe(account))
+    if (request === undefined) {
+      quotas.exchanged.once(decideAgain)
+      return
+    }
+    asked++
+    pending.push({
+      at: clock.now() + messageMs,
+      run: () => {
+        const isAnswered = replay.isReached?.(host.index, clock.now()) !== false
+        const allotment = isAnswered ? sessions.accountUse.allotRequested(request, describe(account), defaultQuotaBounds, clock.now()) : undefined
+        pending.push({
+          at: clock.now() + (isAnswered ? messageMs : exchangeTimeoutMs),
+          run: () => {
+            quotas.applyAllotment(request, isAnswered ? { allotment } : undefined)
+            decideAgain()
+          }
+        })
+      }
+    })
   }
 
   function scheduleReturn (account: ClientAccount, retryMs: number, callerTimeMs: number): void {
@@ -116,22 +163,32 @@
     host.nextReportAt = clock.now() + 2 * messageMs + reportMs + Math.min(maxChangeMs, drawExponential(random) / changesPerMs)
     if (use === undefined) return
     bytes += JSON.stringify({ accountUse: use, earlierUse }).length
-    pending.push({ at: clock.now() + messageMs, run: () => receive(host, use, earlierUse) })
+    const { start } = host
+    const accountUseSequence = host.quotas.sequence
+    pending.push({ at: clock.now() + messageMs, run: () => { if (host.start === start) receive(host, use, accountUseSequence, earlierUse) } })
   }
 
-  function receive (host: SimulatedHost, use: AccountUse, earlierUse: EarlierUse | undefined): void {
-    if (replay.isReached?.(host.index, clock.now()) === false) return
+  function receive (host: SimulatedHost, use: AccountUse, accountUseSequence: number, earlierUse: EarlierUse | undefined): void {
+    const { quotas } = host
+    if (replay.isReached?.(host.index, clock.now()) === false) {
+      pending.push({ at: clock.now() + exchangeTimeoutMs, run: () => { quotas.cancelReport() } })
+      return
+    }
     const holder = `g-${host.index}/${host.start}`
     sessions.renew(createPoll(`g-${host.index}`, holder), 0, clock.now())
-    sessions.report({ holder, live: {}, suspects: [], accountUse: use })
+    sessions.report({ holder, live: {}, suspects: [], accountUse: use, accountUseSequence })
     if (earlierUse !== undefined && earlierUse.leadership !== String(leadership)) sessions.accountUse.recordEarlier(holder, earlierUse, windowMs, clock.now())
-    const totals = { ...sessions.accountUse.describe(replay.accounts.map(describe), defaultQuotaBounds, clock.now()), leadership: String(leadership) }
-    const { quotas } = host
+    const accounts = replay.accounts.map(describe)
+    const described = sessions.accountUse.describe(accounts, defaultQuotaBounds, clock.now())
+    const allotments = sessions.accountUse.allot(holder, accounts, defaultQuotaBounds, clock.now())
+    const totals = allotments === undefined ? {} : { ...described, allotments, leadership: String(leadership) }
     bytes += JSON.stringify(totals).length
     pending.push({ at: clock.now() + messageMs, run: () => { quotas.applyTotals(totals, use, earlierUse) } })
   }
 
   function runStep (from: number): void {
+    // As the poll that each host keeps at the leader.
+    for (const { index, start } of hosts) if (replay.isReached?.(index, clock.now()) !== false) sessions.touch(`g-${index}/${start}`, clock.now())
     sessions.expire(clock.now())
     for (const at of replay.leaderStarts ?? []) {
       if (at < from || at >= clock.now()) continue
@@ -140,8 +197,8 @@
     }
     for (const host of hosts) {
       if (replay.isRestarted?.(host.index, from, clock.now()) !== true) continue
-      host.quotas = createQuotas(host.index)
       host.start++
+      host.quotas = createQuotas(host.index, host.start)
     }
     for (const [position, message] of [...pending.entries()].reverse()) {
       if (message.at > clock.now()) continue
@@ -160,7 +217,7 @@
     clock.jump(stepMs)
     runStep(from)
   }
-  return { outcomes, bytesPerSecond: bytes / replay.hosts / (replay.durationMs / 1_000) }
+  return { outcomes, bytesPerSecond: bytes / replay.hosts / (replay.durationMs / 1_000), askedPerSecond: asked / (replay.durationMs / 1_000) }
 }
 
 /** Returns the most admitted requests of any window, of those windows that begin at or after a time. */
