Refusals: callers of a limited account were sent back without a spread

What callers saw: a refusal of an account at its limit named max(jitter, time until there is room). Once that time was above the jitter, callers that were refused by the same sums came back together, and most were refused again; before allotments, such a pulse exceeded the limit.

Now the time is spread over that in which there is room for those who are refused in one second, and not beyond half of the time that the caller has left.

--- a/src/request/forwardedRequest.ts
+++ b/src/request/forwardedRequest.ts
@@ -318,10 +318,10 @@
   return false
 }
 
-function sendRefusal (services: ForwardingServices, request: CallerRequest, response: CallerResponse, refusal: GatewayRefusal, progress: ForwardingProgress | undefined, retryMs = 0): void {
+function sendRefusal (services: ForwardingServices, request: CallerRequest, response: CallerResponse, refusal: GatewayRefusal, progress: ForwardingProgress | undefined, spreadMs = 0): void {
   const baseMs = refusal === GatewayRefusal.NotReady && !services.view.canServeAccounts ? leaseRetryAfterBaseMs : returnBaseMs
   const blockedMs = progress === undefined ? undefined : services.view.quarantine.getBlockedMs(progress.traits)
-  const retryAfterMs = refusal === GatewayRefusal.Draining ? drainingRetryAfterMs : chooseReturnMs(baseMs, services.random.next(), Math.max(blockedMs ?? 0, retryMs))
+  const retryAfterMs = refusal === GatewayRefusal.Draining ? drainingRetryAfterMs : chooseReturnMs(baseMs, services.random.next(), { minimumMs: blockedMs, spreadMs, remainingMs: request.deadlineAt - services.clock.now() })
   if (lastingRefusals.has(refusal)) response.refuse(refusal)
   else response.refuse(refusal, retryAfterMs)
   services.metrics.count(Counter.Refusals, refusal)
--- a/src/request/placement/accountQuota.ts
+++ b/src/request/placement/accountQuota.ts
@@ -204,7 +204,12 @@
   const late = isLate(sums)
   // What was allotted may be given to others once the leader counts the host as lost.
   const isAdmitted = own.admitted < allotment + (late ? computeLatePart(knowledge, sums, limit) : 0) && sums.ageMs <= windowMs
-  return { admittedShare: isAdmitted ? 1 : 0, retryMs: Math.min(windowMs, endingMs / Math.max(1, own.ending)), mayAsk: !late }
+  return { admittedShare: isAdmitted ? 1 : 0, retryMs: computeReturnMs(sums.count, limit, windowMs), mayAsk: !late }
+}
+
+// Returns the time in which there is room for those that all hosts refuse in one second.
+function computeReturnMs ({ refused }: AccountCount, { limit }: WindowLimit, windowMs: number): number {
+  return Math.min(windowMs, refused * millisecondsPerSecond / recentMs * windowMs / Math.max(1, limit))
 }
 
 // Without a leader, the hosts divide what was left at the last sums, unless the account was at its limit then. A host without a part does not refuse the
