Quotas: a host that asks all the time would never have reported its use

Its sums would become late, and it would refuse within the limit. A report now holds back new requests and waits for those under way. The explanation of a placement counts a request for which the leader would be asked as admitted.

--- a/src/connection/fleetWatch.ts
+++ b/src/connection/fleetWatch.ts
@@ -73,6 +73,7 @@
   while (!signal.aborted) {
     // The next wait begins before the report, so that a change during the report is not missed.
     const nextChange = view.loadChanged.wait(view.live.size > 0 ? intervalMs * busyReportFactor : idleReportIntervalMs, signal)
+    if (view.accounts !== undefined) await view.accountQuotas.prepareReport(signal)
     const reported = new Map(view.live)
     const outputs = view.quarantine.listOutputs()
     const accountUse = view.accounts === undefined ? undefined : view.accountQuotas.describeUse()
--- a/src/process/accounts/accountQuotas.ts
+++ b/src/process/accounts/accountQuotas.ts
@@ -36,6 +36,9 @@
 /** Weight of the latest interval in the moving average of the intervals between sums. */
 const intervalSmoothingFactor = 0.3
 
+/** Longest time for which a report waits for requests for allotments, in milliseconds; calls end earlier. */
+const maxExchangeMs = 500
+
 /** Difference of two consecutive numbers of an evenly distributed sequence from 0 to 1: the golden ratio. */
 const sequenceStep = 0.618_033_988_75
 
@@ -112,12 +115,19 @@
    * @param response - the response; undefined if there was none
    */
   applyAllotment (request: AllotmentRequest, response: AllotmentResponse | undefined): void
+  /**
+   * Waits for the requests for allotments that are under way, and begins no other until the report has ended. Without it, a host that asks all the
+   * time would never report.
+   * @param signal - ends the wait
+   * @returns a promise that resolves when the use may be described
+   */
+  prepareReport (signal: AbortSignal): Promise<void>
   /** Ends a report without a response. */
   cancelReport (): void
   /** Number of the latest report of use or request for an allotment. */
   readonly sequence: number
   /**
-   * Decides on a live request as `admit` would, and counts nothing.
+   * Decides on a live request as `admit` would, and counts nothing. A request for which the leader would be asked counts as admitted.
    * @param account - the account
    * @returns the decision and the figures that it is based on; undefined if the account has no limit
    */
@@ -276,12 +286,17 @@
     return { ...count, committed: Math.max(count.admitted, allotments.get(name) ?? 0) }
   }
 
+  function isAsking (): boolean {
+    for (const state of states.values()) if (state.isAsking) return true
+    return false
+  }
+
   function endReport (): void {
     isReporting = false
     exchanged.notify()
   }
 
-  // The response is no longer valid for requests that came to know of a denial since the sums.
+  // After a denial, only the next sums can show that there is room.
   function canAsk ({ deniedAt }: AccountState): boolean {
     return deniedAt < receivedAt
   }
@@ -308,7 +323,9 @@
     },
     preview (account) {
       if (account.ratePerSecond <= 0) return undefined
-      const { limit, accountSums, admittedShare, retryMs, isAdmitted } = decide(account, states.get(account.name) ?? createState(account.name), clock.now())
+      const state = states.get(account.name) ?? createState(account.name)
+      const { limit, accountSums, admittedShare, retryMs, mayAsk, isAdmitted: isAdmittedHere } = decide(account, state, clock.now())
+      const isAdmitted = isAdmittedHere || (mayAsk && canAsk(state))
       return { isAdmitted, admittedShare, retryMs: isAdmitted ? 0 : retryMs, limit: limit.limit, used: accountSums?.count.admitted, ageMs: accountSums?.ageMs }
     },
     release (account, { countedAt }) {
@@ -330,6 +347,11 @@
       if (state.requests.count(now, bounds().windowMs).admitted >= (response?.allotment ?? 0)) state.deniedAt = now
       exchanged.notify()
     },
+    async prepareReport (signal) {
+      if (clock.now() < nextReportAt) return
+      isReporting = true
+      while (isAsking() && !signal.aborted) await exchanged.wait(maxExchangeMs, signal)
+    },
     cancelReport () {
       unansweredAt = clock.now()
       endReport()
@@ -337,7 +359,7 @@
     describeUse () {
       const now = clock.now()
       // A report beside a request for an allotment would reach the leader without what it has just named.
-      if (now < nextReportAt || [...states.values()].some(({ isAsking }) => isAsking)) return undefined
+      if (now < nextReportAt || isAsking()) return undefined
       const use = new Map<string, number[]>()
       describedAt = now
       isReporting = true
--- a/src/process/accounts/accountUseSums.ts
+++ b/src/process/accounts/accountUseSums.ts
@@ -28,7 +28,10 @@
   readonly gateways?: number | undefined
   /** Use of the limited accounts with requests in the window together, as a share of their limits; undefined where `accountUse` is. */
   readonly accountLevel?: number | undefined
-  /** Requests that the reporting host may have admitted in any window, by name of the account; 0 for the others in `accountUse`, none for the others. Undefined for a leader of an earlier version of the program. */
+  /**
+   * Requests that the reporting host may have admitted in any window, by name of the account. An account of `accountUse` that is missing has 0, any other has none.
+   * Undefined for a leader of an earlier version of the program.
+   */
   readonly allotments?: Readonly<Record<string, number>> | undefined
   /** Identifies the leadership under which the sums were made; undefined for a leader of an earlier version of the program. */
   readonly leadership?: string | undefined
@@ -309,8 +312,7 @@
       sequences.delete(holder)
       for (const name of [...boundUse.keys()]) unbind(holder, name)
       retired.set(holder, { since: now, windows: isRestarted ? 1 : lostHostWindows })
-      // What it sent most recently says nothing about what comes next.
-      replace(holder, Object.fromEntries(Object.entries(use).map(([name, numbers]) => [name, describeCount({ ...readCount([]), admitted: readCount(numbers).admitted, committed: readCount(numbers).committed })])))
+      replace(holder, Object.fromEntries(Object.entries(use).map(([name, numbers]) => [name, describeCount(keepCommitted(readCount(numbers)))])))
     },
     describe (accounts, bounds, now) {
       if (accounts === undefined) return {}
@@ -334,3 +336,8 @@
     }
   }
 }
+
+// What a host sent most recently says nothing about what comes after its end.
+function keepCommitted ({ admitted, committed }: AccountCount): AccountCount {
+  return { admitted, recent: 0, ending: 0, refused: 0, committed }
+}
