Quotas: the estimate, and what hosts and leader tell each other, in files of their own

The decision by allotments (accountQuota.ts) is read without the older estimate (accountEstimate.ts), and the messages (accountUse.ts) without the state of a host.

--- a/src/connection/controlClient.ts
+++ b/src/connection/controlClient.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { err, type Result } from 'neverthrow'
-import type { AllotmentRequest, AllotmentResponse } from '../process/accounts/accountQuotas.ts'
+import type { AllotmentRequest, AllotmentResponse } from '../process/accounts/accountUse.ts'
 import type { Clock } from '../process/program/clock.ts'
 import { type Command, CommandKind, type Outcome, OutcomeKind } from '../process/state/commands.ts'
 import { createFailure, type Failure, FailureReason, Step } from '../process/program/failure.ts'
--- a/src/connection/internalRouter.ts
+++ b/src/connection/internalRouter.ts
@@ -5,7 +5,7 @@
 import { initTRPC } from '@trpc/server'
 import { err, ok } from 'neverthrow'
 import * as z from 'zod'
-import type { AllotmentRequest } from '../process/accounts/accountQuotas.ts'
+import type { AllotmentRequest } from '../process/accounts/accountUse.ts'
 import type { Command } from '../process/state/commands.ts'
 import type { ControlHost } from '../process/state/controlHost.ts'
 import type { FleetLeader } from '../process/fleet/fleetLeader.ts'
--- a/src/process/accounts/accountQuotas.ts
+++ b/src/process/accounts/accountQuotas.ts
@@ -12,6 +12,7 @@
 import { LogEvents } from '../program/logEvents.ts'
 import type { Logger } from '../program/logger.ts'
 import type { AccountTotals, EarlierUse } from './accountUseSums.ts'
+import { type AccountUse, type AllotmentRequest, type AllotmentResponse, describeCount, readCount } from './accountUse.ts'
 import { type AdmissionSummary, createAdmissionSummary } from './admissionSummary.ts'
 import { createRequestLog, type RequestLog } from './requestLog.ts'
 
@@ -42,13 +43,6 @@
 /** Difference of two consecutive numbers of an evenly distributed sequence from 0 to 1: the golden ratio. */
 const sequenceStep = 0.618_033_988_75
 
-/**
- * Requests by name of the account: those admitted in the latest window, those of them that are recent, those that
- * leave the window next, those refused recently, and those that allotments allow in a window. Zeros at the
- * end are left out, and the last number if it is that of the admitted ones.
- */
-export type AccountUse = Readonly<Record<string, readonly number[]>>
-
 /** Decision on one request. */
 export interface QuotaDecision {
   readonly isAdmitted: boolean
@@ -60,26 +54,6 @@
   readonly isUndecided?: boolean
 }
 
-/** Asks the leader for an allotment. */
-export interface AllotmentRequest {
-  /** Identifies the host's process start. */
-  readonly holder: string
-  /** Increases with each report of use and each request for an allotment. */
-  readonly sequence: number
-  /** Name of the account. */
-  readonly account: string
-  /** What the host has admitted, as in a report. */
-  readonly use: readonly number[]
-  /** Number of requests that wait for the answer. */
-  readonly wanted: number
-}
-
-/** The response to such a request. */
-export interface AllotmentResponse {
-  /** Requests that the host may have admitted in any window; undefined if the account has no limit, or the request came too late. */
-  readonly allotment: number | undefined
-}
-
 /** Decision on a request that is not counted. */
 export interface QuotaPreview extends QuotaDecision {
   /** Share of the requests of the account that this host admits at present, from 0 to 1. */
@@ -423,27 +397,6 @@
   return new Map(Object.entries(use).map(([name, numbers]) => [name, readCount(numbers)]))
 }
 
-/**
- * Reads the counts of an account in a message.
- * @param numbers - the numbers; missing ones are 0
- * @returns the counts
- */
-export function readCount ([admitted = 0, recent = 0, ending = 0, refused = 0, committed = 0]: readonly number[]): AccountCount {
-  return { admitted, recent, ending, refused, committed: Math.max(admitted, committed) }
-}
-
-/**
- * Describes the counts of an account for a message.
- * @param count - the counts
- * @returns the numbers, without zeros at the end
- */
-export function describeCount ({ admitted, recent, ending, refused, committed }: AccountCount): number[] {
-  if (committed > admitted) return [admitted, recent, ending, refused, committed]
-  if (refused > 0) return [admitted, recent, ending, refused]
-  if (ending > 0) return [admitted, recent, ending]
-  return recent > 0 ? [admitted, recent] : [admitted]
-}
-
 function computeRounding (account: string, host: string): number {
   return createHash('sha256').update(`${host}\n${account}`).digest().readUInt32BE(0) / 2 ** 32
 }
--- a/src/process/accounts/accountUseSums.ts
+++ b/src/process/accounts/accountUseSums.ts
@@ -6,7 +6,7 @@
 import { decideAllotment } from '../../request/placement/accountAllotment.ts'
 import { type AccountCount, computeUnboundPart, createWindowLimit, isNearLimit, type QuotaBounds } from '../../request/placement/accountQuota.ts'
 import type { ClientAccount } from '../../version/accounts.ts'
-import { type AccountUse, type AllotmentRequest, describeCount, readCount } from './accountQuotas.ts'
+import { type AccountUse, type AllotmentRequest, describeCount, readCount } from './accountUse.ts'
 
 /** Minimum interval between two selections of the accounts near their limits, in milliseconds. With hundreds of hosts, a report arrives every few milliseconds. */
 const selectionIntervalMs = 40
--- a/src/process/fleet/fleetLeader.ts
+++ b/src/process/fleet/fleetLeader.ts
@@ -5,7 +5,8 @@
  */
 import { err, ok, type Result } from 'neverthrow'
 import type { QuotaBounds } from '../../request/placement/accountQuota.ts'
-import { type AllotmentRequest, type AllotmentResponse, defaultQuotaBounds } from '../accounts/accountQuotas.ts'
+import { defaultQuotaBounds } from '../accounts/accountQuotas.ts'
+import type { AllotmentRequest, AllotmentResponse } from '../accounts/accountUse.ts'
 import type { AccountTotals } from '../accounts/accountUseSums.ts'
 import { type Condition, createCondition } from '../program/condition.ts'
 import type { ControlState } from '../state/controlState.ts'
--- a/src/process/fleet/fleetMessages.ts
+++ b/src/process/fleet/fleetMessages.ts
@@ -2,7 +2,7 @@
  * Messages between the leading control host and the hosts of the fleet.
  * @module
  */
-import type { AccountUse } from '../accounts/accountQuotas.ts'
+import type { AccountUse } from '../accounts/accountUse.ts'
 import type { AccountTotals, EarlierUse } from '../accounts/accountUseSums.ts'
 import type { EncodedPaceSamples } from './paceSamples.ts'
 import type { ReportedWorks } from './serverWork.ts'
--- a/src/request/placement/accountQuota.ts
+++ b/src/request/placement/accountQuota.ts
@@ -1,21 +1,20 @@
 /**
- * Decides which share of the requests of a client account a host may admit, so that all hosts together stay within the account's limit in
- * every sliding window.
+ * Decides which requests of a client account a host may admit, so that all hosts together stay within the account's limit in every sliding
+ * window.
  *
  * Load pattern: tens of accounts, a few of them large, spread over tens to hundreds of hosts. At most hosts an account has less than one
  * request in a window, so no host can distinguish a busy account from an idle one by itself, and the first request of an account must be admitted
- * without asking. A host knows the sums of all hosts, which are some hundred milliseconds old. Most accounts stay far below their limit, in
- * waves; a busy one sends several times its usual rate for some seconds. If hosts admitted everything below the limit and nothing above it,
- * all of them would do so at once, for as long as the sums are old. So they admit the share of the requests that brings the sum near to a
- * target between the limit and the tolerated maximum.
+ * without asking. Most accounts stay far below their limit, in waves; a busy one sends several times its usual rate for some seconds, and its
+ * refused callers return together.
  *
- * Near the limit, the leader names each host an allotment, the requests that it may have admitted in any window. The host then needs no estimate.
- * Until it has one, it admits a part of what an account may use before the leader lists it, and asks for more.
+ * Near the limit, the leader names each host an allotment, the requests that it may have admitted in any window. A host without one has a fixed part.
+ * Both are counted by the leader, so the sum holds whatever arrives. A host that needs more asks the leader. Under a leader that names no
+ * allotments, hosts estimate (`accountEstimate.ts`).
  *
- * Without recent sums nothing tells a host what the others admit. It then keeps to its own part of the tolerated maximum: what it used as of
- * the last sums is not known to be typical, so each host has the same part.
+ * Without a leader, hosts also divide what it had left to allot. An account that was at its limit then gets nothing more.
  * @module
  */
+import { decideByEstimate } from './accountEstimate.ts'
 
 /** Time over which the latest rate of an account is counted, in milliseconds: long enough for a count, short enough to see a rise. */
 export const recentMs = 250
@@ -26,18 +25,6 @@
 /** Part of the tolerated overshoot up to which the hosts aim; the remainder covers what they see too late. */
 const targetShare = 0.1
 
-/** Factor of the delay of the sums in which the target is approached: a shorter time makes the hosts overreact to old sums. */
-const approachFactor = 1.5
-
-/** Time from which a rate is not extended by its random part, in milliseconds: a single request is no rate that lasts a second. */
-const steadyMs = 1_000
-
-/** Shortest time in which the target is approached, in milliseconds. */
-const minApproachMs = 300
-
-/** Longest such time, in milliseconds: with a longer one, ordinary waves are refused. */
-const maxApproachMs = 600
-
 /** Part of the tolerated overshoot that is allotted to hosts; the remainder covers the time from the admission of a request until it is sent. */
 const allottedOvershootShare = 0.6
 
@@ -48,7 +35,7 @@
 const listedAheadMs = 1_000
 
 /** Usual intervals after which the next sums are late, and a host keeps to its part beside the rate that they allow. */
-const lateIntervals = 1.75
+export const lateIntervals = 1.75
 
 /** Usual intervals after which sums are outdated: a report was lost, or the leader is. */
 const outdatedIntervals = 2.5
@@ -63,7 +50,7 @@
 const usedShareWeight = 0.5
 
 /** Number of gateways that a host assumes before its first sums. */
-const assumedGateways = 100
+export const assumedGateways = 100
 
 const millisecondsPerSecond = 1_000
 
@@ -189,13 +176,15 @@
 export function decideQuota (knowledge: AccountKnowledge, limit: WindowLimit, bounds: QuotaBounds): QuotaShare {
   const { sums } = knowledge
   if (sums?.isAllotting === true) return sums.allotment === undefined ? decideUnbound(knowledge, sums, limit, bounds) : decideByAllotment(knowledge, sums.allotment, sums, limit, bounds)
-  if (sums === undefined || areOutdated(sums)) return decideAlone(knowledge, limit, bounds)
-  // These may be the last sums for a while. They don't show that all hosts admit more than before; each keeping to its part bounds the total.
-  if (sums.ageMs > sums.intervalMs * lateIntervals && sums.ownSince >= countAllowed(knowledge, limit, bounds)) return { admittedShare: 0, retryMs: sums.intervalMs, mayAsk: false }
-  return approachTarget(knowledge.own, sums, limit, bounds)
+  return decideByEstimate(knowledge, limit, bounds)
 }
 
-function areOutdated ({ ageMs, intervalMs }: AccountSums): boolean {
+/**
+ * Returns whether sums are so old that a report was lost, or the leader is.
+ * @param sums - the sums
+ * @returns whether the host must do without
+ */
+export function areOutdated ({ ageMs, intervalMs }: AccountSums): boolean {
   return ageMs > Math.max(minOutdatedMs, intervalMs * outdatedIntervals)
 }
 
@@ -244,60 +233,14 @@
   return isUnanswered || ageMs > intervalMs * lateIntervals
 }
 
-function approachTarget (own: AccountCount, { count, isListed, reported, previousDemand, ageMs, intervalMs }: AccountSums, { target: usualTarget, maximum }: WindowLimit, { windowMs }: QuotaBounds): QuotaShare {
-  // Sums that are assumed are mostly too high. Up to the maximum the host relies on the next sums, which list an account that comes near.
-  const target = isListed ? usualTarget : maximum
-  const others = {
-    admitted: Math.max(0, count.admitted - reported.admitted),
-    recent: Math.max(0, count.recent - reported.recent),
-    ending: Math.max(0, count.ending - reported.ending),
-    refused: Math.max(0, count.refused - reported.refused)
-  }
-  // The reports in the sums are half an interval old on average.
-  const delayMs = ageMs + intervalMs / 2
-  const demand = count.recent + count.refused
-  const noise = Math.sqrt(demand) * Math.min(1, delayMs / steadyMs)
-  // The counts follow a rise over an interval and `recentMs`. Its slope tells where it leads before they have got there.
-  const risePerMs = previousDemand === undefined ? 0 : Math.max(0, demand - noise - previousDemand) / Math.max(1, intervalMs)
-  const rise = risePerMs * (delayMs + recentMs / 2)
-  const admittedBefore = count.refused > 0 ? count.recent / demand : 1
-  const othersGrowth = ((Math.max(0, others.recent - noise) + rise * admittedBefore / 2) / recentMs - others.ending / endingMs) * delayMs
-  const used = own.admitted + Math.max(0, others.admitted + othersGrowth)
-  const endingPerMs = (others.ending + own.ending) / endingMs
-  const demandPerMs = (others.recent + others.refused + own.recent + own.refused) / recentMs
-  const approachMs = Math.min(maxApproachMs, Math.max(minApproachMs, intervalMs * approachFactor))
-  const admittedPerMs = endingPerMs + (target - used) / approachMs
-  const admittedShare = admittedPerMs >= demandPerMs ? 1 : Math.max(0, admittedPerMs / demandPerMs)
-  const excess = used + 1 - target
-  const retryMs = excess > 0 ? excess / Math.max(endingPerMs, 1 / windowMs) : 1 / Math.max(admittedPerMs, 1 / windowMs)
-  return { admittedShare, retryMs: Math.min(windowMs, retryMs), mayAsk: false }
-}
-
-function decideAlone (knowledge: AccountKnowledge, limit: WindowLimit, bounds: QuotaBounds): QuotaShare {
-  const { own, sums } = knowledge
-  const admittedBefore = sums === undefined ? own.admitted : sums.ownSince
-  return { admittedShare: admittedBefore < countAllowed(knowledge, limit, bounds) ? 1 : 0, retryMs: bounds.windowMs / Math.max(1, own.admitted), mayAsk: false }
-}
-
-// Returns how many requests a host may admit since the last sums, or in a window without any, so that all hosts stay within the maximum.
-function countAllowed ({ sums, gateways = assumedGateways, rounding }: AccountKnowledge, limit: WindowLimit, { windowMs }: QuotaBounds): number {
-  const part = sums === undefined ? computeUnboundPart(limit, gateways) : estimateRoom(sums, limit.maximum, windowMs) * computePartShare(sums, gateways)
-  // The roundings of all hosts must not add up. But while the sums may still hold, a host with a part of less than one request does not refuse
-  // the only one that it gets in a window.
-  const isOneAdmitted = sums === undefined || sums.ageMs <= windowMs
-  return Math.max(isOneAdmitted ? 1 : 0, Math.floor(part + rounding))
-}
-
-// Returns a host's share of what all hosts may admit without a leader.
-function computePartShare ({ count, reported }: AccountSums, gateways: number): number {
+/**
+ * Returns a host's share of what all hosts may admit without a leader.
+ * @param sums - the last sums
+ * @param gateways - number of hosts
+ * @returns the share, from 0 to 1
+ */
+export function computePartShare ({ count, reported }: AccountSums, gateways: number): number {
   const evenShare = 1 / Math.max(1, gateways)
   const usedShare = count.admitted > 0 ? Math.min(1, reported.admitted / count.admitted) : evenShare
   return evenShare * (1 - usedShareWeight) + usedShare * usedShareWeight
 }
-
-// Returns how many requests all hosts may have admitted since the sums: what was left then, and what has left the window since.
-function estimateRoom ({ count, ageMs, intervalMs }: AccountSums, maximum: number, windowMs: number): number {
-  const growth = Math.max(0, (count.recent / recentMs - count.ending / endingMs) * intervalMs / 2)
-  const used = count.admitted + growth
-  return Math.max(0, maximum - used) + used * Math.min(1, ageMs / windowMs)
-}
--- a/test/quotaAdmission.test.ts
+++ b/test/quotaAdmission.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import { err, ok, type Result } from 'neverthrow'
-import { type AccountQuotas, type AllotmentRequest, type AllotmentResponse, createAccountQuotas, defaultQuotaBounds } from '../src/process/accounts/accountQuotas.ts'
+import { type AccountQuotas, createAccountQuotas, defaultQuotaBounds } from '../src/process/accounts/accountQuotas.ts'
+import type { AllotmentRequest, AllotmentResponse } from '../src/process/accounts/accountUse.ts'
 import { createFailure, type Failure, FailureReason, Step } from '../src/process/program/failure.ts'
 import { createSilentLogger } from '../src/process/program/logger.ts'
 import { Counter, createMetrics } from '../src/process/program/metrics.ts'
--- a/test/support/quotaReplay.ts
+++ b/test/support/quotaReplay.ts
@@ -3,7 +3,8 @@
  * hosts and leader can be lost. It keeps the time of each admitted request, from which the windows are counted.
  * @module
  */
-import { type AccountQuotas, type AccountUse, createAccountQuotas, defaultQuotaBounds } from '../../src/process/accounts/accountQuotas.ts'
+import { type AccountQuotas, createAccountQuotas, defaultQuotaBounds } from '../../src/process/accounts/accountQuotas.ts'
+import type { AccountUse } from '../../src/process/accounts/accountUse.ts'
 import { FleetRole, type FleetWatchRequest } from '../../src/process/fleet/fleetMessages.ts'
 import type { EarlierUse } from '../../src/process/accounts/accountUseSums.ts'
 import { createHostSessions } from '../../src/process/fleet/hostSessions.ts'
