--- a/src/process/accounts/admissionSummary.ts
+++ b/src/process/accounts/admissionSummary.ts
@@ -46,7 +46,7 @@
   /**
    * Removes the collected decisions once their period has ended.
    * @param now - monotonic time in milliseconds
-   * @returns their figures; undefined if the period goes on, or if the account was neither refused nor near its limit in it
+   * @returns their figures; undefined if the period has not ended, or if the account was neither refused nor near its limit in it
    */
   take (now: number): AdmissionFigures | undefined
 }
