Planned stop: the garbage collector removed the time limit, and a host waited for a slow client without end

Cause: the limit was AbortSignal.any([closing, AbortSignal.timeout(limit)]). In Node.js 20 a combined signal holds its sources weakly, and nothing else held the one of the timeout. A full collection during the stop removes it with its timer, and the combined signal never aborts. The wait for results of items that control has not recorded had the same limit. Class of fault: a bound that exists only as long as the garbage collector has not run.

Why the fix works: the timer of the clock holds the controller that aborts the limit. A rule of the linter rejects a timeout in a combined signal; it finds both places in the code before, and no other one.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -10,7 +10,8 @@
       eqeqeq: ['error', 'always'],
       'no-restricted-syntax': ['error',
         { selector: 'TSEnumDeclaration', message: 'Use a constant object in place of an enum.' },
-        { selector: "CallExpression[callee.property.name='forEach']", message: 'Use a for of loop.' }
+        { selector: "CallExpression[callee.property.name='forEach']", message: 'Use a for of loop.' },
+        { selector: "CallExpression[callee.object.name='AbortSignal'][callee.property.name='any'] CallExpression[callee.object.name='AbortSignal'][callee.property.name='timeout']", message: 'The garbage collector removes this timer. Use createTimeLimit.' }
       ]
     }
   }
--- a/src/process/entry/daemon.ts
+++ b/src/process/entry/daemon.ts
@@ -30,6 +30,7 @@
 import { runProcessMonitor } from '../program/processMonitor.ts'
 import { createSystemRandom } from '../program/random.ts'
 import { serveApi } from '../program/servers.ts'
+import { createTimeLimit } from '../program/timeLimit.ts'
 import { bytesPerMebibyte } from '../program/units.ts'
 import { Role, type Settings } from '../program/settings.ts'
 
@@ -125,7 +126,7 @@
     async drain () {
       logger.write(LogEvents.processDraining)
       openRequests.closeAfterResponses()
-      const limit = AbortSignal.any([lifecycle.signal, AbortSignal.timeout(findDrainLimit(settings, entryHost))])
+      const limit = createTimeLimit(findDrainLimit(settings, entryHost), lifecycle.signal, clock)
       await Promise.all([services.controlHost?.replica.resign(), entryHost?.drain(limit)])
       openRequests.stopListening()
       await openRequests.ended(limit)
--- a/src/process/entry/entryHost.ts
+++ b/src/process/entry/entryHost.ts
@@ -39,6 +39,7 @@
 import { type EntryHost, sessionTimeoutMs } from '../state/sessions.ts'
 import type { Settings } from '../program/settings.ts'
 import { createSharedUpdates } from '../routing/sharedUpdates.ts'
+import { createTimeLimit } from '../program/timeLimit.ts'
 
 /** Retry-After of refusals by this host, in milliseconds. */
 const refusalRetryAfterMs = 1_000
@@ -212,7 +213,7 @@
   async function endBatch (): Promise<void> {
     batchAbort.abort()
     await Promise.all([dispatching, ordering])
-    await completions.sent(AbortSignal.any([lifecycle.signal, AbortSignal.timeout(sessionTimeoutMs)]))
+    await completions.sent(createTimeLimit(sessionTimeoutMs, lifecycle.signal, clock))
   }
 
   async function drain (limit = lifecycle.signal): Promise<void> {
