Quotas: the leader copied the whole use of a host for each allotment

What callers saw: nothing that was traced to it.

Cause: an allotment replaced all counts of the host in the sums: it subtracted every account and added every account again, for each account near its limit. Work per report grew with accounts times accounts near their limits.

Why the fix works: the counts of a host are kept decoded, and a changed count changes the sums of its account only.

--- a/src/process/accounts/accountUseSums.ts
+++ b/src/process/accounts/accountUseSums.ts
@@ -50,6 +50,8 @@
 /** Share of the part of a host without an allotment up to which a host gives its allotment back. */
 const unboundUseShare = 0.5
 
+const noRequests = readCount([])
+
 /** Decimal places of the level in messages. */
 const levelDigits = 3
 
@@ -135,7 +137,7 @@
  * @returns the sums
  */
 export function createAccountUseSums (): AccountUseSums {
-  const useByHolder = new Map<string, AccountUse>()
+  const useByHolder = new Map<string, Map<string, AccountCount>>()
   const retired = new Map<string, RetiredUse>()
   // Changed by the difference of each report, as the sums of the load are.
   const sums = new Map<string, AccountCount>()
@@ -148,36 +150,38 @@
   let selection: AccountTotals = {}
   let selectedAt = -Infinity
 
-  function add (holder: string, use: AccountUse, sign: 1 | -1): void {
-    for (const [name, numbers] of Object.entries(use)) {
-      const sum = sums.get(name) ?? readCount([])
-      const { admitted, recent, ending, refused, committed } = readCount(numbers)
-      const changed = {
-        admitted: sum.admitted + sign * admitted,
-        recent: sum.recent + sign * recent,
-        ending: sum.ending + sign * ending,
-        refused: sum.refused + sign * refused,
-        committed: sum.committed + sign * committed
-      }
-      const bound = boundUse.get(name)
-      if (bound?.holders.has(holder) === true) bound.committed += sign * committed
-      if (changed.committed > 0 || changed.refused > 0) sums.set(name, changed)
-      else sums.delete(name)
+  function setCount (holder: string, use: Map<string, AccountCount>, name: string, count: AccountCount | undefined): void {
+    const previous = use.get(name) ?? noRequests
+    const next = count ?? noRequests
+    if (count === undefined) use.delete(name)
+    else use.set(name, count)
+    const bound = boundUse.get(name)
+    if (bound?.holders.has(holder) === true) bound.committed += next.committed - previous.committed
+    const sum = sums.get(name) ?? noRequests
+    const changed = {
+      admitted: sum.admitted + next.admitted - previous.admitted,
+      recent: sum.recent + next.recent - previous.recent,
+      ending: sum.ending + next.ending - previous.ending,
+      refused: sum.refused + next.refused - previous.refused,
+      committed: sum.committed + next.committed - previous.committed
     }
+    if (changed.committed > 0 || changed.refused > 0) sums.set(name, changed)
+    else sums.delete(name)
   }
 
-  function replace (holder: string, use: AccountUse | undefined): void {
-    add(holder, useByHolder.get(holder) ?? {}, -1)
-    if (use === undefined) useByHolder.delete(holder)
-    else useByHolder.set(holder, use)
-    add(holder, use ?? {}, 1)
+  function replace (holder: string, use: AccountUse): void {
+    const known = useByHolder.get(holder) ?? new Map<string, AccountCount>()
+    useByHolder.set(holder, known)
+    for (const name of [...known.keys()]) if (!Object.hasOwn(use, name)) setCount(holder, known, name, undefined)
+    for (const [name, numbers] of Object.entries(use)) setCount(holder, known, name, readCount(numbers))
   }
 
   function removeExpired (windowMs: number, now: number): void {
     for (const [holder, { since, windows }] of retired) {
       if (now - since <= windowMs * windows) continue
       retired.delete(holder)
-      replace(holder, undefined)
+      replace(holder, {})
+      useByHolder.delete(holder)
     }
   }
 
@@ -197,7 +201,7 @@
       const unreported = countUnreported(name, now)
       const reported = sums.get(name)
       if (reported === undefined && unreported === 0) continue
-      const known = reported ?? readCount([])
+      const known = reported ?? noRequests
       const count = { ...known, admitted: unreported + known.admitted, committed: unreported + known.committed }
       const limit = createWindowLimit(ratePerSecond, burst, bounds)
       used += count.admitted
@@ -213,12 +217,8 @@
     return useByHolder.size - restarted
   }
 
-  function replaceCount (holder: string, name: string, count: AccountCount): void {
-    replace(holder, { ...useByHolder.get(holder), [name]: describeCount(count) })
-  }
-
   function countOwn (holder: string, name: string): AccountCount {
-    return readCount(useByHolder.get(holder)?.[name] ?? [])
+    return useByHolder.get(holder)?.get(name) ?? noRequests
   }
 
   function bind (holder: string, name: string): BoundUse {
@@ -245,6 +245,7 @@
   }
 
   function allotAccount (holder: string, { name, ratePerSecond, burst }: ClientAccount, wanted: number, bounds: QuotaBounds, now: number): number {
+    const use = useByHolder.get(holder)
     const own = countOwn(holder, name)
     const bound = bind(holder, name)
     const hosts = countReporters()
@@ -260,7 +261,7 @@
       windowMs: bounds.windowMs
     })
     // Until the host names what it has, it may have either.
-    if (allotment > own.committed) replaceCount(holder, name, { ...own, committed: allotment })
+    if (use !== undefined && allotment > own.committed) setCount(holder, use, name, { ...own, committed: allotment })
     return allotment
   }
 
@@ -290,9 +291,10 @@
       return Object.fromEntries(allotments)
     },
     allotRequested ({ holder, sequence, use, wanted }, account, bounds, now) {
-      if (!useByHolder.has(holder) || retired.has(holder) || now < settledAt || sequence < (sequences.get(holder) ?? 0)) return undefined
+      const known = useByHolder.get(holder)
+      if (known === undefined || retired.has(holder) || now < settledAt || sequence < (sequences.get(holder) ?? 0)) return undefined
       sequences.set(holder, sequence)
-      replaceCount(holder, account.name, readCount(use))
+      setCount(holder, known, account.name, readCount(use))
       return allotAccount(holder, account, wanted, bounds, now)
     },
     recordEarlier (holder, { ageMs, use }, windowMs, now) {
@@ -312,7 +314,7 @@
       sequences.delete(holder)
       for (const name of [...boundUse.keys()]) unbind(holder, name)
       retired.set(holder, { since: now, windows: isRestarted ? 1 : lostHostWindows })
-      replace(holder, Object.fromEntries(Object.entries(use).map(([name, numbers]) => [name, describeCount(keepCommitted(readCount(numbers)))])))
+      for (const [name, count] of use) setCount(holder, use, name, keepCommitted(count))
     },
     describe (accounts, bounds, now) {
       if (accounts === undefined) return {}
