Quotas: limits and counts of accounts in a module of their own

The decision of a host and the estimate imported each other. What both and the leader's decision are based on (limits, counts, sums, parts) is in accountLimit.ts now, and imports none of them. Code was moved only; nothing that callers see changes.

--- a/src/process/accounts/accountQuotas.ts
+++ b/src/process/accounts/accountQuotas.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import { createHash } from 'node:crypto'
-import { type AccountCount, type AccountSums, assumeUnlisted, createWindowLimit, decideQuota, type QuotaBounds, type QuotaShare, type WindowLimit } from '../../request/placement/accountQuota.ts'
+import { type AccountCount, type AccountSums, assumeUnlisted, createWindowLimit, type QuotaBounds, type QuotaShare, type WindowLimit } from '../../request/placement/accountLimit.ts'
+import { decideQuota } from '../../request/placement/accountQuota.ts'
 import { type AccountLevel, computeLevel } from '../../request/placement/competition.ts'
 import type { ClientAccount } from '../../version/accounts.ts'
 import type { Clock } from '../program/clock.ts'
--- a/src/process/accounts/accountUse.ts
+++ b/src/process/accounts/accountUse.ts
@@ -2,7 +2,7 @@
  * What hosts and leader tell each other of the use of client accounts, and its encoding.
  * @module
  */
-import type { AccountCount } from '../../request/placement/accountQuota.ts'
+import type { AccountCount } from '../../request/placement/accountLimit.ts'
 
 /**
  * Requests by name of the account: those admitted in the latest window, those of them that are recent, those that
--- a/src/process/accounts/accountUseSums.ts
+++ b/src/process/accounts/accountUseSums.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { decideAllotment } from '../../request/placement/accountAllotment.ts'
-import { type AccountCount, computeUnboundPart, createWindowLimit, isNearLimit, type QuotaBounds } from '../../request/placement/accountQuota.ts'
+import { type AccountCount, computeUnboundPart, createWindowLimit, isNearLimit, type QuotaBounds } from '../../request/placement/accountLimit.ts'
 import type { ClientAccount } from '../../version/accounts.ts'
 import { type AccountUse, type AllotmentRequest, describeCount, readCount } from './accountUse.ts'
 
--- a/src/process/accounts/requestLog.ts
+++ b/src/process/accounts/requestLog.ts
@@ -2,7 +2,7 @@
  * Times of the latest requests of one client account at one host.
  * @module
  */
-import { type AccountCount, endingMs, recentMs } from '../../request/placement/accountQuota.ts'
+import { type AccountCount, endingMs, recentMs } from '../../request/placement/accountLimit.ts'
 
 /** Requests as the log counts them; it knows no allotment. */
 export type RequestCount = Omit<AccountCount, 'committed'>
--- a/src/process/fleet/fleetLeader.ts
+++ b/src/process/fleet/fleetLeader.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { err, ok, type Result } from 'neverthrow'
-import type { QuotaBounds } from '../../request/placement/accountQuota.ts'
+import type { QuotaBounds } from '../../request/placement/accountLimit.ts'
 import { defaultQuotaBounds } from '../accounts/accountQuotas.ts'
 import type { AllotmentRequest, AllotmentResponse } from '../accounts/accountUse.ts'
 import type { AccountTotals } from '../accounts/accountUseSums.ts'
--- a/src/process/fleet/fleetSettings.ts
+++ b/src/process/fleet/fleetSettings.ts
@@ -5,7 +5,7 @@
 import { readFileSync } from 'node:fs'
 import { err, ok, type Result } from 'neverthrow'
 import * as z from 'zod'
-import type { QuotaBounds } from '../../request/placement/accountQuota.ts'
+import type { QuotaBounds } from '../../request/placement/accountLimit.ts'
 import { defaultQuotaBounds } from '../accounts/accountQuotas.ts'
 import { isAddress } from '../program/address.ts'
 import { Level } from '../program/logEvents.ts'
--- a/src/request/placement/accountAllotment.ts
+++ b/src/request/placement/accountAllotment.ts
@@ -10,7 +10,7 @@
  * Most of what is left is kept for hosts that ask, since an unused part of a host is missing elsewhere.
  * @module
  */
-import { type AccountCount, computeUnboundPart, recentMs, type WindowLimit } from './accountQuota.ts'
+import { type AccountCount, computeUnboundPart, recentMs, type WindowLimit } from './accountLimit.ts'
 
 /** Time for which an allotment shall last without a further message, in milliseconds. */
 const horizonMs = 500
--- a/src/request/placement/accountEstimate.ts
+++ b/src/request/placement/accountEstimate.ts
@@ -10,7 +10,7 @@
  * host has the same part.
  * @module
  */
-import { type AccountCount, type AccountKnowledge, type AccountSums, areOutdated, assumedGateways, computePartShare, computeUnboundPart, endingMs, lateIntervals, type QuotaBounds, type QuotaShare, recentMs, type WindowLimit } from './accountQuota.ts'
+import { type AccountCount, type AccountKnowledge, type AccountSums, areOutdated, assumedGateways, computePartShare, computeUnboundPart, endingMs, lateIntervals, type QuotaBounds, type QuotaShare, recentMs, type WindowLimit } from './accountLimit.ts'
 
 /** Factor of the delay of the sums in which the target is approached: a shorter time makes the hosts overreact to old sums. */
 const approachFactor = 1.5
--- a/src/request/placement/competition.ts
+++ b/src/request/placement/competition.ts
@@ -8,7 +8,7 @@
  * refused at once where that is not possible, so that the others find places. Priorities come before shares.
  * @module
  */
-import { type AccountCount, recentMs } from './accountQuota.ts'
+import { type AccountCount, recentMs } from './accountLimit.ts'
 import { type ItemUrgency, orderByUrgency } from './batchPlan.ts'
 
 /** Live requests that may queue at a backend server beyond its slots; with 8 slots and responses of about 0.7 s, each waits about 90 ms. */
--- a/test/accountQuotas.test.ts
+++ b/test/accountQuotas.test.ts
@@ -3,7 +3,7 @@
 import { createAccountUseSums } from '../src/process/accounts/accountUseSums.ts'
 import { createSilentLogger } from '../src/process/program/logger.ts'
 import { createSeededRandom } from '../src/process/program/random.ts'
-import { createWindowLimit } from '../src/request/placement/accountQuota.ts'
+import { createWindowLimit } from '../src/request/placement/accountLimit.ts'
 import type { ClientAccount } from '../src/version/accounts.ts'
 import { FakeClock } from './support/fakeClock.ts'
 import { createAccounts, isWithin, waveAt } from './support/quotaAccounts.ts'
--- a/test/support/busyAccount.ts
+++ b/test/support/busyAccount.ts
@@ -5,7 +5,7 @@
 import { expect } from 'chai'
 import { defaultQuotaBounds } from '../../src/process/accounts/accountQuotas.ts'
 import { createSeededRandom } from '../../src/process/program/random.ts'
-import { createWindowLimit } from '../../src/request/placement/accountQuota.ts'
+import { createWindowLimit } from '../../src/request/placement/accountLimit.ts'
 import { createAccounts, isWithin, limitFactor, waveAt } from './quotaAccounts.ts'
 import { findLargestWindow, playQuotas, type QuotaReplay } from './quotaReplay.ts'
 
